Lay the ground: schema, build, base library, RPC and platform clients

Cause: the project starts empty. Conclusion: the parts can be built side by side over these headers.

--- /dev/null
+++ b/cmake/targets.cmake
@@ -0,0 +1,34 @@
+# How this project's targets are made: warnings, precompiled headers, aliases.
+
+set(chervil_warnings -Wall -Wextra -Wpedantic -Wshadow -Wconversion -Werror)
+
+# One shared precompiled header holds what is slow to parse.
+function(chervil_share_headers target)
+  target_compile_options(${target} PRIVATE ${chervil_warnings} -fpch-preprocess)
+  if(NOT target STREQUAL chervil_base)
+    target_precompile_headers(${target} REUSE_FROM chervil_base)
+  endif()
+endfunction()
+
+# chervil_library(NAME SOURCES... ) makes chervil_NAME, with the alias chervildyke::NAME,
+# from all sources of the current folder.
+function(chervil_library name)
+  cmake_parse_arguments(arg "" "" "LINK" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS *.cpp)
+  add_library(chervil_${name} STATIC ${sources})
+  add_library(chervildyke::${name} ALIAS chervil_${name})
+  target_include_directories(chervil_${name} PUBLIC ${PROJECT_SOURCE_DIR}/src)
+  target_link_libraries(chervil_${name} PUBLIC ${arg_LINK})
+  chervil_share_headers(chervil_${name})
+endfunction()
+
+# chervil_program(NAME LINK ...) makes one program from all sources of the current folder.
+function(chervil_program name)
+  cmake_parse_arguments(arg "" "" "LINK" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS *.cpp)
+  add_executable(${name} ${sources})
+  target_compile_definitions(${name} PRIVATE CHERVIL_VERSION="${PROJECT_VERSION}")
+  target_link_libraries(${name} PRIVATE ${arg_LINK})
+  set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
+  chervil_share_headers(${name})
+endfunction()
--- /dev/null
+++ b/src/base/clock.cpp
@@ -0,0 +1,96 @@
+/** \file
+ * Implements the system's clock over std::chrono, and the manual clock.
+ */
+#include "base/clock.h"
+
+#include <algorithm>
+
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace chervildyke {
+
+namespace {
+
+constexpr std::uint64_t manual_epoch_ms = 1'800'000'000'000;
+
+struct manual_state {
+    bool installed = false;
+    time_point now{1h};
+};
+
+manual_state& manual()
+{
+    static manual_state state;
+    return state;
+}
+
+} // namespace
+
+time_point monotonic_clock::now()
+{
+    if (manual().installed) {
+        return manual().now;
+    }
+    const auto since_start = std::chrono::steady_clock::now().time_since_epoch();
+    return time_point(std::chrono::duration_cast<duration>(since_start));
+}
+
+bool monotonic_clock::is_manual()
+{
+    return manual().installed;
+}
+
+duration monotonic_wait_traits::to_wait_duration(const duration& until)
+{
+    return monotonic_clock::is_manual() ? duration::zero() : until;
+}
+
+duration monotonic_wait_traits::to_wait_duration(const time_point& until)
+{
+    return to_wait_duration(until - monotonic_clock::now());
+}
+
+std::uint64_t wall_clock_ms()
+{
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    if (manual().installed) {
+        const auto passed = duration_cast<milliseconds>(manual().now.time_since_epoch());
+        return manual_epoch_ms + static_cast<std::uint64_t>(passed.count());
+    }
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(duration_cast<milliseconds>(since_epoch).count());
+}
+
+boost::asio::awaitable<void> sleep_for(duration span)
+{
+    timer pause(co_await boost::asio::this_coro::executor);
+    pause.expires_after(span);
+    co_await pause.async_wait(boost::asio::use_awaitable);
+}
+
+manual_clock::manual_clock(boost::asio::io_context& context) : context_(context)
+{
+    manual().installed = true;
+    manual().now = time_point(1h);
+}
+
+manual_clock::~manual_clock()
+{
+    manual().installed = false;
+}
+
+void manual_clock::advance(duration span, duration step)
+{
+    const time_point end = manual().now + span;
+    context_.restart();
+    context_.poll();
+    while (manual().now < end) {
+        manual().now += std::min(step, end - manual().now);
+        context_.restart();
+        context_.poll();
+    }
+}
+
+} // namespace chervildyke
--- /dev/null
+++ b/src/base/http_client.cpp
@@ -0,0 +1,283 @@
+/** \file
+ * Implements http_client over Boost.Beast.
+ */
+#include "base/http_client.h"
+
+#include <charconv>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace chervildyke {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr auto as_tuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t body_part_bytes = 16U << 10U;
+constexpr std::uint64_t max_body_bytes = 256U << 20U;
+
+struct connection {
+    explicit connection(const asio::any_io_executor& executor) : stream(executor) {}
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer{64U << 10U};
+};
+
+using connection_ptr = std::unique_ptr<connection>;
+
+http::request<http::string_body> to_message(const std::string& address, http_request&& request)
+{
+    http::request<http::string_body> message;
+    message.version(11);
+    message.method_string(request.method);
+    message.target(request.target);
+    message.set(http::field::host, address);
+    for (const http_header& header : request.headers) {
+        message.set(header.name, header.value);
+    }
+    message.body() = std::move(request.body);
+    message.prepare_payload();
+    return message;
+}
+
+http_failure failed(const error_code& error, http_error otherwise, const std::string& address)
+{
+    const bool timed_out = error == beast::error::timeout;
+    const http_error code =
+        timed_out && otherwise != http_error::not_sent ? http_error::timed_out : otherwise;
+    return {code, address + ": " + error.message()};
+}
+
+} // namespace
+
+bool split_address(const std::string& address, std::string& ip, std::uint16_t& port)
+{
+    const std::size_t colon = address.rfind(':');
+    if (colon == std::string::npos) {
+        return false;
+    }
+    ip = address.substr(0, colon);
+    const char* end = address.data() + address.size();
+    const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
+    return parsed.ec == std::errc() && parsed.ptr == end && !ip.empty();
+}
+
+struct http_client::state : std::enable_shared_from_this<http_client::state> {
+    asio::any_io_executor executor;
+    std::size_t kept_per_address = 0;
+    std::unordered_map<std::string, std::vector<connection_ptr>> kept;
+
+    connection_ptr take(const std::string& address);
+    void keep(const std::string& address, connection_ptr used);
+    asio::awaitable<http_result<connection_ptr>> connect(std::string address,
+                                                         http_call_options options);
+};
+
+connection_ptr http_client::state::take(const std::string& address)
+{
+    auto& pool = kept[address];
+    while (!pool.empty()) {
+        connection_ptr candidate = std::move(pool.back());
+        pool.pop_back();
+        error_code error;
+        tcp::socket& socket = candidate->stream.socket();
+        socket.non_blocking(true, error);
+        char byte = 0;
+        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        if (error == asio::error::would_block) {
+            return candidate; // Still open and silent.
+        }
+    }
+    return nullptr;
+}
+
+void http_client::state::keep(const std::string& address, connection_ptr used)
+{
+    auto& pool = kept[address];
+    if (pool.size() < kept_per_address) {
+        used->stream.expires_never();
+        pool.push_back(std::move(used));
+    }
+}
+
+asio::awaitable<http_result<connection_ptr>> http_client::state::connect(std::string address,
+                                                                         http_call_options options)
+{
+    if (!options.fresh_connection) {
+        if (connection_ptr reused = take(address)) {
+            reused->stream.expires_after(options.timeout);
+            co_return reused;
+        }
+    }
+    std::string ip;
+    std::uint16_t port = 0;
+    error_code error;
+    if (!split_address(address, ip, port)) {
+        co_return http_failure{http_error::not_sent, "not ip:port: " + address};
+    }
+    const auto number = asio::ip::make_address(ip, error);
+    if (error) {
+        co_return http_failure{http_error::not_sent, "not an IP number: " + address};
+    }
+    auto made = std::make_unique<connection>(executor);
+    if (!options.from_address.empty()) {
+        const auto from = asio::ip::make_address(options.from_address, error);
+        if (!error) {
+            made->stream.socket().open(number.is_v4() ? tcp::v4() : tcp::v6(), error);
+            made->stream.socket().bind({from, 0}, error);
+        }
+    }
+    made->stream.expires_after(options.timeout);
+    const auto [failed_to_connect] =
+        co_await made->stream.async_connect(tcp::endpoint(number, port), as_tuple);
+    if (failed_to_connect) {
+        co_return failed(failed_to_connect, http_error::not_sent, address);
+    }
+    made->stream.socket().set_option(tcp::no_delay(true), error);
+    co_return made;
+}
+
+namespace {
+
+class beast_stream : public http_stream {
+  public:
+    beast_stream(std::string address, connection_ptr used, std::function<void(connection_ptr)> keep)
+        : address_(std::move(address)), connection_(std::move(used)), keep_(std::move(keep))
+    {
+        parser_.body_limit(max_body_bytes);
+    }
+
+    asio::awaitable<error_code> read_head()
+    {
+        const auto [error, bytes] = co_await http::async_read_header(
+            connection_->stream, connection_->buffer, parser_, as_tuple);
+        co_return error;
+    }
+
+    unsigned status() const override { return parser_.get().result_int(); }
+
+    std::string header(std::string_view name) const override
+    {
+        const auto found = parser_.get().find({name.data(), name.size()});
+        return found == parser_.get().end() ? std::string() : std::string(found->value());
+    }
+
+    asio::awaitable<http_result<std::string>> read_some(duration timeout) override
+    {
+        std::string part;
+        while (part.empty() && !parser_.is_done()) {
+            part.resize(body_part_bytes);
+            parser_.get().body().data = part.data();
+            parser_.get().body().size = part.size();
+            parser_.get().body().more = true;
+            connection_->stream.expires_after(timeout);
+            auto [error, bytes] = co_await http::async_read_some(
+                connection_->stream, connection_->buffer, parser_, as_tuple);
+            if (error && error != http::error::need_buffer) {
+                co_return failed(error, http_error::broken, address_);
+            }
+            part.resize(part.size() - parser_.get().body().size);
+        }
+        if (parser_.is_done() && connection_ && parser_.keep_alive()) {
+            keep_(std::move(connection_));
+        }
+        co_return part;
+    }
+
+  private:
+    std::string address_;
+    connection_ptr connection_;
+    std::function<void(connection_ptr)> keep_;
+    http::response_parser<http::buffer_body> parser_;
+};
+
+} // namespace
+
+http_client::http_client(asio::any_io_executor executor, std::size_t kept_per_address)
+    : state_(std::make_shared<state>())
+{
+    state_->executor = std::move(executor);
+    state_->kept_per_address = kept_per_address;
+}
+
+http_client::~http_client() = default;
+
+asio::awaitable<http_result<std::shared_ptr<http_stream>>>
+http_client::open(std::string address, http_request request, http_call_options options)
+{
+    const auto self = state_;
+    auto connected = co_await self->connect(address, options);
+    if (!connected) {
+        co_return connected.last_reason();
+    }
+    connection_ptr used = std::move(*connected);
+    const auto message = to_message(address, std::move(request));
+    const auto [error, bytes] = co_await http::async_write(used->stream, message, as_tuple);
+    if (error) {
+        co_return failed(error, bytes == 0 ? http_error::not_sent : http_error::unanswered,
+                         address);
+    }
+    const auto keep = [self, address](connection_ptr done) {
+        self->keep(address, std::move(done));
+    };
+    auto answer = std::make_shared<beast_stream>(address, std::move(used), keep);
+    if (const error_code unread = co_await answer->read_head()) {
+        co_return failed(unread, http_error::unanswered, address);
+    }
+    co_return std::shared_ptr<http_stream>(std::move(answer));
+}
+
+asio::awaitable<http_result<http_reply>>
+http_client::call(std::string address, http_request request, http_call_options options)
+{
+    const time_point end = monotonic_clock::now() + options.timeout;
+    auto opened = co_await open(std::move(address), std::move(request), options);
+    if (!opened) {
+        co_return opened.last_reason();
+    }
+    http_stream& answer = **opened;
+    http_reply reply;
+    reply.status = answer.status();
+    reply.content_type = answer.header("content-type");
+    for (const char* name : {"retry-after", "x-chervil-outcome"}) {
+        if (std::string value = answer.header(name); !value.empty()) {
+            reply.headers.push_back({name, std::move(value)});
+        }
+    }
+    while (true) {
+        const duration left = std::max<duration>(end - monotonic_clock::now(), 1ms);
+        auto part = co_await answer.read_some(left);
+        if (!part) {
+            co_return part.last_reason();
+        }
+        if (part->empty()) {
+            co_return reply;
+        }
+        reply.body += *part;
+    }
+}
+
+asio::awaitable<http_result<http_reply>> http_client::call(std::string address,
+                                                           http_request request)
+{
+    const http_call_options options;
+    co_return co_await call(std::move(address), std::move(request), options);
+}
+
+asio::awaitable<http_result<std::shared_ptr<http_stream>>> http_client::open(std::string address,
+                                                                             http_request request)
+{
+    const http_call_options options;
+    co_return co_await open(std::move(address), std::move(request), options);
+}
+
+} // namespace chervildyke
--- /dev/null
+++ b/src/base/http_client.h
@@ -0,0 +1,85 @@
+/** \file
+ * Defines http_client, which makes calls over kept connections and says what a failed call may have
+ * done.
+ */
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <string>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include "base/clock.h"
+#include "base/http_message.h"
+#include "base/result.h"
+
+namespace chervildyke {
+
+enum class http_error {
+    none,
+    not_sent,   // No byte of the request left this process; the peer can't have seen it.
+    unanswered, // Sent in part or whole; the peer may have acted on it.
+    broken,     // The answer began and did not end properly.
+    timed_out,  // Sent; no answer within the timeout. The peer may have acted on it.
+};
+
+using http_failure = failure<http_error>;
+
+template <typename Value>
+using http_result = result<Value, http_error>;
+
+/** The body of an answer while it arrives. Dropping it closes the connection unless the body
+ * was read to its end.
+ */
+class http_stream {
+  public:
+    virtual ~http_stream() = default;
+    virtual unsigned status() const = 0;
+    virtual std::string header(std::string_view name) const = 0;
+
+    /** Reads the next part of the body.
+     * \return an empty text once the body ended properly.
+     */
+    virtual boost::asio::awaitable<http_result<std::string>> read_some(duration timeout) = 0;
+};
+
+struct http_call_options {
+    duration timeout = 5s;         // For the whole call, or for the head of a streamed answer.
+    bool fresh_connection = false; // Never reuse a kept connection, which may have died unnoticed.
+    std::string from_address;      // The local address to call from; empty: any.
+};
+
+/** Makes HTTP/1.1 calls to ip:port addresses. Retries nothing; what a failure means for the call
+ * is left to the caller of this class.
+ */
+class http_client {
+  public:
+    explicit http_client(boost::asio::any_io_executor executor, std::size_t kept_per_address = 32);
+    ~http_client();
+
+    boost::asio::awaitable<http_result<http_reply>> call(std::string address, http_request request,
+                                                         http_call_options options);
+
+    /** As above with the default options. */
+    boost::asio::awaitable<http_result<http_reply>> call(std::string address, http_request request);
+
+    boost::asio::awaitable<http_result<std::shared_ptr<http_stream>>>
+    open(std::string address, http_request request, http_call_options options);
+
+    /** As above with the default options. */
+    boost::asio::awaitable<http_result<std::shared_ptr<http_stream>>> open(std::string address,
+                                                                           http_request request);
+
+  private:
+    struct state;
+    std::shared_ptr<state> state_;
+};
+
+/** Splits ip:port.
+ * \return false when the text is neither.
+ */
+bool split_address(const std::string& address, std::string& ip, std::uint16_t& port);
+
+} // namespace chervildyke
--- /dev/null
+++ b/src/base/http_message.cpp
@@ -0,0 +1,42 @@
+/** \file
+ * Implements the look-ups on HTTP messages.
+ */
+#include "base/http_message.h"
+
+#include <algorithm>
+
+#include <boost/beast/core/string.hpp>
+#include <boost/url/parse.hpp>
+#include <boost/url/url_view.hpp>
+
+namespace chervildyke {
+
+std::string_view find_header(const std::vector<http_header>& headers, std::string_view name)
+{
+    const auto found = std::find_if(headers.begin(), headers.end(), [&](const http_header& header) {
+        return boost::beast::iequals({header.name.data(), header.name.size()},
+                                     {name.data(), name.size()});
+    });
+    return found == headers.end() ? std::string_view{} : std::string_view(found->value);
+}
+
+std::string_view http_request::path() const
+{
+    return std::string_view(target).substr(0, target.find('?'));
+}
+
+std::string http_request::query(std::string_view name) const
+{
+    const auto parsed = boost::urls::parse_origin_form(target);
+    if (!parsed) {
+        return {};
+    }
+    for (const auto& parameter : parsed->params()) {
+        if (parameter.key == name) {
+            return parameter.value;
+        }
+    }
+    return {};
+}
+
+} // namespace chervildyke
--- /dev/null
+++ b/src/base/log.h
@@ -0,0 +1,62 @@
+/** \file
+ * Defines part_log, through which each part writes short log lines under its fixed prefix.
+ */
+#pragma once
+
+#include <sstream>
+#include <string>
+
+namespace chervildyke {
+
+enum class log_level { trace, debug, info, warning, error };
+
+/** Sets up Boost.Log for the process.
+ * \param level the lowest level written: trace, debug, info, warning or error; empty means info.
+ * \param file the file to write to; empty means standard error.
+ */
+void start_log(const std::string& level, const std::string& file);
+
+/** Writes lines with one part's prefix. Cheap to copy. */
+class part_log {
+  public:
+    explicit part_log(const char* prefix) : prefix_(prefix) {}
+
+    template <typename... Parts>
+    void debug(const Parts&... parts) const
+    {
+        write(log_level::debug, parts...);
+    }
+    template <typename... Parts>
+    void info(const Parts&... parts) const
+    {
+        write(log_level::info, parts...);
+    }
+    template <typename... Parts>
+    void warning(const Parts&... parts) const
+    {
+        write(log_level::warning, parts...);
+    }
+    template <typename... Parts>
+    void error(const Parts&... parts) const
+    {
+        write(log_level::error, parts...);
+    }
+
+  private:
+    template <typename... Parts>
+    void write(log_level level, const Parts&... parts) const
+    {
+        if (!enabled(level)) {
+            return;
+        }
+        std::ostringstream text;
+        (text << ... << parts);
+        put(level, text.str());
+    }
+    static bool enabled(log_level level);
+    void put(log_level level, const std::string& text) const;
+
+    const char* prefix_;
+};
+
+} // namespace chervildyke
--- /dev/null
+++ b/src/base/program.cpp
@@ -0,0 +1,90 @@
+/** \file
+ * Implements the daemons' shell over cxxopts and asio's signals.
+ */
+#include "base/program.h"
+
+#include <csignal>
+#include <iostream>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <cxxopts.hpp>
+
+#include "base/settings.h"
+
+namespace chervildyke {
+
+namespace {
+
+int report(const std::vector<settings_fault>& faults)
+{
+    for (const settings_fault& fault : faults) {
+        std::cerr << fault.to_string() << "\n";
+    }
+    return faults.empty() ? exit_success : exit_bad_settings;
+}
+
+} // namespace
+
+bool read_command_line(int argc, char** argv, const program_description& description,
+                       google::protobuf::Message& settings, int& exit_code)
+{
+    cxxopts::Options options(description.name, description.purpose);
+    options.add_options()("settings", "the settings file", cxxopts::value<std::string>())(
+        "check-settings", "check a settings file and end", cxxopts::value<std::string>())(
+        "version", "print the version and end")("help", "print this and end");
+    exit_code = exit_success;
+    try {
+        const auto given = options.parse(argc, argv);
+        if (given.count("help") != 0) {
+            std::cout << options.help() << "\n";
+            return false;
+        }
+        if (given.count("version") != 0) {
+            std::cout << description.name << " " << description.version << "\n";
+            return false;
+        }
+        if (given.count("check-settings") != 0) {
+            exit_code = report(load_document(given["check-settings"].as<std::string>(), settings));
+            return false;
+        }
+        if (given.count("settings") == 0) {
+            std::cerr << description.name << ": give --settings FILE (see --help)\n";
+            exit_code = exit_bad_settings;
+            return false;
+        }
+        exit_code = report(load_document(given["settings"].as<std::string>(), settings));
+        return exit_code == exit_success;
+    }
+    catch (const cxxopts::exceptions::exception& error) {
+        std::cerr << description.name << ": " << error.what() << "\n";
+        exit_code = exit_bad_settings;
+        return false;
+    }
+}
+
+boost::asio::awaitable<void> stop_requested()
+{
+    boost::asio::signal_set signals(co_await boost::asio::this_coro::executor, SIGTERM, SIGINT);
+    co_await signals.async_wait(boost::asio::use_awaitable);
+}
+
+int run_main_task(boost::asio::io_context& context,
+                  const std::function<boost::asio::awaitable<int>()>& main_task)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    int exit_code = exit_failure;
+    boost::asio::co_spawn(context, main_task(), [&](const std::exception_ptr& thrown, int code) {
+        exit_code = code;
+        context.stop();
+        if (thrown) {
+            std::rethrow_exception(thrown);
+        }
+    });
+    context.run();
+    return exit_code;
+}
+
+} // namespace chervildyke
--- /dev/null
+++ b/src/base/program.h
@@ -0,0 +1,44 @@
+/** \file
+ * Defines the shell that every daemon shares: command line, settings check, signals and exit codes.
+ */
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <google/protobuf/message.h>
+
+namespace chervildyke {
+
+constexpr int exit_success = 0;
+constexpr int exit_failure = 1;
+constexpr int exit_bad_settings = 2; // Also a bad command line.
+
+struct program_description {
+    std::string name;
+    std::string version;
+    std::string purpose;
+};
+
+/** Reads --help, --version, --check-settings FILE and --settings FILE.
+ * \param settings filled from the file.
+ * \param exit_code set when the program should end.
+ * \return true when the program should run.
+ */
+bool read_command_line(int argc, char** argv, const program_description& description,
+                       google::protobuf::Message& settings, int& exit_code);
+
+/** Completes when the process is asked to stop by SIGTERM or SIGINT. */
+boost::asio::awaitable<void> stop_requested();
+
+/** Runs the main task until it completes.
+ * \param context the process's only context.
+ * \param main_task returns the exit code.
+ * \return the exit code.
+ */
+int run_main_task(boost::asio::io_context& context,
+                  const std::function<boost::asio::awaitable<int>()>& main_task);
+
+} // namespace chervildyke
--- /dev/null
+++ b/src/entry/main.cpp
@@ -0,0 +1,1 @@
+int main() {}
--- /dev/null
+++ b/src/orders/placeholder.cpp
@@ -0,0 +1,2 @@
+namespace chervildyke {
+}
--- /dev/null
+++ b/src/platform/http_platform.cpp
@@ -0,0 +1,156 @@
+/** \file
+ * Implements the platform clients over http_client.
+ */
+#include "platform/http_platform.h"
+
+#include "platform/json_message.h"
+
+namespace chervildyke {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr duration append_timeout = 2s;
+constexpr duration read_margin = 2s;
+constexpr duration list_timeout = 2s;
+
+/** Turns a failed HTTP call into the platform's words. */
+platform_failure from_http(const http_failure& below)
+{
+    const bool had_no_effect = below.code == http_error::not_sent;
+    return {had_no_effect ? platform_error::not_sent : platform_error::unclear, below.reason};
+}
+
+platform_failure from_status(const http_reply& reply)
+{
+    if (reply.status == 429 || reply.status == 503) {
+        return {platform_error::overloaded, "HTTP " + std::to_string(reply.status)};
+    }
+    const bool said_no = reply.status >= 400 && reply.status < 500;
+    return {said_no ? platform_error::refused : platform_error::unclear,
+            "HTTP " + std::to_string(reply.status) + " " + reply.body.substr(0, 200)};
+}
+
+/** Makes a call whose answer is one message in JSON. */
+template <typename Reply>
+asio::awaitable<platform_result<Reply>> json_call(std::shared_ptr<http_client> http,
+                                                  std::string address, http_request request,
+                                                  duration timeout)
+{
+    http_call_options options;
+    options.timeout = timeout;
+    auto answer = co_await http->call(std::move(address), std::move(request), options);
+    if (!answer) {
+        co_return from_http(answer.last_reason());
+    }
+    if (answer->status != 200) {
+        co_return from_status(*answer);
+    }
+    Reply reply;
+    if (!from_json(answer->body, reply)) {
+        co_return platform_failure{platform_error::unclear, "an answer that can't be read"};
+    }
+    co_return reply;
+}
+
+http_request json_post(std::string target, const google::protobuf::Message& body)
+{
+    http_request request;
+    request.method = "POST";
+    request.target = std::move(target);
+    request.headers = {{"Content-Type", "application/json"}};
+    request.body = to_json(body);
+    return request;
+}
+
+http_request get(std::string target)
+{
+    http_request request;
+    request.target = std::move(target);
+    return request;
+}
+
+log_read to_log_read(schema::log_read_reply&& reply)
+{
+    log_read read;
+    read.first_offset = reply.first_offset();
+    read.next_offset = reply.next_offset();
+    read.retention_ms = reply.retention_ms();
+    read.records.reserve(static_cast<std::size_t>(reply.records_size()));
+    for (schema::log_entry& entry : *reply.mutable_records()) {
+        read.records.push_back(
+            {entry.offset(), std::move(*entry.mutable_payload()), entry.appended_at_ms()});
+    }
+    return read;
+}
+
+std::int64_t to_ms(duration span)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
+} // namespace
+
+log_client http_log_client(std::shared_ptr<http_client> http, std::string address)
+{
+    log_client client;
+    client.append = [http,
+                     address](std::string stream,
+                              std::string payload) -> asio::awaitable<platform_result<log_offset>> {
+        schema::log_append_request body;
+        body.set_payload(std::move(payload));
+        auto reply = co_await json_call<schema::log_append_reply>(
+            http, address, json_post("/streams/" + stream + "/append", body), append_timeout);
+        if (!reply) {
+            co_return reply.last_reason();
+        }
+        co_return reply->offset();
+    };
+    client.read = [http, address](std::string stream, log_offset from, std::uint32_t limit,
+                                  duration wait) -> asio::awaitable<platform_result<log_read>> {
+        auto reply = co_await json_call<schema::log_read_reply>(
+            http, address,
+            get("/streams/" + stream + "/records?from=" + std::to_string(from) +
+                "&limit=" + std::to_string(limit) + "&wait_ms=" + std::to_string(to_ms(wait))),
+            wait + read_margin);
+        if (!reply) {
+            co_return reply.last_reason();
+        }
+        co_return to_log_read(std::move(*reply));
+    };
+    return client;
+}
+
+vm_list_client http_vm_list_client(std::shared_ptr<http_client> http, std::string address)
+{
+    vm_list_client client;
+    client.list = [http, address]() {
+        return json_call<schema::vm_list_reply>(http, address, get("/vms"), list_timeout);
+    };
+    return client;
+}
+
+engine_client http_engine_client(std::shared_ptr<http_client> http)
+{
+    engine_client client;
+    client.report = [http](std::string address, duration timeout) {
+        return json_call<schema::engine_report>(http, std::move(address), get("/report"), timeout);
+    };
+    client.order = [http](std::string address, schema::engine_order order, duration timeout) {
+        return json_call<schema::engine_order_reply>(http, std::move(address),
+                                                     json_post("/order", order), timeout);
+    };
+    return client;
+}
+
+weight_store_client http_weight_store_client(std::shared_ptr<http_client> http, std::string address)
+{
+    weight_store_client client;
+    client.status = [http, address]() {
+        return json_call<schema::weight_store_status>(http, address, get("/status"), list_timeout);
+    };
+    return client;
+}
+
+} // namespace chervildyke
--- /dev/null
+++ b/src/platform/http_platform.h
@@ -0,0 +1,28 @@
+/** \file
+ * Defines the platform clients that speak the published HTTP calls.
+ */
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "base/http_client.h"
+#include "platform/engine_client.h"
+#include "platform/log_client.h"
+#include "platform/vm_list_client.h"
+
+namespace chervildyke {
+
+/** \param address ip:port of the log service. */
+log_client http_log_client(std::shared_ptr<http_client> http, std::string address);
+
+/** \param address ip:port of the VM list. */
+vm_list_client http_vm_list_client(std::shared_ptr<http_client> http, std::string address);
+
+engine_client http_engine_client(std::shared_ptr<http_client> http);
+
+/** \param address ip:port of the weight store. */
+weight_store_client http_weight_store_client(std::shared_ptr<http_client> http,
+                                             std::string address);
+
+} // namespace chervildyke
--- /dev/null
+++ b/src/platform/json_message.cpp
@@ -0,0 +1,26 @@
+/** \file
+ * Implements the JSON form with protobuf's own codec.
+ */
+#include "platform/json_message.h"
+
+#include <google/protobuf/util/json_util.h>
+
+namespace chervildyke {
+
+std::string to_json(const google::protobuf::Message& message)
+{
+    google::protobuf::util::JsonPrintOptions options;
+    options.preserve_proto_field_names = true;
+    std::string text;
+    const auto status = google::protobuf::util::MessageToJsonString(message, &text, options);
+    return status.ok() ? text : std::string();
+}
+
+bool from_json(const std::string& text, google::protobuf::Message& into)
+{
+    google::protobuf::util::JsonParseOptions options;
+    options.ignore_unknown_fields = true;
+    return google::protobuf::util::JsonStringToMessage(text, &into, options).ok();
+}
+
+} // namespace chervildyke
--- /dev/null
+++ b/src/platform/platform_error.h
@@ -0,0 +1,24 @@
+/** \file
+ * Defines how calls on the platform and on backend servers fail.
+ */
+#pragma once
+
+#include "base/result.h"
+
+namespace chervildyke {
+
+enum class platform_error {
+    none,
+    not_sent,     // The call did not reach its target and had no effect.
+    unclear,      // The call may have taken effect; nobody can tell yet.
+    refused,      // The target said no and did nothing.
+    overloaded,   // The target said no for now; try again later.
+    out_of_range, // The log no longer keeps, or never had, the offset.
+};
+
+using platform_failure = failure<platform_error>;
+
+template <typename Value>
+using platform_result = result<Value, platform_error>;
+
+} // namespace chervildyke
--- /dev/null
+++ b/src/platform/vm_list_client.h
@@ -0,0 +1,21 @@
+/** \file
+ * Defines vm_list_client, which reads the platform's list of VMs.
+ */
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "platform.pb.h"
+#include "platform/platform_error.h"
+
+namespace chervildyke {
+
+/** The call on the VM list. The list lags behind reality. */
+struct vm_list_client {
+    std::function<boost::asio::awaitable<platform_result<schema::vm_list_reply>>()> list;
+};
+
+} // namespace chervildyke
