--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -348,6 +348,13 @@
     return state_->last_reason;
 }
 
+std::uint16_t http_server::port() const
+{
+    error_code error;
+    const auto local = state_->acceptor.local_endpoint(error);
+    return error ? std::uint16_t{0} : local.port();
+}
+
 void http_server::stop_accepting()
 {
     state_->stopping = true;
--- a/src/base/http_server.h
+++ b/src/base/http_server.h
@@ -67,6 +67,9 @@
     bool listen(const std::string& address, std::uint16_t port);
     const std::string& last_reason() const;
 
+    /** The port listened on; useful after listen() with port zero, which takes a free one. */
+    std::uint16_t port() const;
+
     /** Stops accepting; connections close after the answer in progress. */
     void stop_accepting();
 
--- a/src/rpc/control_server.cpp
+++ b/src/rpc/control_server.cpp
@@ -96,6 +96,7 @@
     asio::any_io_executor executor;
     control_hooks hooks;
     std::unique_ptr<grpc::Server> server;
+    int bound_port = 0;
 
     grpc::ServerWriteReactor<schema::routing_view>*
     watch_view(grpc::CallbackServerContext*, const schema::view_request* request) override
@@ -147,14 +148,18 @@
 bool control_server::listen(const std::string& address, std::uint16_t port)
 {
     grpc::ServerBuilder builder;
-    int bound_port = 0;
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
     builder.SetMaxReceiveMessageSize(max_message_bytes);
     builder.AddListeningPort(address + ":" + std::to_string(port),
-                             grpc::InsecureServerCredentials(), &bound_port);
+                             grpc::InsecureServerCredentials(), &state_->bound_port);
     builder.RegisterService(state_.get());
     state_->server = builder.BuildAndStart();
-    return state_->server != nullptr && bound_port != 0;
+    return state_->server != nullptr && state_->bound_port != 0;
+}
+
+std::uint16_t control_server::port() const
+{
+    return static_cast<std::uint16_t>(state_->bound_port);
 }
 
 void control_server::stop(duration grace)
--- a/src/rpc/control_server.h
+++ b/src/rpc/control_server.h
@@ -46,6 +46,9 @@
     /** \return false when the address can't be had. */
     bool listen(const std::string& address, std::uint16_t port);
 
+    /** The port listened on; useful after listen() with port zero, which takes a free one. */
+    std::uint16_t port() const;
+
     /** Ends all calls and waits for gRPC's threads to let go.
      * The executor must still run, or calls in progress can't end.
      */
--- a/test/correctness/base_http.cpp
+++ b/test/correctness/base_http.cpp
@@ -14,10 +14,6 @@
 
 namespace {
 
-constexpr const char* address = "127.0.9.1";
-constexpr std::uint16_t port = 18'080;
-const std::string target_address = std::string(address) + ":" + std::to_string(port);
-
 asio::awaitable<void> echo(http_exchange& exchange)
 {
     if (exchange.request().path() == "/stream") {
@@ -41,7 +37,8 @@
 {
     asio::io_context context;
     http_server server(context.get_executor(), echo);
-    REQUIRE(server.listen(address, port));
+    REQUIRE(server.listen("127.0.0.1", 0));
+    const std::string target_address = "127.0.0.1:" + std::to_string(server.port());
     http_client client(context.get_executor());
     std::string called;
     std::string streamed;
@@ -79,7 +76,7 @@
     asio::co_spawn(
         context,
         [&]() -> asio::awaitable<void> {
-            auto reply = co_await client.call("127.0.9.1:18099", http_request());
+            auto reply = co_await client.call("127.0.0.1:1", http_request());
             code = reply.last_reason().code;
         },
         asio::detached);
--- a/test/correctness/rpc_calls.cpp
+++ b/test/correctness/rpc_calls.cpp
@@ -31,8 +31,8 @@
         }
     };
     control_server server(context.get_executor(), hooks);
-    REQUIRE(server.listen("127.0.9.1", 18'090));
-    control_client client(context.get_executor(), "127.0.9.1:18090");
+    REQUIRE(server.listen("127.0.0.1", 0));
+    control_client client(context.get_executor(), "127.0.0.1:" + std::to_string(server.port()));
     std::string answer;
     std::uint64_t last_version = 0;
     rpc_error refused = rpc_error::none;
