--- /dev/null
+++ b/src/journal/fleet_snapshot.cpp
@@ -0,0 +1,154 @@
+/** \file
+ * Implements the form in which checkpoints and members hand a fleet_state on.
+ */
+#include <google/protobuf/util/message_differencer.h>
+
+#include "journal/fleet_state.h"
+#include "journal/team_parameters.h"
+
+namespace chervildyke {
+
+namespace {
+
+using google::protobuf::util::MessageDifferencer;
+
+void write_replica(const replica& from, schema::replica_record& into)
+{
+    into.set_replica_id(from.id);
+    into.set_team(from.team);
+    into.set_model(from.model);
+    into.set_phase(from.phase);
+    into.set_configuration_version(from.configuration_version);
+    into.set_reason(from.reason);
+    for (const replica_vm& member : from.members) {
+        schema::replica_member* written = into.add_members();
+        written->set_vm(member.vm);
+        written->set_released(member.released);
+    }
+}
+
+replica read_replica(const schema::replica_record& from)
+{
+    replica read;
+    read.id = from.replica_id();
+    read.team = from.team();
+    read.model = from.model();
+    read.phase = from.phase();
+    read.configuration_version = from.configuration_version();
+    read.reason = from.reason();
+    for (const schema::replica_member& member : from.members()) {
+        read.members.push_back({member.vm(), member.released()});
+    }
+    return read;
+}
+
+/** The newest entry's configuration is the one in force and stands in the snapshot once. */
+void write_entry(const configuration_entry& from, bool in_force,
+                 schema::configuration_version_record& into)
+{
+    into.set_version(from.version);
+    into.set_author(from.author);
+    into.set_comment(from.comment);
+    into.set_written_at_ms(from.written_at_ms);
+    if (from.configuration != nullptr && !in_force) {
+        *into.mutable_configuration() = *from.configuration;
+    }
+}
+
+configuration_entry read_entry(const schema::configuration_version_record& from,
+                               std::uint64_t version_in_force,
+                               const std::shared_ptr<const schema::fleet_configuration>& in_force)
+{
+    configuration_entry read{from.version(), from.author(), from.comment(), from.written_at_ms(),
+                             nullptr};
+    if (from.version() == version_in_force) {
+        read.configuration = in_force;
+    }
+    else if (from.has_configuration()) {
+        read.configuration =
+            std::make_shared<const schema::fleet_configuration>(from.configuration());
+    }
+    return read;
+}
+
+std::map<std::string, std::uint64_t> read_team_versions(const schema::state_snapshot& snapshot)
+{
+    std::map<std::string, std::uint64_t> versions;
+    for (const schema::team_version& item : snapshot.team_versions()) {
+        versions[item.team()] = item.version();
+    }
+    return versions;
+}
+
+} // namespace
+
+schema::state_snapshot fleet_state::to_snapshot() const
+{
+    schema::state_snapshot snapshot;
+    snapshot.set_offset(offset_);
+    snapshot.set_format(format_);
+    snapshot.set_any_applied(offset_ > 0);
+    snapshot.set_configuration_version(configuration_version_);
+    *snapshot.mutable_configuration() = *configuration_;
+    for (const auto& [id, item] : *replicas_) {
+        write_replica(item, *snapshot.add_replicas());
+    }
+    for (const std::string& id : *recent_ids_) {
+        snapshot.add_recent_ids(id);
+    }
+    for (const configuration_entry& entry : *history_) {
+        write_entry(entry, entry.version == configuration_version_, *snapshot.add_history());
+    }
+    for (const auto& [name, team] : *teams_) {
+        schema::team_version* version = snapshot.add_team_versions();
+        version->set_team(name);
+        version->set_version(team.since);
+    }
+    return snapshot;
+}
+
+journal_result<std::shared_ptr<const fleet_state>>
+fleet_state::from_snapshot(const schema::state_snapshot& snapshot)
+{
+    if (snapshot.format() == 0) {
+        return journal_failure{journal_error::unreadable, "the snapshot states no format"};
+    }
+    auto state = std::make_shared<fleet_state>();
+    state->offset_ = snapshot.offset();
+    state->format_ = snapshot.format();
+    state->configuration_version_ = snapshot.configuration_version();
+    state->configuration_ =
+        std::make_shared<const schema::fleet_configuration>(snapshot.configuration());
+    const auto versions = read_team_versions(snapshot);
+    auto teams = std::make_shared<team_map>();
+    for (const schema::team& team : state->configuration_->teams()) {
+        const auto since = versions.find(team.name());
+        teams->emplace(team.name(), team_state{effective_parameters(*state->configuration_, team),
+                                               since == versions.end() ? 0 : since->second});
+    }
+    state->teams_ = std::move(teams);
+    for (const schema::replica_record& item : snapshot.replicas()) {
+        for (const schema::replica_member& member : item.members()) {
+            if (!member.released() &&
+                !state->holders_->emplace(member.vm(), item.replica_id()).second) {
+                return journal_failure{journal_error::unreadable,
+                                       "the snapshot gives " + member.vm() + " to two replicas"};
+            }
+        }
+        state->replicas_->emplace(item.replica_id(), read_replica(item));
+    }
+    state->recent_ids_->assign(snapshot.recent_ids().begin(), snapshot.recent_ids().end());
+    auto history = std::make_shared<history_list>();
+    for (const schema::configuration_version_record& entry : snapshot.history()) {
+        history->push_back(read_entry(entry, state->configuration_version_, state->configuration_));
+    }
+    state->history_ = std::move(history);
+    return std::shared_ptr<const fleet_state>(std::move(state));
+}
+
+bool fleet_state::operator==(const fleet_state& other) const
+{
+    return MessageDifferencer::Equals(to_snapshot(), other.to_snapshot());
+}
+
+} // namespace chervildyke
