Check settings against the schema, with line, path and expectation

Cause: protobuf's JSON reader names neither line nor bound. Change: a line index from nlohmann-json's events, a walk beside the descriptors that lists every fault: unknown and repeated keys, wrong types, missing and out-of-range values.

--- /dev/null
+++ b/src/base/schema_check.cpp
@@ -0,0 +1,227 @@
+/** \file
+ * Implements the schema check by walking the document beside protobuf's descriptors.
+ */
+#include "base/schema_check.h"
+
+#include <limits>
+#include <sstream>
+
+#include "options.pb.h"
+
+namespace chervildyke {
+
+namespace {
+
+using google::protobuf::Descriptor;
+using google::protobuf::FieldDescriptor;
+using nlohmann::json;
+
+const schema::field_rule& rule_of(const FieldDescriptor& field)
+{
+    return field.options().GetExtension(schema::rule);
+}
+
+std::string number_text(double number)
+{
+    std::ostringstream text;
+    text.precision(std::numeric_limits<double>::digits10);
+    text << number;
+    return text.str();
+}
+
+std::string type_text(const FieldDescriptor& field)
+{
+    switch (field.cpp_type()) {
+    case FieldDescriptor::CPPTYPE_BOOL:
+        return "true or false";
+    case FieldDescriptor::CPPTYPE_STRING:
+        return "a text";
+    case FieldDescriptor::CPPTYPE_MESSAGE:
+        return "an object";
+    case FieldDescriptor::CPPTYPE_ENUM:
+        return "one of the names of " + field.enum_type()->name();
+    case FieldDescriptor::CPPTYPE_FLOAT:
+    case FieldDescriptor::CPPTYPE_DOUBLE:
+        return "a number";
+    default:
+        return "a whole number";
+    }
+}
+
+std::string expectation(const FieldDescriptor& field)
+{
+    const schema::field_rule& rule = rule_of(field);
+    std::string text = type_text(field);
+    if (rule.at_most() > 0) {
+        text += " from " + number_text(rule.at_least()) + " to " + number_text(rule.at_most());
+    }
+    else if (rule.at_least() > 0) {
+        text += " of at least " + number_text(rule.at_least());
+    }
+    return rule.expected().empty() ? text : text + ": " + rule.expected();
+}
+
+bool is_unsigned(const FieldDescriptor& field)
+{
+    return field.cpp_type() == FieldDescriptor::CPPTYPE_UINT32 ||
+           field.cpp_type() == FieldDescriptor::CPPTYPE_UINT64;
+}
+
+bool is_32_bits(const FieldDescriptor& field)
+{
+    return field.cpp_type() == FieldDescriptor::CPPTYPE_UINT32 ||
+           field.cpp_type() == FieldDescriptor::CPPTYPE_INT32;
+}
+
+bool whole_number_fits(const FieldDescriptor& field, const json& value)
+{
+    if (is_unsigned(field) && !value.is_number_unsigned()) {
+        return false;
+    }
+    if (!is_32_bits(field)) {
+        return true;
+    }
+    const double number = value.get<double>();
+    return is_unsigned(field) ? number <= std::numeric_limits<std::uint32_t>::max()
+                              : number >= std::numeric_limits<std::int32_t>::min() &&
+                                    number <= std::numeric_limits<std::int32_t>::max();
+}
+
+bool type_fits(const FieldDescriptor& field, const json& value)
+{
+    switch (field.cpp_type()) {
+    case FieldDescriptor::CPPTYPE_BOOL:
+        return value.is_boolean();
+    case FieldDescriptor::CPPTYPE_STRING:
+        return value.is_string();
+    case FieldDescriptor::CPPTYPE_MESSAGE:
+        return value.is_object();
+    case FieldDescriptor::CPPTYPE_ENUM:
+        return value.is_string() &&
+               field.enum_type()->FindValueByName(value.get<std::string>()) != nullptr;
+    case FieldDescriptor::CPPTYPE_FLOAT:
+    case FieldDescriptor::CPPTYPE_DOUBLE:
+        return value.is_number();
+    default:
+        return value.is_number_integer() && whole_number_fits(field, value);
+    }
+}
+
+bool bounds_hold(const FieldDescriptor& field, const json& value)
+{
+    const schema::field_rule& rule = rule_of(field);
+    if (!value.is_number()) {
+        return true;
+    }
+    const double number = value.get<double>();
+    return number >= rule.at_least() && (rule.at_most() <= 0 || number <= rule.at_most());
+}
+
+/** Walks one document and collects its faults. */
+class checker {
+  public:
+    checker(const located_json& located, const std::string& file) : located_(located), file_(file)
+    {
+    }
+
+    void check_object(const json& object, const Descriptor& type, const std::string& pointer)
+    {
+        for (const auto& [name, value] : object.items()) {
+            const std::string below = child_pointer(pointer, name);
+            const FieldDescriptor* field = find_field(type, name);
+            if (field == nullptr) {
+                add(below, "a known key: one of " + known_keys(type));
+                continue;
+            }
+            check_field(value, *field, below);
+        }
+        for (int i = 0; i < type.field_count(); ++i) {
+            const FieldDescriptor& field = *type.field(i);
+            if (rule_of(field).required() && !holds(object, field)) {
+                add(child_pointer(pointer, field.name()), expectation(field) + " (missing)");
+            }
+        }
+    }
+
+    void add(const std::string& pointer, std::string expected)
+    {
+        faults_.push_back({file_, located_.line_of(pointer), pointer, std::move(expected)});
+    }
+
+    std::vector<settings_fault> take() { return std::move(faults_); }
+
+  private:
+    static const FieldDescriptor* find_field(const Descriptor& type, const std::string& name)
+    {
+        const FieldDescriptor* field = type.FindFieldByName(name);
+        return field != nullptr ? field : type.FindFieldByCamelcaseName(name);
+    }
+
+    static bool holds(const json& object, const FieldDescriptor& field)
+    {
+        const auto by_name = object.find(field.name());
+        const auto found = by_name != object.end() ? by_name : object.find(field.camelcase_name());
+        if (found == object.end()) {
+            return false;
+        }
+        return !((found->is_string() || found->is_array()) && found->empty());
+    }
+
+    static std::string known_keys(const Descriptor& type)
+    {
+        std::string text;
+        for (int i = 0; i < type.field_count(); ++i) {
+            text += (i == 0 ? "" : ", ") + type.field(i)->name();
+        }
+        return text;
+    }
+
+    void check_field(const json& value, const FieldDescriptor& field, const std::string& pointer)
+    {
+        if (!field.is_repeated()) {
+            check_value(value, field, pointer);
+            return;
+        }
+        if (!value.is_array()) {
+            add(pointer, "a list, each " + expectation(field));
+            return;
+        }
+        for (std::size_t i = 0; i < value.size(); ++i) {
+            check_value(value[i], field, child_pointer(pointer, std::to_string(i)));
+        }
+    }
+
+    void check_value(const json& value, const FieldDescriptor& field, const std::string& pointer)
+    {
+        if (!type_fits(field, value) || !bounds_hold(field, value)) {
+            add(pointer, expectation(field));
+            return;
+        }
+        if (field.cpp_type() == FieldDescriptor::CPPTYPE_MESSAGE) {
+            check_object(value, *field.message_type(), pointer);
+        }
+    }
+
+    const located_json& located_;
+    const std::string& file_;
+    std::vector<settings_fault> faults_;
+};
+
+} // namespace
+
+std::vector<settings_fault> check_against_schema(const located_json& located,
+                                                 const Descriptor& type, const std::string& file)
+{
+    checker check(located, file);
+    if (!located.document.is_object()) {
+        check.add("", "an object");
+        return check.take();
+    }
+    for (const std::string& pointer : located.repeated_keys) {
+        check.add(pointer, "each key once in an object");
+    }
+    check.check_object(located.document, type, "");
+    return check.take();
+}
+
+} // namespace chervildyke
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -7,7 +7,9 @@
 #include <sstream>
 
 #include <google/protobuf/util/json_util.h>
-#include <nlohmann/json.hpp>
+
+#include "base/json_lines.h"
+#include "base/schema_check.h"
 
 namespace chervildyke {
 
@@ -23,12 +25,19 @@
 std::vector<settings_fault> parse_document(const std::string& text, const std::string& file,
                                            google::protobuf::Message& into)
 {
-    const auto document = nlohmann::json::parse(text, nullptr, false, true);
-    if (document.is_discarded()) {
-        return {{file, 0, "", "JSON, with or without comments"}};
+    json_syntax_error error;
+    const auto located = parse_located_json(text, error);
+    if (!located) {
+        return {{file, error.line, "", "JSON, with or without comments; " + error.reason}};
+    }
+    std::vector<settings_fault> faults =
+        check_against_schema(*located, *into.GetDescriptor(), file);
+    if (!faults.empty()) {
+        return faults;
     }
     into.Clear();
-    const auto status = google::protobuf::util::JsonStringToMessage(document.dump(), &into);
+    const auto status =
+        google::protobuf::util::JsonStringToMessage(located->document.dump(), &into);
     if (!status.ok()) {
         return {{file, 0, "", "a document of the schema; " + std::string(status.message())}};
     }
--- /dev/null
+++ b/test/error/base_settings.cpp
@@ -0,0 +1,76 @@
+/** \file
+ * Tests that settings that break the schema are refused with line, path and expectation.
+ */
+#include <doctest/doctest.h>
+
+#include "base/settings.h"
+#include "settings.pb.h"
+
+using namespace chervildyke;
+
+namespace {
+
+const std::string good = R"(// An entry.
+{
+  "node": {"vm": "entry-1", "address": "127.0.1.1", "failure_domain": "gent-a"},
+  "http_port": 8080, /* for callers */
+  "control_port": 8090
+})";
+
+std::vector<settings_fault> faults_of(std::string text, const std::string& from,
+                                      const std::string& to)
+{
+    text.replace(text.find(from), from.size(), to);
+    schema::entry_settings settings;
+    return parse_document(text, "entry.json", settings);
+}
+
+} // namespace
+
+TEST_CASE("a good file is read, comments and all")
+{
+    schema::entry_settings settings;
+    CHECK(parse_document(good, "entry.json", settings).empty());
+    CHECK(settings.http_port() == 8080);
+    CHECK(settings.node().failure_domain() == "gent-a");
+}
+
+TEST_CASE("an unknown key is refused with its line and path")
+{
+    const auto faults =
+        faults_of(good, "\"control_port\": 8090", "\"control_port\": 8090, \"x\": 1");
+    REQUIRE(faults.size() == 1);
+    CHECK(faults[0].line == 5);
+    CHECK(faults[0].path == "/x");
+    CHECK(faults[0].to_string().find("entry.json:5: /x: expected a known key") == 0);
+}
+
+TEST_CASE("a wrong type, a missing value and one out of range are all listed")
+{
+    auto faults = faults_of(good, "\"http_port\": 8080", "\"http_port\": \"8080\"");
+    REQUIRE(faults.size() == 1);
+    CHECK(faults[0].path == "/http_port");
+    CHECK(faults[0].line == 4);
+    CHECK(faults[0].expected.find("a whole number from 1 to 65535") == 0);
+    faults = faults_of(good, "\"http_port\": 8080", "\"http_port\": 70000");
+    REQUIRE(faults.size() == 1);
+    faults = faults_of(good, "\"vm\": \"entry-1\", ", "");
+    REQUIRE(faults.size() == 1);
+    CHECK(faults[0].path == "/node/vm");
+    CHECK(faults[0].line == 3);
+    faults = faults_of(good, "\"http_port\": 8080, ", "");
+    CHECK(faults.size() == 1);
+    faults = faults_of(good, "8080", "-1");
+    CHECK(faults.size() == 1);
+}
+
+TEST_CASE("a repeated key and a text that is not JSON are refused")
+{
+    auto faults =
+        faults_of(good, "\"control_port\": 8090", "\"control_port\": 1, \"control_port\": 2");
+    REQUIRE(faults.size() == 1);
+    CHECK(faults[0].path == "/control_port");
+    faults = faults_of(good, "8080,", "8080");
+    REQUIRE(faults.size() == 1);
+    CHECK(faults[0].line == 5);
+}
