Add the stand-ins: log, VM list, weight store, engines, plain services

Cause: nothing can be tried on the whole path while the platform and the backend servers are missing. Change: one program runs every stand-in that its settings hold; faults come by POST /faults.

--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -1,1 +1,65 @@
-int main() {}
+/** \file
+ * The program chervil-standin: runs each stand-in that its settings hold.
+ */
+#include <algorithm>
+#include <iostream>
+
+#include <boost/asio/io_context.hpp>
+
+#include "base/log.h"
+#include "base/program.h"
+#include "standin/engine.h"
+#include "standin/log_service.h"
+#include "standin/plain_service.h"
+#include "standin/vm_list.h"
+#include "standin/weight_store.h"
+
+using namespace chervildyke;
+
+namespace {
+
+template <typename Standin, typename Settings>
+bool start(std::unique_ptr<Standin>& into, boost::asio::io_context& context, bool wanted,
+           const Settings& settings)
+{
+    if (!wanted) {
+        return true;
+    }
+    into = std::make_unique<Standin>(context.get_executor(), settings);
+    return into->listen();
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    program_description description;
+    description.name = "chervil-standin";
+    description.version = CHERVIL_VERSION;
+    description.purpose = "Stand-ins of the platform and of the backend servers, for tests";
+    schema::standin_settings settings;
+    int exit_code = exit_success;
+    if (!read_command_line(argc, argv, description, settings, exit_code)) {
+        return exit_code;
+    }
+    start_log(settings.log().level(), settings.log().file());
+    boost::asio::io_context context;
+    std::unique_ptr<standin::log_service> log_service;
+    std::unique_ptr<standin::vm_list> vm_list;
+    std::unique_ptr<standin::weight_store> weight_store;
+    std::unique_ptr<standin::engine> engine;
+    std::unique_ptr<standin::plain_service> service;
+    const bool started =
+        start(log_service, context, settings.has_log_service(), settings.log_service()) &&
+        start(vm_list, context, settings.has_vm_list(), settings.vm_list()) &&
+        start(weight_store, context, settings.has_weights(), settings.weights()) &&
+        start(engine, context, settings.has_engine(), settings.engine()) &&
+        start(service, context, settings.has_service(), settings.service());
+    if (!started) {
+        return exit_failure;
+    }
+    return run_main_task(context, []() -> boost::asio::awaitable<int> {
+        co_await stop_requested();
+        co_return exit_success;
+    });
+}
--- /dev/null
+++ b/standin/vm_list.cpp
@@ -0,0 +1,99 @@
+/** \file
+ * Implements the stand-in of the VM list.
+ */
+#include "standin/vm_list.h"
+
+#include "standin/http_replies.h"
+
+namespace chervildyke::standin {
+
+namespace asio = boost::asio;
+
+vm_list::vm_list(asio::any_io_executor executor, schema::standin_vm_list_settings settings)
+    : settings_(std::move(settings)),
+      server_(executor, [this](http_exchange& exchange) { return serve(exchange); })
+{
+    for (const schema::standin_vm& vm : settings_.vms()) {
+        schema::vm_entry& entry = known_[vm.vm()];
+        entry.set_vm(vm.vm());
+        entry.set_address(vm.address());
+        entry.set_pool(vm.pool());
+        entry.set_failure_domain(vm.failure_domain());
+        entry.set_fabric_domain(vm.fabric_domain());
+        entry.set_accelerators(vm.accelerators());
+        shown_[vm.vm()] = true;
+    }
+    publish();
+    versions_.front().since = time_point::min(); // The first list is not late.
+}
+
+bool vm_list::listen()
+{
+    return listen_on(server_, settings_.listen());
+}
+
+asio::awaitable<void> vm_list::serve(http_exchange& exchange)
+{
+    const std::string path(exchange.request().path());
+    if (path == "/faults") {
+        const auto hook = [this](const schema::fault_request& request) { return apply(request); };
+        co_await serve_fault(exchange, hook);
+        co_return;
+    }
+    if (!co_await faults_.admit(exchange)) {
+        co_return;
+    }
+    http_reply reply = path == "/vms" ? json_reply(lagged_list()) : status_reply(404);
+    co_await exchange.respond(std::move(reply));
+}
+
+bool vm_list::apply(const schema::fault_request& request)
+{
+    if (request.vm().empty()) {
+        return faults_.apply(request);
+    }
+    const auto found = known_.find(request.vm());
+    if (found == known_.end()) {
+        return false;
+    }
+    const std::string& fault = request.fault();
+    if (fault == "leave") {
+        found->second.set_state(schema::vm_leaving);
+    }
+    else if (fault == "gone") {
+        shown_[request.vm()] = false;
+    }
+    else if (fault == "back" || fault == "add") {
+        found->second.set_state(schema::vm_live);
+        shown_[request.vm()] = true;
+    }
+    else {
+        return false;
+    }
+    publish();
+    return true;
+}
+
+void vm_list::publish()
+{
+    version next;
+    next.since = monotonic_clock::now();
+    next.list.set_as_of_ms(wall_clock_ms());
+    for (const auto& [name, entry] : known_) {
+        if (shown_[name]) {
+            *next.list.add_vms() = entry;
+        }
+    }
+    versions_.push_back(std::move(next));
+}
+
+const schema::vm_list_reply& vm_list::lagged_list()
+{
+    const time_point as_of = monotonic_clock::now() - std::chrono::milliseconds(settings_.lag_ms());
+    while (versions_.size() > 1 && versions_[1].since <= as_of) {
+        versions_.pop_front();
+    }
+    return versions_.front().list;
+}
+
+} // namespace chervildyke::standin
