--- a/standin/prefix_cache.cpp
+++ b/standin/prefix_cache.cpp
@@ -3,6 +3,8 @@
  */
 #include "standin/prefix_cache.h"
 
+#include <ranges>
+
 namespace chervildyke::standin {
 
 namespace {
@@ -22,8 +24,8 @@
         ++cached;
     }
     // The shortest prefix is used last, since the longer ones are of no use without it.
-    for (auto prefix = prefixes.rbegin(); prefix != prefixes.rend(); ++prefix) {
-        keep(*prefix);
+    for (const std::uint64_t prefix : std::views::reverse(prefixes)) {
+        keep(prefix);
     }
     return cached;
 }
--- a/test/correctness/standin_log.cpp
+++ b/test/correctness/standin_log.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 
 #include "base/http_client.h"
 #include "platform/http_platform.h"
@@ -68,19 +69,17 @@
 TEST_CASE("streams have their own offsets, and a read waits for the next append")
 {
     log_bench bench({});
+    std::size_t waited = 0;
+    const auto long_poll = [&]() -> asio::awaitable<void> {
+        auto read = co_await bench.client.read("a", 2, 10, 5s);
+        waited = read->records.size();
+    };
     test::run_task(bench.context, [&]() -> asio::awaitable<void> {
         auto a = co_await bench.client.append("a", "1");
         auto b = co_await bench.client.append("b", "1");
         CHECK(*a == 1);
         CHECK(*b == 1);
-        std::size_t waited = 0;
-        asio::co_spawn(
-            bench.context,
-            [&]() -> asio::awaitable<void> {
-                auto read = co_await bench.client.read("a", 2, 10, 5s);
-                waited = read->records.size();
-            },
-            asio::detached);
+        asio::co_spawn(bench.context, long_poll, asio::detached);
         co_await sleep_for(20ms);
         auto next = co_await bench.client.append("a", "2");
         CHECK(*next == 2);
--- /dev/null
+++ b/tools/fleet.jq
@@ -0,0 +1,30 @@
+# Turns a scenario into the description of one fleet on loopback addresses: every VM with its address,
+# pool, domains and the address of its stand-in's fault calls.
+# Arguments: $net, $size, $override (an object laid over the scenario).
+def two: tostring | if length < 2 then "0" + . else . end;
+(. * $override) as $s | $s.sizes[$size] as $z | "127.\($net)" as $ip
+| ($s.failure_domains | length) as $domains
+| def domain($i): $s.failure_domains[$i % $domains];
+{
+  deployment: $s.deployment, size: $size, net: $net,
+  failure_domains: $s.failure_domains,
+  log: "\($ip).0.11:7001", vm_list: "\($ip).0.12:7002", weights: "\($ip).0.13:7003",
+  service_faults: "\($ip).0.20:7004",
+  truth: ["\($ip).0.20:7004"],
+  entry_pool: "entry",
+  vms: (
+    [range($z.entries) | {
+      vm: "entry-\(. + 1)", ip: "\($ip).1.\(. + 1)", address: "\($ip).1.\(. + 1):8080", pool: "entry",
+      failure_domain: domain(.), fabric_domain: "", accelerators: 0, faults: ""}] +
+    [range($z.workers) | . as $i | ($i % $domains) as $d | (($i / $domains) | floor) as $k | {
+      vm: "\($s.vm_prefix)-\($i + 1 | two)", address: "\($ip).2.\($i + 1):9000", pool: $s.model_pool,
+      failure_domain: domain($i),
+      fabric_domain: "\(domain($i))-f\($k % $z.fabric_domains_per_failure_domain + 1)",
+      accelerators: $s.accelerators_per_vm, faults: "\($ip).0.\(21 + $d):7004"}] +
+    [range($z.services) | {
+      vm: "\($s.service_prefix)-\(. + 1)", address: "\($ip).3.\(. + 1):9100", pool: $s.service_pool,
+      failure_domain: domain(.), fabric_domain: "", accelerators: 0, faults: "\($ip).0.20:7004"}]),
+  tenants: $s.tenants, operations: $s.operations, mix: $s.mix,
+  settings: {log: $s.log, vm_list: $s.vm_list, weights: {bytes_per_second: $z.bytes_per_second},
+             engine: $s.engine, service: $s.service, entry: ($s.entry // {}), control: ($s.control // {})}
+}
