--- a/src/journal/journal_append.cpp
+++ b/src/journal/journal_append.cpp
@@ -123,7 +123,8 @@
 bool journal_node::checkpoint_due() const
 {
     const bool able = options_.writes_checkpoints && ready_ && log_reachable_ && !diverged_ &&
-                      state_->can_judge() && state_->offset() > 0;
+                      state_->can_judge() && state_->offset() > 0 &&
+                      state_->offset() + 1 >= first_offset_;
     if (!able) {
         return false;
     }
--- a/src/journal/journal_node.cpp
+++ b/src/journal/journal_node.cpp
@@ -74,6 +74,7 @@
 {
     const bool verify = verify_last_ && last_hash_ && state_->offset() > 0;
     const log_offset from = verify ? state_->offset() : state_->offset() + 1;
+    const read_position before{state_->offset(), last_hash_};
     const duration wait = started_ && log_reachable_ ? options_.read_wait : 0s;
     auto read = co_await hooks_.log.read(options_.stream, from, options_.read_limit, wait);
     if (!read) {
@@ -86,7 +87,7 @@
         co_return false;
     }
     note_read(*read);
-    if (!matches_log(*read)) {
+    if (!matches_log(*read, before)) {
         co_return false;
     }
     verify_last_ = false;
@@ -126,18 +127,18 @@
 }
 
 /** Tells a log that lost or replaced applied records from one that only moved on. */
-bool journal_node::matches_log(const log_read& read)
+bool journal_node::matches_log(const log_read& read, const read_position& before)
 {
-    const log_offset offset = state_->offset();
-    bool same = read.next_offset > offset;
+    bool same = read.next_offset > before.offset;
     for (const log_record& record : read.records) {
-        if (record.offset == offset && last_hash_) {
-            same = same && placement_hash(record.payload) == *last_hash_;
+        if (record.offset == before.offset && before.hash) {
+            same = same && placement_hash(record.payload) == *before.hash;
         }
     }
     if (!same && !diverged_) {
-        journal_log.error("The log lost records that were applied here up to offset ", offset,
-                          "; its next offset is ", read.next_offset, ". Nothing is taken from it.");
+        journal_log.error("The log lost records that were applied here up to offset ",
+                          before.offset, "; its next offset is ", read.next_offset,
+                          ". Nothing is taken from it.");
     }
     diverged_ = diverged_ || !same;
     return !diverged_;
--- a/src/journal/journal_node.h
+++ b/src/journal/journal_node.h
@@ -141,6 +141,12 @@
   private:
     struct proposal;
 
+    /** What was applied when a read began; a member may hand on more while it runs. */
+    struct read_position {
+        log_offset offset = 0;
+        std::optional<std::uint64_t> hash; // Of the payload at the offset.
+    };
+
     boost::asio::awaitable<void> follow();
     boost::asio::awaitable<void> hand_on();
     boost::asio::awaitable<void> write_checkpoints();
@@ -154,7 +160,7 @@
                                                           std::string payload);
 
     void note_read(const log_read& read);
-    bool matches_log(const log_read& read);
+    bool matches_log(const log_read& read, const read_position& before);
     bool adopt(const schema::state_snapshot& snapshot);
     void apply_records(const std::vector<log_record>& records);
     void note_judged(const schema::journal_record& record, const log_record& raw, const verdict& v);
--- a/test/support/memory_log.cpp
+++ b/test/support/memory_log.cpp
@@ -16,6 +16,7 @@
 
 struct stream_state {
     std::deque<log_record> records;
+    std::deque<log_record> history;
     log_offset next_offset = 1;
 };
 
@@ -55,6 +56,7 @@
     {
         stream_state& stream = trimmed(name);
         stream.records.push_back({stream.next_offset, std::move(payload), wall_clock_ms()});
+        stream.history.push_back(stream.records.back());
         return stream.next_offset++;
     }
 
@@ -183,6 +185,11 @@
     return state_->trimmed(stream).records;
 }
 
+const std::deque<log_record>& memory_log::history(const std::string& stream)
+{
+    return state_->streams[stream].history;
+}
+
 log_offset memory_log::next_offset(const std::string& stream)
 {
     return state_->trimmed(stream).next_offset;
--- a/test/support/memory_log.h
+++ b/test/support/memory_log.h
@@ -56,6 +56,9 @@
     /** All records kept now. */
     std::deque<log_record> records(const std::string& stream);
 
+    /** All records ever appended, also those no longer kept. */
+    const std::deque<log_record>& history(const std::string& stream);
+
     /** The offset that the next append gets. */
     log_offset next_offset(const std::string& stream);
 
