--- a/src/orders/order_ledger.cpp
+++ b/src/orders/order_ledger.cpp
@@ -178,6 +178,17 @@
     return state != nullptr && !state->certain;
 }
 
+bool order_ledger::is_open_for(const schema::order_settlement& settlement) const
+{
+    if (settlement.outcome() == schema::order_not_run) {
+        return true;
+    }
+    const std::string id = order_key_id(settlement.tenant(), settlement.key());
+    const key_state* state = find_live(id, last_appended_at_ms_);
+    return state != nullptr && state->certain && !state->settlement &&
+           state->winner.attempt_id == settlement.attempt_id();
+}
+
 bool order_ledger::is_duplicate(const std::string& id, std::uint64_t at)
 {
     const auto found = record_ids_.find(id);
--- a/src/orders/order_ledger.h
+++ b/src/orders/order_ledger.h
@@ -96,6 +96,9 @@
     /** \return whether the key's winner can't be told, as of the last record. */
     bool is_uncertain(const std::string& tenant, const std::string& key) const;
 
+    /** \return whether the settlement, once it stands in the stream, is certain to be kept. */
+    bool is_open_for(const schema::order_settlement& settlement) const;
+
     /** The log's time of the last record applied. */
     std::uint64_t last_appended_at_ms() const { return last_appended_at_ms_; }
 
