--- a/standin/engine.h
+++ b/standin/engine.h
@@ -59,6 +59,8 @@
         std::uint64_t joins = 0; // An older load that ends must not change a newer one's state.
         bool releasing = false;
         std::uint32_t stray_chunks = 0;
+        std::uint32_t stale_orders_obeyed = 0;
+        std::uint32_t refused_incomplete = 0;
         std::shared_ptr<generation> batch;
         std::shared_ptr<prefix_cache> cache;
         std::deque<load_sample> samples;
@@ -77,6 +79,7 @@
     void new_batch(node& on);
     boost::asio::awaitable<void> serve(node& on, http_exchange& exchange);
     boost::asio::awaitable<void> serve_faults(http_exchange& exchange);
+    std::string truth() const;
     boost::asio::awaitable<void> generate(node& on, http_exchange& exchange);
     boost::asio::awaitable<void> stream(node& on, http_exchange& exchange,
                                         std::shared_ptr<attempt> from, std::uint32_t next);
--- a/standin/engine_group.cpp
+++ b/standin/engine_group.cpp
@@ -73,6 +73,7 @@
     default:
         return "an unknown order";
     }
+    on.stale_orders_obeyed += order.fencing() < on.highest_fencing ? 1 : 0;
     on.highest_fencing = std::max(on.highest_fencing, order.fencing());
     on.obeyed.insert(order.order_id());
     on.now.set_order_id(order.order_id());
--- a/standin/generation.h
+++ b/standin/generation.h
@@ -72,6 +72,7 @@
     bool quiet() const { return running_.empty() && queue_.empty(); }
     duration token_time() const;
     std::uint64_t tokens() const { return tokens_; }
+    std::uint64_t started() const { return arrivals_; }
 
   private:
     boost::asio::awaitable<void> run();
