Plan repairs, order engines and build the routing view

Cause: teams need whole replicas through losses, dark domains, drains and changes. Change: plan_repairs is a pure function that weighs waiting, rebuilding, completing from another broken replica and preemption by the deployment's weights; engine_orders sends what engines are due, with fencing or with one order holder per VM and a quarantine; admit_loads paces loads to the store; replica_keeper carries the plan out through hooks; build_view shows as serving only replicas whose members all reported freshly. test_support now links chervildyke::replicas for test/support/replica_fleet. Conclusion: a replacement counts only once it has settled in every view.

--- /dev/null
+++ b/src/replicas/repair_costs.cpp
@@ -0,0 +1,126 @@
+/** \file
+ * Implements the costs of repairs.
+ */
+#include "replicas/repair_costs.h"
+
+#include <algorithm>
+
+#include "replicas/replica_health.h"
+#include "replicas/vm_supply.h"
+
+namespace chervildyke {
+
+namespace {
+
+constexpr double default_downtime_weight = 1.0;
+constexpr double default_stranded_weight = 0.1;
+
+double in_seconds(duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+} // namespace
+
+repair_costs::repair_costs(const fleet_state& state, const fleet_knowledge& fleet,
+                           const repair_options& options, time_point now)
+    : state_(state), fleet_(fleet), options_(options), now_(now),
+      downtime_weight_(default_downtime_weight), stranded_weight_(default_stranded_weight),
+      rate_(options.assumed_bytes_per_second)
+{
+    const schema::fleet_configuration& configuration = *state.configuration();
+    if (configuration.has_weights()) {
+        downtime_weight_ = configuration.weights().group_downtime();
+        stranded_weight_ = configuration.weights().stranded_accelerator();
+    }
+    if (configuration.weight_store_bytes_per_second() > 0) {
+        rate_ = static_cast<double>(configuration.weight_store_bytes_per_second());
+    }
+    for (const auto& [id, forming] : state.replicas()) {
+        if (forming.phase != schema::forming) {
+            continue;
+        }
+        for (const replica_vm& member : forming.members) {
+            const vm_knowledge* vm = fleet.find(member.vm);
+            const bool loaded = vm != nullptr && holds_weights(*vm, forming.model);
+            queued_bytes_ += loaded ? 0.0 : bytes_of(forming.model);
+        }
+    }
+}
+
+double repair_costs::team_value(const schema::team_parameters& parameters)
+{
+    return 1.0 + parameters.priority();
+}
+
+double repair_costs::of_downtime(double seconds, double value, double stranded_accelerators) const
+{
+    return seconds * (value * downtime_weight_ + stranded_accelerators * stranded_weight_);
+}
+
+double repair_costs::bytes_of(const std::string& model) const
+{
+    for (const schema::model& known : state_.configuration()->models()) {
+        if (known.name() == model) {
+            return static_cast<double>(known.bytes_per_vm());
+        }
+    }
+    return 0;
+}
+
+double repair_costs::load_seconds(const std::string& model, std::size_t loads) const
+{
+    if (loads == 0) {
+        return 0;
+    }
+    return (queued_bytes_ + bytes_of(model) * static_cast<double>(loads)) / rate_;
+}
+
+void repair_costs::queue_loads(const std::string& model, std::size_t loads)
+{
+    queued_bytes_ += bytes_of(model) * static_cast<double>(loads);
+}
+
+double repair_costs::return_of(const vm_knowledge* vm) const
+{
+    if (vm == nullptr || vm->is_leaving() || !vm->lost_since) {
+        return in_seconds(options_.expected_capacity_wait);
+    }
+    const bool dark = fleet_.in_dark_domain(*vm);
+    const duration prior = dark ? options_.expected_domain_return : options_.expected_vm_return;
+    return in_seconds(std::max(prior, now_ - *vm->lost_since));
+}
+
+double repair_costs::seconds_until_return(const replica& subject) const
+{
+    double longest = 0;
+    for (const replica_vm& member : subject.members) {
+        const vm_knowledge* vm = fleet_.find(member.vm);
+        switch (judge_member(subject, vm, options_.bounds, now_)) {
+        case member_state::gone:
+        case member_state::leaving:
+        case member_state::broken:
+            longest = std::max(longest, in_seconds(options_.expected_capacity_wait));
+            break;
+        case member_state::lost:
+            longest = std::max(longest, return_of(vm));
+            break;
+        default:
+            break;
+        }
+    }
+    return longest;
+}
+
+double repair_costs::stranded_accelerators(const replica& subject) const
+{
+    double stranded = 0;
+    for (const replica_vm& member : subject.members) {
+        const vm_knowledge* vm = fleet_.find(member.vm);
+        const bool usable = vm != nullptr && !vm->lost_since && !vm->is_leaving();
+        stranded += usable ? vm->accelerators : 0.0;
+    }
+    return stranded;
+}
+
+} // namespace chervildyke
--- a/src/replicas/vm_watcher.cpp
+++ b/src/replicas/vm_watcher.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr int steps_per_interval = 5;
+constexpr int attention = 4; // Questions in one interval to a VM whose report is awaited.
 constexpr duration longest_step = 100ms;
 
 } // namespace
@@ -56,6 +57,7 @@
     std::map<std::string, assignment> assignments;
     std::map<std::string, std::uint64_t> pulled_sequences;
     std::set<std::string> pulling;
+    std::set<std::string> attended;
     std::vector<std::string> assigned_over;
     bool list_changed = false;
     bool reading_list = false;
@@ -131,6 +133,9 @@
         return false;
     }
     const auto& watchers = watched.watchers;
+    if (attended.count(name) > 0) {
+        return true;
+    }
     if (std::find(watchers.begin(), watchers.end(), self) == watchers.end()) {
         return false;
     }
@@ -150,7 +155,9 @@
             continue;
         }
         watched.asking = true;
-        watched.next_ask = now + options.watch_interval;
+        const bool is_attended = attended.count(name) > 0;
+        watched.next_ask =
+            now + (is_attended ? options.watch_interval / attention : options.watch_interval);
         boost::asio::co_spawn(executor, ask(name, vm->address, vm->role), boost::asio::detached);
     }
 }
@@ -301,6 +308,17 @@
     return state_->table.own_reports(request.after_sequence(), wanted, monotonic_clock::now());
 }
 
+void vm_watcher::attend(std::set<std::string> vms)
+{
+    for (const std::string& name : vms) {
+        const auto found = state_->assignments.find(name);
+        if (found != state_->assignments.end() && state_->attended.count(name) == 0) {
+            found->second.next_ask = time_point{};
+        }
+    }
+    state_->attended = std::move(vms);
+}
+
 bool vm_watcher::has_list() const
 {
     return state_->list_read;
--- a/src/replicas/vm_watcher.h
+++ b/src/replicas/vm_watcher.h
@@ -70,6 +70,11 @@
      */
     schema::report_batch serve_reports(const schema::report_request& request) const;
 
+    /** Names VMs whose next report is awaited, such as members that load: this control asks them
+     * itself and more often, until it names others.
+     */
+    void attend(std::set<std::string> vms);
+
     /** True once the VM list was read at least once. */
     bool has_list() const;
 
--- /dev/null
+++ b/test/support/replica_fleet.cpp
@@ -0,0 +1,258 @@
+/** \file
+ * Implements the keepers over one journal and fake engines.
+ */
+#include "support/replica_fleet.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace chervildyke::test {
+
+namespace {
+
+constexpr duration advance_step = 10ms;
+constexpr std::size_t most_complaints = 20;
+
+vm_role role_of(const std::string& pool)
+{
+    return pool == "chervil-pool" ? vm_role::engine : vm_role::other;
+}
+
+} // namespace
+
+schema::fleet_configuration make_configuration(const std::vector<team_setup>& teams,
+                                               std::uint64_t bytes_per_vm,
+                                               std::uint64_t store_bytes_per_second)
+{
+    schema::fleet_configuration configuration;
+    configuration.set_deployment("flanders");
+    configuration.add_backend_pools("chervil-pool");
+    configuration.set_weight_store_bytes_per_second(store_bytes_per_second);
+    configuration.mutable_weights()->set_group_downtime(1.0);
+    configuration.mutable_weights()->set_stranded_accelerator(0.1);
+    configuration.add_templates()->set_name("desk");
+    std::set<std::string> models;
+    for (const team_setup& setup : teams) {
+        schema::team& team = *configuration.add_teams();
+        team.set_name(setup.name);
+        team.set_template_("desk");
+        schema::team_parameters& parameters = *team.mutable_parameters();
+        parameters.set_model(setup.model);
+        parameters.set_replicas(setup.replicas);
+        parameters.set_vms_per_replica(setup.vms_per_replica);
+        parameters.set_one_fabric_domain(true);
+        parameters.set_priority(setup.priority);
+        parameters.set_pool("chervil-pool");
+        if (models.insert(setup.model).second) {
+            schema::model& model = *configuration.add_models();
+            model.set_name(setup.model);
+            model.set_bytes_per_vm(bytes_per_vm);
+        }
+    }
+    return configuration;
+}
+
+replica_fleet::replica_fleet(replica_fleet_options options)
+    : clock(context), engines(options.store_bytes_per_second), options_(std::move(options)),
+      state_(std::make_shared<const fleet_state>())
+{
+}
+
+void replica_fleet::start()
+{
+    for (std::size_t i = 0; i < options_.controls; ++i) {
+        add_control("entry-" + std::to_string(i));
+    }
+    for (auto& each : controls_) {
+        boost::asio::co_spawn(context, each->watcher->run(), boost::asio::detached);
+        boost::asio::co_spawn(context, each->keeper->run(), boost::asio::detached);
+    }
+}
+
+std::vector<std::string> replica_fleet::alive_for(const control& asking) const
+{
+    if (asking.alone) {
+        return {asking.name};
+    }
+    std::vector<std::string> names;
+    for (const auto& each : controls_) {
+        names.push_back(each->name);
+    }
+    return names;
+}
+
+void replica_fleet::add_control(const std::string& name)
+{
+    controls_.push_back(std::make_unique<control>());
+    control& made = *controls_.back();
+    made.name = name;
+    made.table = std::make_unique<report_table>(name, options_.keeper.repair.bounds, role_of);
+    vm_watcher_hooks watching;
+    watching.vm_list = engines.vm_list();
+    watching.engine = engines.client();
+    watching.alive_members = [this, &made] { return alive_for(made); };
+    watching.pull_reports =
+        [this](std::string peer, schema::report_request request,
+               duration) -> boost::asio::awaitable<std::optional<schema::report_batch>> {
+        co_await sleep_for(2ms);
+        for (const auto& each : controls_) {
+            if (each->name == peer) {
+                co_return each->watcher->serve_reports(request);
+            }
+        }
+        co_return std::nullopt;
+    };
+    made.watcher = std::make_unique<vm_watcher>(context.get_executor(), name, *made.table,
+                                                std::move(watching), options_.watcher);
+    replica_keeper_hooks keeping;
+    keeping.engine = engines.client();
+    keeping.state = [this] { return state_; };
+    keeping.alive_members = [this, &made] { return alive_for(made); };
+    keeping.can_act = [&made] { return !made.held && made.watcher->has_list(); };
+    keeping.attend = [&made](std::set<std::string> vms) { made.watcher->attend(std::move(vms)); };
+    keeping.propose = [this](schema::journal_record change,
+                             duration) -> boost::asio::awaitable<std::optional<verdict>> {
+        co_await sleep_for(options_.append_latency / 2);
+        const verdict outcome = append(std::move(change));
+        co_await sleep_for(options_.append_latency / 2);
+        co_return outcome;
+    };
+    made.keeper = std::make_unique<replica_keeper>(context.get_executor(), name, *made.table,
+                                                   std::move(keeping), options_.keeper);
+}
+
+verdict replica_fleet::append(schema::journal_record record)
+{
+    const log_offset offset = next_offset_++;
+    record.set_id("record-" + std::to_string(offset));
+    record.set_format(state_->format());
+    const applied outcome = state_->apply(record, offset);
+    state_ = outcome.next;
+    return outcome.v;
+}
+
+void replica_fleet::publish(const schema::fleet_configuration& configuration)
+{
+    schema::journal_record record;
+    record.mutable_configuration()->set_base_version(state_->configuration_version());
+    *record.mutable_configuration()->mutable_configuration() = configuration;
+    const verdict outcome = append(std::move(record));
+    if (!outcome.accepted()) {
+        broken_.push_back("the configuration is void: " + outcome.reason);
+    }
+}
+
+void replica_fleet::advance(duration span)
+{
+    const time_point end = monotonic_clock::now() + span;
+    while (monotonic_clock::now() < end) {
+        clock.advance(advance_step, 5ms);
+        note_truth();
+        check_views();
+        check_journal();
+        measure(std::chrono::duration<double>(advance_step).count());
+    }
+}
+
+void replica_fleet::note_truth()
+{
+    for (const auto& [name, engine] : engines.all()) {
+        const bool holds = engine.replica_id != 0 && !engine.dead && !engine.paused &&
+                           engine.bytes_to_load <= 0 && engine.replica_id == engine.fencing;
+        if (holds) {
+            last_true_[name][engine.replica_id] = monotonic_clock::now();
+        }
+    }
+}
+
+void replica_fleet::check_views()
+{
+    const time_point now = monotonic_clock::now();
+    const duration freshness = options_.keeper.repair.bounds.report_freshness + 20ms;
+    for (std::size_t i = 0; i < controls_.size() && broken_.size() < most_complaints; ++i) {
+        const schema::routing_view whole = view(i);
+        for (const schema::replica_view& shown : whole.replicas()) {
+            if (!shown.serving()) {
+                continue;
+            }
+            for (const schema::member_view& member : shown.members()) {
+                const auto& truths = last_true_[member.vm()];
+                const auto truth = truths.find(shown.replica_id());
+                if (truth == truths.end() || now - truth->second > freshness) {
+                    broken_.push_back("control " + std::to_string(i) + " serves replica " +
+                                      std::to_string(shown.replica_id()) + " without " +
+                                      member.vm());
+                }
+            }
+        }
+    }
+}
+
+void replica_fleet::check_journal()
+{
+    std::map<std::string, replica_id> holders;
+    for (const auto& [id, subject] : state_->replicas()) {
+        for (const replica_vm& member : subject.members) {
+            if (!member.released && !holders.emplace(member.vm, id).second) {
+                broken_.push_back(member.vm + " belongs to two replicas");
+            }
+        }
+    }
+}
+
+void replica_fleet::measure(double seconds)
+{
+    const schema::routing_view shown = view(0);
+    std::map<std::string, std::size_t> complete;
+    std::set<std::string> working;
+    for (const schema::replica_view& each : shown.replicas()) {
+        if (each.serving()) {
+            ++complete[each.team()];
+            for (const schema::member_view& member : each.members()) {
+                working.insert(member.vm());
+            }
+        }
+    }
+    std::size_t missing = 0;
+    for (const auto& [name, team] : state_->teams()) {
+        const std::size_t wanted = team.parameters.replicas();
+        missing += wanted - std::min<std::size_t>(wanted, complete[name]);
+    }
+    group_downtime_ += seconds * static_cast<double>(missing);
+    for (const auto& [name, engine] : engines.all()) {
+        const bool idle = !engine.dead && !engine.paused && working.count(name) == 0;
+        const bool held = state_->holder_of(name).has_value();
+        stranded_seconds_ += idle && held ? seconds * engine.entry.accelerators() : 0;
+    }
+}
+
+void replica_fleet::forget_measures()
+{
+    group_downtime_ = 0;
+    stranded_seconds_ = 0;
+}
+
+const fleet_knowledge& replica_fleet::knowledge(std::size_t index) const
+{
+    return controls_.at(index)->table->knowledge();
+}
+
+schema::routing_view replica_fleet::view(std::size_t index) const
+{
+    view_context shown;
+    shown.control = controls_.at(index)->name;
+    shown.bounds = options_.keeper.repair.bounds;
+    return build_view(*state_, knowledge(index), shown, monotonic_clock::now());
+}
+
+std::size_t replica_fleet::serving(const std::string& team, std::size_t index) const
+{
+    std::size_t count = 0;
+    const schema::routing_view whole = view(index);
+    for (const schema::replica_view& shown : whole.replicas()) {
+        count += shown.serving() && shown.team() == team ? 1 : 0;
+    }
+    return count;
+}
+
+} // namespace chervildyke::test
