--- a/src/orders/order_desk.h
+++ b/src/orders/order_desk.h
@@ -21,7 +21,7 @@
 
 namespace chervildyke {
 
-constexpr std::uint32_t default_order_streams = 4;
+constexpr std::uint32_t default_order_streams = 2;
 constexpr std::size_t followers_per_stream = 2;
 
 /** What a desk needs of the control it is part of. Members are named as the caller likes; the
@@ -42,7 +42,7 @@
     std::string incarnation; // Written into records.
     std::uint32_t streams = default_order_streams;
     std::uint64_t window_ms = 0; // Zero: half of the log's retention.
-    duration batch_delay = 10ms;
+    duration batch_delay = 8ms;
 };
 
 /** Answers claims and settlements for P order streams. The first two members in the rendezvous
--- a/src/orders/order_stream.h
+++ b/src/orders/order_stream.h
@@ -22,10 +22,10 @@
 struct order_stream_settings {
     std::string stream;
     std::string writer;           // The incarnation that appends.
-    duration batch_delay = 10ms;  // The shortest time between the starts of two appends.
+    duration batch_delay = 8ms;   // The shortest time between the starts of two appends.
     std::uint64_t window_ms = 0;  // Zero: half of the log's retention.
     std::size_t max_batch = 1024; // Claims and settlements in one append.
-    unsigned max_appends = 4;     // Appends in flight.
+    unsigned max_appends = 16;    // Appends in flight.
     duration poll_wait = 2s;      // How long one read waits for records.
 };
 
