--- /dev/null
+++ b/src/control/control_parts.h
@@ -0,0 +1,74 @@
+/** \file
+ * Defines the parts of a control node and the hooks between them.
+ */
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include "base/http_client.h"
+#include "base/http_server.h"
+#include "base/random.h"
+#include "control/control_http.h"
+#include "control/control_node.h"
+#include "control/control_options.h"
+#include "control/entry_watch.h"
+#include "control/neighbours.h"
+#include "control/peer_directory.h"
+#include "control/view_publisher.h"
+#include "journal/journal_node.h"
+#include "orders/order_desk.h"
+#include "platform/http_platform.h"
+#include "replicas/replica_keeper.h"
+#include "replicas/report_table.h"
+#include "replicas/vm_watcher.h"
+#include "rpc/control_server.h"
+
+namespace chervildyke {
+
+/** All parts of one control. Construction wires the hooks; nothing runs before start(). */
+struct control_node::parts {
+    parts(boost::asio::any_io_executor executor_in, schema::control_settings settings_in);
+
+    bool start();
+    boost::asio::awaitable<void> stop();
+
+    boost::asio::any_io_executor executor;
+    schema::control_settings settings;
+    random_source random;
+    control_options options;
+    std::shared_ptr<http_client> http;
+    peer_directory peers;
+    neighbours members;
+    entry_watch entry;
+    journal_node journal;
+    report_table table;
+    vm_watcher watcher;
+    replica_keeper keeper;
+    order_desk desk;
+    view_publisher views;
+    control_server rpc;
+    http_server pages;
+    std::string last_reason;
+    bool stopping = false;
+
+private:
+    journal_hooks make_journal_hooks();
+    vm_watcher_hooks make_watcher_hooks();
+    replica_keeper_hooks make_keeper_hooks();
+    order_desk_hooks make_desk_hooks();
+    control_hooks make_rpc_hooks();
+    control_http_hooks make_page_hooks();
+
+    vm_role role_of_pool(const std::string& pool) const;
+    bool can_act() const;
+    schema::routing_view current_view() const;
+    schema::status_reply current_status(bool with_replicas) const;
+    std::string metrics() const;
+};
+
+} // namespace chervildyke
--- /dev/null
+++ b/src/ctl/publishing.cpp
@@ -0,0 +1,187 @@
+/** \file
+ * Implements the commands that put a configuration in force.
+ */
+#include "ctl/publishing.h"
+
+#include <algorithm>
+#include <charconv>
+#include <iostream>
+
+#include <google/protobuf/util/message_differencer.h>
+
+#include "base/program.h"
+#include "base/settings.h"
+#include "ctl/control_fanout.h"
+#include "journal/validate.h"
+
+namespace chervildyke {
+
+namespace {
+
+using schema::fleet_configuration;
+
+constexpr duration in_force_poll = 200ms;
+
+std::optional<fleet_configuration> find_version(const fleet_state& state, const std::string& text) {
+    std::uint64_t version = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), version);
+    if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) {
+        std::cerr << "chervilctl: expected the number of a version, not " << text << "\n";
+        return std::nullopt;
+    }
+    for (const configuration_entry& entry : state.history()) {
+        if (entry.version == version && entry.configuration) {
+            return *entry.configuration;
+        }
+    }
+    std::cerr << "chervilctl: version " << version << " is not kept; see history\n";
+    return std::nullopt;
+}
+
+fleet_configuration with_drained(const fleet_state& state, const ctl_command& command) {
+    fleet_configuration next = *state.configuration();
+    std::vector<std::string> drained(next.drained_vms().begin(), next.drained_vms().end());
+    for (const std::string& vm : command.arguments) {
+        std::erase(drained, vm);
+        if (command.verb == ctl_verb::drain) {
+            drained.push_back(vm);
+        }
+    }
+    std::sort(drained.begin(), drained.end());
+    next.mutable_drained_vms()->Assign(drained.begin(), drained.end());
+    return next;
+}
+
+std::optional<fleet_configuration> wanted_configuration(const ctl_command& command,
+                                                        const fleet_state& state) {
+    switch (command.verb) {
+    case ctl_verb::rollback:
+        return find_version(state, command.arguments[0]);
+    case ctl_verb::drain:
+    case ctl_verb::undrain:
+        return with_drained(state, command);
+    default:
+        return read_configuration(command.arguments[0]);
+    }
+}
+
+std::string change_comment(const ctl_command& command) {
+    if (!command.comment.empty()) {
+        return command.comment;
+    }
+    switch (command.verb) {
+    case ctl_verb::rollback:
+        return "rollback to version " + command.arguments[0];
+    case ctl_verb::drain:
+        return "drain";
+    case ctl_verb::undrain:
+        return "undrain";
+    default:
+        return "";
+    }
+}
+
+void print_winner(const fleet_state& state) {
+    if (state.history().empty()) {
+        return;
+    }
+    const configuration_entry& winner = state.history().back();
+    std::cout << "in force is version " << winner.version << " by "
+              << (winner.author.empty() ? "somebody unnamed" : winner.author)
+              << (winner.comment.empty() ? "" : " (" + winner.comment + ")") << "\n";
+}
+
+/** Waits until every control that answers, and its entry, has the version in force. */
+boost::asio::awaitable<bool> wait_in_force(boost::asio::any_io_executor executor,
+                                           std::vector<std::string> addresses,
+                                           std::uint64_t version, duration timeout) {
+    const time_point end = monotonic_clock::now() + timeout;
+    in_force_count count;
+    while (true) {
+        const auto answers = co_await ask_all(executor, addresses, false);
+        count = count_in_force(answers, version);
+        if (count.everywhere() || monotonic_clock::now() >= end) {
+            break;
+        }
+        co_await sleep_for(in_force_poll);
+    }
+    std::cout << "in force on " << count.controls << " controls and " << count.entries
+              << " entries; " << count.answered << " of " << count.asked << " nodes answered\n";
+    co_return count.everywhere();
+}
+
+int print_failure(const journal_failure& failure) {
+    if (failure.code == journal_error::unclear) {
+        std::cout << "unclear: the record may be in the journal; see history (" << failure.reason
+                  << ")\n";
+    }
+    else {
+        std::cout << "not published: " << failure.reason << "\n";
+    }
+    return exit_failure;
+}
+
+} // namespace
+
+std::optional<fleet_configuration> read_configuration(const std::string& file) {
+    fleet_configuration configuration;
+    const auto document_faults = load_document(file, configuration);
+    for (const settings_fault& fault : document_faults) {
+        std::cerr << fault.to_string() << "\n";
+    }
+    if (!document_faults.empty()) {
+        return std::nullopt;
+    }
+    const auto faults = validate(configuration);
+    for (const configuration_fault& fault : faults) {
+        std::cerr << file << ": " << fault.to_string() << "\n";
+    }
+    if (!faults.empty()) {
+        return std::nullopt;
+    }
+    return configuration;
+}
+
+int show_difference(const fleet_configuration& next, const fleet_state& state) {
+    std::string report;
+    google::protobuf::util::MessageDifferencer differencer;
+    differencer.ReportDifferencesToString(&report);
+    if (differencer.Compare(*state.configuration(), next)) {
+        std::cout << "no difference from version " << state.configuration_version() << "\n";
+        return exit_success;
+    }
+    std::cout << "against version " << state.configuration_version() << ":\n" << report;
+    return exit_success;
+}
+
+boost::asio::awaitable<int> publish(boost::asio::any_io_executor executor, ctl_command command,
+                                    schema::ctl_settings settings,
+                                    std::shared_ptr<journal_session> session) {
+    const auto next = wanted_configuration(command, *session->state());
+    if (!next) {
+        co_return exit_bad_settings;
+    }
+    schema::configuration_change change;
+    change.set_base_version(
+        command.base_version.value_or(session->state()->configuration_version()));
+    *change.mutable_configuration() = *next;
+    change.set_author(settings.author());
+    change.set_comment(change_comment(command));
+    auto verdict = co_await session->propose(std::move(change), command.wait);
+    if (!verdict) {
+        co_return print_failure(verdict.last_reason());
+    }
+    if (!verdict->v.accepted()) {
+        std::cout << "void at offset " << verdict->offset << ": " << verdict->v.reason << "\n";
+        print_winner(*session->state());
+        co_return exit_failure;
+    }
+    std::cout << "accepted as version " << verdict->offset << "\n";
+    const std::vector<std::string> controls(settings.control_addresses().begin(),
+                                            settings.control_addresses().end());
+    const bool everywhere =
+        co_await wait_in_force(executor, controls, verdict->offset, command.wait);
+    co_return everywhere ? exit_success : exit_failure;
+}
+
+} // namespace chervildyke
