--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -22,25 +22,30 @@
 
 } // namespace
 
-control_node::control_node(boost::asio::any_io_executor executor,
-                           schema::control_settings settings)
-    : parts_(std::make_unique<parts>(std::move(executor), std::move(settings))) {}
+control_node::control_node(boost::asio::any_io_executor executor, schema::control_settings settings)
+    : parts_(std::make_unique<parts>(std::move(executor), std::move(settings)))
+{
+}
 
 control_node::~control_node() = default;
 
-bool control_node::start() {
+bool control_node::start()
+{
     return parts_->start();
 }
 
-const std::string& control_node::last_reason() const {
+const std::string& control_node::last_reason() const
+{
     return parts_->last_reason;
 }
 
-boost::asio::awaitable<void> control_node::stop() {
+boost::asio::awaitable<void> control_node::stop()
+{
     return parts_->stop();
 }
 
-bool control_node::parts::start() {
+bool control_node::parts::start()
+{
     const std::string& address = settings.node().address();
     if (!rpc.listen(address, static_cast<std::uint16_t>(settings.grpc_port()))) {
         last_reason = "can't listen on " + address + ":" + std::to_string(settings.grpc_port());
@@ -55,7 +60,6 @@
         keeper.wake();
     });
     spawn_task(executor, "journal", journal.run());
-    spawn_task(executor, "members", members.run());
     spawn_task(executor, "entry watch", entry.run());
     spawn_task(executor, "VM watcher", watcher.run());
     spawn_task(executor, "replica keeper", keeper.run());
@@ -64,12 +68,12 @@
     return true;
 }
 
-boost::asio::awaitable<void> control_node::parts::stop() {
+boost::asio::awaitable<void> control_node::parts::stop()
+{
     stopping = true;
     control_log.info("stopping");
     pages.stop_accepting();
     views.stop();
-    co_await members.leave();
     co_await pages.wait_until_quiet();
     // The server waits for calls that end on this executor, so it stops on another thread.
     bool stopped = false;
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -18,7 +18,7 @@
  * decides is left to the part.
  */
 class control_node {
-public:
+  public:
     /** \param settings checked already; zero values are replaced by defaults. */
     control_node(boost::asio::any_io_executor executor, schema::control_settings settings);
     ~control_node();
@@ -34,7 +34,7 @@
     /** Says goodbye to the members, ends the views and completes once no call is in progress. */
     boost::asio::awaitable<void> stop();
 
-private:
+  private:
     struct parts;
     std::unique_ptr<parts> parts_;
 };
--- a/src/control/control_options.cpp
+++ b/src/control/control_options.cpp
@@ -7,16 +7,18 @@
 
 namespace {
 
-duration from_ms(std::uint32_t milliseconds, duration otherwise) {
+duration from_ms(std::uint32_t milliseconds, duration otherwise)
+{
     return milliseconds == 0 ? otherwise : duration(std::chrono::milliseconds(milliseconds));
 }
 
 } // namespace
 
 control_options make_control_options(const schema::control_settings& settings,
-                                     const std::string& incarnation) {
+                                     const std::string& incarnation)
+{
     control_options options;
-    options.self = settings.node().vm();
+    options.self = settings.node().address();
     options.incarnation = incarnation;
     options.bounds.detection_bound =
         from_ms(settings.detection_bound_ms(), options.bounds.detection_bound);
--- a/src/control/control_options.h
+++ b/src/control/control_options.h
@@ -3,8 +3,8 @@
  */
 #pragma once
 
-#include "orders/order_desk.h"
 #include "journal/journal_node.h"
+#include "orders/order_desk.h"
 #include "replicas/replica_keeper.h"
 #include "replicas/vm_watcher.h"
 #include "settings.pb.h"
--- a/src/control/control_parts.h
+++ b/src/control/control_parts.h
@@ -18,6 +18,7 @@
 #include "control/control_options.h"
 #include "control/entry_watch.h"
 #include "control/neighbours.h"
+#include "control/node_status.h"
 #include "control/peer_directory.h"
 #include "control/view_publisher.h"
 #include "journal/journal_node.h"
@@ -56,7 +57,7 @@
     std::string last_reason;
     bool stopping = false;
 
-private:
+  private:
     journal_hooks make_journal_hooks();
     vm_watcher_hooks make_watcher_hooks();
     replica_keeper_hooks make_keeper_hooks();
@@ -66,9 +67,10 @@
 
     vm_role role_of_pool(const std::string& pool) const;
     bool can_act() const;
+    std::vector<schema::entry_view> known_entries() const;
     schema::routing_view current_view() const;
-    schema::status_reply current_status(bool with_replicas) const;
-    std::string metrics() const;
+    std::shared_ptr<control_client> advanced_peer();
+    status_sources sources() const;
 };
 
 } // namespace chervildyke
--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -1,1 +1,40 @@
-int main() {}
+/** \file
+ * The program chervil-control: the control plane of one entry VM.
+ */
+#include <boost/asio/io_context.hpp>
+
+#include "base/log.h"
+#include "base/program.h"
+#include "control/control_node.h"
+
+using namespace chervildyke;
+
+namespace {
+
+boost::asio::awaitable<int> control_until_stopped(control_node& node)
+{
+    if (!node.start()) {
+        part_log("control").error(node.last_reason());
+        co_return exit_failure;
+    }
+    co_await stop_requested();
+    co_await node.stop();
+    co_return exit_success;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const program_description description{"chervil-control", CHERVIL_VERSION,
+                                          "Follows the log, forms replicas, serves entries."};
+    schema::control_settings settings;
+    int exit_code = exit_success;
+    if (!read_command_line(argc, argv, description, settings, exit_code)) {
+        return exit_code;
+    }
+    start_log(settings.log().level(), settings.log().file());
+    boost::asio::io_context context(1);
+    control_node node(context.get_executor(), settings);
+    return run_main_task(context, [&node] { return control_until_stopped(node); });
+}
--- /dev/null
+++ b/src/control/node_status.cpp
@@ -0,0 +1,109 @@
+/** \file
+ * Implements a control's description of itself.
+ */
+#include "control/node_status.h"
+
+#include <map>
+#include <sstream>
+
+namespace chervildyke {
+
+namespace {
+
+void put_replica(const replica& from, schema::replica_record& into)
+{
+    into.set_replica_id(from.id);
+    into.set_team(from.team);
+    into.set_model(from.model);
+    into.set_phase(from.phase);
+    into.set_configuration_version(from.configuration_version);
+    into.set_reason(from.reason);
+    for (const replica_vm& member : from.members) {
+        schema::replica_member* listed = into.add_members();
+        listed->set_vm(member.vm);
+        listed->set_released(member.released);
+    }
+}
+
+void put_report(const vm_knowledge& from, time_point now, schema::vm_report& into)
+{
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    into.set_vm(from.vm);
+    into.set_watcher(from.watcher);
+    into.set_reachable(!from.lost_since.has_value());
+    into.set_leaving(from.is_leaving());
+    if (from.heard_at) {
+        const auto age = duration_cast<milliseconds>(now - *from.heard_at);
+        into.set_age_ms(static_cast<std::uint32_t>(age.count()));
+    }
+    if (from.report) {
+        *into.mutable_engine() = *from.report;
+    }
+}
+
+void put_gauge(std::ostream& out, const char* name, const char* help, double value)
+{
+    out << "# HELP " << name << " " << help << "\n# TYPE " << name << " gauge\n"
+        << name << " " << value << "\n";
+}
+
+double count_phase(const fleet_state& state, schema::replica_phase phase)
+{
+    double count = 0;
+    for (const auto& [id, known] : state.replicas()) {
+        count += known.phase == phase ? 1 : 0;
+    }
+    return count;
+}
+
+} // namespace
+
+schema::status_reply make_status(const status_sources& sources, bool with_replicas)
+{
+    schema::status_reply reply;
+    const fleet_state& state = *sources.journal->state();
+    reply.set_vm(sources.vm);
+    reply.set_incarnation(sources.incarnation);
+    reply.set_highest_offset(state.offset());
+    reply.set_configuration_version(state.configuration_version());
+    reply.set_log_reachable(sources.journal->log_reachable());
+    reply.set_ready(sources.journal->ready());
+    reply.set_entry_configuration_version(sources.entry_configuration_version);
+    if (!with_replicas) {
+        return reply;
+    }
+    for (const auto& [id, known] : state.replicas()) {
+        put_replica(known, *reply.add_replicas());
+    }
+    const time_point now = monotonic_clock::now();
+    for (const auto& [name, vm] : sources.table->knowledge().vms) {
+        put_report(vm, now, *reply.add_reports());
+    }
+    return reply;
+}
+
+std::string make_metrics(const status_sources& sources)
+{
+    const fleet_state& state = *sources.journal->state();
+    std::ostringstream out;
+    put_gauge(out, "chervil_control_ready", "Whether the journal state is current.",
+              sources.journal->ready() ? 1 : 0);
+    put_gauge(out, "chervil_control_log_reachable", "Whether the log answered the last read.",
+              sources.journal->log_reachable() ? 1 : 0);
+    put_gauge(out, "chervil_control_journal_offset", "The highest applied offset.",
+              static_cast<double>(state.offset()));
+    put_gauge(out, "chervil_control_configuration_version", "The configuration in force.",
+              static_cast<double>(state.configuration_version()));
+    put_gauge(out, "chervil_control_replicas_forming", "Replicas that are being formed.",
+              count_phase(state, schema::forming));
+    put_gauge(out, "chervil_control_replicas_serving", "Replicas that serve by the journal.",
+              count_phase(state, schema::serving));
+    put_gauge(out, "chervil_control_replicas_retiring", "Replicas that are let go.",
+              count_phase(state, schema::retiring));
+    put_gauge(out, "chervil_control_known_vms", "VMs that the VM list showed.",
+              static_cast<double>(sources.table->knowledge().vms.size()));
+    return out.str();
+}
+
+} // namespace chervildyke
--- a/src/ctl/command_line.cpp
+++ b/src/ctl/command_line.cpp
@@ -33,13 +33,15 @@
     {"publish", ctl_verb::publish, 1, 1, "publish FILE          put a configuration in force"},
     {"status", ctl_verb::status, 0, 0, "status                show members and replicas"},
     {"history", ctl_verb::history, 0, 0, "history               show accepted configurations"},
-    {"rollback", ctl_verb::rollback, 1, 1, "rollback VERSION      publish an older one as a new one"},
+    {"rollback", ctl_verb::rollback, 1, 1,
+     "rollback VERSION      publish an older one as a new one"},
     {"explain", ctl_verb::explain, 1, 1, "explain TEAM|VM       say why it is as it is"},
     {"drain", ctl_verb::drain, 1, any_number, "drain VM...           have VMs emptied"},
     {"undrain", ctl_verb::undrain, 1, any_number, "undrain VM...         have VMs used again"},
 };
 
-const verb_form* find_form(const std::string& name) {
+const verb_form* find_form(const std::string& name)
+{
     for (const verb_form& form : forms) {
         if (name == form.name) {
             return &form;
@@ -48,14 +50,16 @@
     return nullptr;
 }
 
-void print_help(const cxxopts::Options& options) {
+void print_help(const cxxopts::Options& options)
+{
     std::cout << options.help() << "\nCommands:\n";
     for (const verb_form& form : forms) {
         std::cout << "  " << form.usage << "\n";
     }
 }
 
-int check_settings(const std::string& file) {
+int check_settings(const std::string& file)
+{
     schema::ctl_settings settings;
     const auto faults = load_document(file, settings);
     for (const settings_fault& fault : faults) {
@@ -64,10 +68,10 @@
     return faults.empty() ? exit_success : exit_bad_settings;
 }
 
-std::optional<ctl_command> to_command(const cxxopts::ParseResult& given) {
-    const auto words = given.count("words") != 0
-                           ? given["words"].as<std::vector<std::string>>()
-                           : std::vector<std::string>();
+std::optional<ctl_command> to_command(const cxxopts::ParseResult& given)
+{
+    const auto words = given.count("words") != 0 ? given["words"].as<std::vector<std::string>>()
+                                                 : std::vector<std::string>();
     const verb_form* form = words.empty() ? nullptr : find_form(words[0]);
     if (form == nullptr) {
         std::cerr << "chervilctl: give one of the commands that --help lists\n";
@@ -99,7 +103,8 @@
 } // namespace
 
 std::optional<ctl_command> read_ctl_command(int argc, char** argv, const std::string& version,
-                                            int& exit_code) {
+                                            int& exit_code)
+{
     cxxopts::Options options("chervilctl", "Publishes configuration and shows the fleet.");
     options.positional_help("COMMAND ARGUMENTS");
     options.add_options()("settings", "the settings file", cxxopts::value<std::string>())(
--- a/src/ctl/command_line.h
+++ b/src/ctl/command_line.h
@@ -12,17 +12,7 @@
 
 namespace chervildyke {
 
-enum class ctl_verb {
-    validate,
-    diff,
-    publish,
-    status,
-    history,
-    rollback,
-    explain,
-    drain,
-    undrain
-};
+enum class ctl_verb { validate, diff, publish, status, history, rollback, explain, drain, undrain };
 
 struct ctl_command {
     ctl_verb verb = ctl_verb::status;
--- a/src/ctl/control_fanout.cpp
+++ b/src/ctl/control_fanout.cpp
@@ -21,7 +21,8 @@
 
 boost::asio::awaitable<void> ask_one(boost::asio::any_io_executor executor,
                                      std::shared_ptr<gathering> into, std::size_t index,
-                                     bool with_replicas) {
+                                     bool with_replicas)
+{
     control_client control(executor, into->answers[index].address);
     schema::status_request request;
     request.set_with_replicas(with_replicas);
@@ -37,9 +38,10 @@
 
 } // namespace
 
-boost::asio::awaitable<std::vector<control_answer>>
-ask_all(boost::asio::any_io_executor executor, std::vector<std::string> addresses,
-        bool with_replicas) {
+boost::asio::awaitable<std::vector<control_answer>> ask_all(boost::asio::any_io_executor executor,
+                                                            std::vector<std::string> addresses,
+                                                            bool with_replicas)
+{
     const auto gathered = std::make_shared<gathering>();
     for (const std::string& address : addresses) {
         gathered->answers.push_back({address, std::nullopt, ""});
@@ -55,7 +57,8 @@
     co_return std::move(gathered->answers);
 }
 
-in_force_count count_in_force(const std::vector<control_answer>& answers, std::uint64_t version) {
+in_force_count count_in_force(const std::vector<control_answer>& answers, std::uint64_t version)
+{
     in_force_count count;
     count.asked = answers.size();
     for (const control_answer& answer : answers) {
--- a/src/ctl/control_fanout.h
+++ b/src/ctl/control_fanout.h
@@ -25,15 +25,15 @@
 /** Asks every control of the settings at the same time.
  * \return an answer for each, in the given order.
  */
-boost::asio::awaitable<std::vector<control_answer>>
-ask_all(boost::asio::any_io_executor executor, std::vector<std::string> addresses,
-        bool with_replicas);
+boost::asio::awaitable<std::vector<control_answer>> ask_all(boost::asio::any_io_executor executor,
+                                                            std::vector<std::string> addresses,
+                                                            bool with_replicas);
 
 /** How far a configuration version has come. */
 struct in_force_count {
-    std::size_t controls = 0;  // Controls that judge by it.
-    std::size_t entries = 0;   // Entries that route by it.
-    std::size_t answered = 0;  // Controls that answered at all.
+    std::size_t controls = 0; // Controls that judge by it.
+    std::size_t entries = 0;  // Entries that route by it.
+    std::size_t answered = 0; // Controls that answered at all.
     std::size_t asked = 0;
 
     /** True when everyone who answered has it, and somebody did. */
--- a/src/ctl/journal_session.cpp
+++ b/src/ctl/journal_session.cpp
@@ -17,7 +17,8 @@
 constexpr duration snapshot_timeout = 2s;
 constexpr duration ready_poll = 20ms;
 
-journal_options make_options() {
+journal_options make_options()
+{
     journal_options options;
     options.writer = "chervilctl-" + random_id(system_random()).substr(0, 12);
     options.writes_checkpoints = false;
@@ -26,10 +27,12 @@
 
 /** Asks one control after the other for its state. */
 boost::asio::awaitable<journal_result<schema::state_snapshot>>
-fetch_snapshot(boost::asio::any_io_executor executor, std::vector<std::string> addresses) {
+fetch_snapshot(boost::asio::any_io_executor executor, std::vector<std::string> addresses)
+{
     for (const std::string& address : addresses) {
         control_client control(executor, address);
-        auto snapshot = co_await control.fetch_snapshot(schema::snapshot_request(), snapshot_timeout);
+        auto snapshot =
+            co_await control.fetch_snapshot(schema::snapshot_request(), snapshot_timeout);
         if (snapshot && snapshot->offset() > 0) {
             co_return std::move(*snapshot);
         }
@@ -41,9 +44,12 @@
 
 journal_session::journal_session(boost::asio::any_io_executor executor,
                                  const schema::ctl_settings& settings)
-    : executor_(std::move(executor)), node_(make_options(), make_hooks(settings)) {}
+    : executor_(std::move(executor)), node_(make_options(), make_hooks(settings))
+{
+}
 
-journal_hooks journal_session::make_hooks(const schema::ctl_settings& settings) {
+journal_hooks journal_session::make_hooks(const schema::ctl_settings& settings)
+{
     journal_hooks hooks;
     const auto http = std::make_shared<http_client>(executor_);
     hooks.log = http_log_client(http, settings.platform().log());
@@ -57,7 +63,8 @@
     return hooks;
 }
 
-boost::asio::awaitable<bool> journal_session::open(duration timeout) {
+boost::asio::awaitable<bool> journal_session::open(duration timeout)
+{
     spawn_task(executor_, "journal", node_.run());
     const time_point end = monotonic_clock::now() + timeout;
     while (!node_.ready() && monotonic_clock::now() < end) {
@@ -67,7 +74,8 @@
 }
 
 boost::asio::awaitable<journal_result<proposal_verdict>>
-journal_session::propose(schema::configuration_change change, duration timeout) {
+journal_session::propose(schema::configuration_change change, duration timeout)
+{
     schema::journal_record record;
     *record.mutable_configuration() = std::move(change);
     co_return co_await node_.propose(std::move(record), timeout);
--- a/src/ctl/journal_session.h
+++ b/src/ctl/journal_session.h
@@ -19,7 +19,7 @@
  * newest checkpoint is out of reach it asks the controls of the settings.
  */
 class journal_session {
-public:
+  public:
     journal_session(boost::asio::any_io_executor executor, const schema::ctl_settings& settings);
 
     /** Completes once the state is current.
@@ -33,7 +33,7 @@
     boost::asio::awaitable<journal_result<proposal_verdict>>
     propose(schema::configuration_change change, duration timeout);
 
-private:
+  private:
     journal_hooks make_hooks(const schema::ctl_settings& settings);
 
     boost::asio::any_io_executor executor_;
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -16,7 +16,8 @@
 
 namespace {
 
-bool load_settings(const std::string& file, schema::ctl_settings& settings) {
+bool load_settings(const std::string& file, schema::ctl_settings& settings)
+{
     const auto faults = load_document(file, settings);
     for (const settings_fault& fault : faults) {
         std::cerr << fault.to_string() << "\n";
@@ -26,7 +27,8 @@
 
 /** Runs a command that needs the journal. */
 boost::asio::awaitable<int> run_with_journal(boost::asio::any_io_executor executor,
-                                             ctl_command command, schema::ctl_settings settings) {
+                                             ctl_command command, schema::ctl_settings settings)
+{
     const auto session = std::make_shared<journal_session>(executor, settings);
     const bool current = co_await session->open(command.wait);
     if (!current) {
@@ -44,7 +46,8 @@
 }
 
 boost::asio::awaitable<int> run_command(boost::asio::any_io_executor executor, ctl_command command,
-                                        schema::ctl_settings settings) {
+                                        schema::ctl_settings settings)
+{
     switch (command.verb) {
     case ctl_verb::status:
         return show_status(executor, std::move(command), std::move(settings));
@@ -55,7 +58,8 @@
     }
 }
 
-int run(int argc, char** argv) {
+int run(int argc, char** argv)
+{
     int exit_code = exit_success;
     const auto command = read_ctl_command(argc, argv, CHERVIL_VERSION, exit_code);
     if (!command) {
@@ -81,6 +85,7 @@
 
 } // namespace chervildyke
 
-int main(int argc, char** argv) {
+int main(int argc, char** argv)
+{
     return chervildyke::run(argc, argv);
 }
--- a/src/ctl/publishing.cpp
+++ b/src/ctl/publishing.cpp
@@ -22,7 +22,8 @@
 
 constexpr duration in_force_poll = 200ms;
 
-std::optional<fleet_configuration> find_version(const fleet_state& state, const std::string& text) {
+std::optional<fleet_configuration> find_version(const fleet_state& state, const std::string& text)
+{
     std::uint64_t version = 0;
     const auto parsed = std::from_chars(text.data(), text.data() + text.size(), version);
     if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) {
@@ -38,7 +39,8 @@
     return std::nullopt;
 }
 
-fleet_configuration with_drained(const fleet_state& state, const ctl_command& command) {
+fleet_configuration with_drained(const fleet_state& state, const ctl_command& command)
+{
     fleet_configuration next = *state.configuration();
     std::vector<std::string> drained(next.drained_vms().begin(), next.drained_vms().end());
     for (const std::string& vm : command.arguments) {
@@ -53,7 +55,8 @@
 }
 
 std::optional<fleet_configuration> wanted_configuration(const ctl_command& command,
-                                                        const fleet_state& state) {
+                                                        const fleet_state& state)
+{
     switch (command.verb) {
     case ctl_verb::rollback:
         return find_version(state, command.arguments[0]);
@@ -65,7 +68,8 @@
     }
 }
 
-std::string change_comment(const ctl_command& command) {
+std::string change_comment(const ctl_command& command)
+{
     if (!command.comment.empty()) {
         return command.comment;
     }
@@ -81,7 +85,8 @@
     }
 }
 
-void print_winner(const fleet_state& state) {
+void print_winner(const fleet_state& state)
+{
     if (state.history().empty()) {
         return;
     }
@@ -94,7 +99,8 @@
 /** Waits until every control that answers, and its entry, has the version in force. */
 boost::asio::awaitable<bool> wait_in_force(boost::asio::any_io_executor executor,
                                            std::vector<std::string> addresses,
-                                           std::uint64_t version, duration timeout) {
+                                           std::uint64_t version, duration timeout)
+{
     const time_point end = monotonic_clock::now() + timeout;
     in_force_count count;
     while (true) {
@@ -110,7 +116,8 @@
     co_return count.everywhere();
 }
 
-int print_failure(const journal_failure& failure) {
+int print_failure(const journal_failure& failure)
+{
     if (failure.code == journal_error::unclear) {
         std::cout << "unclear: the record may be in the journal; see history (" << failure.reason
                   << ")\n";
@@ -123,7 +130,8 @@
 
 } // namespace
 
-std::optional<fleet_configuration> read_configuration(const std::string& file) {
+std::optional<fleet_configuration> read_configuration(const std::string& file)
+{
     fleet_configuration configuration;
     const auto document_faults = load_document(file, configuration);
     for (const settings_fault& fault : document_faults) {
@@ -142,7 +150,8 @@
     return configuration;
 }
 
-int show_difference(const fleet_configuration& next, const fleet_state& state) {
+int show_difference(const fleet_configuration& next, const fleet_state& state)
+{
     std::string report;
     google::protobuf::util::MessageDifferencer differencer;
     differencer.ReportDifferencesToString(&report);
@@ -156,7 +165,8 @@
 
 boost::asio::awaitable<int> publish(boost::asio::any_io_executor executor, ctl_command command,
                                     schema::ctl_settings settings,
-                                    std::shared_ptr<journal_session> session) {
+                                    std::shared_ptr<journal_session> session)
+{
     const auto next = wanted_configuration(command, *session->state());
     if (!next) {
         co_return exit_bad_settings;
--- a/src/ctl/showing.cpp
+++ b/src/ctl/showing.cpp
@@ -19,11 +19,13 @@
 
 constexpr duration explain_timeout = 3s;
 
-std::vector<std::string> control_addresses(const schema::ctl_settings& settings) {
+std::vector<std::string> control_addresses(const schema::ctl_settings& settings)
+{
     return {settings.control_addresses().begin(), settings.control_addresses().end()};
 }
 
-const char* phase_name(schema::replica_phase phase) {
+const char* phase_name(schema::replica_phase phase)
+{
     switch (phase) {
     case schema::forming:
         return "forming";
@@ -36,7 +38,8 @@
     }
 }
 
-void print_control(const control_answer& answer) {
+void print_control(const control_answer& answer)
+{
     std::cout << "  " << answer.address << "  ";
     if (!answer.status) {
         std::cout << "no answer: " << answer.last_reason << "\n";
@@ -49,7 +52,8 @@
               << (status.log_reachable() ? "up" : "down") << "\n";
 }
 
-void print_replicas(const schema::status_reply& status) {
+void print_replicas(const schema::status_reply& status)
+{
     std::cout << "replicas:\n";
     for (const schema::replica_record& replica : status.replicas()) {
         std::cout << "  " << replica.replica_id() << "  " << replica.team() << "  "
@@ -61,11 +65,13 @@
     }
 }
 
-json to_json_value(const google::protobuf::Message& message) {
+json to_json_value(const google::protobuf::Message& message)
+{
     return json::parse(to_json(message), nullptr, false);
 }
 
-void print_status_json(const std::vector<control_answer>& answers) {
+void print_status_json(const std::vector<control_answer>& answers)
+{
     json all = json::array();
     for (const control_answer& answer : answers) {
         json one = {{"address", answer.address}};
@@ -81,7 +87,8 @@
 }
 
 /** The newest status among the answers, or null. */
-const schema::status_reply* newest(const std::vector<control_answer>& answers) {
+const schema::status_reply* newest(const std::vector<control_answer>& answers)
+{
     const schema::status_reply* best = nullptr;
     for (const control_answer& answer : answers) {
         if (answer.status &&
@@ -94,7 +101,8 @@
 
 } // namespace
 
-int show_history(const fleet_state& state, bool as_json) {
+int show_history(const fleet_state& state, bool as_json)
+{
     json all = json::array();
     for (const configuration_entry& entry : state.history()) {
         const bool in_force = entry.version == state.configuration_version();
@@ -119,7 +127,8 @@
 }
 
 boost::asio::awaitable<int> show_status(boost::asio::any_io_executor executor, ctl_command command,
-                                        schema::ctl_settings settings) {
+                                        schema::ctl_settings settings)
+{
     const auto answers = co_await ask_all(executor, control_addresses(settings), true);
     const schema::status_reply* best = newest(answers);
     if (command.json) {
@@ -138,7 +147,8 @@
 }
 
 boost::asio::awaitable<int> show_explanation(boost::asio::any_io_executor executor,
-                                             ctl_command command, schema::ctl_settings settings) {
+                                             ctl_command command, schema::ctl_settings settings)
+{
     std::string last_reason = "no control is named in the settings";
     for (const std::string& address : settings.control_addresses()) {
         control_client control(executor, address);
