--- a/src/control/control_parts.cpp
+++ b/src/control/control_parts.cpp
@@ -225,12 +225,12 @@
         if (vm.pool != settings.entry_pool() || vm.presence == vm_presence::gone) {
             continue;
         }
-        schema::entry_view entry;
-        entry.set_vm(vm.vm);
-        entry.set_address(vm.address);
-        entry.set_failure_domain(vm.failure_domain);
-        entry.set_draining(vm.presence == vm_presence::leaving);
-        entries.push_back(std::move(entry));
+        schema::entry_view shown;
+        shown.set_vm(vm.vm);
+        shown.set_address(vm.address);
+        shown.set_failure_domain(vm.failure_domain);
+        shown.set_draining(vm.presence == vm_presence::leaving);
+        entries.push_back(std::move(shown));
     }
     return entries;
 }
--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -14,6 +14,7 @@
 constexpr duration append_timeout = 2s;
 constexpr duration read_margin = 2s;
 constexpr duration list_timeout = 2s;
+constexpr unsigned status_not_modified = 304;
 
 /** Turns a failed HTTP call into the platform's words. */
 platform_failure from_http(const http_failure& below)
@@ -122,12 +123,49 @@
     return client;
 }
 
+namespace {
+
+/** The last list and its entity tag, so that an unchanged list is not sent again. */
+struct known_list {
+    std::string tag;
+    schema::vm_list_reply list;
+};
+
+asio::awaitable<platform_result<schema::vm_list_reply>>
+list_vms(std::shared_ptr<http_client> http, std::string address, std::shared_ptr<known_list> known)
+{
+    http_request request = get("/vms");
+    if (!known->tag.empty()) {
+        request.headers.push_back({"If-None-Match", known->tag});
+    }
+    http_call_options options;
+    options.timeout = list_timeout;
+    auto answer = co_await http->call(std::move(address), std::move(request), options);
+    if (!answer) {
+        co_return from_http(answer.last_reason());
+    }
+    if (answer->status == status_not_modified) {
+        co_return known->list;
+    }
+    if (answer->status != 200) {
+        co_return from_status(*answer);
+    }
+    schema::vm_list_reply list;
+    if (!from_json(answer->body, list)) {
+        co_return platform_failure{platform_error::unclear, "a VM list that can't be read"};
+    }
+    known->tag = std::string(answer->header("etag"));
+    known->list = list;
+    co_return list;
+}
+
+} // namespace
+
 vm_list_client http_vm_list_client(std::shared_ptr<http_client> http, std::string address)
 {
     vm_list_client client;
-    client.list = [http, address]() {
-        return json_call<schema::vm_list_reply>(http, address, get("/vms"), list_timeout);
-    };
+    const auto known = std::make_shared<known_list>();
+    client.list = [http, address, known] { return list_vms(http, address, known); };
     return client;
 }
 
--- a/standin/vm_list.cpp
+++ b/standin/vm_list.cpp
@@ -3,6 +3,7 @@
  */
 #include "standin/vm_list.h"
 
+#include "base/hash.h"
 #include "standin/http_replies.h"
 
 namespace chervildyke::standin {
@@ -43,10 +44,21 @@
     if (!co_await faults_.admit(exchange)) {
         co_return;
     }
-    http_reply reply = path == "/vms" ? json_reply(lagged_list()) : status_reply(404);
+    http_reply reply = path == "/vms" ? list_reply(exchange.request()) : status_reply(404);
     co_await exchange.respond(std::move(reply));
 }
 
+http_reply vm_list::list_reply(const http_request& request)
+{
+    http_reply reply = json_reply(lagged_list());
+    const std::string tag = "\"" + std::to_string(placement_hash(reply.body)) + "\"";
+    if (request.header("If-None-Match") == tag) {
+        return status_reply(304, "");
+    }
+    reply.headers.push_back({"ETag", tag});
+    return reply;
+}
+
 bool vm_list::apply(const schema::fault_request& request)
 {
     if (request.vm().empty()) {
--- a/standin/vm_list.h
+++ b/standin/vm_list.h
@@ -33,6 +33,7 @@
     };
 
     boost::asio::awaitable<void> serve(http_exchange& exchange);
+    http_reply list_reply(const http_request& request);
     bool apply(const schema::fault_request& request);
     void publish();
     const schema::vm_list_reply& lagged_list();
--- a/tools/fleet.jq
+++ b/tools/fleet.jq
@@ -4,7 +4,8 @@
 def two: tostring | if length < 2 then "0" + . else . end;
 (. * $override) as $s | $s.sizes[$size] as $z | "127.\($net)" as $ip
 | ($s.failure_domains | length) as $domains
-| def domain($i): $s.failure_domains[$i % $domains];
+| def worker_net($i): ($i / 250 | floor) | if . == 0 then 2 else . + 3 end;
+  def domain($i): $s.failure_domains[$i % $domains];
 {
   deployment: $s.deployment, size: $size, net: $net,
   failure_domains: $s.failure_domains,
@@ -17,7 +18,7 @@
       vm: "entry-\(. + 1)", ip: "\($ip).1.\(. + 1)", address: "\($ip).1.\(. + 1):8080", pool: "entry",
       failure_domain: domain(.), fabric_domain: "", accelerators: 0, faults: ""}] +
     [range($z.workers) | . as $i | ($i % $domains) as $d | (($i / $domains) | floor) as $k | {
-      vm: "\($s.vm_prefix)-\($i + 1 | two)", address: "\($ip).2.\($i + 1):9000", pool: $s.model_pool,
+      vm: "\($s.vm_prefix)-\($i + 1 | two)", address: "\($ip).\(worker_net($i)).\($i % 250 + 1):9000", pool: $s.model_pool,
       failure_domain: domain($i),
       fabric_domain: "\(domain($i))-f\($k % $z.fabric_domains_per_failure_domain + 1)",
       accelerators: $s.accelerators_per_vm, faults: "\($ip).0.\(21 + $d):7004"}] +
