--- a/test/fuzz/journal_rule.cpp
+++ b/test/fuzz/journal_rule.cpp
@@ -377,9 +377,9 @@
         checkpoint_assembler assembler;
         std::optional<schema::state_snapshot> joined;
         const auto before = sut.readers.front();
-        for (auto record = made.rbegin(); record != made.rend(); ++record) {
-            joined = assembler.add(record->checkpoint());
-            (void)assembler.add(record->checkpoint());
+        for (std::size_t left = made.size(); left > 0; --left) {
+            joined = assembler.add(made[left - 1].checkpoint());
+            (void)assembler.add(made[left - 1].checkpoint());
         }
         RC_ASSERT(joined.has_value());
         auto started = fleet_state::from_snapshot(*joined);
