--- a/load/caller.cpp
+++ b/load/caller.cpp
@@ -201,7 +201,8 @@
             break;
         }
         leave(entry);
-        if (tries.back().sent) {
+        const bool all_failed = tries.size() >= seeds_.size();
+        if (tries.back().sent || all_failed) {
             co_await sleep_for(retry_pause * tries.size());
         }
     }
--- a/load/experiment.cpp
+++ b/load/experiment.cpp
@@ -259,6 +259,9 @@
     }
     co_await add_truth(run);
     watched.conclude();
+    for (const char* name : {"faults_not_made", "truth_not_read", "new_versions"}) {
+        run.measured.counted[name] += 0;
+    }
     run.measured.counted["orders"] = static_cast<double>(run.judge.orders());
     run.measured.counted["unsettled_orders"] = static_cast<double>(run.judge.unsettled_orders());
     run.measured.counted["calls_never_ended"] = static_cast<double>(run.open_calls);
