Add the entry: routing, admission, streams, tenant keys, metrics

Cause: nothing took callers' calls yet. Change: src/entry is a library with a thin main: it follows a control's view, tells callers which entries to use, reads OpenAI-compatible calls, lets them in through fair limits, picks a replica, and passes on one gapless answer with its outcome; calls that must not be repeated go through the hooks of call_guard.h. src/routing holds the decisions, base/metrics the histograms. watch_view now ends its stream also when its task is cancelled.

--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -11,10 +11,11 @@
 endfunction()
 
 # chervil_library(NAME SOURCES... ) makes chervil_NAME, with the alias chervildyke::NAME,
-# from all sources of the current folder.
+# from all sources of the current folder but main.cpp.
 function(chervil_library name)
   cmake_parse_arguments(arg "" "" "LINK" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS *.cpp)
+  list(FILTER sources EXCLUDE REGEX "/main\\.cpp$")
   add_library(chervil_${name} STATIC ${sources})
   add_library(chervildyke::${name} ALIAS chervil_${name})
   target_include_directories(chervil_${name} PUBLIC ${PROJECT_SOURCE_DIR}/src)
@@ -22,10 +23,14 @@
   chervil_share_headers(chervil_${name})
 endfunction()
 
-# chervil_program(NAME LINK ...) makes one program from all sources of the current folder.
+# chervil_program(NAME [SOURCES ...] LINK ...) makes one program from the sources, or from all of
+# the current folder.
 function(chervil_program name)
-  cmake_parse_arguments(arg "" "" "LINK" ${ARGN})
-  file(GLOB sources CONFIGURE_DEPENDS *.cpp)
+  cmake_parse_arguments(arg "" "" "SOURCES;LINK" ${ARGN})
+  set(sources ${arg_SOURCES})
+  if(NOT sources)
+    file(GLOB sources CONFIGURE_DEPENDS *.cpp)
+  endif()
   add_executable(${name} ${sources})
   target_compile_definitions(${name} PRIVATE CHERVIL_VERSION="${PROJECT_VERSION}")
   target_link_libraries(${name} PRIVATE ${arg_LINK})
--- /dev/null
+++ b/src/entry/call_context.h
@@ -0,0 +1,32 @@
+/** \file
+ * Defines call_context, what all calls of one entry share.
+ */
+#pragma once
+
+#include <memory>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include "base/http_client.h"
+#include "base/metrics.h"
+#include "base/random.h"
+#include "entry/call_guard.h"
+#include "routing/admission.h"
+#include "routing/replica_router.h"
+#include "routing/retry_policy.h"
+
+namespace chervildyke {
+
+/** Shared by all calls; outlives each of them. */
+struct call_context {
+    boost::asio::any_io_executor executor;
+    random_source random;
+    std::shared_ptr<http_client> http;
+    std::shared_ptr<metrics_registry> metrics;
+    std::shared_ptr<replica_router> router;
+    std::shared_ptr<admission> admissions;
+    retry_budget retries;
+    call_guard guard;
+};
+
+} // namespace chervildyke
--- /dev/null
+++ b/src/routing/fair_queue.cpp
@@ -0,0 +1,101 @@
+/** \file
+ * Implements fair_queue.
+ */
+#include "routing/fair_queue.h"
+
+#include <algorithm>
+
+namespace chervildyke {
+
+namespace {
+
+constexpr std::size_t max_idle_tenants = 1024;
+
+}
+
+void fair_queue::push(const queued_call& call)
+{
+    tenant_state& tenant = tenants_[call.tenant];
+    tenant.share = std::max<std::uint32_t>(call.share, 1);
+    const double start = std::max(virtual_time_, tenant.finish_tag);
+    tenant.finish_tag = start + 1.0 / tenant.share;
+    ++tenant.waiting;
+    const order_key key{-static_cast<std::int64_t>(call.priority), start, ++arrivals_};
+    order_.emplace(key, call);
+    by_id_.emplace(call.id, key);
+}
+
+std::optional<queued_call> fair_queue::pop()
+{
+    if (order_.empty()) {
+        return std::nullopt;
+    }
+    const auto first = order_.begin();
+    queued_call call = first->second;
+    virtual_time_ = std::max(virtual_time_, std::get<1>(first->first));
+    order_.erase(first);
+    by_id_.erase(call.id);
+    drop_one(call.tenant);
+    return call;
+}
+
+bool fair_queue::remove(std::uint64_t id)
+{
+    const auto found = by_id_.find(id);
+    if (found == by_id_.end()) {
+        return false;
+    }
+    const auto place = order_.find(found->second);
+    drop_one(place->second.tenant);
+    order_.erase(place);
+    by_id_.erase(found);
+    return true;
+}
+
+void fair_queue::drop_one(const std::string& tenant)
+{
+    --tenants_[tenant].waiting;
+    if (tenants_.size() > max_idle_tenants) {
+        forget_idle();
+    }
+}
+
+void fair_queue::forget_idle()
+{
+    std::erase_if(tenants_, [&](const auto& item) {
+        return item.second.waiting == 0 && item.second.finish_tag <= virtual_time_;
+    });
+}
+
+std::size_t fair_queue::size_of(const std::string& tenant) const
+{
+    const auto found = tenants_.find(tenant);
+    return found == tenants_.end() ? 0 : found->second.waiting;
+}
+
+double fair_queue::active_shares(const std::string& except) const
+{
+    double sum = 0;
+    for (const auto& [name, state] : tenants_) {
+        sum += state.waiting > 0 && name != except ? state.share : 0;
+    }
+    return sum;
+}
+
+double fair_queue::calls_before(const std::string& tenant, std::uint32_t share) const
+{
+    const double own = static_cast<double>(size_of(tenant));
+    const double others = static_cast<double>(order_.size()) - own;
+    const double by_share = (own + 1.0) * active_shares(tenant) / std::max<std::uint32_t>(share, 1);
+    return own + std::min(others, by_share);
+}
+
+std::size_t fair_queue::places_of(const std::string& tenant, std::uint32_t share,
+                                  std::size_t places) const
+{
+    const double own = std::max<std::uint32_t>(share, 1);
+    const double part = own / (own + active_shares(tenant));
+    return std::max<std::size_t>(1, static_cast<std::size_t>(part * static_cast<double>(places)));
+}
+
+} // namespace chervildyke
--- a/src/routing/placeholder.cpp
+++ /dev/null
@@ -1,2 +0,0 @@
-namespace chervildyke {
-}
--- /dev/null
+++ b/src/routing/retry_policy.cpp
@@ -0,0 +1,41 @@
+/** \file
+ * Implements the retry budget and rule.
+ */
+#include "routing/retry_policy.h"
+
+#include <algorithm>
+
+namespace chervildyke {
+
+namespace {
+
+constexpr double budget_cap_factor = 10.0; // Times the reserve.
+
+}
+
+retry_budget::retry_budget(double ratio, double reserve)
+    : ratio_(ratio), reserve_(reserve), left_(reserve)
+{
+}
+
+void retry_budget::note_call()
+{
+    left_ = std::min(left_ + ratio_, reserve_ * budget_cap_factor);
+}
+
+bool retry_budget::take()
+{
+    if (left_ < 1.0) {
+        return false;
+    }
+    left_ -= 1.0;
+    return true;
+}
+
+bool may_retry(const retry_question& question)
+{
+    const bool safe = question.failure == attempt_failure::not_run || question.repeatable;
+    return safe && question.attempts < max_attempts && question.time_left > question.expected_time;
+}
+
+} // namespace chervildyke
--- a/src/rpc/control_client.cpp
+++ b/src/rpc/control_client.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <grpcpp/grpcpp.h>
 
+#include "base/scope_guard.h"
 #include "control_api.grpc.pb.h"
 
 namespace chervildyke {
@@ -207,8 +208,9 @@
     const auto reader =
         std::make_shared<view_reader>(self->executor, std::move(request), std::move(on_view));
     reader->begin(self->stub->async());
+    const scope_guard end_stream(
+        [reader] { reader->cancel(); }); // Also when this task is cancelled.
     co_await reader->wait(silence_limit);
-    reader->cancel();
     if (reader->status().ok()) {
         co_return rpc_failure{rpc_error::timed_out, self->address + ": no view in time"};
     }
