--- a/src/entry/api_error.cpp
+++ b/src/entry/api_error.cpp
@@ -14,6 +14,15 @@
 
 constexpr std::int64_t max_deadline_ms = 3'600'000;
 
+std::optional<std::int64_t> read_number(std::string_view text)
+{
+    std::int64_t number = 0;
+    const char* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, number);
+    const bool whole = parsed.ec == std::errc() && parsed.ptr == end;
+    return whole ? std::optional<std::int64_t>(number) : std::nullopt;
+}
+
 std::string retry_after_seconds(duration span)
 {
     const auto seconds = std::chrono::ceil<std::chrono::seconds>(span).count();
@@ -89,14 +98,24 @@
     if (text.empty()) {
         return fallback;
     }
-    std::int64_t milliseconds = 0;
-    const char* end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data(), end, milliseconds);
-    if (parsed.ec != std::errc() || parsed.ptr != end || milliseconds < 1 ||
-        milliseconds > max_deadline_ms) {
+    const auto milliseconds = read_number(text);
+    if (!milliseconds || *milliseconds < 1 || *milliseconds > max_deadline_ms) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(*milliseconds);
+}
+
+std::optional<std::uint64_t> read_key_created(const http_request& request)
+{
+    const std::string_view text = request.header("X-Chervil-Key-Created-Ms");
+    if (text.empty()) {
+        return 0;
+    }
+    const auto milliseconds = read_number(text);
+    if (!milliseconds || *milliseconds < 0) {
         return std::nullopt;
     }
-    return std::chrono::milliseconds(milliseconds);
+    return static_cast<std::uint64_t>(*milliseconds);
 }
 
 } // namespace chervildyke
--- a/src/entry/api_error.h
+++ b/src/entry/api_error.h
@@ -46,6 +46,11 @@
  */
 std::optional<duration> read_deadline(const http_request& request, duration fallback);
 
+/** Reads X-Chervil-Key-Created-Ms, when the caller made its key.
+ * \return zero when the header is missing; nothing when it is no number.
+ */
+std::optional<std::uint64_t> read_key_created(const http_request& request);
+
 /** A value beside the error that the caller is told. */
 template <typename Value>
 class [[nodiscard]] api_result {
--- a/src/entry/call_guard.h
+++ b/src/entry/call_guard.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -38,6 +39,7 @@
     std::string attempt_id;
     std::string body_digest;
     time_point deadline;
+    std::uint64_t key_created_ms = 0; // By the caller's clock; zero: not told.
 
     bool operator==(const call_identity&) const = default;
 };
--- a/src/entry/completion_call.cpp
+++ b/src/entry/completion_call.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <nlohmann/json.hpp>
 
+#include "entry/order_call.h"
 #include "routing/prefix_blocks.h"
 
 namespace chervildyke {
@@ -216,49 +217,12 @@
     }
 }
 
-asio::awaitable<void> completion_call::tell_not_claimed(claim_decision decision)
-{
-    api_error error = unavailable(decision.reason, "not_claimed", retry_after_held);
-    const bool own_key = request_.idempotency_key.empty();
-    switch (decision.result) {
-    case schema::claim_other_body:
-        error.status = 422;
-        error.type = "invalid_request_error";
-        error.code = "idempotency_key_reused";
-        error.retry_after.reset();
-        break;
-    case schema::claim_held:
-        error.status = 409;
-        error.code = "key_in_progress";
-        error.outcome = call_outcome::unknown; // The other attempt may be running.
-        break;
-    case schema::claim_undecided:
-        error.outcome = own_key ? call_outcome::not_run : call_outcome::unknown;
-        break;
-    default:
-        break;
-    }
-    co_await fail(std::move(error));
-}
-
 asio::awaitable<void> completion_call::repeat_settled(schema::order_settlement settlement)
 {
-    if (settlement.outcome() != schema::order_complete) {
-        api_error error = unavailable("how the call with this key ended is not known", "unknown",
-                                      retry_after_held);
-        error.outcome = call_outcome::unknown;
-        error.status = 502;
-        error.retry_after.reset();
-        co_await fail(std::move(error));
-        co_return;
-    }
-    count(call_outcome::complete);
-    if (!request_.stream) {
-        http_reply reply;
-        reply.status = settlement.http_status();
-        reply.content_type = settlement.content_type();
-        reply.body = settlement.confirmation();
-        reply.headers.push_back({"X-Chervil-Outcome", to_text(call_outcome::complete)});
+    const bool complete = settlement.outcome() == schema::order_complete;
+    count(complete ? call_outcome::complete : call_outcome::unknown);
+    if (!complete || !request_.stream || settlement.confirmation().empty()) {
+        http_reply reply = replay_of(settlement);
         co_await exchange_.respond(std::move(reply));
         co_return;
     }
@@ -291,13 +255,15 @@
         request_.idempotency_key.empty() ? identity.attempt_id : request_.idempotency_key;
     identity.body_digest = body_digest_;
     identity.deadline = deadline_;
+    identity.key_created_ms = request_.key_created_ms;
     claim_decision decision = co_await context_.guard.claim(identity);
     if (decision.result == schema::claim_settled && decision.settlement) {
         co_await repeat_settled(*decision.settlement);
         co_return;
     }
     if (decision.result != schema::claim_won) {
-        co_await tell_not_claimed(std::move(decision));
+        api_error error = not_claimed(decision);
+        co_await fail(std::move(error));
         co_return;
     }
     const engine_run_result result = co_await run_on_engines();
--- a/src/entry/completion_call.h
+++ b/src/entry/completion_call.h
@@ -38,7 +38,6 @@
     boost::asio::awaitable<void> run_claimed();
     boost::asio::awaitable<engine_run_result> run_on_engines();
     boost::asio::awaitable<void> tell(engine_run_result result);
-    boost::asio::awaitable<void> tell_not_claimed(claim_decision decision);
     boost::asio::awaitable<void> repeat_settled(schema::order_settlement settlement);
     admission_request admission_terms() const;
     schema::engine_call engine_call_terms() const;
--- a/src/entry/completion_request.cpp
+++ b/src/entry/completion_request.cpp
@@ -158,6 +158,12 @@
     if (call.idempotency_key.size() > max_key_bytes) {
         return invalid_request("Idempotency-Key is longer than 256 bytes", "invalid_key");
     }
+    const auto created = read_key_created(request);
+    if (!created) {
+        return invalid_request("X-Chervil-Key-Created-Ms must be milliseconds since 1970",
+                               "invalid_key_time");
+    }
+    call.key_created_ms = *created;
     return call;
 }
 
--- a/src/entry/completion_request.h
+++ b/src/entry/completion_request.h
@@ -34,6 +34,7 @@
     bool include_usage = false; // stream_options.include_usage
     bool batch = false;         // X-Chervil-Class: batch; goes after interactive calls.
     std::string idempotency_key;
+    std::uint64_t key_created_ms = 0; // X-Chervil-Key-Created-Ms; zero: not told.
 
     bool operator==(const completion_request&) const = default;
 };
--- a/src/entry/control_link.cpp
+++ b/src/entry/control_link.cpp
@@ -44,7 +44,9 @@
         if (left <= duration::zero()) {
             break;
         }
-        auto reply = co_await ((*client).*method)(request, left);
+        // A control that hangs must leave time for the next one.
+        const duration share = client == clients_.back() ? left : left / 2;
+        auto reply = co_await ((*client).*method)(request, share);
         if (reply) {
             co_return std::move(*reply);
         }
