Stop gRPC's threads from posting to a context that is gone

Change: control_client posts through a gate that closes with the client; engine_run shares the context that it uses when it is destroyed.

--- a/src/entry/call_context.h
+++ b/src/entry/call_context.h
@@ -17,8 +17,8 @@
 
 namespace chervildyke {
 
-/** Shared by all calls; outlives each of them. */
-struct call_context {
+/** Shared by all calls; outlives each of them, also those that end with the process. */
+struct call_context : std::enable_shared_from_this<call_context> {
     boost::asio::any_io_executor executor;
     random_source random;
     std::shared_ptr<http_client> http;
--- a/src/entry/engine_run.cpp
+++ b/src/entry/engine_run.cpp
@@ -29,7 +29,8 @@
 } // namespace
 
 engine_run::engine_run(call_context& context, engine_run_request request, chunk_hook on_chunks)
-    : context_(context), request_(std::move(request)), on_chunks_(std::move(on_chunks))
+    : context_(context.shared_from_this()), request_(std::move(request)),
+      on_chunks_(std::move(on_chunks))
 {
 }
 
@@ -48,8 +49,8 @@
     if (current_attempt_.empty()) {
         return;
     }
-    asio::co_spawn(context_.executor,
-                   cancel_attempt(context_.http, current_address_, current_attempt_),
+    asio::co_spawn(context_->executor,
+                   cancel_attempt(context_->http, current_address_, current_attempt_),
                    asio::detached);
     current_attempt_.clear();
 }
@@ -57,7 +58,7 @@
 schema::engine_call engine_run::call_for(const chosen_replica& chosen) const
 {
     schema::engine_call call = request_.call;
-    call.set_attempt_id(random_id(context_.random));
+    call.set_attempt_id(random_id(context_->random));
     call.set_replica_id(chosen.replica);
     call.set_fencing(chosen.replica);
     call.set_prior_text(text_);
@@ -71,14 +72,14 @@
     const time_point until = std::min(monotonic_clock::now() + patience, request_.deadline);
     while (true) {
         const time_point now = monotonic_clock::now();
-        auto chosen = context_.router->choose(request_.question, now);
+        auto chosen = context_->router->choose(request_.question, now);
         if (!chosen && !request_.question.avoid.empty()) {
             request_.question.avoid.clear(); // One that failed is better than none.
-            chosen = context_.router->choose(request_.question, now);
+            chosen = context_->router->choose(request_.question, now);
         }
         const bool none_whole =
-            context_.router->capacity(request_.question.team, now) == 0 ||
-            !context_.router->has_adapter(request_.question.team, request_.question.adapter, now);
+            context_->router->capacity(request_.question.team, now) == 0 ||
+            !context_->router->has_adapter(request_.question.team, request_.question.adapter, now);
         if (chosen || now >= until || (none_whole && tokens_ == 0)) {
             co_return chosen;
         }
@@ -100,14 +101,14 @@
     }
     if (!first_chunk_seen_) {
         first_chunk_seen_ = true;
-        context_.router->first_token(replica, now - sent_at_, now);
+        context_->router->first_token(replica, now - sent_at_, now);
         if (request_.first_token != nullptr && tokens_ == 0) {
             request_.first_token->note(now - sent_at_);
         }
     }
     else if (brought > 0) {
         const duration each = (now - last_chunk_at_) / brought;
-        context_.router->token(replica, each);
+        context_->router->token(replica, each);
         if (request_.between_tokens != nullptr) {
             request_.between_tokens->note(each);
         }
@@ -149,7 +150,7 @@
     schema::engine_call call = broken.call();
     call.set_resume_only(true);
     call.set_resume_from(broken.next_sequence());
-    engine_attempt again(context_.http, broken.address(), std::move(call));
+    engine_attempt again(context_->http, broken.address(), std::move(call));
     attempt_step step = co_await again.open(std::min(resume_timeout, time_left()), true);
     if (step.state == attempt_state::running) {
         step = co_await read_to_end(again);
@@ -167,9 +168,9 @@
 
 asio::awaitable<attempt_step> engine_run::make_attempt(chosen_replica chosen)
 {
-    engine_attempt attempt(context_.http, chosen.address, call_for(chosen));
-    context_.router->sent(chosen.replica, request_.question.prefixes);
-    const scope_guard ended([this, chosen] { context_.router->ended(chosen.replica); });
+    engine_attempt attempt(context_->http, chosen.address, call_for(chosen));
+    context_->router->sent(chosen.replica, request_.question.prefixes);
+    const scope_guard ended([this, chosen] { context_->router->ended(chosen.replica); });
     sent_at_ = monotonic_clock::now();
     first_chunk_seen_ = false;
     current_address_ = chosen.address;
@@ -180,7 +181,7 @@
     if (step.state == attempt_state::running) {
         step = co_await read_to_end(attempt);
     }
-    context_.metrics->counter("chervil_dropped_chunks_total") += attempt.dropped_chunks();
+    context_->metrics->counter("chervil_dropped_chunks_total") += attempt.dropped_chunks();
     if (step.state == attempt_state::complete) {
         co_await attempt.finish();
         co_return step;
@@ -188,7 +189,7 @@
     if (step.state == attempt_state::broken && !caller_left_ && resumes_ < max_resumes &&
         time_left() > duration::zero()) {
         ++resumes_;
-        context_.metrics->counter("chervil_resumes_total") += 1;
+        context_->metrics->counter("chervil_resumes_total") += 1;
         may_have_run_ = true;
         step = co_await resume(attempt);
     }
@@ -199,10 +200,10 @@
 {
     const time_point now = monotonic_clock::now();
     if (failed.state == attempt_state::refused) {
-        context_.router->refused(replica, now);
+        context_->router->refused(replica, now);
     }
     else if (time_left() > duration::zero()) {
-        context_.router->failed(replica, now);
+        context_->router->failed(replica, now);
     }
     request_.question.avoid.push_back(replica);
 }
@@ -217,7 +218,7 @@
     question.attempts = attempts_;
     question.time_left = time_left();
     question.expected_time = expected_attempt_time;
-    return may_retry(question) && context_.retries.take();
+    return may_retry(question) && context_->retries.take();
 }
 
 engine_run_result engine_run::give_up(run_end end, std::string reason) const
@@ -233,7 +234,7 @@
 
 asio::awaitable<engine_run_result> engine_run::run()
 {
-    context_.retries.note_call();
+    context_->retries.note_call();
     while (true) {
         const auto chosen = co_await choose();
         if (!chosen) {
@@ -269,7 +270,7 @@
             result.retry_after = step.retry_after.value_or(default_retry_after);
             co_return result;
         }
-        context_.metrics->counter("chervil_retries_total") += 1;
+        context_->metrics->counter("chervil_retries_total") += 1;
     }
 }
 
--- a/src/entry/engine_run.h
+++ b/src/entry/engine_run.h
@@ -76,7 +76,7 @@
     engine_run_result give_up(run_end end, std::string reason) const;
     duration time_left() const;
 
-    call_context& context_;
+    std::shared_ptr<call_context> context_;
     engine_run_request request_;
     chunk_hook on_chunks_;
     std::string current_address_; // Of the attempt that an engine may be running.
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -74,10 +74,12 @@
     return addresses;
 }
 
-call_context make_context(const asio::any_io_executor& executor,
-                          const schema::entry_settings& settings, const random_source& random)
+std::shared_ptr<call_context> make_context(const asio::any_io_executor& executor,
+                                           const schema::entry_settings& settings,
+                                           const random_source& random)
 {
-    call_context context;
+    auto made = std::make_shared<call_context>();
+    call_context& context = *made;
     context.executor = executor;
     context.random = random;
     context.http = std::make_shared<http_client>(executor, kept_connections);
@@ -88,7 +90,7 @@
     context.admissions = std::make_shared<admission>(executor, [router](const std::string& team) {
         return router->capacity(team, monotonic_clock::now());
     });
-    return context;
+    return made;
 }
 
 api_error unknown_key()
@@ -132,15 +134,15 @@
       context_(make_context(executor, settings_, random)), keys_(random),
       link_(executor, control_addresses(settings_), incarnation_, [this] { return load(); }),
       follower_(link_.watch(), link_.size(), random),
-      checks_(context_.router, http_engine_client(context_.http),
+      checks_(context_->router, http_engine_client(context_->http),
               [this] { return view_is_stale(); }),
       server_(
           executor, [this](http_exchange& exchange) { return serve(exchange); },
           limits_of(settings_), bad_request_reply)
 {
     follower_.on_change = [this](const held_view& held) {
-        context_.router->use_view(held.view, held.arrived_at);
-        context_.admissions->capacity_changed();
+        context_->router->use_view(held.view, held.arrived_at);
+        context_->admissions->capacity_changed();
     };
     checks_.view = [this] { return follower_.held().view; };
     add_gauges();
@@ -150,14 +152,14 @@
 
 void entry_node::add_gauges()
 {
-    metrics_registry& metrics = *context_.metrics;
+    metrics_registry& metrics = *context_->metrics;
     metrics.gauge("chervil_calls_in_progress",
-                  [this] { return static_cast<double>(context_.admissions->admitted()); });
+                  [this] { return static_cast<double>(context_->admissions->admitted()); });
     metrics.gauge("chervil_calls_waiting",
-                  [this] { return static_cast<double>(context_.admissions->waiting()); });
+                  [this] { return static_cast<double>(context_->admissions->waiting()); });
     metrics.gauge("chervil_connections",
                   [this] { return static_cast<double>(server_.connections()); });
-    metrics.gauge("chervil_retry_budget", [this] { return context_.retries.left(); });
+    metrics.gauge("chervil_retry_budget", [this] { return context_->retries.left(); });
     metrics.gauge("chervil_view_configuration_version", [this] {
         const routing_view_ptr view = follower_.held().view;
         return view ? static_cast<double>(view->configuration_version()) : 0.0;
@@ -197,8 +199,8 @@
     now.set_address(address_);
     now.set_failure_domain(settings_.node().failure_domain());
     now.set_draining(draining_);
-    now.set_calls_in_flight(static_cast<std::uint32_t>(context_.admissions->admitted() +
-                                                       context_.admissions->waiting()));
+    now.set_calls_in_flight(static_cast<std::uint32_t>(context_->admissions->admitted() +
+                                                       context_->admissions->waiting()));
     return now;
 }
 
@@ -255,7 +257,7 @@
         return ready() ? text_reply(200, "ready\n") : text_reply(503, "not ready\n");
     }
     if (path == "/metrics") {
-        http_reply reply = text_reply(200, context_.metrics->to_text());
+        http_reply reply = text_reply(200, context_->metrics->to_text());
         reply.content_type = "text/plain; version=0.0.4; charset=utf-8";
         return reply;
     }
@@ -264,7 +266,7 @@
     }
     if (path == "/v1/entries") {
         return json_reply(entries_document(follower_.held().view.get(), load(),
-                                           ms(settings_.address_validity_ms()), context_.random));
+                                           ms(settings_.address_validity_ms()), context_->random));
     }
     if (path == "/v1/models") {
         return list_models(request);
@@ -278,13 +280,13 @@
     const http_request& request = exchange.request();
     auto read = read_completion(kind, request);
     if (!read) {
-        context_.metrics->counter("chervil_bad_requests_total") += 1;
+        context_->metrics->counter("chervil_bad_requests_total") += 1;
         http_reply refusal = to_reply(read.error());
         co_await exchange.respond(std::move(refusal));
         co_return;
     }
     std::string digest = sha256_hex(request.target + "\n" + request.body);
-    completion_call call(context_, exchange, std::move(who), std::move(*read), std::move(view),
+    completion_call call(*context_, exchange, std::move(who), std::move(*read), std::move(view),
                          std::move(digest));
     co_await call.run();
 }
@@ -341,7 +343,7 @@
         fault = error.what();
     }
     if (!fault.empty()) {
-        context_.metrics->counter("chervil_internal_errors_total") += 1;
+        context_->metrics->counter("chervil_internal_errors_total") += 1;
         log.error("a call failed inside the entry: ", fault);
         exchange.abort();
     }
--- a/src/entry/entry_node.h
+++ b/src/entry/entry_node.h
@@ -44,11 +44,11 @@
     boost::asio::awaitable<bool> drain();
 
     /** The hooks of calls that run at most once; set before start(). */
-    call_guard& guard() { return context_.guard; }
+    call_guard& guard() { return context_->guard; }
     service_route on_service_call;
 
     control_link& controls() { return link_; }
-    call_context& context() { return context_; }
+    call_context& context() { return *context_; }
     const std::string& incarnation() const { return incarnation_; }
     std::uint16_t port() const { return server_.port(); }
 
@@ -73,7 +73,7 @@
     schema::entry_settings settings_;
     std::string incarnation_;
     std::string address_; // ip:port for callers.
-    call_context context_;
+    std::shared_ptr<call_context> context_;
     tenant_keys keys_;
     control_link link_;
     view_follower follower_;
--- a/src/rpc/control_client.cpp
+++ b/src/rpc/control_client.cpp
@@ -3,6 +3,7 @@
  */
 #include "rpc/control_client.h"
 
+#include <mutex>
 #include <utility>
 
 #include <boost/asio.hpp>
@@ -38,6 +39,41 @@
            std::chrono::duration_cast<std::chrono::system_clock::duration>(timeout);
 }
 
+/** Lets gRPC's threads post to the executor until the client is gone. What they would post later is
+ * kept unrun, since the executor's context may be gone too.
+ */
+class post_gate {
+  public:
+    explicit post_gate(asio::any_io_executor executor) : executor_(std::move(executor)) {}
+
+    template <typename Task>
+    void post(Task task)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (open_) {
+            asio::post(executor_, std::move(task));
+        }
+        else {
+            static_cast<void>(new Task(std::move(task))); // Must not be destroyed on this thread.
+        }
+    }
+
+    void close()
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        open_ = false;
+    }
+
+    const asio::any_io_executor& executor() const { return executor_; }
+
+  private:
+    asio::any_io_executor executor_;
+    std::mutex mutex_;
+    bool open_ = true;
+};
+
+using post_gate_ptr = std::shared_ptr<post_gate>;
+
 /** What one unary call needs until it has ended. */
 template <typename Request, typename Reply>
 struct unary_call {
@@ -47,7 +83,7 @@
 };
 
 template <typename Request, typename Reply, typename Start>
-rpc_awaitable<Reply> run_call(asio::any_io_executor executor, std::string address, Request request,
+rpc_awaitable<Reply> run_call(post_gate_ptr gate, std::string address, Request request,
                               duration timeout, Start start)
 {
     auto call = std::make_shared<unary_call<Request, Reply>>();
@@ -56,8 +92,8 @@
     const auto begin = [&](auto handler) {
         auto shared = std::make_shared<decltype(handler)>(std::move(handler));
         start(&call->context, &call->request, &call->reply,
-              [call, executor, shared](const grpc::Status& status) {
-                  asio::post(executor, [shared, status] { std::move (*shared)(status); });
+              [call, gate, shared](const grpc::Status& status) {
+                  gate->post([shared, status] { std::move (*shared)(status); });
               });
     };
     const grpc::Status status =
@@ -75,9 +111,9 @@
   public:
     using view_hook = std::function<void(std::shared_ptr<const schema::routing_view>)>;
 
-    view_reader(asio::any_io_executor executor, schema::view_request request, view_hook on_view)
-        : executor_(std::move(executor)), request_(std::move(request)),
-          on_view_(std::move(on_view)), ended_(executor_), heard_at_(monotonic_clock::now())
+    view_reader(post_gate_ptr gate, schema::view_request request, view_hook on_view)
+        : gate_(std::move(gate)), request_(std::move(request)), on_view_(std::move(on_view)),
+          ended_(gate_->executor()), heard_at_(monotonic_clock::now())
     {
         ended_.expires_at(timer::time_point::max());
     }
@@ -114,7 +150,7 @@
         }
         auto view = std::make_shared<schema::routing_view>(std::move(incoming_));
         incoming_.Clear();
-        asio::post(executor_, [self = shared_from_this(), view] {
+        gate_->post([self = shared_from_this(), view] {
             self->heard_at_ = monotonic_clock::now();
             if (!self->abandoned_) {
                 self->on_view_(view);
@@ -125,7 +161,7 @@
 
     void OnDone(const grpc::Status& status) override
     {
-        asio::post(executor_, [self = std::move(self_), status] {
+        gate_->post([self = std::move(self_), status] {
             self->status_ = status;
             self->finished_ = true;
             self->ended_.cancel();
@@ -133,7 +169,7 @@
     }
 
   private:
-    asio::any_io_executor executor_;
+    post_gate_ptr gate_;
     grpc::ClientContext context_;
     schema::view_request request_;
     schema::routing_view incoming_;
@@ -149,7 +185,7 @@
 } // namespace
 
 struct control_client::state {
-    asio::any_io_executor executor;
+    post_gate_ptr gate;
     std::string address;
     std::unique_ptr<schema::control::Stub> stub;
 };
@@ -163,13 +199,16 @@
     arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, reconnect_backoff_max_ms);
     arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
     arguments.SetMaxReceiveMessageSize(max_message_bytes);
-    state_->executor = std::move(executor);
+    state_->gate = std::make_shared<post_gate>(std::move(executor));
     state_->address = address;
     state_->stub = schema::control::NewStub(
         grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments));
 }
 
-control_client::~control_client() = default;
+control_client::~control_client()
+{
+    state_->gate->close();
+}
 
 const std::string& control_client::address() const
 {
@@ -186,7 +225,7 @@
             self->stub->async()->method(context, sent, reply, std::move(on_done));                 \
         };                                                                                         \
         co_return co_await run_call<schema::request_type, schema::reply_type>(                     \
-            self->executor, self->address, std::move(request), timeout, start);                    \
+            self->gate, self->address, std::move(request), timeout, start);                        \
     }
 
 CHERVIL_UNARY_CALL(probe, probe_request, probe_reply)
@@ -206,7 +245,7 @@
 {
     const auto self = state_;
     const auto reader =
-        std::make_shared<view_reader>(self->executor, std::move(request), std::move(on_view));
+        std::make_shared<view_reader>(self->gate, std::move(request), std::move(on_view));
     reader->begin(self->stub->async());
     const scope_guard end_stream(
         [reader] { reader->cancel(); }); // Also when this task is cancelled.
