Keep gRPC's callback queue for the life of the process

Cause: gRPC 1.51 destroys its callback queue with the last channel that used it while a queue thread may still be leaving it; chervilctl publish aborted in grpc_cq_internal_unref. Ruled out: a double destruction of ours (the core shows gRPC's own thread, and only processes without a server abort). Change: one channel that is never destroyed.

--- a/src/rpc/control_client.cpp
+++ b/src/rpc/control_client.cpp
@@ -10,6 +10,7 @@
 #include <grpcpp/grpcpp.h>
 
 #include "control_api.grpc.pb.h"
+#include "rpc/callback_queue.h"
 
 namespace chervildyke {
 
@@ -156,6 +157,7 @@
 control_client::control_client(asio::any_io_executor executor, const std::string& address)
     : state_(std::make_shared<state>())
 {
+    internal::keep_callback_queue();
     grpc::ChannelArguments arguments;
     arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, reconnect_backoff_min_ms);
     arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, reconnect_backoff_min_ms);
--- a/src/rpc/control_server.cpp
+++ b/src/rpc/control_server.cpp
@@ -9,6 +9,7 @@
 #include <grpcpp/grpcpp.h>
 
 #include "control_api.grpc.pb.h"
+#include "rpc/callback_queue.h"
 
 namespace chervildyke {
 
@@ -147,6 +148,7 @@
 
 bool control_server::listen(const std::string& address, std::uint16_t port)
 {
+    internal::keep_callback_queue();
     grpc::ServerBuilder builder;
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
     builder.SetMaxReceiveMessageSize(max_message_bytes);
