--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -64,9 +64,6 @@
     if (error == http::error::header_limit || error == http::error::buffer_overflow) {
         return bad_request::header_too_large;
     }
-    if (error == beast::error::timeout) {
-        return bad_request::too_slow;
-    }
     return bad_request::malformed;
 }
 
@@ -76,6 +73,37 @@
            error == asio::error::operation_aborted || error == asio::error::broken_pipe;
 }
 
+/** Cancels a read that takes too long, and leaves the connection open so that it can be answered;
+ * the stream's own expiry would close it.
+ */
+class read_limit {
+  public:
+    read_limit(beast::tcp_stream& stream, duration limit)
+        : timer_(stream.get_executor()), shared_(std::make_shared<watched>(watched{&stream}))
+    {
+        timer_.expires_after(limit);
+        timer_.async_wait([watching = shared_](const error_code& error) {
+            if (!error && watching->stream != nullptr) {
+                watching->passed = true;
+                watching->stream->cancel();
+            }
+        });
+    }
+    ~read_limit() { shared_->stream = nullptr; }
+    read_limit(const read_limit&) = delete;
+    read_limit& operator=(const read_limit&) = delete;
+
+    bool passed() const { return shared_->passed; }
+
+  private:
+    struct watched {
+        beast::tcp_stream* stream; // Null once the read has ended.
+        bool passed = false;
+    };
+    timer timer_;
+    std::shared_ptr<watched> shared_;
+};
+
 class beast_exchange : public http_exchange {
   public:
     beast_exchange(beast::tcp_stream& stream, http_request request, bool keep_alive,
@@ -205,7 +233,7 @@
     asio::awaitable<void> accept_connections();
     asio::awaitable<void> serve(tcp::socket socket);
     asio::awaitable<bool> serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer);
-    asio::awaitable<void> refuse(beast::tcp_stream& stream, const error_code& error);
+    asio::awaitable<void> refuse(beast::tcp_stream& stream, bad_request kind);
 };
 
 asio::awaitable<void> http_server::state::accept_connections()
@@ -258,15 +286,20 @@
     http::request_parser<http::string_body> parser;
     parser.body_limit(limits.max_body_bytes);
     parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
-    stream.expires_after(limits.request_read_timeout);
+    stream.expires_never();
+    std::optional<read_limit> limit(std::in_place, stream, limits.request_read_timeout);
     const auto [error, bytes] = co_await http::async_read(stream, buffer, parser, as_tuple);
+    const bool too_slow = limit->passed();
+    limit.reset();
     if (error) {
-        if (!peer_closed(error)) {
-            co_await refuse(stream, error);
+        if (too_slow) {
+            co_await refuse(stream, bad_request::too_slow);
+        }
+        else if (!peer_closed(error)) {
+            co_await refuse(stream, classify(error));
         }
         co_return false;
     }
-    stream.expires_never();
     const bool keep_alive = parser.get().keep_alive();
     beast_exchange exchange(stream, to_plain(parser.release()), keep_alive && !stopping,
                             limits.write_timeout);
@@ -282,10 +315,10 @@
     co_return exchange.reusable();
 }
 
-asio::awaitable<void> http_server::state::refuse(beast::tcp_stream& stream, const error_code& error)
+asio::awaitable<void> http_server::state::refuse(beast::tcp_stream& stream, bad_request kind)
 {
     beast_exchange exchange(stream, {}, false, limits.write_timeout);
-    co_await exchange.respond(on_bad_request(classify(error)));
+    co_await exchange.respond(on_bad_request(kind));
     // Lets the answer reach a peer that is still sending, instead of a reset.
     error_code ignored;
     stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
--- a/src/entry/engine_run.cpp
+++ b/src/entry/engine_run.cpp
@@ -152,12 +152,11 @@
     call.set_resume_from(broken.next_sequence());
     engine_attempt again(context_->http, broken.address(), std::move(call));
     attempt_step step = co_await again.open(std::min(resume_timeout, time_left()), true);
-    if (step.state == attempt_state::running) {
-        step = co_await read_to_end(again);
-    }
-    if (step.state == attempt_state::not_sent || step.state == attempt_state::refused) {
-        step.state = attempt_state::stalled; // Refused to resume: the attempt itself may have run.
+    if (step.state != attempt_state::running) {
+        step.state = attempt_state::stalled; // Not resumed here; the attempt itself may have run.
+        co_return step;
     }
+    step = co_await read_to_end(again);
     if (step.state == attempt_state::broken && !caller_left_ && resumes_ < max_resumes &&
         time_left() > duration::zero()) {
         ++resumes_;
--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -21,6 +21,8 @@
 constexpr duration default_hold = 500ms; // Before any call has ended.
 constexpr double new_hold_share = 0.05;
 constexpr duration min_retry_after = 1s;
+constexpr double wait_margin = 1.1; // Over the estimate, so that calls let in are not late.
+constexpr double new_ratio_share = 0.05;
 constexpr double rate_burst_s = 1.0; // Seconds of the rate that may come at once.
 
 struct waiter {
@@ -33,6 +35,13 @@
     fair_queue queue;
     std::uint32_t in_use = 0;
     double mean_hold_ns = static_cast<double>(default_hold.count());
+    double wait_ratio = 1.0; // Of measured waits to their estimates.
+
+    void note_wait(double ratio)
+    {
+        wait_ratio += new_ratio_share * (std::clamp(ratio, 0.5, 4.0) - wait_ratio);
+    }
+    duration hold() const { return duration(static_cast<std::int64_t>(mean_hold_ns)); }
 };
 
 struct tenant_usage {
@@ -102,7 +111,7 @@
     const std::size_t places =
         request.max_queued_calls > 0 ? request.max_queued_calls : default_queue_places;
     const double before = team.queue.calls_before(request.tenant, request.share) + 1.0;
-    const double wait_ns = before * team.mean_hold_ns / room;
+    const double wait_ns = before * team.mean_hold_ns / room * team.wait_ratio * wait_margin;
     const duration wait(static_cast<std::int64_t>(wait_ns));
     const duration retry_after = std::max(min_retry_after, wait);
     if (team.queue.size_of(request.tenant) >=
@@ -110,8 +119,7 @@
         return admission_refusal{admission_error::queue_full, "too many calls wait for this team",
                                  retry_after};
     }
-    const duration hold(static_cast<std::int64_t>(team.mean_hold_ns));
-    if (monotonic_clock::now() + wait + hold > request.deadline) {
+    if (monotonic_clock::now() + wait + team.hold() > request.deadline) {
         return admission_refusal{admission_error::too_late,
                                  "the team can't answer this call by its deadline", retry_after};
     }
@@ -153,8 +161,7 @@
             return;
         }
         waiter& waiting = *waiters.at(next->id);
-        const duration hold(static_cast<std::int64_t>(team.mean_hold_ns / 2));
-        const bool in_time = monotonic_clock::now() + hold < next->deadline;
+        const bool in_time = monotonic_clock::now() + team.hold() <= next->deadline;
         waiting.verdict = in_time ? waiter::verdict::admitted : waiter::verdict::refused;
         if (in_time) {
             ++team.in_use;
@@ -188,8 +195,7 @@
         }
     });
     // Refused as soon as it can no longer be answered by its deadline.
-    const duration hold(static_cast<std::int64_t>(team.mean_hold_ns / 2));
-    waiting.wake.expires_at(std::max(request.deadline - hold, monotonic_clock::now()));
+    waiting.wake.expires_at(std::max(request.deadline - team.hold(), monotonic_clock::now()));
     let_in(request.team, team);
     if (waiting.verdict == waiter::verdict::waiting) {
         co_await waiting.wake.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -234,8 +240,11 @@
         co_return verdict;
     }
     const time_point began = monotonic_clock::now();
+    const double before = team.queue.calls_before(request.tenant, request.share) + 1.0;
+    const double estimate_ns = before * team.mean_hold_ns / room;
     const bool let_in = co_await self->wait_in_queue(request, team);
     verdict.waited = monotonic_clock::now() - began;
+    team.note_wait(static_cast<double>(verdict.waited.count()) / estimate_ns);
     if (let_in) {
         verdict.ticket = std::make_unique<admission_ticket>(self, request.team, request.tenant);
         release.dismiss();
--- /dev/null
+++ b/test/correctness/routing_decisions.cpp
@@ -0,0 +1,197 @@
+/** \file
+ * Tests the decisions of routing: who may be sent calls, who is ejected and what is tried again.
+ */
+#include <doctest/doctest.h>
+
+#include <map>
+
+#include "routing/replica_router.h"
+#include "routing/retry_policy.h"
+
+using namespace chervildyke;
+
+namespace {
+
+const time_point start{1h};
+
+schema::routing_view view_with(int replicas, std::uint32_t age_ms = 0)
+{
+    schema::routing_view view;
+    for (int i = 1; i <= replicas; ++i) {
+        schema::replica_view& replica = *view.add_replicas();
+        replica.set_replica_id(static_cast<std::uint64_t>(i));
+        replica.set_team("desk");
+        replica.set_serving(true);
+        replica.set_batch_limit(16);
+        replica.set_oldest_report_age_ms(age_ms);
+        replica.add_members()->set_failure_domain("gent-a");
+    }
+    return view;
+}
+
+std::shared_ptr<const schema::routing_view> shared(schema::routing_view view)
+{
+    return std::make_shared<const schema::routing_view>(std::move(view));
+}
+
+replica_router router_with(schema::routing_view view)
+{
+    replica_router router("gent-a", 3s, seeded_random(1));
+    router.use_view(shared(std::move(view)), start);
+    return router;
+}
+
+routing_question desk(std::vector<std::uint64_t> prefixes = {})
+{
+    routing_question question;
+    question.team = "desk";
+    question.prefixes = std::move(prefixes);
+    return question;
+}
+
+} // namespace
+
+TEST_CASE("a replica is sent calls only while its reports, or own checks, are fresh")
+{
+    replica_router router = router_with(view_with(1, 1000));
+    CHECK(router.usable(1, start + 2s));
+    CHECK(!router.usable(1, start + 2001ms));
+    CHECK(!router.choose(desk(), start + 10s));
+    CHECK(router.capacity("desk", start + 10s) == 0);
+    router.note_checked(1, start + 9s);
+    CHECK(router.choose(desk(), start + 10s));
+    CHECK(!router.choose(desk(), start + 13s));
+    router.note_checked(1, start + 13s);
+    router.note_incomplete(1);
+    CHECK(!router.choose(desk(), start + 13s));
+}
+
+TEST_CASE("a replica that does not serve in the view is never chosen, whatever own checks say")
+{
+    schema::routing_view view = view_with(1);
+    view.mutable_replicas(0)->set_serving(false);
+    replica_router router = router_with(view);
+    router.note_checked(1, start);
+    CHECK(!router.choose(desk(), start));
+}
+
+TEST_CASE("a prefix goes back to its replica until that one is much busier than the others")
+{
+    replica_router router = router_with(view_with(4));
+    const std::vector<std::uint64_t> prefix{11, 12, 13};
+    const auto first = router.choose(desk(prefix), start);
+    REQUIRE(first);
+    router.sent(first->replica, prefix);
+    CHECK(router.choose(desk(prefix), start)->replica == first->replica);
+    std::map<std::uint64_t, int> sent_to;
+    for (int i = 0; i < 24; ++i) {
+        const auto next = router.choose(desk(prefix), start);
+        REQUIRE(next);
+        router.sent(next->replica, prefix);
+        ++sent_to[next->replica];
+    }
+    CHECK(sent_to.size() > 1);
+    CHECK(sent_to[first->replica] < 12);
+}
+
+TEST_CASE("calls with an adapter go only where it is loaded")
+{
+    schema::routing_view view = view_with(3);
+    view.mutable_replicas(1)->add_loaded_adapters("ogee");
+    replica_router router = router_with(view);
+    routing_question question = desk();
+    question.adapter = "ogee";
+    for (int i = 0; i < 20; ++i) {
+        CHECK(router.choose(question, start)->replica == 2);
+    }
+    question.adapter = "scotia";
+    CHECK(!router.choose(question, start));
+    CHECK(!router.has_adapter("desk", "scotia", start));
+}
+
+TEST_CASE("a straggler is ejected against its peers and comes back slowly")
+{
+    latency_book book;
+    const std::vector<std::uint64_t> peers{1, 2, 3, 4};
+    const auto measure = [&] {
+        for (int i = 0; i < 10; ++i) {
+            for (const std::uint64_t peer : peers) {
+                book.note_token(peer, peer == 3 ? 90ms : 30ms);
+            }
+        }
+    };
+    measure();
+    auto standings = book.judge(peers, start);
+    CHECK(standings[2].ejected);
+    CHECK(!standings[0].ejected);
+    standings = book.judge(peers, start + 6s);
+    CHECK(!standings[2].ejected);
+    CHECK(standings[2].weight < 0.3);
+    CHECK(book.judge(peers, start + 20s)[2].weight == doctest::Approx(1.0));
+    measure();
+    book.judge(peers, start + 21s);
+    CHECK(book.judge(peers, start + 27s)[2].ejected); // The second time for longer.
+}
+
+TEST_CASE("never more than a third of a team's replicas is ejected for being slow")
+{
+    latency_book book;
+    const std::vector<std::uint64_t> peers{1, 2, 3, 4, 5, 6};
+    for (int i = 0; i < 10; ++i) {
+        for (const std::uint64_t peer : peers) {
+            book.note_token(peer, peer > 3 ? 100ms : 10ms);
+        }
+    }
+    int ejected = 0;
+    for (const replica_standing& standing : book.judge(peers, start)) {
+        ejected += standing.ejected ? 1 : 0;
+    }
+    CHECK(ejected == 2);
+}
+
+TEST_CASE("the limit of a replica shrinks when first tokens come late and grows back")
+{
+    concurrency_limit limit;
+    time_point now = start;
+    for (int i = 0; i < 50; ++i) {
+        limit.note(100ms, 8, now += 100ms);
+    }
+    const std::uint32_t grown = limit.limit();
+    CHECK(grown > 8);
+    for (int i = 0; i < 20; ++i) {
+        limit.note(2s, 30, now += 100ms);
+    }
+    CHECK(limit.limit() < grown / 2);
+    CHECK(limit.limit() >= 1);
+    for (int i = 0; i < 300; ++i) {
+        limit.note(100ms, 30, now += 10ms);
+    }
+    CHECK(limit.limit() > 8);
+}
+
+TEST_CASE("a call is tried again only when that is safe, in time and within the budget")
+{
+    retry_question question;
+    question.time_left = 1s;
+    question.expected_time = 100ms;
+    question.repeatable = false;
+    CHECK(may_retry(question));
+    question.failure = attempt_failure::may_have_run;
+    CHECK(!may_retry(question));
+    question.repeatable = true;
+    CHECK(may_retry(question));
+    question.time_left = 50ms;
+    CHECK(!may_retry(question));
+    question.time_left = 1s;
+    question.attempts = max_attempts;
+    CHECK(!may_retry(question));
+
+    retry_budget budget(0.2, 10.0);
+    int allowed = 0;
+    for (int i = 0; i < 1000; ++i) {
+        budget.note_call();
+        allowed += budget.take() ? 1 : 0;
+    }
+    CHECK(allowed >= 200);
+    CHECK(allowed <= 211);
+}
--- /dev/null
+++ b/test/error/entry_bad_input.cpp
@@ -0,0 +1,166 @@
+/** \file
+ * Tests that bad input gets a 4xx in the OpenAI shape and leaves other calls alone.
+ */
+#include <doctest/doctest.h>
+
+#include <boost/asio.hpp>
+#include <nlohmann/json.hpp>
+
+#include "support/fake_engine.h"
+
+using namespace chervildyke;
+using namespace chervildyke::testing;
+using asio::ip::tcp;
+
+namespace {
+
+struct bench {
+    asio::io_context context;
+    fake_engine engine{context};
+    entry_under_test entry{context, 4096};
+
+    bench()
+    {
+        engine.answer = [](http_exchange& exchange, schema::engine_call call) {
+            return stream_words(exchange, std::move(call), 3);
+        };
+        schema::routing_view view = view_of({engine.address()});
+        view.mutable_teams(0)->mutable_parameters()->mutable_limits()->set_max_tokens_per_call(100);
+        REQUIRE(entry.start(view));
+    }
+
+    /** Sends raw bytes and reads until the entry closes or the answer's headers and body came. */
+    std::string send_raw(const std::string& bytes)
+    {
+        std::string answer;
+        entry.run([&]() -> asio::awaitable<void> {
+            tcp::socket socket(context);
+            const tcp::endpoint target(asio::ip::make_address("127.0.0.1"), entry.node->port());
+            co_await socket.async_connect(target, asio::use_awaitable);
+            const auto as_tuple = asio::as_tuple(asio::use_awaitable);
+            co_await asio::async_write(socket, asio::buffer(bytes), as_tuple);
+            co_await asio::async_read(socket, asio::dynamic_buffer(answer), as_tuple);
+        });
+        return answer;
+    }
+
+    bool still_answers() { return entry.call(entry_under_test::chat(false)).status == 200; }
+};
+
+void check_shape(const http_reply& reply, unsigned status)
+{
+    CAPTURE(reply.body);
+    CHECK(reply.status == status);
+    CHECK(reply.header("X-Chervil-Outcome") == "not_run");
+    const auto document = nlohmann::json::parse(reply.body, nullptr, false);
+    REQUIRE(document.is_object());
+    CHECK(document["error"]["message"].is_string());
+    CHECK(document["error"]["type"].is_string());
+    CHECK(document["error"]["code"].is_string());
+}
+
+void check_raw(const std::string& answer, const std::string& status)
+{
+    CAPTURE(answer);
+    CHECK(answer.starts_with("HTTP/1.1 " + status));
+    CHECK(answer.find("X-Chervil-Outcome: not_run") != std::string::npos);
+    const auto document =
+        nlohmann::json::parse(answer.substr(answer.find("\r\n\r\n") + 4), nullptr, false);
+    CHECK(document.is_object());
+}
+
+} // namespace
+
+TEST_CASE("bodies with bad JSON, bad types, unknown teams or limits passed are refused")
+{
+    bench on;
+    const std::vector<std::pair<std::string, unsigned>> bodies{
+        {"", 400},
+        {"{", 400},
+        {"[]", 400},
+        {"null", 400},
+        {R"({"messages":[]})", 400},
+        {R"({"model":7,"messages":[{"role":"user","content":"a"}]})", 400},
+        {R"({"model":"desk","messages":"a"})", 400},
+        {R"({"model":"desk","messages":[{"role":"user"}]})", 400},
+        {R"({"model":"desk","messages":[{"role":"user","content":7}]})", 400},
+        {R"({"model":"desk","messages":[{"role":"user","content":"a"}],"stream":"yes"})", 400},
+        {R"({"model":"desk","messages":[{"role":"user","content":"a"}],"max_tokens":-1})", 400},
+        {R"({"model":"desk","messages":[{"role":"user","content":"a"}],"max_tokens":1e99})", 400},
+        {R"({"model":"desk","messages":[{"role":"user","content":"a"}],"max_tokens":101})", 400},
+        {R"({"model":"desk","messages":[{"role":"user","content":"a"}],"n":2})", 400},
+        {R"({"model":"nobody","messages":[{"role":"user","content":"a"}]})", 404},
+        {R"({"model":"desk:none","messages":[{"role":"user","content":"a"}]})", 404},
+        {std::string(5000, ' '), 413},
+    };
+    for (const auto& [body, status] : bodies) {
+        http_request request = entry_under_test::chat(false);
+        request.body = body;
+        check_shape(on.entry.call(request), status);
+    }
+    CHECK(on.engine.calls.empty());
+    CHECK(on.still_answers());
+}
+
+TEST_CASE("bad paths, methods, deadlines and keys are refused")
+{
+    bench on;
+    http_request request = entry_under_test::chat(false);
+    request.headers.push_back({"X-Chervil-Deadline-Ms", "soon"});
+    check_shape(on.entry.call(request), 400);
+    request = entry_under_test::chat(false);
+    request.headers.push_back({"Idempotency-Key", std::string(300, 'k')});
+    check_shape(on.entry.call(request), 400);
+    request.target = "/v1/nothing";
+    check_shape(on.entry.call(request), 404);
+    request.method = "DELETE";
+    check_shape(on.entry.call(request), 405);
+    CHECK(on.engine.calls.empty());
+    CHECK(on.still_answers());
+}
+
+TEST_CASE("header floods, half-sent requests and bytes that are no HTTP are answered and closed")
+{
+    bench on;
+    std::string flood = "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n";
+    for (int i = 0; i < 1000; ++i) {
+        flood += "X-Flood-" + std::to_string(i) + ": aaaaaaaaaaaaaaaa\r\n";
+    }
+    check_raw(on.send_raw(flood + "\r\n"), "431");
+    check_raw(on.send_raw("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n"
+                          "Content-Length: 50\r\n\r\n{\"model\""),
+              "408");
+    check_raw(on.send_raw("\x16\x03\x01 not http at all\r\n\r\n"), "400");
+    CHECK(on.engine.calls.empty());
+    CHECK(on.still_answers());
+}
+
+TEST_CASE("a call in progress is untouched by bad ones beside it")
+{
+    bench on;
+    on.engine.answer = [](http_exchange& exchange,
+                          schema::engine_call call) -> asio::awaitable<void> {
+        co_await sleep_for(400ms);
+        co_await stream_words(exchange, call, 3);
+    };
+    std::string good;
+    asio::co_spawn(
+        on.context,
+        [&]() -> asio::awaitable<void> {
+            const http_request request = entry_under_test::chat(false);
+            const auto reply = co_await on.entry.client.call(on.entry.address(), request);
+            good = reply ? reply->body : reply.last_reason().reason;
+        },
+        asio::detached);
+    on.entry.run([&]() -> asio::awaitable<void> {
+        for (int i = 0; i < 50; ++i) {
+            http_request bad = entry_under_test::chat(false);
+            bad.body = "{";
+            co_await on.entry.client.call(on.entry.address(), bad);
+        }
+        for (int i = 0; i < 200 && good.empty(); ++i) {
+            co_await sleep_for(10ms);
+        }
+    });
+    CHECK(good.find("t0 t1 t2 ") != std::string::npos);
+}
