--- a/src/replicas/repair_costs.cpp
+++ b/src/replicas/repair_costs.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+/** A queue shorter than this lets new loads start at once. */
+constexpr double short_queue_seconds = 2.0;
 constexpr double default_downtime_weight = 1.0;
 constexpr double default_stranded_weight = 0.1;
 
@@ -22,6 +24,22 @@
 
 } // namespace
 
+duration expected_rest(duration elapsed, const std::vector<duration>& seen,
+                       const std::vector<duration>& presumed)
+{
+    duration sum{0};
+    std::int64_t longer = 0;
+    for (const auto* outages : {&seen, &presumed}) {
+        for (const duration outage : *outages) {
+            if (outage > elapsed) {
+                sum += outage - elapsed;
+                ++longer;
+            }
+        }
+    }
+    return longer == 0 ? elapsed : sum / longer;
+}
+
 repair_costs::repair_costs(const fleet_state& state, const fleet_knowledge& fleet,
                            const repair_options& options, time_point now)
     : state_(state), fleet_(fleet), options_(options), now_(now),
@@ -40,10 +58,13 @@
         if (forming.phase != schema::forming) {
             continue;
         }
+        const auto team = state.teams().find(forming.team);
+        const double value =
+            team == state.teams().end() ? 0.0 : team_value(team->second.parameters);
         for (const replica_vm& member : forming.members) {
             const vm_knowledge* vm = fleet.find(member.vm);
             const bool loaded = vm != nullptr && holds_weights(*vm, forming.model);
-            queued_bytes_ += loaded ? 0.0 : bytes_of(forming.model);
+            queued_bytes_[value] += loaded ? 0.0 : bytes_of(forming.model);
         }
     }
 }
@@ -68,17 +89,31 @@
     return 0;
 }
 
-double repair_costs::load_seconds(const std::string& model, std::size_t loads) const
+double repair_costs::queued_bytes(double value) const
+{
+    double bytes = 0;
+    for (auto each = queued_bytes_.lower_bound(value); each != queued_bytes_.end(); ++each) {
+        bytes += each->second;
+    }
+    return bytes;
+}
+
+double repair_costs::load_seconds(const std::string& model, std::size_t loads, double value) const
 {
     if (loads == 0) {
         return 0;
     }
-    return (queued_bytes_ + bytes_of(model) * static_cast<double>(loads)) / rate_;
+    return (queued_bytes(value) + bytes_of(model) * static_cast<double>(loads)) / rate_;
+}
+
+bool repair_costs::has_queue(double value) const
+{
+    return queued_bytes(value) > rate_ * short_queue_seconds;
 }
 
-void repair_costs::queue_loads(const std::string& model, std::size_t loads)
+void repair_costs::queue_loads(const std::string& model, std::size_t loads, double value)
 {
-    queued_bytes_ += bytes_of(model) * static_cast<double>(loads);
+    queued_bytes_[value] += bytes_of(model) * static_cast<double>(loads);
 }
 
 double repair_costs::return_of(const vm_knowledge* vm) const
@@ -87,8 +122,10 @@
         return in_seconds(options_.expected_capacity_wait);
     }
     const bool dark = fleet_.in_dark_domain(*vm);
-    const duration prior = dark ? options_.expected_domain_return : options_.expected_vm_return;
-    return in_seconds(std::max(prior, now_ - *vm->lost_since));
+    const duration elapsed = now_ - *vm->lost_since;
+    return in_seconds(
+        dark ? expected_rest(elapsed, fleet_.domain_outages, options_.presumed_domain_outages)
+             : expected_rest(elapsed, fleet_.vm_outages, options_.presumed_vm_outages));
 }
 
 double repair_costs::seconds_until_return(const replica& subject) const
--- a/src/replicas/repair_plan.cpp
+++ b/src/replicas/repair_plan.cpp
@@ -65,6 +65,8 @@
     void add_ways_from_others(const team_units& team, const unit* broken, double waiting,
                               double stranded, std::vector<alternative>& ways);
     std::vector<std::string> fit_members(const replica& subject) const;
+    void form(const team_units& team, const vm_pick& pick, replica_id replaces,
+              const std::string& reason);
     void retire(const unit& target, const std::string& reason, std::vector<alternative> ways = {});
     void retire_sources(const alternative& way, const std::string& for_team);
     void wait(const team_units& team, replica_id id, const std::string& reason,
@@ -84,6 +86,11 @@
     std::vector<decision> decisions_;
 };
 
+double in_seconds(duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
 std::string in_words(double seconds)
 {
     return std::to_string(std::lround(seconds)) + " s";
@@ -263,6 +270,21 @@
     decisions_.push_back(std::move(next));
 }
 
+void planner::form(const team_units& team, const vm_pick& pick, replica_id replaces,
+                   const std::string& reason)
+{
+    decision next;
+    next.kind = decision_kind::form_replica;
+    next.team = team.name;
+    next.replica = replaces;
+    next.vms = pick.vms;
+    next.model = team.team->parameters.model();
+    next.reason = reason;
+    costs_.queue_loads(next.model, pick.loads, repair_costs::team_value(team.team->parameters));
+    decisions_.push_back(std::move(next));
+    supply_.reserve(pick);
+}
+
 void planner::wait(const team_units& team, replica_id id, const std::string& reason,
                    std::vector<alternative> ways)
 {
@@ -297,7 +319,8 @@
                                               [&](auto& each) { return usefulness(each) == 2; });
     while (team.units.size() > team.wanted()) {
         const unit least = team.units.front();
-        if (usefulness(least) == 1 && newcomer_settles && team.wanted() > 0) {
+        const bool may_serve = least.health.broken ? least.health.can_return : true;
+        if (usefulness(least) <= 1 && may_serve && newcomer_settles && team.wanted() > 0) {
             wait(team, least.subject->id, "its replacement is not settled yet");
             return;
         }
@@ -332,24 +355,30 @@
 std::vector<alternative> planner::ways_to_repair(const team_units& team, const unit& broken)
 {
     const double value = repair_costs::team_value(team.team->parameters);
-    const double waiting = costs_.seconds_until_return(*broken.subject);
     const double stranded = costs_.stranded_accelerators(*broken.subject);
+    const auto picked = supply_.pick(need_of(team), fit_members(*broken.subject), true);
+    const double waiting = picked ? costs_.seconds_until_return(*broken.subject)
+                                  : in_seconds(memory_.lacking(team.name, now_));
     std::vector<alternative> ways;
     alternative first;
     first.cost = costs_.of_downtime(waiting, value, stranded);
     first.note = "the member is expected back in " + in_words(waiting);
     ways.push_back(std::move(first));
-
-    const auto picked = supply_.pick(need_of(team), fit_members(*broken.subject), true);
     if (picked) {
-        const double loading = costs_.load_seconds(team.team->parameters.model(), picked->loads);
-        const double freeing =
-            picked->not_free > 0 ? std::chrono::duration<double>(options_.release_time).count() : 0;
+        const double loading =
+            costs_.load_seconds(team.team->parameters.model(), picked->loads, value);
+        const double freeing = picked->not_free > 0 ? in_seconds(options_.release_time) : 0.0;
         alternative way;
         way.action = repair_action::rebuild;
         way.cost = costs_.of_downtime(loading + freeing, value, stranded);
         way.note = "in " + picked->fabric_domain + ", " + std::to_string(picked->loads) +
                    " loads take " + in_words(loading);
+        if (picked->loads > 0 && costs_.has_queue(value) && broken.health.can_return &&
+            way.cost < ways[0].cost) {
+            ways[0].cost = way.cost;
+            ways[0].note = "loads of more valuable teams go first, so a rebuild loses nothing by "
+                           "starting after them";
+        }
         ways.push_back(std::move(way));
     }
     else {
@@ -387,15 +416,23 @@
             if (!picked) {
                 continue;
             }
-            const double seconds = costs_.load_seconds(wanted.model(), picked->loads) +
-                                   std::chrono::duration<double>(options_.release_time).count();
+            const double seconds = costs_.load_seconds(wanted.model(), picked->loads, value) +
+                                   in_seconds(options_.release_time);
             const double source_value = repair_costs::team_value(other.team->parameters);
+            // The source stays down as long as this team would have, and then loads.
             const double source_down =
-                source.health.broken ? costs_.seconds_until_return(*source.subject) : waiting;
+                waiting + costs_.load_seconds(source.subject->model, source.subject->members.size(),
+                                              source_value);
+            double left_idle = 0;
+            for (const std::string& vm : others) {
+                const bool used =
+                    std::find(picked->vms.begin(), picked->vms.end(), vm) != picked->vms.end();
+                left_idle += used ? 0 : fleet_.find(vm)->accelerators;
+            }
             alternative way;
             way.action = source.health.broken ? repair_action::complete : repair_action::preempt;
             way.cost = costs_.of_downtime(seconds, value, stranded) +
-                       costs_.of_downtime(source_down, source_value, 0);
+                       costs_.of_downtime(source_down, source_value, left_idle);
             way.sources = {source.subject->id};
             way.note =
                 "takes apart replica " + std::to_string(source.subject->id) + " of " + other.name;
@@ -428,6 +465,8 @@
 void planner::repair_broken(team_units& team)
 {
     std::vector<unit> kept;
+    const std::size_t live = team.units.size();
+    bool has_newcomer = live > team.wanted();
     for (const unit& each : team.units) {
         if (retired_.count(each.subject->id) > 0) {
             continue;
@@ -436,6 +475,11 @@
             kept.push_back(each);
             continue;
         }
+        if (has_newcomer && each.health.can_return) {
+            wait(team, each.subject->id, "a replacement is forming beside it");
+            kept.push_back(each);
+            continue;
+        }
         const std::vector<alternative> ways = ways_to_repair(team, each);
         const alternative& chosen = ways[choose(ways)];
         if (chosen.action == repair_action::wait && each.health.can_return) {
@@ -443,6 +487,16 @@
             kept.push_back(each);
             continue;
         }
+        const auto beside = supply_.pick(need_of(team), fit_members(*each.subject), true);
+        if (chosen.action == repair_action::rebuild && beside && beside->not_free == 0 &&
+            each.health.can_return && live == team.wanted()) {
+            // Nothing of the broken replica is needed, so it keeps its chance to come back first.
+            form(team, *beside, each.subject->id, "a member is missing; rebuild beside it");
+            decisions_.back().alternatives = ways;
+            has_newcomer = true;
+            kept.push_back(each);
+            continue;
+        }
         retire(each,
                chosen.action == repair_action::wait
                    ? std::string("a member is gone for good")
@@ -451,7 +505,8 @@
         retire_sources(chosen, team.name);
         const auto picked = supply_.pick(need_of(team), fit_members(*each.subject), true);
         if (picked) {
-            costs_.queue_loads(team.team->parameters.model(), picked->loads);
+            costs_.queue_loads(team.team->parameters.model(), picked->loads,
+                               repair_costs::team_value(team.team->parameters));
             supply_.reserve(*picked); // Formed once the retirement stands.
         }
     }
@@ -467,26 +522,19 @@
         // VMs that are about to be free are worth waiting for when they save loads.
         const bool better_soon = soon && free && soon->loads < free->loads;
         if (free && !better_soon) {
-            decision next;
-            next.kind = decision_kind::form_replica;
-            next.team = team.name;
-            next.vms = free->vms;
-            next.model = need.model;
-            next.reason = "the team has " + std::to_string(present) + " of " +
-                          std::to_string(team.wanted()) + " replicas";
-            decisions_.push_back(std::move(next));
-            costs_.queue_loads(need.model, free->loads);
-            supply_.reserve(*free);
+            form(team, *free, 0,
+                 "the team has " + std::to_string(present) + " of " +
+                     std::to_string(team.wanted()) + " replicas");
             continue;
         }
         if (soon) {
             wait(team, 0, "VMs of retiring replicas are about to be free");
-            costs_.queue_loads(need.model, soon->loads);
+            costs_.queue_loads(need.model, soon->loads,
+                               repair_costs::team_value(team.team->parameters));
             supply_.reserve(*soon);
             continue;
         }
-        const double waiting =
-            std::chrono::duration<double>(options_.expected_capacity_wait).count();
+        const double waiting = in_seconds(memory_.lacking(team.name, now_));
         const double value = repair_costs::team_value(team.team->parameters);
         std::vector<alternative> ways(1);
         ways[0].cost = costs_.of_downtime(waiting, value, 0);
@@ -522,17 +570,8 @@
     const vm_need need = need_of(team);
     const auto spare = supply_.pick(need, {}, false);
     if (spare) {
-        decision next;
-        next.kind = decision_kind::form_replica;
-        next.team = team.name;
-        next.replica = oldest->subject->id;
-        next.vms = spare->vms;
-        next.model = need.model;
-        next.reason =
-            "replaces replica " + std::to_string(oldest->subject->id) + ": " + oldest->outdated;
-        decisions_.push_back(std::move(next));
-        costs_.queue_loads(need.model, spare->loads);
-        supply_.reserve(*spare);
+        form(team, *spare, oldest->subject->id,
+             "replaces replica " + std::to_string(oldest->subject->id) + ": " + oldest->outdated);
         return;
     }
     const bool fits_later = supply_.pick(need, fit_members(*oldest->subject), true).has_value();
@@ -578,25 +617,39 @@
                            const watch_bounds& bounds, time_point now)
 {
     std::map<replica_id, std::pair<schema::replica_phase, time_point>> phases;
-    std::map<std::string, time_point> down;
-    for (const auto& [name, team] : state.teams()) {
-        down[name] = now;
-    }
+    std::map<std::string, std::uint32_t> complete;
     for (const auto& [id, subject] : state.replicas()) {
         const auto known = phase_since.find(id);
         const bool same = known != phase_since.end() && known->second.first == subject.phase;
         phases[id] = {subject.phase, same ? known->second.second : now};
         if (subject.phase == schema::serving &&
             judge_replica(subject, fleet, bounds, now).complete) {
-            down.erase(subject.team);
+            ++complete[subject.team];
         }
     }
-    for (auto& [name, since] : down) {
-        const auto known = down_since.find(name);
-        since = known == down_since.end() ? now : known->second;
+    std::map<std::string, time_point> down;
+    std::map<std::string, time_point> lacking;
+    const auto since = [&](const std::map<std::string, time_point>& known, const auto& name) {
+        const auto found = known.find(name);
+        return found == known.end() ? now : found->second;
+    };
+    for (const auto& [name, team] : state.teams()) {
+        if (complete[name] < team.parameters.replicas()) {
+            lacking[name] = since(lacking_since, name);
+            if (complete[name] == 0) {
+                down[name] = since(down_since, name);
+            }
+        }
     }
     phase_since = std::move(phases);
     down_since = std::move(down);
+    lacking_since = std::move(lacking);
+}
+
+duration repair_memory::lacking(const std::string& team, time_point now) const
+{
+    const auto found = lacking_since.find(team);
+    return found == lacking_since.end() ? duration::zero() : now - found->second;
 }
 
 duration repair_memory::in_phase(replica_id id, time_point now) const
--- a/src/replicas/repair_plan.h
+++ b/src/replicas/repair_plan.h
@@ -66,9 +66,10 @@
 struct repair_options {
     watch_bounds bounds;
     bool engines_check_fencing = true;
-    duration order_quarantine = 3s;         // The longest time that an order can be in flight.
-    duration expected_vm_return = 30s;      // Of a lost VM, before anything else is known.
-    duration expected_domain_return = 60s;  // Of a dark fabric domain.
+    duration order_quarantine = 3s; // The longest time that an order can be in flight.
+    /** Outages that are presumed beside those seen: of single VMs, and of fabric domains. */
+    std::vector<duration> presumed_vm_outages = {5s, 30s, 300s};
+    std::vector<duration> presumed_domain_outages = {15s, 60s, 600s};
     duration expected_capacity_wait = 300s; // Until free VMs turn up by themselves.
     duration release_time = 1s;             // Until a member has let go.
     duration straggler_patience = 10s;
@@ -83,12 +84,16 @@
  */
 struct repair_memory {
     std::map<replica_id, std::pair<schema::replica_phase, time_point>> phase_since;
-    std::map<std::string, time_point> down_since; // Teams without a complete replica.
+    std::map<std::string, time_point> down_since;    // Teams without a complete replica.
+    std::map<std::string, time_point> lacking_since; // Teams with fewer than they want.
 
     /** Brings the memory up to date with the state. */
     void update(const fleet_state& state, const fleet_knowledge& fleet, const watch_bounds& bounds,
                 time_point now);
 
+    /** How long the team has lacked a replica, as far as this control saw. */
+    duration lacking(const std::string& team, time_point now) const;
+
     /** How long the replica has been in its phase, as far as this control saw. */
     duration in_phase(replica_id id, time_point now) const;
 
--- a/src/replicas/report_table.cpp
+++ b/src/replicas/report_table.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr duration gone_memory = 600s;
+constexpr std::size_t outages_kept = 64;
 constexpr std::uint64_t sequences_per_ms = 1000;
 
 std::uint32_t age_in_ms(time_point since, time_point now)
@@ -199,13 +200,24 @@
         vm.lost_since = now;
         vm.losses.push_back(now);
     }
-    if (!lost) {
+    if (!lost && vm.lost_since) {
+        if (!knowledge_.in_dark_domain(vm)) {
+            note_outage(knowledge_.vm_outages, now - *vm.lost_since);
+        }
         vm.lost_since.reset();
     }
     const auto is_old = [&](time_point loss) { return now - loss > bounds_.flap_window; };
     vm.losses.erase(std::remove_if(vm.losses.begin(), vm.losses.end(), is_old), vm.losses.end());
 }
 
+void report_table::note_outage(std::vector<duration>& outages, duration span)
+{
+    if (outages.size() >= outages_kept) {
+        outages.erase(outages.begin());
+    }
+    outages.push_back(span);
+}
+
 void report_table::judge_domains(time_point now)
 {
     std::map<std::string, duration> silences;
@@ -222,6 +234,11 @@
         const auto known = knowledge_.dark_domains.find(domain);
         dark[domain] = known == knowledge_.dark_domains.end() ? now : known->second;
     }
+    for (const auto& [domain, since] : knowledge_.dark_domains) {
+        if (dark.count(domain) == 0) {
+            note_outage(knowledge_.domain_outages, now - since);
+        }
+    }
     knowledge_.dark_domains = std::move(dark);
 }
 
--- a/src/replicas/report_table.h
+++ b/src/replicas/report_table.h
@@ -69,6 +69,7 @@
 
     void remember_own(const std::string& vm, std::string content, time_point asked_at);
     void judge_silence(vm_knowledge& vm, time_point now);
+    void note_outage(std::vector<duration>& outages, duration span);
     void judge_stragglers(time_point now);
     void judge_domains(time_point now);
     void forget_gone(time_point now);
--- a/src/replicas/vm_knowledge.h
+++ b/src/replicas/vm_knowledge.h
@@ -72,6 +72,8 @@
 struct fleet_knowledge {
     std::map<std::string, vm_knowledge> vms;
     std::map<std::string, time_point> dark_domains; // Fabric domains that went silent as one.
+    std::vector<duration> vm_outages;               // How long lost VMs stayed away lately.
+    std::vector<duration> domain_outages;           // How long dark domains stayed dark lately.
     bool blind = false; // Nothing at all answers, so the fault is rather on this side.
 
     /** \return the VM, or null when it was never listed. */
--- a/src/replicas/vm_supply.h
+++ b/src/replicas/vm_supply.h
@@ -75,21 +75,32 @@
     std::size_t free_count(const std::string& pool) const;
 
   private:
-    struct candidate {
-        const vm_knowledge* vm = nullptr;
-        bool is_free = false;
+    using vm_list = std::vector<const vm_knowledge*>;
+    using domain_map = std::map<std::string, vm_list>;
+    using pool_map = std::map<std::string, domain_map>;
+
+    /** The VMs of one fabric domain, or of all, that a pick may choose from. */
+    struct group {
+        const vm_list* free = nullptr;
+        const vm_list* arriving = nullptr;
+        vm_list freed;
+
+        std::size_t size() const;
     };
-    using groups = std::map<std::string, std::vector<candidate>>;
 
-    void add(groups& into, const vm_need& need, const std::string& name, bool is_free) const;
-    vm_pick best_of(std::vector<candidate> candidates, const vm_need& need) const;
+    std::map<std::string, group> groups_for(const vm_need& need,
+                                            const std::vector<std::string>& freed,
+                                            bool with_arriving) const;
+    vm_pick best_of(const group& from, const vm_need& need) const;
+    static void add_all_domains(pool_map& pools);
+    void remove(pool_map& from, const vm_knowledge& vm);
 
     const fleet_knowledge& fleet_;
     watch_bounds bounds_;
     time_point now_;
     std::set<std::string> drained_;
-    std::map<std::string, std::vector<std::string>> free_;     // By pool.
-    std::map<std::string, std::vector<std::string>> arriving_; // By pool.
+    pool_map free_;     // By pool and fabric domain; all of a pool under any_domain.
+    pool_map arriving_; // Likewise.
     std::set<std::string> reserved_;
 };
 
--- a/test/error/replicas_faults.cpp
+++ b/test/error/replicas_faults.cpp
@@ -70,7 +70,7 @@
 TEST_CASE("a short pause of a member is waited for when a load would take longer")
 {
     replica_fleet_options options;
-    options.keeper.repair.expected_vm_return = 5s;
+    options.keeper.repair.presumed_vm_outages = {5s};
     replica_fleet fleet(options);
     add_domain(fleet, "fab-1", 3);
     fleet.publish(make_configuration({{"oak", 1, 2, 1}}, 30 * gigabyte, gigabyte));
--- a/test/support/replica_fleet.cpp
+++ b/test/support/replica_fleet.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr duration advance_step = 10ms;
+constexpr double accelerators_per_vm = 2;
 constexpr std::size_t most_complaints = 20;
 
 vm_role role_of(const std::string& pool)
@@ -146,11 +146,11 @@
 {
     const time_point end = monotonic_clock::now() + span;
     while (monotonic_clock::now() < end) {
-        clock.advance(advance_step, 5ms);
+        clock.advance(options_.check_interval, options_.check_interval / 2);
         note_truth();
         check_views();
         check_journal();
-        measure(std::chrono::duration<double>(advance_step).count());
+        measure(std::chrono::duration<double>(options_.check_interval).count());
     }
 }
 
@@ -213,22 +213,28 @@
             }
         }
     }
-    std::size_t missing = 0;
+    double missing = 0;
+    double usable_accelerators = 0;
     for (const auto& [name, team] : state_->teams()) {
         const std::size_t wanted = team.parameters.replicas();
-        missing += wanted - std::min<std::size_t>(wanted, complete[name]);
+        const auto lacking = static_cast<double>(wanted - std::min(wanted, complete[name]));
+        missing += lacking;
+        valued_downtime_ += seconds * lacking * (1.0 + team.parameters.priority());
+        usable_accelerators += lacking * team.parameters.vms_per_replica() * accelerators_per_vm;
     }
-    group_downtime_ += seconds * static_cast<double>(missing);
+    double idle_accelerators = 0;
     for (const auto& [name, engine] : engines.all()) {
         const bool idle = !engine.dead && !engine.paused && working.count(name) == 0;
-        const bool held = state_->holder_of(name).has_value();
-        stranded_seconds_ += idle && held ? seconds * engine.entry.accelerators() : 0;
+        idle_accelerators += idle ? engine.entry.accelerators() : 0;
     }
+    group_downtime_ += seconds * missing;
+    stranded_seconds_ += seconds * std::min(idle_accelerators, usable_accelerators);
 }
 
 void replica_fleet::forget_measures()
 {
     group_downtime_ = 0;
+    valued_downtime_ = 0;
     stranded_seconds_ = 0;
 }
 
--- a/test/support/replica_fleet.h
+++ b/test/support/replica_fleet.h
@@ -37,6 +37,7 @@
     replica_keeper_options keeper;
     vm_watcher_options watcher;
     duration append_latency = 20ms;
+    duration check_interval = 10ms; // Between two checks of the invariants.
 };
 
 /** The keepers of several controls. The journal is one value that each append changes; a control
@@ -49,7 +50,7 @@
     /** Appends a configuration to the journal. */
     void publish(const schema::fleet_configuration& configuration);
 
-    /** Moves time on in steps of 10 ms and checks the invariants after each. */
+    /** Moves time on and checks the invariants at each interval. */
     void advance(duration span);
 
     /** Starts the controls; engines must have been added. */
@@ -75,7 +76,12 @@
     /** Seconds in which wanted replicas did not serve, by control 0's view. */
     double group_downtime() const { return group_downtime_; }
 
-    /** Accelerator-seconds of engines that answered while their replica was incomplete. */
+    /** As group_downtime, each second counted by one plus the team's priority. */
+    double valued_downtime() const { return valued_downtime_; }
+
+    /** Accelerator-seconds of engines that answered but stood idle while a wanted replica that
+     * could have used them did not serve.
+     */
     double stranded_seconds() const { return stranded_seconds_; }
 
     void forget_measures();
@@ -109,6 +115,7 @@
     std::map<std::string, std::map<std::uint64_t, time_point>> last_true_; // VM, replica, time.
     std::vector<std::string> broken_;
     double group_downtime_ = 0;
+    double valued_downtime_ = 0;
     double stranded_seconds_ = 0;
 };
 
