--- a/test/error/journal_faults.cpp
+++ b/test/error/journal_faults.cpp
@@ -247,3 +247,25 @@
     CHECK(group.node(1).state()->configuration_version() == 2);
     CHECK(*group.node(0).state() == *group.node(1).state());
 }
+
+TEST_CASE("when a record was trimmed before anyone read it, every node keeps its state, says that "
+          "it is not fresh and proposes nothing")
+{
+    journal_group group(60s);
+    group.start();
+    group.start();
+    group.advance(1s);
+    REQUIRE(settle(group, 0, first_configuration()));
+    group.log().set_outage(true);
+    group.advance(1s);
+    group.log().put("journal", form(1, 1).SerializeAsString());
+    group.advance(5min, 50ms);
+    group.log().set_outage(false);
+    group.advance(30s);
+    for (std::size_t i = 0; i < 2; ++i) {
+        CHECK(group.node(i).log_reachable());
+        CHECK_FALSE(group.node(i).fresh());
+        CHECK(group.node(i).state()->configuration_version() == 1);
+        CHECK(settle(group, i, form(1, 3)).last_reason().code == journal_error::not_ready);
+    }
+}
