Keep the appends of all order streams below the log's rate

Change: without a setting the pause is 4 ms for each stream, refusals lengthen it by a quarter up to 100 ms and successes take a sixteenth off.

--- a/src/orders/order_desk.cpp
+++ b/src/orders/order_desk.cpp
@@ -73,6 +73,9 @@
           random(std::move(numbers)), hooks(std::move(calls)), pause(executor)
     {
         settings.streams = std::max<std::uint32_t>(settings.streams, 1);
+        if (settings.batch_delay == duration::zero()) {
+            settings.batch_delay = settings.streams * append_share;
+        }
     }
 
     asio::any_io_executor executor;
--- a/src/orders/order_desk.h
+++ b/src/orders/order_desk.h
@@ -23,6 +23,7 @@
 
 constexpr std::uint32_t default_order_streams = 2;
 constexpr std::size_t followers_per_stream = 2;
+constexpr duration append_share = 4ms; // All streams together make 250 appends a second.
 
 /** What a desk needs of the control it is part of. Members are named as the caller likes; the
  * name of this control must be among the alive ones.
@@ -41,8 +42,8 @@
     std::string self;        // This control's name among the members.
     std::string incarnation; // Written into records.
     std::uint32_t streams = default_order_streams;
-    std::uint64_t window_ms = 0; // Zero: half of the log's retention.
-    duration batch_delay = 8ms;
+    std::uint64_t window_ms = 0;             // Zero: half of the log's retention.
+    duration batch_delay = duration::zero(); // Zero: append_share for each stream.
 };
 
 /** Answers claims and settlements for P order streams. The first two members in the rendezvous
--- a/src/orders/order_stream.cpp
+++ b/src/orders/order_stream.cpp
@@ -25,8 +25,7 @@
 constexpr duration shortest_pause = 20ms;
 constexpr duration longest_pause = 1s;
 constexpr duration read_back_wait = 250ms; // Before an append without a reply is made again.
-constexpr duration longest_append_interval = 250ms;
-constexpr duration append_interval_step = 1ms;
+constexpr duration longest_append_interval = 100ms;
 constexpr duration lost_record_timeout = 60s;
 
 /** Waits until the timer expires or is cancelled. */
@@ -270,7 +269,7 @@
 bool order_stream::take_append_result(batch& sent, const platform_result<log_offset>& result)
 {
     if (result) {
-        append_interval_ = std::max(append_interval_ - append_interval_step, settings_.batch_delay);
+        append_interval_ = std::max(append_interval_ * 15 / 16, settings_.batch_delay);
         acknowledge_settlements(sent);
         return true;
     }
@@ -281,7 +280,8 @@
         return false;
     }
     if (code == platform_error::overloaded) {
-        append_interval_ = std::min(2 * append_interval_, longest_append_interval);
+        append_interval_ = std::min(append_interval_ * 5 / 4, longest_append_interval);
+        sent.pause = append_interval_;
     }
     else {
         log_trouble_ = true;
