Take part in the members: probes, news, addresses by member

Cause: the control knew only its seeds. Change: member_table and prober replace the fixed list; entries' load and draining travel as news.

--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -60,6 +60,8 @@
         keeper.wake();
     });
     spawn_task(executor, "journal", journal.run());
+    spawn_task(executor, "own news", keep_self_news());
+    spawn_task(executor, "prober", probes.run());
     spawn_task(executor, "entry watch", entry.run());
     spawn_task(executor, "VM watcher", watcher.run());
     spawn_task(executor, "replica keeper", keeper.run());
@@ -74,6 +76,7 @@
     control_log.info("stopping");
     pages.stop_accepting();
     views.stop();
+    members.leave();
     co_await pages.wait_until_quiet();
     // The server waits for calls that end on this executor, so it stops on another thread.
     bool stopped = false;
--- a/src/control/control_options.cpp
+++ b/src/control/control_options.cpp
@@ -18,7 +18,7 @@
                                      const std::string& incarnation)
 {
     control_options options;
-    options.self = settings.node().address();
+    options.self = settings.node().vm();
     options.incarnation = incarnation;
     options.bounds.detection_bound =
         from_ms(settings.detection_bound_ms(), options.bounds.detection_bound);
--- a/src/control/control_parts.cpp
+++ b/src/control/control_parts.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "members/watch_assignment.h"
 #include "replicas/view_builder.h"
 
 namespace chervildyke {
@@ -15,6 +16,20 @@
 namespace asio = boost::asio;
 
 constexpr duration peer_timeout = 2s;
+constexpr duration self_news_interval = 500ms;
+
+/** What this control says of itself when it starts. */
+schema::member_news own_news(const schema::control_settings& settings,
+                             const control_options& options)
+{
+    schema::member_news news;
+    news.set_vm(options.self);
+    news.set_incarnation(options.incarnation);
+    news.set_address(settings.node().address() + ":" + std::to_string(settings.grpc_port()));
+    news.set_failure_domain(settings.node().failure_domain());
+    news.set_condition(schema::alive);
+    return news;
+}
 
 journal_failure no_member()
 {
@@ -38,11 +53,10 @@
                                    settings.node().vm() + "-" + random_id(random).substr(0, 12))),
       http(std::make_shared<http_client>(executor)),
       peers(executor, static_cast<std::uint16_t>(settings.grpc_port())),
-      members(settings.node().address(),
-              {settings.seed_addresses().begin(), settings.seed_addresses().end()}),
       entry(http, settings.node().address() + ":" + std::to_string(settings.entry_http_port()),
             settings.node().failure_domain()),
-      journal(options.journal, make_journal_hooks()),
+      journal(options.journal, make_journal_hooks()), members(own_news(settings, options)),
+      probes(prober_options(), make_prober_hooks(), members),
       table(options.self, options.bounds,
             [this](const std::string& pool) { return role_of_pool(pool); }),
       watcher(executor, options.self, table, make_watcher_hooks(), options.watcher),
@@ -56,8 +70,66 @@
 
 std::shared_ptr<control_client> control_node::parts::advanced_peer()
 {
-    const auto member = members.most_advanced();
-    return member ? peers.at(*member) : nullptr;
+    const auto address = members.most_advanced_address();
+    if (address) {
+        return peers.at(*address);
+    }
+    const auto& seeds = settings.seed_addresses();
+    if (seeds.empty()) {
+        return nullptr;
+    }
+    // Nobody was heard yet: a new process asks one of its seeds.
+    const auto pick = random_below(random, static_cast<std::uint64_t>(seeds.size()));
+    return peers.at(seeds[static_cast<int>(pick)]);
+}
+
+std::shared_ptr<control_client> control_node::parts::peer_of(const std::string& vm)
+{
+    const auto found = members.others().find(vm);
+    return found == members.others().end() ? nullptr : peers.at(found->second.news.address());
+}
+
+asio::awaitable<void> control_node::parts::keep_self_news()
+{
+    while (true) {
+        members.update_self(entry.status().load(), journal.highest_offset(),
+                            entry.status().configuration_version());
+        co_await sleep_for(self_news_interval);
+    }
+}
+
+prober_hooks control_node::parts::make_prober_hooks()
+{
+    prober_hooks hooks;
+    hooks.probe = [this](std::string address, schema::probe_request request,
+                         duration timeout) -> asio::awaitable<member_result<schema::probe_reply>> {
+        const auto peer = peers.at(address);
+        auto reply = co_await peer->probe(std::move(request), timeout);
+        if (!reply) {
+            co_return member_failure{member_error::unreachable, reply.last_reason().reason};
+        }
+        co_return std::move(*reply);
+    };
+    hooks.seeds = [this] { return control_addresses(); };
+    hooks.highest_offset = [this] { return journal.highest_offset(); };
+    hooks.random = random;
+    return hooks;
+}
+
+std::vector<std::string> control_node::parts::control_addresses() const
+{
+    const std::string port = ":" + std::to_string(settings.grpc_port());
+    std::vector<std::string> addresses;
+    for (const std::string& seed : settings.seed_addresses()) {
+        addresses.push_back(seed + port);
+    }
+    for (const schema::entry_view& listed : known_entries()) {
+        const std::string ip = listed.address().substr(0, listed.address().find(':'));
+        if (listed.vm() != options.self) {
+            addresses.push_back(ip + port);
+        }
+    }
+    return addresses;
 }
 
 journal_hooks control_node::parts::make_journal_hooks()
@@ -82,8 +154,10 @@
         auto reply = co_await peer->fetch_snapshot(schema::snapshot_request(), peer_timeout);
         co_return to_journal_result(std::move(reply));
     };
-    hooks.members_highest = [this] { return members.highest_offset(); };
-    hooks.am_checkpointer = [this] { return members.is_first_for("checkpoints"); };
+    hooks.members_highest = [this] { return members.highest_heard(); };
+    hooks.am_checkpointer = [this] {
+        return is_first_for("checkpoints", options.self, members.alive_members());
+    };
     return hooks;
 }
 
@@ -101,11 +175,14 @@
             co_await http->call(std::move(address), std::move(request), std::move(call_options));
         co_return answer && answer->status == 200;
     };
-    hooks.alive_members = [this] { return members.alive(); };
+    hooks.alive_members = [this] { return members.alive_members(); };
     hooks.pull_reports =
         [this](std::string peer, schema::report_request request,
                duration timeout) -> asio::awaitable<std::optional<schema::report_batch>> {
-        const auto client = peers.at(peer);
+        const auto client = peer_of(peer);
+        if (!client) {
+            co_return std::nullopt;
+        }
         auto reply = co_await client->pull_reports(std::move(request), timeout);
         co_return reply ? std::optional(std::move(*reply)) : std::nullopt;
     };
@@ -120,7 +197,7 @@
 {
     replica_keeper_hooks hooks;
     hooks.state = [this] { return journal.state(); };
-    hooks.alive_members = [this] { return members.alive(); };
+    hooks.alive_members = [this] { return members.alive_members(); };
     hooks.can_act = [this] { return can_act(); };
     hooks.propose = [this](schema::journal_record change,
                            duration timeout) -> asio::awaitable<std::optional<verdict>> {
@@ -134,14 +211,22 @@
 order_desk_hooks control_node::parts::make_desk_hooks()
 {
     order_desk_hooks hooks;
-    hooks.alive_members = [this] { return members.alive(); };
+    hooks.alive_members = [this] { return members.alive_members(); };
     hooks.forward_claim = [this](std::string member, schema::claim_request request,
-                                 duration timeout) {
-        return peers.at(member)->claim(std::move(request), timeout);
+                                 duration timeout) -> rpc_awaitable<schema::claim_reply> {
+        const auto peer = peer_of(member);
+        if (!peer) {
+            co_return rpc_failure{rpc_error::unreachable, "no member " + member};
+        }
+        co_return co_await peer->claim(std::move(request), timeout);
     };
     hooks.forward_settle = [this](std::string member, schema::settle_request request,
-                                  duration timeout) {
-        return peers.at(member)->settle(std::move(request), timeout);
+                                  duration timeout) -> rpc_awaitable<schema::settle_reply> {
+        const auto peer = peer_of(member);
+        if (!peer) {
+            co_return rpc_failure{rpc_error::unreachable, "no member " + member};
+        }
+        co_return co_await peer->settle(std::move(request), timeout);
     };
     return hooks;
 }
@@ -152,6 +237,9 @@
     hooks.watch_view = [this](schema::view_request, view_writer write) {
         return views.serve(std::move(write));
     };
+    hooks.probe = [this](schema::probe_request request) -> asio::awaitable<schema::probe_reply> {
+        co_return probes.answer(request);
+    };
     hooks.read_records =
         [this](schema::record_request request) -> asio::awaitable<schema::record_batch> {
         co_return journal.serve_records(request);
@@ -218,6 +306,19 @@
            watcher.has_list();
 }
 
+void control_node::parts::add_member_news(schema::entry_view& shown) const
+{
+    const bool is_self = shown.vm() == options.self;
+    const auto found = members.others().find(shown.vm());
+    if (!is_self && found == members.others().end()) {
+        return;
+    }
+    const schema::member_news& news = is_self ? members.self() : found->second.news;
+    const bool gone = news.condition() == schema::down || news.condition() == schema::left;
+    shown.set_draining(shown.draining() || gone || news.entry().draining());
+    shown.set_calls_in_flight(news.entry().calls_in_flight());
+}
+
 std::vector<schema::entry_view> control_node::parts::known_entries() const
 {
     std::vector<schema::entry_view> entries;
@@ -230,6 +331,7 @@
         shown.set_address(vm.address);
         shown.set_failure_domain(vm.failure_domain);
         shown.set_draining(vm.presence == vm_presence::leaving);
+        add_member_news(shown);
         entries.push_back(std::move(shown));
     }
     return entries;
--- a/src/control/control_parts.h
+++ b/src/control/control_parts.h
@@ -17,11 +17,12 @@
 #include "control/control_node.h"
 #include "control/control_options.h"
 #include "control/entry_watch.h"
-#include "control/neighbours.h"
 #include "control/node_status.h"
 #include "control/peer_directory.h"
 #include "control/view_publisher.h"
 #include "journal/journal_node.h"
+#include "members/member_table.h"
+#include "members/prober.h"
 #include "orders/order_desk.h"
 #include "platform/http_platform.h"
 #include "replicas/replica_keeper.h"
@@ -44,9 +45,10 @@
     control_options options;
     std::shared_ptr<http_client> http;
     peer_directory peers;
-    neighbours members;
     entry_watch entry;
     journal_node journal;
+    member_table members;
+    prober probes;
     report_table table;
     vm_watcher watcher;
     replica_keeper keeper;
@@ -59,6 +61,7 @@
 
   private:
     journal_hooks make_journal_hooks();
+    prober_hooks make_prober_hooks();
     vm_watcher_hooks make_watcher_hooks();
     replica_keeper_hooks make_keeper_hooks();
     order_desk_hooks make_desk_hooks();
@@ -67,9 +70,13 @@
 
     vm_role role_of_pool(const std::string& pool) const;
     bool can_act() const;
+    std::vector<std::string> control_addresses() const;
     std::vector<schema::entry_view> known_entries() const;
+    void add_member_news(schema::entry_view& shown) const;
     schema::routing_view current_view() const;
     std::shared_ptr<control_client> advanced_peer();
+    std::shared_ptr<control_client> peer_of(const std::string& vm);
+    boost::asio::awaitable<void> keep_self_news();
     status_sources sources() const;
 };
 
