--- /dev/null
+++ b/tutorial/claim_a_key.cpp
@@ -0,0 +1,68 @@
+/** \file
+ * Tutorial 2: a key is claimed twice through different entries, and only one attempt may be sent.
+ *
+ * The claim at the lowest offset of the order stream wins. Its settlement keeps the confirmation,
+ * so that the key gets the same answer from any entry.
+ */
+#include <iostream>
+
+#include "orders/order_ledger.h"
+
+using namespace chervildyke;
+
+namespace {
+
+constexpr std::uint64_t window_ms = 60'000;
+
+schema::order_record record_of(const std::string& id)
+{
+    schema::order_record record;
+    record.set_id(id);
+    record.set_format(order_record_format);
+    record.set_window_ms(window_ms);
+    return record;
+}
+
+schema::order_record claim_by(const std::string& attempt, const std::string& entry)
+{
+    schema::order_record record = record_of("record-" + attempt);
+    schema::order_claim& claim = *record.add_claims();
+    claim.set_tenant("joiners");
+    claim.set_key("key-1");
+    claim.set_attempt_id(attempt);
+    claim.set_entry(entry);
+    claim.set_body_digest("digest");
+    claim.set_valid_ms(5'000);
+    return record;
+}
+
+schema::order_record settlement_by(const std::string& attempt)
+{
+    schema::order_record record = record_of("settlement-" + attempt);
+    schema::order_settlement& settlement = *record.add_settlements();
+    settlement.set_tenant("joiners");
+    settlement.set_key("key-1");
+    settlement.set_attempt_id(attempt);
+    settlement.set_outcome(schema::order_complete);
+    settlement.set_confirmation("confirmation 42");
+    return record;
+}
+
+} // namespace
+
+int main()
+{
+    order_ledger ledger;
+    const auto first = ledger.apply(claim_by("a", "entry-1"), 1, 1'000);
+    const auto second = ledger.apply(claim_by("b", "entry-2"), 2, 1'010);
+    ledger.apply(settlement_by("a"), 3, 1'050);
+    const auto repeated = ledger.apply(claim_by("c", "entry-3"), 4, 2'000);
+
+    const bool one_won = first.claims[0].result() == schema::claim_won &&
+                         second.claims[0].result() == schema::claim_held;
+    const bool same_answer = repeated.claims[0].result() == schema::claim_settled &&
+                             repeated.claims[0].settlement().confirmation() == "confirmation 42";
+    std::cout << "attempt a " << (one_won ? "won, attempt b is held off" : "did not win alone")
+              << "\nattempt c gets " << repeated.claims[0].settlement().confirmation() << "\n";
+    return one_won && same_answer ? 0 : 1;
+}
