Keep the view in use until a restarted control knows the fleet

Ruled out: the entry's own member check, which was never reached. Change: a view is ready once every VM of a live replica was heard or had the detection bound to answer; an entry never trades a ready view for one that is not.

--- a/src/control/control_parts.cpp
+++ b/src/control/control_parts.cpp
@@ -319,6 +319,27 @@
     shown.set_calls_in_flight(news.entry().calls_in_flight());
 }
 
+bool control_node::parts::knows_replicas()
+{
+    if (!watcher.has_list() || !journal.ready()) {
+        return false;
+    }
+    const time_point now = monotonic_clock::now();
+    watches_since = watches_since.value_or(now);
+    if (now - *watches_since > options.bounds.detection_bound) {
+        return true; // Who was not heard by now counts as lost.
+    }
+    for (const auto& [id, known] : journal.state()->replicas()) {
+        for (const replica_vm& held : known.members) {
+            const vm_knowledge* vm = table.knowledge().find(held.vm);
+            if (known.live() && (vm == nullptr || !vm->heard_at)) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
 std::vector<schema::entry_view> control_node::parts::known_entries() const
 {
     std::vector<schema::entry_view> entries;
@@ -337,11 +358,11 @@
     return entries;
 }
 
-schema::routing_view control_node::parts::current_view() const
+schema::routing_view control_node::parts::current_view()
 {
     view_context context;
     context.control = options.self;
-    context.ready = journal.ready();
+    context.ready = knows_replicas();
     context.bounds = options.bounds;
     context.entries = known_entries();
     return build_view(*journal.state(), table.knowledge(), context, monotonic_clock::now());
--- a/src/control/control_parts.h
+++ b/src/control/control_parts.h
@@ -58,6 +58,7 @@
     http_server pages;
     std::string last_reason;
     bool stopping = false;
+    std::optional<time_point> watches_since; // The VM list and the state are both known since.
 
   private:
     journal_hooks make_journal_hooks();
@@ -70,10 +71,15 @@
 
     vm_role role_of_pool(const std::string& pool) const;
     bool can_act() const;
+
+    /** Whether every VM of a live replica was heard, or had the time to answer. Before, a view of
+     * this control would show replicas as broken that are not.
+     */
+    bool knows_replicas();
     std::vector<std::string> control_addresses() const;
     std::vector<schema::entry_view> known_entries() const;
     void add_member_news(schema::entry_view& shown) const;
-    schema::routing_view current_view() const;
+    schema::routing_view current_view();
     std::shared_ptr<control_client> advanced_peer();
     std::shared_ptr<control_client> peer_of(const std::string& vm);
     boost::asio::awaitable<void> keep_self_news();
--- a/src/entry/view_follower.cpp
+++ b/src/entry/view_follower.cpp
@@ -38,6 +38,9 @@
         if (version(*view) < version(*held_.view)) {
             return false;
         }
+        if (held_.view->ready() && !view->ready()) {
+            return false; // A control that has just started knows less than the view in use.
+        }
     }
     held_ = {std::move(view), monotonic_clock::now()};
     if (on_change) {
--- a/test/correctness/entry_views.cpp
+++ b/test/correctness/entry_views.cpp
@@ -39,6 +39,17 @@
     CHECK(follower.held().view->configuration_version() == 6);
 }
 
+TEST_CASE("a control that has just started does not replace the view of one that knows the fleet")
+{
+    view_follower follower(watch_hook(), 1, seeded_random(1));
+    CHECK(follower.offer(version(5, 9)));
+    const auto informed = std::make_shared<schema::routing_view>(*version(5, 10));
+    informed->set_ready(true);
+    CHECK(follower.offer(informed));
+    CHECK(!follower.offer(version(5, 11)));
+    CHECK(follower.held().view->journal_offset() == 10);
+}
+
 TEST_CASE("an entry goes on at other controls and back to its own, and keeps the last view")
 {
     asio::io_context context;
