Act on changes at once, and on a dark domain once all its losses show

Cause: control woke the keeper and all views for each report; the keeper knew of a reply's report only at its next tick. Acting at once then showed two faults: a team whose loss in a dark domain showed first loaded before a more valuable one, and a control whose reports lagged took VMs about to be free for none and retired a second replica. Change: report_table counts what decisions depend on; vm_watcher tells on_change; order replies wake the keeper; control uses attend and on_change. VMs that nobody holds but whose engine has not let go count as arriving; a dark domain settles for 0.6 s; a pulled batch that leans on replaced reports is asked for again at once.

--- a/src/control/control_parts.cpp
+++ b/src/control/control_parts.cpp
@@ -109,7 +109,8 @@
         auto reply = co_await client->pull_reports(std::move(request), timeout);
         co_return reply ? std::optional(std::move(*reply)) : std::nullopt;
     };
-    hooks.on_news = [this] {
+    // Load numbers alone wait for the view's heartbeat.
+    hooks.on_change = [this] {
         views.notify_changed();
         keeper.wake();
     };
@@ -122,6 +123,7 @@
     hooks.state = [this] { return journal.state(); };
     hooks.alive_members = [this] { return members.alive(); };
     hooks.can_act = [this] { return can_act(); };
+    hooks.attend = [this](std::set<std::string> vms) { watcher.attend(std::move(vms)); };
     hooks.propose = [this](schema::journal_record change,
                            duration timeout) -> asio::awaitable<std::optional<verdict>> {
         auto judged = co_await journal.propose(std::move(change), timeout);
--- a/src/replicas/engine_orders.cpp
+++ b/src/replicas/engine_orders.cpp
@@ -53,7 +53,7 @@
     state(boost::asio::any_io_executor the_executor, std::string the_self, report_table& the_table,
           engine_client the_engine, engine_order_options the_options)
         : executor(std::move(the_executor)), self(std::move(the_self)), table(the_table),
-          engine(std::move(the_engine)), options(the_options)
+          engine(std::move(the_engine)), options(std::move(the_options))
     {
     }
 
@@ -192,6 +192,9 @@
     }
     if (reply->has_report()) {
         table.note_answer(due.vm, reply->report(), sent_at);
+        if (options.on_report) {
+            options.on_report();
+        }
     }
 }
 
--- a/src/replicas/engine_orders.h
+++ b/src/replicas/engine_orders.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -47,6 +48,7 @@
     duration order_quarantine = 3s; // The longest time that an order can be in flight.
     duration timeout = 1s;
     duration resend_after = 1s;
+    std::function<void()> on_report; // Told when a reply brought a report. May be empty.
 };
 
 /** Sends due orders to the VMs of which this control is the order holder, the first alive by
--- a/src/replicas/repair_plan.cpp
+++ b/src/replicas/repair_plan.cpp
@@ -61,6 +61,7 @@
     void fill_deficit(team_units& team);
     void replace_outdated(team_units& team);
 
+    bool in_new_darkness(const replica& subject) const;
     std::vector<alternative> ways_to_repair(const team_units& team, const unit& broken);
     void add_ways_from_others(const team_units& team, const unit* broken, double waiting,
                               double stranded, std::vector<alternative>& ways);
@@ -462,6 +463,21 @@
     }
 }
 
+/** True while a domain of the replica went dark so lately that not all its losses have shown. */
+bool planner::in_new_darkness(const replica& subject) const
+{
+    return std::any_of(subject.members.begin(), subject.members.end(),
+                       [&](const replica_vm& member) {
+                           const vm_knowledge* vm = fleet_.find(member.vm);
+                           if (vm == nullptr || !vm->lost_since) {
+                               return false;
+                           }
+                           const auto dark = fleet_.dark_domains.find(vm->fabric_domain);
+                           return dark != fleet_.dark_domains.end() &&
+                                  now_ - dark->second < options_.domain_settle_time;
+                       });
+}
+
 void planner::repair_broken(team_units& team)
 {
     std::vector<unit> kept;
@@ -480,6 +496,11 @@
             kept.push_back(each);
             continue;
         }
+        if (each.health.can_return && in_new_darkness(*each.subject)) {
+            wait(team, each.subject->id, "its fabric domain went dark just now");
+            kept.push_back(each);
+            continue;
+        }
         const std::vector<alternative> ways = ways_to_repair(team, each);
         const alternative& chosen = ways[choose(ways)];
         if (chosen.action == repair_action::wait && each.health.can_return) {
@@ -574,6 +595,10 @@
              "replaces replica " + std::to_string(oldest->subject->id) + ": " + oldest->outdated);
         return;
     }
+    if (supply_.pick(need, {}, true)) {
+        wait(team, oldest->subject->id, oldest->outdated + "; VMs are about to be free");
+        return;
+    }
     const bool fits_later = supply_.pick(need, fit_members(*oldest->subject), true).has_value();
     const bool drained =
         std::any_of(oldest->subject->members.begin(), oldest->subject->members.end(),
--- a/src/replicas/repair_plan.h
+++ b/src/replicas/repair_plan.h
@@ -73,8 +73,8 @@
     duration expected_capacity_wait = 300s; // Until free VMs turn up by themselves.
     duration release_time = 1s;             // Until a member has let go.
     duration straggler_patience = 10s;
-    duration settle_time =
-        1500ms; // Until every entry routes to a replica that has become complete.
+    duration domain_settle_time = 600ms;   // Until all losses of a dark domain have shown.
+    duration settle_time = 1500ms;         // Until entries route to a replica that became complete.
     double assumed_bytes_per_second = 1e9; // Of a weight store whose rate is not configured.
     repair_choice choose = least_cost;
 };
--- a/src/replicas/replica_keeper.cpp
+++ b/src/replicas/replica_keeper.cpp
@@ -83,11 +83,12 @@
     return record;
 }
 
-engine_order_options order_options(const repair_options& options)
+engine_order_options order_options(const repair_options& options, std::function<void()> on_report)
 {
     engine_order_options made;
     made.engines_check_fencing = options.engines_check_fencing;
     made.order_quarantine = options.order_quarantine;
+    made.on_report = std::move(on_report);
     return made;
 }
 
@@ -98,11 +99,13 @@
           replica_keeper_hooks the_hooks, const replica_keeper_options& the_options)
         : executor(the_executor), self(std::move(the_self)), table(the_table),
           hooks(std::move(the_hooks)), options(the_options),
-          orders(the_executor, self, the_table, hooks.engine, order_options(options.repair)),
+          orders(the_executor, self, the_table, hooks.engine,
+                 order_options(options.repair, [this] { wake(); })),
           pause(the_executor)
     {
     }
 
+    void wake();
     void tick(time_point now);
     void log_new(const std::vector<decision>& plan) const;
     bool is_first(const std::string& subject, const std::vector<std::string>& alive) const;
@@ -125,6 +128,12 @@
     bool stopped = false;
 };
 
+void replica_keeper::state::wake()
+{
+    woken = true;
+    pause.cancel();
+}
+
 bool replica_keeper::state::is_first(const std::string& subject,
                                      const std::vector<std::string>& alive) const
 {
@@ -216,8 +225,7 @@
     pending.erase(key);
     if (outcome && outcome->accepted()) {
         not_before.erase(key);
-        woken = true;
-        pause.cancel();
+        wake();
         co_return;
     }
     keeper_log.info(
@@ -259,8 +267,7 @@
 
 void replica_keeper::wake()
 {
-    state_->woken = true;
-    state_->pause.cancel();
+    state_->wake();
 }
 
 const std::vector<decision>& replica_keeper::last_plan() const
--- a/src/replicas/report_table.cpp
+++ b/src/replicas/report_table.cpp
@@ -20,6 +20,16 @@
     return static_cast<std::uint32_t>(std::max<std::int64_t>(age.count(), 0));
 }
 
+/** True when decisions may differ after the report. */
+bool differs(const schema::engine_report* before, const schema::engine_report& after)
+{
+    return before == nullptr || before->replica_id() != after.replica_id() ||
+           before->fencing() != after.fencing() || before->condition() != after.condition() ||
+           before->leaving() != after.leaving() || before->model() != after.model() ||
+           before->incarnation() != after.incarnation() ||
+           before->adapters_size() != after.adapters_size();
+}
+
 void fill_from_list(vm_knowledge& vm, const schema::vm_entry& entry)
 {
     vm.address = entry.address();
@@ -57,13 +67,16 @@
             vm.heard_at.reset();
             vm.known_since = now;
         }
+        const vm_presence before = vm.presence;
         fill_from_list(vm, entry);
+        changes_ += is_new || vm.presence != before ? 1 : 0;
         vm.role = role_of_pool_(vm.pool);
     }
     for (auto& [name, vm] : knowledge_.vms) {
         if (listed.count(name) == 0 && vm.presence != vm_presence::gone) {
             vm.presence = vm_presence::gone;
             vm.gone_since = now;
+            ++changes_;
         }
     }
     forget_gone(now);
@@ -95,7 +108,13 @@
     }
     known.heard_at = asked_at;
     known.watcher = self_;
-    known.report = std::make_shared<const schema::engine_report>(report);
+    take_report(known, report);
+}
+
+void report_table::take_report(vm_knowledge& vm, const schema::engine_report& report)
+{
+    changes_ += differs(vm.report.get(), report) ? 1 : 0;
+    vm.report = std::make_shared<const schema::engine_report>(report);
 }
 
 void report_table::note_healthy(const std::string& vm, time_point asked_at)
@@ -135,7 +154,7 @@
             continue;
         }
         if (heard.has_engine()) {
-            known.report = std::make_shared<const schema::engine_report>(heard.engine());
+            take_report(known, heard.engine());
         }
         else if (known.role == vm_role::engine && known.watcher != heard.watcher()) {
             complete = false; // It says "unchanged" of a report that another watcher replaced.
@@ -198,6 +217,7 @@
     const bool lost = silence(vm, now) > bounds_.detection_bound;
     if (lost && !vm.lost_since) {
         vm.lost_since = now;
+        ++changes_;
         vm.losses.push_back(now);
     }
     if (!lost && vm.lost_since) {
@@ -205,6 +225,7 @@
             note_outage(knowledge_.vm_outages, now - *vm.lost_since);
         }
         vm.lost_since.reset();
+        ++changes_;
     }
     const auto is_old = [&](time_point loss) { return now - loss > bounds_.flap_window; };
     vm.losses.erase(std::remove_if(vm.losses.begin(), vm.losses.end(), is_old), vm.losses.end());
--- a/src/replicas/report_table.h
+++ b/src/replicas/report_table.h
@@ -56,6 +56,9 @@
      */
     void refresh(time_point now);
 
+    /** Counts what decisions depend on: replicas, conditions, presence and losses, but not load. */
+    std::uint64_t changes() const { return changes_; }
+
     /** How long a VM has been silent, counted from when this control began to listen. */
     duration silence(const vm_knowledge& vm, time_point now) const;
 
@@ -67,6 +70,7 @@
         std::uint64_t changed_sequence = 0;
     };
 
+    void take_report(vm_knowledge& vm, const schema::engine_report& report);
     void remember_own(const std::string& vm, std::string content, time_point asked_at);
     void judge_silence(vm_knowledge& vm, time_point now);
     void note_outage(std::vector<duration>& outages, duration span);
@@ -80,6 +84,7 @@
     fleet_knowledge knowledge_;
     std::map<std::string, own_report> own_;
     std::uint64_t sequence_;
+    std::uint64_t changes_ = 0;
     std::optional<time_point> refreshed_at_;
     time_point listening_since_{};
 };
--- a/src/replicas/vm_supply.cpp
+++ b/src/replicas/vm_supply.cpp
@@ -86,9 +86,8 @@
         const auto holder = state.holder_of(name);
         if (!holder) {
             // An engine that still believes in an old replica has to let go first.
-            if (vm.report->replica_id() == 0) {
-                free_[vm.pool][vm.fabric_domain].push_back(&vm);
-            }
+            pool_map& into = vm.report->replica_id() == 0 ? free_ : arriving_;
+            into[vm.pool][vm.fabric_domain].push_back(&vm);
             continue;
         }
         const replica* held_by = state.find_replica(*holder);
--- a/src/replicas/vm_watcher.cpp
+++ b/src/replicas/vm_watcher.cpp
@@ -43,7 +43,8 @@
     duration ask_timeout() const;
     duration late_after() const;
     std::vector<std::string> late_vms_of(const std::string& peer, time_point now) const;
-    void tell_news() const;
+    void tell_news();
+    void tell_change();
 
     boost::asio::awaitable<void> read_list();
     boost::asio::awaitable<void> ask(std::string vm, std::string address, vm_role role);
@@ -59,6 +60,7 @@
     std::set<std::string> pulling;
     std::set<std::string> attended;
     std::vector<std::string> assigned_over;
+    std::uint64_t changes_told = 0;
     bool list_changed = false;
     bool reading_list = false;
     bool list_read = false;
@@ -67,11 +69,20 @@
     time_point next_pull{};
 };
 
-void vm_watcher::state::tell_news() const
+void vm_watcher::state::tell_news()
 {
     if (hooks.on_news) {
         hooks.on_news();
     }
+    tell_change();
+}
+
+void vm_watcher::state::tell_change()
+{
+    if (hooks.on_change && table.changes() != changes_told) {
+        changes_told = table.changes();
+        hooks.on_change();
+    }
 }
 
 duration vm_watcher::state::ask_timeout() const
@@ -238,17 +249,26 @@
 boost::asio::awaitable<void> vm_watcher::state::pull(std::string peer)
 {
     const auto keep = shared_from_this();
-    const time_point asked_at = monotonic_clock::now();
-    schema::report_request request;
-    request.set_after_sequence(pulled_sequences[peer]);
-    const auto batch = co_await hooks.pull_reports(peer, request, ask_timeout());
-    if (batch && !stopped) {
+    bool answered = false;
+    // A batch that leans on reports which were replaced meanwhile is asked for again, in whole.
+    for (int round = 0; round < 2; ++round) {
+        const time_point asked_at = monotonic_clock::now();
+        schema::report_request request;
+        request.set_after_sequence(pulled_sequences[peer]);
+        const auto batch = co_await hooks.pull_reports(peer, request, ask_timeout());
+        answered = batch && !stopped;
+        if (!answered) {
+            break;
+        }
         const bool complete = table.merge(*batch, asked_at);
         pulled_sequences[peer] = complete ? batch->sequence() : 0;
         tell_news();
+        if (complete) {
+            break;
+        }
     }
     const std::vector<std::string> late = late_vms_of(peer, monotonic_clock::now());
-    if (!late.empty() && batch && !stopped) {
+    if (!late.empty() && answered) {
         const time_point asked_again_at = monotonic_clock::now();
         schema::report_request for_late;
         for_late.mutable_vms()->Add(late.begin(), late.end());
@@ -274,6 +294,7 @@
         pull_from_peers(now);
     }
     table.refresh(now);
+    tell_change();
 }
 
 vm_watcher::vm_watcher(boost::asio::any_io_executor executor, std::string self, report_table& table,
--- a/src/replicas/vm_watcher.h
+++ b/src/replicas/vm_watcher.h
@@ -38,8 +38,11 @@
         std::string peer, schema::report_request request, duration timeout)>
         pull_reports;
 
-    /** Told after each answer that changes what is known. May be empty. */
+    /** Told after each answer. May be empty. */
     std::function<void()> on_news;
+
+    /** Told when decisions may differ from before. May be empty. */
+    std::function<void()> on_change;
 };
 
 struct vm_watcher_options {
--- a/test/support/replica_fleet.cpp
+++ b/test/support/replica_fleet.cpp
@@ -102,6 +102,11 @@
         }
         co_return std::nullopt;
     };
+    watching.on_change = [&made] {
+        if (made.keeper) {
+            made.keeper->wake();
+        }
+    };
     made.watcher = std::make_unique<vm_watcher>(context.get_executor(), name, *made.table,
                                                 std::move(watching), options_.watcher);
     replica_keeper_hooks keeping;
