--- a/load/experiment.cpp
+++ b/load/experiment.cpp
@@ -61,7 +61,7 @@
 asio::awaitable<void> send_fault(run_context& run, schema::load_fault fault)
 {
     schema::fault_request body;
-    const std::string target = fault.target();
+    const std::string& target = fault.target();
     const std::string vm = target.starts_with("list:") ? target.substr(5) : target;
     if (run.where.find(vm) != nullptr) {
         body.set_vm(vm);
--- a/load/straight_call.cpp
+++ b/load/straight_call.cpp
@@ -52,13 +52,15 @@
     loads_read_ = monotonic_clock::now();
     http_request ask;
     ask.target = "/report";
-    for (std::size_t i = 0; i < heads_.size(); ++i) {
+    std::vector<head> read = heads_;
+    for (head& each : read) {
         schema::engine_report report;
-        auto reply = co_await http_->call(heads_[i].address, ask);
+        auto reply = co_await http_->call(each.address, ask);
         if (reply && from_json(reply->body, report)) {
-            heads_[i].load = report.running() + report.queued();
+            each.load = report.running() + report.queued();
         }
     }
+    heads_ = std::move(read);
 }
 
 const straight_caller::head& straight_caller::choose()
@@ -74,6 +76,7 @@
 
 asio::awaitable<void> straight_caller::find_heads()
 {
+    std::vector<head> found;
     for (const std::string& process : where_.engine_processes()) {
         http_request ask;
         ask.target = "/truth";
@@ -84,10 +87,11 @@
             const std::string vm = member.at("vm");
             const auto& group = member.at("group");
             if (!group.empty() && group.at(0) == vm && where_.find(vm) != nullptr) {
-                heads_.push_back({where_.find(vm)->address, member.at("replica")});
+                found.push_back({where_.find(vm)->address, member.at("replica")});
             }
         }
     }
+    heads_ = std::move(found);
 }
 
 asio::awaitable<try_result> straight_caller::call(call_spec spec)
--- a/standin/prefix_cache.cpp
+++ b/standin/prefix_cache.cpp
@@ -3,7 +3,7 @@
  */
 #include "standin/prefix_cache.h"
 
-#include <ranges>
+#include <algorithm>
 
 namespace chervildyke::standin {
 
@@ -24,9 +24,8 @@
         ++cached;
     }
     // The shortest prefix is used last, since the longer ones are of no use without it.
-    for (const std::uint64_t prefix : std::views::reverse(prefixes)) {
-        keep(prefix);
-    }
+    std::for_each(prefixes.rbegin(), prefixes.rend(),
+                  [this](std::uint64_t prefix) { keep(prefix); });
     return cached;
 }
 
