--- a/load/caller.cpp
+++ b/load/caller.cpp
@@ -165,7 +165,7 @@
         if (!given.empty()) {
             addresses_ = given;
             next_ = 0;
-            const auto valid_ms = answer.value("valid_ms", std::uint64_t{0});
+            const auto valid_ms = answer.value("valid_for_ms", std::uint64_t{0});
             valid_until_ = monotonic_clock::now() +
                            (valid_ms == 0 ? default_validity : std::chrono::milliseconds(valid_ms));
             co_return;
--- a/load/main.cpp
+++ b/load/main.cpp
@@ -98,8 +98,9 @@
     spec.team = given["team"].as<std::string>();
     spec.operation = given["operation"].as<std::string>();
     spec.key = given["key"].as<std::string>();
-    spec.prompt = given["prompt"].as<std::string>();
-    spec.body = spec.prompt;
+    spec.body = given["prompt"].as<std::string>();
+    const bool marked = spec.body.find("[[") != std::string::npos;
+    spec.prompt = marked ? spec.body : "[[" + spec.body + "]]";
     spec.subject = standin::answer_subject(spec.prompt);
     spec.tokens = given["tokens"].as<std::uint32_t>();
     spec.tries = given["tries"].as<std::uint32_t>();
