--- a/src/replicas/repair_plan.h
+++ b/src/replicas/repair_plan.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "journal/fleet_state.h"
+#include "replicas/repair_memory.h"
 #include "replicas/vm_knowledge.h"
 
 namespace chervildyke {
@@ -79,27 +80,6 @@
     repair_choice choose = least_cost;
 };
 
-/** What one control remembers beside the journal; each control may remember otherwise, which
- * changes costs and order but never the validity of a decision.
- */
-struct repair_memory {
-    std::map<replica_id, std::pair<schema::replica_phase, time_point>> phase_since;
-    std::map<std::string, time_point> down_since;    // Teams without a complete replica.
-    std::map<std::string, time_point> lacking_since; // Teams with fewer than they want.
-
-    /** Brings the memory up to date with the state. */
-    void update(const fleet_state& state, const fleet_knowledge& fleet, const watch_bounds& bounds,
-                time_point now);
-
-    /** How long the team has lacked a replica, as far as this control saw. */
-    duration lacking(const std::string& team, time_point now) const;
-
-    /** How long the replica has been in its phase, as far as this control saw. */
-    duration in_phase(replica_id id, time_point now) const;
-
-    bool operator==(const repair_memory&) const = default;
-};
-
 /** Plans for the whole fleet. A pure function of its arguments.
  * \return decisions in the order in which they should be carried out; more valuable teams first.
  */
