Plan only on what most engines said, and take whole replicas apart last

Cause: at first formation each control planned on the engines it had heard so far and took VMs from the others' plans; within a repair a team that lacked a replica for a moment preempted a whole one. Change: a control acts once nine in ten listed engines were heard or had the detection bound to answer; preemption waits 3 s, the time in which losses and releases show.

--- a/src/control/control_parts.cpp
+++ b/src/control/control_parts.cpp
@@ -17,6 +17,7 @@
 
 constexpr duration peer_timeout = 2s;
 constexpr duration self_news_interval = 500ms;
+constexpr std::size_t unheard_part = 10; // At most one engine in ten may be unknown to a plan.
 
 /** What this control says of itself when it starts. */
 schema::member_news own_news(const schema::control_settings& settings,
@@ -302,10 +303,28 @@
     return is_service ? vm_role::service : vm_role::other;
 }
 
-bool control_node::parts::can_act() const
+bool control_node::parts::can_act()
 {
     return !stopping && journal.ready() && journal.fresh() && !journal.diverged() &&
-           watcher.has_list();
+           watcher.has_list() && knows_most_engines();
+}
+
+bool control_node::parts::knows_most_engines()
+{
+    std::size_t listed = 0;
+    std::size_t unheard = 0;
+    for (const auto& [name, vm] : table.knowledge().vms) {
+        const bool counts = vm.role == vm_role::engine && vm.presence != vm_presence::gone;
+        listed += counts ? 1U : 0U;
+        unheard += counts && !vm.heard_at ? 1U : 0U;
+    }
+    if (unheard * unheard_part <= listed) {
+        unheard_since.reset();
+        return true;
+    }
+    const time_point now = monotonic_clock::now();
+    unheard_since = unheard_since.value_or(now);
+    return now - *unheard_since > options.bounds.detection_bound;
 }
 
 void control_node::parts::add_member_news(schema::entry_view& shown) const
--- a/src/control/control_parts.h
+++ b/src/control/control_parts.h
@@ -58,6 +58,7 @@
     http_server pages;
     std::string last_reason;
     bool stopping = false;
+    std::optional<time_point> unheard_since; // Many listed engines were not heard since.
     std::optional<time_point> watches_since; // The VM list and the state are both known since.
 
   private:
@@ -70,7 +71,12 @@
     control_http_hooks make_page_hooks();
 
     vm_role role_of_pool(const std::string& pool) const;
-    bool can_act() const;
+    bool can_act();
+
+    /** Whether nearly all listed engines were heard, or had the time to answer. Controls that plan
+     * on different knowledge take VMs from each other's plans.
+     */
+    bool knows_most_engines();
 
     /** Whether every VM of a live replica was heard, or had the time to answer. Before, a view of
      * this control would show replicas as broken that are not.
--- a/src/replicas/repair_plan.h
+++ b/src/replicas/repair_plan.h
@@ -73,6 +73,7 @@
     std::vector<duration> presumed_domain_outages = {15s, 60s, 600s};
     duration expected_capacity_wait = 300s; // Until free VMs turn up by themselves.
     duration release_time = 1s;             // Until a member has let go.
+    duration preempt_patience = 3s;         // VMs that were lost or released show within this time.
     duration straggler_patience = 10s;
     duration domain_settle_time = 600ms;   // Until all losses of a dark domain have shown.
     duration settle_time = 1500ms;         // Until entries route to a replica that became complete.
--- a/src/replicas/repair_ways.cpp
+++ b/src/replicas/repair_ways.cpp
@@ -78,6 +78,8 @@
 {
     const schema::team_parameters& wanted = team.team->parameters;
     const double value = repair_costs::team_value(wanted);
+    // A whole replica is not taken apart on news that are still coming in.
+    const bool may_preempt = memory_.lacking(team.name, now_) >= options_.preempt_patience;
     std::vector<std::string> own;
     if (broken != nullptr) {
         own = fit_members(*broken->subject);
@@ -90,7 +92,7 @@
             if (same || other.team == nullptr || retired_.count(source.subject->id) > 0) {
                 continue;
             }
-            const bool lower = other.team->parameters.priority() < wanted.priority();
+            const bool lower = may_preempt && other.team->parameters.priority() < wanted.priority();
             const bool no_more_valuable = other.team->parameters.priority() <= wanted.priority();
             if (source.health.broken ? !no_more_valuable : !lower) {
                 continue;
