Wait for capacity after a lost attempt; let calls within a share go first at engines

Change: a repeatable call that was sent once waits up to 10 s, within its deadline, for a replica; unknown is told with 502, so that 503 always means not_run; engines get a higher priority for calls of tenants that had none waiting.

--- a/src/entry/completion_call.cpp
+++ b/src/entry/completion_call.cpp
@@ -52,7 +52,7 @@
         error.status = 504;
         error.code = "deadline_exceeded";
     }
-    else if (result.end == run_end::broken) {
+    else if (result.outcome == call_outcome::unknown) {
         error.status = 502;
         error.code = "replica_failed";
     }
@@ -147,7 +147,8 @@
     call.set_prompt(request_.prompt);
     call.mutable_prefix_hashes()->Add(prefixes_.begin(), prefixes_.end());
     call.set_max_tokens(max_tokens);
-    call.set_priority(2 * parameters.priority() + (request_.batch ? 0 : 1));
+    call.set_priority(4 * parameters.priority() + (request_.batch ? 0U : 2U) +
+                      (within_share_ ? 1U : 0U));
     call.set_adapter(request_.adapter);
     call.set_seed(request_.seed != 0 ? request_.seed : context_.random() >> 1U);
     return call;
@@ -288,6 +289,7 @@
         co_return;
     }
     ticket_ = std::move(verdict.ticket);
+    within_share_ = verdict.within_share;
     if (never_repeat_) {
         co_await run_claimed();
         co_return;
--- a/src/entry/completion_call.h
+++ b/src/entry/completion_call.h
@@ -57,6 +57,7 @@
     answer_writer writer_;
     admission_ticket_ptr ticket_;
     bool never_repeat_ = false;
+    bool within_share_ = true; // As admission saw it; engines then take the call first.
     bool counted_ = false;
 };
 
--- a/src/entry/engine_run.cpp
+++ b/src/entry/engine_run.cpp
@@ -21,7 +21,7 @@
 constexpr duration resume_timeout = 1s;
 constexpr duration poll_interval = 20ms;
 constexpr duration wait_for_room = 500ms;   // Of a call that was let in and finds no room.
-constexpr duration wait_for_capacity = 10s; // Of an answer that has begun.
+constexpr duration wait_for_capacity = 10s; // Of a call that was sent before.
 constexpr duration expected_attempt_time = 50ms;
 constexpr std::uint32_t max_resumes = 3;
 constexpr duration default_retry_after = 1s;
@@ -68,7 +68,8 @@
 
 asio::awaitable<std::optional<chosen_replica>> engine_run::choose()
 {
-    const duration patience = tokens_ > 0 ? wait_for_capacity : wait_for_room;
+    const bool begun = attempts_ > 0;
+    const duration patience = begun ? wait_for_capacity : wait_for_room;
     const time_point until = std::min(monotonic_clock::now() + patience, request_.deadline);
     while (true) {
         const time_point now = monotonic_clock::now();
@@ -80,7 +81,7 @@
         const bool none_whole =
             context_->router->capacity(request_.question.team, now) == 0 ||
             !context_->router->has_adapter(request_.question.team, request_.question.adapter, now);
-        if (chosen || now >= until || (none_whole && tokens_ == 0)) {
+        if (chosen || now >= until || (none_whole && !begun)) {
             co_return chosen;
         }
         co_await sleep_for(poll_interval);
--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -239,6 +239,7 @@
         verdict.refusal = std::move(*refusal);
         co_return verdict;
     }
+    verdict.within_share = team.queue.size_of(request.tenant) == 0;
     const time_point began = monotonic_clock::now();
     const double before = team.queue.calls_before(request.tenant, request.share) + 1.0;
     const double estimate_ns = before * team.mean_hold_ns / room;
--- a/src/routing/admission.h
+++ b/src/routing/admission.h
@@ -57,6 +57,7 @@
     admission_ticket_ptr ticket;
     admission_refusal refusal;
     duration waited{};
+    bool within_share = true; // The tenant had no other call waiting for the team.
 };
 
 /** Limits tenants, shares each team's capacity between them, and refuses early what can't be
