Skip the empty steps of the manual clock

Cause: tests under the manual clock polled the reactor at every step although no timer was due; each poll sets a timerfd. Change: advance() takes the steps before the earliest timer at once; timers fire at the same times as before.

--- a/src/base/clock.cpp
+++ b/src/base/clock.cpp
@@ -17,6 +17,7 @@
 struct manual_state {
     bool installed = false;
     time_point now{1h};
+    time_point earliest{}; // The earliest timer, as the reactor last asked for it.
 };
 
 manual_state& manual()
@@ -43,7 +44,11 @@
 
 duration monotonic_wait_traits::to_wait_duration(const duration& until)
 {
-    return monotonic_clock::is_manual() ? duration::zero() : until;
+    if (!monotonic_clock::is_manual()) {
+        return until;
+    }
+    manual().earliest = manual().now + until;
+    return duration::zero();
 }
 
 duration monotonic_wait_traits::to_wait_duration(const time_point& until)
@@ -74,6 +79,7 @@
 {
     manual().installed = true;
     manual().now = time_point(1h);
+    manual().earliest = time_point();
 }
 
 manual_clock::~manual_clock()
@@ -87,7 +93,9 @@
     context_.restart();
     context_.poll();
     while (manual().now < end) {
-        manual().now += std::min(step, end - manual().now);
+        // Steps at whose end no timer is due are taken at once.
+        const duration idle = std::max(manual().earliest - manual().now - 1ns, duration::zero());
+        manual().now += std::min((idle / step + 1) * step, end - manual().now);
         context_.restart();
         context_.poll();
     }
