--- a/src/entry/engine_attempt.cpp
+++ b/src/entry/engine_attempt.cpp
@@ -172,7 +172,8 @@
 asio::awaitable<void> engine_attempt::finish()
 {
     if (stream_) {
-        co_await stream_->read_some(finish_timeout);
+        // Whatever comes or fails, the attempt is over.
+        [[maybe_unused]] const auto rest = co_await stream_->read_some(finish_timeout);
     }
 }
 
@@ -188,7 +189,9 @@
     request.body = to_json(cancel);
     http_call_options options;
     options.timeout = cancel_timeout;
-    co_await http->call(std::move(address), std::move(request), options);
+    // A cancel that fails costs the engine work that nobody reads, nothing else.
+    [[maybe_unused]] const auto answer =
+        co_await http->call(std::move(address), std::move(request), options);
 }
 
 } // namespace chervildyke
--- a/src/entry/sse_parser.cpp
+++ b/src/entry/sse_parser.cpp
@@ -3,6 +3,8 @@
  */
 #include "entry/sse_parser.h"
 
+#include <utility>
+
 namespace chervildyke {
 
 sse_parser::sse_parser(std::size_t max_event_bytes) : max_event_bytes_(max_event_bytes) {}
--- a/test/correctness/entry_calls.cpp
+++ b/test/correctness/entry_calls.cpp
@@ -167,7 +167,8 @@
         http_request request = entry_under_test::chat(true);
         auto stream = co_await entry.client.open(entry.address(), request);
         if (stream) {
-            co_await (*stream)->read_some(5s);
+            const auto part = co_await (*stream)->read_some(5s);
+            CHECK(part.has_value());
             stream->reset();
         }
         for (int i = 0; i < 200 && engine.cancelled.empty(); ++i) {
--- a/test/correctness/replicas_watching.cpp
+++ b/test/correctness/replicas_watching.cpp
@@ -120,8 +120,8 @@
     }
     fleet.clock.advance(10s);
     for (const std::string& name : fleet.names) {
-        for (const auto& [vm, known] : fleet.tables.at(name)->knowledge().vms) {
-            CHECK_MESSAGE(!known.lost_since, name, " lost ", vm);
+        for (const auto& item : fleet.tables.at(name)->knowledge().vms) {
+            CHECK_MESSAGE(!item.second.lost_since, name, " lost ", item.first);
         }
         CHECK_FALSE(fleet.tables.at(name)->knowledge().blind);
     }
--- a/test/error/entry_bad_input.cpp
+++ b/test/error/entry_bad_input.cpp
@@ -156,7 +156,8 @@
         for (int i = 0; i < 50; ++i) {
             http_request bad = entry_under_test::chat(false);
             bad.body = "{";
-            co_await on.entry.client.call(on.entry.address(), bad);
+            const auto refused = co_await on.entry.client.call(on.entry.address(), bad);
+            CHECK(refused.has_value());
         }
         for (int i = 0; i < 200 && good.empty(); ++i) {
             co_await sleep_for(10ms);
--- a/test/performance/routing_choice.cpp
+++ b/test/performance/routing_choice.cpp
@@ -17,8 +17,8 @@
 
 namespace {
 
-constexpr int replica_count = 12;
-constexpr int entry_count = 4;
+constexpr std::size_t replica_count = 12;
+constexpr std::size_t entry_count = 4;
 constexpr double slots = 16;              // Of a replica's batch.
 constexpr std::size_t cache_blocks = 240; // An engine's prefix cache: 30 of the 120 prefixes.
 constexpr std::uint64_t prefix_count = 120;
@@ -27,7 +27,7 @@
 constexpr duration service_time = 400ms; // Of an answer, alone on a quick replica.
 constexpr duration prefill_time = 160ms; // Of a prompt with nothing cached.
 constexpr duration run_time = 60s;
-constexpr int straggler = 3;
+constexpr std::size_t straggler = 3;
 
 enum class chooser { ours, random, least_loaded };
 
@@ -107,7 +107,7 @@
     experiment(chooser by, scene in) : by_(by), scene_(in), random_(seeded_random(11))
     {
         engines_[straggler].factor = in.straggler_factor;
-        for (int i = 0; i < entry_count; ++i) {
+        for (std::size_t i = 0; i < entry_count; ++i) {
             routers_.push_back(
                 std::make_unique<replica_router>("gent-a", 1h, seeded_random(100U + i)));
             own_.emplace_back(replica_count, 0);
@@ -133,10 +133,10 @@
     void report()
     {
         schema::routing_view view;
-        for (int i = 0; i < replica_count; ++i) {
+        for (std::size_t i = 0; i < replica_count; ++i) {
             const engine_model& engine = engines_[i];
             schema::replica_view& replica = *view.add_replicas();
-            replica.set_replica_id(static_cast<std::uint64_t>(i) + 1);
+            replica.set_replica_id(i + 1);
             replica.set_team("desk");
             replica.set_serving(true);
             replica.set_batch_limit(64);
@@ -154,9 +154,9 @@
             for (const auto& router : routers_) {
                 router->use_view(sent, loop_.now);
             }
-            for (int i = 0; i < replica_count; ++i) {
-                reported_[i] =
-                    static_cast<int>(sent->replicas(i).running() + sent->replicas(i).queued());
+            for (std::size_t i = 0; i < replica_count; ++i) {
+                reported_[i] = static_cast<int>(sent->replicas(static_cast<int>(i)).running() +
+                                                sent->replicas(static_cast<int>(i)).queued());
             }
         });
         loop_.at(loop_.now + 500ms, [this] { report(); });
@@ -173,7 +173,7 @@
         const double rate = in_burst ? 420 : 250;
         const double gap_s = -std::log(1.0 - random_fraction(random_)) / rate;
         if (loop_.now - time_point(1h) > 2s) {
-            start_call(static_cast<int>(random_below(random_, entry_count)));
+            start_call(random_below(random_, entry_count));
         }
         loop_.at(loop_.now +
                      std::chrono::duration_cast<duration>(std::chrono::duration<double>(gap_s)),
@@ -192,23 +192,22 @@
         return blocks;
     }
 
-    int choose(int entry, const std::vector<std::uint64_t>& blocks)
+    std::size_t choose(std::size_t entry, const std::vector<std::uint64_t>& blocks)
     {
         if (by_ == chooser::ours) {
             routing_question question;
             question.team = "desk";
             question.prefixes = blocks;
             const auto chosen = routers_[entry]->choose(question, loop_.now);
-            return chosen ? static_cast<int>(chosen->replica) - 1
-                          : static_cast<int>(random_below(random_, replica_count));
+            return chosen ? chosen->replica - 1 : random_below(random_, replica_count);
         }
-        const int any = static_cast<int>(random_below(random_, replica_count));
+        const std::size_t any = random_below(random_, replica_count);
         if (by_ == chooser::random) {
             return any;
         }
-        int best = any;
-        for (int i = 0; i < replica_count; ++i) {
-            const int candidate = (any + i) % replica_count;
+        std::size_t best = any;
+        for (std::size_t i = 0; i < replica_count; ++i) {
+            const std::size_t candidate = (any + i) % replica_count;
             if (reported_[candidate] + own_[entry][candidate] <
                 reported_[best] + own_[entry][best]) {
                 best = candidate;
@@ -217,11 +216,11 @@
         return best;
     }
 
-    void start_call(int entry)
+    void start_call(std::size_t entry)
     {
         const std::vector<std::uint64_t> blocks = prompt();
-        const int chosen = choose(entry, blocks);
-        const auto id = static_cast<std::uint64_t>(chosen) + 1;
+        const std::size_t chosen = choose(entry, blocks);
+        const std::uint64_t id = chosen + 1;
         routers_[entry]->sent(id, blocks);
         ++own_[entry][chosen];
         engine_model& engine = engines_[chosen];
@@ -237,8 +236,8 @@
         }
     }
 
-    void run_call(int entry, int chosen, std::uint64_t id, const std::vector<std::uint64_t>& blocks,
-                  time_point arrived)
+    void run_call(std::size_t entry, std::size_t chosen, std::uint64_t id,
+                  const std::vector<std::uint64_t>& blocks, time_point arrived)
     {
         engine_model& engine = engines_[chosen];
         ++engine.running;
--- a/test/performance/routing_overload.cpp
+++ b/test/performance/routing_overload.cpp
@@ -5,7 +5,9 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <deque>
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
