--- a/src/control/node_status.cpp
+++ b/src/control/node_status.cpp
@@ -6,25 +6,12 @@
 #include <map>
 #include <sstream>
 
+#include "journal/replica_record.h"
+
 namespace chervildyke {
 
 namespace {
 
-void put_replica(const replica& from, schema::replica_record& into)
-{
-    into.set_replica_id(from.id);
-    into.set_team(from.team);
-    into.set_model(from.model);
-    into.set_phase(from.phase);
-    into.set_configuration_version(from.configuration_version);
-    into.set_reason(from.reason);
-    for (const replica_vm& member : from.members) {
-        schema::replica_member* listed = into.add_members();
-        listed->set_vm(member.vm);
-        listed->set_released(member.released);
-    }
-}
-
 void put_report(const vm_knowledge& from, time_point now, schema::vm_report& into)
 {
     using std::chrono::duration_cast;
@@ -74,7 +61,7 @@
         return reply;
     }
     for (const auto& [id, known] : state.replicas()) {
-        put_replica(known, *reply.add_replicas());
+        write_replica(known, *reply.add_replicas());
     }
     const time_point now = monotonic_clock::now();
     for (const auto& [name, vm] : sources.table->knowledge().vms) {
--- a/src/entry/engine_attempt.cpp
+++ b/src/entry/engine_attempt.cpp
@@ -76,11 +76,7 @@
 
 asio::awaitable<attempt_step> engine_attempt::open(duration timeout, bool fresh_connection)
 {
-    http_request request;
-    request.method = "POST";
-    request.target = "/generate";
-    request.headers.push_back({"Content-Type", "application/json"});
-    request.body = to_json(call_);
+    http_request request = json_post("/generate", call_);
     http_call_options options;
     options.timeout = timeout;
     options.fresh_connection = fresh_connection;
@@ -182,11 +178,7 @@
 {
     schema::engine_cancel cancel;
     cancel.set_attempt_id(std::move(attempt_id));
-    http_request request;
-    request.method = "POST";
-    request.target = "/cancel";
-    request.headers.push_back({"Content-Type", "application/json"});
-    request.body = to_json(cancel);
+    http_request request = json_post("/cancel", cancel);
     http_call_options options;
     options.timeout = cancel_timeout;
     // A cancel that fails costs the engine work that nobody reads, nothing else.
--- a/src/journal/fleet_snapshot.cpp
+++ b/src/journal/fleet_snapshot.cpp
@@ -4,6 +4,7 @@
 #include <google/protobuf/util/message_differencer.h>
 
 #include "journal/fleet_state.h"
+#include "journal/replica_record.h"
 #include "journal/team_parameters.h"
 
 namespace chervildyke {
@@ -12,36 +13,6 @@
 
 using google::protobuf::util::MessageDifferencer;
 
-void write_replica(const replica& from, schema::replica_record& into)
-{
-    into.set_replica_id(from.id);
-    into.set_team(from.team);
-    into.set_model(from.model);
-    into.set_phase(from.phase);
-    into.set_configuration_version(from.configuration_version);
-    into.set_reason(from.reason);
-    for (const replica_vm& member : from.members) {
-        schema::replica_member* written = into.add_members();
-        written->set_vm(member.vm);
-        written->set_released(member.released);
-    }
-}
-
-replica read_replica(const schema::replica_record& from)
-{
-    replica read;
-    read.id = from.replica_id();
-    read.team = from.team();
-    read.model = from.model();
-    read.phase = from.phase();
-    read.configuration_version = from.configuration_version();
-    read.reason = from.reason();
-    for (const schema::replica_member& member : from.members()) {
-        read.members.push_back({member.vm(), member.released()});
-    }
-    return read;
-}
-
 /** The newest entry's configuration is the one in force and stands in the snapshot once. */
 void write_entry(const configuration_entry& from, bool in_force,
                  schema::configuration_version_record& into)
--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -55,16 +55,6 @@
     co_return reply;
 }
 
-http_request json_post(std::string target, const google::protobuf::Message& body)
-{
-    http_request request;
-    request.method = "POST";
-    request.target = std::move(target);
-    request.headers = {{"Content-Type", "application/json"}};
-    request.body = to_json(body);
-    return request;
-}
-
 http_request get(std::string target)
 {
     http_request request;
--- a/src/platform/json_message.cpp
+++ b/src/platform/json_message.cpp
@@ -23,4 +23,14 @@
     return google::protobuf::util::JsonStringToMessage(text, &into, options).ok();
 }
 
+http_request json_post(std::string target, const google::protobuf::Message& body)
+{
+    http_request request;
+    request.method = "POST";
+    request.target = std::move(target);
+    request.headers = {{"Content-Type", "application/json"}};
+    request.body = to_json(body);
+    return request;
+}
+
 } // namespace chervildyke
--- a/src/platform/json_message.h
+++ b/src/platform/json_message.h
@@ -7,6 +7,8 @@
 
 #include <google/protobuf/message.h>
 
+#include "base/http_message.h"
+
 namespace chervildyke {
 
 /** \return the message as one line of JSON with the schema's field names. */
@@ -17,4 +19,7 @@
  */
 bool from_json(const std::string& text, google::protobuf::Message& into);
 
+/** \return a POST request whose body is the message in JSON. */
+http_request json_post(std::string target, const google::protobuf::Message& body);
+
 } // namespace chervildyke
