Let a begun call outlast the moments in which its replica refuses

Ruled out: the retry budget, which was not used up. Change: a replica that failed a begun call is tried again after 200 ms, doubled each time; calls of which nothing ran are still refused at once.

--- a/src/entry/engine_run.cpp
+++ b/src/entry/engine_run.cpp
@@ -23,6 +23,8 @@
 constexpr duration wait_for_room = 500ms;   // Of a call that was let in and finds no room.
 constexpr duration wait_for_capacity = 10s; // Of a call that was sent before.
 constexpr duration expected_attempt_time = 50ms;
+constexpr duration same_replica_pause =
+    200ms; // Doubles; five attempts outlast the detection bound.
 constexpr std::uint32_t max_resumes = 3;
 constexpr duration default_retry_after = 1s;
 
@@ -74,7 +76,7 @@
     while (true) {
         const time_point now = monotonic_clock::now();
         auto chosen = context_->router->choose(request_.question, now);
-        if (!chosen && !request_.question.avoid.empty()) {
+        if (!chosen && !request_.question.avoid.empty() && now >= again_at_) {
             request_.question.avoid.clear(); // One that failed is better than none.
             chosen = context_->router->choose(request_.question, now);
         }
@@ -206,6 +208,9 @@
         context_->router->failed(replica, now);
     }
     request_.question.avoid.push_back(replica);
+    if (may_have_run_) {
+        again_at_ = now + same_replica_pause * (1U << (attempts_ - 1));
+    }
 }
 
 bool engine_run::may_try_again(const attempt_step& failed)
--- a/src/entry/engine_run.h
+++ b/src/entry/engine_run.h
@@ -86,6 +86,7 @@
     std::uint32_t tokens_ = 0;
     std::uint32_t cached_tokens_ = 0;
     std::uint32_t attempts_ = 0;
+    time_point again_at_{}; // A replica that failed a begun call is not tried again before.
     std::uint32_t resumes_ = 0;
     bool may_have_run_ = false;
     bool caller_left_ = false;
--- a/test/correctness/entry_calls.cpp
+++ b/test/correctness/entry_calls.cpp
@@ -105,6 +105,27 @@
     CHECK(both);
 }
 
+TEST_CASE(
+    "a begun call outlasts the time in which its only replica refuses because it is incomplete")
+{
+    asio::io_context context;
+    fake_engine engine(context);
+    time_point broken_at{};
+    engine.answer = [&](http_exchange& exchange, schema::engine_call call) {
+        if (broken_at == time_point()) {
+            broken_at = monotonic_clock::now();
+            return stream_words(exchange, call, 8, 4);
+        }
+        const bool is_whole_again = monotonic_clock::now() - broken_at > 500ms;
+        return is_whole_again ? stream_words(exchange, call, 8, -1) : refuse(exchange);
+    };
+    entry_under_test entry(context);
+    REQUIRE(entry.start(view_of({engine.address()})));
+    const streamed parts(entry.call(entry_under_test::chat(true)));
+    CHECK(parts.text == words_up_to(8));
+    CHECK(parts.outcome == "complete");
+}
+
 TEST_CASE("foreign and repeated chunks are dropped, and a gap is never passed on")
 {
     asio::io_context context;
