Call the one rendezvous rule; note token times once; forget clients of controls that are gone

Cause: a read of the whole change. The replicas library wrote is_first_for three times and watchers_of once more; the load tool noted token times in two places; peer_directory::forget_unused was never called, so a control kept a client for every VM it ever met. Change: replicas links members and calls its functions; try_result::take_text; a task drops clients that were not used for 10 minutes. The new task's effect over hours was not measured. Conclusion: behaviour as before, but for the clients that are dropped.

--- a/load/caller.cpp
+++ b/load/caller.cpp
@@ -89,16 +89,7 @@
     if (text.empty()) {
         return;
     }
-    result.text += text;
-    const time_point now = monotonic_clock::now();
-    if (result.first_token == time_point()) {
-        result.first_token = now;
-    }
-    else {
-        result.gaps_ms.push_back(
-            std::chrono::duration<float, std::milli>(now - result.ended_at).count());
-    }
-    result.ended_at = now;
+    result.take_text(text);
 }
 
 bool try_again(const call_spec& spec, const try_result& last)
@@ -117,6 +108,19 @@
 
 } // namespace
 
+void try_result::take_text(const std::string& part)
+{
+    text += part;
+    const time_point now = monotonic_clock::now();
+    if (first_token == time_point()) {
+        first_token = now;
+    }
+    else {
+        gaps_ms.push_back(std::chrono::duration<float, std::milli>(now - ended_at).count());
+    }
+    ended_at = now;
+}
+
 const char* to_string(outcome which)
 {
     switch (which) {
--- a/load/caller.h
+++ b/load/caller.h
@@ -51,6 +51,9 @@
     time_point first_token{};
     time_point ended_at{};
     std::vector<float> gaps_ms; // Between tokens.
+
+    /** Takes a part of the answer and notes when it came. */
+    void take_text(const std::string& part);
 };
 
 /** Asks the system for addresses, keeps the answer for as long as it holds, and goes on at the
--- a/load/straight_call.cpp
+++ b/load/straight_call.cpp
@@ -25,16 +25,7 @@
     if (!from_json(data, chunk)) {
         return;
     }
-    const time_point now = monotonic_clock::now();
-    if (result.first_token == time_point()) {
-        result.first_token = now;
-    }
-    else {
-        result.gaps_ms.push_back(
-            std::chrono::duration<float, std::milli>(now - result.ended_at).count());
-    }
-    result.ended_at = now;
-    result.text += chunk.text();
+    result.take_text(chunk.text());
     result.ended = chunk.last() ? outcome::complete : result.ended;
 }
 
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -61,6 +61,7 @@
     });
     spawn_task(executor, "journal", journal.run());
     spawn_task(executor, "own news", keep_self_news());
+    spawn_task(executor, "peer memory", forget_gone_peers());
     spawn_task(executor, "prober", probes.run());
     spawn_task(executor, "entry watch", entry.run());
     spawn_task(executor, "VM watcher", watcher.run());
--- a/src/control/control_parts.cpp
+++ b/src/control/control_parts.cpp
@@ -17,6 +17,7 @@
 
 constexpr duration peer_timeout = 2s;
 constexpr duration self_news_interval = 500ms;
+constexpr duration peer_memory = 10min;  // A client not used for so long is dropped.
 constexpr std::size_t unheard_part = 10; // At most one engine in ten may be unknown to a plan.
 
 /** What this control says of itself when it starts. */
@@ -99,6 +100,14 @@
     }
 }
 
+asio::awaitable<void> control_node::parts::forget_gone_peers()
+{
+    while (true) {
+        co_await sleep_for(peer_memory);
+        peers.forget_unused();
+    }
+}
+
 prober_hooks control_node::parts::make_prober_hooks()
 {
     prober_hooks hooks;
--- a/src/control/control_parts.h
+++ b/src/control/control_parts.h
@@ -89,6 +89,9 @@
     std::shared_ptr<control_client> advanced_peer();
     std::shared_ptr<control_client> peer_of(const std::string& vm);
     boost::asio::awaitable<void> keep_self_news();
+
+    /** Forgets clients of controls that are gone; VMs are replaced all the time. */
+    boost::asio::awaitable<void> forget_gone_peers();
     status_sources sources() const;
 };
 
--- a/src/replicas/engine_orders.cpp
+++ b/src/replicas/engine_orders.cpp
@@ -9,8 +9,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include "base/hash.h"
 #include "base/log.h"
+#include "members/watch_assignment.h"
 
 namespace chervildyke {
 
@@ -107,8 +107,7 @@
     }
     std::map<std::string, time_point> updated;
     for (const auto& [name, vm] : vms) {
-        const auto first = rendezvous_order("orders-" + name, alive, 1);
-        if (!first.empty() && first.front() == self) {
+        if (is_first_for("orders-" + name, self, alive)) {
             const auto known = held_since.find(name);
             updated[name] = known == held_since.end() ? now : known->second;
         }
@@ -122,8 +121,7 @@
                                     time_point now)
 {
     if (options.engines_check_fencing) {
-        const auto first = rendezvous_order("replica-" + std::to_string(due.replica), alive, 1);
-        return !first.empty() && first.front() == self;
+        return is_first_for("replica-" + std::to_string(due.replica), self, alive);
     }
     const auto held = held_since.find(due.vm);
     if (held == held_since.end() || now - held->second < options.order_quarantine) {
--- a/src/replicas/replica_keeper.cpp
+++ b/src/replicas/replica_keeper.cpp
@@ -10,8 +10,8 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "base/hash.h"
 #include "base/log.h"
+#include "members/watch_assignment.h"
 #include "replicas/explanation.h"
 
 namespace chervildyke {
@@ -137,8 +137,7 @@
 bool replica_keeper::state::is_first(const std::string& subject,
                                      const std::vector<std::string>& alive) const
 {
-    const auto first = rendezvous_order(subject, alive, 1);
-    return !first.empty() && first.front() == self;
+    return is_first_for(subject, self, alive);
 }
 
 void replica_keeper::state::log_new(const std::vector<decision>& plan) const
--- a/src/replicas/vm_watcher.cpp
+++ b/src/replicas/vm_watcher.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "base/hash.h"
+#include "members/watch_assignment.h"
 
 namespace chervildyke {
 
@@ -121,7 +122,7 @@
             next.next_ask = now + duration(static_cast<duration::rep>(offset));
         }
         if (members_changed || next.watchers.empty()) {
-            next.watchers = rendezvous_order(name, members, options.watchers_per_vm);
+            next.watchers = watchers_of(name, members, options.watchers_per_vm);
         }
         updated.emplace(name, std::move(next));
     }
