--- a/load/experiment.cpp
+++ b/load/experiment.cpp
@@ -11,9 +11,9 @@
 #include <boost/asio/this_coro.hpp>
 #include <nlohmann/json.hpp>
 
+#include "external/json_message.h"
 #include "load/monitor.h"
 #include "load/workload.h"
-#include "platform/json_message.h"
 
 namespace chervildyke::load {
 
--- a/load/straight_call.cpp
+++ b/load/straight_call.cpp
@@ -6,8 +6,8 @@
 #include <nlohmann/json.hpp>
 
 #include "base/hash.h"
+#include "external/json_message.h"
 #include "platform.pb.h"
-#include "platform/json_message.h"
 
 namespace chervildyke::load {
 
--- /dev/null
+++ b/src/assembly/assembler.cpp
@@ -0,0 +1,187 @@
+/** \file
+ * Implements assembler.
+ */
+#include "assembly/assembler.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/event_log.h"
+#include "base/task.h"
+
+namespace chervildyke {
+
+namespace asio = boost::asio;
+
+namespace {
+
+const event_log assembly_log("assembly");
+
+constexpr duration plan_interval = 100ms; // A tenth of a heartbeat.
+constexpr duration settle_time = 700ms;   // After taking the lead, until its list and peers are
+                                          // known; two gossip rounds and one read of the list.
+constexpr double load_rate_use = 0.75;    // Of the ceiling; the rest is for a node that acts twice.
+constexpr double load_burst_s = 1;        // Seconds of loads that may start at once.
+constexpr std::uint32_t unrationed_loads = 10'000;
+constexpr duration memory_time = 60s; // Longer than an order can be in flight.
+
+} // namespace
+
+assembler::assembler(asio::any_io_executor executor, shared_log log, engine_calls engines,
+                     const replica_ledger& ledger, const backend_table& backends,
+                     const replica_board& board, assembler_hooks hooks, assembly_settings settings)
+    : executor_(std::move(executor)), log_(std::move(log)), engines_(std::move(engines)),
+      ledger_(ledger), backends_(backends), board_(board), hooks_(std::move(hooks)),
+      settings_(settings)
+{
+}
+
+void assembler::refill_loads(const engine_profile& profile)
+{
+    const time_point now = monotonic_clock::now();
+    const double rate = profile.loads_per_s * load_rate_use;
+    const double passed = std::chrono::duration<double>(now - loads_refilled_at_).count();
+    loads_ = std::min(rate * load_burst_s, loads_ + passed * rate);
+    loads_refilled_at_ = now;
+}
+
+void assembler::remember_backends()
+{
+    for (const auto& [id, listed] : backends_.all()) {
+        last_seen_[id] = listed.self;
+    }
+}
+
+void assembler::note_lost_heads()
+{
+    for (const auto& [name, replica] : ledger_.replicas()) {
+        const std::string& head = replica.members(0).id();
+        if (replica.phase() != schema::shared_phase_retiring || backends_.find(head) != nullptr) {
+            continue;
+        }
+        const bool known = memory_.lost_head_of(replica.epoch()) != nullptr;
+        lost_head& lost = memory_.lost_head_at(replica.epoch());
+        lost.address_known = last_seen_.contains(head);
+        if (!known) {
+            lost.since = monotonic_clock::now();
+            lost.no_contact = !lost.address_known;
+        }
+    }
+}
+
+asio::awaitable<void> assembler::append(std::vector<keyed_record> records)
+{
+    const std::size_t count = records.size();
+    const std::string at = std::to_string(ledger_.end());
+    for (std::size_t i = 0; i < count; ++i) {
+        records[i].offset = ledger_.end() + i;
+    }
+    auto appended = co_await log_.append(replica_topic, std::move(records));
+    assembly_log.write("records_appended",
+                       {{"at", at},
+                        {"count", std::to_string(count)},
+                        {"outcome", appended ? "done" : appended.last_reason().reason}});
+    co_await hooks_.refresh_ledger();
+}
+
+asio::awaitable<void> assembler::send(backend vm, planned_order order)
+{
+    const auto self = shared_from_this();
+    const std::string id = vm.id;
+    const replica_order sent = order.order;
+    const order_outcome outcome = co_await engines_.send(std::move(vm), sent);
+    memory_.note_outcome(id, sent, outcome);
+    if (backends_.find(id) == nullptr) {
+        memory_.lost_head_at(sent.epoch).no_contact =
+            outcome == order_outcome::no_contact || outcome == order_outcome::unclear;
+    }
+    assembly_log.write("order", {{"vm", id},
+                                 {"kind", to_text(sent.kind)},
+                                 {"replica", sent.replica},
+                                 {"epoch", std::to_string(sent.epoch)},
+                                 {"model", sent.model},
+                                 {"loads", order.loads_weights ? "yes" : "no"},
+                                 {"outcome", to_text(outcome)}});
+}
+
+asio::awaitable<void> assembler::probe(backend vm)
+{
+    const auto self = shared_from_this();
+    const std::string id = vm.id;
+    const probe_outcome outcome = co_await engines_.probe(std::move(vm));
+    memory_.note_probe(id, outcome, monotonic_clock::now());
+    assembly_log.write("probe", {{"vm", id},
+                                 {"outcome", outcome == probe_outcome::answered ? "answered"
+                                             : outcome == probe_outcome::silent ? "silent"
+                                                                                : "refused"}});
+}
+
+asio::awaitable<void> assembler::act(const std::string& service, const engine_profile& profile)
+{
+    const time_point now = monotonic_clock::now();
+    const bool rationed = hooks_.calls_began();
+    refill_loads(profile);
+    assembly_input input;
+    input.service = service;
+    input.profile = &profile;
+    input.ledger = &ledger_;
+    input.backends = &backends_;
+    input.memory = &memory_;
+    input.uses = board_.all_uses(now);
+    input.demand_ms_per_s = hooks_.demand_ms_per_s();
+    input.load_allowance = rationed ? static_cast<std::uint32_t>(loads_) : unrationed_loads;
+    input.list_is_current = hooks_.list_is_current();
+    input.now = now;
+    assembly_plan plan = plan_assembly(input, settings_);
+    for (const std::string& vm : plan.probes) {
+        memory_.note_probe_sent(vm, now);
+        spawn_task(executor_, "probe", probe(last_seen_[vm]));
+    }
+    for (planned_order& order : plan.orders) {
+        const auto target = last_seen_.find(order.vm);
+        if (target == last_seen_.end()) {
+            continue;
+        }
+        loads_ -= order.loads_weights && rationed ? 1 : 0;
+        memory_.note_sent(order.vm, order.order, now);
+        spawn_task(executor_, "order", send(target->second, std::move(order)));
+    }
+    if (!plan.records.empty()) {
+        co_await append(std::move(plan.records));
+    }
+}
+
+asio::awaitable<void> assembler::run()
+{
+    const auto self = shared_from_this();
+    while (true) {
+        co_await sleep_for(plan_interval);
+        remember_backends();
+        const bool leads = hooks_.leads();
+        const time_point now = monotonic_clock::now();
+        if (leads != led_) {
+            led_ = leads;
+            led_since_ = now;
+            loads_ = 0;
+            loads_refilled_at_ = now;
+            assembly_log.write(leads ? "lead_taken" : "lead_given_up",
+                               {{"ledger_end", std::to_string(ledger_.end())}});
+        }
+        const service_map_ptr services = hooks_.services();
+        if (!leads || now - led_since_ < settle_time || !services) {
+            continue;
+        }
+        note_lost_heads();
+        for (const auto& [name, service] : services->services()) {
+            if (service.engine) {
+                co_await act(name, *service.engine);
+            }
+        }
+        memory_.forget_before(now - memory_time);
+        if (last_seen_.size() > 4 * backends_.all().size() + 64) {
+            last_seen_.clear();
+        }
+    }
+}
+
+} // namespace chervildyke
--- /dev/null
+++ b/src/assembly/assembler.h
@@ -0,0 +1,75 @@
+/** \file
+ * Defines assembler, the task that carries out assembly plans on the node that leads.
+ */
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include "assembly/assembly_plan.h"
+#include "fleet/service_map.h"
+#include "fleet/shared_log.h"
+
+namespace chervildyke {
+
+/** What the assembler asks of its node. */
+struct assembler_hooks {
+    /** True while this node should act. Two nodes that act at once do no harm: appends are
+     * conditional, and orders carry the epoch of the record that they follow from.
+     */
+    std::function<bool()> leads;
+
+    std::function<service_map_ptr()> services;
+
+    /** True once callers have sent calls; loads before that are not rationed. */
+    std::function<bool()> calls_began;
+
+    /** True while the list of backend servers is current. */
+    std::function<bool()> list_is_current;
+
+    std::function<std::map<std::string, double>()> demand_ms_per_s;
+
+    /** Reads the topic of replicas once, so that an append meets the log's end. */
+    std::function<boost::asio::awaitable<void>()> refresh_ledger;
+};
+
+class assembler : public std::enable_shared_from_this<assembler> {
+  public:
+    assembler(boost::asio::any_io_executor executor, shared_log log, engine_calls engines,
+              const replica_ledger& ledger, const backend_table& backends,
+              const replica_board& board, assembler_hooks hooks, assembly_settings settings);
+
+    /** Plans and acts until the process ends. */
+    boost::asio::awaitable<void> run();
+
+  private:
+    boost::asio::awaitable<void> act(const std::string& service, const engine_profile& profile);
+    boost::asio::awaitable<void> append(std::vector<keyed_record> records);
+    boost::asio::awaitable<void> send(backend vm, planned_order order);
+    boost::asio::awaitable<void> probe(backend vm);
+    void refill_loads(const engine_profile& profile);
+    void note_lost_heads();
+    void remember_backends();
+
+    boost::asio::any_io_executor executor_;
+    shared_log log_;
+    engine_calls engines_;
+    const replica_ledger& ledger_;
+    const backend_table& backends_;
+    const replica_board& board_;
+    assembler_hooks hooks_;
+    assembly_settings settings_;
+    assembly_memory memory_;
+    std::map<std::string, backend> last_seen_; // Also of VMs that vanished.
+    double loads_ = 0;                         // That may start now.
+    time_point loads_refilled_at_{};
+    time_point led_since_{};
+    bool led_ = false;
+};
+
+} // namespace chervildyke
--- /dev/null
+++ b/src/assembly/assembly_memory.cpp
@@ -0,0 +1,72 @@
+/** \file
+ * Implements assembly_memory.
+ */
+#include "assembly/assembly_memory.h"
+
+namespace chervildyke {
+
+void assembly_memory::note_sent(const std::string& vm, const replica_order& order, time_point now)
+{
+    orders_[{vm, order.kind, order.epoch}] = {now, std::nullopt};
+}
+
+void assembly_memory::note_outcome(const std::string& vm, const replica_order& order,
+                                   order_outcome outcome)
+{
+    const auto found = orders_.find({vm, order.kind, order.epoch});
+    if (found != orders_.end()) {
+        found->second.outcome = outcome;
+    }
+}
+
+const sent_order* assembly_memory::find(const std::string& vm, order_kind kind,
+                                        std::uint64_t epoch) const
+{
+    const auto found = orders_.find({vm, kind, epoch});
+    return found == orders_.end() ? nullptr : &found->second;
+}
+
+void assembly_memory::note_probe_sent(const std::string& vm, time_point now)
+{
+    probe_memory& probe = probes_[vm];
+    probe.last_at = now;
+    probe.under_way = true;
+}
+
+void assembly_memory::note_probe(const std::string& vm, probe_outcome outcome, time_point now)
+{
+    probe_memory& probe = probes_[vm];
+    probe.under_way = false;
+    if (outcome == probe_outcome::answered) {
+        probe.answered_at = now;
+        probe.failures = 0;
+        probe.refused = false;
+        return;
+    }
+    if (probe.failures == 0) {
+        probe.first_failure_at = now;
+    }
+    ++probe.failures;
+    probe.refused = outcome == probe_outcome::refused;
+}
+
+const probe_memory* assembly_memory::probe_of(const std::string& vm) const
+{
+    const auto found = probes_.find(vm);
+    return found == probes_.end() ? nullptr : &found->second;
+}
+
+const lost_head* assembly_memory::lost_head_of(std::uint64_t epoch) const
+{
+    const auto found = lost_heads_.find(epoch);
+    return found == lost_heads_.end() ? nullptr : &found->second;
+}
+
+void assembly_memory::forget_before(time_point time)
+{
+    std::erase_if(orders_, [time](const auto& entry) { return entry.second.at < time; });
+    std::erase_if(probes_, [time](const auto& entry) { return entry.second.last_at < time; });
+    std::erase_if(lost_heads_, [time](const auto& entry) { return entry.second.since < time; });
+}
+
+} // namespace chervildyke
--- /dev/null
+++ b/src/assembly/assembly_plan.cpp
@@ -0,0 +1,462 @@
+/** \file
+ * Implements plan_assembly: one pass for each job, in the order in which they run.
+ */
+#include "assembly/assembly_plan.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+#include "assembly/member_selection.h"
+
+namespace chervildyke {
+
+namespace {
+
+using ledger_entry = std::pair<const std::string, schema::shared_replica>;
+
+replica_order make_order(order_kind kind, const ledger_entry& entry)
+{
+    replica_order order;
+    order.kind = kind;
+    order.replica = entry.first;
+    order.epoch = entry.second.epoch();
+    order.model = entry.second.model();
+    for (const schema::shared_member& member : entry.second.members()) {
+        order.members.push_back(member.id());
+    }
+    return order;
+}
+
+std::string replica_name(std::uint64_t epoch)
+{
+    std::string name = std::to_string(epoch);
+    name.insert(name.begin(), 'r');
+    return name;
+}
+
+/** Makes one plan. */
+class planner {
+  public:
+    planner(const assembly_input& input, const assembly_settings& settings)
+        : in_(input), settings_(settings), loads_left_(input.load_allowance)
+    {
+    }
+
+    assembly_plan run()
+    {
+        for (const ledger_entry& entry : in_.ledger->replicas()) {
+            if (entry.second.service() != in_.service) {
+                continue;
+            }
+            switch (entry.second.phase()) {
+            case schema::shared_phase_forming:
+                advance_forming(entry);
+                break;
+            case schema::shared_phase_serving:
+                check_serving(entry);
+                break;
+            case schema::shared_phase_retiring:
+                finish_retiring(entry);
+                break;
+            default:
+                break;
+            }
+        }
+        if (in_.list_is_current) {
+            form_replicas();
+            stage_spares();
+        }
+        return std::move(plan_);
+    }
+
+  private:
+    /** \return the member's entry when this life of it is still listed, else null. */
+    const listed_backend* present(const schema::shared_member& member) const
+    {
+        const listed_backend* listed = in_.backends->find(member.id());
+        const bool same_life = listed != nullptr && listed->self.started_ms == member.started_ms();
+        return same_life ? listed : nullptr;
+    }
+
+    static const replica_membership* membership_in(const listed_backend* listed,
+                                                   const ledger_entry& entry)
+    {
+        if (listed == nullptr || !listed->self.membership) {
+            return nullptr;
+        }
+        const replica_membership& membership = *listed->self.membership;
+        const bool same =
+            membership.replica == entry.first && membership.epoch == entry.second.epoch();
+        return same ? &membership : nullptr;
+    }
+
+    bool lost_by_probe(const std::string& vm) const
+    {
+        const probe_memory* probe = in_.memory->probe_of(vm);
+        return probe != nullptr && probe->failures >= settings_.probe_failures;
+    }
+
+    void probe(const std::string& vm)
+    {
+        const probe_memory* before = in_.memory->probe_of(vm);
+        const bool due = before == nullptr || (!before->under_way && in_.now - before->last_at >=
+                                                                         settings_.probe_interval);
+        if (due && in_.backends->find(vm) != nullptr) {
+            plan_.probes.push_back(vm);
+        }
+    }
+
+    bool send(const std::string& vm, const replica_order& order, bool loads_weights = false)
+    {
+        const sent_order* before = in_.memory->find(vm, order.kind, order.epoch);
+        if (before != nullptr && in_.now - before->at < settings_.order_retry) {
+            return false;
+        }
+        if (loads_weights && before == nullptr) {
+            if (loads_left_ == 0) {
+                return false;
+            }
+            --loads_left_;
+        }
+        plan_.orders.push_back({vm, order, loads_weights});
+        return true;
+    }
+
+    void record(const ledger_entry& entry, schema::shared_phase phase, const std::string& reason,
+                bool abort_calls = false)
+    {
+        schema::shared_replica changed = entry.second;
+        changed.set_phase(phase);
+        changed.set_reason(reason);
+        changed.set_abort_calls(abort_calls);
+        plan_.records.push_back(to_record(entry.first, changed));
+    }
+
+    void drop(const ledger_entry& entry)
+    {
+        keyed_record dropped;
+        dropped.key = entry.first;
+        plan_.records.push_back(std::move(dropped));
+    }
+
+    /** \return why the replica can't go on, or an empty text. */
+    std::string fault_of_members(const ledger_entry& entry)
+    {
+        for (const schema::shared_member& member : entry.second.members()) {
+            const listed_backend* listed = in_.backends->find(member.id());
+            if (listed == nullptr) {
+                return "member " + member.id() + " is gone";
+            }
+            if (listed->self.started_ms != member.started_ms()) {
+                return "member " + member.id() + " started again";
+            }
+            if (listed->self.leaving) {
+                return "member " + member.id() + " is leaving";
+            }
+            if (lost_by_probe(member.id())) {
+                return "member " + member.id() + " does not answer";
+            }
+        }
+        return {};
+    }
+
+    void advance_forming(const ledger_entry& entry)
+    {
+        const std::string fault = fault_of_members(entry);
+        if (!fault.empty()) {
+            record(entry, schema::shared_phase_retiring, fault, true);
+            return;
+        }
+        std::size_t ready = 0;
+        for (const schema::shared_member& member : entry.second.members()) {
+            const listed_backend* listed = present(member);
+            const replica_membership* joined = membership_in(listed, entry);
+            if (joined == nullptr) {
+                const auto& staged = listed->self.staged_models;
+                const bool loads =
+                    std::find(staged.begin(), staged.end(), entry.second.model()) == staged.end();
+                send(member.id(), make_order(order_kind::join, entry), loads);
+                continue;
+            }
+            const bool able =
+                joined->phase == membership_phase::ready || joined->phase == membership_phase::open;
+            ready += able ? 1 : 0;
+        }
+        if (ready < static_cast<std::size_t>(entry.second.members_size())) {
+            return;
+        }
+        const schema::shared_member& head = entry.second.members(0);
+        if (membership_in(present(head), entry)->phase == membership_phase::open) {
+            record(entry, schema::shared_phase_serving,
+                   "all members were ready and the head opened");
+            return;
+        }
+        send(head.id(), make_order(order_kind::open, entry));
+    }
+
+    void check_serving(const ledger_entry& entry)
+    {
+        std::string fault = fault_of_members(entry);
+        const bool leaving = fault.ends_with("is leaving");
+        if (fault.empty()) {
+            fault = fault_of_head(entry);
+        }
+        if (fault.empty()) {
+            fault = fault_of_progress(entry);
+        }
+        if (!fault.empty()) {
+            record(entry, schema::shared_phase_retiring, fault, !leaving);
+        }
+    }
+
+    std::string fault_of_head(const ledger_entry& entry) const
+    {
+        const replica_membership* joined = membership_in(present(entry.second.members(0)), entry);
+        if (joined == nullptr) {
+            return "the head is not a member any more";
+        }
+        return joined->phase == membership_phase::broken ? "the head is broken" : std::string();
+    }
+
+    std::string fault_of_progress(const ledger_entry& entry)
+    {
+        const auto use = in_.uses.find(entry.second.epoch());
+        if (use == in_.uses.end() || use->second.running == 0 ||
+            use->second.silent < settings_.stall_probe) {
+            return {};
+        }
+        if (use->second.silent > settings_.stall_limit) {
+            return "its calls make no progress";
+        }
+        for (const schema::shared_member& member : entry.second.members()) {
+            probe(member.id());
+        }
+        return {};
+    }
+
+    void finish_retiring(const ledger_entry& entry)
+    {
+        const schema::shared_member& head = entry.second.members(0);
+        const listed_backend* listed = in_.backends->find(head.id());
+        if (listed == nullptr) {
+            drop_without_head(entry);
+            return;
+        }
+        const replica_membership* joined = membership_in(listed, entry);
+        const sent_order* left =
+            in_.memory->find(head.id(), order_kind::leave, entry.second.epoch());
+        const bool not_in_it = left != nullptr && left->outcome && joined == nullptr &&
+                               *left->outcome == order_outcome::refused &&
+                               listed->heard_at > left->at;
+        const bool confirmed = not_in_it || (left != nullptr && left->outcome &&
+                                             *left->outcome == order_outcome::begun);
+        const bool other_life = listed->self.started_ms != head.started_ms();
+        if (confirmed || other_life) {
+            drop(entry);
+            return;
+        }
+        const bool takes_calls = joined != nullptr && (joined->phase == membership_phase::open ||
+                                                       joined->phase == membership_phase::closing);
+        if (takes_calls && !closed(entry)) {
+            return;
+        }
+        send(head.id(), make_order(order_kind::leave, entry));
+    }
+
+    /** Closes the head; \return true once it may leave. */
+    bool closed(const ledger_entry& entry)
+    {
+        const std::string& head = entry.second.members(0).id();
+        const sent_order* gentle =
+            in_.memory->find(head, order_kind::close_when_idle, entry.second.epoch());
+        const bool patient =
+            !entry.second.abort_calls() &&
+            (gentle == nullptr || in_.now - gentle->at < settings_.idle_close_limit);
+        if (patient) {
+            if (gentle == nullptr) {
+                send(head, make_order(order_kind::close_when_idle, entry));
+            }
+            return false;
+        }
+        const sent_order* forced =
+            in_.memory->find(head, order_kind::close_now, entry.second.epoch());
+        // A refusal says that the head does not take calls any more.
+        const bool answered = forced != nullptr && forced->outcome &&
+                              (*forced->outcome == order_outcome::begun ||
+                               *forced->outcome == order_outcome::refused);
+        if (answered) {
+            return true;
+        }
+        send(head, make_order(order_kind::close_now, entry));
+        return false;
+    }
+
+    /** The head is not listed any more: its process ended, or it is cut off and may still serve. */
+    void drop_without_head(const ledger_entry& entry)
+    {
+        const std::string& head = entry.second.members(0).id();
+        const lost_head* lost = in_.memory->lost_head_of(entry.second.epoch());
+        if (lost == nullptr) {
+            return; // The driver begins to close it by its last address.
+        }
+        const probe_memory* probed = in_.memory->probe_of(head);
+        const bool silent_before = probed != nullptr && probed->failures > 0 &&
+                                   in_.now - probed->first_failure_at >= settings_.silent_head_wait;
+        const bool waited = silent_before || in_.now - lost->since >= settings_.lost_head_wait;
+        const sent_order* left = in_.memory->find(head, order_kind::leave, entry.second.epoch());
+        const bool confirmed =
+            left != nullptr && left->outcome && *left->outcome == order_outcome::begun;
+        const auto use = in_.uses.find(entry.second.epoch());
+        const bool heard = use != in_.uses.end() && use->second.running > 0 &&
+                           use->second.silent < settings_.lost_head_wait;
+        if (confirmed || (waited && lost->no_contact && !heard)) {
+            drop(entry);
+            return;
+        }
+        if (!lost->address_known) {
+            return;
+        }
+        const sent_order* forced =
+            in_.memory->find(head, order_kind::close_now, entry.second.epoch());
+        const bool closed =
+            forced != nullptr && forced->outcome && *forced->outcome == order_outcome::begun;
+        send(head, make_order(closed ? order_kind::leave : order_kind::close_now, entry));
+    }
+
+    std::map<std::string, std::uint32_t> counts_by_model() const
+    {
+        std::map<std::string, std::uint32_t> counts;
+        for (const auto& [name, replica] : in_.ledger->replicas()) {
+            const bool counted = replica.service() == in_.service &&
+                                 replica.phase() != schema::shared_phase_retiring;
+            counts[replica.model()] += counted ? 1 : 0;
+        }
+        return counts;
+    }
+
+    void form_replicas()
+    {
+        member_pool pool(in_);
+        const auto targets =
+            target_replicas(*in_.profile, in_.demand_ms_per_s, pool.usable(), settings_);
+        auto counts = counts_by_model();
+        std::set<std::string> unplaceable;
+        std::uint64_t offset = in_.ledger->end() + plan_.records.size();
+        while (true) {
+            const model_profile* neediest = nullptr;
+            double lowest = 1;
+            for (const model_profile& model : in_.profile->models) {
+                const auto target = targets.find(model.name);
+                if (target == targets.end() || unplaceable.contains(model.name)) {
+                    continue;
+                }
+                const double filled = static_cast<double>(counts[model.name]) / target->second;
+                if (filled < lowest) {
+                    lowest = filled;
+                    neediest = &model;
+                }
+            }
+            if (neediest == nullptr) {
+                return;
+            }
+            const auto members = pool.take(*neediest);
+            if (members.empty()) {
+                unplaceable.insert(neediest->name);
+                continue;
+            }
+            schema::shared_replica formed;
+            formed.set_service(in_.service);
+            formed.set_model(neediest->name);
+            formed.set_epoch(offset + 1); // Above zero, so that it is never the default.
+            formed.set_phase(schema::shared_phase_forming);
+            formed.set_reason("fewer replicas than the demand needs");
+            *formed.mutable_members() = {members.begin(), members.end()};
+            plan_.records.push_back(to_record(replica_name(offset), formed));
+            ++counts[neediest->name];
+            ++offset;
+            formed_.insert(formed_.end(), members.begin(), members.end());
+        }
+    }
+
+    /** Loads a model into the host of each VM that is left, so that it can replace a lost one. */
+    void stage_spares()
+    {
+        member_pool pool(in_);
+        std::map<std::string, std::uint32_t> staged;
+        std::vector<const backend*> empty;
+        for (const backend* spare : pool.free_vms()) {
+            const bool taken = std::any_of(
+                formed_.begin(), formed_.end(),
+                [spare](const schema::shared_member& member) { return member.id() == spare->id; });
+            if (taken) {
+                continue;
+            }
+            if (spare->staged_models.empty()) {
+                empty.push_back(spare);
+            }
+            for (const std::string& model : spare->staged_models) {
+                ++staged[model];
+            }
+        }
+        for (const backend* spare : empty) {
+            const auto fewest =
+                std::min_element(in_.profile->models.begin(), in_.profile->models.end(),
+                                 [&](const model_profile& a, const model_profile& b) {
+                                     return staged[a.name] < staged[b.name];
+                                 });
+            if (fewest == in_.profile->models.end()) {
+                return;
+            }
+            replica_order order;
+            order.kind = order_kind::stage;
+            order.model = fewest->name;
+            ++staged[fewest->name];
+            const sent_order* before = in_.memory->find(spare->id, order.kind, order.epoch);
+            const bool loading = before != nullptr && in_.now - before->at < fewest->load_time * 2;
+            if (!loading) {
+                send(spare->id, order, true);
+            }
+        }
+    }
+
+    const assembly_input& in_;
+    const assembly_settings& settings_;
+    std::uint32_t loads_left_;
+    std::vector<schema::shared_member> formed_;
+    assembly_plan plan_;
+};
+
+} // namespace
+
+std::map<std::string, std::uint32_t> target_replicas(const engine_profile& profile,
+                                                     const std::map<std::string, double>& demand,
+                                                     std::size_t vms,
+                                                     const assembly_settings& settings)
+{
+    std::map<std::string, double> vms_wanted;
+    double total = 0;
+    for (const model_profile& model : profile.models) {
+        const auto asked = demand.find(model.name);
+        const double wanted = demand.empty() || asked == demand.end()
+                                  ? (demand.empty() ? model.share : 0)
+                                  : asked->second * model.replica_size;
+        vms_wanted[model.name] = wanted;
+        total += wanted;
+    }
+    std::map<std::string, std::uint32_t> targets;
+    const double used = static_cast<double>(vms) * (1 - settings.spare_share);
+    for (const model_profile& model : profile.models) {
+        const double share = total > 0 ? vms_wanted[model.name] / total : model.share;
+        const double replicas = used * share / model.replica_size;
+        targets[model.name] = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(replicas));
+    }
+    return targets;
+}
+
+assembly_plan plan_assembly(const assembly_input& input, const assembly_settings& settings)
+{
+    return planner(input, settings).run();
+}
+
+} // namespace chervildyke
--- /dev/null
+++ b/src/assembly/assembly_plan.h
@@ -0,0 +1,79 @@
+/** \file
+ * Defines plan_assembly, which decides from what is known what to record and which orders to send
+ * so that replicas form, open, and give way when they have lost a member.
+ */
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "assembly/assembly_memory.h"
+#include "assembly/replica_ledger.h"
+#include "assembly/replica_order.h"
+#include "base/clock.h"
+#include "fleet/backend_table.h"
+#include "fleet/engine_profile.h"
+#include "routing/replica_board.h"
+
+namespace chervildyke {
+
+struct assembly_settings {
+    duration order_retry = 600ms;  // A lost order is sent again; an answer takes a few ms.
+    duration stall_probe = 700ms;  // Silence of a replica with calls, after which members are
+                                   // probed; ten times the longest usual gap between events.
+    duration stall_limit = 2500ms; // Silence after which a replica is given up although its
+                                   // members answer: the fabric between them is cut.
+    duration probe_interval = 400ms;
+    std::uint32_t probe_failures = 2;   // In a row, after which a VM counts as lost.
+    duration forming_limit = 40s;       // Longer than any load that is under way.
+    duration idle_close_limit = 8s;     // The longest call; then the rest is broken off.
+    duration lost_head_wait = 4s;       // From a head's lapse until its VMs may be used again, when
+                                        // it can't be reached to close it.
+    duration silent_head_wait = 2500ms; // The same, from the first probe that it did not answer;
+                                        // its heartbeats have been missing for longer.
+    double spare_share = 0.15; // Of a service's VMs, kept staged beside the replicas; covers
+                               // the loss of the largest replica in each fabric domain.
+};
+
+/** All that a plan is made from. */
+struct assembly_input {
+    std::string service;
+    const engine_profile* profile = nullptr;
+    const replica_ledger* ledger = nullptr;
+    const backend_table* backends = nullptr;
+    const assembly_memory* memory = nullptr;
+    std::map<std::uint64_t, replica_use> uses;     // Of all nodes, by epoch.
+    std::map<std::string, double> demand_ms_per_s; // Replica time asked for, by model.
+    std::uint32_t load_allowance = 0; // Loads from the weight store that may start now.
+    bool list_is_current = true;      // The list of VMs was read lately.
+    time_point now{};
+};
+
+struct planned_order {
+    std::string vm;
+    replica_order order;
+    bool loads_weights = false;
+
+    bool operator==(const planned_order&) const = default;
+};
+
+/** What to do now. Records are appended all or none, at the ledger's end. */
+struct assembly_plan {
+    std::vector<keyed_record> records;
+    std::vector<planned_order> orders;
+    std::vector<std::string> probes;
+};
+
+assembly_plan plan_assembly(const assembly_input& input, const assembly_settings& settings);
+
+/** \return how many replicas of each model the service's VMs should form.
+ * \param vms that can be used.
+ */
+std::map<std::string, std::uint32_t> target_replicas(const engine_profile& profile,
+                                                     const std::map<std::string, double>& demand,
+                                                     std::size_t vms,
+                                                     const assembly_settings& settings);
+
+} // namespace chervildyke
--- /dev/null
+++ b/src/assembly/member_selection.cpp
@@ -0,0 +1,100 @@
+/** \file
+ * Implements member_pool.
+ */
+#include "assembly/member_selection.h"
+
+#include <algorithm>
+
+#include "assembly/assembly_plan.h"
+
+namespace chervildyke {
+
+namespace {
+
+bool has_staged(const backend& vm, const std::string& model)
+{
+    return std::find(vm.staged_models.begin(), vm.staged_models.end(), model) !=
+           vm.staged_models.end();
+}
+
+/** A head that no replica of the ledger names may still take calls after a late order. */
+bool takes_calls(const backend& vm)
+{
+    return vm.membership && vm.membership->rank == 0 &&
+           (vm.membership->phase == membership_phase::open ||
+            vm.membership->phase == membership_phase::closing);
+}
+
+bool may_join(const listed_backend& listed, const assembly_input& input)
+{
+    const probe_memory* probe = input.memory->probe_of(listed.self.id);
+    const bool lost = probe != nullptr && probe->failures > 0;
+    return !listed.self.leaving && !listed.lapses_at && !lost && !takes_calls(listed.self);
+}
+
+} // namespace
+
+member_pool::member_pool(const assembly_input& input)
+{
+    for (const auto& [id, listed] : input.backends->all()) {
+        if (listed.self.service != input.service || listed.self.leaving) {
+            continue;
+        }
+        ++usable_;
+        if (!input.ledger->holder_of(id) && may_join(listed, input)) {
+            free_[listed.self.fabric_domain].push_back(&listed.self);
+        }
+    }
+}
+
+std::vector<schema::shared_member> member_pool::take(const model_profile& model)
+{
+    std::vector<const backend*>* best = nullptr;
+    std::size_t best_staged = 0;
+    for (auto& [domain, vms] : free_) {
+        if (vms.size() < model.replica_size) {
+            continue;
+        }
+        const auto staged =
+            static_cast<std::size_t>(std::count_if(vms.begin(), vms.end(), [&](const backend* vm) {
+                return has_staged(*vm, model.name);
+            }));
+        const std::size_t useful = std::min<std::size_t>(staged, model.replica_size);
+        const bool better = best == nullptr || useful > best_staged ||
+                            (useful == best_staged && vms.size() > best->size());
+        if (better) {
+            best = &vms;
+            best_staged = useful;
+        }
+    }
+    std::vector<schema::shared_member> members;
+    if (best == nullptr) {
+        return members;
+    }
+    // Those with the model first, then those whose host holds nothing that would be lost.
+    std::stable_sort(best->begin(), best->end(), [&](const backend* a, const backend* b) {
+        const auto rank = [&](const backend& vm) {
+            return has_staged(vm, model.name) ? 0 : vm.staged_models.empty() ? 1 : 2;
+        };
+        return rank(*a) < rank(*b);
+    });
+    for (std::uint32_t i = 0; i < model.replica_size; ++i) {
+        schema::shared_member member;
+        member.set_id((*best)[i]->id);
+        member.set_started_ms((*best)[i]->started_ms);
+        members.push_back(std::move(member));
+    }
+    best->erase(best->begin(), best->begin() + model.replica_size);
+    return members;
+}
+
+std::vector<const backend*> member_pool::free_vms() const
+{
+    std::vector<const backend*> all;
+    for (const auto& [domain, vms] : free_) {
+        all.insert(all.end(), vms.begin(), vms.end());
+    }
+    return all;
+}
+
+} // namespace chervildyke
--- /dev/null
+++ b/src/assembly/member_selection.h
@@ -0,0 +1,40 @@
+/** \file
+ * Defines member_pool, which picks the VMs of a new replica.
+ */
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "fleet/backend.h"
+#include "fleet/engine_profile.h"
+#include "node.pb.h"
+
+namespace chervildyke {
+
+struct assembly_input;
+
+/** The VMs that no replica holds, by fabric domain. */
+class member_pool {
+  public:
+    explicit member_pool(const assembly_input& input);
+
+    /** Picks the members of a replica within one fabric domain: where fewest must load the model
+     * from the weight store, then where most VMs are free.
+     * \return nothing when no domain has enough VMs.
+     */
+    std::vector<schema::shared_member> take(const model_profile& model);
+
+    std::vector<const backend*> free_vms() const;
+
+    /** How many of the service's VMs can be used, in replicas or free. */
+    std::size_t usable() const { return usable_; }
+
+  private:
+    std::map<std::string, std::vector<const backend*>> free_; // By fabric domain.
+    std::size_t usable_ = 0;
+};
+
+} // namespace chervildyke
--- a/src/base/clock.cpp
+++ b/src/base/clock.cpp
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 
 #include <algorithm>
+#include <ctime>
 
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -56,6 +57,16 @@
     return to_wait_duration(until - monotonic_clock::now());
 }
 
+duration awake_or_suspended_time()
+{
+    if (manual().installed) {
+        return manual().now.time_since_epoch();
+    }
+    timespec now{};
+    ::clock_gettime(CLOCK_BOOTTIME, &now);
+    return std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+}
+
 std::uint64_t wall_clock_ms()
 {
     using std::chrono::duration_cast;
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -44,6 +44,11 @@
 /** Milliseconds since the Unix epoch; follows the manual clock while one is installed. */
 std::uint64_t wall_clock_ms();
 
+/** Time since the machine started, counting the time for which it was suspended; follows the manual
+ * clock while one is installed. Ages of beliefs are measured with it.
+ */
+duration awake_or_suspended_time();
+
 /** Suspends the calling task.
  * \param span how long.
  */
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -5,8 +5,10 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -38,6 +40,7 @@
     virtual ~http_stream() = default;
     virtual unsigned status() const = 0;
     virtual std::string header(std::string_view name) const = 0;
+    virtual std::vector<http_header> headers() const = 0;
 
     /** Reads the next part of the body.
      * \return an empty text once the body ended properly.
@@ -45,10 +48,33 @@
     virtual boost::asio::awaitable<http_result<std::string>> read_some(duration timeout) = 0;
 };
 
+/** Lets another task break a call off. */
+class http_cancel {
+  public:
+    /** Closes the call's connection now, or as soon as it has one. */
+    void cancel();
+    bool cancelled() const { return cancelled_; }
+
+    /** For the client: how to close the connection in use; empty: none is. */
+    void set_close(std::function<void()> close);
+
+  private:
+    bool cancelled_ = false;
+    std::function<void()> close_;
+};
+
 struct http_call_options {
-    duration timeout = 5s;         // For the whole call, or for the head of a streamed answer.
+    duration timeout = 5s; // For the whole call, or for the head of a streamed answer.
+    duration connect_timeout = duration::max(); // Within the timeout.
     bool fresh_connection = false; // Never reuse a kept connection, which may have died unnoticed.
+    duration max_idle = 30s;       // A connection kept for longer is not reused.
     std::string from_address;      // The local address to call from; empty: any.
+    std::shared_ptr<http_cancel> cancel;
+
+    /** Tells whether an answer belongs to this call; one that does not is read and dropped, and
+     * the next one is awaited. Empty: every answer does.
+     */
+    std::function<bool(const std::vector<http_header>&)> belongs;
 };
 
 /** Makes HTTP/1.1 calls to ip:port addresses. Retries nothing; what a failure means for the call
--- a/src/base/http_message.h
+++ b/src/base/http_message.h
@@ -40,7 +40,7 @@
     unsigned status = 200;
     std::vector<http_header> headers;
     std::string body;
-    std::string content_type = "application/json";
+    std::string content_type = "application/json"; // Empty: as the headers say.
 
     std::string_view header(std::string_view name) const { return find_header(headers, name); }
 };
--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -38,10 +38,14 @@
 template <typename Message>
 void set_fields(Message& message, const http_reply& reply)
 {
-    message.set(http::field::server, "chervildyke");
-    message.set(http::field::content_type, reply.content_type);
     for (const http_header& header : reply.headers) {
-        message.set(header.name, header.value);
+        message.insert(header.name, header.value);
+    }
+    if (!reply.content_type.empty()) {
+        message.set(http::field::content_type, reply.content_type);
+    }
+    if (message.find(http::field::server) == message.end()) {
+        message.set(http::field::server, "chervildyke");
     }
 }
 
@@ -229,6 +233,7 @@
     std::size_t open = 0;
     std::size_t busy = 0;
     bool stopping = false;
+    bool closing = false; // Answers end their connections.
 
     asio::awaitable<void> accept_connections();
     asio::awaitable<void> serve(tcp::socket socket);
@@ -301,7 +306,7 @@
         co_return false;
     }
     const bool keep_alive = parser.get().keep_alive();
-    beast_exchange exchange(stream, to_plain(parser.release()), keep_alive && !stopping,
+    beast_exchange exchange(stream, to_plain(parser.release()), keep_alive && !stopping && !closing,
                             limits.write_timeout);
     ++busy;
     co_await handler(exchange);
@@ -388,6 +393,16 @@
     return error ? std::uint16_t{0} : local.port();
 }
 
+void http_server::set_limits(http_limits limits)
+{
+    state_->limits = limits;
+}
+
+void http_server::close_after_answers()
+{
+    state_->closing = true;
+}
+
 void http_server::stop_accepting()
 {
     state_->stopping = true;
--- a/src/base/http_server.h
+++ b/src/base/http_server.h
@@ -70,6 +70,12 @@
     /** The port listened on; useful after listen() with port zero, which takes a free one. */
     std::uint16_t port() const;
 
+    /** Replaces the limits for requests that are not yet begun. */
+    void set_limits(http_limits limits);
+
+    /** From now on each answer ends its connection; new ones are still accepted. */
+    void close_after_answers();
+
     /** Stops accepting; connections close after the answer in progress. */
     void stop_accepting();
 
--- a/src/control/entry_watch.cpp
+++ b/src/control/entry_watch.cpp
@@ -5,7 +5,7 @@
 
 #include <utility>
 
-#include "platform/json_message.h"
+#include "external/json_message.h"
 
 namespace chervildyke {
 
--- a/src/ctl/journal_session.cpp
+++ b/src/ctl/journal_session.cpp
@@ -8,7 +8,7 @@
 #include "base/http_client.h"
 #include "base/random.h"
 #include "base/task.h"
-#include "platform/http_platform.h"
+#include "external/http_external.h"
 
 namespace chervildyke {
 
--- a/src/ctl/showing.cpp
+++ b/src/ctl/showing.cpp
@@ -9,7 +9,7 @@
 
 #include "base/program.h"
 #include "ctl/control_fanout.h"
-#include "platform/json_message.h"
+#include "external/json_message.h"
 
 namespace chervildyke {
 
--- a/src/entry/engine_attempt.cpp
+++ b/src/entry/engine_attempt.cpp
@@ -7,7 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "platform/json_message.h"
+#include "external/json_message.h"
 
 namespace chervildyke {
 
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -11,8 +11,8 @@
 #include "base/log.h"
 #include "entry/addresses.h"
 #include "entry/completion_call.h"
-#include "platform/http_platform.h"
-#include "platform/json_message.h"
+#include "external/http_external.h"
+#include "external/json_message.h"
 
 namespace chervildyke {
 
--- a/src/entry/member_check.h
+++ b/src/entry/member_check.h
@@ -9,7 +9,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "entry/view_follower.h"
-#include "platform/engine_client.h"
+#include "external/engine_client.h"
 #include "routing/replica_router.h"
 
 namespace chervildyke {
--- a/src/entry/service_call.cpp
+++ b/src/entry/service_call.cpp
@@ -12,8 +12,8 @@
 #include "base/scope_guard.h"
 #include "entry/api_error.h"
 #include "entry/order_call.h"
+#include "external/json_message.h"
 #include "platform.pb.h"
-#include "platform/json_message.h"
 #include "routing/retry_policy.h"
 
 namespace chervildyke {
@@ -102,6 +102,17 @@
     return ended(call_outcome::unknown, status, failure.reason);
 }
 
+std::vector<backend_candidate> healthy_backends(const schema::service_view& service)
+{
+    std::vector<backend_candidate> healthy;
+    for (const schema::backend_view& backend : service.backends()) {
+        if (backend.healthy()) {
+            healthy.push_back({backend.address(), backend.failure_domain()});
+        }
+    }
+    return healthy;
+}
+
 } // namespace
 
 struct service_calls::state : std::enable_shared_from_this<service_calls::state> {
@@ -222,11 +233,12 @@
     asio::awaitable<service_end> run(service_question question)
     {
         std::set<std::string> tried;
+        const std::vector<backend_candidate> candidates = healthy_backends(question.service);
         service_end end = ended(call_outcome::not_run, 503, "no backend server is healthy");
         retries.note_call();
         for (std::uint32_t attempt = 1;; ++attempt) {
             const duration left = question.identity.deadline - monotonic_clock::now();
-            const auto address = backends.choose(question.service, tried, monotonic_clock::now());
+            const auto address = backends.choose(candidates, tried, monotonic_clock::now());
             if (left <= duration::zero()) {
                 end = ended(end.outcome, 504, "the deadline is over");
                 break;
--- a/src/entry/service_call.h
+++ b/src/entry/service_call.h
@@ -12,7 +12,7 @@
 #include "base/metrics.h"
 #include "base/random.h"
 #include "entry/call_guard.h"
-#include "entry/service_choice.h"
+#include "routing/backend_book.h"
 
 namespace chervildyke {
 
--- a/src/platform/platform_error.h
+++ b/src/external/external_error.h
@@ -7,7 +7,7 @@
 
 namespace chervildyke {
 
-enum class platform_error {
+enum class external_error {
     none,
     not_sent,     // The call did not reach its target and had no effect.
     unclear,      // The call may have taken effect; nobody can tell yet.
@@ -16,9 +16,9 @@
     out_of_range, // The log no longer keeps, or never had, the offset.
 };
 
-using platform_failure = failure<platform_error>;
+using external_failure = failure<external_error>;
 
 template <typename Value>
-using platform_result = result<Value, platform_error>;
+using external_result = result<Value, external_error>;
 
 } // namespace chervildyke
--- a/src/platform/http_platform.cpp
+++ b/src/external/http_external.cpp
@@ -1,9 +1,9 @@
 /** \file
  * Implements the platform clients over http_client.
  */
-#include "platform/http_platform.h"
+#include "external/http_external.h"
 
-#include "platform/json_message.h"
+#include "external/json_message.h"
 
 namespace chervildyke {
 
@@ -17,25 +17,25 @@
 constexpr unsigned status_not_modified = 304;
 
 /** Turns a failed HTTP call into the platform's words. */
-platform_failure from_http(const http_failure& below)
+external_failure from_http(const http_failure& below)
 {
     const bool had_no_effect = below.code == http_error::not_sent;
-    return {had_no_effect ? platform_error::not_sent : platform_error::unclear, below.reason};
+    return {had_no_effect ? external_error::not_sent : external_error::unclear, below.reason};
 }
 
-platform_failure from_status(const http_reply& reply)
+external_failure from_status(const http_reply& reply)
 {
     if (reply.status == 429 || reply.status == 503) {
-        return {platform_error::overloaded, "HTTP " + std::to_string(reply.status)};
+        return {external_error::overloaded, "HTTP " + std::to_string(reply.status)};
     }
     const bool said_no = reply.status >= 400 && reply.status < 500;
-    return {said_no ? platform_error::refused : platform_error::unclear,
+    return {said_no ? external_error::refused : external_error::unclear,
             "HTTP " + std::to_string(reply.status) + " " + reply.body.substr(0, 200)};
 }
 
 /** Makes a call whose answer is one message in JSON. */
 template <typename Reply>
-asio::awaitable<platform_result<Reply>> json_call(std::shared_ptr<http_client> http,
+asio::awaitable<external_result<Reply>> json_call(std::shared_ptr<http_client> http,
                                                   std::string address, http_request request,
                                                   duration timeout)
 {
@@ -50,7 +50,7 @@
     }
     Reply reply;
     if (!from_json(answer->body, reply)) {
-        co_return platform_failure{platform_error::unclear, "an answer that can't be read"};
+        co_return external_failure{external_error::unclear, "an answer that can't be read"};
     }
     co_return reply;
 }
@@ -88,7 +88,7 @@
     log_client client;
     client.append = [http,
                      address](std::string stream,
-                              std::string payload) -> asio::awaitable<platform_result<log_offset>> {
+                              std::string payload) -> asio::awaitable<external_result<log_offset>> {
         schema::log_append_request body;
         body.set_payload(std::move(payload));
         auto reply = co_await json_call<schema::log_append_reply>(
@@ -99,7 +99,7 @@
         co_return reply->offset();
     };
     client.read = [http, address](std::string stream, log_offset from, std::uint32_t limit,
-                                  duration wait) -> asio::awaitable<platform_result<log_read>> {
+                                  duration wait) -> asio::awaitable<external_result<log_read>> {
         auto reply = co_await json_call<schema::log_read_reply>(
             http, address,
             get("/streams/" + stream + "/records?from=" + std::to_string(from) +
@@ -121,7 +121,7 @@
     schema::vm_list_reply list;
 };
 
-asio::awaitable<platform_result<schema::vm_list_reply>>
+asio::awaitable<external_result<schema::vm_list_reply>>
 list_vms(std::shared_ptr<http_client> http, std::string address, std::shared_ptr<known_list> known)
 {
     http_request request = get("/vms");
@@ -142,7 +142,7 @@
     }
     schema::vm_list_reply list;
     if (!from_json(answer->body, list)) {
-        co_return platform_failure{platform_error::unclear, "a VM list that can't be read"};
+        co_return external_failure{external_error::unclear, "a VM list that can't be read"};
     }
     known->tag = std::string(answer->header("etag"));
     known->list = list;
--- a/src/platform/http_platform.h
+++ b/src/external/http_external.h
@@ -7,9 +7,9 @@
 #include <string>
 
 #include "base/http_client.h"
-#include "platform/engine_client.h"
-#include "platform/log_client.h"
-#include "platform/vm_list_client.h"
+#include "external/engine_client.h"
+#include "external/log_client.h"
+#include "external/vm_list_client.h"
 
 namespace chervildyke {
 
--- a/src/platform/json_message.cpp
+++ b/src/external/json_message.cpp
@@ -1,7 +1,7 @@
 /** \file
  * Implements the JSON form with protobuf's own codec.
  */
-#include "platform/json_message.h"
+#include "external/json_message.h"
 
 #include <google/protobuf/util/json_util.h>
 
--- a/src/platform/log_client.h
+++ b/src/external/log_client.h
@@ -11,7 +11,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "base/clock.h"
-#include "platform/platform_error.h"
+#include "external/external_error.h"
 
 namespace chervildyke {
 
@@ -37,17 +37,17 @@
 
 /** The calls on the log service. A bench of another make is another pair of hooks. */
 struct log_client {
-    /** Appends one record to a stream and returns its offset. After platform_error::unclear
+    /** Appends one record to a stream and returns its offset. After external_error::unclear
      * the record may stand in the stream.
      */
-    std::function<boost::asio::awaitable<platform_result<log_offset>>(std::string stream,
+    std::function<boost::asio::awaitable<external_result<log_offset>>(std::string stream,
                                                                       std::string payload)>
         append;
 
     /** Reads records from an offset on; waits up to the span when there are none yet.
-     * platform_error::out_of_range is never returned: compare from with first_offset.
+     * external_error::out_of_range is never returned: compare from with first_offset.
      */
-    std::function<boost::asio::awaitable<platform_result<log_read>>(
+    std::function<boost::asio::awaitable<external_result<log_read>>(
         std::string stream, log_offset from, std::uint32_t limit, duration wait)>
         read;
 };
--- a/src/platform/vm_list_client.h
+++ b/src/external/vm_list_client.h
@@ -8,14 +8,14 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include "external/external_error.h"
 #include "platform.pb.h"
-#include "platform/platform_error.h"
 
 namespace chervildyke {
 
 /** The call on the VM list. The list lags behind reality. */
 struct vm_list_client {
-    std::function<boost::asio::awaitable<platform_result<schema::vm_list_reply>>()> list;
+    std::function<boost::asio::awaitable<external_result<schema::vm_list_reply>>()> list;
 };
 
 } // namespace chervildyke
--- /dev/null
+++ b/src/fleet/backend_table.cpp
@@ -0,0 +1,86 @@
+/** \file
+ * Implements backend_table.
+ */
+#include "fleet/backend_table.h"
+
+#include <algorithm>
+
+namespace chervildyke {
+
+backend_table::backend_table(duration return_time) : return_time_(return_time) {}
+
+bool backend_table::steady(time_point now) const
+{
+    return !outage_at_ || now - *outage_at_ > return_time_;
+}
+
+void backend_table::apply(const backend& entry, time_point now)
+{
+    listed_backend& listed = backends_[entry.id];
+    if (listed.self != entry || listed.lapses_at) {
+        ++version_;
+    }
+    listed = {entry, now, std::nullopt};
+}
+
+void backend_table::remove(const std::string& id, time_point now)
+{
+    const auto found = backends_.find(id);
+    if (found == backends_.end()) {
+        return;
+    }
+    ++version_;
+    if (steady(now)) {
+        backends_.erase(found);
+        return;
+    }
+    if (!found->second.lapses_at) {
+        found->second.lapses_at = *outage_at_ + return_time_;
+    }
+}
+
+void backend_table::retain(const std::vector<std::string>& ids, time_point now)
+{
+    std::vector<std::string> missing;
+    for (const auto& [id, listed] : backends_) {
+        if (std::find(ids.begin(), ids.end(), id) == ids.end()) {
+            missing.push_back(id);
+        }
+    }
+    for (const std::string& id : missing) {
+        remove(id, now);
+    }
+}
+
+void backend_table::note_outage(time_point now)
+{
+    outage_at_ = now;
+    for (auto& [id, listed] : backends_) {
+        if (listed.lapses_at) {
+            listed.lapses_at = now + return_time_;
+        }
+    }
+}
+
+std::vector<std::string> backend_table::drop_lapsed(time_point now)
+{
+    std::vector<std::string> dropped;
+    for (const auto& [id, listed] : backends_) {
+        if (listed.lapses_at && *listed.lapses_at <= now) {
+            dropped.push_back(id);
+        }
+    }
+    for (const std::string& id : dropped) {
+        backends_.erase(id);
+        ++version_;
+    }
+    return dropped;
+}
+
+const listed_backend* backend_table::find(const std::string& id) const
+{
+    const auto found = backends_.find(id);
+    return found == backends_.end() ? nullptr : &found->second;
+}
+
+} // namespace chervildyke
--- /dev/null
+++ b/src/fleet/topic_follower.cpp
@@ -0,0 +1,93 @@
+/** \file
+ * Implements topic_follower.
+ */
+#include "fleet/topic_follower.h"
+
+#include <utility>
+
+#include "base/event_log.h"
+
+namespace chervildyke {
+
+namespace {
+
+const event_log follower_log("follower");
+
+} // namespace
+
+topic_follower::topic_follower(shared_log log, std::string topic, topic_hooks hooks)
+    : log_(std::move(log)), topic_(std::move(topic)), hooks_(std::move(hooks))
+{
+}
+
+std::optional<duration> topic_follower::age() const
+{
+    if (!confirmed_at_) {
+        return std::nullopt;
+    }
+    return awake_or_suspended_time() - *confirmed_at_;
+}
+
+boost::asio::awaitable<bool> topic_follower::load()
+{
+    const duration asked_at = awake_or_suspended_time();
+    auto newest = co_await log_.newest(topic_);
+    if (!newest) {
+        follower_log.write(
+            "read_failed",
+            {{"topic", topic_}, {"call", "newest"}, {"reason", newest.last_reason().reason}});
+        hooks_.outage();
+        co_return false;
+    }
+    // A lagging answer must not take the follower back behind what it has applied.
+    if (newest->next_offset < next_offset_) {
+        follower_log.write("read_failed", {{"topic", topic_},
+                                           {"call", "newest"},
+                                           {"reason", "the log ends before what was read"}});
+        co_return false;
+    }
+    hooks_.replace(*newest);
+    next_offset_ = newest->next_offset;
+    confirmed_at_ = asked_at;
+    loaded_ = true;
+    follower_log.write("topic_loaded", {{"topic", topic_},
+                                        {"records", std::to_string(newest->records.size())},
+                                        {"next_offset", std::to_string(next_offset_)}});
+    co_return true;
+}
+
+boost::asio::awaitable<bool> topic_follower::read_once(duration wait)
+{
+    if (!loaded_) {
+        co_return co_await load();
+    }
+    const duration asked_at = awake_or_suspended_time();
+    auto read = co_await log_.read(topic_, next_offset_, wait);
+    if (!read) {
+        const shared_log_failure& failed = read.last_reason();
+        if (failed.code == shared_log_error::trimmed) {
+            follower_log.write("topic_trimmed",
+                               {{"topic", topic_}, {"next_offset", std::to_string(next_offset_)}});
+            loaded_ = false;
+            co_return co_await load();
+        }
+        if (!lost_) {
+            follower_log.write("store_lost", {{"topic", topic_}, {"reason", failed.reason}});
+        }
+        lost_ = true;
+        hooks_.outage();
+        co_return false;
+    }
+    if (lost_) {
+        follower_log.write("store_regained", {{"topic", topic_}});
+        lost_ = false;
+    }
+    confirmed_at_ = asked_at;
+    if (!read->records.empty()) {
+        hooks_.apply(*read);
+    }
+    next_offset_ = read->next_offset;
+    co_return true;
+}
+
+} // namespace chervildyke
--- a/src/journal/checkpoint.h
+++ b/src/journal/checkpoint.h
@@ -10,8 +10,8 @@
 #include <string>
 #include <vector>
 
+#include "external/log_client.h"
 #include "journal.pb.h"
-#include "platform/log_client.h"
 
 namespace chervildyke {
 
--- a/src/journal/fleet_state.h
+++ b/src/journal/fleet_state.h
@@ -14,11 +14,11 @@
 #include <unordered_map>
 #include <vector>
 
+#include "external/log_client.h"
 #include "journal.pb.h"
 #include "journal/journal_error.h"
 #include "journal/replica.h"
 #include "journal/verdict.h"
-#include "platform/log_client.h"
 
 namespace chervildyke {
 
--- a/src/journal/journal_append.cpp
+++ b/src/journal/journal_append.cpp
@@ -27,9 +27,9 @@
 constexpr int retention_parts_per_checkpoint = 4;
 constexpr double stand_in_share = 1.25;
 
-bool worth_retrying(platform_error code)
+bool worth_retrying(external_error code)
 {
-    return code == platform_error::not_sent || code == platform_error::overloaded;
+    return code == external_error::not_sent || code == external_error::overloaded;
 }
 
 duration scaled(duration span, double factor)
@@ -87,8 +87,8 @@
         if (appended) {
             co_return journal_failure{};
         }
-        const platform_failure& below = appended.last_reason();
-        if (below.code == platform_error::unclear) {
+        const external_failure& below = appended.last_reason();
+        if (below.code == external_error::unclear) {
             co_return journal_failure{journal_error::unclear, below.reason};
         }
         const duration jittered = scaled(pause, 0.5 + random_fraction(hooks_.random));
--- a/src/journal/journal_node.h
+++ b/src/journal/journal_node.h
@@ -15,12 +15,12 @@
 #include "base/clock.h"
 #include "base/random.h"
 #include "control_api.pb.h"
+#include "external/log_client.h"
 #include "journal.pb.h"
 #include "journal/checkpoint.h"
 #include "journal/fleet_state.h"
 #include "journal/journal_error.h"
 #include "journal/record_window.h"
-#include "platform/log_client.h"
 
 namespace chervildyke {
 
--- a/src/journal/record_window.h
+++ b/src/journal/record_window.h
@@ -8,7 +8,7 @@
 #include <string>
 
 #include "control_api.pb.h"
-#include "platform/log_client.h"
+#include "external/log_client.h"
 
 namespace chervildyke {
 
--- a/src/members/member_table.h
+++ b/src/members/member_table.h
@@ -11,7 +11,7 @@
 
 #include "base/clock.h"
 #include "control_api.pb.h"
-#include "platform/log_client.h"
+#include "external/log_client.h"
 
 namespace chervildyke {
 
--- /dev/null
+++ b/src/members/peer_exchange.cpp
@@ -0,0 +1,190 @@
+/** \file
+ * Implements peer_exchange.
+ */
+#include "members/peer_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio.hpp>
+
+#include "base/event_log.h"
+
+namespace chervildyke {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using boost::system::error_code;
+
+namespace {
+
+const event_log peer_log("peers");
+
+constexpr std::size_t max_datagram_bytes = 16U << 10U;
+constexpr std::size_t max_addresses = 1024;
+constexpr auto as_tuple = asio::as_tuple(asio::use_awaitable);
+
+} // namespace
+
+peer_exchange::peer_exchange(asio::any_io_executor executor,
+                             std::function<void(schema::peer_word&)> describe, random_source random,
+                             peer_exchange_settings settings)
+    : executor_(std::move(executor)), describe_(std::move(describe)), random_(std::move(random)),
+      settings_(settings), socket_(executor_)
+{
+}
+
+bool peer_exchange::listen(const std::string& address, std::uint16_t port)
+{
+    error_code error;
+    const auto ip = asio::ip::make_address(address, error);
+    if (!error) {
+        socket_.open(udp::v4(), error);
+    }
+    if (!error) {
+        socket_.bind({ip, port}, error);
+    }
+    if (!error) {
+        socket_.non_blocking(true, error);
+    }
+    if (error) {
+        last_reason_ = "can't listen on " + address + ":" + std::to_string(port) +
+                       " (UDP): " + error.message();
+        return false;
+    }
+    self_ = {address, port};
+    return true;
+}
+
+void peer_exchange::introduce(const std::string& address, std::uint16_t port)
+{
+    const node_key node{address, port};
+    if (node != self_ && addresses_.size() < max_addresses) {
+        addresses_.emplace(node, monotonic_clock::now());
+    }
+}
+
+std::string peer_exchange::encode_word()
+{
+    schema::peer_word word;
+    describe_(word);
+    const time_point now = monotonic_clock::now();
+    for (const auto& [key, node] : nodes_) {
+        if (now - node.heard_at < settings_.silence_limit) {
+            schema::known_peer& known = *word.add_peers();
+            known.set_address(key.first);
+            known.set_port(key.second);
+        }
+    }
+    return word.SerializeAsString();
+}
+
+void peer_exchange::send_to(const node_key& node, const std::string& bytes)
+{
+    error_code error;
+    const auto ip = asio::ip::make_address(node.first, error);
+    if (!error) {
+        // A datagram that can't be sent now counts as lost; the next one follows soon.
+        socket_.send_to(asio::buffer(bytes), {ip, node.second}, 0, error);
+    }
+}
+
+void peer_exchange::tell_all()
+{
+    const std::string bytes = encode_word();
+    for (const auto& [node, since] : addresses_) {
+        send_to(node, bytes);
+    }
+}
+
+asio::awaitable<void> peer_exchange::send_words()
+{
+    const auto self = shared_from_this();
+    while (true) {
+        const time_point now = monotonic_clock::now();
+        std::erase_if(addresses_, [&](const auto& entry) {
+            return now - entry.second > settings_.forget_after;
+        });
+        std::vector<node_key> targets;
+        for (const auto& [node, since] : addresses_) {
+            targets.push_back(node);
+        }
+        for (std::size_t i = 0; i < targets.size() && targets.size() > settings_.fanout; ++i) {
+            std::swap(targets[i], targets[i + random_below(random_, targets.size() - i)]);
+        }
+        targets.resize(std::min(targets.size(), settings_.fanout));
+        if (!targets.empty()) {
+            const std::string bytes = encode_word();
+            for (const node_key& node : targets) {
+                send_to(node, bytes);
+            }
+        }
+        co_await sleep_for(settings_.interval);
+    }
+}
+
+void peer_exchange::take_word(const std::string& bytes)
+{
+    schema::peer_word word;
+    if (!word.ParseFromString(bytes) || word.address().empty() || word.port() > 65535) {
+        peer_log.write("datagram_rejected", {{"bytes", std::to_string(bytes.size())}});
+        return;
+    }
+    const node_key key{word.address(), static_cast<std::uint16_t>(word.port())};
+    if (key == self_) {
+        return;
+    }
+    const time_point now = monotonic_clock::now();
+    for (const schema::known_peer& peer : word.peers()) {
+        introduce(peer.address(), static_cast<std::uint16_t>(peer.port()));
+    }
+    known_node& node = nodes_[key];
+    if (word.incarnation() < node.word.incarnation()) {
+        return;
+    }
+    if (word.incarnation() != node.word.incarnation()) {
+        peer_log.write("node_seen", {{"peer", word.name()},
+                                     {"address", word.address()},
+                                     {"incarnation", std::to_string(word.incarnation())}});
+    }
+    addresses_[key] = now;
+    node.word = std::move(word);
+    node.heard_at = now;
+    if (on_word) {
+        on_word(node.word);
+    }
+}
+
+asio::awaitable<void> peer_exchange::receive_words()
+{
+    const auto self = shared_from_this();
+    std::string buffer;
+    udp::endpoint from;
+    while (true) {
+        buffer.resize(max_datagram_bytes);
+        const auto [error, bytes] =
+            co_await socket_.async_receive_from(asio::buffer(buffer), from, as_tuple);
+        if (error == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (error) {
+            continue; // An ICMP answer to an earlier datagram; its receiver is gone.
+        }
+        buffer.resize(bytes);
+        take_word(buffer);
+    }
+}
+
+std::vector<const known_node*> peer_exchange::live() const
+{
+    const time_point now = monotonic_clock::now();
+    std::vector<const known_node*> nodes;
+    for (const auto& [key, node] : nodes_) {
+        if (now - node.heard_at < settings_.silence_limit) {
+            nodes.push_back(&node);
+        }
+    }
+    return nodes;
+}
+
+} // namespace chervildyke
--- /dev/null
+++ b/src/members/peer_exchange.h
@@ -0,0 +1,82 @@
+/** \file
+ * Defines peer_exchange, which tells all nodes about each other by datagrams.
+ */
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include "base/clock.h"
+#include "base/random.h"
+#include "node.pb.h"
+
+namespace chervildyke {
+
+/** A node as its last datagram described it. */
+struct known_node {
+    schema::peer_word word;
+    time_point heard_at{};
+};
+
+struct peer_exchange_settings {
+    duration interval = 100ms;       // Counts of calls are this old on average.
+    duration silence_limit = 1200ms; // Twelve lost datagrams in a row: the node is gone.
+    duration forget_after = 20s;     // An address from which nothing comes is not tried any more.
+    std::size_t fanout = 12;         // Datagrams sent in each interval at most.
+};
+
+/** Sends this node's word to other nodes in each interval and keeps the newest word of each. What
+ * it knows is a hint: it speeds things up and decides no agreement.
+ */
+class peer_exchange : public std::enable_shared_from_this<peer_exchange> {
+  public:
+    /** \param describe fills in this node's word. */
+    peer_exchange(boost::asio::any_io_executor executor,
+                  std::function<void(schema::peer_word&)> describe, random_source random,
+                  peer_exchange_settings settings = {});
+
+    /** Called with each word that is newer than the one before it. */
+    std::function<void(const schema::peer_word&)> on_word;
+
+    /** \return false with last_reason() set when the port can't be had. */
+    bool listen(const std::string& address, std::uint16_t port);
+    const std::string& last_reason() const { return last_reason_; }
+
+    /** Begins to tell the address, which may be a node. */
+    void introduce(const std::string& address, std::uint16_t port);
+
+    /** Sends the word to all known nodes now. */
+    void tell_all();
+
+    boost::asio::awaitable<void> send_words();
+    boost::asio::awaitable<void> receive_words();
+
+    /** The other nodes heard from lately. */
+    std::vector<const known_node*> live() const;
+
+  private:
+    using node_key = std::pair<std::string, std::uint16_t>;
+
+    std::string encode_word();
+    void take_word(const std::string& bytes);
+    void send_to(const node_key& node, const std::string& bytes);
+
+    boost::asio::any_io_executor executor_;
+    std::function<void(schema::peer_word&)> describe_;
+    random_source random_;
+    peer_exchange_settings settings_;
+    boost::asio::ip::udp::socket socket_;
+    node_key self_;
+    std::map<node_key, time_point> addresses_; // Since when nothing was heard, or last heard.
+    std::map<node_key, known_node> nodes_;
+    std::string last_reason_;
+};
+
+} // namespace chervildyke
--- a/src/orders/order_desk.h
+++ b/src/orders/order_desk.h
@@ -15,8 +15,8 @@
 
 #include "base/clock.h"
 #include "base/random.h"
+#include "external/log_client.h"
 #include "orders/order_stream.h"
-#include "platform/log_client.h"
 #include "rpc/control_client.h"
 
 namespace chervildyke {
--- a/src/orders/order_ledger.h
+++ b/src/orders/order_ledger.h
@@ -12,8 +12,8 @@
 #include <vector>
 
 #include "control_api.pb.h"
+#include "external/log_client.h"
 #include "orders.pb.h"
-#include "platform/log_client.h"
 
 namespace chervildyke {
 
--- a/src/orders/order_stream.cpp
+++ b/src/orders/order_stream.cpp
@@ -266,20 +266,20 @@
 }
 
 /** \return true when the append had effect for certain. */
-bool order_stream::take_append_result(batch& sent, const platform_result<log_offset>& result)
+bool order_stream::take_append_result(batch& sent, const external_result<log_offset>& result)
 {
     if (result) {
         append_interval_ = std::max(append_interval_ * 15 / 16, settings_.batch_delay);
         acknowledge_settlements(sent);
         return true;
     }
-    const platform_error code = result.last_reason().code;
-    if (code == platform_error::unclear) {
+    const external_error code = result.last_reason().code;
+    if (code == external_error::unclear) {
         sent.pause = std::max(sent.pause, read_back_wait);
         sent.unclear = true;
         return false;
     }
-    if (code == platform_error::overloaded) {
+    if (code == external_error::overloaded) {
         append_interval_ = std::min(append_interval_ * 5 / 4, longest_append_interval);
         sent.pause = append_interval_;
     }
--- a/src/orders/order_stream.h
+++ b/src/orders/order_stream.h
@@ -14,8 +14,8 @@
 
 #include "base/clock.h"
 #include "base/random.h"
+#include "external/log_client.h"
 #include "orders/order_ledger.h"
-#include "platform/log_client.h"
 
 namespace chervildyke {
 
@@ -75,7 +75,7 @@
     boost::asio::awaitable<void> append_batch(std::shared_ptr<order_stream> self,
                                               batch_handle sent);
     boost::asio::awaitable<void> await_answer(waiter_handle waiting, duration timeout);
-    bool take_append_result(batch& sent, const platform_result<log_offset>& result);
+    bool take_append_result(batch& sent, const external_result<log_offset>& result);
     void take_records(const log_read& read, log_offset from);
     void take_verdicts(const std::string& record_id, const record_verdicts& verdicts);
     std::string fault_before_append(const schema::order_claim& claim) const;
--- /dev/null
+++ b/src/relay/call_intake.cpp
@@ -0,0 +1,163 @@
+/** \file
+ * Implements serve_call.
+ */
+#include "relay/call_intake.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+
+#include "base/event_log.h"
+#include "relay/plain_relay.h"
+#include "relay/stream_relay.h"
+
+namespace chervildyke {
+
+namespace asio = boost::asio;
+
+namespace {
+
+const event_log call_log("call");
+
+constexpr duration default_time_left = 30s;    // For callers that give no deadline.
+constexpr duration come_back_to_other = 300ms; // Another node may know more.
+
+/** A refusal that was decided before anything was sent. */
+struct early_refusal {
+    unsigned status = 503;
+    std::string reason;
+    std::optional<duration> retry_after;
+};
+
+std::optional<early_refusal> find_route(relayed_call& call)
+{
+    relay_context& context = call.context;
+    call.services = context.services();
+    if (!call.services) {
+        return early_refusal{503, "no configuration is known yet", come_back_to_other};
+    }
+    const std::optional<duration> age = context.configuration_age();
+    const bool stale = !age || *age > context.limits.key_staleness;
+    std::string_view host = call.terms.host;
+    host = host.substr(0, host.find(':'));
+    call.route = call.services->find_route(host, call.exchange.request().path());
+    if (call.route == nullptr) {
+        if (stale) {
+            return early_refusal{503, "the configuration is too old to say that there is no route",
+                                 come_back_to_other};
+        }
+        return early_refusal{404, "no route matches", std::nullopt};
+    }
+    call.priority = call.route->priority;
+    if (call.route->without_key || !call.services->has_teams()) {
+        return std::nullopt;
+    }
+    if (stale) {
+        return early_refusal{503, "the configuration is too old to honour keys",
+                             come_back_to_other};
+    }
+    const team_keys* team = call.services->team_of(call.terms.key);
+    if (team == nullptr) {
+        return early_refusal{401, "the key is unknown", std::nullopt};
+    }
+    call.team = team->name;
+    call.priority = team->priority.value_or(call.priority);
+    return std::nullopt;
+}
+
+std::string choose_service(const call_route& route, const random_source& random)
+{
+    std::uint64_t total = 0;
+    for (const weighted_service& candidate : route.services) {
+        total += candidate.weight;
+    }
+    if (total == 0) {
+        return route.services.empty() ? std::string() : route.services.front().service;
+    }
+    std::uint64_t drawn = random_below(random, total);
+    for (const weighted_service& candidate : route.services) {
+        if (drawn < candidate.weight) {
+            return candidate.service;
+        }
+        drawn -= candidate.weight;
+    }
+    return route.services.back().service;
+}
+
+/** Breaks the call off when its caller goes; then waits to be cancelled itself. */
+asio::awaitable<void> watch_caller(relayed_call& call)
+{
+    co_await call.exchange.peer_gone();
+    call.cancel->cancel();
+    timer forever(co_await asio::this_coro::executor);
+    forever.expires_at(time_point::max());
+    co_await forever.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+asio::awaitable<void> send_on(relayed_call& call)
+{
+    const backend_service* service = call.services->find_service(call.service);
+    if (service != nullptr && service->engine) {
+        co_await relay_stream(call);
+    }
+    else {
+        co_await relay_plain_call(call);
+    }
+}
+
+void write_end(const relayed_call& call)
+{
+    const duration took = monotonic_clock::now() - call.arrived_at;
+    const std::string route = call.route == nullptr ? "none" : call.route->name;
+    const std::string version =
+        call.services ? std::to_string(call.services->version()) : std::string("none");
+    const std::optional<duration> age = call.context.configuration_age();
+    call_log.write("call_ended", {{"request", call.terms.id},
+                                  {"route", route},
+                                  {"team", call.team},
+                                  {"service", call.service},
+                                  {"model", call.terms.model},
+                                  {"tokens", std::to_string(call.terms.prompt_tokens)},
+                                  {"configuration", version},
+                                  {"configuration_age_ms", age ? to_ms_text(*age) : "never"},
+                                  {"deadline_ms", to_ms_text(call.deadline - call.arrived_at)},
+                                  {"backend", call.end.backend},
+                                  {"sends", std::to_string(call.end.sends)},
+                                  {"runs", std::to_string(call.end.runs)},
+                                  {"events", std::to_string(call.end.events)},
+                                  {"status", std::to_string(call.end.status)},
+                                  {"outcome", call.end.outcome},
+                                  {"reason", call.end.reason},
+                                  {"took_ms", to_ms_text(took)}});
+    metrics_registry& metrics = *call.context.metrics;
+    metrics.counter("chervil_calls_total", {{"outcome", call.end.outcome}}) += 1;
+    metrics.distribution("chervil_call_seconds", {{"team", call.team}}).note(took);
+}
+
+} // namespace
+
+asio::awaitable<void> serve_call(relay_context& context, http_exchange& exchange)
+{
+    using namespace asio::experimental::awaitable_operators;
+    relayed_call call(context, exchange);
+    call.arrived_at = monotonic_clock::now();
+    call.deadline = call.arrived_at + call.terms.time_left.value_or(default_time_left);
+    if (auto refused = find_route(call)) {
+        call.end.status = refused->status;
+        call.end.outcome = "refused";
+        call.end.reason = refused->reason;
+        http_reply reply =
+            context.dialect.write_refusal(refused->status, refused->reason, refused->retry_after);
+        co_await exchange.respond(std::move(reply));
+        write_end(call);
+        co_return;
+    }
+    call.deadline = std::min(call.deadline, call.arrived_at + call.route->timeout);
+    call.service = choose_service(*call.route, context.random);
+    co_await (send_on(call) || watch_caller(call));
+    write_end(call);
+}
+
+} // namespace chervildyke
--- /dev/null
+++ b/src/relay/fleet_view.cpp
@@ -0,0 +1,223 @@
+/** \file
+ * Implements fleet_view.
+ */
+#include "relay/fleet_view.h"
+
+#include <utility>
+
+#include <boost/asio.hpp>
+
+#include "base/event_log.h"
+
+namespace chervildyke {
+
+namespace asio = boost::asio;
+
+namespace {
+
+const event_log view_log("view");
+
+topic_hooks hooks(std::function<void(const keyed_records&)> replace,
+                  std::function<void(const keyed_records&)> apply, std::function<void()> outage)
+{
+    topic_hooks made;
+    made.replace = std::move(replace);
+    made.apply = std::move(apply);
+    made.outage = std::move(outage);
+    return made;
+}
+
+} // namespace
+
+fleet_view::fleet_view(asio::any_io_executor executor, shared_log log, fleet_dialect dialect,
+                       random_source random, duration return_time, fleet_view_settings settings)
+    : executor_(std::move(executor)), dialect_(std::move(dialect)), random_(std::move(random)),
+      settings_(settings), backends_(return_time),
+      configuration_(log, dialect_.configuration_topic,
+                     hooks([this](const keyed_records& read) { take_configuration(read); },
+                           [this](const keyed_records& read) { take_configuration(read); }, [] {})),
+      backend_list_(log, dialect_.backend_topic,
+                    hooks([this](const keyed_records& read) { take_backends(read, true); },
+                          [this](const keyed_records& read) { take_backends(read, false); },
+                          [this] { backends_.note_outage(monotonic_clock::now()); })),
+      replicas_(log, replica_topic,
+                hooks(
+                    [this](const keyed_records& read) {
+                        ledger_.replace(read);
+                        on_change();
+                    },
+                    [this](const keyed_records& read) {
+                        ledger_.apply(read);
+                        on_change();
+                    },
+                    [] {})),
+      newer_replicas_(executor_)
+{
+}
+
+void fleet_view::take_configuration(const keyed_records& records)
+{
+    for (const keyed_record& record : records.records) {
+        if (record.key != dialect_.configuration_key || !record.value) {
+            continue;
+        }
+        auto read = dialect_.read_configuration(*record.value);
+        const std::string offset = std::to_string(record.offset);
+        if (!read) {
+            view_log.write("configuration_rejected",
+                           {{"offset", offset}, {"reason", read.last_reason().reason}});
+            continue;
+        }
+        if (services_ && (*read)->version() <= services_->version()) {
+            view_log.write("configuration_skipped",
+                           {{"offset", offset},
+                            {"version", std::to_string((*read)->version())},
+                            {"in_force", std::to_string(services_->version())}});
+            continue;
+        }
+        services_ = *read;
+        view_log.write("configuration_in_force",
+                       {{"offset", offset},
+                        {"version", std::to_string(services_->version())},
+                        {"routes", std::to_string(services_->routes().size())}});
+        on_configuration(services_);
+    }
+}
+
+void fleet_view::take_backends(const keyed_records& records, bool all)
+{
+    const time_point now = monotonic_clock::now();
+    const std::uint64_t before = backends_.version();
+    std::vector<std::string> listed;
+    for (const keyed_record& record : records.records) {
+        if (!record.value) {
+            view_log.write("backend_removed",
+                           {{"backend", record.key}, {"offset", std::to_string(record.offset)}});
+            backends_.remove(record.key, now);
+            continue;
+        }
+        auto read = dialect_.read_backend(record.key, *record.value);
+        if (!read) {
+            view_log.write("backend_rejected",
+                           {{"backend", record.key}, {"reason", read.last_reason().reason}});
+            backends_.remove(record.key, now);
+            continue;
+        }
+        listed.push_back(record.key);
+        const listed_backend* known = backends_.find(record.key);
+        if (known == nullptr || known->self.leaving != read->leaving ||
+            known->self.started_ms != read->started_ms) {
+            view_log.write("backend_listed", {{"backend", record.key},
+                                              {"service", read->service},
+                                              {"address", read->address},
+                                              {"leaving", read->leaving ? "yes" : "no"},
+                                              {"offset", std::to_string(record.offset)}});
+        }
+        backends_.apply(*read, now);
+    }
+    if (all) {
+        backends_.retain(listed, now);
+    }
+    for (const std::string& id : backends_.drop_lapsed(now)) {
+        view_log.write("backend_gone", {{"backend", id}, {"reason", "it did not come back"}});
+    }
+    if (backends_.version() != before) {
+        on_change();
+    }
+}
+
+asio::awaitable<void> fleet_view::follow_configuration()
+{
+    const auto self = shared_from_this();
+    while (true) {
+        if (!co_await configuration_.read_once(settings_.configuration_wait)) {
+            co_await sleep_for(settings_.retry_interval);
+        }
+        else if (!services_) {
+            co_await sleep_for(settings_.busy_backend_interval); // Not published yet.
+        }
+    }
+}
+
+bool fleet_view::forming() const
+{
+    for (const auto& [name, replica] : ledger_.replicas()) {
+        if (replica.phase() != schema::shared_phase_serving) {
+            return true;
+        }
+    }
+    return ledger_.replicas().empty();
+}
+
+asio::awaitable<void> fleet_view::follow_backends()
+{
+    const auto self = shared_from_this();
+    while (true) {
+        const bool read = co_await backend_list_.read_once(settings_.backend_wait);
+        const bool busy = wants_fresh_list() && forming();
+        co_await sleep_for(!read  ? settings_.retry_interval
+                           : busy ? settings_.busy_backend_interval
+                                  : settings_.backend_interval);
+    }
+}
+
+asio::awaitable<void> fleet_view::read_replicas()
+{
+    const auto self = shared_from_this();
+    if (reading_replicas_) {
+        co_return;
+    }
+    reading_replicas_ = true;
+    co_await replicas_.read_once(duration::zero());
+    reading_replicas_ = false;
+}
+
+asio::awaitable<void> fleet_view::follow_replicas()
+{
+    const auto self = shared_from_this();
+    while (true) {
+        co_await read_replicas();
+        newer_replicas_.expires_after(replicas_.has_read() ? settings_.replica_interval
+                                                           : settings_.retry_interval);
+        co_await newer_replicas_.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
+void fleet_view::note_newer_replicas(std::uint64_t next_offset)
+{
+    if (next_offset > replicas_.next_offset()) {
+        newer_replicas_.cancel();
+    }
+}
+
+std::vector<serving_replica> fleet_view::serving() const
+{
+    std::vector<serving_replica> replicas;
+    for (const auto& [name, replica] : ledger_.replicas()) {
+        if (replica.phase() != schema::shared_phase_serving) {
+            continue;
+        }
+        bool whole = true;
+        for (const schema::shared_member& member : replica.members()) {
+            const listed_backend* listed = backends_.find(member.id());
+            whole = whole && listed != nullptr && !listed->self.leaving &&
+                    listed->self.started_ms == member.started_ms();
+        }
+        if (!whole) {
+            continue;
+        }
+        const backend& head = backends_.find(replica.members(0).id())->self;
+        serving_replica found;
+        found.epoch = replica.epoch();
+        found.name = name;
+        found.service = replica.service();
+        found.model = replica.model();
+        found.head_id = head.id;
+        found.head_address = head.address;
+        found.failure_domain = head.failure_domain;
+        replicas.push_back(std::move(found));
+    }
+    return replicas;
+}
+
+} // namespace chervildyke
--- /dev/null
+++ b/src/relay/fleet_view.h
@@ -0,0 +1,88 @@
+/** \file
+ * Defines fleet_view, which follows the shared log: the configuration, the backend servers and the
+ * replicas.
+ */
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include "assembly/replica_ledger.h"
+#include "base/random.h"
+#include "fleet/backend_table.h"
+#include "fleet/service_map.h"
+#include "fleet/topic_follower.h"
+#include "relay/fleet_dialect.h"
+#include "routing/replica_board.h"
+
+namespace chervildyke {
+
+struct fleet_view_settings {
+    duration configuration_wait = 1200ms; // Of one read; the age that it confirms starts over then.
+    duration backend_wait = 1500ms;       // Of one read of the list, which changes seldom.
+    duration backend_interval = 300ms;    // Between two reads; a leaving server must get no more
+                                          // calls within 2 s.
+    duration busy_backend_interval = 60ms; // While replicas form: a step of theirs takes 200 ms.
+    duration replica_interval = 3s;        // Without word of newer records from peers.
+    duration retry_interval = 400ms;       // After a failed read; each costs a call on the log.
+};
+
+class fleet_view : public std::enable_shared_from_this<fleet_view> {
+  public:
+    fleet_view(boost::asio::any_io_executor executor, shared_log log, fleet_dialect dialect,
+               random_source random, duration return_time, fleet_view_settings settings = {});
+
+    /** Called with each new configuration. */
+    std::function<void(const service_map_ptr&)> on_configuration;
+
+    /** Called when backend servers or replicas changed. */
+    std::function<void()> on_change;
+
+    /** True while this node acts on the list and wants it fresh. */
+    std::function<bool()> wants_fresh_list;
+
+    boost::asio::awaitable<void> follow_configuration();
+    boost::asio::awaitable<void> follow_backends();
+    boost::asio::awaitable<void> follow_replicas();
+
+    /** Reads the replicas once, now. */
+    boost::asio::awaitable<void> read_replicas();
+
+    /** A peer has read the replicas up to the offset. */
+    void note_newer_replicas(std::uint64_t next_offset);
+
+    const service_map_ptr& services() const { return services_; }
+    const backend_table& backends() const { return backends_; }
+    const replica_ledger& ledger() const { return ledger_; }
+    std::optional<duration> configuration_age() const { return configuration_.age(); }
+    std::optional<duration> backend_age() const { return backend_list_.age(); }
+    std::optional<duration> replica_age() const { return replicas_.age(); }
+    std::uint64_t configuration_offset() const { return configuration_.next_offset(); }
+
+    /** The replicas that can take calls, as far as this node knows. */
+    std::vector<serving_replica> serving() const;
+
+  private:
+    void take_configuration(const keyed_records& records);
+    void take_backends(const keyed_records& records, bool all);
+    bool forming() const;
+
+    boost::asio::any_io_executor executor_;
+    fleet_dialect dialect_;
+    random_source random_;
+    fleet_view_settings settings_;
+    backend_table backends_;
+    replica_ledger ledger_;
+    service_map_ptr services_;
+    topic_follower configuration_;
+    topic_follower backend_list_;
+    topic_follower replicas_;
+    timer newer_replicas_;
+    bool reading_replicas_ = false;
+};
+
+} // namespace chervildyke
--- /dev/null
+++ b/src/relay/relay_context.h
@@ -0,0 +1,61 @@
+/** \file
+ * Defines relay_context, what all calls of one node share.
+ */
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include "base/http_client.h"
+#include "base/metrics.h"
+#include "base/random.h"
+#include "fleet/backend_table.h"
+#include "fleet/service_map.h"
+#include "relay/call_dialect.h"
+#include "relay/call_gate.h"
+#include "routing/backend_book.h"
+#include "routing/replica_board.h"
+#include "routing/retry_policy.h"
+
+namespace chervildyke {
+
+struct relay_limits {
+    double retry_ratio = 0.2;    // Of this node's calls.
+    double retry_reserve = 5;    // Of this node.
+    duration key_staleness = 5s; // Keys are honoured while the configuration is younger.
+};
+
+/** Shared by all calls; outlives each of them. */
+struct relay_context {
+    boost::asio::any_io_executor executor;
+    random_source random;
+    call_dialect dialect;
+    relay_limits limits;
+    std::shared_ptr<http_client> http;
+    std::shared_ptr<metrics_registry> metrics;
+    std::shared_ptr<replica_board> board;
+    std::shared_ptr<call_gate> gate;
+    std::shared_ptr<backend_book> book;
+    const backend_table* backends = nullptr;
+    std::map<std::string, retry_budget> budgets; // By service.
+    bool leaving = false;
+
+    /** The newest configuration; null before the first. */
+    std::function<service_map_ptr()> services;
+
+    /** Since the configuration was last confirmed as the newest. */
+    std::function<std::optional<duration>()> configuration_age;
+
+    retry_budget& budget_of(const std::string& service)
+    {
+        const auto found = budgets.try_emplace(service, limits.retry_ratio, limits.retry_reserve,
+                                               limits.retry_reserve);
+        return found.first->second;
+    }
+};
+
+} // namespace chervildyke
--- /dev/null
+++ b/src/relay/relay_node.cpp
@@ -0,0 +1,340 @@
+/** \file
+ * Implements relay_node.
+ */
+#include "relay/relay_node.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/event_log.h"
+#include "base/task.h"
+#include "relay/call_intake.h"
+
+namespace chervildyke {
+
+namespace asio = boost::asio;
+
+namespace {
+
+const event_log node_log("node");
+
+constexpr const char* node_topic = "nodes";
+constexpr duration store_sound_limit = 2500ms; // Two reads of the configuration.
+constexpr duration list_current_limit = 4s;    // Two reads of the list.
+constexpr duration lead_after = 1200ms;        // Since the start: peers are known by then.
+constexpr duration key_margin = 500ms;         // For clocks that run apart and calls on their way.
+constexpr double retry_use = 0.6;           // Of the budget of all nodes: what a node has spent is
+                                            // forgotten when it starts again.
+constexpr double usual_nodes = 8;           // Among which the budget's slack is divided at least.
+constexpr duration grace_reserve = 600ms;   // Of the grace time, to end in order.
+constexpr duration leaving_accept = 2500ms; // Callers keep an address for that long.
+
+duration from_ms(double ms)
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(ms));
+}
+
+http_reply text_reply(unsigned status, std::string text)
+{
+    http_reply reply;
+    reply.status = status;
+    reply.content_type = "text/plain";
+    reply.body = std::move(text);
+    return reply;
+}
+
+} // namespace
+
+relay_node::relay_node(asio::any_io_executor executor, schema::relay_settings settings,
+                       relay_surroundings surroundings, std::shared_ptr<http_client> http,
+                       random_source random)
+    : executor_(std::move(executor)), settings_(std::move(settings)),
+      surroundings_(std::move(surroundings)), random_(std::move(random)),
+      incarnation_(wall_clock_ms()), started_at_(monotonic_clock::now()),
+      calls_(executor_, [this](http_exchange& exchange) { return serve(exchange); }),
+      ready_(executor_, [this](http_exchange& exchange) { return serve_ready(exchange); }),
+      directory_(executor_, [this](http_exchange& exchange) { return serve_directory(exchange); }),
+      metrics_(executor_, [this](http_exchange& exchange) { return serve_metrics(exchange); })
+{
+    view_ = std::make_shared<fleet_view>(executor_, surroundings_.log, surroundings_.fleet, random_,
+                                         from_ms(settings_.clock_settle_ms()));
+    context_.executor = executor_;
+    context_.random = random_;
+    context_.dialect = surroundings_.calls;
+    context_.http = std::move(http);
+    context_.metrics = std::make_shared<metrics_registry>();
+    context_.board = std::make_shared<replica_board>(random_);
+    context_.gate = std::make_shared<call_gate>(executor_, *context_.board);
+    context_.book = std::make_shared<backend_book>(settings_.failure_domain(), random_);
+    context_.backends = &view_->backends();
+    context_.limits.retry_ratio = settings_.retry_ratio() * retry_use;
+    context_.limits.retry_reserve = settings_.retry_slack() * retry_use / usual_nodes;
+    context_.limits.key_staleness = from_ms(settings_.key_staleness_ms()) - key_margin;
+    context_.services = [this] { return view_->services(); };
+    context_.configuration_age = [this] { return view_->configuration_age(); };
+    view_->on_configuration = [this](const service_map_ptr& map) { take_configuration(map); };
+    view_->on_change = [this] { take_change(); };
+    view_->wants_fresh_list = [this] { return leads(); };
+    peers_ = std::make_shared<peer_exchange>(
+        executor_, [this](schema::peer_word& word) { describe(word); }, random_);
+    peers_->on_word = [this](const schema::peer_word& word) { take_word(word); };
+    assembler_hooks hooks;
+    hooks.leads = [this] { return leads(); };
+    hooks.services = [this] { return view_->services(); };
+    hooks.calls_began = [this] { return calls_began_; };
+    hooks.list_is_current = [this] {
+        const auto age = view_->backend_age();
+        return age && *age < list_current_limit;
+    };
+    hooks.demand_ms_per_s = [this] { return demand(); };
+    hooks.refresh_ledger = [this] { return view_->read_replicas(); };
+    const assembly_settings assembly;
+    assembler_ = std::make_shared<assembler>(executor_, surroundings_.log, surroundings_.engines,
+                                             view_->ledger(), view_->backends(), *context_.board,
+                                             std::move(hooks), assembly);
+}
+
+bool relay_node::listen(http_server& server, const std::string& address)
+{
+    std::string ip;
+    std::uint16_t port = 0;
+    if (!split_address(address, ip, port) || !server.listen(ip, port)) {
+        last_reason_ = ip.empty() ? "not ip:port: " + address : server.last_reason();
+        return false;
+    }
+    return true;
+}
+
+bool relay_node::start()
+{
+    const auto port = static_cast<std::uint16_t>(settings_.peer_port());
+    if (!peers_->listen(settings_.address(), port)) {
+        last_reason_ = peers_->last_reason();
+        return false;
+    }
+    const std::string metrics_address =
+        settings_.address() + ":" + std::to_string(settings_.metrics_port());
+    if (!listen(calls_, settings_.call_address()) || !listen(ready_, settings_.ready_address()) ||
+        !listen(directory_, settings_.directory_address()) || !listen(metrics_, metrics_address)) {
+        return false;
+    }
+    for (const std::string& seed : settings_.seed_addresses()) {
+        peers_->introduce(seed.substr(0, seed.rfind(':')), port);
+    }
+    spawn_task(executor_, "configuration", view_->follow_configuration());
+    spawn_task(executor_, "backends", view_->follow_backends());
+    spawn_task(executor_, "replicas", view_->follow_replicas());
+    spawn_task(executor_, "peer words", peers_->send_words());
+    spawn_task(executor_, "peer reader", peers_->receive_words());
+    spawn_task(executor_, "assembly", assembler_->run());
+    spawn_task(executor_, "address", publish_address());
+    spawn_task(executor_, "node list", follow_peers());
+    node_log.write("started", {{"address", settings_.call_address()},
+                               {"incarnation", std::to_string(incarnation_)},
+                               {"store", settings_.store_address()}});
+    return true;
+}
+
+asio::awaitable<void> relay_node::publish_address()
+{
+    schema::known_peer self;
+    self.set_address(settings_.address());
+    self.set_port(settings_.peer_port());
+    keyed_record record;
+    record.key = settings_.name();
+    record.value = self.SerializeAsString();
+    while (true) {
+        auto put = co_await surroundings_.log.put(node_topic, record);
+        if (put) {
+            co_return;
+        }
+        node_log.write("address_not_published", {{"reason", put.last_reason().reason}});
+        co_await sleep_for(1s);
+    }
+}
+
+asio::awaitable<void> relay_node::follow_peers()
+{
+    topic_hooks hooks;
+    hooks.replace = [this](const keyed_records& records) {
+        for (const keyed_record& record : records.records) {
+            schema::known_peer node;
+            if (record.value && node.ParseFromString(*record.value)) {
+                peers_->introduce(node.address(), static_cast<std::uint16_t>(node.port()));
+            }
+        }
+    };
+    hooks.apply = hooks.replace;
+    hooks.outage = [] {};
+    topic_follower follower(surroundings_.log, node_topic, hooks);
+    constexpr duration wait = 10s; // New nodes also introduce themselves to the seeds.
+    while (true) {
+        if (!co_await follower.read_once(wait)) {
+            co_await sleep_for(1s);
+        }
+    }
+}
+
+void relay_node::take_configuration(const service_map_ptr& services)
+{
+    for (const auto& [name, service] : services->services()) {
+        if (service.engine) {
+            context_.board->set_profile(name, *service.engine);
+        }
+    }
+    const caller_limits& given = services->limits();
+    http_limits limits;
+    limits.max_body_bytes = given.max_body_bytes;
+    limits.max_header_bytes = given.max_header_bytes;
+    limits.request_read_timeout = given.header_timeout;
+    limits.idle_timeout = given.idle_timeout + 1s; // A request may cross the end of its time.
+    calls_.set_limits(limits);
+    take_change();
+}
+
+void relay_node::take_change()
+{
+    context_.board->set_serving(view_->serving());
+    context_.gate->pump();
+}
+
+void relay_node::take_word(const schema::peer_word& word)
+{
+    std::map<std::uint64_t, replica_use> uses;
+    for (const schema::replica_count& count : word.counts()) {
+        uses[count.epoch()] = {count.running(), count.prompt_tokens(),
+                               std::chrono::milliseconds(count.silent_ms())};
+    }
+    context_.board->note_peer(word.name(), std::move(uses), monotonic_clock::now());
+    context_.gate->pump();
+    calls_began_ = calls_began_ || word.calls_began();
+    view_->note_newer_replicas(word.replica_log_end());
+}
+
+void relay_node::describe(schema::peer_word& word)
+{
+    const time_point now = monotonic_clock::now();
+    const auto to_ms = [](duration span) {
+        return static_cast<std::uint32_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+    };
+    word.set_name(settings_.name());
+    word.set_address(settings_.address());
+    word.set_port(settings_.peer_port());
+    word.set_incarnation(incarnation_);
+    word.set_call_address(settings_.call_address());
+    word.set_failure_domain(settings_.failure_domain());
+    word.set_ready(ready());
+    word.set_leaving(context_.leaving);
+    word.set_sound_store(sound_store());
+    word.set_replica_log_end(view_->ledger().end());
+    word.set_calls_began(calls_began_);
+    word.set_up_ms(to_ms(now - started_at_));
+    for (const auto& [epoch, use] : context_.board->own_uses(now)) {
+        schema::replica_count& count = *word.add_counts();
+        count.set_epoch(epoch);
+        count.set_running(use.running);
+        count.set_prompt_tokens(use.prompt_tokens);
+        count.set_silent_ms(to_ms(use.silent));
+    }
+}
+
+bool relay_node::sound_store() const
+{
+    const auto age = view_->configuration_age();
+    return age && *age < store_sound_limit;
+}
+
+bool relay_node::ready() const
+{
+    return !context_.leaving && view_->services() != nullptr;
+}
+
+bool relay_node::leads() const
+{
+    if (context_.leaving || !sound_store() || monotonic_clock::now() - started_at_ < lead_after) {
+        return false;
+    }
+    for (const known_node* node : peers_->live()) {
+        const schema::peer_word& word = node->word;
+        const bool able = word.sound_store() && !word.leaving() &&
+                          std::chrono::milliseconds(word.up_ms()) >= lead_after;
+        if (able && word.name() < settings_.name()) {
+            return false;
+        }
+    }
+    return true;
+}
+
+std::map<std::string, double> relay_node::demand() const
+{
+    return {};
+}
+
+std::vector<std::string> relay_node::call_addresses() const
+{
+    std::vector<std::string> sound;
+    std::vector<std::string> others;
+    if (ready()) {
+        (sound_store() ? sound : others).push_back(settings_.call_address());
+    }
+    for (const known_node* node : peers_->live()) {
+        if (node->word.ready() && !node->word.leaving()) {
+            (node->word.sound_store() ? sound : others).push_back(node->word.call_address());
+        }
+    }
+    return sound.empty() ? others : sound;
+}
+
+asio::awaitable<void> relay_node::serve(http_exchange& exchange)
+{
+    calls_began_ = true;
+    co_await serve_call(context_, exchange);
+}
+
+asio::awaitable<void> relay_node::serve_ready(http_exchange& exchange)
+{
+    const bool answer = ready();
+    http_reply reply = text_reply(answer ? 200 : 503, answer ? "ready\n" : "not ready\n");
+    co_await exchange.respond(std::move(reply));
+}
+
+asio::awaitable<void> relay_node::serve_directory(http_exchange& exchange)
+{
+    constexpr std::size_t max_addresses = 64; // Callers read no more.
+    std::vector<std::string> addresses = call_addresses();
+    for (std::size_t i = 0; i + 1 < addresses.size(); ++i) {
+        std::swap(addresses[i], addresses[i + random_below(random_, addresses.size() - i)]);
+    }
+    addresses.resize(std::min(addresses.size(), max_addresses));
+    const duration validity = from_ms(1000 * settings_.address_validity_s());
+    http_reply reply = addresses.empty() ? text_reply(503, "no node is ready\n")
+                                         : surroundings_.fleet.write_directory(addresses, validity);
+    co_await exchange.respond(std::move(reply));
+}
+
+asio::awaitable<void> relay_node::serve_metrics(http_exchange& exchange)
+{
+    http_reply reply = text_reply(200, context_.metrics->to_text());
+    reply.content_type = "text/plain; version=0.0.4; charset=utf-8";
+    co_await exchange.respond(std::move(reply));
+}
+
+asio::awaitable<void> relay_node::drain()
+{
+    const time_point end =
+        monotonic_clock::now() + from_ms(1000 * settings_.stop_grace_s()) - grace_reserve;
+    context_.leaving = true;
+    calls_.close_after_answers();
+    peers_->tell_all();
+    node_log.write("stopping",
+                   {{"calls_in_progress", std::to_string(calls_.requests_in_progress())}});
+    co_await sleep_for(leaving_accept);
+    calls_.stop_accepting();
+    while (calls_.requests_in_progress() > 0 && monotonic_clock::now() < end) {
+        co_await sleep_for(20ms);
+    }
+    node_log.write("stopped", {{"calls_cut_off", std::to_string(calls_.requests_in_progress())}});
+}
+
+} // namespace chervildyke
--- /dev/null
+++ b/src/relay/relayed_call.cpp
@@ -0,0 +1,74 @@
+/** \file
+ * Implements what plain calls and streams share.
+ */
+#include "relay/relayed_call.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chervildyke {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr duration connect_timeout =
+    250ms; // Far more than a round trip; SYNs are resent after 1 s.
+
+} // namespace
+
+http_request relayed_call::attempt(const std::string& backend_id,
+                                   std::optional<std::uint64_t> last_event) const
+{
+    attempt_terms added;
+    added.backend_id = backend_id;
+    added.team = team;
+    added.time_left = std::max<duration>(time_left(), 1ms);
+    added.last_event = last_event;
+    return context.dialect.write_attempt(exchange.request(), added);
+}
+
+http_call_options relayed_call::options(duration patience) const
+{
+    http_call_options options;
+    options.timeout = std::max<duration>(std::min(patience, time_left()), 1ms);
+    options.connect_timeout = connect_timeout;
+    options.cancel = cancel;
+    options.belongs = [read_marks = context.dialect.read_marks,
+                       id = terms.id](const std::vector<http_header>& headers) {
+        const answer_marks marks = read_marks(200, headers);
+        return marks.call_id.empty() || marks.call_id == id;
+    };
+    return options;
+}
+
+asio::awaitable<void> refuse(relayed_call& call, unsigned status, std::string reason,
+                             duration retry_after)
+{
+    http_reply reply = call.context.dialect.write_refusal(status, reason, retry_after);
+    call.end.status = status;
+    call.end.outcome = "refused";
+    call.end.reason = std::move(reason);
+    co_await call.exchange.respond(std::move(reply));
+}
+
+asio::awaitable<void> fail(relayed_call& call, unsigned status, std::string reason)
+{
+    http_reply reply = call.context.dialect.write_refusal(status, reason, std::nullopt);
+    call.end.status = status;
+    call.end.outcome = "failed";
+    call.end.reason = std::move(reason);
+    co_await call.exchange.respond(std::move(reply));
+}
+
+http_reply pass_on(unsigned status, const std::vector<http_header>& headers, std::string body)
+{
+    http_reply reply;
+    reply.status = status;
+    reply.headers = end_to_end_headers(headers);
+    reply.content_type.clear();
+    reply.body = std::move(body);
+    return reply;
+}
+
+} // namespace chervildyke
--- a/src/replicas/engine_orders.cpp
+++ b/src/replicas/engine_orders.cpp
@@ -176,7 +176,7 @@
         found->second.in_flight = false;
     }
     if (!reply) {
-        if (reply.last_reason().code != platform_error::unclear) {
+        if (reply.last_reason().code != external_error::unclear) {
             unclear.erase(due.vm);
         }
         co_return;
--- a/src/replicas/engine_orders.h
+++ b/src/replicas/engine_orders.h
@@ -12,7 +12,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
-#include "platform/engine_client.h"
+#include "external/engine_client.h"
 #include "replicas/repair_plan.h"
 #include "replicas/report_table.h"
 
--- a/src/replicas/vm_watcher.h
+++ b/src/replicas/vm_watcher.h
@@ -15,8 +15,8 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
-#include "platform/engine_client.h"
-#include "platform/vm_list_client.h"
+#include "external/engine_client.h"
+#include "external/vm_list_client.h"
 #include "replicas/report_table.h"
 
 namespace chervildyke {
--- a/src/entry/service_choice.cpp
+++ b/src/routing/backend_book.cpp
@@ -1,7 +1,7 @@
 /** \file
  * Implements the choice among the backend servers of a plain service.
  */
-#include "entry/service_choice.h"
+#include "routing/backend_book.h"
 
 #include <algorithm>
 #include <utility>
@@ -21,17 +21,17 @@
 {
 }
 
-std::optional<std::string> backend_book::choose(const schema::service_view& service,
+std::optional<std::string> backend_book::choose(const std::vector<backend_candidate>& candidates,
                                                 const std::set<std::string>& tried, time_point now)
 {
     std::vector<std::string> near;
     std::vector<std::string> far;
-    for (const schema::backend_view& backend : service.backends()) {
-        const std::string& address = backend.address();
-        if (!backend.healthy() || tried.count(address) > 0 || !may_call(address, now)) {
+    for (const backend_candidate& backend : candidates) {
+        const std::string& address = backend.address;
+        if (tried.count(address) > 0 || !may_call(address, now)) {
             continue;
         }
-        (backend.failure_domain() == failure_domain_ ? near : far).push_back(address);
+        (backend.failure_domain == failure_domain_ ? near : far).push_back(address);
     }
     const auto nearby = less_busy(near);
     const auto remote = less_busy(far);
--- a/src/entry/service_choice.h
+++ b/src/routing/backend_book.h
@@ -8,10 +8,10 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "base/clock.h"
 #include "base/random.h"
-#include "control_api.pb.h"
 
 namespace chervildyke {
 
@@ -23,6 +23,14 @@
         4; // Calls in flight more that the own failure domain may have.
 };
 
+/** A backend server that may be called. */
+struct backend_candidate {
+    std::string address;
+    std::string failure_domain;
+
+    bool operator==(const backend_candidate&) const = default;
+};
+
 /** How a call on a backend server ended, as far as its health is concerned. */
 enum class backend_result { answered, failed };
 
@@ -35,11 +43,11 @@
     /** Chooses by two random choices over calls in flight, in the own failure domain unless its
      * choice is much busier. A backend server that is excluded gets one trial call when its time
      * is over.
-     * \param service the backend servers and the health that the controls see.
+     * \param candidates the backend servers that may be called.
      * \param tried addresses not to choose again.
      * \return an address, or nothing when none may be called.
      */
-    std::optional<std::string> choose(const schema::service_view& service,
+    std::optional<std::string> choose(const std::vector<backend_candidate>& candidates,
                                       const std::set<std::string>& tried, time_point now);
 
     void note_start(const std::string& address);
--- /dev/null
+++ b/src/routing/replica_board.cpp
@@ -0,0 +1,189 @@
+/** \file
+ * Implements replica_board.
+ */
+#include "routing/replica_board.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "routing/replica_pace.h"
+
+namespace chervildyke {
+
+replica_board::replica_board(random_source random, board_settings settings)
+    : random_(std::move(random)), settings_(settings)
+{
+}
+
+void replica_board::set_profile(const std::string& service, const engine_profile& profile)
+{
+    profiles_[service] = profile;
+}
+
+void replica_board::set_serving(std::vector<serving_replica> replicas)
+{
+    serving_.clear();
+    for (serving_replica& replica : replicas) {
+        const std::uint64_t epoch = replica.epoch;
+        serving_.emplace(epoch, std::move(replica));
+    }
+    std::erase_if(suspects_, [this](const auto& entry) { return !serving_.contains(entry.first); });
+    std::erase_if(own_, [this](const auto& entry) {
+        return entry.second.running == 0 && !serving_.contains(entry.first);
+    });
+}
+
+void replica_board::note_peer(const std::string& peer, std::map<std::uint64_t, replica_use> uses,
+                              time_point now)
+{
+    peers_[peer] = {std::move(uses), now};
+    std::erase_if(peers_, [&](const auto& entry) {
+        return now - entry.second.heard_at > settings_.peer_word_lifetime;
+    });
+}
+
+void replica_board::suspect(std::uint64_t epoch, time_point until)
+{
+    time_point& held = suspects_[epoch];
+    held = std::max(held, until);
+}
+
+replica_use replica_board::use_of(std::uint64_t epoch, time_point now) const
+{
+    replica_use use;
+    bool heard = false;
+    const auto add = [&](const replica_use& one) {
+        use.running += one.running;
+        use.prompt_tokens += one.prompt_tokens;
+        if (one.running > 0) {
+            use.silent = heard ? std::min(use.silent, one.silent) : one.silent;
+            heard = true;
+        }
+    };
+    if (const auto own = own_.find(epoch); own != own_.end()) {
+        add({own->second.running, own->second.prompt_tokens, now - own->second.last_event});
+    }
+    for (const auto& [name, peer] : peers_) {
+        const auto found = peer.uses.find(epoch);
+        if (found == peer.uses.end() || now - peer.heard_at > settings_.peer_word_lifetime) {
+            continue;
+        }
+        replica_use aged = found->second;
+        aged.silent += now - peer.heard_at;
+        add(aged);
+    }
+    return use;
+}
+
+board_answer replica_board::choose(const replica_request& request, double fill_limit,
+                                   time_point now)
+{
+    board_answer answer;
+    const auto profile = profiles_.find(request.service);
+    const model_profile* model =
+        profile == profiles_.end() ? nullptr : profile->second.find(request.model);
+    if (model == nullptr) {
+        return answer;
+    }
+    const replica_pace pace(profile->second, *model);
+    std::vector<replica_offer> open;
+    for (const auto& [epoch, replica] : serving_) {
+        if (replica.service != request.service || replica.model != request.model) {
+            continue;
+        }
+        answer.serves_model = true;
+        const auto suspected = suspects_.find(epoch);
+        const bool left_out = suspected != suspects_.end() && now < suspected->second;
+        if (left_out || request.tried.contains(epoch)) {
+            continue;
+        }
+        const replica_use use = use_of(epoch, now);
+        if (use.running < fill_limit * profile->second.batch_slots) {
+            open.push_back({replica,
+                            pace.first_event(use.running, use.prompt_tokens, request.prompt_tokens),
+                            pace.event_gap(use.running + 1), use.running});
+        }
+    }
+    for (std::uint32_t i = 0; i < settings_.choices && !open.empty(); ++i) {
+        const std::size_t index = random_below(random_, open.size());
+        if (!answer.offer || open[index].first_event < answer.offer->first_event) {
+            answer.offer = open[index];
+        }
+        open.erase(open.begin() + static_cast<std::ptrdiff_t>(index));
+    }
+    return answer;
+}
+
+std::map<std::uint64_t, replica_use> replica_board::own_uses(time_point now) const
+{
+    std::map<std::uint64_t, replica_use> uses;
+    for (const auto& [epoch, state] : own_) {
+        if (state.running > 0) {
+            uses[epoch] = {state.running, state.prompt_tokens, now - state.last_event};
+        }
+    }
+    return uses;
+}
+
+std::map<std::uint64_t, replica_use> replica_board::all_uses(time_point now) const
+{
+    std::map<std::uint64_t, replica_use> uses;
+    for (const auto& [epoch, replica] : serving_) {
+        uses[epoch] = use_of(epoch, now);
+    }
+    return uses;
+}
+
+std::uint32_t replica_board::running_of_model(const std::string& service, const std::string& model,
+                                              time_point now) const
+{
+    std::uint32_t running = 0;
+    for (const auto& [epoch, replica] : serving_) {
+        if (replica.service == service && replica.model == model) {
+            running += use_of(epoch, now).running;
+        }
+    }
+    return running;
+}
+
+std::uint32_t replica_board::places_of_model(const std::string& service,
+                                             const std::string& model) const
+{
+    const auto profile = profiles_.find(service);
+    std::uint32_t places = 0;
+    for (const auto& [epoch, replica] : serving_) {
+        if (profile != profiles_.end() && replica.service == service && replica.model == model) {
+            places += profile->second.batch_slots;
+        }
+    }
+    return places;
+}
+
+replica_board::call::call(replica_board& board, std::uint64_t epoch, std::uint32_t prompt_tokens,
+                          time_point now)
+    : board_(board), epoch_(epoch), unread_tokens_(prompt_tokens)
+{
+    own_state& state = board_.own_[epoch_];
+    if (state.running == 0) {
+        state.last_event = now;
+    }
+    ++state.running;
+    state.prompt_tokens += prompt_tokens;
+}
+
+replica_board::call::~call()
+{
+    own_state& state = board_.own_[epoch_];
+    --state.running;
+    state.prompt_tokens -= unread_tokens_;
+}
+
+void replica_board::call::note_event(time_point now)
+{
+    own_state& state = board_.own_[epoch_];
+    state.prompt_tokens -= unread_tokens_;
+    unread_tokens_ = 0;
+    state.last_event = now;
+}
+
+} // namespace chervildyke
--- /dev/null
+++ b/src/routing/replica_board.h
@@ -0,0 +1,140 @@
+/** \file
+ * Defines replica_board, which knows the calls that all nodes have at each replica and chooses one
+ * for the next call.
+ */
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/random.h"
+#include "fleet/engine_profile.h"
+
+namespace chervildyke {
+
+/** A replica that takes calls. */
+struct serving_replica {
+    std::uint64_t epoch = 0; // Unique; names the replica between nodes.
+    std::string name;
+    std::string service;
+    std::string model;
+    std::string head_id;
+    std::string head_address;
+    std::string failure_domain;
+
+    bool operator==(const serving_replica&) const = default;
+};
+
+/** The calls that one node has at a replica. */
+struct replica_use {
+    std::uint32_t running = 0;       // Calls without an end.
+    std::uint32_t prompt_tokens = 0; // Of calls without a first event.
+    duration silent{};               // Since the last event or start; zero without calls.
+
+    bool operator==(const replica_use&) const = default;
+};
+
+struct replica_request {
+    std::string service;
+    std::string model;
+    std::uint32_t prompt_tokens = 0;
+    std::set<std::uint64_t> tried; // Epochs not to choose again.
+};
+
+struct replica_offer {
+    serving_replica replica;
+    duration first_event{}; // Predicted.
+    duration event_gap{};   // Predicted.
+    std::uint32_t running = 0;
+};
+
+/** What the board can say to a call now. */
+struct board_answer {
+    std::optional<replica_offer> offer; // None: no replica has room.
+    bool serves_model = false;          // Some replica serves it, with room or without.
+};
+
+struct board_settings {
+    duration peer_word_lifetime = 1500ms; // A silent peer's counts are forgotten; ten lost words.
+    std::uint32_t choices = 3;            // Replicas compared for a call; more would let nodes with
+                                          // the same old counts pick the same one.
+};
+
+class replica_board {
+  public:
+    replica_board(random_source random, board_settings settings = {});
+
+    void set_profile(const std::string& service, const engine_profile& profile);
+
+    /** The replicas that take calls now, of all services. */
+    void set_serving(std::vector<serving_replica> replicas);
+    const std::map<std::uint64_t, serving_replica>& serving() const { return serving_; }
+
+    /** Replaces what a peer said before. */
+    void note_peer(const std::string& peer, std::map<std::uint64_t, replica_use> uses,
+                   time_point now);
+
+    /** Chooses a replica with room, with the soonest first event of a few random ones.
+     * \param fill_limit the part of a replica's places that may be taken before this call.
+     */
+    board_answer choose(const replica_request& request, double fill_limit, time_point now);
+
+    /** Leaves a replica out until the time given: it broke off, stalled or refused. */
+    void suspect(std::uint64_t epoch, time_point until);
+
+    /** A call of this node at a replica; ends when it is destroyed. */
+    class call {
+      public:
+        call(replica_board& board, std::uint64_t epoch, std::uint32_t prompt_tokens,
+             time_point now);
+        ~call();
+        call(const call&) = delete;
+        call& operator=(const call&) = delete;
+
+        void note_event(time_point now);
+
+      private:
+        replica_board& board_;
+        std::uint64_t epoch_;
+        std::uint32_t unread_tokens_;
+    };
+
+    /** The uses of this node, for its peers. */
+    std::map<std::uint64_t, replica_use> own_uses(time_point now) const;
+
+    /** The uses of all nodes. A replica is silent for as long as the node that heard last. */
+    std::map<std::uint64_t, replica_use> all_uses(time_point now) const;
+
+    std::uint32_t running_of_model(const std::string& service, const std::string& model,
+                                   time_point now) const;
+    std::uint32_t places_of_model(const std::string& service, const std::string& model) const;
+
+  private:
+    struct own_state {
+        std::uint32_t running = 0;
+        std::uint32_t prompt_tokens = 0;
+        time_point last_event{};
+    };
+    struct peer_state {
+        std::map<std::uint64_t, replica_use> uses;
+        time_point heard_at{};
+    };
+
+    replica_use use_of(std::uint64_t epoch, time_point now) const;
+
+    random_source random_;
+    board_settings settings_;
+    std::map<std::string, engine_profile> profiles_;
+    std::map<std::uint64_t, serving_replica> serving_;
+    std::map<std::uint64_t, own_state> own_;
+    std::map<std::string, peer_state> peers_;
+    std::map<std::uint64_t, time_point> suspects_;
+};
+
+} // namespace chervildyke
--- a/src/routing/retry_policy.cpp
+++ b/src/routing/retry_policy.cpp
@@ -13,14 +13,19 @@
 
 }
 
+retry_budget::retry_budget(double ratio, double reserve, double cap)
+    : ratio_(ratio), cap_(cap), left_(reserve)
+{
+}
+
 retry_budget::retry_budget(double ratio, double reserve)
-    : ratio_(ratio), reserve_(reserve), left_(reserve)
+    : retry_budget(ratio, reserve, reserve * budget_cap_factor)
 {
 }
 
 void retry_budget::note_call()
 {
-    left_ = std::min(left_ + ratio_, reserve_ * budget_cap_factor);
+    left_ = std::min(left_ + ratio_, cap_);
 }
 
 bool retry_budget::take()
--- a/src/routing/retry_policy.h
+++ b/src/routing/retry_policy.h
@@ -14,7 +14,10 @@
   public:
     /** \param ratio retries allowed for each call.
      * \param reserve retries allowed without any calls before.
+     * \param cap the most that calls can save up; in any span, at most the cap and the ratio of
+     * that span's calls are spent.
      */
+    retry_budget(double ratio, double reserve, double cap);
     explicit retry_budget(double ratio = 0.2, double reserve = 10.0);
 
     void note_call();
@@ -26,7 +29,7 @@
 
   private:
     double ratio_;
-    double reserve_;
+    double cap_;
     double left_;
 };
 
--- a/standin/engine.cpp
+++ b/standin/engine.cpp
@@ -7,7 +7,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "base/hash.h"
-#include "platform/json_message.h"
+#include "external/json_message.h"
 #include "standin/http_replies.h"
 
 namespace chervildyke::standin {
--- a/standin/engine_group.cpp
+++ b/standin/engine_group.cpp
@@ -6,7 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include "platform/json_message.h"
+#include "external/json_message.h"
 #include "standin/engine.h"
 #include "standin/http_replies.h"
 
--- a/standin/faults.cpp
+++ b/standin/faults.cpp
@@ -3,7 +3,7 @@
  */
 #include "standin/faults.h"
 
-#include "platform/json_message.h"
+#include "external/json_message.h"
 #include "standin/http_replies.h"
 
 namespace chervildyke::standin {
--- a/standin/http_replies.cpp
+++ b/standin/http_replies.cpp
@@ -7,8 +7,8 @@
 
 #include "base/http_client.h"
 #include "base/log.h"
+#include "external/json_message.h"
 #include "platform.pb.h"
-#include "platform/json_message.h"
 
 namespace chervildyke::standin {
 
--- a/test/correctness/entry_views.cpp
+++ b/test/correctness/entry_views.cpp
@@ -164,7 +164,7 @@
     std::map<std::string, std::uint64_t> holds{{"a", 7}, {"b", 7}};
     engine_client engines;
     engines.report = [&](std::string address,
-                         duration) -> asio::awaitable<platform_result<schema::engine_report>> {
+                         duration) -> asio::awaitable<external_result<schema::engine_report>> {
         schema::engine_report report;
         report.set_replica_id(holds[address]);
         report.set_fencing(holds[address]);
--- a/test/correctness/standin_engine.cpp
+++ b/test/correctness/standin_engine.cpp
@@ -4,8 +4,8 @@
 #include <doctest/doctest.h>
 
 #include "base/http_client.h"
-#include "platform/http_platform.h"
-#include "platform/json_message.h"
+#include "external/http_external.h"
+#include "external/json_message.h"
 #include "standin/answer_token.h"
 #include "standin/engine.h"
 #include "standin/plain_service.h"
--- a/test/correctness/standin_log.cpp
+++ b/test/correctness/standin_log.cpp
@@ -7,7 +7,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "base/http_client.h"
-#include "platform/http_platform.h"
+#include "external/http_external.h"
 #include "standin/log_service.h"
 #include "support/run_task.h"
 
@@ -57,7 +57,7 @@
         co_await bench.fault(R"({"fault":"drop_reply","count":1})");
         auto lost = co_await bench.client.append("s", "first");
         CHECK(!lost);
-        CHECK(lost.last_reason().code == platform_error::unclear);
+        CHECK(lost.last_reason().code == external_error::unclear);
         auto second = co_await bench.client.append("s", "second");
         CHECK(*second == 2);
         auto read = co_await bench.client.read("s", 1, 10, 0ms);
@@ -113,7 +113,7 @@
         int overloaded = 0;
         for (int i = 0; i < 20; ++i) {
             auto reply = co_await bench.client.append(i % 2 == 0 ? "a" : "b", "x");
-            const bool busy = !reply && reply.last_reason().code == platform_error::overloaded;
+            const bool busy = !reply && reply.last_reason().code == external_error::overloaded;
             overloaded += busy ? 1 : 0;
         }
         auto a = co_await bench.client.read("a", 1, 100, 0ms);
--- a/test/error/entry_services.cpp
+++ b/test/error/entry_services.cpp
@@ -206,15 +206,9 @@
 {
     asio::io_context context;
     manual_clock clock(context);
-    schema::service_view service;
-    for (const char* address : {"near:1", "far:1"}) {
-        schema::backend_view& backend = *service.add_backends();
-        backend.set_address(address);
-        backend.set_failure_domain(std::string(address).substr(0, 3));
-        backend.set_healthy(true);
-    }
+    const std::vector<backend_candidate> candidates = {{"near:1", "nea"}, {"far:1", "far"}};
     backend_book book("nea", seeded_random(1));
-    const auto choose = [&] { return book.choose(service, {}, monotonic_clock::now()).value(); };
+    const auto choose = [&] { return book.choose(candidates, {}, monotonic_clock::now()).value(); };
     CHECK(choose() == "near:1");
     for (int i = 0; i < 3; ++i) {
         book.note_start("near:1");
--- a/test/performance/orders_claims.cpp
+++ b/test/performance/orders_claims.cpp
@@ -21,11 +21,11 @@
     log_client limited = log;
     limited.append = [log,
                       taken](std::string stream,
-                             std::string payload) -> asio::awaitable<platform_result<log_offset>> {
+                             std::string payload) -> asio::awaitable<external_result<log_offset>> {
         const time_point second_ago = monotonic_clock::now() - 1s;
         std::erase_if(*taken, [second_ago](time_point at) { return at <= second_ago; });
         if (taken->size() >= appends_per_second) {
-            co_return platform_failure{platform_error::overloaded, "too many appends"};
+            co_return external_failure{external_error::overloaded, "too many appends"};
         }
         taken->push_back(monotonic_clock::now());
         const auto offset = co_await log.append(std::move(stream), std::move(payload));
--- a/test/support/fake_engine.h
+++ b/test/support/fake_engine.h
@@ -15,7 +15,7 @@
 #include "base/http_client.h"
 #include "base/http_server.h"
 #include "entry/entry_node.h"
-#include "platform/json_message.h"
+#include "external/json_message.h"
 
 namespace chervildyke::testing {
 
--- a/test/support/fake_engines.cpp
+++ b/test/support/fake_engines.cpp
@@ -196,21 +196,21 @@
     return report;
 }
 
-boost::asio::awaitable<platform_result<schema::engine_report>>
+boost::asio::awaitable<external_result<schema::engine_report>>
 fake_engines::report(std::string vm, duration timeout)
 {
     settle();
     const auto found = engines_.find(vm);
     if (found == engines_.end() || silent(found->second)) {
         co_await sleep_for(timeout);
-        co_return platform_failure{platform_error::unclear, "no answer"};
+        co_return external_failure{external_error::unclear, "no answer"};
     }
     co_await sleep_for(1ms);
     settle();
     co_return report_of(vm);
 }
 
-boost::asio::awaitable<platform_result<schema::engine_order_reply>>
+boost::asio::awaitable<external_result<schema::engine_order_reply>>
 fake_engines::order(std::string vm, schema::engine_order order, duration timeout)
 {
     settle();
@@ -219,7 +219,7 @@
     co_await sleep_for(std::max(delay, duration(1ms)));
     if (silent(engine) || delay > timeout) {
         deliver(vm, order);
-        co_return platform_failure{platform_error::unclear, "no answer"};
+        co_return external_failure{external_error::unclear, "no answer"};
     }
     settle();
     co_return obey(engine, order);
@@ -240,7 +240,7 @@
 vm_list_client fake_engines::vm_list()
 {
     vm_list_client client;
-    client.list = [this]() -> boost::asio::awaitable<platform_result<schema::vm_list_reply>> {
+    client.list = [this]() -> boost::asio::awaitable<external_result<schema::vm_list_reply>> {
         co_await sleep_for(1ms);
         schema::vm_list_reply reply;
         for (const auto& [name, engine] : engines_) {
--- a/test/support/fake_engines.h
+++ b/test/support/fake_engines.h
@@ -8,8 +8,8 @@
 #include <string>
 #include <vector>
 
-#include "platform/engine_client.h"
-#include "platform/vm_list_client.h"
+#include "external/engine_client.h"
+#include "external/vm_list_client.h"
 
 namespace chervildyke::test {
 
@@ -70,9 +70,9 @@
   private:
     void settle();
     schema::engine_order_reply obey(fake_engine& engine, const schema::engine_order& order);
-    boost::asio::awaitable<platform_result<schema::engine_report>> report(std::string vm,
+    boost::asio::awaitable<external_result<schema::engine_report>> report(std::string vm,
                                                                           duration timeout);
-    boost::asio::awaitable<platform_result<schema::engine_order_reply>>
+    boost::asio::awaitable<external_result<schema::engine_order_reply>>
     order(std::string vm, schema::engine_order order, duration timeout);
 
     double bytes_per_second_;
--- a/test/support/memory_log.cpp
+++ b/test/support/memory_log.cpp
@@ -80,9 +80,9 @@
 
 namespace {
 
-platform_failure unreachable()
+external_failure unreachable()
 {
-    return {platform_error::not_sent, "the log can't be reached"};
+    return {external_error::not_sent, "the log can't be reached"};
 }
 
 } // namespace
@@ -97,14 +97,14 @@
     log_client made;
     made.append = [log = state_,
                    reader](std::string stream,
-                           std::string payload) -> asio::awaitable<platform_result<log_offset>> {
+                           std::string payload) -> asio::awaitable<external_result<log_offset>> {
         co_await sleep_for(log->latency / 2);
         if (!log->reachable(reader)) {
             co_return unreachable();
         }
         if (log->overloads > 0) {
             --log->overloads;
-            co_return platform_failure{platform_error::overloaded, "too many appends"};
+            co_return external_failure{external_error::overloaded, "too many appends"};
         }
         ++log->appends;
         const log_offset offset = log->put(stream, std::move(payload));
@@ -114,13 +114,13 @@
             --log->lost_replies;
         }
         if (lost || !log->reachable(reader)) {
-            co_return platform_failure{platform_error::unclear, "the reply is lost"};
+            co_return external_failure{external_error::unclear, "the reply is lost"};
         }
         co_return offset;
     };
     made.read = [log = state_,
                  reader](std::string stream, log_offset from, std::uint32_t limit,
-                         duration wait) -> asio::awaitable<platform_result<log_read>> {
+                         duration wait) -> asio::awaitable<external_result<log_read>> {
         co_await sleep_for(log->latency);
         const time_point until = monotonic_clock::now() + wait;
         ++log->reads;
--- a/test/support/memory_log.h
+++ b/test/support/memory_log.h
@@ -11,7 +11,7 @@
 #include <string>
 
 #include "base/clock.h"
-#include "platform/log_client.h"
+#include "external/log_client.h"
 
 namespace chervildyke {
 
