Spend the weight store on loads that complete a replica

Cause: a replica that took one VM without the model held its other members idle for the 16 s of a load, and each lost pair started loads that slowed each other down (at most 7 run at full speed).

Change: after the first call replicas form only from VMs that hold the model; load_planner chooses which free VMs load what, completions first, never more at once than the store carries.

--- a/src/assembly/assembler.cpp
+++ b/src/assembly/assembler.cpp
@@ -22,8 +22,7 @@
                                           // known; two gossip rounds and one read of the list.
 constexpr double load_rate_use = 0.75;    // Of the ceiling; the rest is for a node that acts twice.
 constexpr double load_burst_s = 1;        // Seconds of loads that may start at once.
-constexpr std::uint32_t unrationed_loads = 10'000;
-constexpr duration memory_time = 60s; // Longer than an order can be in flight.
+constexpr duration memory_time = 60s;     // Longer than an order can be in flight.
 
 } // namespace
 
@@ -129,7 +128,8 @@
     input.memory = &memory_;
     input.uses = board_.all_uses(now);
     input.demand_ms_per_s = hooks_.demand_ms_per_s();
-    input.load_allowance = rationed ? static_cast<std::uint32_t>(loads_) : unrationed_loads;
+    input.loads_are_free = !rationed;
+    input.load_allowance = static_cast<std::uint32_t>(std::max(loads_, 0.0));
     input.list_is_current = hooks_.list_is_current();
     input.now = now;
     assembly_plan plan = plan_assembly(input, settings_);
--- a/src/assembly/assembly_memory.cpp
+++ b/src/assembly/assembly_memory.cpp
@@ -7,7 +7,7 @@
 
 void assembly_memory::note_sent(const std::string& vm, const replica_order& order, time_point now)
 {
-    orders_[{vm, order.kind, order.epoch}] = {now, std::nullopt};
+    orders_[{vm, order.kind, order.epoch}] = {now, order.model, std::nullopt};
 }
 
 void assembly_memory::note_outcome(const std::string& vm, const replica_order& order,
--- a/src/assembly/assembly_memory.h
+++ b/src/assembly/assembly_memory.h
@@ -17,6 +17,7 @@
 
 struct sent_order {
     time_point at{};
+    std::string model;
     std::optional<order_outcome> outcome; // None: still under way.
 
     bool operator==(const sent_order&) const = default;
--- a/src/assembly/assembly_plan.cpp
+++ b/src/assembly/assembly_plan.cpp
@@ -7,6 +7,7 @@
 #include <cmath>
 #include <set>
 
+#include "assembly/load_planner.h"
 #include "assembly/member_selection.h"
 
 namespace chervildyke {
@@ -65,7 +66,7 @@
         }
         if (in_.list_is_current) {
             form_replicas();
-            stage_spares();
+            load_models();
         }
         return std::move(plan_);
     }
@@ -113,7 +114,7 @@
         if (before != nullptr && in_.now - before->at < settings_.order_retry) {
             return false;
         }
-        if (loads_weights && before == nullptr) {
+        if (loads_weights && before == nullptr && !in_.loads_are_free) {
             if (loads_left_ == 0) {
                 return false;
             }
@@ -360,7 +361,7 @@
             if (neediest == nullptr) {
                 return;
             }
-            const auto members = pool.take(*neediest);
+            const auto members = pool.take(*neediest, !in_.loads_are_free);
             if (members.empty()) {
                 unplaceable.insert(neediest->name);
                 continue;
@@ -379,44 +380,19 @@
         }
     }
 
-    /** Loads a model into the host of each VM that is left, so that it can replace a lost one. */
-    void stage_spares()
+    /** Loads models into the hosts of free VMs: first where that makes a replica whole, then so
+     * that a lost member can be replaced.
+     */
+    void load_models()
     {
-        member_pool pool(in_);
-        std::map<std::string, std::uint32_t> staged;
-        std::vector<const backend*> empty;
-        for (const backend* spare : pool.free_vms()) {
-            const bool taken = std::any_of(
-                formed_.begin(), formed_.end(),
-                [spare](const schema::shared_member& member) { return member.id() == spare->id; });
-            if (taken) {
-                continue;
-            }
-            if (spare->staged_models.empty()) {
-                empty.push_back(spare);
-            }
-            for (const std::string& model : spare->staged_models) {
-                ++staged[model];
-            }
-        }
-        for (const backend* spare : empty) {
-            const auto fewest =
-                std::min_element(in_.profile->models.begin(), in_.profile->models.end(),
-                                 [&](const model_profile& a, const model_profile& b) {
-                                     return staged[a.name] < staged[b.name];
-                                 });
-            if (fewest == in_.profile->models.end()) {
-                return;
-            }
+        load_planner loads(in_, formed_, counts_by_model(),
+                           target_replicas(*in_.profile, in_.demand_ms_per_s,
+                                           member_pool(in_).usable(), settings_));
+        for (const planned_load& load : loads.choose(loads_left_)) {
             replica_order order;
             order.kind = order_kind::stage;
-            order.model = fewest->name;
-            ++staged[fewest->name];
-            const sent_order* before = in_.memory->find(spare->id, order.kind, order.epoch);
-            const bool loading = before != nullptr && in_.now - before->at < fewest->load_time * 2;
-            if (!loading) {
-                send(spare->id, order, true);
-            }
+            order.model = load.model;
+            send(load.vm, order, true);
         }
     }
 
--- a/src/assembly/assembly_plan.h
+++ b/src/assembly/assembly_plan.h
@@ -46,7 +46,8 @@
     const assembly_memory* memory = nullptr;
     std::map<std::uint64_t, replica_use> uses;     // Of all nodes, by epoch.
     std::map<std::string, double> demand_ms_per_s; // Replica time asked for, by model.
-    std::uint32_t load_allowance = 0; // Loads from the weight store that may start now.
+    bool loads_are_free = false;      // Before the first call: as many as wanted, and fast.
+    std::uint32_t load_allowance = 0; // Otherwise: loads that may start now.
     bool list_is_current = true;      // The list of VMs was read lately.
     time_point now{};
 };
--- /dev/null
+++ b/src/assembly/load_planner.h
@@ -0,0 +1,64 @@
+/** \file
+ * Defines load_planner, which decides which models free VMs load from the weight store.
+ */
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "assembly/assembly_plan.h"
+
+namespace chervildyke {
+
+struct planned_load {
+    std::string vm;
+    std::string model;
+
+    bool operator==(const planned_load&) const = default;
+};
+
+/** The weight store carries only some loads at full speed, so what it is spent on decides how soon
+ * lost capacity is back: loads that complete a replica go first, those that complete it with the
+ * least loading per VM before others.
+ */
+class load_planner {
+  public:
+    /** \param taken VMs that the same plan puts into replicas.
+     * \param counts replicas of each model that form or serve.
+     * \param targets replicas of each model that are wanted.
+     */
+    load_planner(const assembly_input& input, const std::vector<schema::shared_member>& taken,
+                 std::map<std::string, std::uint32_t> counts,
+                 std::map<std::string, std::uint32_t> targets);
+
+    /** \param allowance how many loads may start. */
+    std::vector<planned_load> choose(std::uint32_t allowance);
+
+  private:
+    /** The free VMs of one fabric domain. */
+    struct domain_state {
+        std::map<std::string, std::uint32_t> holding; // By model, those that load it included.
+        std::vector<std::string> empty;
+    };
+    struct option {
+        domain_state* domain = nullptr;
+        const model_profile* model = nullptr;
+        std::uint32_t loads = 0;
+        double value = 0;
+    };
+
+    void read_domains(const std::vector<schema::shared_member>& taken);
+    option best_completion();
+    option best_spare();
+    double need_of(const model_profile& model) const;
+
+    const assembly_input& in_;
+    std::map<std::string, std::uint32_t> counts_;
+    std::map<std::string, std::uint32_t> targets_;
+    std::map<std::string, domain_state> domains_;
+    std::uint32_t running_ = 0;
+};
+
+} // namespace chervildyke
--- a/src/assembly/member_selection.cpp
+++ b/src/assembly/member_selection.cpp
@@ -9,14 +9,14 @@
 
 namespace chervildyke {
 
-namespace {
-
 bool has_staged(const backend& vm, const std::string& model)
 {
     return std::find(vm.staged_models.begin(), vm.staged_models.end(), model) !=
            vm.staged_models.end();
 }
 
+namespace {
+
 /** A head that no replica of the ledger names may still take calls after a late order. */
 bool takes_calls(const backend& vm)
 {
@@ -47,7 +47,7 @@
     }
 }
 
-std::vector<schema::shared_member> member_pool::take(const model_profile& model)
+std::vector<schema::shared_member> member_pool::take(const model_profile& model, bool only_staged)
 {
     std::vector<const backend*>* best = nullptr;
     std::size_t best_staged = 0;
@@ -59,6 +59,9 @@
             static_cast<std::size_t>(std::count_if(vms.begin(), vms.end(), [&](const backend* vm) {
                 return has_staged(*vm, model.name);
             }));
+        if (only_staged && staged < model.replica_size) {
+            continue;
+        }
         const std::size_t useful = std::min<std::size_t>(staged, model.replica_size);
         const bool better = best == nullptr || useful > best_staged ||
                             (useful == best_staged && vms.size() > best->size());
@@ -88,13 +91,4 @@
     return members;
 }
 
-std::vector<const backend*> member_pool::free_vms() const
-{
-    std::vector<const backend*> all;
-    for (const auto& [domain, vms] : free_) {
-        all.insert(all.end(), vms.begin(), vms.end());
-    }
-    return all;
-}
-
 } // namespace chervildyke
--- a/src/assembly/member_selection.h
+++ b/src/assembly/member_selection.h
@@ -16,6 +16,9 @@
 
 struct assembly_input;
 
+/** True when the VM's host holds the model. */
+bool has_staged(const backend& vm, const std::string& model);
+
 /** The VMs that no replica holds, by fabric domain. */
 class member_pool {
   public:
@@ -23,11 +26,15 @@
 
     /** Picks the members of a replica within one fabric domain: where fewest must load the model
      * from the weight store, then where most VMs are free.
+     * \param only_staged leaves out VMs that would have to load it.
      * \return nothing when no domain has enough VMs.
      */
-    std::vector<schema::shared_member> take(const model_profile& model);
+    std::vector<schema::shared_member> take(const model_profile& model, bool only_staged);
 
-    std::vector<const backend*> free_vms() const;
+    const std::map<std::string, std::vector<const backend*>>& free_by_domain() const
+    {
+        return free_;
+    }
 
     /** How many of the service's VMs can be used, in replicas or free. */
     std::size_t usable() const { return usable_; }
--- a/src/fleet/engine_profile.h
+++ b/src/fleet/engine_profile.h
@@ -33,8 +33,9 @@
     double prompt_ms_per_million_pairs = 0;
     double usual_prompt_tokens = 0;
     double usual_answer_tokens = 0;
-    double loads_per_s = 1; // That may start, over all VMs.
-    duration open_time{};   // From the order to open until calls are taken.
+    double loads_per_s = 1;          // That may start, over all VMs.
+    std::uint32_t loads_at_once = 1; // More of them slow each other down.
+    duration open_time{};            // From the order to open until calls are taken.
     std::vector<model_profile> models;
 
     const model_profile* find(const std::string& model) const
--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -107,11 +107,14 @@
         const listed_backend* known = backends_.find(record.key);
         if (known == nullptr || known->self.leaving != read->leaving ||
             known->self.started_ms != read->started_ms) {
-            view_log.write("backend_listed", {{"backend", record.key},
-                                              {"service", read->service},
-                                              {"address", read->address},
-                                              {"leaving", read->leaving ? "yes" : "no"},
-                                              {"offset", std::to_string(record.offset)}});
+            view_log.write("backend_listed",
+                           {{"backend", record.key},
+                            {"service", read->service},
+                            {"address", read->address},
+                            {"fabric_domain", read->fabric_domain},
+                            {"staged", read->staged_models.empty() ? "" : read->staged_models[0]},
+                            {"leaving", read->leaving ? "yes" : "no"},
+                            {"offset", std::to_string(record.offset)}});
         }
         backends_.apply(*read, now);
     }
--- a/src/relay/fleet_view.h
+++ b/src/relay/fleet_view.h
@@ -24,7 +24,7 @@
 struct fleet_view_settings {
     duration configuration_wait = 1200ms; // Of one read; the age that it confirms starts over then.
     duration backend_wait = 1500ms;       // Of one read of the list, which changes seldom.
-    duration backend_interval = 300ms;    // Between two reads; a leaving server must get no more
+    duration backend_interval = 700ms;    // Between two reads; a leaving server must get no more
                                           // calls within 2 s.
     duration busy_backend_interval = 60ms; // While replicas form: a step of theirs takes 200 ms.
     duration replica_interval = 3s;        // Without word of newer records from peers.
--- /dev/null
+++ b/test/correctness/assembly_plans.cpp
@@ -0,0 +1,149 @@
+/** \file
+ * Tests that replicas form within fabric domains, open only when whole, and give way to others.
+ */
+#include <doctest/doctest.h>
+
+#include "support/assembly_bench.h"
+
+using namespace chervildyke;
+using test::assembly_bench;
+
+namespace {
+
+std::size_t orders_of(const assembly_plan& plan, order_kind kind)
+{
+    return static_cast<std::size_t>(
+        std::count_if(plan.orders.begin(), plan.orders.end(),
+                      [kind](const planned_order& order) { return order.order.kind == kind; }));
+}
+
+} // namespace
+
+TEST_CASE("a fleet forms replicas of both models by their shares and keeps spares")
+{
+    assembly_bench bench;
+    for (const char* domain : {"d0-", "d1-", "d2-", "d3-", "d4-", "d5-"}) {
+        bench.add_domain(domain, 10);
+    }
+    bench.steps(4);
+    CHECK(bench.serving("large").size() == 6);
+    CHECK(bench.serving("small").size() == 12);
+    for (const auto& [name, replica] : bench.ledger.replicas()) {
+        for (const schema::shared_member& member : replica.members()) {
+            CHECK(member.id().substr(0, 3) == replica.members(0).id().substr(0, 3));
+        }
+    }
+}
+
+TEST_CASE("a replica opens only after every member is ready")
+{
+    assembly_bench bench;
+    bench.add_domain("d0-", 4);
+    bench.profile.models.resize(1);
+    bench.profile.models[0].share = 1;
+    bench.settings.spare_share = 0;
+    bench.deaf = {"d0-2"};
+    bench.step(); // Records the replica.
+    bench.step(); // Sends the joins.
+    const assembly_plan waiting = bench.step();
+    CHECK(orders_of(waiting, order_kind::open) == 0);
+    CHECK(orders_of(waiting, order_kind::join) == 1); // Again to the one that did not obey.
+    bench.deaf.clear();
+    bench.step();
+    CHECK(orders_of(bench.step(), order_kind::open) == 1);
+    bench.step();
+    CHECK(bench.serving("large").size() == 1);
+}
+
+TEST_CASE("two members lost at once: the replica is closed before its VMs join another")
+{
+    assembly_bench bench;
+    bench.add_domain("d0-", 10);
+    bench.steps(4);
+    REQUIRE(bench.serving("large").size() == 1);
+    const std::string lost = bench.serving("large").front();
+    const schema::shared_replica before = bench.replica(lost);
+    const std::string head = before.members(0).id();
+    for (int i : {2, 3}) {
+        const std::string member = before.members(i).id();
+        bench.backends.remove(member, bench.now);
+    }
+    bench.step(); // Retires it.
+    CHECK(bench.replica(lost).phase() == schema::shared_phase_retiring);
+    // The head still serves: no plan may use the survivors before it was closed and left.
+    assembly_plan closing = bench.step();
+    REQUIRE(orders_of(closing, order_kind::close_now) == 1);
+    CHECK(closing.orders.front().vm == head);
+    bench.steps(3);
+    CHECK_FALSE(bench.ledger.replicas().contains(lost));
+    bench.steps(4);
+    CHECK(bench.serving("large").size() + bench.serving("small").size() >= 3);
+}
+
+TEST_CASE("a lost head that may still serve keeps its members until it had time to break")
+{
+    assembly_bench bench;
+    bench.add_domain("d0-", 10);
+    bench.steps(4);
+    const std::string lost = bench.serving("large").front();
+    const std::string head = bench.replica(lost).members(0).id();
+    bench.backends.remove(head, bench.now);
+    bench.step();
+    REQUIRE(bench.replica(lost).phase() == schema::shared_phase_retiring);
+    lost_head& unreachable = bench.memory.lost_head_at(bench.replica(lost).epoch());
+    unreachable.since = bench.now;
+    unreachable.no_contact = true;
+    bench.step();
+    CHECK(bench.ledger.replicas().contains(lost));
+    bench.now += bench.settings.lost_head_wait;
+    bench.step();
+    CHECK_FALSE(bench.ledger.replicas().contains(lost));
+}
+
+TEST_CASE("a replica whose calls stand still has its members probed, and goes when one is silent")
+{
+    assembly_bench bench;
+    bench.add_domain("d0-", 10);
+    bench.steps(4);
+    const std::string name = bench.serving("small").front();
+    const schema::shared_replica replica = bench.replica(name);
+    bench.uses[replica.epoch()] = {3, 0, 900ms};
+    const assembly_plan probing = bench.step();
+    CHECK(probing.probes.size() == 2);
+    const std::string silent = replica.members(1).id();
+    bench.memory.note_probe_sent(silent, bench.now);
+    bench.memory.note_probe(silent, probe_outcome::silent, bench.now);
+    bench.memory.note_probe(silent, probe_outcome::silent, bench.now);
+    bench.step();
+    CHECK(bench.replica(name).phase() == schema::shared_phase_retiring);
+    CHECK(bench.replica(name).abort_calls());
+}
+
+TEST_CASE("a member that leaves lets the calls in progress end")
+{
+    assembly_bench bench;
+    bench.add_domain("d0-", 10);
+    bench.steps(4);
+    const std::string name = bench.serving("small").front();
+    backend leaving = bench.backends.find(bench.replica(name).members(1).id())->self;
+    leaving.leaving = true;
+    bench.backends.apply(leaving, bench.now);
+    bench.step();
+    CHECK_FALSE(bench.replica(name).abort_calls());
+    CHECK(orders_of(bench.step(), order_kind::close_when_idle) == 1);
+}
+
+TEST_CASE("loads from the weight store keep to the allowance")
+{
+    assembly_bench bench;
+    for (const char* domain : {"d0-", "d1-", "d2-"}) {
+        bench.add_domain(domain, 10);
+    }
+    bench.load_allowance = 3;
+    bench.step();
+    const assembly_plan plan = bench.step();
+    const auto loads =
+        std::count_if(plan.orders.begin(), plan.orders.end(),
+                      [](const planned_order& order) { return order.loads_weights; });
+    CHECK(loads == 3);
+}
--- /dev/null
+++ b/test/support/assembly_bench.h
@@ -0,0 +1,148 @@
+/** \file
+ * Defines assembly_bench, a service's VMs in fabric domains and the ledger that plans act on.
+ */
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "assembly/assembly_plan.h"
+
+namespace chervildyke::test {
+
+/** Applies plans as a log and obedient VMs would. Time passes only when a test says so. */
+class assembly_bench {
+  public:
+    assembly_bench()
+    {
+        model_profile large;
+        large.name = "large";
+        large.replica_size = 4;
+        large.share = 0.5;
+        large.load_time = 16s;
+        model_profile small;
+        small.name = "small";
+        small.replica_size = 2;
+        small.share = 0.5;
+        small.load_time = 12s;
+        profile.models = {large, small};
+        profile.batch_slots = 17;
+        profile.loads_per_s = 5;
+    }
+
+    void add_domain(const std::string& domain, int vms)
+    {
+        for (int i = 0; i < vms; ++i) {
+            backend vm;
+            vm.id = domain + std::to_string(i);
+            vm.service = "pool";
+            vm.fabric_domain = domain;
+            vm.started_ms = 1;
+            backends.apply(vm, now);
+        }
+    }
+
+    assembly_plan plan()
+    {
+        assembly_input input;
+        input.service = "pool";
+        input.profile = &profile;
+        input.ledger = &ledger;
+        input.backends = &backends;
+        input.memory = &memory;
+        input.uses = uses;
+        input.load_allowance = load_allowance;
+        input.now = now;
+        return plan_assembly(input, settings);
+    }
+
+    /** Plans once; records are in the log and orders are obeyed at once. */
+    assembly_plan step()
+    {
+        assembly_plan made = plan();
+        keyed_records appended;
+        appended.next_offset = ledger.end();
+        for (keyed_record record : made.records) {
+            record.offset = appended.next_offset++;
+            appended.records.push_back(std::move(record));
+        }
+        if (!appended.records.empty()) {
+            ledger.apply(appended);
+        }
+        for (const planned_order& order : made.orders) {
+            memory.note_sent(order.vm, order.order, now);
+            if (backends.find(order.vm) != nullptr && !deaf.contains(order.vm)) {
+                obey(order);
+                memory.note_outcome(order.vm, order.order, order_outcome::begun);
+            }
+        }
+        now += 700ms;
+        return made;
+    }
+
+    void steps(int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            step();
+        }
+    }
+
+    std::vector<std::string> serving(const std::string& model) const
+    {
+        std::vector<std::string> names;
+        for (const auto& [name, replica] : ledger.replicas()) {
+            if (replica.phase() == schema::shared_phase_serving && replica.model() == model) {
+                names.push_back(name);
+            }
+        }
+        return names;
+    }
+
+    const schema::shared_replica& replica(const std::string& name) const
+    {
+        return ledger.replicas().at(name);
+    }
+
+    time_point now{100s};
+    engine_profile profile;
+    assembly_settings settings;
+    backend_table backends{2s};
+    replica_ledger ledger;
+    assembly_memory memory;
+    std::map<std::uint64_t, replica_use> uses;
+    std::set<std::string> deaf; // VMs that obey no order.
+    std::uint32_t load_allowance = 1000;
+
+  private:
+    void obey(const planned_order& order)
+    {
+        backend vm = backends.find(order.vm)->self;
+        const replica_order& given = order.order;
+        if (given.kind == order_kind::stage || given.kind == order_kind::join) {
+            vm.staged_models = {given.model};
+        }
+        if (given.kind == order_kind::join) {
+            replica_membership membership;
+            membership.replica = given.replica;
+            membership.epoch = given.epoch;
+            membership.rank = given.members.front() == order.vm ? 0 : 1;
+            membership.phase = membership_phase::ready;
+            vm.membership = membership;
+        }
+        const bool same = vm.membership && vm.membership->replica == given.replica;
+        if (same && given.kind == order_kind::open) {
+            vm.membership->phase = membership_phase::open;
+        }
+        const bool closes =
+            given.kind == order_kind::close_now || given.kind == order_kind::close_when_idle;
+        if (same && closes) {
+            vm.membership->phase = membership_phase::ready;
+        }
+        if (same && given.kind == order_kind::leave) {
+            vm.membership.reset();
+        }
+        backends.apply(vm, now);
+    }
+};
+
+} // namespace chervildyke::test
