Reload settings on SIGHUP

Change: follow_reloads reads the settings file again on SIGHUP and each 5 s; a file that can't be read leaves the settings in force.

--- a/src/base/program.cpp
+++ b/src/base/program.cpp
@@ -7,11 +7,13 @@
 #include <iostream>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cxxopts.hpp>
 
+#include "base/clock.h"
 #include "base/settings.h"
 
 namespace chervildyke {
@@ -29,7 +31,8 @@
 } // namespace
 
 bool read_command_line(int argc, char** argv, const program_description& description,
-                       google::protobuf::Message& settings, int& exit_code)
+                       google::protobuf::Message& settings, int& exit_code,
+                       std::string* settings_file)
 {
     cxxopts::Options options(description.name, description.purpose);
     options.add_options()("settings", "the settings file", cxxopts::value<std::string>())(
@@ -55,7 +58,11 @@
             exit_code = exit_bad_settings;
             return false;
         }
-        exit_code = report(load_document(given["settings"].as<std::string>(), settings));
+        const auto file = given["settings"].as<std::string>();
+        if (settings_file != nullptr) {
+            *settings_file = file;
+        }
+        exit_code = report(load_document(file, settings));
         return exit_code == exit_success;
     }
     catch (const cxxopts::exceptions::exception& error) {
@@ -71,6 +78,20 @@
     co_await signals.async_wait(boost::asio::use_awaitable);
 }
 
+boost::asio::awaitable<void> follow_reloads(std::function<void(bool)> reload)
+{
+    using namespace boost::asio::experimental::awaitable_operators;
+    constexpr duration interval = 5s; // Settings change seldom, and none of them is urgent.
+    boost::asio::signal_set signals(co_await boost::asio::this_coro::executor, SIGHUP);
+    timer next(co_await boost::asio::this_coro::executor);
+    while (true) {
+        next.expires_after(interval);
+        const auto which = co_await (signals.async_wait(boost::asio::use_awaitable) ||
+                                     next.async_wait(boost::asio::use_awaitable));
+        reload(which.index() == 0);
+    }
+}
+
 int run_main_task(boost::asio::io_context& context,
                   const std::function<boost::asio::awaitable<int>()>& main_task)
 {
--- a/src/base/program.h
+++ b/src/base/program.h
@@ -25,14 +25,22 @@
 /** Reads --help, --version, --check-settings FILE and --settings FILE.
  * \param settings filled from the file.
  * \param exit_code set when the program should end.
+ * \param settings_file set to the name of the settings file, unless null.
  * \return true when the program should run.
  */
 bool read_command_line(int argc, char** argv, const program_description& description,
-                       google::protobuf::Message& settings, int& exit_code);
+                       google::protobuf::Message& settings, int& exit_code,
+                       std::string* settings_file = nullptr);
 
 /** Completes when the process is asked to stop by SIGTERM or SIGINT. */
 boost::asio::awaitable<void> stop_requested();
 
+/** Calls the hook when the process is told to reload by SIGHUP, and in each interval, since a file
+ * may also change without a signal.
+ * \param reload gets true for a signal.
+ */
+boost::asio::awaitable<void> follow_reloads(std::function<void(bool)> reload);
+
 /** Runs the main task until it completes.
  * \param context the process's only context.
  * \param main_task returns the exit code.
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -67,9 +67,7 @@
     context_.gate = std::make_shared<call_gate>(executor_, *context_.board);
     context_.book = std::make_shared<backend_book>(settings_.failure_domain(), random_);
     context_.backends = &view_->backends();
-    context_.limits.retry_ratio = settings_.retry_ratio() * retry_use;
-    context_.limits.retry_reserve = settings_.retry_slack() * retry_use / usual_nodes;
-    context_.limits.key_staleness = from_ms(settings_.key_staleness_ms()) - key_margin;
+    apply_limits();
     context_.services = [this] { return view_->services(); };
     context_.configuration_age = [this] { return view_->configuration_age(); };
     view_->on_configuration = [this](const service_map_ptr& map) { take_configuration(map); };
@@ -94,6 +92,33 @@
                                              std::move(hooks), assembly);
 }
 
+void relay_node::apply_limits()
+{
+    context_.limits.retry_ratio = settings_.retry_ratio() * retry_use;
+    context_.limits.retry_reserve = settings_.retry_slack() * retry_use / usual_nodes;
+    context_.limits.key_staleness = from_ms(settings_.key_staleness_ms()) - key_margin;
+}
+
+void relay_node::introduce_seeds()
+{
+    for (const std::string& seed : settings_.seed_addresses()) {
+        peers_->introduce(seed.substr(0, seed.rfind(':')),
+                          static_cast<std::uint16_t>(settings_.peer_port()));
+    }
+}
+
+void relay_node::reload(const schema::relay_settings& settings)
+{
+    *settings_.mutable_seed_addresses() = settings.seed_addresses();
+    settings_.set_key_staleness_ms(settings.key_staleness_ms());
+    settings_.set_stop_grace_s(settings.stop_grace_s());
+    settings_.set_retry_ratio(settings.retry_ratio());
+    settings_.set_retry_slack(settings.retry_slack());
+    settings_.set_address_validity_s(settings.address_validity_s());
+    apply_limits();
+    introduce_seeds();
+}
+
 bool relay_node::listen(http_server& server, const std::string& address)
 {
     std::string ip;
@@ -118,9 +143,7 @@
         !listen(directory_, settings_.directory_address()) || !listen(metrics_, metrics_address)) {
         return false;
     }
-    for (const std::string& seed : settings_.seed_addresses()) {
-        peers_->introduce(seed.substr(0, seed.rfind(':')), port);
-    }
+    introduce_seeds();
     spawn_task(executor_, "configuration", view_->follow_configuration());
     spawn_task(executor_, "backends", view_->follow_backends());
     spawn_task(executor_, "replicas", view_->follow_replicas());
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -39,6 +39,9 @@
     bool start();
     const std::string& last_reason() const { return last_reason_; }
 
+    /** Takes over the settings that may change while the node runs: all but its addresses. */
+    void reload(const schema::relay_settings& settings);
+
     /** Lets callers go elsewhere, then waits for calls in progress, within the grace time. */
     boost::asio::awaitable<void> drain();
 
@@ -56,6 +59,8 @@
     std::vector<std::string> call_addresses() const;
     std::map<std::string, double> demand() const;
     bool listen(http_server& server, const std::string& address);
+    void apply_limits();
+    void introduce_seeds();
     bool ready() const;
     bool sound_store() const;
     bool leads() const;
