Take only answers that name the call; follow demand; keep the lead; use replicas on while a member leaves

(2) The lead went back to the first node by name as soon as its store returned, and the new leader knew of no load under way: loads ran twice, refused orders were repeated each 0.6 s. (3) Spares held the small model, so a large replica that lost one VM left three idle for a load of 16 s. (4) A replica was given up as soon as any member was to leave, though that member stays 10 s.

Change: an answer must repeat the call's id; nodes tell each other who leads and what loads run; spares hold the model whose loss costs most; a leaving member other than the head is used on for 6.5 s; targets follow the measured demand half way.

--- a/src/assembly/assembler.cpp
+++ b/src/assembly/assembler.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "assembly/member_selection.h"
 #include "base/event_log.h"
 #include "base/task.h"
 
@@ -22,6 +23,7 @@
                                           // known; two gossip rounds and one read of the list.
 constexpr double load_rate_use = 0.75;    // Of the ceiling; the rest is for a node that acts twice.
 constexpr double load_burst_s = 1;        // Seconds of loads that may start at once.
+constexpr duration told_load_time = 40s;  // Loads that are older have ended.
 constexpr duration memory_time = 60s;     // Longer than an order can be in flight.
 
 } // namespace
@@ -44,6 +46,38 @@
     loads_refilled_at_ = now;
 }
 
+std::vector<schema::running_load> assembler::running_loads() const
+{
+    const time_point now = monotonic_clock::now();
+    std::vector<schema::running_load> loads;
+    for (const auto& [vm, sent] : memory_.loads_since(now - told_load_time)) {
+        const listed_backend* listed = backends_.find(vm);
+        if (listed == nullptr || has_staged(listed->self, sent.model)) {
+            continue;
+        }
+        schema::running_load load;
+        load.set_vm(vm);
+        load.set_model(sent.model);
+        load.set_age_ms(static_cast<std::uint32_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(now - sent.at).count()));
+        loads.push_back(std::move(load));
+    }
+    return loads;
+}
+
+void assembler::note_running_load(const schema::running_load& load)
+{
+    if (led_ || memory_.find(load.vm(), order_kind::stage, 0) != nullptr) {
+        return;
+    }
+    replica_order order;
+    order.kind = order_kind::stage;
+    order.model = load.model();
+    const duration age = std::chrono::milliseconds(load.age_ms());
+    memory_.note_sent(load.vm(), order, monotonic_clock::now() - age);
+    memory_.note_outcome(load.vm(), order, order_outcome::begun);
+}
+
 void assembler::remember_backends()
 {
     for (const auto& [id, listed] : backends_.all()) {
@@ -133,6 +167,12 @@
     input.list_is_current = hooks_.list_is_current();
     input.now = now;
     assembly_plan plan = plan_assembly(input, settings_);
+    if (plan.free_vms != told_free_vms_) {
+        told_free_vms_ = plan.free_vms;
+        assembly_log.write("free_vms", {{"service", service},
+                                        {"load_allowance", std::to_string(input.load_allowance)},
+                                        {"vms", told_free_vms_}});
+    }
     for (const std::string& vm : plan.probes) {
         memory_.note_probe_sent(vm, now);
         spawn_task(executor_, "probe", probe(last_seen_[vm]));
--- a/src/assembly/assembler.h
+++ b/src/assembly/assembler.h
@@ -47,6 +47,15 @@
     /** Plans and acts until the process ends. */
     boost::asio::awaitable<void> run();
 
+    /** True while this node acts. */
+    bool leading() const { return led_; }
+
+    /** The loads that may still run, for the next node that leads. */
+    std::vector<schema::running_load> running_loads() const;
+
+    /** Takes over what the leading node says of its loads. */
+    void note_running_load(const schema::running_load& load);
+
   private:
     boost::asio::awaitable<void> act(const std::string& service, const engine_profile& profile);
     boost::asio::awaitable<void> append(std::vector<keyed_record> records);
@@ -70,6 +79,7 @@
     time_point loads_refilled_at_{};
     time_point led_since_{};
     bool led_ = false;
+    std::string told_free_vms_; // In the last log line on them.
 };
 
 } // namespace chervildyke
--- a/src/assembly/assembly_memory.cpp
+++ b/src/assembly/assembly_memory.cpp
@@ -26,6 +26,17 @@
     return found == orders_.end() ? nullptr : &found->second;
 }
 
+std::vector<std::pair<std::string, sent_order>> assembly_memory::loads_since(time_point time) const
+{
+    std::vector<std::pair<std::string, sent_order>> loads;
+    for (const auto& [key, sent] : orders_) {
+        if (std::get<order_kind>(key) == order_kind::stage && sent.at >= time) {
+            loads.emplace_back(std::get<0>(key), sent);
+        }
+    }
+    return loads;
+}
+
 void assembly_memory::note_probe_sent(const std::string& vm, time_point now)
 {
     probe_memory& probe = probes_[vm];
--- a/src/assembly/assembly_memory.h
+++ b/src/assembly/assembly_memory.h
@@ -9,6 +9,8 @@
 #include <optional>
 #include <string>
 #include <tuple>
+#include <utility>
+#include <vector>
 
 #include "assembly/replica_order.h"
 #include "base/clock.h"
@@ -49,6 +51,9 @@
     void note_outcome(const std::string& vm, const replica_order& order, order_outcome outcome);
     const sent_order* find(const std::string& vm, order_kind kind, std::uint64_t epoch) const;
 
+    /** The loads ordered since the time given. */
+    std::vector<std::pair<std::string, sent_order>> loads_since(time_point time) const;
+
     void note_probe_sent(const std::string& vm, time_point now);
     void note_probe(const std::string& vm, probe_outcome outcome, time_point now);
     const probe_memory* probe_of(const std::string& vm) const;
--- a/src/assembly/assembly_plan.cpp
+++ b/src/assembly/assembly_plan.cpp
@@ -152,7 +152,8 @@
             if (listed->self.started_ms != member.started_ms()) {
                 return "member " + member.id() + " started again";
             }
-            if (listed->self.leaving) {
+            const bool is_head = member.id() == entry.second.members(0).id();
+            if (listed->self.leaving && !leaving_but_usable(*listed, is_head, in_.now, settings_)) {
                 return "member " + member.id() + " is leaving";
             }
             if (lost_by_probe(member.id())) {
@@ -325,12 +326,23 @@
         send(head, make_order(closed ? order_kind::leave : order_kind::close_now, entry));
     }
 
+    /** True unless the replica gives way, now or when a member that leaves has left. */
+    bool stays(const schema::shared_replica& replica) const
+    {
+        for (const schema::shared_member& member : replica.members()) {
+            const listed_backend* listed = in_.backends->find(member.id());
+            if (listed == nullptr || listed->self.leaving) {
+                return false;
+            }
+        }
+        return replica.phase() != schema::shared_phase_retiring;
+    }
+
     std::map<std::string, std::uint32_t> counts_by_model() const
     {
         std::map<std::string, std::uint32_t> counts;
         for (const auto& [name, replica] : in_.ledger->replicas()) {
-            const bool counted = replica.service() == in_.service &&
-                                 replica.phase() != schema::shared_phase_retiring;
+            const bool counted = replica.service() == in_.service && stays(replica);
             counts[replica.model()] += counted ? 1 : 0;
         }
         return counts;
@@ -388,6 +400,7 @@
         load_planner loads(in_, formed_, counts_by_model(),
                            target_replicas(*in_.profile, in_.demand_ms_per_s,
                                            member_pool(in_).usable(), settings_));
+        plan_.free_vms = loads.describe();
         for (const planned_load& load : loads.choose(loads_left_)) {
             replica_order order;
             order.kind = order_kind::stage;
@@ -410,26 +423,33 @@
                                                      std::size_t vms,
                                                      const assembly_settings& settings)
 {
-    std::map<std::string, double> vms_wanted;
+    // Half of each share is as before demand was known: measured demand swings, and shifting VMs
+    // between models costs loads.
+    std::map<std::string, double> asked;
     double total = 0;
     for (const model_profile& model : profile.models) {
-        const auto asked = demand.find(model.name);
-        const double wanted = demand.empty() || asked == demand.end()
-                                  ? (demand.empty() ? model.share : 0)
-                                  : asked->second * model.replica_size;
-        vms_wanted[model.name] = wanted;
-        total += wanted;
+        const auto found = demand.find(model.name);
+        asked[model.name] = found == demand.end() ? 0 : found->second * model.replica_size;
+        total += asked[model.name];
     }
     std::map<std::string, std::uint32_t> targets;
     const double used = static_cast<double>(vms) * (1 - settings.spare_share);
     for (const model_profile& model : profile.models) {
-        const double share = total > 0 ? vms_wanted[model.name] / total : model.share;
+        const double share =
+            total > 0 ? (asked[model.name] / total + model.share) / 2 : model.share;
         const double replicas = used * share / model.replica_size;
         targets[model.name] = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(replicas));
     }
     return targets;
 }
 
+bool leaving_but_usable(const listed_backend& member, bool is_head, time_point now,
+                        const assembly_settings& settings)
+{
+    return !is_head && member.leaving_since &&
+           now - *member.leaving_since < settings.leaving_member_use;
+}
+
 assembly_plan plan_assembly(const assembly_input& input, const assembly_settings& settings)
 {
     return planner(input, settings).run();
--- a/src/assembly/assembly_plan.h
+++ b/src/assembly/assembly_plan.h
@@ -26,9 +26,11 @@
     duration stall_limit = 2500ms; // Silence after which a replica is given up although its
                                    // members answer: the fabric between them is cut.
     duration probe_interval = 400ms;
-    std::uint32_t probe_failures = 2;   // In a row, after which a VM counts as lost.
-    duration forming_limit = 40s;       // Longer than any load that is under way.
-    duration idle_close_limit = 8s;     // The longest call; then the rest is broken off.
+    std::uint32_t probe_failures = 2;     // In a row, after which a VM counts as lost.
+    duration forming_limit = 40s;         // Longer than any load that is under way.
+    duration idle_close_limit = 8s;       // The longest call; then the rest is broken off.
+    duration leaving_member_use = 6500ms; // A member that leaves stays for 10 s while its head has
+                                          // calls; the longest of them must end by then.
     duration lost_head_wait = 4s;       // From a head's lapse until its VMs may be used again, when
                                         // it can't be reached to close it.
     duration silent_head_wait = 2500ms; // The same, from the first probe that it did not answer;
@@ -65,8 +67,15 @@
     std::vector<keyed_record> records;
     std::vector<planned_order> orders;
     std::vector<std::string> probes;
+    std::string free_vms; // What the loads were chosen from, for the log.
 };
 
+/** True while a replica may take calls although the member leaves: it stays for its head's sake.
+ * A head that leaves gets no new calls.
+ */
+bool leaving_but_usable(const listed_backend& member, bool is_head, time_point now,
+                        const assembly_settings& settings);
+
 assembly_plan plan_assembly(const assembly_input& input, const assembly_settings& settings);
 
 /** \return how many replicas of each model the service's VMs should form.
--- a/src/assembly/load_planner.cpp
+++ b/src/assembly/load_planner.cpp
@@ -13,7 +13,8 @@
 
 namespace {
 
-constexpr int longest_load_factor = 3; // Of the load time; a load that took longer was lost.
+constexpr int longest_load_factor = 3;      // Of the load time; a load that took longer was lost.
+constexpr duration refused_load_pause = 5s; // A third of a load.
 
 } // namespace
 
@@ -26,12 +27,84 @@
     read_domains(taken);
 }
 
+bool load_planner::is_loading(const backend& vm, const sent_order& sent,
+                              const model_profile& model) const
+{
+    const duration age = in_.now - sent.at;
+    if (has_staged(vm, model.name) ||
+        (sent.outcome && *sent.outcome == order_outcome::no_contact)) {
+        return false;
+    }
+    // A VM that refuses is busy with another load, of which this node does not know.
+    const bool refused = sent.outcome && *sent.outcome == order_outcome::refused;
+    return age < (refused ? refused_load_pause : longest_load_factor * model.load_time);
+}
+
+std::size_t load_planner::domain_state::leftover(const model_profile& wanted,
+                                                 const engine_profile& profile) const
+{
+    std::size_t count = 0;
+    for (const auto& [name, vms] : holders) {
+        const model_profile* model = profile.find(name);
+        if (model != nullptr && name != wanted.name && model->replica_size < wanted.replica_size) {
+            count += std::min<std::size_t>(holding.at(name) % model->replica_size, vms.size());
+        }
+    }
+    return count;
+}
+
+std::string load_planner::domain_state::take(const model_profile& wanted,
+                                             const engine_profile& profile)
+{
+    if (!empty.empty()) {
+        std::string vm = empty.back();
+        empty.pop_back();
+        return vm;
+    }
+    for (auto& [name, vms] : holders) {
+        const model_profile* model = profile.find(name);
+        const bool spare = model != nullptr && name != wanted.name && !vms.empty() &&
+                           model->replica_size < wanted.replica_size &&
+                           holding[name] % model->replica_size > 0;
+        if (spare) {
+            std::string vm = vms.back();
+            vms.pop_back();
+            --holding[name];
+            return vm;
+        }
+    }
+    return {};
+}
+
+void load_planner::count_coming()
+{
+    for (const auto& [name, replica] : in_.ledger->replicas()) {
+        std::vector<const backend*> staying;
+        for (const schema::shared_member& member : replica.members()) {
+            const listed_backend* listed = in_.backends->find(member.id());
+            const bool stays = listed != nullptr && !listed->self.leaving &&
+                               listed->self.started_ms == member.started_ms();
+            if (stays) {
+                staying.push_back(&listed->self);
+            }
+        }
+        const bool whole = staying.size() == static_cast<std::size_t>(replica.members_size());
+        if (whole && replica.phase() != schema::shared_phase_retiring) {
+            continue;
+        }
+        for (const backend* vm : staying) {
+            ++domains_[vm->fabric_domain].holding[replica.model()];
+        }
+    }
+}
+
 void load_planner::read_domains(const std::vector<schema::shared_member>& taken)
 {
     std::set<std::string> gone;
     for (const schema::shared_member& member : taken) {
         gone.insert(member.id());
     }
+    count_coming();
     const member_pool pool(in_);
     for (const auto& [name, vms] : pool.free_by_domain()) {
         domain_state& domain = domains_[name];
@@ -41,12 +114,7 @@
             }
             const sent_order* sent = in_.memory->find(vm->id, order_kind::stage, 0);
             const model_profile* model = sent ? in_.profile->find(sent->model) : nullptr;
-            const bool failed = sent != nullptr && sent->outcome &&
-                                (*sent->outcome == order_outcome::refused ||
-                                 *sent->outcome == order_outcome::no_contact);
-            const bool loading = model != nullptr && !failed && !has_staged(*vm, model->name) &&
-                                 in_.now - sent->at < longest_load_factor * model->load_time;
-            if (loading) {
+            if (model != nullptr && is_loading(*vm, *sent, *model)) {
                 ++domain.holding[model->name];
                 ++running_;
             }
@@ -55,6 +123,7 @@
             }
             else {
                 ++domain.holding[vm->staged_models.front()];
+                domain.holders[vm->staged_models.front()].push_back(vm->id);
             }
         }
     }
@@ -76,7 +145,10 @@
         for (const model_profile& model : in_.profile->models) {
             const std::uint32_t loads =
                 model.replica_size - domain.holding[model.name] % model.replica_size;
-            if (loads > domain.empty.size()) {
+            const bool from_nothing = loads == model.replica_size;
+            const std::size_t usable =
+                domain.empty.size() + (from_nothing ? 0 : domain.leftover(model, *in_.profile));
+            if (loads > usable) {
                 continue;
             }
             const double load_s = std::chrono::duration<double>(model.load_time).count() * loads;
@@ -97,7 +169,9 @@
             continue;
         }
         for (const model_profile& model : in_.profile->models) {
-            const double value = need_of(model) / (1 + domain.holding[model.name]);
+            // A spare saves the whole replica that lost a member.
+            const double value =
+                need_of(model) * model.replica_size / (1 + domain.holding[model.name]);
             if (value > best.value) {
                 best = {&domain, &model, 1, value};
             }
@@ -106,6 +180,18 @@
     return best;
 }
 
+std::string load_planner::describe() const
+{
+    std::string text = "loading:" + std::to_string(running_);
+    for (const auto& [name, domain] : domains_) {
+        text += " " + name + ":empty:" + std::to_string(domain.empty.size());
+        for (const auto& [model, count] : domain.holding) {
+            text += "," + model + ":" + std::to_string(count);
+        }
+    }
+    return text;
+}
+
 std::vector<planned_load> load_planner::choose(std::uint32_t allowance)
 {
     std::vector<planned_load> loads;
@@ -123,8 +209,7 @@
             break;
         }
         for (std::uint32_t i = 0; i < chosen.loads && loads.size() < most; ++i) {
-            loads.push_back({chosen.domain->empty.back(), chosen.model->name});
-            chosen.domain->empty.pop_back();
+            loads.push_back({chosen.domain->take(*chosen.model, *in_.profile), chosen.model->name});
             ++chosen.domain->holding[chosen.model->name];
         }
         counts_[chosen.model->name] += completes ? 1 : 0;
--- a/src/assembly/load_planner.h
+++ b/src/assembly/load_planner.h
@@ -33,6 +33,9 @@
                  std::map<std::string, std::uint32_t> counts,
                  std::map<std::string, std::uint32_t> targets);
 
+    /** \return the free VMs of each fabric domain by what they hold, as logs show them. */
+    std::string describe() const;
+
     /** \param allowance how many loads may start. */
     std::vector<planned_load> choose(std::uint32_t allowance);
 
@@ -40,7 +43,14 @@
     /** The free VMs of one fabric domain. */
     struct domain_state {
         std::map<std::string, std::uint32_t> holding; // By model, those that load it included.
+        std::map<std::string, std::vector<std::string>> holders; // By model, without loading ones.
         std::vector<std::string> empty;
+
+        /** VMs that hold a smaller model and are too few for a replica of it. */
+        std::size_t leftover(const model_profile& wanted, const engine_profile& profile) const;
+
+        /** Takes a VM that may load the wanted model. */
+        std::string take(const model_profile& wanted, const engine_profile& profile);
     };
     struct option {
         domain_state* domain = nullptr;
@@ -49,6 +59,9 @@
         double value = 0;
     };
 
+    bool is_loading(const backend& vm, const sent_order& sent, const model_profile& model) const;
+    /** Counts the VMs that replicas about to give way will leave behind. */
+    void count_coming();
     void read_domains(const std::vector<schema::shared_member>& taken);
     option best_completion();
     option best_spare();
--- a/src/fleet/backend_table.cpp
+++ b/src/fleet/backend_table.cpp
@@ -20,7 +20,10 @@
     if (listed.self != entry || listed.lapses_at) {
         ++version_;
     }
-    listed = {entry, now, std::nullopt};
+    const std::optional<time_point> leaving_since =
+        listed.leaving_since && listed.self.started_ms == entry.started_ms ? listed.leaving_since
+                                                                           : std::optional(now);
+    listed = {entry, now, std::nullopt, entry.leaving ? leaving_since : std::nullopt};
 }
 
 void backend_table::remove(const std::string& id, time_point now)
--- a/src/fleet/backend_table.h
+++ b/src/fleet/backend_table.h
@@ -18,7 +18,8 @@
 struct listed_backend {
     backend self;
     time_point heard_at{};
-    std::optional<time_point> lapses_at; // Missing from the list; gone at this time.
+    std::optional<time_point> lapses_at;     // Missing from the list; gone at this time.
+    std::optional<time_point> leaving_since; // When it was first listed as leaving.
 
     bool operator==(const listed_backend&) const = default;
 };
--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio.hpp>
 
+#include "assembly/assembly_plan.h"
 #include "base/event_log.h"
 
 namespace chervildyke {
@@ -203,8 +204,10 @@
         bool whole = true;
         for (const schema::shared_member& member : replica.members()) {
             const listed_backend* listed = backends_.find(member.id());
-            whole = whole && listed != nullptr && !listed->self.leaving &&
-                    listed->self.started_ms == member.started_ms();
+            const bool is_head = member.id() == replica.members(0).id();
+            whole = whole && listed != nullptr && listed->self.started_ms == member.started_ms() &&
+                    (!listed->self.leaving ||
+                     leaving_but_usable(*listed, is_head, monotonic_clock::now(), {}));
         }
         if (!whole) {
             continue;
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -231,6 +231,9 @@
     context_.board->note_peer(word.name(), std::move(uses), monotonic_clock::now());
     context_.gate->pump();
     calls_began_ = calls_began_ || word.calls_began();
+    for (const schema::running_load& load : word.loads()) {
+        assembler_->note_running_load(load);
+    }
     view_->note_newer_replicas(word.replica_log_end());
 }
 
@@ -253,6 +256,17 @@
     word.set_replica_log_end(view_->ledger().end());
     word.set_calls_began(calls_began_);
     word.set_up_ms(to_ms(now - started_at_));
+    for (const auto& [model, rate] : context_.demand.rates(now)) {
+        schema::model_demand& demand = *word.add_demands();
+        demand.set_model(model);
+        demand.set_work_ms_per_s(rate);
+    }
+    word.set_leading(assembler_->leading());
+    if (assembler_->leading()) {
+        for (schema::running_load& load : assembler_->running_loads()) {
+            *word.add_loads() = std::move(load);
+        }
+    }
     for (const auto& [epoch, use] : context_.board->own_uses(now)) {
         schema::replica_count& count = *word.add_counts();
         count.set_epoch(epoch);
@@ -278,11 +292,15 @@
     if (context_.leaving || !sound_store() || monotonic_clock::now() - started_at_ < lead_after) {
         return false;
     }
+    // The node that leads goes on; where none or several do, the first by name takes over.
+    const bool leading = assembler_->leading();
     for (const known_node* node : peers_->live()) {
         const schema::peer_word& word = node->word;
         const bool able = word.sound_store() && !word.leaving() &&
                           std::chrono::milliseconds(word.up_ms()) >= lead_after;
-        if (able && word.name() < settings_.name()) {
+        const bool goes_first =
+            word.leading() != leading ? word.leading() : word.name() < settings_.name();
+        if (able && goes_first) {
             return false;
         }
     }
@@ -291,7 +309,13 @@
 
 std::map<std::string, double> relay_node::demand() const
 {
-    return {};
+    std::map<std::string, double> total = context_.demand.rates(monotonic_clock::now());
+    for (const known_node* node : peers_->live()) {
+        for (const schema::model_demand& part : node->word.demands()) {
+            total[part.model()] += part.work_ms_per_s();
+        }
+    }
+    return total;
 }
 
 std::vector<std::string> relay_node::call_addresses() const
--- a/src/relay/relayed_call.cpp
+++ b/src/relay/relayed_call.cpp
@@ -37,7 +37,7 @@
     options.belongs = [read_marks = context.dialect.read_marks,
                        id = terms.id](const std::vector<http_header>& headers) {
         const answer_marks marks = read_marks(200, headers);
-        return marks.call_id.empty() || marks.call_id == id;
+        return marks.call_id == id;
     };
     return options;
 }
--- a/src/relay/stream_relay.cpp
+++ b/src/relay/stream_relay.cpp
@@ -8,6 +8,7 @@
 
 #include "base/event_log.h"
 #include "relay/event_splitter.h"
+#include "routing/replica_pace.h"
 
 namespace chervildyke {
 
@@ -47,6 +48,7 @@
     asio::awaitable<void> run();
 
   private:
+    void note_demand();
     asio::awaitable<gate_answer> enter();
     asio::awaitable<attempt_end> attempt(const replica_offer& offer, replica_board::call& use);
     asio::awaitable<attempt_end> read_answer(http_stream& answer, const replica_offer& offer,
@@ -59,6 +61,7 @@
     bool may_go_on(const attempt_end& ended);
     duration patience(duration predicted, duration shortest) const;
     duration come_back() const;
+    bool came_back() const;
     bool late() const;
 
     relayed_call& call_;
@@ -67,12 +70,34 @@
     std::set<std::uint64_t> tried_;
 };
 
-bool stream_run::late() const
+bool stream_run::came_back() const
 {
     const duration asked = call_.terms.time_left.value_or(call_.route->timeout);
-    const bool came_back = asked + call_.route->first_answer_target < call_.route->timeout;
+    return asked + call_.route->first_answer_target < call_.route->timeout;
+}
+
+/** Counts the replica time that a new call asks for; a call that came back was counted before. */
+void stream_run::note_demand()
+{
+    const backend_service* service = call_.services->find_service(call_.service);
+    const model_profile* model = service->engine->find(call_.terms.model);
+    if (model == nullptr || came_back()) {
+        return;
+    }
+    const double usual = service->engine->usual_answer_tokens;
+    const double most = call_.terms.max_answer_tokens > 0 ? call_.terms.max_answer_tokens : usual;
+    const double answer =
+        std::min(most, call_.terms.answer_hint.value_or(static_cast<std::uint32_t>(usual)) * 1.0);
+    const replica_pace pace(*service->engine, *model);
+    call_.context.demand.note(call_.terms.model,
+                              pace.share_of_full_batch(call_.terms.prompt_tokens, answer),
+                              call_.arrived_at);
+}
+
+bool stream_run::late() const
+{
     const duration spent = monotonic_clock::now() - call_.arrived_at;
-    return came_back || started_ || spent > call_.route->first_answer_target;
+    return came_back() || started_ || spent > call_.route->first_answer_target;
 }
 
 asio::awaitable<gate_answer> stream_run::enter()
@@ -299,6 +324,7 @@
 asio::awaitable<void> stream_run::run()
 {
     call_.context.budget_of(call_.service).note_call();
+    note_demand();
     attempt_end last;
     while (true) {
         gate_answer admitted = co_await enter();
--- a/test/correctness/assembly_plans.cpp
+++ b/test/correctness/assembly_plans.cpp
@@ -1,6 +1,9 @@
 /** \file
  * Tests that replicas form within fabric domains, open only when whole, and give way to others.
  */
+#include <algorithm>
+#include <map>
+
 #include <doctest/doctest.h>
 
 #include "support/assembly_bench.h"
@@ -119,13 +122,13 @@
     CHECK(bench.replica(name).abort_calls());
 }
 
-TEST_CASE("a member that leaves lets the calls in progress end")
+TEST_CASE("a head that leaves lets the calls in progress end")
 {
     assembly_bench bench;
     bench.add_domain("d0-", 10);
     bench.steps(4);
     const std::string name = bench.serving("small").front();
-    backend leaving = bench.backends.find(bench.replica(name).members(1).id())->self;
+    backend leaving = bench.backends.find(bench.replica(name).members(0).id())->self;
     leaving.leaving = true;
     bench.backends.apply(leaving, bench.now);
     bench.step();
@@ -133,17 +136,69 @@
     CHECK(orders_of(bench.step(), order_kind::close_when_idle) == 1);
 }
 
-TEST_CASE("loads from the weight store keep to the allowance")
+TEST_CASE("a member that leaves is used on while its head has calls, unless it is the head")
 {
     assembly_bench bench;
-    for (const char* domain : {"d0-", "d1-", "d2-"}) {
-        bench.add_domain(domain, 10);
-    }
-    bench.load_allowance = 3;
+    bench.add_domain("d0-", 10);
+    bench.steps(4);
+    const std::string name = bench.serving("small").front();
+    backend member = bench.backends.find(bench.replica(name).members(1).id())->self;
+    member.leaving = true;
+    bench.backends.apply(member, bench.now);
     bench.step();
-    const assembly_plan plan = bench.step();
-    const auto loads =
-        std::count_if(plan.orders.begin(), plan.orders.end(),
-                      [](const planned_order& order) { return order.loads_weights; });
-    CHECK(loads == 3);
+    CHECK(bench.replica(name).phase() == schema::shared_phase_serving);
+    bench.now += bench.settings.leaving_member_use;
+    bench.step();
+    CHECK(bench.replica(name).phase() == schema::shared_phase_retiring);
+    const std::string other = bench.serving("large").front();
+    backend head = bench.backends.find(bench.replica(other).members(0).id())->self;
+    head.leaving = true;
+    bench.backends.apply(head, bench.now);
+    bench.step();
+    CHECK(bench.replica(other).phase() == schema::shared_phase_retiring);
+}
+
+TEST_CASE("under load, loads complete replicas first and never exceed what the store carries")
+{
+    assembly_bench bench;
+    bench.add_domain("d0-", 10);
+    bench.add_domain("d1-", 10);
+    bench.steps(4);
+    bench.loads_are_free = false;
+    // Three VMs of the large model are left in d0; one empty VM would make them whole.
+    const std::string lost = bench.serving("large").front();
+    const std::string domain = bench.replica(lost).members(0).id().substr(0, 3);
+    for (const auto& [id, listed] : std::map(bench.backends.all())) {
+        const bool spare = !bench.ledger.holder_of(id).has_value();
+        if (spare) {
+            bench.backends.remove(id, bench.now);
+        }
+    }
+    bench.backends.remove(bench.replica(lost).members(3).id(), bench.now);
+    bench.steps(6);
+    bench.add_domain("d2-", 10);
+    bench.add_domain(domain + "new", 1);
+    backend joins = bench.backends.find(domain + "new0")->self;
+    joins.fabric_domain = domain;
+    bench.backends.apply(joins, bench.now);
+    const assembly_plan plan = bench.plan();
+    std::size_t loads = 0;
+    for (const planned_order& order : plan.orders) {
+        loads += order.loads_weights ? 1 : 0;
+    }
+    CHECK(loads == 7);
+    CHECK(plan.orders.front().vm == domain + "new0");
+    CHECK(plan.orders.front().order.model == "large");
+}
+
+TEST_CASE("targets follow the demand, but not further than half way")
+{
+    assembly_bench bench;
+    const assembly_settings settings;
+    const auto even = target_replicas(bench.profile, {}, 60, settings);
+    CHECK(even.at("large") == 6);
+    CHECK(even.at("small") == 12);
+    const auto small_only = target_replicas(bench.profile, {{"small", 5000}}, 60, settings);
+    CHECK(small_only.at("large") == 3);
+    CHECK(small_only.at("small") == 19);
 }
--- a/test/support/assembly_bench.h
+++ b/test/support/assembly_bench.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,7 @@
         profile.models = {large, small};
         profile.batch_slots = 17;
         profile.loads_per_s = 5;
+        profile.loads_at_once = 7;
     }
 
     void add_domain(const std::string& domain, int vms)
@@ -51,6 +53,7 @@
         input.backends = &backends;
         input.memory = &memory;
         input.uses = uses;
+        input.loads_are_free = loads_are_free;
         input.load_allowance = load_allowance;
         input.now = now;
         return plan_assembly(input, settings);
@@ -111,6 +114,7 @@
     assembly_memory memory;
     std::map<std::uint64_t, replica_use> uses;
     std::set<std::string> deaf; // VMs that obey no order.
+    bool loads_are_free = true; // As before the first call.
     std::uint32_t load_allowance = 1000;
 
   private:
