Keep each fabric domain to few models; tell new calls from those that came back

Cause: what is left of replicas that lost members makes a new one only within a domain, and with one large and two small replicas in each domain survivors waited for loads. Also most new calls were taken for returned ones (callers give up to 15% less time than the route), and so got only three quarters of a replica's places.

Change: a replica forms where its model has most VMs, loads prefer such domains; a call counts as returned below 0.84 of the route's time.

--- a/src/assembly/load_planner.cpp
+++ b/src/assembly/load_planner.cpp
@@ -108,6 +108,9 @@
     const member_pool pool(in_);
     for (const auto& [name, vms] : pool.free_by_domain()) {
         domain_state& domain = domains_[name];
+        for (const model_profile& model : in_.profile->models) {
+            domain.serving[model.name] = pool.serving(name, model.name);
+        }
         for (const backend* vm : vms) {
             if (gone.contains(vm->id)) {
                 continue;
@@ -138,6 +141,19 @@
     return wanted / (had + 1);
 }
 
+/** What a load is worth by the models that the domain has: one VM of a model that no other VM of
+ * its domain holds waits for several more loads.
+ */
+double load_planner::kinship(const domain_state& domain, const model_profile& model) const
+{
+    constexpr double stranger = 0.4; // Against a load beside VMs with the same model.
+    const auto serving = domain.serving.find(model.name);
+    const auto holding = domain.holding.find(model.name);
+    const bool known = (serving != domain.serving.end() && serving->second > 0) ||
+                       (holding != domain.holding.end() && holding->second > 0);
+    return known ? 1 : stranger;
+}
+
 load_planner::option load_planner::best_completion()
 {
     option best;
@@ -152,7 +168,8 @@
                 continue;
             }
             const double load_s = std::chrono::duration<double>(model.load_time).count() * loads;
-            const double value = need_of(model) * model.replica_size / load_s;
+            const double value =
+                need_of(model) * kinship(domain, model) * model.replica_size / load_s;
             if (value > best.value) {
                 best = {&domain, &model, loads, value};
             }
@@ -170,8 +187,8 @@
         }
         for (const model_profile& model : in_.profile->models) {
             // A spare saves the whole replica that lost a member.
-            const double value =
-                need_of(model) * model.replica_size / (1 + domain.holding[model.name]);
+            const double value = need_of(model) * kinship(domain, model) * model.replica_size /
+                                 (1 + domain.holding[model.name]);
             if (value > best.value) {
                 best = {&domain, &model, 1, value};
             }
--- a/src/assembly/load_planner.h
+++ b/src/assembly/load_planner.h
@@ -45,6 +45,7 @@
         std::map<std::string, std::uint32_t> holding; // By model, those that load it included.
         std::map<std::string, std::vector<std::string>> holders; // By model, without loading ones.
         std::vector<std::string> empty;
+        std::map<std::string, std::size_t> serving; // VMs in replicas, by model.
 
         /** VMs that hold a smaller model and are too few for a replica of it. */
         std::size_t leftover(const model_profile& wanted, const engine_profile& profile) const;
@@ -66,6 +67,7 @@
     option best_completion();
     option best_spare();
     double need_of(const model_profile& model) const;
+    double kinship(const domain_state& domain, const model_profile& model) const;
 
     const assembly_input& in_;
     std::map<std::string, std::uint32_t> counts_;
--- a/src/assembly/member_selection.cpp
+++ b/src/assembly/member_selection.cpp
@@ -41,15 +41,45 @@
             continue;
         }
         ++usable_;
-        if (!input.ledger->holder_of(id) && may_join(listed, input)) {
+        const auto holder = input.ledger->holder_of(id);
+        if (holder) {
+            const std::string& model = input.ledger->replicas().at(*holder).model();
+            ++serving_[listed.self.fabric_domain][model];
+        }
+        else if (may_join(listed, input)) {
             free_[listed.self.fabric_domain].push_back(&listed.self);
         }
     }
 }
 
+std::size_t member_pool::serving(const std::string& domain, const std::string& model) const
+{
+    const auto models = serving_.find(domain);
+    if (models == serving_.end()) {
+        return 0;
+    }
+    const auto found = models->second.find(model);
+    return found == models->second.end() ? 0 : found->second;
+}
+
+/** How much the domain belongs to the model; VMs in replicas of other models count against it. */
+std::size_t member_pool::kin(const std::string& domain, const std::string& model) const
+{
+    constexpr std::size_t neutral = 1000; // Above any domain's number of VMs.
+    const auto models = serving_.find(domain);
+    std::size_t score = neutral;
+    if (models != serving_.end()) {
+        for (const auto& [name, count] : models->second) {
+            score = name == model ? score + count : score - count;
+        }
+    }
+    return score;
+}
+
 std::vector<schema::shared_member> member_pool::take(const model_profile& model, bool only_staged)
 {
     std::vector<const backend*>* best = nullptr;
+    const std::string* best_domain = nullptr;
     std::size_t best_staged = 0;
     for (auto& [domain, vms] : free_) {
         if (vms.size() < model.replica_size) {
@@ -63,10 +93,12 @@
             continue;
         }
         const std::size_t useful = std::min<std::size_t>(staged, model.replica_size);
-        const bool better = best == nullptr || useful > best_staged ||
-                            (useful == best_staged && vms.size() > best->size());
+        const bool better =
+            best == nullptr || useful > best_staged ||
+            (useful == best_staged && kin(domain, model.name) > kin(*best_domain, model.name));
         if (better) {
             best = &vms;
+            best_domain = &domain;
             best_staged = useful;
         }
     }
@@ -88,6 +120,7 @@
         members.push_back(std::move(member));
     }
     best->erase(best->begin(), best->begin() + model.replica_size);
+    serving_[*best_domain][model.name] += model.replica_size;
     return members;
 }
 
--- a/src/assembly/member_selection.h
+++ b/src/assembly/member_selection.h
@@ -25,7 +25,9 @@
     explicit member_pool(const assembly_input& input);
 
     /** Picks the members of a replica within one fabric domain: where fewest must load the model
-     * from the weight store, then where most VMs are free.
+     * from the weight store, then where most VMs serve or hold it already. What is left of replicas
+     * of one model that lost members makes new ones only within a domain, so each domain should
+     * hold few models.
      * \param only_staged leaves out VMs that would have to load it.
      * \return nothing when no domain has enough VMs.
      */
@@ -36,11 +38,17 @@
         return free_;
     }
 
+    /** How many VMs of the domain are in replicas of the model. */
+    std::size_t serving(const std::string& domain, const std::string& model) const;
+
     /** How many of the service's VMs can be used, in replicas or free. */
     std::size_t usable() const { return usable_; }
 
   private:
-    std::map<std::string, std::vector<const backend*>> free_; // By fabric domain.
+    std::size_t kin(const std::string& domain, const std::string& model) const;
+
+    std::map<std::string, std::vector<const backend*>> free_;           // By fabric domain.
+    std::map<std::string, std::map<std::string, std::size_t>> serving_; // VMs by domain and model.
     std::size_t usable_ = 0;
 };
 
--- a/src/relay/stream_relay.cpp
+++ b/src/relay/stream_relay.cpp
@@ -29,8 +29,11 @@
 constexpr duration shortest_first_patience = 600ms; // Far above the first event of a full batch.
 constexpr duration shortest_gap_patience = 400ms;   // Twice the strictest target for a gap.
 constexpr int patience_factor = 4;                  // Times the prediction.
-constexpr duration come_back_min = 400ms;           // Spreads returns over a burst.
-constexpr duration come_back_spread = 1500ms;
+constexpr duration come_back_min = 800ms;           // Spreads returns over a burst.
+constexpr duration come_back_spread = 1200ms;
+constexpr double came_back_share =
+    0.84; // Of the route's timeout: callers give a new call up to 15%
+          // less, and wait up to a third of their time to come back.
 
 enum class attempt_result { complete, answered, not_run, broken, caller_gone };
 
@@ -73,7 +76,7 @@
 bool stream_run::came_back() const
 {
     const duration asked = call_.terms.time_left.value_or(call_.route->timeout);
-    return asked + call_.route->first_answer_target < call_.route->timeout;
+    return asked < call_.route->timeout * came_back_share;
 }
 
 /** Counts the replica time that a new call asks for; a call that came back was counted before. */
