Hand on ledger records between nodes; read the store less often

Change: the leading node tells records that it appended or read in its words; others take them when they follow on what they have, and read only what is missing. The configuration is confirmed by the end of a wait without a record, so the wait may be 1.8 s.

--- a/src/assembly/assembler.cpp
+++ b/src/assembly/assembler.cpp
@@ -109,11 +109,17 @@
     for (std::size_t i = 0; i < count; ++i) {
         records[i].offset = ledger_.end() + i;
     }
+    keyed_records written;
+    written.records = records;
     auto appended = co_await log_.append(replica_topic, std::move(records));
     assembly_log.write("records_appended",
                        {{"at", at},
                         {"count", std::to_string(count)},
                         {"outcome", appended ? "done" : appended.last_reason().reason}});
+    if (appended) {
+        hooks_.take_records(written);
+        co_return;
+    }
     co_await hooks_.refresh_ledger();
 }
 
--- a/src/assembly/assembler.h
+++ b/src/assembly/assembler.h
@@ -36,6 +36,9 @@
 
     /** Reads the topic of replicas once, so that an append meets the log's end. */
     std::function<boost::asio::awaitable<void>()> refresh_ledger;
+
+    /** Takes records that were appended. */
+    std::function<void(const keyed_records&)> take_records;
 };
 
 class assembler : public std::enable_shared_from_this<assembler> {
--- a/src/fleet/topic_follower.cpp
+++ b/src/fleet/topic_follower.cpp
@@ -56,6 +56,29 @@
     co_return true;
 }
 
+bool topic_follower::take(const keyed_records& records)
+{
+    if (!loaded_) {
+        return false;
+    }
+    keyed_records news;
+    for (const keyed_record& record : records.records) {
+        if (record.offset < next_offset_ + news.records.size()) {
+            continue;
+        }
+        if (record.offset > next_offset_ + news.records.size()) {
+            return false;
+        }
+        news.records.push_back(record);
+    }
+    if (!news.records.empty()) {
+        news.next_offset = next_offset_ + news.records.size();
+        next_offset_ = news.next_offset;
+        hooks_.apply(news);
+    }
+    return true;
+}
+
 boost::asio::awaitable<bool> topic_follower::read_once(duration wait)
 {
     if (!loaded_) {
@@ -82,12 +105,10 @@
         follower_log.write("store_regained", {{"topic", topic_}});
         lost_ = false;
     }
-    confirmed_at_ = asked_at;
-    if (!read->records.empty()) {
-        hooks_.apply(*read);
-    }
-    next_offset_ = read->next_offset;
-    co_return true;
+    // The log answers with no record only when there was none for the whole wait.
+    const bool waited = read->records.empty() && awake_or_suspended_time() - asked_at >= wait;
+    confirmed_at_ = waited ? asked_at + wait : asked_at;
+    co_return take(*read); // Others may have been taken meanwhile.
 }
 
 } // namespace chervildyke
--- a/src/fleet/topic_follower.h
+++ b/src/fleet/topic_follower.h
@@ -38,6 +38,12 @@
      */
     boost::asio::awaitable<bool> read_once(duration wait);
 
+    /** Takes records that are known to stand in the log, from an append or a peer; those that were
+     * read before are left out.
+     * \return false when records are missing before them.
+     */
+    bool take(const keyed_records& records);
+
     /** The offset behind the last record read. */
     std::uint64_t next_offset() const { return next_offset_; }
 
--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -3,6 +3,7 @@
  */
 #include "relay/fleet_view.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio.hpp>
@@ -47,11 +48,7 @@
                         ledger_.replace(read);
                         on_change();
                     },
-                    [this](const keyed_records& read) {
-                        ledger_.apply(read);
-                        on_change();
-                    },
-                    [] {})),
+                    [this](const keyed_records& read) { apply_replicas(read); }, [] {})),
       newer_replicas_(executor_)
 {
 }
@@ -176,6 +173,19 @@
     reading_replicas_ = false;
 }
 
+void fleet_view::apply_replicas(const keyed_records& records)
+{
+    ledger_.apply(records);
+    const time_point now = monotonic_clock::now();
+    for (const keyed_record& record : records.records) {
+        recent_records_.emplace_back(now, record);
+    }
+    while (now - recent_records_.front().first > settings_.recent_record_time) {
+        recent_records_.pop_front();
+    }
+    on_change();
+}
+
 asio::awaitable<void> fleet_view::follow_replicas()
 {
     const auto self = shared_from_this();
@@ -184,16 +194,38 @@
         newer_replicas_.expires_after(replicas_.has_read() ? settings_.replica_interval
                                                            : settings_.retry_interval);
         co_await newer_replicas_.async_wait(asio::as_tuple(asio::use_awaitable));
+        if (newest_told_ > replicas_.next_offset()) {
+            co_await sleep_for(settings_.peer_record_wait);
+        }
     }
 }
 
 void fleet_view::note_newer_replicas(std::uint64_t next_offset)
 {
-    if (next_offset > replicas_.next_offset()) {
+    newest_told_ = std::max(newest_told_, next_offset);
+    if (newest_told_ > replicas_.next_offset()) {
         newer_replicas_.cancel();
     }
 }
 
+void fleet_view::take_replica_records(const keyed_records& records)
+{
+    if (!replicas_.take(records)) {
+        newer_replicas_.cancel(); // Some are missing before them.
+    }
+}
+
+std::vector<keyed_record> fleet_view::recent_replica_records() const
+{
+    std::vector<keyed_record> recent;
+    for (const auto& [at, record] : recent_records_) {
+        if (monotonic_clock::now() - at <= settings_.recent_record_time) {
+            recent.push_back(record);
+        }
+    }
+    return recent;
+}
+
 std::vector<serving_replica> fleet_view::serving() const
 {
     std::vector<serving_replica> replicas;
--- a/src/relay/fleet_view.h
+++ b/src/relay/fleet_view.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -22,13 +23,15 @@
 namespace chervildyke {
 
 struct fleet_view_settings {
-    duration configuration_wait = 1200ms; // Of one read; the age that it confirms starts over then.
+    duration configuration_wait = 1800ms; // Of one read; the age that it confirms starts over then.
     duration backend_wait = 1500ms;       // Of one read of the list, which changes seldom.
-    duration backend_interval = 700ms;    // Between two reads; a leaving server must get no more
+    duration backend_interval = 1s;       // Between two reads; a leaving server must get no more
                                           // calls within 2 s.
     duration busy_backend_interval = 60ms; // While replicas form: a step of theirs takes 200 ms.
     duration replica_interval = 3s;        // Without word of newer records from peers.
-    duration retry_interval = 400ms;       // After a failed read; each costs a call on the log.
+    duration peer_record_wait = 250ms;   // For records that a peer has and tells in its next words.
+    duration recent_record_time = 500ms; // For which records are told; five words.
+    duration retry_interval = 400ms;     // After a failed read; each costs a call on the log.
 };
 
 class fleet_view : public std::enable_shared_from_this<fleet_view> {
@@ -55,6 +58,12 @@
     /** A peer has read the replicas up to the offset. */
     void note_newer_replicas(std::uint64_t next_offset);
 
+    /** Takes records of replicas that stand in the log. */
+    void take_replica_records(const keyed_records& records);
+
+    /** The newest records of replicas, for peers. */
+    std::vector<keyed_record> recent_replica_records() const;
+
     const service_map_ptr& services() const { return services_; }
     const backend_table& backends() const { return backends_; }
     const replica_ledger& ledger() const { return ledger_; }
@@ -69,6 +78,7 @@
   private:
     void take_configuration(const keyed_records& records);
     void take_backends(const keyed_records& records, bool all);
+    void apply_replicas(const keyed_records& records);
     bool forming() const;
 
     boost::asio::any_io_executor executor_;
@@ -82,6 +92,8 @@
     topic_follower backend_list_;
     topic_follower replicas_;
     timer newer_replicas_;
+    std::uint64_t newest_told_ = 0; // Offset that a peer has read up to.
+    std::deque<std::pair<time_point, keyed_record>> recent_records_;
     bool reading_replicas_ = false;
 };
 
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -19,7 +19,7 @@
 const event_log node_log("node");
 
 constexpr const char* node_topic = "nodes";
-constexpr duration store_sound_limit = 2500ms; // Two reads of the configuration.
+constexpr duration store_sound_limit = 2800ms; // One and a half reads of the configuration.
 constexpr duration list_current_limit = 4s;    // Two reads of the list.
 constexpr duration lead_after = 1200ms;        // Since the start: peers are known by then.
 constexpr duration key_margin = 500ms;         // For clocks that run apart and calls on their way.
@@ -86,6 +86,10 @@
     };
     hooks.demand_ms_per_s = [this] { return demand(); };
     hooks.refresh_ledger = [this] { return view_->read_replicas(); };
+    hooks.take_records = [this](const keyed_records& records) {
+        view_->take_replica_records(records);
+        peers_->tell_all();
+    };
     const assembly_settings assembly;
     assembler_ = std::make_shared<assembler>(executor_, surroundings_.log, surroundings_.engines,
                                              view_->ledger(), view_->backends(), *context_.board,
@@ -234,6 +238,19 @@
     for (const schema::running_load& load : word.loads()) {
         assembler_->note_running_load(load);
     }
+    keyed_records told;
+    for (const schema::ledger_record& record : word.records()) {
+        keyed_record taken;
+        taken.offset = record.offset();
+        taken.key = record.key();
+        if (!record.value().empty()) {
+            taken.value = record.value();
+        }
+        told.records.push_back(std::move(taken));
+    }
+    if (!told.records.empty()) {
+        view_->take_replica_records(told);
+    }
     view_->note_newer_replicas(word.replica_log_end());
 }
 
@@ -263,6 +280,12 @@
     }
     word.set_leading(assembler_->leading());
     if (assembler_->leading()) {
+        for (keyed_record& record : view_->recent_replica_records()) {
+            schema::ledger_record& told = *word.add_records();
+            told.set_offset(record.offset);
+            told.set_key(std::move(record.key));
+            told.set_value(record.value.value_or(""));
+        }
         for (schema::running_load& load : assembler_->running_loads()) {
             *word.add_loads() = std::move(load);
         }
