--- /dev/null
+++ b/test/correctness/relay_events.cpp
@@ -0,0 +1,46 @@
+/** \file
+ * Tests that streams are cut into whole events, and which headers go on.
+ */
+#include <doctest/doctest.h>
+
+#include "relay/call_dialect.h"
+#include "relay/event_splitter.h"
+
+using namespace chervildyke;
+
+TEST_CASE("events come out whole and unchanged, however the bytes arrive")
+{
+    const std::string stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\n";
+    event_splitter splitter;
+    std::string joined;
+    std::vector<std::optional<std::uint64_t>> ids;
+    for (const char byte : stream) {
+        splitter.feed(std::string_view(&byte, 1));
+        while (const auto event = splitter.next()) {
+            joined += event->bytes;
+            ids.push_back(event->id);
+        }
+    }
+    CHECK(joined == stream);
+    CHECK(ids == std::vector<std::optional<std::uint64_t>>{1, 2, std::nullopt});
+    CHECK_FALSE(splitter.has_rest());
+}
+
+TEST_CASE("bytes without the end of their event are a rest")
+{
+    event_splitter splitter;
+    splitter.feed("id: 1\ndata: a\n\nid: 2\nda");
+    CHECK(splitter.next()->id == 1);
+    CHECK_FALSE(splitter.next().has_value());
+    CHECK(splitter.has_rest());
+}
+
+TEST_CASE("headers of one connection do not go on, nor those that it names")
+{
+    const std::vector<http_header> headers = {{"Connection", "close, X-Hop"},
+                                              {"X-Hop", "1"},
+                                              {"transfer-encoding", "chunked"},
+                                              {"Content-Length", "3"},
+                                              {"X-Kept", "2"}};
+    CHECK(end_to_end_headers(headers) == std::vector<http_header>{{"X-Kept", "2"}});
+}
--- /dev/null
+++ b/test/error/platform_decoding.cpp
@@ -0,0 +1,169 @@
+/** \file
+ * Tests what the adapter makes of documents, records and headers, bad ones among them.
+ */
+#include <doctest/doctest.h>
+
+#include "platform/call_headers.h"
+#include "platform/engine_orders.h"
+#include "platform/published.h"
+#include "platform/store_client.h"
+
+using namespace chervildyke;
+
+namespace {
+
+const std::string configuration = R"({"version":7,"routes":[
+ {"name":"r1","host":"desk.example","path-prefix":"/a/","kind":"streaming","timeout-ms":8000,
+  "target-latency-ms":400,"priority":1,"backends":[{"service":"pool","weight":90},
+  {"service":"other","weight":10}],"max-attempts":2,"public":false,"sticky":true,"resumable":true,
+  "target-gap-ms":300},
+ {"name":"r2","host":"desk.example","path-prefix":"/b/","kind":"non_idempotent","timeout-ms":600,
+  "target-latency-ms":100,"service":"orders","max-attempts":1,"public":true}],
+ "services":[{"name":"pool","health-path":"/health","max-connections":368,"engine":{"slots":17,
+  "stride":5,"step_ms":7.8,"per_seq_ms":0.0947,"context_per_k":0.0096,"read_per_s":45900.0,
+  "loads-per-s":5.0,"loads_at_once":7,"usual":{"prompt":979,"answer":154},"models":[
+  {"name":"m0","size":4,"share":0.5,"pace":1.0,"load-time-s":16.0,"warmup-s":1.6}]}},
+  {"name":"orders","health-path":"/health","max-connections":110}],
+ "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,
+  "idle-timeout-ms":15000},
+ "tenants":[{"name":"counter","api-keys":["k1","k2"],"priority":2}]})";
+
+std::string entry(const std::string& state)
+{
+    return R"({"service":"pool","address":"10.0.0.9:80","zone":"a","version":"v1","slots":17,"state":")" +
+           state + R"(","sequence":4,"born":12,"domain":"a-d0","staged":["m0"],
+  "group":{"name":"r1","epoch":3,"rank":0,"state":"open"}})";
+}
+
+} // namespace
+
+TEST_CASE("a configuration is decoded into routes, services and teams")
+{
+    const auto map = platform::read_configuration(configuration);
+    REQUIRE(map);
+    CHECK((*map)->version() == 7);
+    const call_route* stream = (*map)->find_route("desk.example", "/a/x");
+    REQUIRE(stream != nullptr);
+    CHECK(stream->repeat == repeat_rule::resumable);
+    CHECK(stream->first_answer_target == 400ms);
+    CHECK(stream->services.size() == 2);
+    const call_route* order = (*map)->find_route("desk.example", "/b/x");
+    CHECK(order->repeat == repeat_rule::never);
+    CHECK(order->without_key);
+    CHECK((*map)->find_service("pool")->engine->models.front().replica_size == 4);
+    CHECK((*map)->team_of("k2")->name == "counter");
+}
+
+TEST_CASE("a configuration that can't be read is refused with a reason")
+{
+    CHECK_FALSE(platform::read_configuration("{"));
+    const auto unknown_kind = platform::read_configuration(
+        R"({"version":1,"services":[],"routes":[{"name":"r","host":"h","path-prefix":"/","kind":"odd"}]})");
+    REQUIRE_FALSE(unknown_kind);
+    CHECK(unknown_kind.last_reason().reason == "route r has an unknown kind 'odd'");
+}
+
+TEST_CASE("an entry is decoded; one that is malformed names no backend server")
+{
+    const auto server = platform::read_backend("i-1", entry("draining"));
+    REQUIRE(server);
+    CHECK(server->leaving);
+    CHECK(server->membership->phase == membership_phase::open);
+    CHECK_FALSE(platform::read_backend("i-1", entry("asleep")));
+    CHECK_FALSE(platform::read_backend("i-1", R"({"service":3})"));
+    CHECK_FALSE(platform::read_backend("i-1", "\xff\xfe"));
+}
+
+TEST_CASE("records survive the way through the store's frames")
+{
+    keyed_record kept;
+    kept.offset = 40;
+    kept.key = "r1";
+    kept.value = std::string("a\0b", 3);
+    keyed_record dropped;
+    dropped.offset = 41;
+    dropped.key = "r2";
+    const std::string offsets(16, '\0');
+    const auto read =
+        platform::read_records(offsets + platform::write_records({kept, dropped}), 40);
+    REQUIRE(read);
+    CHECK(read->records == std::vector<keyed_record>{kept, dropped});
+    CHECK(read->next_offset == 42);
+}
+
+TEST_CASE("a frame that is cut off is refused whole")
+{
+    keyed_record record;
+    record.key = "r1";
+    record.value = "value";
+    const std::string bytes = std::string(16, '\0') + platform::write_records({record});
+    for (std::size_t length = 17; length < bytes.size(); ++length) {
+        CHECK_FALSE(platform::read_records(bytes.substr(0, length), 0));
+    }
+    CHECK_FALSE(platform::read_records("short", 0));
+}
+
+TEST_CASE("the newest records carry base64 and say whether there are more")
+{
+    const auto page = platform::read_newest_page(
+        R"({"items":[{"key":"config","value":"aGk=","offset":4}],"has-more":true,"end-offset":6})");
+    REQUIRE(page);
+    CHECK(page->records.front().value == "hi");
+    CHECK(page->has_more);
+    CHECK(page->end_offset == 6);
+    CHECK_FALSE(platform::read_newest_page(R"({"items":[]})"));
+}
+
+TEST_CASE("an attempt shows the team, never the caller's key or the caller's word for its team")
+{
+    http_request request;
+    request.method = "POST";
+    request.target = "/a/x?y=1";
+    request.headers = {{"Host", "desk.example"},        {"X-Attempt-Id", "i1"},
+                       {"Authorization", "Token k1"},   {"x-tenant", "forged"},
+                       {"X-Deadline-Ms", "8000"},       {"X-Model", "m0"},
+                       {"X-Token-Usage", "1460,80"},    {"Connection", "keep-alive"},
+                       {"X-Target-Instance", "forged"}, {"X-Other", "kept"}};
+    const call_terms terms = platform::read_call(request);
+    CHECK(terms.key == "k1");
+    CHECK(terms.prompt_tokens == 1460);
+    CHECK(terms.time_left == 8000ms);
+    attempt_terms added;
+    added.backend_id = "i-9";
+    added.team = "counter";
+    added.time_left = 7990ms;
+    const http_request sent = platform::write_attempt(request, added);
+    CHECK(sent.header("Authorization").empty());
+    CHECK(sent.header("X-Tenant") == "counter");
+    CHECK(sent.header("X-Target-Instance") == "i-9");
+    CHECK(sent.header("X-Deadline-Ms") == "7990");
+    CHECK(sent.header("X-Attempt-Id") == "i1");
+    CHECK(sent.header("X-Other") == "kept");
+    CHECK(sent.header("Last-Event-Id").empty());
+    CHECK(sent.target == request.target);
+}
+
+TEST_CASE("only marked refusals say that a call was not run")
+{
+    CHECK(platform::read_marks(503, {{"X-Not-Executed", "1"}}).not_run);
+    CHECK(platform::read_marks(421, {}).not_run);
+    CHECK_FALSE(platform::read_marks(503, {}).not_run);
+    CHECK_FALSE(platform::read_marks(500, {{"X-Response-Seal", "s"}}).not_run);
+}
+
+TEST_CASE("orders carry only what their kind needs")
+{
+    replica_order order;
+    order.kind = order_kind::join;
+    order.replica = "r1";
+    order.epoch = 12;
+    order.model = "m0";
+    order.members = {"a", "b"};
+    CHECK(platform::write_order(order) ==
+          R"({"epoch":12,"group":"r1","members":["a","b"],"model":"m0","operation":"join"})");
+    order.kind = order_kind::close_now;
+    CHECK(platform::write_order(order) ==
+          R"({"close-mode":"aborted","epoch":12,"group":"r1","operation":"close"})");
+    order.kind = order_kind::stage;
+    CHECK(platform::write_order(order) == R"({"model":"m0","operation":"stage"})");
+}
