--- a/src/relay/call_gate.cpp
+++ b/src/relay/call_gate.cpp
@@ -97,7 +97,7 @@
         refused.verdict = gate_verdict::waited_too_long;
         co_return refused;
     }
-    if (too_late(queue, request, now)) {
+    if (!request.goes_on && too_late(queue, request, now)) {
         refused.verdict = gate_verdict::too_many_waiting;
         co_return refused;
     }
--- a/src/relay/call_gate.h
+++ b/src/relay/call_gate.h
@@ -25,6 +25,7 @@
     std::uint32_t urgency = 0; // A higher one goes first.
     time_point wait_until{};   // Refused then.
     double fill_limit = 1;     // Of a replica's places that may be taken before it.
+    bool goes_on = false;      // It was at a replica before and is not refused before its time.
 };
 
 enum class gate_verdict { admitted, no_replica, too_many_waiting, waited_too_long };
--- a/src/relay/stream_relay.cpp
+++ b/src/relay/stream_relay.cpp
@@ -24,9 +24,11 @@
 constexpr duration suspect_refused = 250ms; // A full batch frees a place sooner than that.
 constexpr double wait_share = 0.6;          // Of the target for the first event, spent waiting for
                                             // a place; the rest is for the prompt.
-constexpr double late_fill_limit = 0.75;    // Of a replica's places: calls that are late anyway
-                                            // leave the rest to those that can be in time.
-constexpr duration shortest_first_patience = 600ms; // Far above the first event of a full batch.
+constexpr duration moved_wait = 1200ms;  // For a place elsewhere; callers abandon a stream after a
+                                         // gap of 2 s.
+constexpr double late_fill_limit = 0.75; // Of a replica's places: calls that are late anyway
+                                         // leave the rest to those that can be in time.
+constexpr duration shortest_first_patience = 450ms; // Above the first event of a full batch.
 constexpr duration shortest_gap_patience = 400ms;   // Twice the strictest target for a gap.
 constexpr int patience_factor = 4;                  // Times the prediction.
 constexpr duration come_back_min = 800ms;           // Spreads returns over a burst.
@@ -115,14 +117,17 @@
     const time_point now = monotonic_clock::now();
     const auto wait =
         std::chrono::duration_cast<duration>(call_.route->first_answer_target * wait_share);
-    request.wait_until = started_ ? now + wait : call_.arrived_at + wait;
-    request.wait_until = std::min(request.wait_until, call_.deadline);
-    if (late() && !started_) {
-        request.fill_limit = late_fill_limit;
+    request.wait_until = call_.arrived_at + wait;
+    if (call_.end.sends > 0) {
+        // Its caller has waited for a replica that failed it, or holds half an answer.
+        request.goes_on = true;
+        request.urgency += 100;
+        request.wait_until = now + moved_wait;
     }
-    if (started_) {
-        request.urgency += 100; // The caller holds half an answer.
+    else if (late()) {
+        request.fill_limit = late_fill_limit;
     }
+    request.wait_until = std::min(request.wait_until, call_.deadline);
     co_return co_await call_.context.gate->enter(std::move(request));
 }
 
--- a/src/routing/replica_board.cpp
+++ b/src/routing/replica_board.cpp
@@ -98,7 +98,8 @@
             continue;
         }
         const replica_use use = use_of(epoch, now);
-        if (use.running < fill_limit * profile->second.batch_slots) {
+        const bool stalled = use.running > 0 && use.silent > settings_.stall_limit;
+        if (!stalled && use.running < fill_limit * profile->second.batch_slots) {
             open.push_back({replica,
                             pace.first_event(use.running, use.prompt_tokens, request.prompt_tokens),
                             pace.event_gap(use.running + 1), use.running});
--- a/src/routing/replica_board.h
+++ b/src/routing/replica_board.h
@@ -62,8 +62,10 @@
 
 struct board_settings {
     duration peer_word_lifetime = 1500ms; // A silent peer's counts are forgotten; ten lost words.
-    std::uint32_t choices = 3;            // Replicas compared for a call; more would let nodes with
-                                          // the same old counts pick the same one.
+    duration stall_limit = 400ms; // Without an event from any call, a replica is taken as stalled;
+                                  // four times the longest gap of a full batch.
+    std::uint32_t choices = 3;    // Replicas compared for a call; more would let nodes with
+                                  // the same old counts pick the same one.
 };
 
 class replica_board {
--- a/test/correctness/relay_gate.cpp
+++ b/test/correctness/relay_gate.cpp
@@ -31,13 +31,14 @@
     }
 
     void enter(const std::string& name, const std::string& team, duration patience,
-               std::uint32_t urgency = 0)
+               std::uint32_t urgency = 0, bool goes_on = false)
     {
         gate_request request;
         request.wanted.service = "pool";
         request.wanted.model = "m";
         request.team = team;
         request.urgency = urgency;
+        request.goes_on = goes_on;
         request.wait_until = monotonic_clock::now() + patience;
         asio::co_spawn(context, wait(name, std::move(request)), asio::detached);
         clock.advance(1ms);
@@ -138,6 +139,10 @@
     }
     bench.enter("late", "t", 300ms);
     CHECK(bench.verdicts.at("late") == gate_verdict::too_many_waiting);
+    // A call that lost its replica half way is not refused for that, and goes first.
+    bench.enter("moved", "t", 300ms, 100, true);
+    bench.end(bench.order.back());
+    CHECK(bench.verdicts.at("moved") == gate_verdict::admitted);
 }
 
 TEST_CASE("no replica of the model: the call is refused at once")
--- a/test/correctness/routing_replica_board.cpp
+++ b/test/correctness/routing_replica_board.cpp
@@ -107,6 +107,15 @@
     CHECK(board.all_uses(start + 200ms).at(1).silent == 300ms);
 }
 
+TEST_CASE("a replica that stands still for all nodes gets no more calls")
+{
+    replica_board board = board_of(2);
+    board.note_peer("a", {{1, {1, 0, 500ms}}, {2, {3, 0, 20ms}}}, start);
+    for (int i = 0; i < 20; ++i) {
+        CHECK(board.choose(request(), 1, start).offer->replica.epoch == 2);
+    }
+}
+
 TEST_CASE("own calls count until they end")
 {
     replica_board board = board_of(1);
