--- a/src/assembly/assembler.cpp
+++ b/src/assembly/assembler.cpp
@@ -4,6 +4,7 @@
 #include "assembly/assembler.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "assembly/member_selection.h"
@@ -26,6 +27,15 @@
 constexpr duration told_load_time = 40s;  // Loads that are older have ended.
 constexpr duration memory_time = 60s;     // Longer than an order can be in flight.
 
+std::string demand_text(const std::map<std::string, double>& demand)
+{
+    std::string text;
+    for (const auto& [model, rate] : demand) {
+        text += (text.empty() ? "" : ",") + model + ":" + std::to_string(std::lround(rate));
+    }
+    return text;
+}
+
 } // namespace
 
 assembler::assembler(asio::any_io_executor executor, shared_log log, engine_calls engines,
@@ -177,6 +187,7 @@
         told_free_vms_ = plan.free_vms;
         assembly_log.write("free_vms", {{"service", service},
                                         {"load_allowance", std::to_string(input.load_allowance)},
+                                        {"demand_ms_per_s", demand_text(input.demand_ms_per_s)},
                                         {"vms", told_free_vms_}});
     }
     for (const std::string& vm : plan.probes) {
--- a/src/fleet/topic_follower.h
+++ b/src/fleet/topic_follower.h
@@ -49,6 +49,9 @@
 
     bool has_read() const { return loaded_; }
 
+    /** True when the last read failed. */
+    bool lost() const { return lost_; }
+
     /** Time since the call that brought the last confirmed word began; it runs on while the
      * process is suspended.
      */
--- a/src/members/peer_exchange.cpp
+++ b/src/members/peer_exchange.cpp
@@ -22,6 +22,8 @@
 
 constexpr std::size_t max_datagram_bytes = 16U << 10U;
 constexpr std::size_t max_addresses = 1024;
+constexpr std::size_t told_peers = 6; // In one word.
+constexpr int lost_words = 4;         // In a row, after which a node counts as gone.
 constexpr auto as_tuple = asio::as_tuple(asio::use_awaitable);
 
 } // namespace
@@ -69,13 +71,19 @@
     schema::peer_word word;
     describe_(word);
     const time_point now = monotonic_clock::now();
+    // A few at a time; all get around.
+    std::vector<node_key> live_nodes;
     for (const auto& [key, node] : nodes_) {
-        if (now - node.heard_at < settings_.silence_limit) {
-            schema::known_peer& known = *word.add_peers();
-            known.set_address(key.first);
-            known.set_port(key.second);
+        if (now - node.heard_at < silence_limit()) {
+            live_nodes.push_back(key);
         }
     }
+    for (std::size_t i = 0; i < std::min(live_nodes.size(), told_peers); ++i) {
+        std::swap(live_nodes[i], live_nodes[i + random_below(random_, live_nodes.size() - i)]);
+        schema::known_peer& known = *word.add_peers();
+        known.set_address(live_nodes[i].first);
+        known.set_port(live_nodes[i].second);
+    }
     return word.SerializeAsString();
 }
 
@@ -97,6 +105,32 @@
     }
 }
 
+/** Takes turns, so that each node hears from this one in a bounded number of intervals. */
+std::vector<peer_exchange::node_key> peer_exchange::next_targets()
+{
+    std::vector<node_key> targets;
+    auto next = addresses_.upper_bound(last_target_);
+    while (targets.size() < std::min(addresses_.size(), settings_.fanout)) {
+        if (next == addresses_.end()) {
+            next = addresses_.begin();
+        }
+        targets.push_back(next->first);
+        ++next;
+    }
+    if (!targets.empty()) {
+        last_target_ = targets.back();
+    }
+    return targets;
+}
+
+/** A round of words to all nodes takes more intervals than one when there are many. */
+duration peer_exchange::silence_limit() const
+{
+    const std::size_t rounds = (addresses_.size() + settings_.fanout - 1) / settings_.fanout;
+    const duration round = settings_.interval * static_cast<int>(std::max<std::size_t>(rounds, 1));
+    return std::max<duration>(settings_.silence_limit, lost_words * round);
+}
+
 asio::awaitable<void> peer_exchange::send_words()
 {
     const auto self = shared_from_this();
@@ -105,14 +139,7 @@
         std::erase_if(addresses_, [&](const auto& entry) {
             return now - entry.second > settings_.forget_after;
         });
-        std::vector<node_key> targets;
-        for (const auto& [node, since] : addresses_) {
-            targets.push_back(node);
-        }
-        for (std::size_t i = 0; i < targets.size() && targets.size() > settings_.fanout; ++i) {
-            std::swap(targets[i], targets[i + random_below(random_, targets.size() - i)]);
-        }
-        targets.resize(std::min(targets.size(), settings_.fanout));
+        const std::vector<node_key> targets = next_targets();
         if (!targets.empty()) {
             const std::string bytes = encode_word();
             for (const node_key& node : targets) {
@@ -180,7 +207,7 @@
     const time_point now = monotonic_clock::now();
     std::vector<const known_node*> nodes;
     for (const auto& [key, node] : nodes_) {
-        if (now - node.heard_at < settings_.silence_limit) {
+        if (now - node.heard_at < silence_limit()) {
             nodes.push_back(&node);
         }
     }
--- a/src/members/peer_exchange.h
+++ b/src/members/peer_exchange.h
@@ -64,6 +64,8 @@
   private:
     using node_key = std::pair<std::string, std::uint16_t>;
 
+    std::vector<node_key> next_targets();
+    duration silence_limit() const;
     std::string encode_word();
     void take_word(const std::string& bytes);
     void send_to(const node_key& node, const std::string& bytes);
@@ -74,6 +76,7 @@
     peer_exchange_settings settings_;
     boost::asio::ip::udp::socket socket_;
     node_key self_;
+    node_key last_target_;
     std::map<node_key, time_point> addresses_; // Since when nothing was heard, or last heard.
     std::map<node_key, known_node> nodes_;
     std::string last_reason_;
--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -131,7 +131,9 @@
 {
     const auto self = shared_from_this();
     while (true) {
-        if (!co_await configuration_.read_once(settings_.configuration_wait)) {
+        const duration wait =
+            wants_fresh_list() ? settings_.leader_configuration_wait : settings_.configuration_wait;
+        if (!co_await configuration_.read_once(wait)) {
             co_await sleep_for(settings_.retry_interval);
         }
         else if (!services_) {
@@ -140,6 +142,13 @@
     }
 }
 
+bool fleet_view::store_is_sound() const
+{
+    constexpr duration limit = 4s; // One and a half reads.
+    const auto age = configuration_.age();
+    return age && *age < limit && !configuration_.lost();
+}
+
 bool fleet_view::forming() const
 {
     for (const auto& [name, replica] : ledger_.replicas()) {
--- a/src/relay/fleet_view.h
+++ b/src/relay/fleet_view.h
@@ -23,12 +23,15 @@
 namespace chervildyke {
 
 struct fleet_view_settings {
-    duration configuration_wait = 1800ms; // Of one read; the age that it confirms starts over then.
-    duration backend_wait = 1500ms;       // Of one read of the list, which changes seldom.
-    duration backend_interval = 1s;       // Between two reads; a leaving server must get no more
-                                          // calls within 2 s.
-    duration busy_backend_interval = 60ms; // While replicas form: a step of theirs takes 200 ms.
-    duration replica_interval = 3s;        // Without word of newer records from peers.
+    duration configuration_wait = 2600ms; // Of one read; the age that it confirms starts over then.
+                                          // A silent connection is noticed 0.7 s later, in time to
+                                          // honour keys.
+    duration leader_configuration_wait = 1200ms; // A leader without the store must give way soon.
+    duration backend_wait = 1500ms;              // Of one read of the list, which changes seldom.
+    duration backend_interval = 1s;              // Between two reads; less than the time in which a
+                                                 // leaving server must get no more calls.
+    duration busy_backend_interval = 150ms; // While replicas form: a step of theirs takes 200 ms.
+    duration replica_interval = 3s;         // Without word of newer records from peers.
     duration peer_record_wait = 250ms;   // For records that a peer has and tells in its next words.
     duration recent_record_time = 500ms; // For which records are told; five words.
     duration retry_interval = 400ms;     // After a failed read; each costs a call on the log.
@@ -68,6 +71,8 @@
     const backend_table& backends() const { return backends_; }
     const replica_ledger& ledger() const { return ledger_; }
     std::optional<duration> configuration_age() const { return configuration_.age(); }
+    /** True when the store answered the last read of the configuration, and that lately. */
+    bool store_is_sound() const;
     std::optional<duration> backend_age() const { return backend_list_.age(); }
     std::optional<duration> replica_age() const { return replicas_.age(); }
     std::uint64_t configuration_offset() const { return configuration_.next_offset(); }
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -19,10 +19,11 @@
 const event_log node_log("node");
 
 constexpr const char* node_topic = "nodes";
-constexpr duration store_sound_limit = 2800ms; // One and a half reads of the configuration.
-constexpr duration list_current_limit = 4s;    // Two reads of the list.
-constexpr duration lead_after = 1200ms;        // Since the start: peers are known by then.
-constexpr duration key_margin = 500ms;         // For clocks that run apart and calls on their way.
+constexpr double drain_share = 0.6;         // Of the time that leaving servers take calls, between
+                                            // two reads of their list.
+constexpr duration list_current_limit = 4s; // Two reads of the list.
+constexpr duration lead_after = 1200ms;     // Since the start: peers are known by then.
+constexpr duration key_margin = 500ms;      // For clocks that run apart and calls on their way.
 constexpr double retry_use = 0.6;           // Of the budget of all nodes: what a node has spent is
                                             // forgotten when it starts again.
 constexpr double usual_nodes = 8;           // Among which the budget's slack is divided at least.
@@ -56,8 +57,11 @@
       directory_(executor_, [this](http_exchange& exchange) { return serve_directory(exchange); }),
       metrics_(executor_, [this](http_exchange& exchange) { return serve_metrics(exchange); })
 {
+    fleet_view_settings view;
+    view.backend_interval =
+        std::chrono::duration_cast<duration>(from_ms(settings_.backend_drain_ms()) * drain_share);
     view_ = std::make_shared<fleet_view>(executor_, surroundings_.log, surroundings_.fleet, random_,
-                                         from_ms(settings_.clock_settle_ms()));
+                                         from_ms(settings_.clock_settle_ms()), view);
     context_.executor = executor_;
     context_.random = random_;
     context_.dialect = surroundings_.calls;
@@ -194,7 +198,7 @@
     hooks.apply = hooks.replace;
     hooks.outage = [] {};
     topic_follower follower(surroundings_.log, node_topic, hooks);
-    constexpr duration wait = 10s; // New nodes also introduce themselves to the seeds.
+    constexpr duration wait = 25s; // New nodes also introduce themselves to the seeds.
     while (true) {
         if (!co_await follower.read_once(wait)) {
             co_await sleep_for(1s);
@@ -269,7 +273,7 @@
     word.set_failure_domain(settings_.failure_domain());
     word.set_ready(ready());
     word.set_leaving(context_.leaving);
-    word.set_sound_store(sound_store());
+    word.set_sound_store(view_->store_is_sound());
     word.set_replica_log_end(view_->ledger().end());
     word.set_calls_began(calls_began_);
     word.set_up_ms(to_ms(now - started_at_));
@@ -299,12 +303,6 @@
     }
 }
 
-bool relay_node::sound_store() const
-{
-    const auto age = view_->configuration_age();
-    return age && *age < store_sound_limit;
-}
-
 bool relay_node::ready() const
 {
     return !context_.leaving && view_->services() != nullptr;
@@ -312,7 +310,8 @@
 
 bool relay_node::leads() const
 {
-    if (context_.leaving || !sound_store() || monotonic_clock::now() - started_at_ < lead_after) {
+    if (context_.leaving || !view_->store_is_sound() ||
+        monotonic_clock::now() - started_at_ < lead_after) {
         return false;
     }
     // The node that leads goes on; where none or several do, the first by name takes over.
@@ -346,7 +345,7 @@
     std::vector<std::string> sound;
     std::vector<std::string> others;
     if (ready()) {
-        (sound_store() ? sound : others).push_back(settings_.call_address());
+        (view_->store_is_sound() ? sound : others).push_back(settings_.call_address());
     }
     for (const known_node* node : peers_->live()) {
         if (node->word.ready() && !node->word.leaving()) {
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -62,7 +62,6 @@
     void apply_limits();
     void introduce_seeds();
     bool ready() const;
-    bool sound_store() const;
     bool leads() const;
 
     boost::asio::any_io_executor executor_;
--- a/src/routing/replica_board.h
+++ b/src/routing/replica_board.h
@@ -61,7 +61,8 @@
 };
 
 struct board_settings {
-    duration peer_word_lifetime = 1500ms; // A silent peer's counts are forgotten; ten lost words.
+    duration peer_word_lifetime =
+        2s;                       // A silent peer's counts are forgotten; three words of 64 nodes.
     duration stall_limit = 400ms; // Without an event from any call, a replica is taken as stalled;
                                   // four times the longest gap of a full batch.
     std::uint32_t choices = 3;    // Replicas compared for a call; more would let nodes with
