--- a/src/assembly/assembly_plan.cpp
+++ b/src/assembly/assembly_plan.cpp
@@ -423,20 +423,27 @@
                                                      std::size_t vms,
                                                      const assembly_settings& settings)
 {
-    // Half of each share is as before demand was known: measured demand swings, and shifting VMs
-    // between models costs loads.
     std::map<std::string, double> asked;
-    double total = 0;
+    double total_asked = 0;
     for (const model_profile& model : profile.models) {
         const auto found = demand.find(model.name);
         asked[model.name] = found == demand.end() ? 0 : found->second * model.replica_size;
-        total += asked[model.name];
+        total_asked += asked[model.name];
+    }
+    std::map<std::string, double> shares;
+    double total = 0;
+    for (const model_profile& model : profile.models) {
+        // Half of each share is as before demand was known: measured demand swings, and shifting
+        // VMs between models costs loads.
+        const double share =
+            total_asked > 0 ? (asked[model.name] / total_asked + model.share) / 2 : model.share;
+        shares[model.name] = share * (1 + settings.loss_allowance * model.replica_size);
+        total += shares[model.name];
     }
     std::map<std::string, std::uint32_t> targets;
     const double used = static_cast<double>(vms) * (1 - settings.spare_share);
     for (const model_profile& model : profile.models) {
-        const double share =
-            total > 0 ? (asked[model.name] / total + model.share) / 2 : model.share;
+        const double share = total > 0 ? shares[model.name] / total : 0;
         const double replicas = used * share / model.replica_size;
         targets[model.name] = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(replicas));
     }
--- a/src/assembly/assembly_plan.h
+++ b/src/assembly/assembly_plan.h
@@ -35,8 +35,10 @@
                                         // it can't be reached to close it.
     duration silent_head_wait = 2500ms; // The same, from the first probe that it did not answer;
                                         // its heartbeats have been missing for longer.
-    double spare_share = 0.15; // Of a service's VMs, kept staged beside the replicas; covers
-                               // the loss of the largest replica in each fabric domain.
+    double loss_allowance = 0.05; // More of a model's share for each VM of a replica: it stands
+                                  // still whichever of them is lost.
+    double spare_share = 0.15;    // Of a service's VMs, kept staged beside the replicas; covers
+                                  // the loss of the largest replica in each fabric domain.
 };
 
 /** All that a plan is made from. */
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -198,11 +198,11 @@
     hooks.apply = hooks.replace;
     hooks.outage = [] {};
     topic_follower follower(surroundings_.log, node_topic, hooks);
-    constexpr duration wait = 25s; // New nodes also introduce themselves to the seeds.
+    constexpr duration wait = 25s;    // New nodes also introduce themselves to the seeds.
+    constexpr duration interval = 4s; // When all nodes start, each adds a record.
     while (true) {
-        if (!co_await follower.read_once(wait)) {
-            co_await sleep_for(1s);
-        }
+        const bool read = co_await follower.read_once(wait);
+        co_await sleep_for(read ? interval : 1s);
     }
 }
 
