--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -200,12 +200,17 @@
     const auto self = shared_from_this();
     while (true) {
         co_await read_replicas();
-        newer_replicas_.expires_after(replicas_.has_read() ? settings_.replica_interval
-                                                           : settings_.retry_interval);
-        co_await newer_replicas_.async_wait(asio::as_tuple(asio::use_awaitable));
-        if (newest_told_ > replicas_.next_offset()) {
-            co_await sleep_for(settings_.peer_record_wait);
-        }
+        bool woken = false;
+        do {
+            newer_replicas_.expires_after(replicas_.has_read() ? settings_.replica_interval
+                                                               : settings_.retry_interval);
+            const auto [error] =
+                co_await newer_replicas_.async_wait(asio::as_tuple(asio::use_awaitable));
+            woken = error == asio::error::operation_aborted;
+            if (woken) {
+                co_await sleep_for(settings_.peer_record_wait); // The next words may bring them.
+            }
+        } while (woken && newest_told_ <= replicas_.next_offset());
     }
 }
 
