Say in the log what the gate saw of a model's replicas

Cause: 'too many calls wait' did not say whether replicas were full, stalled or left out. Change: the reason names them.

--- a/src/relay/call_gate.cpp
+++ b/src/relay/call_gate.cpp
@@ -44,12 +44,23 @@
 {
 }
 
+namespace {
+
+std::string to_text(const board_answer& found)
+{
+    return std::to_string(found.serving) + " replicas, " + std::to_string(found.full) + " full, " +
+           std::to_string(found.stalled) + " stalled, " + std::to_string(found.left_out) +
+           " left out";
+}
+
+} // namespace
+
 std::optional<gate_answer> call_gate::try_admit(const gate_request& request)
 {
     const time_point now = monotonic_clock::now();
     board_answer found = board_.choose(request.wanted, request.fill_limit, now);
     gate_answer answer;
-    if (!found.serves_model) {
+    if (found.serving == 0) {
         answer.verdict = gate_verdict::no_replica;
         return answer;
     }
@@ -93,6 +104,7 @@
         }
     }
     gate_answer refused;
+    refused.seen = to_text(board_.choose(request.wanted, request.fill_limit, now));
     if (request.wait_until <= now) {
         refused.verdict = gate_verdict::waited_too_long;
         co_return refused;
--- a/src/relay/stream_relay.cpp
+++ b/src/relay/stream_relay.cpp
@@ -340,7 +340,8 @@
             break;
         }
         if (admitted.verdict != gate_verdict::admitted) {
-            const std::string verdict = to_text(admitted.verdict);
+            const std::string verdict =
+                std::string(to_text(admitted.verdict)) + " (" + admitted.seen + ")";
             last.reason = last.reason.empty() ? verdict : last.reason + "; then " + verdict;
             break;
         }
--- a/src/routing/replica_board.cpp
+++ b/src/routing/replica_board.cpp
@@ -91,15 +91,19 @@
         if (replica.service != request.service || replica.model != request.model) {
             continue;
         }
-        answer.serves_model = true;
+        ++answer.serving;
         const auto suspected = suspects_.find(epoch);
         const bool left_out = suspected != suspects_.end() && now < suspected->second;
         if (left_out || request.tried.contains(epoch)) {
+            ++answer.left_out;
             continue;
         }
         const replica_use use = use_of(epoch, now);
         const bool stalled = use.running > 0 && use.silent > settings_.stall_limit;
-        if (!stalled && use.running < fill_limit * profile->second.batch_slots) {
+        const bool full = use.running >= fill_limit * profile->second.batch_slots;
+        answer.stalled += stalled ? 1 : 0;
+        answer.full += full && !stalled ? 1 : 0;
+        if (!stalled && !full) {
             open.push_back({replica,
                             pace.first_event(use.running, use.prompt_tokens, request.prompt_tokens),
                             pace.event_gap(use.running + 1), use.running});
--- a/src/routing/replica_board.h
+++ b/src/routing/replica_board.h
@@ -57,7 +57,10 @@
 /** What the board can say to a call now. */
 struct board_answer {
     std::optional<replica_offer> offer; // None: no replica has room.
-    bool serves_model = false;          // Some replica serves it, with room or without.
+    std::uint32_t serving = 0;          // Replicas of the model,
+    std::uint32_t full = 0;             // of which these have no room,
+    std::uint32_t stalled = 0;          // these stand still,
+    std::uint32_t left_out = 0;         // and these failed calls lately, or this call before.
 };
 
 struct board_settings {
--- a/test/correctness/routing_replica_board.cpp
+++ b/test/correctness/routing_replica_board.cpp
@@ -69,7 +69,8 @@
     }
     board.note_peer("b", {{1, {1, 0, 0ms}}, {2, {4, 0, 0ms}}}, start);
     const board_answer full = board.choose(request(), 1, start);
-    CHECK(full.serves_model);
+    CHECK(full.serving == 2);
+    CHECK(full.full == 2);
     CHECK_FALSE(full.offer.has_value());
 }
 
