--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -67,6 +67,10 @@
     context_.dialect = surroundings_.calls;
     context_.http = std::move(http);
     context_.metrics = std::make_shared<metrics_registry>();
+    context_.metrics->gauge("chervil_log_lines_dropped",
+                            [] { return static_cast<double>(dropped_event_lines()); });
+    context_.metrics->gauge("chervil_calls_waiting",
+                            [this] { return static_cast<double>(context_.gate->waiting()); });
     context_.board = std::make_shared<replica_board>(random_);
     context_.gate = std::make_shared<call_gate>(executor_, *context_.board);
     context_.book = std::make_shared<backend_book>(settings_.failure_domain(), random_);
