Divide the retry slack by the nodes that are known

Cause: each node took an eighth of the slack, also where 64 nodes share it: 4.8 times the slack in all. Change: the reserve follows the number of live nodes, at least 8; retry_budget::set_cap with its test.

--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -56,6 +56,7 @@
     {
         const auto found = budgets.try_emplace(service, limits.retry_ratio, limits.retry_reserve,
                                                limits.retry_reserve);
+        found.first->second.set_cap(limits.retry_reserve);
         return found.first->second;
     }
 };
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -26,8 +26,9 @@
 constexpr duration key_margin = 500ms;      // For clocks that run apart and calls on their way.
 constexpr double retry_use = 0.6;           // Of the budget of all nodes: what a node has spent is
                                             // forgotten when it starts again.
-constexpr double usual_nodes = 8;           // Among which the budget's slack is divided at least.
-constexpr duration grace_reserve = 600ms;   // Of the grace time, to end in order.
+constexpr std::size_t fewest_nodes = 8;   // Among which the budget's slack is divided; a node that
+                                          // has just started knows of fewer than there are.
+constexpr duration grace_reserve = 600ms; // Of the grace time, to end in order.
 constexpr duration leaving_accept = 2500ms; // Callers keep an address for that long.
 
 duration from_ms(double ms)
@@ -75,7 +76,6 @@
     context_.gate = std::make_shared<call_gate>(executor_, *context_.board);
     context_.book = std::make_shared<backend_book>(settings_.failure_domain(), random_);
     context_.backends = &view_->backends();
-    apply_limits();
     context_.services = [this] { return view_->services(); };
     context_.configuration_age = [this] { return view_->configuration_age(); };
     view_->on_configuration = [this](const service_map_ptr& map) { take_configuration(map); };
@@ -83,6 +83,7 @@
     view_->wants_fresh_list = [this] { return leads(); };
     peers_ = std::make_shared<peer_exchange>(
         executor_, [this](schema::peer_word& word) { describe(word); }, random_);
+    apply_limits();
     peers_->on_word = [this](const schema::peer_word& word) { take_word(word); };
     assembler_hooks hooks;
     hooks.leads = [this] { return leads(); };
@@ -107,7 +108,8 @@
 void relay_node::apply_limits()
 {
     context_.limits.retry_ratio = settings_.retry_ratio() * retry_use;
-    context_.limits.retry_reserve = settings_.retry_slack() * retry_use / usual_nodes;
+    const auto nodes = static_cast<double>(std::max(fewest_nodes, peers_->live().size() + 1));
+    context_.limits.retry_reserve = settings_.retry_slack() * retry_use / nodes;
     context_.limits.key_staleness = from_ms(settings_.key_staleness_ms()) - key_margin;
 }
 
@@ -235,6 +237,7 @@
 
 void relay_node::take_word(const schema::peer_word& word)
 {
+    apply_limits(); // The number of nodes may have changed.
     std::map<std::uint64_t, replica_use> uses;
     for (const schema::replica_count& count : word.counts()) {
         uses[count.epoch()] = {count.running(), count.prompt_tokens(),
--- a/src/routing/retry_policy.cpp
+++ b/src/routing/retry_policy.cpp
@@ -37,6 +37,12 @@
     return true;
 }
 
+void retry_budget::set_cap(double cap)
+{
+    cap_ = cap;
+    left_ = std::min(left_, cap);
+}
+
 bool may_retry(const retry_question& question)
 {
     const bool safe = question.failure == attempt_failure::not_run || question.repeatable;
--- a/src/routing/retry_policy.h
+++ b/src/routing/retry_policy.h
@@ -27,6 +27,9 @@
 
     double left() const { return left_; }
 
+    /** Changes the most that can be saved up, as when other nodes share the budget. */
+    void set_cap(double cap);
+
   private:
     double ratio_;
     double cap_;
--- a/test/correctness/routing_decisions.cpp
+++ b/test/correctness/routing_decisions.cpp
@@ -195,3 +195,18 @@
     CHECK(allowed >= 200);
     CHECK(allowed <= 211);
 }
+
+TEST_CASE("nodes that share a budget spend no more than its slack together")
+{
+    retry_budget budget(0.2, 10, 10);
+    budget.set_cap(2); // More nodes than were known at first.
+    int taken = 0;
+    while (budget.take()) {
+        ++taken;
+    }
+    CHECK(taken == 2);
+    for (int i = 0; i < 100; ++i) {
+        budget.note_call();
+    }
+    CHECK(budget.left() == doctest::Approx(2));
+}
