--- a/src/relay/call_gate.cpp
+++ b/src/relay/call_gate.cpp
@@ -13,6 +13,17 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+std::string to_text(const board_answer& found)
+{
+    return std::to_string(found.serving) + " replicas, " + std::to_string(found.full) + " full, " +
+           std::to_string(found.stalled) + " stalled, " + std::to_string(found.left_out) +
+           " left out";
+}
+
+} // namespace
+
 struct call_gate::waiter {
     waiter(const asio::any_io_executor& executor, gate_request asked)
         : wake(executor), request(std::move(asked))
@@ -44,17 +55,6 @@
 {
 }
 
-namespace {
-
-std::string to_text(const board_answer& found)
-{
-    return std::to_string(found.serving) + " replicas, " + std::to_string(found.full) + " full, " +
-           std::to_string(found.stalled) + " stalled, " + std::to_string(found.left_out) +
-           " left out";
-}
-
-} // namespace
-
 std::optional<gate_answer> call_gate::try_admit(const gate_request& request)
 {
     const time_point now = monotonic_clock::now();
--- a/src/relay/stream_relay.cpp
+++ b/src/relay/stream_relay.cpp
@@ -33,9 +33,9 @@
 constexpr int patience_factor = 4;                  // Times the prediction.
 constexpr duration come_back_min = 800ms;           // Spreads returns over a burst.
 constexpr duration come_back_spread = 1200ms;
-constexpr double came_back_share =
-    0.84; // Of the route's timeout: callers give a new call up to 15%
-          // less, and wait up to a third of their time to come back.
+// Of the route's timeout: callers give a new call up to 15% less, and wait up to a third of their
+// time to come back.
+constexpr double came_back_share = 0.84;
 
 enum class attempt_result { complete, answered, not_run, broken, caller_gone };
 
