Keep one from_ms, in base

Cause: the last read found the conversion from milliseconds three times, and a fourth time written out. Change: base/milliseconds.h; no change of behaviour.

--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "base/event_log.h"
+#include "base/milliseconds.h"
 #include "base/task.h"
 #include "relay/call_intake.h"
 
@@ -31,11 +32,6 @@
 constexpr duration grace_reserve = 600ms; // Of the grace time, to end in order.
 constexpr duration leaving_accept = 2500ms; // Callers keep an address for that long.
 
-duration from_ms(double ms)
-{
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(ms));
-}
-
 http_reply text_reply(unsigned status, std::string text)
 {
     http_reply reply;
--- a/src/routing/replica_pace.cpp
+++ b/src/routing/replica_pace.cpp
@@ -5,16 +5,9 @@
 
 #include <algorithm>
 
-namespace chervildyke {
-
-namespace {
-
-duration from_ms(double ms)
-{
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(ms));
-}
+#include "base/milliseconds.h"
 
-} // namespace
+namespace chervildyke {
 
 replica_pace::replica_pace(const engine_profile& engine, const model_profile& model)
     : engine_(engine), pace_(model.pace)
