Load VMs anew for a model that nothing serves

All free VMs held one model or the other ("large:3, small:2 / large:1, small:4"); a VM that holds a model was only loaded anew when it was left over from a smaller one, so no domain could ever complete four. Change: for a model that no replica serves and that free VMs can't form, any free VM of a model that is served elsewhere may be loaded anew; empty ones still go first. Test: correctness/assembly "VMs that hold a model beyond its need", red before.

--- a/src/assembly/load_planner.cpp
+++ b/src/assembly/load_planner.cpp
@@ -28,6 +28,12 @@
     read_domains(taken);
 }
 
+bool load_planner::lacks_all(const model_profile& model) const
+{
+    const auto have = counts_.find(model.name);
+    return (have == counts_.end() || have->second == 0) && !can_form(model);
+}
+
 bool load_planner::can_form(const model_profile& model) const
 {
     return std::any_of(domains_.begin(), domains_.end(), [&model](const auto& domain) {
@@ -49,36 +55,43 @@
     return age < (refused ? refused_load_pause : longest_load_factor * model.load_time);
 }
 
-std::size_t load_planner::domain_state::leftover(const model_profile& wanted,
-                                                 const engine_profile& profile) const
+std::size_t load_planner::spare_holders(const domain_state& domain, const std::string& held,
+                                        const model_profile& wanted) const
+{
+    const model_profile* model = in_.profile->find(held);
+    const auto vms = domain.holders.find(held);
+    if (model == nullptr || vms == domain.holders.end() || held == wanted.name) {
+        return 0;
+    }
+    const auto served = counts_.find(held);
+    if (lacks_all(wanted) && served != counts_.end() && served->second > 0) {
+        return vms->second.size();
+    }
+    const std::size_t too_few = domain.holding.at(held) % model->replica_size;
+    return model->replica_size < wanted.replica_size ? std::min(too_few, vms->second.size()) : 0;
+}
+
+std::size_t load_planner::leftover(const domain_state& domain, const model_profile& wanted) const
 {
     std::size_t count = 0;
-    for (const auto& [name, vms] : holders) {
-        const model_profile* model = profile.find(name);
-        if (model != nullptr && name != wanted.name && model->replica_size < wanted.replica_size) {
-            count += std::min<std::size_t>(holding.at(name) % model->replica_size, vms.size());
-        }
+    for (const auto& [held, vms] : domain.holders) {
+        count += spare_holders(domain, held, wanted);
     }
     return count;
 }
 
-std::string load_planner::domain_state::take(const model_profile& wanted,
-                                             const engine_profile& profile)
+std::string load_planner::take(domain_state& domain, const model_profile& wanted) const
 {
-    if (!empty.empty()) {
-        std::string vm = empty.back();
-        empty.pop_back();
+    if (!domain.empty.empty()) {
+        std::string vm = domain.empty.back();
+        domain.empty.pop_back();
         return vm;
     }
-    for (auto& [name, vms] : holders) {
-        const model_profile* model = profile.find(name);
-        const bool spare = model != nullptr && name != wanted.name && !vms.empty() &&
-                           model->replica_size < wanted.replica_size &&
-                           holding[name] % model->replica_size > 0;
-        if (spare) {
+    for (auto& [held, vms] : domain.holders) {
+        if (spare_holders(domain, held, wanted) > 0) {
             std::string vm = vms.back();
             vms.pop_back();
-            --holding[name];
+            --domain.holding[held];
             return vm;
         }
     }
@@ -147,8 +160,7 @@
     const auto want = targets_.find(model.name);
     const double wanted = want == targets_.end() ? 1 : want->second;
     const double had = have == counts_.end() ? 0 : have->second;
-    const double factor = had == 0 && !can_form(model) ? none_yet : 1;
-    return factor * wanted / (had + 1);
+    return (lacks_all(model) ? none_yet : 1) * wanted / (had + 1);
 }
 
 bool load_planner::known_somewhere(const model_profile& model) const
@@ -181,9 +193,11 @@
         for (const model_profile& model : in_.profile->models) {
             const std::uint32_t loads =
                 model.replica_size - domain.holding[model.name] % model.replica_size;
-            const bool from_nothing = loads == model.replica_size;
+            // VMs that hold another model are loaded anew only for what their domain has begun, or
+            // for a model that nothing serves.
+            const bool takes_others = loads < model.replica_size || lacks_all(model);
             const std::size_t usable =
-                domain.empty.size() + (from_nothing ? 0 : domain.leftover(model, *in_.profile));
+                domain.empty.size() + (takes_others ? leftover(domain, model) : 0);
             if (loads > usable) {
                 continue;
             }
@@ -246,7 +260,7 @@
             break;
         }
         for (std::uint32_t i = 0; i < chosen.loads && loads.size() < most; ++i) {
-            loads.push_back({chosen.domain->take(*chosen.model, *in_.profile), chosen.model->name});
+            loads.push_back({take(*chosen.domain, *chosen.model), chosen.model->name});
             ++chosen.domain->holding[chosen.model->name];
         }
         counts_[chosen.model->name] += completes ? 1 : 0;
--- a/src/assembly/load_planner.h
+++ b/src/assembly/load_planner.h
@@ -49,12 +49,6 @@
 
         /** True when some VM serves or holds the model. */
         bool knows(const std::string& model) const;
-
-        /** VMs that hold a smaller model and are too few for a replica of it. */
-        std::size_t leftover(const model_profile& wanted, const engine_profile& profile) const;
-
-        /** Takes a VM that may load the wanted model. */
-        std::string take(const model_profile& wanted, const engine_profile& profile);
     };
     struct option {
         domain_state* domain = nullptr;
@@ -68,6 +62,19 @@
     void count_coming();
     void read_domains(const std::vector<schema::shared_member>& taken);
 
+    /** True when no replica serves the model and free VMs can form none. */
+    bool lacks_all(const model_profile& model) const;
+
+    /** How many VMs that hold a model may load the wanted one: those that are too few for a replica
+     * of a smaller model, and any when nothing serves the wanted one.
+     */
+    std::size_t spare_holders(const domain_state& domain, const std::string& held,
+                              const model_profile& wanted) const;
+    std::size_t leftover(const domain_state& domain, const model_profile& wanted) const;
+
+    /** Takes a VM that may load the wanted model. */
+    std::string take(domain_state& domain, const model_profile& wanted) const;
+
     /** True when the free VMs of some domain hold the model, or load it, in number. */
     bool can_form(const model_profile& model) const;
     bool known_somewhere(const model_profile& model) const;
--- a/test/correctness/assembly_plans.cpp
+++ b/test/correctness/assembly_plans.cpp
@@ -211,6 +211,24 @@
     CHECK(bench.serving("large").size() >= 1);
 }
 
+TEST_CASE("VMs that hold a model beyond its need are loaded anew for one that nothing serves")
+{
+    assembly_bench bench;
+    bench.loads_are_free = false;
+    bench.load_allowance = 1;
+    for (const char* domain : {"d0-", "d1-"}) {
+        bench.add_domain(domain, 7);
+    }
+    for (const auto& [id, listed] : std::map(bench.backends.all())) {
+        backend holder = listed.self;
+        holder.staged_models = {"small"};
+        bench.backends.apply(holder, bench.now);
+    }
+    bench.steps(12);
+    CHECK(bench.serving("small").size() >= 2);
+    CHECK(bench.serving("large").size() >= 1);
+}
+
 TEST_CASE("targets follow the demand, but not further than half way")
 {
     assembly_bench bench;
