Free the members of a replica whose lost head has ended

The leading node told the lost head to close, again and again; the newcomer refused ("not me"), which counted neither as obeyed nor as no contact, so the replica stayed in retirement and its three members were never used again. An address is given to another VM in the users' deployments too. Ruled out: the wait for a head that may still serve (it ended long before). Change: an order answered by another VM at the address has an outcome of its own and says that the head has ended; a head that refuses to close is told to leave, and one that refuses to leave is not in the replica. Tests: correctness/assembly, two cases on lost heads; error/platform, an order answered with 421, 409 and 202; red or not compilable before.

--- a/src/assembly/assembly_plan.cpp
+++ b/src/assembly/assembly_plan.cpp
@@ -294,6 +294,11 @@
         return false;
     }
 
+    static bool ended_as(const sent_order* order, order_outcome outcome)
+    {
+        return order != nullptr && order->outcome && *order->outcome == outcome;
+    }
+
     /** The head is not listed any more: its process ended, or it is cut off and may still serve. */
     void drop_without_head(const ledger_entry& entry)
     {
@@ -306,9 +311,13 @@
         const bool silent_before = probed != nullptr && probed->failures > 0 &&
                                    in_.now - probed->first_failure_at >= settings_.silent_head_wait;
         const bool waited = silent_before || in_.now - lost->since >= settings_.lost_head_wait;
+        const sent_order* forced =
+            in_.memory->find(head, order_kind::close_now, entry.second.epoch());
         const sent_order* left = in_.memory->find(head, order_kind::leave, entry.second.epoch());
+        // A refusal to leave says that the head is not in the replica any more.
         const bool confirmed =
-            left != nullptr && left->outcome && *left->outcome == order_outcome::begun;
+            ended_as(left, order_outcome::begun) || ended_as(left, order_outcome::refused) ||
+            ended_as(left, order_outcome::other_vm) || ended_as(forced, order_outcome::other_vm);
         const auto use = in_.uses.find(entry.second.epoch());
         const bool heard = use != in_.uses.end() && use->second.running > 0 &&
                            use->second.silent < settings_.lost_head_wait;
@@ -319,10 +328,9 @@
         if (!lost->address_known) {
             return;
         }
-        const sent_order* forced =
-            in_.memory->find(head, order_kind::close_now, entry.second.epoch());
+        // A refusal to close says that it does not take calls any more.
         const bool closed =
-            forced != nullptr && forced->outcome && *forced->outcome == order_outcome::begun;
+            ended_as(forced, order_outcome::begun) || ended_as(forced, order_outcome::refused);
         send(head, make_order(closed ? order_kind::leave : order_kind::close_now, entry));
     }
 
--- a/src/assembly/replica_order.cpp
+++ b/src/assembly/replica_order.cpp
@@ -35,6 +35,8 @@
         return "unclear";
     case order_outcome::no_contact:
         return "no_contact";
+    case order_outcome::other_vm:
+        return "other_vm";
     }
     return "unknown";
 }
--- a/src/assembly/replica_order.h
+++ b/src/assembly/replica_order.h
@@ -38,6 +38,7 @@
     refused,    // It does not fit the VM's state; nothing was done.
     unclear,    // No answer; it may be obeyed now or many seconds later.
     no_contact, // The VM can't be reached; nothing was done.
+    other_vm,   // Another VM has the address: the one meant has ended.
 };
 
 /** Whether a VM answers at all. */
--- a/test/correctness/assembly_plans.cpp
+++ b/test/correctness/assembly_plans.cpp
@@ -103,6 +103,61 @@
     CHECK_FALSE(bench.ledger.replicas().contains(lost));
 }
 
+TEST_CASE(
+    "a lost head whose address has another VM, or that is not in the replica, frees its members")
+{
+    struct refusal {
+        order_kind kind;
+        order_outcome outcome;
+    };
+    const refusal gone{order_kind::close_now, order_outcome::other_vm};
+    const refusal not_in_it{order_kind::leave, order_outcome::refused};
+    for (const refusal& answer : {gone, not_in_it}) {
+        assembly_bench bench;
+        bench.add_domain("d0-", 10);
+        bench.steps(4);
+        const std::string lost = bench.serving("large").front();
+        const std::string head = bench.replica(lost).members(0).id();
+        bench.backends.remove(head, bench.now);
+        bench.step();
+        REQUIRE(bench.replica(lost).phase() == schema::shared_phase_retiring);
+        lost_head& reachable = bench.memory.lost_head_at(bench.replica(lost).epoch());
+        reachable.since = bench.now;
+        reachable.address_known = true;
+        bench.step();
+        CHECK(bench.ledger.replicas().contains(lost));
+        replica_order order;
+        order.kind = answer.kind;
+        order.replica = lost;
+        order.epoch = bench.replica(lost).epoch();
+        bench.memory.note_sent(head, order, bench.now);
+        bench.memory.note_outcome(head, order, answer.outcome);
+        bench.step();
+        CHECK_FALSE(bench.ledger.replicas().contains(lost));
+    }
+}
+
+TEST_CASE("a lost head that refuses to close is told to leave")
+{
+    assembly_bench bench;
+    bench.add_domain("d0-", 10);
+    bench.steps(4);
+    const std::string lost = bench.serving("large").front();
+    const std::string head = bench.replica(lost).members(0).id();
+    bench.backends.remove(head, bench.now);
+    bench.step();
+    lost_head& reachable = bench.memory.lost_head_at(bench.replica(lost).epoch());
+    reachable.since = bench.now;
+    reachable.address_known = true;
+    replica_order order;
+    order.kind = order_kind::close_now;
+    order.replica = lost;
+    order.epoch = bench.replica(lost).epoch();
+    bench.memory.note_sent(head, order, bench.now);
+    bench.memory.note_outcome(head, order, order_outcome::refused);
+    CHECK(orders_of(bench.plan(), order_kind::leave) == 1);
+}
+
 TEST_CASE("a replica whose calls stand still has its members probed, and goes when one is silent")
 {
     assembly_bench bench;
--- a/test/error/platform_decoding.cpp
+++ b/test/error/platform_decoding.cpp
@@ -3,12 +3,17 @@
  */
 #include <doctest/doctest.h>
 
+#include <boost/asio.hpp>
+
+#include "base/http_server.h"
 #include "platform/call_headers.h"
 #include "platform/engine_orders.h"
 #include "platform/published.h"
 #include "platform/store_client.h"
+#include "support/run_task.h"
 
 using namespace chervildyke;
+namespace asio = boost::asio;
 
 namespace {
 
@@ -151,6 +156,36 @@
     CHECK_FALSE(platform::read_marks(500, {{"X-Response-Seal", "s"}}).not_run);
 }
 
+TEST_CASE("an order answered by another VM at the address is told apart from a refusal")
+{
+    asio::io_context context{1};
+    unsigned status = 421;
+    http_server server(context.get_executor(),
+                       [&status](http_exchange& exchange) -> asio::awaitable<void> {
+                           http_reply reply;
+                           reply.status = status;
+                           co_await exchange.respond(std::move(reply));
+                       });
+    REQUIRE(server.listen("127.0.0.1", 0));
+    const auto http = std::make_shared<http_client>(context.get_executor());
+    const engine_calls calls = platform::make_engine_calls(http);
+    backend vm;
+    vm.id = "i-1";
+    vm.address = "127.0.0.1:" + std::to_string(server.port());
+    replica_order order;
+    order.kind = order_kind::leave;
+    test::run_task(context, [&]() -> asio::awaitable<void> {
+        const order_outcome other = co_await calls.send(vm, order);
+        CHECK(other == order_outcome::other_vm);
+        status = 409;
+        const order_outcome refused = co_await calls.send(vm, order);
+        CHECK(refused == order_outcome::refused);
+        status = 202;
+        const order_outcome begun = co_await calls.send(vm, order);
+        CHECK(begun == order_outcome::begun);
+    });
+}
+
 TEST_CASE("orders carry only what their kind needs")
 {
     replica_order order;
