--- a/src/fleet/topic_follower.cpp
+++ b/src/fleet/topic_follower.cpp
@@ -3,6 +3,7 @@
  */
 #include "fleet/topic_follower.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/event_log.h"
@@ -79,6 +80,15 @@
     return true;
 }
 
+void topic_follower::confirm(std::uint64_t end, duration age)
+{
+    if (!loaded_ || next_offset_ < end) {
+        return;
+    }
+    const duration read_at = awake_or_suspended_time() - age;
+    confirmed_at_ = confirmed_at_ ? std::max(*confirmed_at_, read_at) : read_at;
+}
+
 boost::asio::awaitable<bool> topic_follower::read_once(duration wait)
 {
     if (!loaded_) {
--- a/src/fleet/topic_follower.h
+++ b/src/fleet/topic_follower.h
@@ -44,6 +44,12 @@
      */
     bool take(const keyed_records& records);
 
+    /** A peer has read the topic.
+     * \param end the offset behind the last record that the peer read.
+     * \param age since the peer's call began, and as long as its word was under way.
+     */
+    void confirm(std::uint64_t end, duration age);
+
     /** The offset behind the last record read. */
     std::uint64_t next_offset() const { return next_offset_; }
 
--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -19,6 +19,8 @@
 
 const event_log view_log("view");
 
+constexpr duration never_read = 24h; // The age told of a topic that was not read yet.
+
 topic_hooks hooks(std::function<void(const keyed_records&)> replace,
                   std::function<void(const keyed_records&)> apply, std::function<void()> outage)
 {
@@ -37,10 +39,15 @@
       settings_(settings), backends_(return_time),
       configuration_(log, dialect_.configuration_topic,
                      hooks([this](const keyed_records& read) { take_configuration(read); },
-                           [this](const keyed_records& read) { take_configuration(read); }, [] {})),
+                           [this](const keyed_records& read) { take_configuration(read); },
+                           // The list comes from the same log, and is not always read.
+                           [this] { backends_.note_outage(monotonic_clock::now()); })),
       backend_list_(log, dialect_.backend_topic,
                     hooks([this](const keyed_records& read) { take_backends(read, true); },
-                          [this](const keyed_records& read) { take_backends(read, false); },
+                          [this](const keyed_records& read) {
+                              recent_backends_.add(read, monotonic_clock::now());
+                              take_backends(read, false);
+                          },
                           [this] { backends_.note_outage(monotonic_clock::now()); })),
       replicas_(log, replica_topic,
                 hooks(
@@ -49,7 +56,8 @@
                         on_change();
                     },
                     [this](const keyed_records& read) { apply_replicas(read); }, [] {})),
-      newer_replicas_(executor_)
+      newer_replicas_(executor_), recent_replicas_(settings.recent_record_time),
+      recent_backends_(settings.recent_record_time)
 {
 }
 
@@ -119,14 +127,19 @@
     if (all) {
         backends_.retain(listed, now);
     }
-    for (const std::string& id : backends_.drop_lapsed(now)) {
-        view_log.write("backend_gone", {{"backend", id}, {"reason", "it did not come back"}});
-    }
+    drop_lapsed();
     if (backends_.version() != before) {
         on_change();
     }
 }
 
+void fleet_view::drop_lapsed()
+{
+    for (const std::string& id : backends_.drop_lapsed(monotonic_clock::now())) {
+        view_log.write("backend_gone", {{"backend", id}, {"reason", "it did not come back"}});
+    }
+}
+
 asio::awaitable<void> fleet_view::follow_configuration()
 {
     const auto self = shared_from_this();
@@ -159,18 +172,61 @@
     return ledger_.replicas().empty();
 }
 
+bool fleet_view::must_read_backends() const
+{
+    const auto age = backend_list_.age();
+    const bool missed = behind_told_list_ &&
+                        monotonic_clock::now() - *behind_told_list_ > settings_.peer_record_wait;
+    return wants_fresh_list() || !age || *age > settings_.backend_interval || missed;
+}
+
 asio::awaitable<void> fleet_view::follow_backends()
 {
     const auto self = shared_from_this();
     while (true) {
-        const bool read = co_await backend_list_.read_once(settings_.backend_wait);
-        const bool busy = wants_fresh_list() && forming();
-        co_await sleep_for(!read  ? settings_.retry_interval
-                           : busy ? settings_.busy_backend_interval
-                                  : settings_.backend_interval);
+        if (!must_read_backends()) {
+            co_await sleep_for(settings_.told_list_check);
+            continue;
+        }
+        const duration wait =
+            wants_fresh_list() ? settings_.leader_backend_wait : settings_.backend_wait;
+        const bool read = co_await backend_list_.read_once(wait);
+        drop_lapsed();
+        const duration interval = !read                 ? settings_.retry_interval
+                                  : !wants_fresh_list() ? settings_.told_list_check
+                                  : forming()           ? settings_.busy_backend_interval
+                                                        : settings_.leader_backend_interval;
+        if (read) {
+            behind_told_list_.reset();
+        }
+        co_await sleep_for(interval);
+    }
+}
+
+void fleet_view::take_told_backends(const told_topic& told)
+{
+    const bool has_all = backend_list_.take({told.recent, 0});
+    backend_list_.confirm(told.end, told.age);
+    if (has_all && backend_list_.next_offset() >= told.end) {
+        behind_told_list_.reset();
+    }
+    else if (!behind_told_list_) {
+        behind_told_list_ = monotonic_clock::now();
     }
 }
 
+void fleet_view::confirm_backends(const told_topic& told)
+{
+    backend_list_.confirm(told.end, told.age);
+}
+
+told_topic fleet_view::told_backends() const
+{
+    const time_point now = monotonic_clock::now();
+    return {backend_list_.next_offset(), backend_list_.age().value_or(never_read),
+            recent_backends_.at(now)};
+}
+
 asio::awaitable<void> fleet_view::read_replicas()
 {
     const auto self = shared_from_this();
@@ -185,21 +241,24 @@
 void fleet_view::apply_replicas(const keyed_records& records)
 {
     ledger_.apply(records);
-    const time_point now = monotonic_clock::now();
-    for (const keyed_record& record : records.records) {
-        recent_records_.emplace_back(now, record);
-    }
-    while (now - recent_records_.front().first > settings_.recent_record_time) {
-        recent_records_.pop_front();
-    }
+    recent_replicas_.add(records, monotonic_clock::now());
     on_change();
 }
 
+bool fleet_view::must_read_replicas() const
+{
+    const auto age = replicas_.age();
+    return wants_fresh_list() || !age || *age > settings_.told_replica_limit ||
+           newest_told_ > replicas_.next_offset();
+}
+
 asio::awaitable<void> fleet_view::follow_replicas()
 {
     const auto self = shared_from_this();
     while (true) {
-        co_await read_replicas();
+        if (must_read_replicas()) {
+            co_await read_replicas();
+        }
         bool woken = false;
         do {
             newer_replicas_.expires_after(replicas_.has_read() ? settings_.replica_interval
@@ -229,15 +288,18 @@
     }
 }
 
-std::vector<keyed_record> fleet_view::recent_replica_records() const
+void fleet_view::take_told_replicas(const told_topic& told)
 {
-    std::vector<keyed_record> recent;
-    for (const auto& [at, record] : recent_records_) {
-        if (monotonic_clock::now() - at <= settings_.recent_record_time) {
-            recent.push_back(record);
-        }
+    if (!told.recent.empty()) {
+        take_replica_records({told.recent, 0});
     }
-    return recent;
+    replicas_.confirm(told.end, told.age);
+}
+
+told_topic fleet_view::told_replicas() const
+{
+    return {replicas_.next_offset(), replicas_.age().value_or(never_read),
+            recent_replicas_.at(monotonic_clock::now())};
 }
 
 std::vector<serving_replica> fleet_view::serving() const
--- a/src/relay/fleet_view.h
+++ b/src/relay/fleet_view.h
@@ -4,7 +4,6 @@
  */
 #pragma once
 
-#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -18,6 +17,7 @@
 #include "fleet/service_map.h"
 #include "fleet/topic_follower.h"
 #include "relay/fleet_dialect.h"
+#include "relay/recent_records.h"
 #include "routing/replica_board.h"
 
 namespace chervildyke {
@@ -28,13 +28,27 @@
                                           // honour keys.
     duration leader_configuration_wait = 1200ms; // A leader without the store must give way soon.
     duration backend_wait = 1500ms;              // Of one read of the list, which changes seldom.
-    duration backend_interval = 1s;              // Between two reads; less than the time in which a
-                                                 // leaving server must get no more calls.
-    duration busy_backend_interval = 150ms; // While replicas form: a step of theirs takes 200 ms.
-    duration replica_interval = 3s;         // Without word of newer records from peers.
-    duration peer_record_wait = 250ms;   // For records that a peer has and tells in its next words.
-    duration recent_record_time = 500ms; // For which records are told; five words.
-    duration retry_interval = 400ms;     // After a failed read; each costs a call on the log.
+    duration backend_interval = 1s;           // An older list is read; less than the time in which
+                                              // a leaving server must get no more calls.
+    duration leader_backend_wait = 500ms;     // Others learn the list from the leader: its word is
+    duration leader_backend_interval = 200ms; // 0.7 s old at most, and 0.5 s under way to 64 nodes.
+    duration told_list_check = 200ms;         // How often the age of the list is looked at.
+    duration told_replica_limit = 5s;         // Older replicas are read; the leader reads them each
+                                              // replica_interval.
+    duration busy_backend_interval = 150ms;   // While replicas form: a step of theirs takes 200 ms.
+    duration replica_interval = 3s;           // Without word of newer records from peers.
+    duration peer_record_wait = 250ms; // For records that a peer has and tells in its next words.
+    duration recent_record_time = 1200ms; // For which records are told: 64 nodes get two words.
+    duration retry_interval = 400ms;      // After a failed read; each costs a call on the log.
+};
+
+/** What a node tells of a topic; only the leading one tells records. */
+struct told_topic {
+    std::uint64_t end = 0; // The offset behind the last record read.
+    duration age{};        // Since the call that read it began.
+    std::vector<keyed_record> recent;
+
+    bool operator==(const told_topic&) const = default;
 };
 
 class fleet_view : public std::enable_shared_from_this<fleet_view> {
@@ -64,8 +78,20 @@
     /** Takes records of replicas that stand in the log. */
     void take_replica_records(const keyed_records& records);
 
-    /** The newest records of replicas, for peers. */
-    std::vector<keyed_record> recent_replica_records() const;
+    /** Takes what another node tells of the replicas. */
+    void take_told_replicas(const told_topic& told);
+
+    /** Takes what the leading node tells of the backend servers; what it has and this node lacks is
+     * read soon.
+     */
+    void take_told_backends(const told_topic& told);
+
+    /** Takes from any node how old this node's list is at most. */
+    void confirm_backends(const told_topic& told);
+
+    /** What this node tells. */
+    told_topic told_replicas() const;
+    told_topic told_backends() const;
 
     const service_map_ptr& services() const { return services_; }
     const backend_table& backends() const { return backends_; }
@@ -85,6 +111,9 @@
     void take_backends(const keyed_records& records, bool all);
     void apply_replicas(const keyed_records& records);
     bool forming() const;
+    bool must_read_backends() const;
+    bool must_read_replicas() const;
+    void drop_lapsed();
 
     boost::asio::any_io_executor executor_;
     fleet_dialect dialect_;
@@ -98,7 +127,9 @@
     topic_follower replicas_;
     timer newer_replicas_;
     std::uint64_t newest_told_ = 0; // Offset that a peer has read up to.
-    std::deque<std::pair<time_point, keyed_record>> recent_records_;
+    recent_records recent_replicas_;
+    recent_records recent_backends_;
+    std::optional<time_point> behind_told_list_; // Since the leader has read more of the list.
     bool reading_replicas_ = false;
 };
 
--- /dev/null
+++ b/src/relay/recent_records.cpp
@@ -0,0 +1,42 @@
+/** \file
+ * Implements recent_records.
+ */
+#include "relay/recent_records.h"
+
+#include <algorithm>
+
+namespace chervildyke {
+
+namespace {
+
+constexpr std::size_t told_bytes = 8192; // A datagram carries 64 KB, links of nodes 20 Mbit/s.
+
+} // namespace
+
+void recent_records::add(const keyed_records& records, time_point now)
+{
+    for (const keyed_record& record : records.records) {
+        records_.emplace_back(now, record);
+    }
+    while (!records_.empty() && now - records_.front().first > keep_for_) {
+        records_.pop_front();
+    }
+}
+
+std::vector<keyed_record> recent_records::at(time_point now) const
+{
+    std::vector<keyed_record> told;
+    std::size_t bytes = 0;
+    for (auto next = records_.rbegin(); next != records_.rend(); ++next) {
+        const auto& [added_at, record] = *next;
+        bytes += record.key.size() + (record.value ? record.value->size() : 0);
+        if (now - added_at > keep_for_ || bytes > told_bytes) {
+            break;
+        }
+        told.push_back(record);
+    }
+    std::reverse(told.begin(), told.end());
+    return told;
+}
+
+} // namespace chervildyke
--- /dev/null
+++ b/src/relay/recent_records.h
@@ -0,0 +1,33 @@
+/** \file
+ * Defines recent_records, the records of a topic that a node tells its peers while they are new.
+ */
+#pragma once
+
+#include <deque>
+#include <utility>
+#include <vector>
+
+#include "base/clock.h"
+#include "fleet/shared_log.h"
+
+namespace chervildyke {
+
+/** Keeps records for a while, so that peers that hear of them need not read the log. A peer that
+ * missed some notices it by their offsets and reads the log itself.
+ */
+class recent_records {
+  public:
+    /** \param keep_for how long a record is told. */
+    explicit recent_records(duration keep_for) : keep_for_(keep_for) {}
+
+    void add(const keyed_records& records, time_point now);
+
+    /** The newest records in the order of the log, as many as one datagram carries. */
+    std::vector<keyed_record> at(time_point now) const;
+
+  private:
+    duration keep_for_;
+    std::deque<std::pair<time_point, keyed_record>> records_;
+};
+
+} // namespace chervildyke
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -32,6 +32,33 @@
 constexpr duration grace_reserve = 600ms; // Of the grace time, to end in order.
 constexpr duration leaving_accept = 2500ms; // Callers keep an address for that long.
 
+using record_words = google::protobuf::RepeatedPtrField<schema::ledger_record>;
+
+std::vector<keyed_record> from_words(const record_words& words)
+{
+    std::vector<keyed_record> records;
+    for (const schema::ledger_record& word : words) {
+        keyed_record record;
+        record.offset = word.offset();
+        record.key = word.key();
+        if (!word.value().empty()) {
+            record.value = word.value();
+        }
+        records.push_back(std::move(record));
+    }
+    return records;
+}
+
+void to_words(const std::vector<keyed_record>& records, record_words& words)
+{
+    for (const keyed_record& record : records) {
+        schema::ledger_record& word = *words.Add();
+        word.set_offset(record.offset);
+        word.set_key(record.key);
+        word.set_value(record.value.value_or(""));
+    }
+}
+
 http_reply text_reply(unsigned status, std::string text)
 {
     http_reply reply;
@@ -245,18 +272,18 @@
     for (const schema::running_load& load : word.loads()) {
         assembler_->note_running_load(load);
     }
-    keyed_records told;
-    for (const schema::ledger_record& record : word.records()) {
-        keyed_record taken;
-        taken.offset = record.offset();
-        taken.key = record.key();
-        if (!record.value().empty()) {
-            taken.value = record.value();
-        }
-        told.records.push_back(std::move(taken));
+    const told_topic replicas{word.replica_log_end(),
+                              std::chrono::milliseconds(word.replica_log_age_ms()),
+                              from_words(word.records())};
+    const told_topic backends{word.backend_list_end(),
+                              std::chrono::milliseconds(word.backend_list_age_ms()),
+                              from_words(word.backend_records())};
+    view_->take_told_replicas(replicas);
+    if (word.leading()) {
+        view_->take_told_backends(backends);
     }
-    if (!told.records.empty()) {
-        view_->take_replica_records(told);
+    else {
+        view_->confirm_backends(backends);
     }
     view_->note_newer_replicas(word.replica_log_end());
 }
@@ -286,13 +313,14 @@
         demand.set_work_ms_per_s(rate);
     }
     word.set_leading(assembler_->leading());
+    const told_topic replicas = view_->told_replicas();
+    const told_topic backends = view_->told_backends();
+    word.set_replica_log_age_ms(to_ms(replicas.age));
+    word.set_backend_list_end(backends.end);
+    word.set_backend_list_age_ms(to_ms(backends.age));
     if (assembler_->leading()) {
-        for (keyed_record& record : view_->recent_replica_records()) {
-            schema::ledger_record& told = *word.add_records();
-            told.set_offset(record.offset);
-            told.set_key(std::move(record.key));
-            told.set_value(record.value.value_or(""));
-        }
+        to_words(replicas.recent, *word.mutable_records());
+        to_words(backends.recent, *word.mutable_backend_records());
         for (schema::running_load& load : assembler_->running_loads()) {
             *word.add_loads() = std::move(load);
         }
--- a/test/error/fleet_topic_follower.cpp
+++ b/test/error/fleet_topic_follower.cpp
@@ -152,3 +152,21 @@
     bench.read();
     CHECK(bench.follower->age() == 0s);
 }
+
+TEST_CASE("a peer's word confirms only what was read, and only as far back as it is old")
+{
+    asio::io_context context;
+    manual_clock clock(context);
+    follower_bench bench;
+    bench.follower->confirm(0, 0s);
+    CHECK_FALSE(bench.follower->age().has_value()); // Nothing was read yet.
+    bench.log.add("a");
+    bench.read();
+    clock.advance(3s);
+    bench.follower->confirm(2, 0s); // The peer has read more.
+    CHECK(bench.follower->age() == 3s);
+    bench.follower->confirm(1, 5s);
+    CHECK(bench.follower->age() == 3s);
+    bench.follower->confirm(1, 1s);
+    CHECK(bench.follower->age() == 1s);
+}
