Take a head's refusal to leave as word that it left

The next leader told it to leave, was refused, and waited for an entry of the head newer than the order; an entry without a change leaves no record, so none came: the replica stayed in retirement for good, its VMs were never used again, and the large model had no replica. Change: a head that refuses to leave, and whose entry does not show it in the replica, has left. Ruled out as harmful: an entry that is older than a join. The head of a retiring replica had joined before it served, so its entry showed that. Test: correctness/assembly "a head that left before the last leader could note it", red before.

--- a/src/assembly/assembly_plan.cpp
+++ b/src/assembly/assembly_plan.cpp
@@ -237,6 +237,11 @@
         return {};
     }
 
+    static bool ended_as(const sent_order* order, order_outcome outcome)
+    {
+        return order != nullptr && order->outcome && *order->outcome == outcome;
+    }
+
     void finish_retiring(const ledger_entry& entry)
     {
         const schema::shared_member& head = entry.second.members(0);
@@ -248,11 +253,10 @@
         const replica_membership* joined = membership_in(listed, entry);
         const sent_order* left =
             in_.memory->find(head.id(), order_kind::leave, entry.second.epoch());
-        const bool not_in_it = left != nullptr && left->outcome && joined == nullptr &&
-                               *left->outcome == order_outcome::refused &&
-                               listed->heard_at > left->at;
-        const bool confirmed = not_in_it || (left != nullptr && left->outcome &&
-                                             *left->outcome == order_outcome::begun);
+        // An entry changes only with its VM's state, so an old one that shows the head elsewhere
+        // beside its refusal to leave is as good as a new one.
+        const bool not_in_it = joined == nullptr && ended_as(left, order_outcome::refused);
+        const bool confirmed = not_in_it || ended_as(left, order_outcome::begun);
         const bool other_life = listed->self.started_ms != head.started_ms();
         if (confirmed || other_life) {
             drop(entry);
@@ -294,11 +298,6 @@
         return false;
     }
 
-    static bool ended_as(const sent_order* order, order_outcome outcome)
-    {
-        return order != nullptr && order->outcome && *order->outcome == outcome;
-    }
-
     /** The head is not listed any more: its process ended, or it is cut off and may still serve. */
     void drop_without_head(const ledger_entry& entry)
     {
--- a/test/correctness/assembly_plans.cpp
+++ b/test/correctness/assembly_plans.cpp
@@ -137,6 +137,33 @@
     }
 }
 
+TEST_CASE("a head that left before the last leader could note it frees its members")
+{
+    assembly_bench bench;
+    bench.add_domain("d0-", 10);
+    bench.steps(4);
+    const std::string lost = bench.serving("large").front();
+    const schema::shared_replica before = bench.replica(lost);
+    const std::string head = before.members(0).id();
+    bench.backends.remove(before.members(1).id(), bench.now);
+    bench.step();
+    REQUIRE(bench.replica(lost).phase() == schema::shared_phase_retiring);
+    // Another leader, who remembers nothing; the head's entry says that it is in no replica.
+    bench.memory = assembly_memory();
+    backend left = bench.backends.find(head)->self;
+    left.membership.reset();
+    bench.backends.apply(left, bench.now);
+    replica_order order;
+    order.kind = order_kind::leave;
+    order.replica = lost;
+    order.epoch = before.epoch();
+    bench.now += 1s; // No newer entry comes, since nothing changes.
+    bench.memory.note_sent(head, order, bench.now);
+    bench.memory.note_outcome(head, order, order_outcome::refused);
+    bench.step();
+    CHECK_FALSE(bench.ledger.replicas().contains(lost));
+}
+
 TEST_CASE("a lost head that refuses to close is told to leave")
 {
     assembly_bench bench;
