Count and time calls by route, team and outcome

Cause: the metrics of a node had calls by outcome alone and times by team alone; which kind of call was refused or late could only be read from logs. Test: correctness/relay, one call's counts and times; red before.

--- a/src/relay/call_intake.cpp
+++ b/src/relay/call_intake.cpp
@@ -132,8 +132,11 @@
                                   {"reason", call.end.reason},
                                   {"took_ms", to_ms_text(took)}});
     metrics_registry& metrics = *call.context.metrics;
-    metrics.counter("chervil_calls_total", {{"outcome", call.end.outcome}}) += 1;
-    metrics.distribution("chervil_call_seconds", {{"team", call.team}}).note(took);
+    const std::string& outcome = call.end.outcome;
+    metrics.counter("chervil_calls_total", {{"route", route}, {"outcome", outcome}}) += 1;
+    metrics.counter("chervil_team_calls_total", {{"team", call.team}, {"outcome", outcome}}) += 1;
+    metrics.distribution("chervil_call_seconds", {{"route", route}}).note(took);
+    metrics.distribution("chervil_team_call_seconds", {{"team", call.team}}).note(took);
 }
 
 } // namespace
--- a/src/relay/recent_records.cpp
+++ b/src/relay/recent_records.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 
+#include <boost/range/adaptor/reversed.hpp>
+
 namespace chervildyke {
 
 namespace {
@@ -27,8 +29,7 @@
 {
     std::vector<keyed_record> told;
     std::size_t bytes = 0;
-    for (auto next = records_.rbegin(); next != records_.rend(); ++next) {
-        const auto& [added_at, record] = *next;
+    for (const auto& [added_at, record] : boost::adaptors::reverse(records_)) {
         bytes += record.key.size() + (record.value ? record.value->size() : 0);
         if (now - added_at > keep_for_ || bytes > told_bytes) {
             break;
--- a/src/relay/stream_relay.cpp
+++ b/src/relay/stream_relay.cpp
@@ -153,7 +153,11 @@
             co_return false;
         }
     }
-    ++call_.end.events;
+    if (++call_.end.events == 1) {
+        call_.context.metrics
+            ->distribution("chervil_first_event_seconds", {{"route", call_.route->name}})
+            .note(monotonic_clock::now() - call_.arrived_at);
+    }
     const bool written = co_await call_.exchange.write_chunk(event.bytes);
     co_return written;
 }
--- a/test/correctness/relay_streams.cpp
+++ b/test/correctness/relay_streams.cpp
@@ -184,6 +184,23 @@
     CHECK(bench.second.calls == 0);
 }
 
+TEST_CASE("calls are counted and timed by route, team and outcome")
+{
+    relay_bench bench(repeat_rule::resumable);
+    bench.call("k1");
+    bench.context.restart();
+    bench.context.run_for(50ms); // The call's task ends after its caller has the answer.
+    const std::string text = bench.node.metrics->to_text();
+    for (const char* line : {"chervil_calls_total{route=\"r\",outcome=\"complete\"} 1",
+                             "chervil_team_calls_total{team=\"counter\",outcome=\"complete\"} 1",
+                             "chervil_first_event_seconds_count{route=\"r\"} 1",
+                             "chervil_call_seconds_count{route=\"r\"} 1",
+                             "chervil_team_call_seconds_count{team=\"counter\"} 1"}) {
+        CAPTURE(line);
+        CHECK(text.find(line) != std::string::npos);
+    }
+}
+
 TEST_CASE("an unknown key is refused; with an old configuration nobody can say that it is unknown")
 {
     relay_bench fresh(repeat_rule::resumable);
