Add the fault soak on real processes

Cause: stand-ins and unit tests show parts; nothing of ours ran the real nodes under faults that overlap. Change: soak/: nodes as processes, a loopback proxy on each link, stand-ins for the platform's store and servers (one file knows the platform's words), callers and a book of promises; 25 kinds of faults drawn from a seed. soak/run for seeds, regressions and fresh seeds; three seeds in ctest. The store's stand-in also tests the adapter's client over sockets (correctness/platform).

--- /dev/null
+++ b/soak/node_process.cpp
@@ -0,0 +1,75 @@
+/** \file
+ * Implements a node as a process.
+ */
+#include "soak/node_process.h"
+
+#include <array>
+#include <csignal>
+#include <utility>
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace chervildyke::soak {
+
+namespace {
+
+constexpr mode_t log_mode = 0644;
+
+} // namespace
+
+node_process::node_process(std::string program, std::string settings_file, std::string log_file)
+    : program_(std::move(program)), settings_file_(std::move(settings_file)),
+      log_file_(std::move(log_file))
+{
+}
+
+node_process::~node_process()
+{
+    send(SIGKILL);
+    if (runs()) {
+        ::waitpid(pid_, nullptr, 0);
+    }
+}
+
+bool node_process::start()
+{
+    posix_spawn_file_actions_t files{};
+    ::posix_spawn_file_actions_init(&files);
+    ::posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log_file_.c_str(),
+                                       O_WRONLY | O_CREAT | O_APPEND, log_mode);
+    ::posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+    // A node that held our sockets would keep them open when we close them.
+    ::posix_spawn_file_actions_addclosefrom_np(&files, STDERR_FILENO + 1);
+    std::string option = "--settings";
+    std::array<char*, 4> arguments = {program_.data(), option.data(), settings_file_.data(),
+                                      nullptr};
+    const int failed =
+        ::posix_spawn(&pid_, program_.c_str(), &files, nullptr, arguments.data(), environ);
+    ::posix_spawn_file_actions_destroy(&files);
+    if (failed != 0) {
+        pid_ = 0;
+    }
+    return failed == 0;
+}
+
+void node_process::send(int signal)
+{
+    if (runs()) {
+        ::kill(pid_, signal);
+    }
+}
+
+std::optional<int> node_process::take_end()
+{
+    int status = 0;
+    if (!runs() || ::waitpid(pid_, &status, WNOHANG) != pid_) {
+        return std::nullopt;
+    }
+    pid_ = 0;
+    return status;
+}
+
+} // namespace chervildyke::soak
--- /dev/null
+++ b/soak/wire.cpp
@@ -0,0 +1,392 @@
+/** \file
+ * Implements what the stand-ins say and read.
+ */
+#include "soak/wire.h"
+
+#include <array>
+#include <charconv>
+
+#include <boost/endian/conversion.hpp>
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+#include "base/milliseconds.h"
+
+namespace chervildyke::soak {
+
+using nlohmann::json;
+
+const char* const configuration_topic = "keyed.op";
+const char* const configuration_key = "config";
+const char* const server_topic = "keyed.servers";
+
+namespace {
+
+constexpr std::size_t length_bytes = 4; // Before each record.
+
+std::uint64_t read_number(const std::string& text)
+{
+    std::uint64_t number = 0;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return number;
+}
+
+double in_ms(duration span)
+{
+    return std::chrono::duration<double, std::milli>(span).count();
+}
+
+double in_s(duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+std::string base64(const std::string& bytes)
+{
+    std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
+    const int written = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                                        reinterpret_cast<const unsigned char*>(bytes.data()),
+                                        static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(written));
+    return text;
+}
+
+http_reply json_reply(unsigned status, const json& body)
+{
+    http_reply reply;
+    reply.status = status;
+    reply.body = body.dump();
+    return reply;
+}
+
+/** Cuts the body of an append into records; a record that is cut off ends it. */
+std::vector<stored_record> cut_records(const std::string& body)
+{
+    std::vector<stored_record> records;
+    std::size_t at = 0;
+    while (body.size() - at > length_bytes) {
+        const std::size_t length =
+            boost::endian::load_big_u32(reinterpret_cast<const unsigned char*>(body.data() + at));
+        at += length_bytes;
+        if (length == 0 || body.size() - at < length) {
+            break;
+        }
+        const std::size_t key_length = static_cast<unsigned char>(body[at]);
+        stored_record record;
+        record.key = body.substr(at + 1, key_length);
+        record.value = body.substr(at + 1 + key_length, length - 1 - key_length);
+        records.push_back(std::move(record));
+        at += length;
+    }
+    return records;
+}
+
+store_operation read_operation(std::string_view path)
+{
+    if (path == "/chervildyke/log-append") {
+        return store_operation::append;
+    }
+    if (path == "/chervildyke/log-read") {
+        return store_operation::read;
+    }
+    if (path == "/chervildyke/log-newest") {
+        return store_operation::newest;
+    }
+    return path == "/chervildyke/log-trim" ? store_operation::trim : store_operation::unknown;
+}
+
+const char* name_of(member_state state)
+{
+    switch (state) {
+    case member_state::none:
+        return "";
+    case member_state::joining:
+        return "joining";
+    case member_state::ready:
+        return "ready";
+    case member_state::open:
+        return "open";
+    case member_state::closing:
+        return "closing";
+    case member_state::broken:
+        return "broken";
+    }
+    return "";
+}
+
+json write_engine(const deployment& deployed)
+{
+    json models = json::array();
+    for (const deployed_model& model : deployed.models) {
+        models.push_back({{"name", model.name},
+                          {"size", model.size},
+                          {"share", model.share},
+                          {"pace", 1.0},
+                          {"load-time-s", in_s(model.load_time)},
+                          {"warmup-s", in_s(model.warm_time)}});
+    }
+    return {{"slots", batch_slots},
+            {"stride", 1},
+            {"step_ms", in_ms(event_time)},
+            {"per_seq_ms", 0.0},
+            {"context_per_k", 0.0},
+            {"read_per_s", 50'000.0},
+            {"loads-per-s", loads_per_s},
+            {"loads_at_once", 7},
+            {"form-ms", in_ms(open_time)},
+            {"usual", {{"prompt", 500}, {"answer", 15}}},
+            {"models", models}};
+}
+
+void append_big_u64(std::string& bytes, std::uint64_t number)
+{
+    std::array<unsigned char, 8> text{};
+    boost::endian::store_big_u64(text.data(), number);
+    bytes.append(reinterpret_cast<const char*>(text.data()), text.size());
+}
+
+} // namespace
+
+store_call read_store_call(const http_request& request)
+{
+    store_call call;
+    call.operation = read_operation(request.path());
+    call.topic = request.query("topic");
+    call.from = read_number(request.query("from"));
+    call.wait = std::chrono::milliseconds(read_number(request.query("wait-ms")));
+    call.after = request.query("after");
+    if (!request.query("at").empty()) {
+        call.at = read_number(request.query("at"));
+    }
+    if (call.operation == store_operation::append) {
+        call.records = cut_records(request.body);
+    }
+    return call;
+}
+
+http_reply write_appended(std::uint64_t offset, std::uint64_t end)
+{
+    return json_reply(200, {{"offset", offset}, {"end-offset", end}});
+}
+
+http_reply write_conflict(std::uint64_t end)
+{
+    return json_reply(412, {{"end-offset", end}});
+}
+
+http_reply write_gone(std::uint64_t first)
+{
+    return json_reply(410, {{"first-offset", first}});
+}
+
+http_reply write_read(std::uint64_t end, std::uint64_t first,
+                      const std::vector<stored_record>& records)
+{
+    http_reply reply;
+    reply.content_type = "application/octet-stream";
+    append_big_u64(reply.body, end);
+    append_big_u64(reply.body, first);
+    for (const stored_record& record : records) {
+        const std::size_t size = 1 + record.key.size() + record.value.size();
+        std::array<unsigned char, length_bytes> length{};
+        boost::endian::store_big_u32(length.data(), static_cast<std::uint32_t>(size));
+        reply.body.append(reinterpret_cast<const char*>(length.data()), length.size());
+        reply.body += static_cast<char>(record.key.size());
+        reply.body += record.key + record.value;
+    }
+    return reply;
+}
+
+http_reply write_newest(const std::vector<stored_record>& records, bool has_more, std::uint64_t end)
+{
+    json items = json::array();
+    for (const stored_record& record : records) {
+        items.push_back(
+            {{"key", record.key}, {"value", base64(record.value)}, {"offset", record.offset}});
+    }
+    return json_reply(200, {{"items", items}, {"has-more", has_more}, {"end-offset", end}});
+}
+
+std::string write_configuration(const deployment& deployed)
+{
+    json routes = json::array();
+    for (const deployed_route& route : deployed.routes) {
+        json given = {{"name", route.name},
+                      {"host", deployed.host},
+                      {"path-prefix", route.path_prefix},
+                      {"service", route.service},
+                      {"kind", route.streaming    ? "streaming"
+                               : route.repeatable ? "idempotent"
+                                                  : "non_idempotent"},
+                      {"resumable", route.streaming && route.repeatable},
+                      {"max-attempts", attempts_limit},
+                      {"timeout-ms", in_ms(route.timeout)},
+                      {"target-latency-ms", in_ms(route.target)},
+                      {"target-gap-ms", 300},
+                      {"priority", route.priority}};
+        routes.push_back(std::move(given));
+    }
+    json teams = json::array();
+    for (const deployed_team& team : deployed.teams) {
+        teams.push_back({{"name", team.name}, {"api-keys", team.keys}});
+    }
+    const json services = {
+        {{"name", model_service}, {"max-connections", 300}, {"engine", write_engine(deployed)}},
+        {{"name", order_service}, {"max-connections", 100}}};
+    const json limits = {{"max-header-bytes", 16'384},
+                         {"max-body-bytes", 1'048'576},
+                         {"header-timeout-ms", 3'000},
+                         {"idle-timeout-ms", 20'000}};
+    return json{{"version", deployed.version},
+                {"routes", routes},
+                {"services", services},
+                {"tenants", teams},
+                {"limits", limits}}
+        .dump();
+}
+
+std::string write_server(const server_entry& server)
+{
+    json entry = {{"service", server.service}, {"address", server.address},
+                  {"zone", server.domain},     {"version", "1"},
+                  {"slots", server.slots},     {"state", server.leaving ? "draining" : "ready"},
+                  {"cold-remaining-ms", 0},    {"sequence", 1},
+                  {"born", server.started_ms}};
+    if (!server.fabric_domain.empty()) {
+        entry["domain"] = server.fabric_domain;
+        entry["staged"] = server.staged;
+    }
+    if (!server.replica.empty()) {
+        entry["group"] = {{"name", server.replica},
+                          {"epoch", server.epoch},
+                          {"rank", server.rank},
+                          {"state", name_of(server.state)}};
+    }
+    return entry.dump();
+}
+
+std::optional<engine_order> read_order(const std::string& body)
+{
+    const json given = json::parse(body, nullptr, false);
+    if (!given.is_object()) {
+        return std::nullopt;
+    }
+    const std::string operation = given.value("operation", "");
+    engine_order order;
+    if (operation == "join") {
+        order.operation = engine_operation::join;
+    }
+    else if (operation == "open") {
+        order.operation = engine_operation::open;
+    }
+    else if (operation == "close") {
+        order.operation = engine_operation::close;
+    }
+    else if (operation == "leave") {
+        order.operation = engine_operation::leave;
+    }
+    else if (operation != "stage") {
+        return std::nullopt;
+    }
+    order.replica = given.value("group", "");
+    order.epoch = given.value("epoch", std::uint64_t{0});
+    order.model = given.value("model", "");
+    order.aborts_calls = given.value("close-mode", "") == "aborted";
+    order.members = given.value("members", std::vector<std::string>());
+    return order;
+}
+
+server_path read_path(const http_request& request)
+{
+    if (request.path() == "/chervildyke/report") {
+        return server_path::report;
+    }
+    if (request.path() == "/chervildyke/order") {
+        return server_path::order;
+    }
+    return request.path() == "/health" ? server_path::health : server_path::call;
+}
+
+std::string wanted_server(const http_request& request)
+{
+    return std::string(request.header("X-Target-Instance"));
+}
+
+seen_run read_run(const http_request& request)
+{
+    seen_run run;
+    run.id = request.header("X-Attempt-Id");
+    run.target = request.target;
+    run.team = request.header("X-Tenant");
+    run.body = request.body;
+    run.has_key = !request.header("Authorization").empty();
+    run.after_event = read_number(std::string(request.header("Last-Event-Id")));
+    return run;
+}
+
+http_reply write_made_answer(const std::string& call_id, const made_answer& answer)
+{
+    http_reply reply;
+    reply.status = answer.status;
+    reply.body = answer.body;
+    reply.headers = {{"X-Attempt-Id", call_id}, {"X-Response-Seal", answer.seal}};
+    return reply;
+}
+
+http_reply write_not_run(const std::string& call_id, unsigned status)
+{
+    http_reply reply;
+    reply.status = status;
+    reply.headers = {{"X-Attempt-Id", call_id}, {"X-Not-Executed", "1"}};
+    return reply;
+}
+
+http_reply write_report(const server_entry& server, std::uint32_t running)
+{
+    json report = json::parse(write_server(server));
+    report.update({{"stage", "unified"},
+                   {"models", json::array()},
+                   {"busy", false},
+                   {"num-waiting", 0},
+                   {"num-running", running},
+                   {"pace", 1.0}});
+    return json_reply(200, report);
+}
+
+http_request write_call(const sent_call& call, const std::string& host, const std::string& model,
+                        duration time_left)
+{
+    http_request request;
+    request.method = "POST";
+    request.target = call.target;
+    request.body = call.body;
+    request.headers = {{"Host", host},
+                       {"X-Attempt-Id", call.id},
+                       {"X-Deadline-Ms", std::to_string(time_left / 1ms)},
+                       {"Authorization", "Token " + call.key}};
+    if (!model.empty()) {
+        request.headers.push_back({"X-Model", model});
+        request.headers.push_back({"X-Token-Usage", "500," + std::to_string(call.last_event)});
+        request.headers.push_back({"X-Prompt-Prefix", "5c1e07a2:500"});
+    }
+    return request;
+}
+
+std::string read_seal(const std::vector<http_header>& headers)
+{
+    return std::string(find_header(headers, "X-Response-Seal"));
+}
+
+std::string directory_target(const std::string& host, const std::string& domain)
+{
+    return "/chervildyke/resolve?name=" + host + "&region=r&zone=" + domain;
+}
+
+std::vector<std::string> read_addresses(const std::string& body)
+{
+    const json given = json::parse(body, nullptr, false);
+    return given.is_object() ? given.value("addresses", std::vector<std::string>())
+                             : std::vector<std::string>();
+}
+
+} // namespace chervildyke::soak
