Split the faults from the fleet in the soak

Gone: a flag nobody read, the models staged at a place (the last life's entry has them), numbers read back out of addresses, a start that could not fail and a function for a field.

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -28,11 +28,6 @@
 constexpr duration lost_slack = 200ms;  // A call that crosses a close is not lost.
 constexpr duration return_at_most = 1s; // The longest wait before one comes back.
 
-duration time_limit(const deployed_route& route)
-{
-    return route.timeout;
-}
-
 bool promises_not_run(unsigned status)
 {
     return status == 429 || status == 503;
@@ -130,9 +125,8 @@
     if (streams) {
         model = deployed_.models[random_below(random_, deployed_.models.size())].name;
     }
-    const time_point until = monotonic_clock::now() + time_limit(route);
-    const duration whole = time_limit(route);
-    const auto back_in = co_await attempt(caller, route, model, whole);
+    const time_point until = monotonic_clock::now() + route.timeout;
+    const auto back_in = co_await attempt(caller, route, model, route.timeout);
     if (back_in) {
         const duration wait = *back_in;
         co_await sleep_for(wait);
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements the fleet and the faults that it plays.
+ * Implements the fleet.
  */
 #include "soak/fleet.h"
 
@@ -10,7 +10,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
-#include <sys/wait.h>
+
+#include "base/milliseconds.h"
 
 namespace chervildyke::soak {
 
@@ -36,16 +37,7 @@
 
 constexpr std::size_t caller_count = 24;
 constexpr std::size_t fabric_domain_size = 7;
-constexpr duration restart_after = 400ms;      // From a node's end to its next start.
-constexpr duration node_poll = 10ms;           // How often ends of processes are looked for.
-constexpr duration server_back_after = 2500ms; // From a server's end to the next one there.
-constexpr duration slow_link = 120ms;          // Added to each piece on a slow link.
-constexpr duration slow_store = 240ms;         // 60 times the usual answer.
-constexpr double slow_server = 5;              // Factor on a slow server's times.
-constexpr double wrong_share = 0.5;            // Of calls at a server whose answers go wrong.
-constexpr std::size_t late_every = 3;          // Of all servers, those that carry out orders late.
-constexpr duration late_order = 2500ms;        // How late a server carries out orders.
-constexpr double same_id_share = 0.25;         // Servers that come back under their id.
+constexpr double same_id_share = 0.25; // Servers that come back under their id.
 
 deployment make_deployment()
 {
@@ -60,15 +52,6 @@
     return made;
 }
 
-/** Sets a value for a while. */
-template <typename Value>
-asio::awaitable<void> set_for(Value& value, Value harmed, Value sound, duration span)
-{
-    value = harmed;
-    co_await sleep_for(span);
-    value = sound;
-}
-
 } // namespace
 
 soak_fleet::soak_fleet(asio::any_io_executor executor, fleet_options options)
@@ -95,7 +78,7 @@
     store_.put(configuration_topic, configuration_key, write_configuration(deployed_));
 }
 
-void soak_fleet::write_settings(node& started, double address_validity_s)
+void soak_fleet::write_settings(const soak_node& started, double address_validity_s)
 {
     nlohmann::json seeds = nlohmann::json::array();
     for (std::size_t i = 0; i < options_.nodes; ++i) {
@@ -104,23 +87,22 @@
     const auto address = [&started](std::uint16_t port) {
         return started.ip + ":" + std::to_string(port);
     };
-    nlohmann::json settings = {
-        {"name", started.name},
-        {"address", started.ip},
-        {"failureDomain", started.name},
-        {"callAddress", address(call_port)},
-        {"readyAddress", address(ready_port)},
-        {"directoryAddress", address(directory_port)},
-        {"peerPort", peer_port},
-        {"metricsPort", metrics_port},
-        {"seedAddresses", seeds},
-        {"keyStalenessMs", std::chrono::duration<double, std::milli>(key_staleness).count()},
-        {"stopGraceS", std::chrono::duration<double>(stop_grace).count()},
-        {"backendDrainMs", std::chrono::duration<double, std::milli>(drain_time).count()},
-        {"retryRatio", 0.2},
-        {"retrySlack", 100},
-        {"addressValidityS", address_validity_s},
-        {"clockSettleMs", 2500}};
+    nlohmann::json settings = {{"name", started.name},
+                               {"address", started.ip},
+                               {"failureDomain", started.name},
+                               {"callAddress", address(call_port)},
+                               {"readyAddress", address(ready_port)},
+                               {"directoryAddress", address(directory_port)},
+                               {"peerPort", peer_port},
+                               {"metricsPort", metrics_port},
+                               {"seedAddresses", seeds},
+                               {"keyStalenessMs", in_ms(key_staleness)},
+                               {"stopGraceS", std::chrono::duration<double>(stop_grace).count()},
+                               {"backendDrainMs", in_ms(drain_time)},
+                               {"retryRatio", 0.2},
+                               {"retrySlack", 100},
+                               {"addressValidityS", address_validity_s},
+                               {"clockSettleMs", 2500}};
     settings["storeAddress"] =
         ip_of(store_link_group, started.number) + ":" + std::to_string(store_port);
     std::ofstream(options_.folder / (started.name + ".json")) << settings.dump(2);
@@ -129,7 +111,7 @@
 bool soak_fleet::start_nodes()
 {
     for (std::size_t i = 0; i < options_.nodes; ++i) {
-        auto made = std::make_unique<node>();
+        auto made = std::make_unique<soak_node>();
         made->number = i;
         made->name = "node-" + std::to_string(i);
         made->ip = ip_of(node_group, i);
@@ -161,22 +143,19 @@
 bool soak_fleet::start_server(server_place& place, bool same_id)
 {
     server_entry entry;
-    const std::string last_id = place.server ? place.server->entry().id : std::string();
-    if (place.server && place.service == model_service) {
-        place.staged = place.server->entry().staged;
-    }
     ++place.lives;
-    entry.id = same_id && !last_id.empty() ? last_id
-                                           : "i-" + place.ip.substr(place.ip.rfind('.') + 1) + "-" +
-                                                 std::to_string(place.lives);
+    if (same_id && place.server) {
+        entry.id = place.server->entry().id;
+        entry.staged = place.server->entry().staged;
+    }
+    else {
+        entry.id = "i-" + std::to_string(place.number + 1) + "-" + std::to_string(place.lives);
+    }
     entry.service = place.service;
-    entry.address =
-        ip_of(server_link_group, std::stoul(place.ip.substr(place.ip.rfind('.') + 1)) - 1) + ":" +
-        std::to_string(server_port);
+    entry.address = ip_of(server_link_group, place.number) + ":" + std::to_string(server_port);
     entry.domain = place.failure_domain;
     entry.fabric_domain = place.fabric_domain;
     entry.started_ms = wall_clock_ms();
-    entry.staged = same_id ? place.staged : std::vector<std::string>();
     entry.slots = place.service == model_service ? batch_slots : order_slots;
     if (place.service == model_service) {
         const auto server = std::make_shared<model_server>(around_, entry);
@@ -201,6 +180,7 @@
     for (std::size_t i = 0; i < count; ++i) {
         auto place = std::make_unique<server_place>();
         const bool runs_model = i < options_.model_servers;
+        place->number = i;
         place->ip = ip_of(server_group, i);
         place->service = runs_model ? model_service : order_service;
         place->failure_domain = "node-" + std::to_string(i % options_.nodes);
@@ -220,7 +200,7 @@
     return true;
 }
 
-bool soak_fleet::start_callers()
+void soak_fleet::start_callers()
 {
     caller_network network;
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
@@ -231,21 +211,21 @@
     callers_ = std::make_unique<callers>(executor_, std::move(network), known_, book_, calm_,
                                          seeded_random(options_.seed + 1));
     callers_->start(caller_count);
-    return true;
 }
 
 bool soak_fleet::start()
 {
     publish_configuration();
-    if (!start_servers() || !start_nodes() || !start_callers()) {
+    if (!start_servers() || !start_nodes()) {
         return false;
     }
+    start_callers();
     asio::co_spawn(executor_, watch_nodes(), asio::detached);
     asio::co_spawn(executor_, watch_servers(), asio::detached);
     return true;
 }
 
-void soak_fleet::note_end(node& ended, int status)
+void soak_fleet::note_end(const soak_node& ended, int status)
 {
     if (!ended.end_expected) {
         book_.broken("own end",
@@ -299,172 +279,6 @@
     }
 }
 
-void soak_fleet::begin(const planned_fault& fault)
-{
-    asio::co_spawn(executor_, play(fault), asio::detached);
-}
-
-asio::awaitable<void> soak_fleet::stop_node(node& stopped)
-{
-    const std::uint64_t life = stopped.lives;
-    stopped.end_expected = true;
-    stopped.process->send(SIGTERM);
-    time_point until = monotonic_clock::now() + stop_grace;
-    while (stopped.lives == life && monotonic_clock::now() < until) {
-        co_await sleep_for(node_poll);
-        if (stopped.freezes > 0) {
-            until = monotonic_clock::now() + stop_grace;
-        }
-    }
-    if (stopped.lives == life && !stopping_) {
-        book_.broken("stop", stopped.name + " did not end within its grace");
-        stopped.process->send(SIGKILL);
-    }
-}
-
-asio::awaitable<void> soak_fleet::play_on_node(planned_fault fault, node& harmed)
-{
-    switch (fault.kind) {
-    case fault_kind::node_stopped:
-        co_await stop_node(harmed);
-        break;
-    case fault_kind::node_frozen:
-        ++harmed.freezes;
-        harmed.process->send(SIGSTOP);
-        co_await sleep_for(fault.lasts);
-        --harmed.freezes;
-        harmed.process->send(SIGCONT);
-        break;
-    case fault_kind::node_reloaded:
-        write_settings(harmed, 1 + static_cast<double>(fault.target % 2));
-        harmed.process->send(SIGHUP);
-        break;
-    default:
-        harmed.end_expected = true;
-        harmed.process->send(SIGKILL);
-        co_await sleep_for(restart_after + 2 * node_poll);
-        break;
-    }
-}
-
-link_proxy& soak_fleet::link_of(const planned_fault& fault)
-{
-    const std::size_t number = fault.target % nodes_.size();
-    switch (fault.place) {
-    case link_place::callers_to_node:
-        return *nodes_[number]->from_callers;
-    case link_place::node_to_store:
-        return *nodes_[number]->to_store;
-    case link_place::to_server:
-        break;
-    }
-    return *places_[fault.target % places_.size()]->link;
-}
-
-asio::awaitable<void> soak_fleet::play_on_link(planned_fault fault)
-{
-    link_proxy& link = link_of(fault);
-    switch (fault.kind) {
-    case fault_kind::link_slow:
-        co_await set_for(link.faults().delay, slow_link, duration::zero(), fault.lasts);
-        break;
-    case fault_kind::link_reset:
-        link.reset_open();
-        break;
-    case fault_kind::link_silent:
-        link.silence_open();
-        break;
-    default: {
-        bool& cut = fault.kind == fault_kind::link_cut_forward ? link.faults().cut_forward
-                                                               : link.faults().cut_backward;
-        co_await set_for(cut, true, false, fault.lasts);
-        break;
-    }
-    }
-}
-
-asio::awaitable<void> soak_fleet::play_on_server(planned_fault fault)
-{
-    const std::shared_ptr<backend_server> server = place_of(fault).server;
-    server_faults& faults = server->faults();
-    switch (fault.kind) {
-    case fault_kind::server_crashed:
-        server->crash();
-        break;
-    case fault_kind::server_leaves:
-        server->leave();
-        break;
-    case fault_kind::server_cut_from_store:
-        server->cut_from_store();
-        co_await sleep_for(server_back_after);
-        server->crash();
-        break;
-    case fault_kind::server_slow:
-        co_await set_for(faults.slowness, slow_server, 1.0, fault.lasts);
-        break;
-    case fault_kind::server_fails:
-        co_await set_for(faults.fails, wrong_share, 0.0, fault.lasts);
-        break;
-    case fault_kind::server_loses_answers:
-        co_await set_for(faults.loses_answers, wrong_share, 0.0, fault.lasts);
-        break;
-    case fault_kind::server_breaks_off:
-        co_await set_for(faults.breaks_off, wrong_share, 0.0, fault.lasts);
-        break;
-    default:
-        co_await delay_orders(fault);
-        break;
-    }
-}
-
-soak_fleet::server_place& soak_fleet::place_of(const planned_fault& fault)
-{
-    // Only servers of orders lose whole answers; what may run once at most goes to them.
-    const bool of_orders = fault.kind == fault_kind::server_loses_answers;
-    const std::size_t first = of_orders ? options_.model_servers : 0;
-    return *places_[first + fault.target % (places_.size() - first)];
-}
-
-asio::awaitable<void> soak_fleet::delay_orders(planned_fault fault)
-{
-    // Members of one replica must differ in it.
-    std::vector<std::shared_ptr<backend_server>> late;
-    for (std::size_t i = fault.target % late_every; i < places_.size(); i += late_every) {
-        late.push_back(places_[i]->server);
-        late.back()->faults().order_delay = late_order;
-    }
-    co_await sleep_for(fault.lasts);
-    for (const auto& server : late) {
-        server->faults().order_delay = duration::zero();
-    }
-}
-
-asio::awaitable<void> soak_fleet::play_on_store(planned_fault fault)
-{
-    store_faults& faults = store_.faults();
-    switch (fault.kind) {
-    case fault_kind::store_down:
-        co_await set_for(faults.down, true, false, fault.lasts);
-        break;
-    case fault_kind::store_slow:
-        co_await set_for(faults.delay, slow_store, duration::zero(), fault.lasts);
-        break;
-    case fault_kind::store_loses_answers:
-        co_await set_for(faults.loses_answers, true, false, fault.lasts);
-        break;
-    case fault_kind::store_rejects_node: {
-        const std::size_t rejected = fault.target % nodes_.size();
-        faults.rejected.insert(rejected);
-        co_await sleep_for(fault.lasts);
-        faults.rejected.erase(rejected);
-        break;
-    }
-    default:
-        store_.forget_history();
-        break;
-    }
-}
-
 void soak_fleet::change_configuration()
 {
     deployed_.version += 1 + random_below(around_.random, 5);
@@ -484,66 +298,6 @@
     }
 }
 
-asio::awaitable<void> soak_fleet::play(planned_fault fault)
-{
-    const bool planned = is_planned_work(fault.kind);
-    ++faults_in_play_;
-    if (!planned) {
-        calm_.disturb();
-    }
-    switch (fault.kind) {
-    case fault_kind::configuration_changed:
-        change_configuration();
-        break;
-    case fault_kind::key_revoked:
-        revoke_key();
-        break;
-    case fault_kind::all_nodes_killed:
-        for (const auto& killed : nodes_) {
-            killed->end_expected = true;
-            killed->process->send(SIGKILL);
-        }
-        co_await sleep_for(restart_after * static_cast<long>(nodes_.size() + 1));
-        break;
-    case fault_kind::node_killed:
-    case fault_kind::node_stopped:
-    case fault_kind::node_frozen:
-    case fault_kind::node_reloaded:
-        co_await play_on_node(fault, *nodes_[fault.target % nodes_.size()]);
-        break;
-    case fault_kind::link_slow:
-    case fault_kind::link_reset:
-    case fault_kind::link_cut_forward:
-    case fault_kind::link_cut_backward:
-    case fault_kind::link_silent:
-        co_await play_on_link(fault);
-        break;
-    case fault_kind::store_down:
-    case fault_kind::store_slow:
-    case fault_kind::store_loses_answers:
-    case fault_kind::store_rejects_node:
-    case fault_kind::store_forgets:
-        co_await play_on_store(fault);
-        break;
-    default:
-        co_await play_on_server(fault);
-        break;
-    }
-    if (!planned) {
-        calm_.settle();
-    }
-    --faults_in_play_;
-}
-
-asio::awaitable<void> soak_fleet::all_settled()
-{
-    while (faults_in_play_ > 0) {
-        co_await sleep_for(node_poll);
-    }
-    const duration span = server_back_after + restart_after;
-    co_await sleep_for(span);
-}
-
 asio::awaitable<void> soak_fleet::stop()
 {
     callers_->stop();
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -16,7 +16,6 @@
 #include "soak/link_proxy.h"
 #include "soak/model_server.h"
 #include "soak/node_process.h"
-#include "soak/schedule.h"
 #include "soak/store.h"
 
 namespace chervildyke::soak {
@@ -31,6 +30,35 @@
     std::uint32_t net = 100; // The fleet's addresses are 127.NET.x.y.
 };
 
+constexpr duration restart_after = 400ms;      // From a node's end to its next start.
+constexpr duration node_poll = 10ms;           // How often ends of processes are looked for.
+constexpr duration server_back_after = 2500ms; // From a server's end to the next one there.
+
+/** A node and the links to it and from it. */
+struct soak_node {
+    std::size_t number = 0;
+    std::string name;
+    std::string ip;
+    std::unique_ptr<node_process> process;
+    std::unique_ptr<link_proxy> from_callers;
+    std::unique_ptr<link_proxy> to_store;
+    bool end_expected = false;
+    int freezes = 0;         // That are in play.
+    std::uint64_t lives = 0; // Counts starts.
+};
+
+/** A place for one backend server after another, behind one address. */
+struct server_place {
+    std::size_t number = 0;
+    std::string ip;
+    std::string service;
+    std::string failure_domain;
+    std::string fabric_domain;
+    std::unique_ptr<link_proxy> link;
+    std::shared_ptr<backend_server> server;
+    std::uint64_t lives = 0;
+};
+
 class soak_fleet {
   public:
     soak_fleet(boost::asio::any_io_executor executor, fleet_options options);
@@ -42,65 +70,37 @@
     bool start();
     const std::string& last_reason() const { return last_reason_; }
 
-    /** Starts one fault; it ends by itself. */
-    void begin(const planned_fault& fault);
-
-    /** Completes once no fault is left and all nodes and servers run. */
-    boost::asio::awaitable<void> all_settled();
-
     /** Asks all nodes to stop and waits for them. */
     boost::asio::awaitable<void> stop();
 
     callers& people() { return *callers_; }
     promise_book& book() { return book_; }
+    calm& quiet() { return calm_; }
+    metadata_store& store() { return store_; }
+    bool stopping() const { return stopping_; }
 
-  private:
-    struct node {
-        std::size_t number = 0;
-        std::string name;
-        std::string ip;
-        std::unique_ptr<node_process> process;
-        std::unique_ptr<link_proxy> from_callers;
-        std::unique_ptr<link_proxy> to_store;
-        bool end_expected = false;
-        int freezes = 0;         // That are in play.
-        std::uint64_t lives = 0; // Counts starts.
-    };
-
-    /** A place for one backend server after another, behind one address. */
-    struct server_place {
-        std::string ip;
-        std::string service;
-        std::string failure_domain;
-        std::string fabric_domain;
-        std::unique_ptr<link_proxy> link;
-        std::shared_ptr<backend_server> server;
-        std::vector<std::string> staged;
-        std::uint64_t lives = 0;
-        bool end_planned = false;
-    };
+    /** All nodes, and all places of backend servers: those of models first. */
+    const std::vector<std::unique_ptr<soak_node>>& nodes() const { return nodes_; }
+    const std::vector<std::unique_ptr<server_place>>& places() const { return places_; }
+    std::size_t model_places() const { return options_.model_servers; }
 
+    /** Writes the settings file of a node. */
+    void write_settings(const soak_node& node, double address_validity_s);
+
+    /** As the operator: adds a route; takes a key away. */
+    void change_configuration();
+    void revoke_key();
+
+  private:
     std::string ip_of(std::uint32_t group, std::size_t number) const;
     bool start_nodes();
     bool start_servers();
     bool start_server(server_place& place, bool same_id);
-    bool start_callers();
-    void write_settings(node& started, double address_validity_s);
+    void start_callers();
     void publish_configuration();
     boost::asio::awaitable<void> watch_nodes();
     boost::asio::awaitable<void> watch_servers();
-    boost::asio::awaitable<void> play(planned_fault fault);
-    boost::asio::awaitable<void> play_on_node(planned_fault fault, node& harmed);
-    boost::asio::awaitable<void> play_on_link(planned_fault fault);
-    boost::asio::awaitable<void> play_on_server(planned_fault fault);
-    boost::asio::awaitable<void> play_on_store(planned_fault fault);
-    boost::asio::awaitable<void> stop_node(node& stopped);
-    boost::asio::awaitable<void> delay_orders(planned_fault fault);
-    server_place& place_of(const planned_fault& fault);
-    void change_configuration();
-    void revoke_key();
-    link_proxy& link_of(const planned_fault& fault);
-    void note_end(node& ended, int status);
+    void note_end(const soak_node& ended, int status);
 
     boost::asio::any_io_executor executor_;
     fleet_options options_;
@@ -110,11 +110,10 @@
     server_surroundings around_;
     deployment deployed_; // In force.
     deployment known_;    // What callers use, also keys that are gone.
-    std::vector<std::unique_ptr<node>> nodes_;
+    std::vector<std::unique_ptr<soak_node>> nodes_;
     std::vector<std::unique_ptr<server_place>> places_;
     std::unique_ptr<callers> callers_;
     std::string last_reason_;
-    std::size_t faults_in_play_ = 0;
     bool stopping_ = false;
 };
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -11,6 +11,7 @@
 #include <cxxopts.hpp>
 
 #include "base/program.h"
+#include "soak/fault_player.h"
 #include "soak/fleet.h"
 
 using namespace chervildyke;
@@ -53,15 +54,16 @@
     }
     co_await sleep_for(forming_time);
     print("formed", fleet.people().counts());
+    fault_player faults(co_await asio::this_coro::executor, fleet);
     const time_point began = monotonic_clock::now();
     for (const planned_fault& fault : draw_schedule(options.seed, span)) {
         const duration wait = began + fault.at - monotonic_clock::now();
         co_await sleep_for(wait);
         std::cout << in_seconds(monotonic_clock::now() - began) << "  " << fault.to_string()
                   << std::endl;
-        fleet.begin(fault);
+        faults.begin(fault);
     }
-    co_await fleet.all_settled();
+    co_await faults.all_settled();
     co_await sleep_for(recovery_time);
     print("recovered", fleet.people().counts());
     const auto before = fleet.people().counts_by_kind();
--- a/soak/wire.cpp
+++ b/soak/wire.cpp
@@ -31,11 +31,6 @@
     return number;
 }
 
-double in_ms(duration span)
-{
-    return std::chrono::duration<double, std::milli>(span).count();
-}
-
 double in_s(duration span)
 {
     return std::chrono::duration<double>(span).count();
