Give a silent replica up only for a place that beats waiting

Cause: nodes ended attempts after 450 ms by one call's silence; 63% of those replicas answered other calls meanwhile. The prompt was thrown away, and with the retry budget spent the call failed for good. Change: judge_wait (routing/attempt_patience) moves a call only when the replica stands still for all nodes, or gives way, or when this call alone heard nothing for 1.3 s, and only with a place and a retry in hand. attempt_watch carries it out. Only whole events count as progress. call_ended says wait, prediction, first event and longest gap beside their targets. A connection with bytes behind an answer is not kept. Test: routing_attempt_patience; relay_streams "a slow head that answers other calls" failed on the old code (the second head was called).

--- a/src/base/http_client.cpp
+++ b/src/base/http_client.cpp
@@ -267,7 +267,9 @@
     asio::awaitable<http_result<std::string>> read_some(duration timeout) override
     {
         auto part = co_await read_part(timeout);
-        if (part && parser_->is_done() && connection_ && parser_->keep_alive()) {
+        const bool ended = part && parser_->is_done() && connection_;
+        // Bytes behind the answer belong to no call; the next one must not read them.
+        if (ended && parser_->keep_alive() && connection_->buffer.size() == 0) {
             release_cancel();
             const duration usable = keep_alive_time(header("keep-alive"));
             if (usable != duration::max()) {
@@ -324,6 +326,11 @@
 
 http_client::~http_client() = default;
 
+void http_client::forget(const std::string& address)
+{
+    state_->kept.erase(address);
+}
+
 asio::awaitable<http_result<std::shared_ptr<http_stream>>>
 http_client::open(std::string address, http_request request, http_call_options options)
 {
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -98,6 +98,9 @@
     boost::asio::awaitable<http_result<std::shared_ptr<http_stream>>> open(std::string address,
                                                                            http_request request);
 
+    /** Closes the connections kept to an address, which may have gone silent. */
+    void forget(const std::string& address);
+
   private:
     struct state;
     std::shared_ptr<state> state_;
--- a/src/relay/call_gate.cpp
+++ b/src/relay/call_gate.cpp
@@ -74,6 +74,17 @@
     return answer;
 }
 
+std::optional<gate_answer> call_gate::enter_now(const gate_request& request)
+{
+    auto answer = try_admit(request);
+    if (!answer || answer->verdict != gate_verdict::admitted) {
+        return std::nullopt;
+    }
+    note_admission(lanes_[request.wanted.service + "/" + request.wanted.model],
+                   monotonic_clock::now());
+    return answer;
+}
+
 void call_gate::note_admission(lane& queue, time_point now)
 {
     const double window = std::chrono::duration<double>(settings_.rate_window).count();
--- a/src/relay/call_gate.h
+++ b/src/relay/call_gate.h
@@ -53,6 +53,9 @@
     /** Waits for a replica with room. */
     boost::asio::awaitable<gate_answer> enter(gate_request request);
 
+    /** \return a place for a call that leaves its replica, or nothing when there is none now. */
+    std::optional<gate_answer> enter_now(const gate_request& request);
+
     /** Gives room to waiting calls; to be called whenever a call ends, replicas change or peers'
      * counts come.
      */
--- a/src/relay/call_intake.cpp
+++ b/src/relay/call_intake.cpp
@@ -107,6 +107,11 @@
     }
 }
 
+std::string to_text(const std::optional<duration>& span)
+{
+    return span ? to_ms_text(*span) : "none";
+}
+
 void write_end(const relayed_call& call)
 {
     const duration took = monotonic_clock::now() - call.arrived_at;
@@ -114,6 +119,8 @@
     const std::string version =
         call.services ? std::to_string(call.services->version()) : std::string("none");
     const std::optional<duration> age = call.context.configuration_age();
+    const duration first_target = call.route ? call.route->first_answer_target : duration::zero();
+    const duration gap_target = call.route ? call.route->event_gap_target : duration::zero();
     call_log.write("call_ended", {{"request", call.terms.id},
                                   {"route", route},
                                   {"team", call.team},
@@ -127,6 +134,11 @@
                                   {"sends", std::to_string(call.end.sends)},
                                   {"runs", std::to_string(call.end.runs)},
                                   {"events", std::to_string(call.end.events)},
+                                  {"first_event_ms", to_text(call.end.first_event)},
+                                  {"predicted_ms", to_text(call.end.predicted_first)},
+                                  {"first_target_ms", to_ms_text(first_target)},
+                                  {"longest_gap_ms", to_ms_text(call.end.longest_gap)},
+                                  {"gap_target_ms", to_ms_text(gap_target)},
                                   {"status", std::to_string(call.end.status)},
                                   {"outcome", call.end.outcome},
                                   {"reason", call.end.reason},
--- a/src/relay/relayed_call.h
+++ b/src/relay/relayed_call.h
@@ -23,6 +23,9 @@
     std::uint32_t runs = 0;  // Attempts that may have run.
     std::uint32_t sends = 0; // Attempts in all.
     std::uint32_t events = 0;
+    std::optional<duration> first_event;     // Of a stream, since the call arrived.
+    std::optional<duration> predicted_first; // By the replica that the last attempt went to.
+    duration longest_gap{};                  // Between two events.
 };
 
 struct relayed_call {
@@ -58,6 +61,7 @@
 
     /** Takes a retry from the service's budget. */
     bool take_retry() const { return context.budget_of(service).take(); }
+    bool has_retry() const { return context.budget_of(service).left() >= 1; }
 };
 
 /** Answers that the call was not run.
--- a/src/relay/stream_relay.cpp
+++ b/src/relay/stream_relay.cpp
@@ -7,6 +7,8 @@
 #include <utility>
 
 #include "base/event_log.h"
+#include "base/scope_guard.h"
+#include "relay/attempt_watch.h"
 #include "relay/event_splitter.h"
 #include "routing/replica_pace.h"
 
@@ -28,10 +30,9 @@
                                          // gap of 2 s.
 constexpr double late_fill_limit = 0.75; // Of a replica's places: calls that are late anyway
                                          // leave the rest to those that can be in time.
-constexpr duration shortest_first_patience = 450ms; // Above the first event of a full batch.
-constexpr duration shortest_gap_patience = 400ms;   // Twice the strictest target for a gap.
-constexpr int patience_factor = 4;                  // Times the prediction.
-constexpr duration come_back_min = 800ms;           // Spreads returns over a burst.
+constexpr std::size_t max_error_body = 1U << 20U;  // Of an answer that is no stream.
+constexpr std::size_t max_event_bytes = 1U << 20U; // Of one event; a token takes some bytes.
+constexpr duration come_back_min = 800ms;          // Spreads returns over a burst.
 constexpr duration come_back_spread = 1200ms;
 // Of the route's timeout: callers give a new call up to 15% less, and wait up to a third of their
 // time to come back.
@@ -53,18 +54,28 @@
     asio::awaitable<void> run();
 
   private:
+    /** One attempt in progress. */
+    struct attempt_state {
+        const replica_offer& offer;
+        replica_board::call& use;
+        attempt_watch& watch;
+    };
+
     void note_demand();
+    gate_request make_request() const;
     asio::awaitable<gate_answer> enter();
     asio::awaitable<attempt_end> attempt(const replica_offer& offer, replica_board::call& use);
-    asio::awaitable<attempt_end> read_answer(http_stream& answer, const replica_offer& offer,
-                                             replica_board::call& use);
-    asio::awaitable<attempt_end> pass_events(http_stream& answer, const replica_offer& offer,
-                                             replica_board::call& use);
+    asio::awaitable<attempt_end> read_answer(http_stream& answer, attempt_state& state);
+    asio::awaitable<attempt_end> read_error(http_stream& answer);
+    asio::awaitable<attempt_end> pass_events(http_stream& answer, attempt_state& state);
+    void note_event_time();
     asio::awaitable<bool> pass_event(const raw_event& event,
                                      const std::vector<http_header>& headers);
     asio::awaitable<void> finish(attempt_end last);
     bool may_go_on(const attempt_end& ended);
-    duration patience(duration predicted, duration shortest) const;
+    bool may_move() const;
+    bool gives_up(const replica_offer& offer, silent_attempt attempt);
+    duration rest_of_time() const;
     duration come_back() const;
     bool came_back() const;
     bool late() const;
@@ -72,7 +83,10 @@
     relayed_call& call_;
     std::optional<std::uint64_t> last_event_; // Passed on.
     bool started_ = false;                    // The head of the answer was passed on.
+    time_point last_event_at_{};
     std::set<std::uint64_t> tried_;
+    std::optional<gate_answer> reserved_; // The place for the next attempt, its retry paid.
+    bool retry_paid_ = false;             // For the next attempt.
 };
 
 bool stream_run::came_back() const
@@ -105,7 +119,7 @@
     return came_back() || started_ || spent > call_.route->first_answer_target;
 }
 
-asio::awaitable<gate_answer> stream_run::enter()
+gate_request stream_run::make_request() const
 {
     gate_request request;
     request.wanted.service = call_.service;
@@ -128,18 +142,69 @@
         request.fill_limit = late_fill_limit;
     }
     request.wait_until = std::min(request.wait_until, call_.deadline);
+    return request;
+}
+
+asio::awaitable<gate_answer> stream_run::enter()
+{
+    if (reserved_) {
+        gate_answer place = std::move(*reserved_);
+        reserved_.reset();
+        co_return place;
+    }
+    gate_request request = make_request();
     co_return co_await call_.context.gate->enter(std::move(request));
 }
 
-/** How long to wait for an event before the replica is taken as stalled. */
-duration stream_run::patience(duration predicted, duration shortest) const
+duration stream_run::rest_of_time() const
+{
+    return std::max<duration>(call_.time_left() - settle_margin, 1ms);
+}
+
+/** True when the attempt in progress may be followed by another although it may have run. */
+bool stream_run::may_move() const
 {
-    const bool may_move = call_.route->repeat == repeat_rule::resumable &&
-                          call_.end.runs + 1 < call_.route->max_attempts;
-    if (!may_move) {
-        return std::max<duration>(call_.time_left() - settle_margin, 1ms);
+    return call_.route->repeat == repeat_rule::resumable &&
+           call_.end.runs + 1 < call_.route->max_attempts && call_.end.sends < max_sends &&
+           call_.has_retry();
+}
+
+/** Judges a silent attempt; where it moves, takes the retry and, if there is one, the place. */
+bool stream_run::gives_up(const replica_offer& offer, silent_attempt attempt)
+{
+    const time_point now = monotonic_clock::now();
+    replica_board& board = *call_.context.board;
+    attempt.replica_silence = board.silence_of(offer.replica.epoch, now);
+    attempt.replica_serves = board.serving().contains(offer.replica.epoch);
+    replacement_attempt other{may_move(), duration::zero()};
+    if (judge_wait(attempt, other, call_.time_left()) == wait_verdict::wait) {
+        return false; // However good the other place.
+    }
+    gate_request request = make_request();
+    request.wanted.tried.insert(offer.replica.epoch);
+    const board_answer found = board.choose(request.wanted, request.fill_limit, now);
+    other.first_event = found.offer ? std::optional(found.offer->first_event) : std::nullopt;
+    const wait_verdict verdict = judge_wait(attempt, other, call_.time_left());
+    if (verdict == wait_verdict::move) {
+        reserved_ = call_.context.gate->enter_now(request);
+        retry_paid_ = call_.take_retry();
+    }
+    return verdict != wait_verdict::wait;
+}
+
+void stream_run::note_event_time()
+{
+    const time_point now = monotonic_clock::now();
+    if (++call_.end.events == 1) {
+        call_.end.first_event = now - call_.arrived_at;
+        call_.context.metrics
+            ->distribution("chervil_first_event_seconds", {{"route", call_.route->name}})
+            .note(*call_.end.first_event);
     }
-    return std::max(predicted * patience_factor, shortest);
+    else {
+        call_.end.longest_gap = std::max<duration>(call_.end.longest_gap, now - last_event_at_);
+    }
+    last_event_at_ = now;
 }
 
 asio::awaitable<bool> stream_run::pass_event(const raw_event& event,
@@ -153,29 +218,19 @@
             co_return false;
         }
     }
-    if (++call_.end.events == 1) {
-        call_.context.metrics
-            ->distribution("chervil_first_event_seconds", {{"route", call_.route->name}})
-            .note(monotonic_clock::now() - call_.arrived_at);
-    }
+    note_event_time();
     const bool written = co_await call_.exchange.write_chunk(event.bytes);
     co_return written;
 }
 
-asio::awaitable<attempt_end>
-stream_run::pass_events(http_stream& answer, const replica_offer& offer, replica_board::call& use)
+asio::awaitable<attempt_end> stream_run::pass_events(http_stream& answer, attempt_state& state)
 {
     attempt_end end;
     end.result = attempt_result::broken;
     event_splitter splitter;
     const std::vector<http_header> headers = answer.headers();
-    bool first = true;
     while (true) {
-        const duration predicted = first ? offer.first_event : offer.event_gap;
-        const duration limit =
-            patience(predicted, first ? shortest_first_patience : shortest_gap_patience);
-        const duration left = std::max<duration>(call_.time_left() - settle_margin, 1ms);
-        auto part = co_await answer.read_some(std::min(limit, left));
+        auto part = co_await answer.read_some(rest_of_time());
         if (call_.cancel->cancelled()) {
             end.result = attempt_result::caller_gone;
             co_return end;
@@ -187,9 +242,11 @@
         if (part->empty()) {
             break;
         }
-        use.note_event(monotonic_clock::now());
         splitter.feed(*part);
         while (const auto event = splitter.next()) {
+            // Bytes that end no event are no progress.
+            state.use.note_event(monotonic_clock::now());
+            state.watch.note_heard(state.offer.event_gap);
             if (event->id && last_event_ && *event->id <= *last_event_) {
                 continue; // Passed on before.
             }
@@ -197,7 +254,6 @@
                 end.reason = "the stream skips an event";
                 co_return end;
             }
-            first = false;
             if (!co_await pass_event(*event, headers)) {
                 end.result = attempt_result::caller_gone;
                 co_return end;
@@ -206,6 +262,10 @@
                 last_event_ = event->id;
             }
         }
+        if (splitter.rest_bytes() > max_event_bytes) {
+            end.reason = "an event is longer than " + std::to_string(max_event_bytes) + " bytes";
+            co_return end;
+        }
     }
     if (splitter.has_rest()) {
         end.reason = "the stream ended within an event";
@@ -219,8 +279,7 @@
     co_return end;
 }
 
-asio::awaitable<attempt_end>
-stream_run::read_answer(http_stream& answer, const replica_offer& offer, replica_board::call& use)
+asio::awaitable<attempt_end> stream_run::read_answer(http_stream& answer, attempt_state& state)
 {
     attempt_end end;
     const std::vector<http_header> headers = answer.headers();
@@ -231,16 +290,23 @@
         co_return end;
     }
     if (answer.status() == 200 && marks.sealed) {
-        co_return co_await pass_events(answer, offer, use);
+        co_return co_await pass_events(answer, state);
     }
-    end.result = attempt_result::broken;
     if (answer.status() < 300) {
+        end.result = attempt_result::broken;
         end.reason = "the head does not vouch for its answer";
         co_return end;
     }
+    co_return co_await read_error(answer);
+}
+
+asio::awaitable<attempt_end> stream_run::read_error(http_stream& answer)
+{
+    attempt_end end;
+    end.result = attempt_result::broken;
     std::string body;
     while (true) {
-        auto part = co_await answer.read_some(std::max<duration>(call_.time_left(), 1ms));
+        auto part = co_await answer.read_some(rest_of_time());
         if (!part) {
             end.reason = part.last_reason().reason;
             co_return end;
@@ -249,9 +315,14 @@
             break;
         }
         body += *part;
+        if (body.size() > max_error_body) {
+            end.reason =
+                "the body of an error is longer than " + std::to_string(max_error_body) + " bytes";
+            co_return end;
+        }
     }
     end.reason = "the head answered " + std::to_string(answer.status());
-    end.reply = pass_on(answer.status(), headers, std::move(body));
+    end.reply = pass_on(answer.status(), answer.headers(), std::move(body));
     end.result = attempt_result::answered;
     co_return end;
 }
@@ -259,28 +330,42 @@
 asio::awaitable<attempt_end> stream_run::attempt(const replica_offer& offer,
                                                  replica_board::call& use)
 {
+    const auto cancel = std::make_shared<http_cancel>();
+    call_.cancel->set_close([cancel] { cancel->cancel(); });
+    const scope_guard unlink([this] { call_.cancel->set_close(nullptr); });
+    attempt_watch::hooks hooks;
+    hooks.gives_up = [this, &offer](const silent_attempt& seen) { return gives_up(offer, seen); };
+    hooks.end = [cancel] { cancel->cancel(); };
+    attempt_watch watch(call_.context.executor, std::move(hooks), offer.first_event);
+    attempt_state state{offer, use, watch};
     http_request request = call_.attempt(offer.replica.head_id, last_event_);
-    http_call_options options = call_.options(patience(offer.first_event, shortest_first_patience));
+    http_call_options options = call_.options(rest_of_time());
+    options.cancel = cancel;
     auto opened =
         co_await call_.context.http->open(offer.replica.head_address, std::move(request), options);
     attempt_end end;
-    if (call_.cancel->cancelled()) {
-        end.result = attempt_result::caller_gone;
-        co_return end;
+    if (opened && !call_.cancel->cancelled()) {
+        end = co_await read_answer(**opened, state);
     }
-    if (!opened) {
+    else if (!opened) {
         const http_failure& failed = opened.last_reason();
         end.result =
             failed.code == http_error::not_sent ? attempt_result::not_run : attempt_result::broken;
         end.reason = failed.reason;
-        const duration out = suspect_broken;
-        call_.context.board->suspect(offer.replica.epoch, monotonic_clock::now() + out);
+    }
+    if (call_.cancel->cancelled()) {
+        end.result = attempt_result::caller_gone;
         co_return end;
     }
-    end = co_await read_answer(**opened, offer, use);
+    if (watch.gave_up()) {
+        // Its other connections may be silent too.
+        call_.context.http->forget(offer.replica.head_address);
+        end.reason = std::string("given up while silent; the next place is ") +
+                     (reserved_ ? "taken" : "to be found");
+    }
+    const bool refused = opened && end.result == attempt_result::not_run;
     if (end.result == attempt_result::not_run || end.result == attempt_result::broken) {
-        const duration out =
-            end.result == attempt_result::not_run ? suspect_refused : suspect_broken;
+        const duration out = refused ? suspect_refused : suspect_broken;
         call_.context.board->suspect(offer.replica.epoch, monotonic_clock::now() + out);
     }
     co_return end;
@@ -291,7 +376,7 @@
     const bool repeatable = call_.route->repeat != repeat_rule::never;
     const bool safe = ended.result == attempt_result::not_run || repeatable;
     return safe && call_.end.runs < call_.route->max_attempts && call_.end.sends < max_sends &&
-           call_.time_left() > settle_margin && call_.take_retry();
+           call_.time_left() > settle_margin && (retry_paid_ || call_.take_retry());
 }
 
 duration stream_run::come_back() const
@@ -352,6 +437,8 @@
         const replica_offer& offer = *admitted.offer;
         ++call_.end.sends;
         call_.end.backend = offer.replica.head_id;
+        call_.end.predicted_first = offer.first_event;
+        retry_paid_ = false;
         const time_point sent_at = monotonic_clock::now();
         last = co_await attempt(offer, *admitted.use);
         admitted.use.reset();
--- a/src/routing/replica_board.cpp
+++ b/src/routing/replica_board.cpp
@@ -139,6 +139,11 @@
     return uses;
 }
 
+duration replica_board::silence_of(std::uint64_t epoch, time_point now) const
+{
+    return use_of(epoch, now).silent;
+}
+
 std::uint32_t replica_board::running_of_model(const std::string& service, const std::string& model,
                                               time_point now) const
 {
--- a/src/routing/replica_board.h
+++ b/src/routing/replica_board.h
@@ -117,6 +117,9 @@
     /** The uses of all nodes. A replica is silent for as long as the node that heard last. */
     std::map<std::uint64_t, replica_use> all_uses(time_point now) const;
 
+    /** \return how long no node has heard from the replica while it had calls. */
+    duration silence_of(std::uint64_t epoch, time_point now) const;
+
     std::uint32_t running_of_model(const std::string& service, const std::string& model,
                                    time_point now) const;
     std::uint32_t places_of_model(const std::string& service, const std::string& model) const;
--- a/test/correctness/relay_streams.cpp
+++ b/test/correctness/relay_streams.cpp
@@ -39,6 +39,7 @@
                         {"X-Response-Seal", seal}};
         const std::string from(request.header("Last-Event-Id"));
         std::uint64_t id = from.empty() ? 0 : std::stoull(from);
+        co_await sleep_for(delay);
         co_await exchange.start_stream(head);
         while (id < 5) {
             ++id;
@@ -54,6 +55,7 @@
     }
 
     std::uint64_t breaks;
+    duration delay{}; // Before the first event.
     std::string seal = "first";
     int calls = 0;
     http_server server;
@@ -146,6 +148,33 @@
         });
     }
 
+    /** Another node hears from the first replica all the time. */
+    void keep_first_heard()
+    {
+        asio::co_spawn(
+            context,
+            [this]() -> asio::awaitable<void> {
+                std::map<std::uint64_t, replica_use> uses;
+                uses[1] = {1, 0, 0ms};
+                while (true) {
+                    node.board->note_peer("other", uses, monotonic_clock::now());
+                    co_await sleep_for(50ms);
+                }
+            },
+            asio::detached);
+    }
+
+    void join_second_after(duration pause)
+    {
+        asio::co_spawn(
+            context,
+            [this, pause]() -> asio::awaitable<void> {
+                co_await sleep_for(pause);
+                serve_at({&first, &second});
+            },
+            asio::detached);
+    }
+
     asio::io_context context;
     fake_head first{context, 2};
     fake_head second{context, 99};
@@ -175,6 +204,30 @@
     CHECK(bench.second.calls == 1);
 }
 
+TEST_CASE("a slow head that answers other calls is waited for beside a free place")
+{
+    relay_bench bench(repeat_rule::resumable);
+    bench.first.breaks = 99;
+    bench.first.delay = 900ms;
+    bench.second.delay = 900ms;
+    bench.keep_first_heard();
+    bench.join_second_after(100ms);
+    bench.call("k1");
+    CHECK(bench.whole);
+    CHECK(bench.first.calls == 1);
+    CHECK(bench.second.calls == 0);
+}
+
+TEST_CASE("a head that stands still for all nodes is left for a free place")
+{
+    relay_bench bench(repeat_rule::resumable);
+    bench.first.delay = 4s;
+    bench.join_second_after(100ms);
+    bench.call("k1");
+    CHECK(bench.whole);
+    CHECK(bench.seal == "second");
+}
+
 TEST_CASE("a stream that may run only once is broken off and does not look complete")
 {
     relay_bench bench(repeat_rule::never);
