Let one node of a failure domain read the log for the others

Datagrams above 16 KB, as when replicas form, were cut off and dropped (2,009 times). The reader forwards what it reads. Small fleets read as before.

--- a/src/members/peer_exchange.cpp
+++ b/src/members/peer_exchange.cpp
@@ -20,7 +20,7 @@
 
 const event_log peer_log("peers");
 
-constexpr std::size_t max_datagram_bytes = 16U << 10U;
+constexpr std::size_t max_datagram_bytes = 64U << 10U; // The most that UDP carries.
 constexpr std::size_t max_addresses = 1024;
 constexpr std::size_t told_peers = 6; // In one word.
 constexpr int lost_words = 4;         // In a row, after which a node counts as gone.
@@ -105,6 +105,14 @@
     }
 }
 
+void peer_exchange::send_note(schema::peer_word note, const std::string& address,
+                              std::uint16_t port)
+{
+    note.set_address(self_.first);
+    note.set_port(self_.second);
+    send_to({address, port}, note.SerializeAsString());
+}
+
 /** Takes turns, so that each node hears from this one in a bounded number of intervals. */
 std::vector<peer_exchange::node_key> peer_exchange::next_targets()
 {
@@ -161,6 +169,12 @@
     if (key == self_) {
         return;
     }
+    if (word.has_question() || word.has_answer() || word.has_news()) {
+        if (on_note) {
+            on_note(word);
+        }
+        return;
+    }
     const time_point now = monotonic_clock::now();
     for (const schema::known_peer& peer : word.peers()) {
         introduce(peer.address(), static_cast<std::uint16_t>(peer.port()));
--- a/src/members/peer_exchange.h
+++ b/src/members/peer_exchange.h
@@ -45,6 +45,9 @@
     /** Called with each word that is newer than the one before it. */
     std::function<void(const schema::peer_word&)> on_word;
 
+    /** Called with each question, answer and news. */
+    std::function<void(const schema::peer_word&)> on_note;
+
     /** \return false with last_reason() set when the port can't be had. */
     bool listen(const std::string& address, std::uint16_t port);
     const std::string& last_reason() const { return last_reason_; }
@@ -55,6 +58,9 @@
     /** Sends the word to all known nodes now. */
     void tell_all();
 
+    /** Sends a question, an answer or news to one node, with this node's address. */
+    void send_note(schema::peer_word note, const std::string& address, std::uint16_t port);
+
     boost::asio::awaitable<void> send_words();
     boost::asio::awaitable<void> receive_words();
 
--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -37,13 +37,17 @@
       settings_(settings), backends_(return_time),
       configuration_(log, dialect_.configuration_topic,
                      hooks([this](const keyed_records& read) { take_configuration(read); },
-                           [this](const keyed_records& read) { take_configuration(read); },
+                           [this](const keyed_records& read) {
+                               on_read(schema::shared_topic_configuration, read);
+                               take_configuration(read);
+                           },
                            // The list comes from the same log, and is not always read.
                            [this] { backends_.note_outage(monotonic_clock::now()); })),
       backend_list_(log, dialect_.backend_topic,
                     hooks([this](const keyed_records& read) { take_backends(read, true); },
                           [this](const keyed_records& read) {
                               recent_backends_.add(read, monotonic_clock::now());
+                              on_read(schema::shared_topic_backends, read);
                               take_backends(read, false);
                           },
                           [this] { backends_.note_outage(monotonic_clock::now()); })),
@@ -142,17 +146,78 @@
 {
     const auto self = shared_from_this();
     while (true) {
-        const duration wait =
-            wants_fresh_list() ? settings_.leader_configuration_wait : settings_.configuration_wait;
-        if (!co_await configuration_.read_once(wait)) {
+        if (!must_read_configuration()) {
+            co_await sleep_for(settings_.told_list_check);
+            continue;
+        }
+        if (!co_await configuration_.read_once(configuration_wait())) {
             co_await sleep_for(settings_.retry_interval);
         }
-        else if (!services_) {
-            co_await sleep_for(settings_.busy_backend_interval); // Not published yet.
+        else {
+            told_configuration_end_ = configuration_.next_offset(); // Whatever a peer said of it.
+            if (!services_) {
+                co_await sleep_for(settings_.busy_backend_interval); // Not published yet.
+            }
         }
     }
 }
 
+bool fleet_view::must_read_configuration() const
+{
+    const auto age = configuration_.age();
+    return wants_fresh_list() || reads_for_itself() || !services_ || !age ||
+           *age > settings_.told_configuration_limit ||
+           told_configuration_end_ > configuration_.next_offset();
+}
+
+/** \return how long a read of the configuration may wait for a new one. */
+duration fleet_view::configuration_wait() const
+{
+    const bool shared = settings_.told_configuration_limit > duration::zero();
+    if (services_ && !wants_fresh_list() && !reads_for_itself()) {
+        return duration::zero(); // It only confirms what nobody has told.
+    }
+    const duration usual =
+        wants_fresh_list() ? settings_.leader_configuration_wait : settings_.configuration_wait;
+    return shared ? std::min(usual, settings_.told_configuration_limit / 2) : usual;
+}
+
+void fleet_view::note_newer_configuration(std::uint64_t end)
+{
+    told_configuration_end_ = std::max(told_configuration_end_, end);
+}
+
+void fleet_view::confirm_configuration(std::uint64_t end, duration age)
+{
+    note_newer_configuration(end);
+    configuration_.confirm(end, age);
+}
+
+void fleet_view::take_news(schema::shared_topic topic, const keyed_records& news)
+{
+    switch (topic) {
+    case schema::shared_topic_configuration:
+        configuration_.take(news);
+        return;
+    case schema::shared_topic_backends:
+        backend_list_.take(news);
+        return;
+    case schema::shared_topic_replicas:
+        take_replica_records(news);
+        return;
+    default:
+        return; // Of a newer make.
+    }
+}
+
+/** \return how long records that another node has are waited for before they are read: they come
+ * in words of the leading node, or from the node that reads for this one.
+ */
+duration fleet_view::missing_record_wait(duration limit) const
+{
+    return reads_for_itself() ? settings_.peer_record_wait : limit;
+}
+
 bool fleet_view::store_is_sound() const
 {
     constexpr duration limit = 4s; // One and a half reads.
@@ -173,8 +238,8 @@
 bool fleet_view::must_read_backends() const
 {
     const auto age = backend_list_.age();
-    const bool missed = behind_told_list_ &&
-                        monotonic_clock::now() - *behind_told_list_ > settings_.peer_record_wait;
+    const duration patience = missing_record_wait(settings_.backend_interval / 2);
+    const bool missed = behind_told_list_ && monotonic_clock::now() - *behind_told_list_ > patience;
     return wants_fresh_list() || !age || *age > settings_.backend_interval || missed;
 }
 
@@ -238,6 +303,7 @@
 {
     ledger_.apply(records);
     recent_replicas_.add(records, monotonic_clock::now());
+    on_read(schema::shared_topic_replicas, records);
     on_change();
 }
 
@@ -263,7 +329,8 @@
                 co_await newer_replicas_.async_wait(asio::as_tuple(asio::use_awaitable));
             woken = error == asio::error::operation_aborted;
             if (woken) {
-                co_await sleep_for(settings_.peer_record_wait); // The next words may bring them.
+                // The next words may bring them.
+                co_await sleep_for(missing_record_wait(settings_.missing_replica_wait));
             }
         } while (woken && newest_told_ <= replicas_.next_offset());
     }
--- a/src/relay/fleet_view.h
+++ b/src/relay/fleet_view.h
@@ -27,17 +27,20 @@
                                           // A silent connection is noticed 0.7 s later, in time to
                                           // honour keys.
     duration leader_configuration_wait = 1200ms; // A leader without the store must give way soon.
-    duration backend_wait = 1500ms;              // Of one read of the list, which changes seldom.
-    duration backend_interval = 1s;           // An older list is read; less than the time in which
-                                              // a leaving server must get no more calls.
-    duration leader_backend_wait = 500ms;     // Others learn the list from the leader: its word is
+    duration told_configuration_limit{};  // An older one is read, by nodes for which another node
+                                          // reads it; zero: each node reads for itself.
+    duration backend_wait = 1500ms;       // Of one read of the list, which changes seldom.
+    duration backend_interval = 1s;       // An older list is read; less than the time in which
+                                          // a leaving server must get no more calls.
+    duration leader_backend_wait = 500ms; // Others learn the list from the leader: its word is
     duration leader_backend_interval = 200ms; // 0.7 s old at most, and 0.5 s under way to 64 nodes.
     duration told_list_check = 200ms;         // How often the age of the list is looked at.
     duration told_replica_limit = 5s;         // Older replicas are read; the leader reads them each
                                               // replica_interval.
     duration busy_backend_interval = 150ms;   // While replicas form: a step of theirs takes 200 ms.
     duration replica_interval = 3s;           // Without word of newer records from peers.
-    duration peer_record_wait = 250ms; // For records that a peer has and tells in its next words.
+    duration peer_record_wait = 250ms;  // For records that a peer has and tells in its next words.
+    duration missing_replica_wait = 1s; // The same, where another node reads for this one.
     duration recent_record_time = 1200ms; // For which records are told: 64 nodes get two words.
     duration retry_interval = 400ms;      // After a failed read; each costs a call on the log.
 };
@@ -65,6 +68,12 @@
     /** True while this node acts on the list and wants it fresh. */
     std::function<bool()> wants_fresh_list;
 
+    /** False while another node of the failure domain reads the log for this one. */
+    std::function<bool()> reads_for_itself = [] { return true; };
+
+    /** Called with records that this node has read from the log. */
+    std::function<void(schema::shared_topic, const keyed_records&)> on_read = [](auto, auto) {};
+
     boost::asio::awaitable<void> follow_configuration();
     boost::asio::awaitable<void> follow_backends();
     boost::asio::awaitable<void> follow_replicas();
@@ -89,6 +98,15 @@
     /** Takes from any node how old this node's list is at most. */
     void confirm_backends(const told_topic& told);
 
+    /** Takes records that another node has read. */
+    void take_news(schema::shared_topic topic, const keyed_records& news);
+
+    /** Another node has read the configuration up to the offset. */
+    void note_newer_configuration(std::uint64_t end);
+
+    /** The same, and how old this node's configuration is at most if it ends there. */
+    void confirm_configuration(std::uint64_t end, duration age);
+
     /** The newest records, which the leading node tells. */
     std::vector<keyed_record> recent_replicas() const;
     std::vector<keyed_record> recent_backends() const;
@@ -112,7 +130,10 @@
     void take_backends(const keyed_records& records, bool all);
     void apply_replicas(const keyed_records& records);
     bool forming() const;
+    bool must_read_configuration() const;
+    duration configuration_wait() const;
     bool must_read_backends() const;
+    duration missing_record_wait(duration limit) const;
     bool must_read_replicas() const;
     void drop_lapsed();
 
@@ -128,6 +149,7 @@
     topic_follower replicas_;
     timer newer_replicas_;
     std::uint64_t newest_told_ = 0; // Offset that a peer has read up to.
+    std::uint64_t told_configuration_end_ = 0;
     recent_records recent_replicas_;
     recent_records recent_backends_;
     std::optional<time_point> behind_told_list_; // Since the leader has read more of the list.
--- a/test/correctness/relay_fleet_view.cpp
+++ b/test/correctness/relay_fleet_view.cpp
@@ -61,20 +61,38 @@
         return record;
     }
 
+    keyed_record publish(int version)
+    {
+        keyed_record record;
+        record.offset = topics["op"].size();
+        record.key = "config";
+        record.value =
+            R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[]})";
+        topics["op"].push_back(record);
+        return record;
+    }
+
     std::map<std::string, std::vector<keyed_record>> topics;
     std::map<std::string, int> calls;
 };
 
 struct view_bench {
-    view_bench()
+    explicit view_bench(fleet_view_settings settings = {})
     {
         log.add_server("i-1");
+        log.publish(1);
         view = std::make_shared<fleet_view>(context.get_executor(), log.hooks(),
-                                            platform::make_fleet_dialect(), seeded_random(1), 2s);
+                                            platform::make_fleet_dialect(), seeded_random(1), 2s,
+                                            settings);
         view->on_change = [] {};
         view->on_configuration = [](const service_map_ptr&) {};
         view->wants_fresh_list = [this] { return leads; };
+        view->reads_for_itself = [this] { return !has_reader; };
+        view->on_read = [this](schema::shared_topic topic, const keyed_records& read) {
+            forwarded[topic] += read.records.size();
+        };
         spawn_task(context.get_executor(), "backends", view->follow_backends());
+        spawn_task(context.get_executor(), "configuration", view->follow_configuration());
         clock.advance(1s);
         log.calls.clear();
     }
@@ -93,6 +111,34 @@
     counted_log log;
     std::shared_ptr<fleet_view> view;
     bool leads = false;
+    bool has_reader = false; // Another node reads the log for this one.
+    std::map<schema::shared_topic, std::size_t> forwarded;
+};
+
+/** A view in a failure domain whose nodes share one reader. */
+struct shared_view_bench : view_bench {
+    shared_view_bench() : view_bench(with_told_configuration())
+    {
+        has_reader = true;
+        clock.advance(1500ms); // The read under way ends.
+        log.calls.clear();
+    }
+
+    static fleet_view_settings with_told_configuration()
+    {
+        fleet_view_settings settings;
+        settings.told_configuration_limit = 2s;
+        return settings;
+    }
+
+    /** Lets time pass while the reader answers each half second. */
+    void hear_reader(duration span, std::uint64_t end, duration age)
+    {
+        for (duration passed{}; passed < span; passed += 500ms) {
+            view->confirm_configuration(end, age);
+            clock.advance(500ms);
+        }
+    }
 };
 
 } // namespace
@@ -172,3 +218,76 @@
     bench.clock.advance(2s);
     CHECK(bench.view->recent_backends().empty());
 }
+
+TEST_CASE("a node whose reader answers does not read the configuration")
+{
+    shared_view_bench bench;
+    bench.hear_reader(30s, 1, 700ms);
+    CHECK(bench.log.calls["op"] == 0);
+    CHECK(*bench.view->configuration_age() < 2s);
+}
+
+TEST_CASE("a node whose reader is silent, or knows only old news, reads the configuration itself")
+{
+    shared_view_bench silent;
+    silent.clock.advance(10s);
+    CHECK(silent.log.calls["op"] >= 4);
+    CHECK(*silent.view->configuration_age() < 2500ms);
+    shared_view_bench old;
+    old.hear_reader(10s, 1, 20s);
+    CHECK(old.log.calls["op"] >= 4);
+    CHECK(*old.view->configuration_age() < 2500ms);
+}
+
+TEST_CASE("a configuration that the reader has and this node lacks is in force at once")
+{
+    shared_view_bench bench;
+    bench.log.publish(2);
+    bench.view->confirm_configuration(2, 100ms);
+    CHECK(bench.view->configuration_offset() == 1);
+    bench.clock.advance(300ms);
+    CHECK(bench.view->services()->version() == 2);
+    CHECK(bench.log.calls["op"] == 1);
+}
+
+TEST_CASE("a configuration that the reader forwards needs no read")
+{
+    shared_view_bench bench;
+    const keyed_record newer = bench.log.publish(2);
+    bench.view->take_news(schema::shared_topic_configuration, {{newer}, 0});
+    CHECK(bench.view->services()->version() == 2);
+    bench.hear_reader(10s, 2, 700ms);
+    CHECK(bench.log.calls["op"] == 0);
+}
+
+TEST_CASE("an end that nobody has read up to costs one read")
+{
+    shared_view_bench bench;
+    bench.view->note_newer_configuration(99);
+    bench.hear_reader(5s, 1, 700ms);
+    CHECK(bench.log.calls["op"] == 1);
+}
+
+TEST_CASE("records that a leading node's word lacks come from the reader")
+{
+    shared_view_bench bench;
+    const keyed_record second = bench.log.add_server("i-2");
+    const keyed_record third = bench.log.add_server("i-3");
+    bench.hear_leader(200ms, {3, 100ms, {third}});
+    bench.view->take_news(schema::shared_topic_backends, {{second, third}, 0});
+    bench.hear_leader(2s, {3, 100ms, {third}});
+    CHECK(bench.view->backends().find("i-2") != nullptr);
+    CHECK(bench.log.calls["servers"] == 0);
+}
+
+TEST_CASE("a reader passes on what it read, and what it was told, once")
+{
+    view_bench bench;
+    bench.log.publish(2);
+    bench.clock.advance(100ms);
+    CHECK(bench.forwarded[schema::shared_topic_configuration] == 1);
+    const keyed_record added = bench.log.add_server("i-2");
+    bench.view->take_news(schema::shared_topic_backends, {{added}, 0});
+    bench.view->take_news(schema::shared_topic_backends, {{added}, 0});
+    CHECK(bench.forwarded[schema::shared_topic_backends] == 1);
+}
