Pass nothing on for callers that have left; turn calls away when behind

Cause: a node short of processor time reads requests whose callers closed while they waited in its sockets, and sent them on at once over kept connections. Change: the peer's close is looked for when a request is read and before each send (http_exchange::peer_has_closed, http_call_options::still_wanted). loop_lag: a node 0.4 s behind refuses with 503 and a time to come back.

--- a/src/base/http_client.cpp
+++ b/src/base/http_client.cpp
@@ -343,6 +343,10 @@
     if (options.cancel && options.cancel->cancelled()) {
         co_return http_failure{http_error::not_sent, "the call was broken off"};
     }
+    if (options.still_wanted && !options.still_wanted()) {
+        self->keep(address, std::move(used));
+        co_return http_failure{http_error::not_sent, "the caller has left"};
+    }
     const auto message = to_message(address, std::move(request));
     if (options.cancel) {
         options.cancel->set_close([open = used.get()] { open->stream.close(); });
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -71,6 +71,9 @@
     std::string from_address;      // The local address to call from; empty: any.
     std::shared_ptr<http_cancel> cancel;
 
+    /** Asked last before the request is written; it is not sent when false. Empty: it is. */
+    std::function<bool()> still_wanted;
+
     /** Tells whether an answer belongs to this call; one that does not is read and dropped, and
      * the next one is awaited. Empty: every answer does.
      */
--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -192,6 +192,21 @@
         }
     }
 
+    bool peer_has_closed() const override
+    {
+        char byte = 0;
+        error_code error;
+        tcp::socket& socket = stream_.socket();
+        if (!socket.is_open()) {
+            return true;
+        }
+        if (!socket.non_blocking()) {
+            socket.non_blocking(true, error);
+        }
+        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        return error && error != asio::error::would_block;
+    }
+
     /** True when the connection can carry another request. */
     bool reusable() const { return answered_ && !streaming_ && !broken_ && keep_alive_; }
     bool answered() const { return answered_; }
--- a/src/base/http_server.h
+++ b/src/base/http_server.h
@@ -47,6 +47,9 @@
 
     /** Completes when the peer has closed the connection; for use beside other waits. */
     virtual boost::asio::awaitable<void> peer_gone() = 0;
+
+    /** True when the peer's close has arrived, also while this process is too busy to notice. */
+    virtual bool peer_has_closed() const = 0;
 };
 
 using http_handler = std::function<boost::asio::awaitable<void>(http_exchange&)>;
--- a/src/relay/call_intake.cpp
+++ b/src/relay/call_intake.cpp
@@ -34,6 +34,10 @@
 std::optional<early_refusal> find_route(relayed_call& call)
 {
     relay_context& context = call.context;
+    if (context.lag.now() > context.limits.max_lag) {
+        return early_refusal{503, "this node is behind by " + to_ms_text(context.lag.now()) + " ms",
+                             come_back_to_other};
+    }
     call.services = context.services();
     if (!call.services) {
         return early_refusal{503, "no configuration is known yet", come_back_to_other};
@@ -159,6 +163,12 @@
     relayed_call call(context, exchange);
     call.arrived_at = monotonic_clock::now();
     call.deadline = call.arrived_at + call.terms.time_left.value_or(default_time_left);
+    if (exchange.peer_has_closed()) {
+        call.end.outcome = "caller_left";
+        exchange.abort();
+        write_end(call);
+        co_return;
+    }
     if (auto refused = find_route(call)) {
         call.end.status = refused->status;
         call.end.outcome = "refused";
--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -11,6 +11,7 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include "base/http_client.h"
+#include "base/loop_lag.h"
 #include "base/metrics.h"
 #include "base/random.h"
 #include "fleet/backend_table.h"
@@ -28,6 +29,8 @@
     double retry_ratio = 0.2;    // Of this node's calls.
     double retry_reserve = 5;    // Of this node.
     duration key_staleness = 5s; // Keys are honoured while the configuration is younger.
+    duration max_lag = 400ms;    // Of the event loop; a node further behind turns calls away. Most
+                                 // targets for a first event are not much longer.
 };
 
 /** Shared by all calls; outlives each of them. */
@@ -45,6 +48,7 @@
     const backend_table* backends = nullptr;
     std::map<std::string, retry_budget> budgets; // By service.
     bool leaving = false;
+    loop_lag lag;
 
     /** The newest configuration; null before the first. */
     std::function<service_map_ptr()> services;
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -116,6 +116,9 @@
                             [] { return static_cast<double>(dropped_event_lines()); });
     context_.metrics->gauge("chervil_calls_waiting",
                             [this] { return static_cast<double>(context_.gate->waiting()); });
+    context_.metrics->gauge("chervil_loop_lag_seconds", [this] {
+        return std::chrono::duration<double>(context_.lag.now()).count();
+    });
     context_.board = std::make_shared<replica_board>(random_);
     context_.gate = std::make_shared<call_gate>(executor_, *context_.board);
     context_.book = std::make_shared<backend_book>(settings_.failure_domain(), random_);
@@ -216,6 +219,7 @@
     spawn_task(executor_, "address", publish_address());
     spawn_task(executor_, "node list", follow_peers());
     spawn_task(executor_, "shared reading", share_reading());
+    spawn_task(executor_, "loop lag", context_.lag.measure());
     node_log.write("started", {{"address", settings_.call_address()},
                                {"incarnation", std::to_string(incarnation_)},
                                {"store", settings_.store_address()}});
--- a/src/relay/relayed_call.cpp
+++ b/src/relay/relayed_call.cpp
@@ -34,6 +34,12 @@
     options.timeout = std::max<duration>(std::min(patience, time_left()), 1ms);
     options.connect_timeout = connect_timeout;
     options.cancel = cancel;
+    options.still_wanted = [this] {
+        if (exchange.peer_has_closed()) {
+            cancel->cancel();
+        }
+        return !cancel->cancelled();
+    };
     options.belongs = [read_marks = context.dialect.read_marks,
                        id = terms.id](const std::vector<http_header>& headers) {
         const answer_marks marks = read_marks(200, headers);
