Let the node with the most processor time lead; keep peers' counts summed

Cause: the first node by name led. Change: members/lead_choice; replica_board sums peers' counts as words come instead of for each choice.

--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -10,6 +10,7 @@
 #include "base/hash.h"
 #include "base/milliseconds.h"
 #include "base/task.h"
+#include "members/lead_choice.h"
 #include "relay/call_intake.h"
 
 namespace chervildyke {
@@ -340,6 +341,7 @@
         demand.set_work_ms_per_s(rate);
     }
     word.set_leading(assembler_->leading());
+    word.set_processor_share(settings_.processor_share());
     word.set_replica_log_age_ms(in_whole_ms(view_->replica_age().value_or(never_read)));
     word.set_backend_list_end(view_->backend_list_end());
     word.set_backend_list_age_ms(in_whole_ms(view_->backend_age().value_or(never_read)));
@@ -507,15 +509,12 @@
         monotonic_clock::now() - started_at_ < lead_after) {
         return false;
     }
-    // The node that leads goes on; where none or several do, the first by name takes over.
-    const bool leading = assembler_->leading();
+    const lead_candidate self{settings_.name(), settings_.processor_share(), assembler_->leading()};
     for (const known_node* node : peers_->live()) {
         const schema::peer_word& word = node->word;
         const bool able = word.sound_store() && !word.leaving() &&
                           std::chrono::milliseconds(word.up_ms()) >= lead_after;
-        const bool goes_first =
-            word.leading() != leading ? word.leading() : word.name() < settings_.name();
-        if (able && goes_first) {
+        if (able && goes_first({word.name(), word.processor_share(), word.leading()}, self)) {
             return false;
         }
     }
--- a/src/routing/replica_board.cpp
+++ b/src/routing/replica_board.cpp
@@ -36,9 +36,48 @@
 void replica_board::note_peer(const std::string& peer, std::map<std::uint64_t, replica_use> uses,
                               time_point now)
 {
-    peers_[peer] = {std::move(uses), now};
+    peer_state& state = peers_[peer];
+    subtract(state);
+    state = {std::move(uses), now};
+    for (const auto& [epoch, use] : state.uses) {
+        peer_total& total = peer_totals_[epoch];
+        total.running += use.running;
+        total.prompt_tokens += use.prompt_tokens;
+        if (use.running > 0) {
+            total.last_event = std::max(total.last_event, now - use.silent);
+        }
+    }
+    forget_silent_peers(now);
+}
+
+void replica_board::subtract(const peer_state& peer)
+{
+    for (const auto& [epoch, use] : peer.uses) {
+        const auto total = peer_totals_.find(epoch);
+        if (total == peer_totals_.end()) {
+            continue;
+        }
+        total->second.running -= use.running;
+        total->second.prompt_tokens -= use.prompt_tokens;
+        if (total->second.running == 0 && !serving_.contains(epoch)) {
+            peer_totals_.erase(total);
+        }
+    }
+}
+
+void replica_board::forget_silent_peers(time_point now)
+{
+    constexpr duration interval = 100ms; // As often as words come.
+    if (now - peers_checked_at_ < interval) {
+        return;
+    }
+    peers_checked_at_ = now;
     std::erase_if(peers_, [&](const auto& entry) {
-        return now - entry.second.heard_at > settings_.peer_word_lifetime;
+        const bool silent = now - entry.second.heard_at > settings_.peer_word_lifetime;
+        if (silent) {
+            subtract(entry.second);
+        }
+        return silent;
     });
 }
 
@@ -51,27 +90,19 @@
 replica_use replica_board::use_of(std::uint64_t epoch, time_point now) const
 {
     replica_use use;
-    bool heard = false;
-    const auto add = [&](const replica_use& one) {
-        use.running += one.running;
-        use.prompt_tokens += one.prompt_tokens;
-        if (one.running > 0) {
-            use.silent = heard ? std::min(use.silent, one.silent) : one.silent;
-            heard = true;
-        }
-    };
-    if (const auto own = own_.find(epoch); own != own_.end()) {
-        add({own->second.running, own->second.prompt_tokens, now - own->second.last_event});
+    std::optional<time_point> last_event;
+    if (const auto own = own_.find(epoch); own != own_.end() && own->second.running > 0) {
+        use.running = own->second.running;
+        use.prompt_tokens = own->second.prompt_tokens;
+        last_event = own->second.last_event;
     }
-    for (const auto& [name, peer] : peers_) {
-        const auto found = peer.uses.find(epoch);
-        if (found == peer.uses.end() || now - peer.heard_at > settings_.peer_word_lifetime) {
-            continue;
-        }
-        replica_use aged = found->second;
-        aged.silent += now - peer.heard_at;
-        add(aged);
+    const auto total = peer_totals_.find(epoch);
+    if (total != peer_totals_.end() && total->second.running > 0) {
+        use.running += total->second.running;
+        use.prompt_tokens += total->second.prompt_tokens;
+        last_event = std::max(last_event.value_or(time_point{}), total->second.last_event);
     }
+    use.silent = last_event ? now - *last_event : duration::zero();
     return use;
 }
 
@@ -79,6 +110,7 @@
                                    time_point now)
 {
     board_answer answer;
+    forget_silent_peers(now);
     const auto profile = profiles_.find(request.service);
     const model_profile* model =
         profile == profiles_.end() ? nullptr : profile->second.find(request.model);
--- a/src/routing/replica_board.h
+++ b/src/routing/replica_board.h
@@ -134,8 +134,18 @@
         std::map<std::uint64_t, replica_use> uses;
         time_point heard_at{};
     };
+    /** What all peers said of a replica, kept up to date with each word: choices are made far more
+     * often than words come.
+     */
+    struct peer_total {
+        std::uint32_t running = 0;
+        std::uint32_t prompt_tokens = 0;
+        time_point last_event{}; // Heard by the peer that heard last.
+    };
 
     replica_use use_of(std::uint64_t epoch, time_point now) const;
+    void subtract(const peer_state& peer);
+    void forget_silent_peers(time_point now);
 
     random_source random_;
     board_settings settings_;
@@ -143,6 +153,8 @@
     std::map<std::uint64_t, serving_replica> serving_;
     std::map<std::uint64_t, own_state> own_;
     std::map<std::string, peer_state> peers_;
+    std::map<std::uint64_t, peer_total> peer_totals_;
+    time_point peers_checked_at_{};
     std::map<std::uint64_t, time_point> suspects_;
 };
 
