Correct predictions by what replicas show, and bound the wait by them

Change: a first event needs two and a half passes, not one and a half; prediction_error tracks the median of observed over predicted for each model; a call waits no longer than it could be in time at a full batch. Calls still come late though no gate was full: the counts are old.

--- a/src/relay/call_intake.cpp
+++ b/src/relay/call_intake.cpp
@@ -138,6 +138,7 @@
                                   {"sends", std::to_string(call.end.sends)},
                                   {"runs", std::to_string(call.end.runs)},
                                   {"events", std::to_string(call.end.events)},
+                                  {"waited_ms", to_ms_text(call.end.waited)},
                                   {"first_event_ms", to_text(call.end.first_event)},
                                   {"predicted_ms", to_text(call.end.predicted_first)},
                                   {"first_target_ms", to_ms_text(first_target)},
--- a/src/relay/relayed_call.h
+++ b/src/relay/relayed_call.h
@@ -23,6 +23,7 @@
     std::uint32_t runs = 0;  // Attempts that may have run.
     std::uint32_t sends = 0; // Attempts in all.
     std::uint32_t events = 0;
+    duration waited{};                       // For the first place at a replica.
     std::optional<duration> first_event;     // Of a stream, since the call arrived.
     std::optional<duration> predicted_first; // By the replica that the last attempt went to.
     duration longest_gap{};                  // Between two events.
--- a/src/relay/stream_relay.cpp
+++ b/src/relay/stream_relay.cpp
@@ -25,7 +25,9 @@
 constexpr duration suspect_broken = 1500ms; // Time in which the assembly notices a lost member.
 constexpr duration suspect_refused = 250ms; // A full batch frees a place sooner than that.
 constexpr double wait_share = 0.6;          // Of the target for the first event, spent waiting for
-                                            // a place; the rest is for the prompt.
+                                            // a place at most; the rest is for the prompt.
+constexpr double least_wait_share = 0.05;   // Where no full replica can be in time; places become
+                                            // free more often than that.
 constexpr duration moved_wait = 1200ms;  // For a place elsewhere; callers abandon a stream after a
                                          // gap of 2 s.
 constexpr double late_fill_limit = 0.75; // Of a replica's places: calls that are late anyway
@@ -59,10 +61,12 @@
         const replica_offer& offer;
         replica_board::call& use;
         attempt_watch& watch;
+        time_point sent_at{};
     };
 
     void note_demand();
     gate_request make_request() const;
+    duration longest_wait(const replica_request& wanted) const;
     asio::awaitable<gate_answer> enter();
     asio::awaitable<attempt_end> attempt(const replica_offer& offer, replica_board::call& use);
     asio::awaitable<attempt_end> read_answer(http_stream& answer, attempt_state& state);
@@ -119,6 +123,17 @@
     return came_back() || started_ || spent > call_.route->first_answer_target;
 }
 
+/** \return how long a new call may wait for a place and still be in time. */
+duration stream_run::longest_wait(const replica_request& wanted) const
+{
+    const duration target = call_.route->first_answer_target;
+    const auto share = [target](double part) {
+        return std::chrono::duration_cast<duration>(target * part);
+    };
+    const duration spare = target - call_.context.board->first_event_of_full_batch(wanted);
+    return std::clamp(spare, share(least_wait_share), share(wait_share));
+}
+
 gate_request stream_run::make_request() const
 {
     gate_request request;
@@ -129,9 +144,7 @@
     request.team = call_.team;
     request.urgency = 100 - std::min(call_.priority, 99U);
     const time_point now = monotonic_clock::now();
-    const auto wait =
-        std::chrono::duration_cast<duration>(call_.route->first_answer_target * wait_share);
-    request.wait_until = call_.arrived_at + wait;
+    request.wait_until = call_.arrived_at + longest_wait(request.wanted);
     if (call_.end.sends > 0) {
         // Its caller has waited for a replica that failed it, or holds half an answer.
         request.goes_on = true;
@@ -228,6 +241,7 @@
     attempt_end end;
     end.result = attempt_result::broken;
     event_splitter splitter;
+    bool heard = false;
     const std::vector<http_header> headers = answer.headers();
     while (true) {
         auto part = co_await answer.read_some(rest_of_time());
@@ -245,7 +259,12 @@
         splitter.feed(*part);
         while (const auto event = splitter.next()) {
             // Bytes that end no event are no progress.
-            state.use.note_event(monotonic_clock::now());
+            const time_point now = monotonic_clock::now();
+            if (!heard) {
+                heard = true;
+                call_.context.board->note_first_event(state.offer, now - state.sent_at);
+            }
+            state.use.note_event(now);
             state.watch.note_heard(state.offer.event_gap);
             if (event->id && last_event_ && *event->id <= *last_event_) {
                 continue; // Passed on before.
@@ -337,7 +356,7 @@
     hooks.gives_up = [this, &offer](const silent_attempt& seen) { return gives_up(offer, seen); };
     hooks.end = [cancel] { cancel->cancel(); };
     attempt_watch watch(call_.context.executor, std::move(hooks), offer.first_event);
-    attempt_state state{offer, use, watch};
+    attempt_state state{offer, use, watch, monotonic_clock::now()};
     http_request request = call_.attempt(offer.replica.head_id, last_event_);
     http_call_options options = call_.options(rest_of_time());
     options.cancel = cancel;
@@ -438,6 +457,9 @@
         ++call_.end.sends;
         call_.end.backend = offer.replica.head_id;
         call_.end.predicted_first = offer.first_event;
+        if (call_.end.sends == 1) {
+            call_.end.waited = monotonic_clock::now() - call_.arrived_at;
+        }
         retry_paid_ = false;
         const time_point sent_at = monotonic_clock::now();
         last = co_await attempt(offer, *admitted.use);
--- /dev/null
+++ b/src/routing/prediction_error.cpp
@@ -0,0 +1,29 @@
+/** \file
+ * Implements prediction_error.
+ */
+#include "routing/prediction_error.h"
+
+#include <algorithm>
+
+namespace chervildyke {
+
+namespace {
+
+constexpr double step = 1.04; // Of one observation; a few dozen of them double the ratio.
+constexpr double least_ratio = 0.5;
+constexpr double most_ratio = 3; // Beyond, the replicas are overloaded and not mispredicted.
+
+} // namespace
+
+void prediction_error::note(duration predicted, duration observed)
+{
+    const double moved = observed > predicted ? ratio_ * step : ratio_ / step;
+    ratio_ = std::clamp(moved, least_ratio, most_ratio);
+}
+
+duration prediction_error::correct(duration predicted) const
+{
+    return std::chrono::duration_cast<duration>(predicted * ratio_);
+}
+
+} // namespace chervildyke
--- a/src/routing/replica_board.cpp
+++ b/src/routing/replica_board.cpp
@@ -10,6 +10,15 @@
 
 namespace chervildyke {
 
+namespace {
+
+std::string key_of(const std::string& service, const std::string& model)
+{
+    return service + "/" + model;
+}
+
+} // namespace
+
 replica_board::replica_board(random_source random, board_settings settings)
     : random_(std::move(random)), settings_(settings)
 {
@@ -118,6 +127,7 @@
         return answer;
     }
     const replica_pace pace(profile->second, *model);
+    const prediction_error& error = first_event_errors_[key_of(request.service, request.model)];
     std::vector<replica_offer> open;
     for (const auto& [epoch, replica] : serving_) {
         if (replica.service != request.service || replica.model != request.model) {
@@ -137,7 +147,8 @@
         answer.full += full && !stalled ? 1 : 0;
         if (!stalled && !full) {
             open.push_back({replica,
-                            pace.first_event(use.running, use.prompt_tokens, request.prompt_tokens),
+                            error.correct(pace.first_event(use.running, use.prompt_tokens,
+                                                           request.prompt_tokens)),
                             pace.event_gap(use.running + 1), use.running});
         }
     }
@@ -151,6 +162,27 @@
     return answer;
 }
 
+void replica_board::note_first_event(const replica_offer& offer, duration observed)
+{
+    const std::string key = key_of(offer.replica.service, offer.replica.model);
+    first_event_errors_[key].note(offer.first_event, observed);
+}
+
+duration replica_board::first_event_of_full_batch(const replica_request& request) const
+{
+    const auto profile = profiles_.find(request.service);
+    const model_profile* model =
+        profile == profiles_.end() ? nullptr : profile->second.find(request.model);
+    if (model == nullptr) {
+        return duration::zero();
+    }
+    const replica_pace pace(profile->second, *model);
+    const duration predicted =
+        pace.first_event(profile->second.batch_slots - 1, 0, request.prompt_tokens);
+    const auto error = first_event_errors_.find(key_of(request.service, request.model));
+    return error == first_event_errors_.end() ? predicted : error->second.correct(predicted);
+}
+
 std::map<std::uint64_t, replica_use> replica_board::own_uses(time_point now) const
 {
     std::map<std::uint64_t, replica_use> uses;
--- a/src/routing/replica_board.h
+++ b/src/routing/replica_board.h
@@ -15,6 +15,7 @@
 #include "base/clock.h"
 #include "base/random.h"
 #include "fleet/engine_profile.h"
+#include "routing/prediction_error.h"
 
 namespace chervildyke {
 
@@ -91,6 +92,12 @@
      */
     board_answer choose(const replica_request& request, double fill_limit, time_point now);
 
+    /** Learns from the time between sending a call and its first event. */
+    void note_first_event(const replica_offer& offer, duration observed);
+
+    /** \return the prediction for a replica that has one place left. */
+    duration first_event_of_full_batch(const replica_request& request) const;
+
     /** Leaves a replica out until the time given: it broke off, stalled or refused. */
     void suspect(std::uint64_t epoch, time_point until);
 
@@ -150,6 +157,7 @@
     random_source random_;
     board_settings settings_;
     std::map<std::string, engine_profile> profiles_;
+    std::map<std::string, prediction_error> first_event_errors_; // By service and model.
     std::map<std::uint64_t, serving_replica> serving_;
     std::map<std::uint64_t, own_state> own_;
     std::map<std::string, peer_state> peers_;
--- a/src/routing/replica_pace.cpp
+++ b/src/routing/replica_pace.cpp
@@ -37,9 +37,9 @@
 duration replica_pace::first_event(std::uint32_t running, double waiting_tokens,
                                    double own_tokens) const
 {
-    // A call joins between two passes: half of one is over on average, and its first event needs
-    // one.
-    const duration passes = event_gap(running) + event_gap(running) / 2;
+    // A call joins between two passes, of which half is over on average; its prompt is read in the
+    // next one, and the one after that writes its first event.
+    const duration passes = 2 * event_gap(running) + event_gap(running) / 2;
     return read_prompt(waiting_tokens) + read_prompt(own_tokens) + passes;
 }
 
