Tell counts often within a failure domain, and keep calls in it

Cause: with 12 words each 0.1 s to 94 nodes in turn, counts were 0.4 s old on average; at 10 calls a second and head that is four calls. Waits at the gate were zero while heads queued (service 273 ms in the median, 795 ms at 90%). Change: in fleets that one interval does not reach, nodes of the own domain are told in turn and others seldom; a far node lives as long as its domain hears it. replica_board prefers the own domain. Test: members_peer_exchange over sockets; routing_replica_board.

--- a/src/members/peer_exchange.cpp
+++ b/src/members/peer_exchange.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio.hpp>
 
 #include "base/event_log.h"
+#include "base/hash.h"
 
 namespace chervildyke {
 
@@ -26,13 +27,18 @@
 constexpr int lost_words = 4;         // In a row, after which a node counts as gone.
 constexpr auto as_tuple = asio::as_tuple(asio::use_awaitable);
 
+std::uint32_t address_hash(const std::string& address, std::uint16_t port)
+{
+    return static_cast<std::uint32_t>(placement_hash(address + ":" + std::to_string(port)));
+}
+
 } // namespace
 
 peer_exchange::peer_exchange(asio::any_io_executor executor,
                              std::function<void(schema::peer_word&)> describe, random_source random,
                              peer_exchange_settings settings)
     : executor_(std::move(executor)), describe_(std::move(describe)), random_(std::move(random)),
-      settings_(settings), socket_(executor_)
+      settings_(std::move(settings)), socket_(executor_), silence_limit_(settings_.silence_limit)
 {
 }
 
@@ -66,16 +72,21 @@
     }
 }
 
-std::string peer_exchange::encode_word()
+std::string peer_exchange::encode_word(bool& leading)
 {
     schema::peer_word word;
     describe_(word);
+    leading = word.leading();
     const time_point now = monotonic_clock::now();
     // A few at a time; all get around.
     std::vector<node_key> live_nodes;
     for (const auto& [key, node] : nodes_) {
-        if (now - node.heard_at < silence_limit()) {
-            live_nodes.push_back(key);
+        if (!heard(key, node, now)) {
+            continue;
+        }
+        live_nodes.push_back(key);
+        if (is_large() && is_near(key)) {
+            word.add_heard_in_domain(address_hash(key.first, key.second));
         }
     }
     for (std::size_t i = 0; i < std::min(live_nodes.size(), told_peers); ++i) {
@@ -99,7 +110,8 @@
 
 void peer_exchange::tell_all()
 {
-    const std::string bytes = encode_word();
+    bool leading = false;
+    const std::string bytes = encode_word(leading);
     for (const auto& [node, since] : addresses_) {
         send_to(node, bytes);
     }
@@ -113,32 +125,74 @@
     send_to({address, port}, note.SerializeAsString());
 }
 
+/** A node that was not heard from yet may be near. */
+bool peer_exchange::is_near(const node_key& node) const
+{
+    const auto known = nodes_.find(node);
+    return known == nodes_.end() || known->second.word.failure_domain() == settings_.failure_domain;
+}
+
 /** Takes turns, so that each node hears from this one in a bounded number of intervals. */
-std::vector<peer_exchange::node_key> peer_exchange::next_targets()
+void peer_exchange::take_turns(bool near, std::size_t count, node_key& last,
+                               std::vector<node_key>& targets)
 {
-    std::vector<node_key> targets;
-    auto next = addresses_.upper_bound(last_target_);
-    while (targets.size() < std::min(addresses_.size(), settings_.fanout)) {
+    auto next = addresses_.upper_bound(last);
+    std::size_t taken = 0;
+    for (std::size_t seen = 0; seen < addresses_.size() && taken < count; ++seen) {
         if (next == addresses_.end()) {
             next = addresses_.begin();
         }
-        targets.push_back(next->first);
+        if (!is_large() || is_near(next->first) == near) {
+            targets.push_back(next->first);
+            last = next->first;
+            ++taken;
+        }
         ++next;
     }
-    if (!targets.empty()) {
-        last_target_ = targets.back();
+}
+
+std::vector<peer_exchange::node_key> peer_exchange::next_targets(bool leading)
+{
+    std::vector<node_key> targets;
+    take_turns(true, settings_.fanout, last_near_, targets);
+    if (is_large()) {
+        // What the leading node tells is news for all.
+        take_turns(false, leading ? settings_.fanout : settings_.far_fanout, last_far_, targets);
     }
     return targets;
 }
 
-/** A round of words to all nodes takes more intervals than one when there are many. */
+/** A round of words to all nodes of a failure domain takes more intervals than one when there are
+ * many.
+ */
 duration peer_exchange::silence_limit() const
 {
-    const std::size_t rounds = (addresses_.size() + settings_.fanout - 1) / settings_.fanout;
+    const auto near = static_cast<std::size_t>(
+        std::count_if(addresses_.begin(), addresses_.end(),
+                      [this](const auto& entry) { return is_near(entry.first); }));
+    const std::size_t rounds = (near + settings_.fanout - 1) / settings_.fanout;
     const duration round = settings_.interval * static_cast<int>(std::max<std::size_t>(rounds, 1));
     return std::max<duration>(settings_.silence_limit, lost_words * round);
 }
 
+bool peer_exchange::heard(const node_key& key, const known_node& node, time_point now) const
+{
+    // Far nodes speak seldom.
+    const duration limit = is_large() && !is_near(key) ? settings_.forget_after : silence_limit_;
+    return now - node.heard_at < limit;
+}
+
+bool peer_exchange::is_live(const node_key& key, const known_node& node, time_point now) const
+{
+    if (!is_large() || is_near(key)) {
+        return heard(key, node, now);
+    }
+    const auto vouched = vouched_at_.find(address_hash(key.first, key.second));
+    const time_point last =
+        vouched == vouched_at_.end() ? node.heard_at : std::max(node.heard_at, vouched->second);
+    return now - last < silence_limit_;
+}
+
 asio::awaitable<void> peer_exchange::send_words()
 {
     const auto self = shared_from_this();
@@ -147,9 +201,11 @@
         std::erase_if(addresses_, [&](const auto& entry) {
             return now - entry.second > settings_.forget_after;
         });
-        const std::vector<node_key> targets = next_targets();
-        if (!targets.empty()) {
-            const std::string bytes = encode_word();
+        silence_limit_ = silence_limit();
+        if (!addresses_.empty()) {
+            bool leading = false;
+            const std::string bytes = encode_word(leading);
+            const std::vector<node_key> targets = next_targets(leading);
             for (const node_key& node : targets) {
                 send_to(node, bytes);
             }
@@ -189,6 +245,14 @@
                                      {"incarnation", std::to_string(word.incarnation())}});
     }
     addresses_[key] = now;
+    for (const std::uint32_t vouched : word.heard_in_domain()) {
+        vouched_at_[vouched] = now;
+    }
+    if (vouched_at_.size() > max_addresses) {
+        std::erase_if(vouched_at_, [&](const auto& entry) {
+            return now - entry.second > settings_.forget_after;
+        });
+    }
     node.word = std::move(word);
     node.heard_at = now;
     if (on_word) {
@@ -221,7 +285,7 @@
     const time_point now = monotonic_clock::now();
     std::vector<const known_node*> nodes;
     for (const auto& [key, node] : nodes_) {
-        if (now - node.heard_at < silence_limit()) {
+        if (is_live(key, node, now)) {
             nodes.push_back(&node);
         }
     }
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -133,8 +133,10 @@
     view_->on_read = [this](schema::shared_topic topic, const keyed_records& read) {
         forward_news(topic, read);
     };
+    peer_exchange_settings exchange;
+    exchange.failure_domain = settings_.failure_domain();
     peers_ = std::make_shared<peer_exchange>(
-        executor_, [this](schema::peer_word& word) { describe(word); }, random_);
+        executor_, [this](schema::peer_word& word) { describe(word); }, random_, exchange);
     apply_limits();
     peers_->on_note = [this](const schema::peer_word& note) { take_note(note); };
     peers_->on_word = [this](const schema::peer_word& word) { take_word(word); };
@@ -298,7 +300,8 @@
         uses[count.epoch()] = {count.running(), count.prompt_tokens(),
                                std::chrono::milliseconds(count.silent_ms())};
     }
-    context_.board->note_peer(word.name(), std::move(uses), monotonic_clock::now());
+    const bool is_far = peers_->is_large() && word.failure_domain() != settings_.failure_domain();
+    context_.board->note_peer(word.name(), std::move(uses), monotonic_clock::now(), is_far);
     context_.gate->pump();
     calls_began_ = calls_began_ || word.calls_began();
     for (const schema::running_load& load : word.loads()) {
@@ -413,6 +416,17 @@
     peers_->send_note(std::move(note), peer.address(), static_cast<std::uint16_t>(peer.port()));
 }
 
+/** Calls of nodes that are gone have ended; in a large fleet calls stay in their failure domain. */
+void relay_node::follow_fleet_size()
+{
+    std::set<std::string> live;
+    for (const known_node* node : peers_->live()) {
+        live.insert(node->word.name());
+    }
+    context_.board->retain_peers(live);
+    context_.board->prefer_domain(peers_->is_large() ? settings_.failure_domain() : "");
+}
+
 asio::awaitable<void> relay_node::share_reading()
 {
     const duration limit = shared_configuration_age(settings_);
@@ -422,6 +436,7 @@
     while (true) {
         co_await sleep_for(reader_check);
         choose_reader();
+        follow_fleet_size();
         const time_point now = monotonic_clock::now();
         if (!reader_ || now - asked_at_ < share(ask_share)) {
             continue;
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -57,6 +57,7 @@
     void take_change();
     boost::asio::awaitable<void> share_reading();
     void choose_reader();
+    void follow_fleet_size();
     void ask_for_freshness(const schema::peer_word& peer);
     void take_note(const schema::peer_word& note);
     void forward_news(schema::shared_topic topic, const keyed_records& read);
--- a/src/routing/replica_board.cpp
+++ b/src/routing/replica_board.cpp
@@ -43,11 +43,12 @@
 }
 
 void replica_board::note_peer(const std::string& peer, std::map<std::uint64_t, replica_use> uses,
-                              time_point now)
+                              time_point now, bool speaks_seldom)
 {
     peer_state& state = peers_[peer];
     subtract(state);
-    state = {std::move(uses), now};
+    state = {std::move(uses),
+             now + (speaks_seldom ? settings_.far_word_lifetime : settings_.peer_word_lifetime)};
     for (const auto& [epoch, use] : state.uses) {
         peer_total& total = peer_totals_[epoch];
         total.running += use.running;
@@ -82,7 +83,7 @@
     }
     peers_checked_at_ = now;
     std::erase_if(peers_, [&](const auto& entry) {
-        const bool silent = now - entry.second.heard_at > settings_.peer_word_lifetime;
+        const bool silent = now > entry.second.forget_at;
         if (silent) {
             subtract(entry.second);
         }
@@ -128,7 +129,8 @@
     }
     const replica_pace pace(profile->second, *model);
     const prediction_error& error = first_event_errors_[key_of(request.service, request.model)];
-    std::vector<replica_offer> open;
+    std::vector<replica_offer> near;
+    std::vector<replica_offer> far;
     for (const auto& [epoch, replica] : serving_) {
         if (replica.service != request.service || replica.model != request.model) {
             continue;
@@ -142,24 +144,53 @@
         }
         const replica_use use = use_of(epoch, now);
         const bool stalled = use.running > 0 && use.silent > settings_.stall_limit;
-        const bool full = use.running >= fill_limit * profile->second.batch_slots;
+        const bool is_near = home_.empty() || replica.failure_domain == home_;
+        const double fill = is_near ? fill_limit : std::min(fill_limit, settings_.far_fill_limit);
+        const bool full = use.running >= fill * profile->second.batch_slots;
         answer.stalled += stalled ? 1 : 0;
         answer.full += full && !stalled ? 1 : 0;
         if (!stalled && !full) {
-            open.push_back({replica,
+            (is_near ? near : far)
+                .push_back({replica,
                             error.correct(pace.first_event(use.running, use.prompt_tokens,
                                                            request.prompt_tokens)),
                             pace.event_gap(use.running + 1), use.running});
         }
     }
+    answer.offer = best_of_few(std::move(near));
+    const auto elsewhere = best_of_few(std::move(far));
+    const bool better =
+        elsewhere && (!answer.offer ||
+                      elsewhere->first_event * settings_.far_penalty < answer.offer->first_event);
+    if (better) {
+        answer.offer = elsewhere;
+    }
+    return answer;
+}
+
+std::optional<replica_offer> replica_board::best_of_few(std::vector<replica_offer> open) const
+{
+    std::optional<replica_offer> best;
     for (std::uint32_t i = 0; i < settings_.choices && !open.empty(); ++i) {
         const std::size_t index = random_below(random_, open.size());
-        if (!answer.offer || open[index].first_event < answer.offer->first_event) {
-            answer.offer = open[index];
+        if (!best || open[index].first_event < best->first_event) {
+            best = open[index];
         }
-        open.erase(open.begin() + static_cast<std::ptrdiff_t>(index));
+        open[index] = open.back();
+        open.pop_back();
     }
-    return answer;
+    return best;
+}
+
+void replica_board::retain_peers(const std::set<std::string>& live)
+{
+    std::erase_if(peers_, [&](const auto& entry) {
+        const bool gone = !live.contains(entry.first);
+        if (gone) {
+            subtract(entry.second);
+        }
+        return gone;
+    });
 }
 
 void replica_board::note_first_event(const replica_offer& offer, duration observed)
--- a/src/routing/replica_board.h
+++ b/src/routing/replica_board.h
@@ -65,10 +65,14 @@
 };
 
 struct board_settings {
-    duration peer_word_lifetime =
-        2s;                       // A silent peer's counts are forgotten; three words of 64 nodes.
+    duration peer_word_lifetime = 2s; // A silent peer's counts are forgotten; ten words of a node
+                                      // of the same failure domain.
+    duration far_word_lifetime = 6s;  // The same for other nodes in a large fleet: two words.
     duration stall_limit = 400ms; // Without an event from any call, a replica is taken as stalled;
                                   // four times the longest gap of a full batch.
+    double far_fill_limit = 0.75; // Of the places at a replica of another failure domain, of whose
+                                  // calls this node hears late.
+    double far_penalty = 1.2;     // On the predicted first event there.
     std::uint32_t choices = 3;    // Replicas compared for a call; more would let nodes with
                                   // the same old counts pick the same one.
 };
@@ -83,9 +87,17 @@
     void set_serving(std::vector<serving_replica> replicas);
     const std::map<std::uint64_t, serving_replica>& serving() const { return serving_; }
 
-    /** Replaces what a peer said before. */
+    /** Prefers replicas of a failure domain, whose calls this node knows best; empty: none. */
+    void prefer_domain(std::string failure_domain) { home_ = std::move(failure_domain); }
+
+    /** Forgets what nodes said that are not among those named. */
+    void retain_peers(const std::set<std::string>& live);
+
+    /** Replaces what a peer said before.
+     * \param speaks_seldom for a node of another failure domain in a large fleet.
+     */
     void note_peer(const std::string& peer, std::map<std::uint64_t, replica_use> uses,
-                   time_point now);
+                   time_point now, bool speaks_seldom = false);
 
     /** Chooses a replica with room, with the soonest first event of a few random ones.
      * \param fill_limit the part of a replica's places that may be taken before this call.
@@ -139,7 +151,7 @@
     };
     struct peer_state {
         std::map<std::uint64_t, replica_use> uses;
-        time_point heard_at{};
+        time_point forget_at{};
     };
     /** What all peers said of a replica, kept up to date with each word: choices are made far more
      * often than words come.
@@ -153,9 +165,11 @@
     replica_use use_of(std::uint64_t epoch, time_point now) const;
     void subtract(const peer_state& peer);
     void forget_silent_peers(time_point now);
+    std::optional<replica_offer> best_of_few(std::vector<replica_offer> open) const;
 
     random_source random_;
     board_settings settings_;
+    std::string home_; // Preferred failure domain.
     std::map<std::string, engine_profile> profiles_;
     std::map<std::string, prediction_error> first_event_errors_; // By service and model.
     std::map<std::uint64_t, serving_replica> serving_;
