Try a head that refuses without reason ever more seldom

Cause: heads that turned every call away drew the most, since their counts are the lowest (442 of 1,008 refusals came at heads thought to run nothing, up to 110 at one). Each node came back after 250 ms. Change: note_refusal doubles the pause while other calls do not explain the refusal, and tells other nodes.

--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -298,7 +298,7 @@
     std::map<std::uint64_t, replica_use> uses;
     for (const schema::replica_count& count : word.counts()) {
         uses[count.epoch()] = {count.running(), count.prompt_tokens(),
-                               std::chrono::milliseconds(count.silent_ms())};
+                               std::chrono::milliseconds(count.silent_ms()), count.refuses()};
     }
     const bool is_far = peers_->is_large() && word.failure_domain() != settings_.failure_domain();
     context_.board->note_peer(word.name(), std::move(uses), monotonic_clock::now(), is_far);
@@ -361,6 +361,7 @@
         count.set_running(use.running);
         count.set_prompt_tokens(use.prompt_tokens);
         count.set_silent_ms(in_whole_ms(use.silent));
+        count.set_refuses(use.refuses);
     }
 }
 
--- a/src/relay/stream_relay.cpp
+++ b/src/relay/stream_relay.cpp
@@ -23,7 +23,6 @@
 constexpr std::uint32_t max_sends = 4;      // Attempts of one call, refused ones included.
 constexpr duration settle_margin = 5ms;     // Before the deadline, so that the end arrives in time.
 constexpr duration suspect_broken = 1500ms; // Time in which the assembly notices a lost member.
-constexpr duration suspect_refused = 250ms; // A full batch frees a place sooner than that.
 constexpr double wait_share = 0.6;          // Of the target for the first event, spent waiting for
                                             // a place at most; the rest is for the prompt.
 constexpr double least_wait_share = 0.05;   // Where no full replica can be in time; places become
@@ -382,10 +381,12 @@
         end.reason = std::string("given up while silent; the next place is ") +
                      (reserved_ ? "taken" : "to be found");
     }
-    const bool refused = opened && end.result == attempt_result::not_run;
-    if (end.result == attempt_result::not_run || end.result == attempt_result::broken) {
-        const duration out = refused ? suspect_refused : suspect_broken;
-        call_.context.board->suspect(offer.replica.epoch, monotonic_clock::now() + out);
+    const time_point now = monotonic_clock::now();
+    if (opened && end.result == attempt_result::not_run) {
+        call_.context.board->note_refusal(offer, now);
+    }
+    else if (end.result == attempt_result::not_run || end.result == attempt_result::broken) {
+        call_.context.board->suspect(offer.replica.epoch, now + suspect_broken);
     }
     co_return end;
 }
--- a/src/routing/replica_board.cpp
+++ b/src/routing/replica_board.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr std::uint32_t told_refusals = 2; // In a row, before other nodes are told.
+
 std::string key_of(const std::string& service, const std::string& model)
 {
     return service + "/" + model;
@@ -37,6 +39,7 @@
         serving_.emplace(epoch, std::move(replica));
     }
     std::erase_if(suspects_, [this](const auto& entry) { return !serving_.contains(entry.first); });
+    std::erase_if(refusals_, [this](const auto& entry) { return !serving_.contains(entry.first); });
     std::erase_if(own_, [this](const auto& entry) {
         return entry.second.running == 0 && !serving_.contains(entry.first);
     });
@@ -53,6 +56,9 @@
         peer_total& total = peer_totals_[epoch];
         total.running += use.running;
         total.prompt_tokens += use.prompt_tokens;
+        if (use.refuses) {
+            suspect(epoch, now + settings_.told_refusal_pause);
+        }
         if (use.running > 0) {
             total.last_event = std::max(total.last_event, now - use.silent);
         }
@@ -193,8 +199,25 @@
     });
 }
 
+void replica_board::note_refusal(const replica_offer& offer, time_point now)
+{
+    const auto profile = profiles_.find(offer.replica.service);
+    const double places = profile == profiles_.end() ? 0 : profile->second.batch_slots;
+    duration pause = settings_.refusal_pause;
+    if (offer.running < places * settings_.explained_fill) {
+        refusal_state& refusal = refusals_[offer.replica.epoch];
+        for (std::uint32_t i = 0; i < refusal.in_a_row; ++i) {
+            pause = std::min(pause * 2, settings_.longest_refusal_pause);
+        }
+        ++refusal.in_a_row;
+        refusal.out_until = now + pause;
+    }
+    suspect(offer.replica.epoch, now + pause);
+}
+
 void replica_board::note_first_event(const replica_offer& offer, duration observed)
 {
+    refusals_.erase(offer.replica.epoch);
     const std::string key = key_of(offer.replica.service, offer.replica.model);
     first_event_errors_[key].note(offer.first_event, observed);
 }
@@ -222,6 +245,11 @@
             uses[epoch] = {state.running, state.prompt_tokens, now - state.last_event};
         }
     }
+    for (const auto& [epoch, refusal] : refusals_) {
+        if (refusal.in_a_row >= told_refusals && now < refusal.out_until) {
+            uses[epoch].refuses = true;
+        }
+    }
     return uses;
 }
 
--- a/src/routing/replica_board.h
+++ b/src/routing/replica_board.h
@@ -37,6 +37,7 @@
     std::uint32_t running = 0;       // Calls without an end.
     std::uint32_t prompt_tokens = 0; // Of calls without a first event.
     duration silent{};               // Since the last event or start; zero without calls.
+    bool refuses = false;            // Its head turns calls away although it has room.
 
     bool operator==(const replica_use&) const = default;
 };
@@ -67,7 +68,13 @@
 struct board_settings {
     duration peer_word_lifetime = 2s; // A silent peer's counts are forgotten; ten words of a node
                                       // of the same failure domain.
-    duration far_word_lifetime = 6s;  // The same for other nodes in a large fleet: two words.
+    duration refusal_pause = 250ms;   // A full batch frees a place sooner than that.
+    duration longest_refusal_pause = 4s;
+    duration told_refusal_pause = 500ms; // Where another node was turned away; its next words
+                                         // renew it.
+    double explained_fill = 0.5;     // Of the places taken, above which a refusal says no more than
+                                     // that the counts are old.
+    duration far_word_lifetime = 6s; // The same for other nodes in a large fleet: two words.
     duration stall_limit = 400ms; // Without an event from any call, a replica is taken as stalled;
                                   // four times the longest gap of a full batch.
     double far_fill_limit = 0.75; // Of the places at a replica of another failure domain, of whose
@@ -110,6 +117,11 @@
     /** \return the prediction for a replica that has one place left. */
     duration first_event_of_full_batch(const replica_request& request) const;
 
+    /** The head turned a call away: the replica is left out for a while, which doubles each time
+     * while other calls can't be the reason, until an event comes from it.
+     */
+    void note_refusal(const replica_offer& offer, time_point now);
+
     /** Leaves a replica out until the time given: it broke off, stalled or refused. */
     void suspect(std::uint64_t epoch, time_point until);
 
@@ -149,6 +161,10 @@
         std::uint32_t prompt_tokens = 0;
         time_point last_event{};
     };
+    struct refusal_state {
+        std::uint32_t in_a_row = 0; // Those that other calls don't explain.
+        time_point out_until{};
+    };
     struct peer_state {
         std::map<std::uint64_t, replica_use> uses;
         time_point forget_at{};
@@ -174,6 +190,7 @@
     std::map<std::string, prediction_error> first_event_errors_; // By service and model.
     std::map<std::uint64_t, serving_replica> serving_;
     std::map<std::uint64_t, own_state> own_;
+    std::map<std::uint64_t, refusal_state> refusals_;
     std::map<std::string, peer_state> peers_;
     std::map<std::uint64_t, peer_total> peer_totals_;
     time_point peers_checked_at_{};
--- a/test/correctness/routing_replica_board.cpp
+++ b/test/correctness/routing_replica_board.cpp
@@ -117,6 +117,86 @@
     }
 }
 
+TEST_CASE("a head that turns calls away although it has room is tried ever more seldom")
+{
+    replica_board board = board_of(1);
+    time_point now = start;
+    const auto refused_for = [&] {
+        const auto offer = board.choose(request(), 1, now).offer;
+        REQUIRE(offer.has_value());
+        board.note_refusal(*offer, now);
+        duration out{};
+        while (!board.choose(request(), 1, now + out).offer) {
+            out += 50ms;
+        }
+        now += out;
+        return out;
+    };
+    CHECK(refused_for() == 250ms);
+    CHECK(refused_for() == 500ms);
+    CHECK(board.own_uses(now - 1ms).at(1).refuses); // Other nodes hear of it.
+    CHECK(refused_for() == 1s);
+    for (int i = 0; i < 9; ++i) {
+        CHECK(refused_for() <= 4s);
+    }
+    board.note_first_event(*board.choose(request(), 1, now).offer, 100ms);
+    CHECK(refused_for() == 250ms);
+}
+
+TEST_CASE("a refusal that other calls explain says only that the counts are old")
+{
+    replica_board board = board_of(1);
+    for (int i = 0; i < 5; ++i) {
+        const time_point now = start + i * 300ms;
+        board.note_peer("a", {{1, {3, 0, 0ms}}}, now);
+        board.note_refusal(*board.choose(request(), 1, now).offer, now);
+        CHECK(board.choose(request(), 1, now + 250ms).offer.has_value());
+        CHECK(board.own_uses(now).empty());
+    }
+}
+
+TEST_CASE("a head that turned another node away is left out for a while")
+{
+    replica_board board = board_of(2);
+    board.note_peer("a", {{1, {0, 0, 0ms, true}}, {2, {3, 0, 0ms}}}, start);
+    for (int i = 0; i < 20; ++i) {
+        CHECK(board.choose(request(), 1, start + 400ms).offer->replica.epoch == 2);
+    }
+    CHECK(board.choose(request(), 1, start + 600ms).offer->replica.epoch == 1);
+}
+
+TEST_CASE("calls stay in the failure domain whose counts are fresh, unless others are far better")
+{
+    replica_board board(seeded_random(1));
+    board.set_profile("pool", profile());
+    serving_replica near = replica(1);
+    near.failure_domain = "a";
+    serving_replica far = replica(2);
+    far.failure_domain = "b";
+    board.set_serving({near, far});
+    board.prefer_domain("a");
+    board.note_peer("p", {{1, {1, 0, 0ms}}}, start);
+    for (int i = 0; i < 20; ++i) {
+        CHECK(board.choose(request(), 1, start).offer->replica.epoch == 1);
+    }
+    board.note_peer("p", {{1, {1, 9000, 0ms}}}, start);
+    CHECK(board.choose(request(), 1, start).offer->replica.epoch == 2);
+    board.note_peer("p", {{1, {4, 0, 0ms}}}, start);
+    CHECK(board.choose(request(), 1, start).offer->replica.epoch == 2);
+    // A quarter of the places elsewhere stays for the nodes that know them.
+    board.note_peer("p", {{1, {4, 0, 0ms}}, {2, {3, 0, 0ms}}}, start);
+    CHECK_FALSE(board.choose(request(), 1, start).offer.has_value());
+}
+
+TEST_CASE("calls of a node that is gone have ended, also where it spoke seldom")
+{
+    replica_board board = board_of(1);
+    board.note_peer("a", {{1, {4, 0, 0ms}}}, start, true);
+    CHECK_FALSE(board.choose(request(), 1, start + 4s).offer.has_value());
+    board.retain_peers({"b"});
+    CHECK(board.choose(request(), 1, start + 4s).offer.has_value());
+}
+
 TEST_CASE("own calls count until they end")
 {
     replica_board board = board_of(1);
