Answer what callers had sent before a planned stop

Cause: closing the acceptor reset connections that were open but not accepted; requests waiting in kept connections were dropped; half-read ones did not count as in progress. Callers of HTTP/1.0 got chunks, which they can't read. Change: the acceptor is emptied first, idle connections with bytes are served, requests count from their first byte.

--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -10,6 +10,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "base/scope_guard.h"
+
 namespace chervildyke {
 
 namespace {
@@ -22,6 +24,11 @@
 
 constexpr auto as_tuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t read_buffer_bytes = 16U << 10U;
+constexpr duration last_request_wait =
+    300ms; // For the request on a connection that was accepted
+           // as the server stopped; a round trip of most callers.
+constexpr unsigned http_1_0 = 10;
+constexpr unsigned http_1_1 = 11;
 
 http_request to_plain(http::request<http::string_body>&& message)
 {
@@ -111,9 +118,9 @@
 class beast_exchange : public http_exchange {
   public:
     beast_exchange(beast::tcp_stream& stream, http_request request, bool keep_alive,
-                   duration write_timeout)
+                   duration write_timeout, unsigned version = http_1_1)
         : stream_(stream), request_(std::move(request)), keep_alive_(keep_alive),
-          write_timeout_(write_timeout)
+          write_timeout_(write_timeout), chunked_(version != http_1_0)
     {
     }
 
@@ -143,8 +150,10 @@
     {
         http::response<http::empty_body> message(static_cast<http::status>(head.status), 11);
         set_fields(message, head);
+        // Callers of HTTP/1.0 read no chunks: the end of the connection ends the answer.
+        keep_alive_ = keep_alive_ && chunked_;
         message.keep_alive(keep_alive_);
-        message.chunked(true);
+        message.chunked(chunked_);
         http::response_serializer<http::empty_body> serializer(message);
         answered_ = true;
         streaming_ = true;
@@ -157,6 +166,11 @@
     asio::awaitable<bool> write_chunk(std::string_view bytes) override
     {
         stream_.expires_after(write_timeout_);
+        if (!chunked_) {
+            const auto [error, written] = co_await asio::async_write(
+                stream_, asio::const_buffer(bytes.data(), bytes.size()), as_tuple);
+            co_return note(error);
+        }
         const auto chunk = http::make_chunk(asio::const_buffer(bytes.data(), bytes.size()));
         const auto [error, written] = co_await asio::async_write(stream_, chunk, as_tuple);
         co_return note(error);
@@ -165,6 +179,9 @@
     asio::awaitable<bool> end_stream() override
     {
         streaming_ = false;
+        if (!chunked_) {
+            co_return true;
+        }
         stream_.expires_after(write_timeout_);
         const auto [error, written] =
             co_await asio::async_write(stream_, http::make_chunk_last(), as_tuple);
@@ -222,6 +239,7 @@
     http_request request_;
     bool keep_alive_;
     duration write_timeout_;
+    bool chunked_;
     bool answered_ = false;
     bool streaming_ = false;
     bool broken_ = false;
@@ -246,12 +264,14 @@
     std::string last_reason;
     std::unordered_set<beast::tcp_stream*> idle;
     std::size_t open = 0;
-    std::size_t busy = 0;
+    std::size_t busy = 0; // Requests whose first byte was read and that are not answered.
     bool stopping = false;
     bool closing = false; // Answers end their connections.
 
     asio::awaitable<void> accept_connections();
     asio::awaitable<void> serve(tcp::socket socket);
+    void accept_waiting();
+    static bool has_bytes(beast::tcp_stream& stream, const beast::flat_buffer& buffer);
     asio::awaitable<bool> serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer);
     asio::awaitable<void> refuse(beast::tcp_stream& stream, bad_request kind);
 };
@@ -283,18 +303,43 @@
     socket.set_option(tcp::no_delay(true), ignored);
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer(read_buffer_bytes + limits.max_header_bytes);
-    while (!stopping && co_await serve_one(stream, buffer)) {
+    bool accepted_now = true;
+    while ((accepted_now || !stopping || has_bytes(stream, buffer)) &&
+           co_await serve_one(stream, buffer)) {
+        accepted_now = false;
     }
     stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
     --open;
 }
 
+/** True when a request, or a part of one, has arrived. */
+bool http_server::state::has_bytes(beast::tcp_stream& stream, const beast::flat_buffer& buffer)
+{
+    error_code error;
+    return buffer.size() > 0 || (stream.socket().available(error) > 0 && !error);
+}
+
+/** Accepts the connections that callers have opened already; the acceptor's end would reset them.
+ */
+void http_server::state::accept_waiting()
+{
+    error_code error;
+    acceptor.non_blocking(true, error);
+    while (!error && open < limits.max_connections) {
+        tcp::socket socket(executor);
+        acceptor.accept(socket, error);
+        if (!error) {
+            asio::co_spawn(executor, serve(std::move(socket)), asio::detached);
+        }
+    }
+}
+
 asio::awaitable<bool> http_server::state::serve_one(beast::tcp_stream& stream,
                                                     beast::flat_buffer& buffer)
 {
     if (buffer.size() == 0) {
         idle.insert(&stream);
-        stream.expires_after(limits.idle_timeout);
+        stream.expires_after(stopping ? last_request_wait : limits.idle_timeout);
         const auto [error, bytes] =
             co_await stream.async_read_some(buffer.prepare(read_buffer_bytes), as_tuple);
         idle.erase(&stream);
@@ -303,6 +348,8 @@
         }
         buffer.commit(bytes);
     }
+    ++busy;
+    const scope_guard ended([this] { --busy; });
     http::request_parser<http::string_body> parser;
     parser.body_limit(limits.max_body_bytes);
     parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
@@ -321,11 +368,10 @@
         co_return false;
     }
     const bool keep_alive = parser.get().keep_alive();
+    const unsigned version = parser.get().version();
     beast_exchange exchange(stream, to_plain(parser.release()), keep_alive && !stopping && !closing,
-                            limits.write_timeout);
-    ++busy;
+                            limits.write_timeout, version);
     co_await handler(exchange);
-    --busy;
     if (!exchange.answered()) {
         http_reply missing;
         missing.status = 500;
@@ -420,11 +466,20 @@
 
 void http_server::stop_accepting()
 {
+    if (state_->stopping) {
+        return;
+    }
     state_->stopping = true;
     error_code ignored;
+    if (state_->acceptor.is_open()) {
+        state_->accept_waiting();
+    }
     state_->acceptor.close(ignored);
     for (beast::tcp_stream* stream : state_->idle) {
-        stream->cancel();
+        // A request that has arrived is read and answered.
+        if (stream->socket().available(ignored) == 0) {
+            stream->cancel();
+        }
     }
 }
 
