--- a/test/correctness/members_peer_exchange.cpp
+++ b/test/correctness/members_peer_exchange.cpp
@@ -42,7 +42,7 @@
         settings.interval = interval;
         settings.silence_limit = 12 * interval;
         settings.failure_domain = domain;
-        const auto describe = [this, index, address, domain](schema::peer_word& word) {
+        const auto describe = [index, address, domain](schema::peer_word& word) {
             word.set_name(std::to_string(index));
             word.set_address(address);
             word.set_port(7340);
@@ -50,8 +50,9 @@
             word.set_failure_domain(domain);
             word.set_leading(index == 0);
         };
-        auto node = std::make_shared<peer_exchange>(where.get_executor(), describe,
-                                                    seeded_random(index + 1), settings);
+        auto node = std::make_shared<peer_exchange>(
+            where.get_executor(), describe, seeded_random(static_cast<std::uint64_t>(index) + 1),
+            settings);
         node->on_word = [this, index](const schema::peer_word& word) {
             ++heard[index][word.name()];
         };
