--- a/src/members/peer_exchange.cpp
+++ b/src/members/peer_exchange.cpp
@@ -159,6 +159,13 @@
         // What the leading node tells is news for all.
         take_turns(false, leading ? settings_.fanout : settings_.far_fanout, last_far_, targets);
     }
+    if (is_large() && ++intervals_ % settings_.leader_turn == 0) {
+        for (const auto& [key, node] : nodes_) {
+            if (node.word.leading() && !is_near(key) && addresses_.contains(key)) {
+                targets.push_back(key);
+            }
+        }
+    }
     return targets;
 }
 
--- a/src/members/peer_exchange.h
+++ b/src/members/peer_exchange.h
@@ -31,6 +31,8 @@
     duration forget_after = 20s;     // An address from which nothing comes is not tried any more.
     std::size_t fanout = 12;         // Datagrams sent in each interval at most.
     std::string failure_domain;      // Of this node.
+    std::uint32_t leader_turn = 5;   // Each how many intervals a far node that leads is told: it
+                                     // judges by silences of 0.7 s.
     std::size_t far_fanout = 2;      // Of them to other failure domains, in a fleet of more nodes
                                      // than one interval reaches.
 };
@@ -97,6 +99,7 @@
     peer_exchange_settings settings_;
     boost::asio::ip::udp::socket socket_;
     node_key self_;
+    std::uint32_t intervals_ = 0;
     node_key last_near_;
     node_key last_far_;
     std::map<std::uint32_t, time_point> vouched_at_; // By hashed address.
--- a/test/correctness/members_peer_exchange.cpp
+++ b/test/correctness/members_peer_exchange.cpp
@@ -99,6 +99,7 @@
     CHECK(words.at("2") > words.at("20") * 2); // Of the same domain, and of the other.
     CHECK(words.at("0") > words.at("20"));     // The leading node.
     CHECK(fleet.heard[20].at("0") > fleet.heard[20].at("2") * 2);
+    CHECK(fleet.heard[0].at("20") > fleet.heard[1].at("20") * 2); // And is told more often.
     SUBCASE("a node that dies is missed everywhere, also where it spoke seldom")
     {
         fleet.run(3s, false);
