--- a/src/members/peer_exchange.cpp
+++ b/src/members/peer_exchange.cpp
@@ -86,7 +86,7 @@
         }
         live_nodes.push_back(key);
         if (is_large() && is_near(key)) {
-            word.add_heard_in_domain(address_hash(key.first, key.second));
+            word.add_heard_in_domain(node.address_hash);
         }
     }
     for (std::size_t i = 0; i < std::min(live_nodes.size(), told_peers); ++i) {
@@ -194,7 +194,7 @@
     if (!is_large() || is_near(key)) {
         return heard(key, node, now);
     }
-    const auto vouched = vouched_at_.find(address_hash(key.first, key.second));
+    const auto vouched = vouched_at_.find(node.address_hash);
     const time_point last =
         vouched == vouched_at_.end() ? node.heard_at : std::max(node.heard_at, vouched->second);
     return now - last < silence_limit_;
@@ -260,6 +260,9 @@
             return now - entry.second > settings_.forget_after;
         });
     }
+    if (node.address_hash == 0) {
+        node.address_hash = address_hash(key.first, key.second);
+    }
     node.word = std::move(word);
     node.heard_at = now;
     if (on_word) {
--- a/src/members/peer_exchange.h
+++ b/src/members/peer_exchange.h
@@ -23,6 +23,7 @@
 struct known_node {
     schema::peer_word word;
     time_point heard_at{};
+    std::uint32_t address_hash = 0; // By which other nodes say that they hear it.
 };
 
 struct peer_exchange_settings {
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -295,7 +295,6 @@
 
 void relay_node::take_word(const schema::peer_word& word)
 {
-    apply_limits(); // The number of nodes may have changed.
     std::map<std::uint64_t, replica_use> uses;
     for (const schema::replica_count& count : word.counts()) {
         uses[count.epoch()] = {count.running(), count.prompt_tokens(),
@@ -424,7 +423,9 @@
     peers_->send_note(std::move(note), peer.address(), static_cast<std::uint16_t>(peer.port()));
 }
 
-/** Calls of nodes that are gone have ended; in a large fleet calls stay in their failure domain. */
+/** Calls of nodes that are gone have ended; in a large fleet calls stay in their failure domain;
+ * the retry budget is divided by the nodes that live.
+ */
 void relay_node::follow_fleet_size()
 {
     std::set<std::string> live;
@@ -432,6 +433,7 @@
         live.insert(node->word.name());
     }
     context_.board->retain_peers(live);
+    apply_limits();
     context_.board->prefer_domain(peers_->is_large() ? settings_.failure_domain() : "");
 }
 
--- a/src/routing/replica_board.cpp
+++ b/src/routing/replica_board.cpp
@@ -135,8 +135,8 @@
     }
     const replica_pace pace(profile->second, *model);
     const prediction_error& error = first_event_errors_[key_of(request.service, request.model)];
-    std::vector<replica_offer> near;
-    std::vector<replica_offer> far;
+    std::vector<candidate> near;
+    std::vector<candidate> far;
     for (const auto& [epoch, replica] : serving_) {
         if (replica.service != request.service || replica.model != request.model) {
             continue;
@@ -156,27 +156,29 @@
         answer.stalled += stalled ? 1 : 0;
         answer.full += full && !stalled ? 1 : 0;
         if (!stalled && !full) {
-            (is_near ? near : far)
-                .push_back({replica,
-                            error.correct(pace.first_event(use.running, use.prompt_tokens,
-                                                           request.prompt_tokens)),
-                            pace.event_gap(use.running + 1), use.running});
+            const duration first =
+                pace.first_event(use.running, use.prompt_tokens, request.prompt_tokens);
+            (is_near ? near : far).push_back({&replica, error.correct(first), use.running});
         }
     }
-    answer.offer = best_of_few(std::move(near));
+    auto best = best_of_few(std::move(near));
     const auto elsewhere = best_of_few(std::move(far));
     const bool better =
-        elsewhere && (!answer.offer ||
-                      elsewhere->first_event * settings_.far_penalty < answer.offer->first_event);
+        elsewhere && (!best || elsewhere->first_event * settings_.far_penalty < best->first_event);
     if (better) {
-        answer.offer = elsewhere;
+        best = elsewhere;
+    }
+    if (best) {
+        answer.offer = {*best->replica, best->first_event, pace.event_gap(best->running + 1),
+                        best->running};
     }
     return answer;
 }
 
-std::optional<replica_offer> replica_board::best_of_few(std::vector<replica_offer> open) const
+std::optional<replica_board::candidate>
+replica_board::best_of_few(std::vector<candidate> open) const
 {
-    std::optional<replica_offer> best;
+    std::optional<candidate> best;
     for (std::uint32_t i = 0; i < settings_.choices && !open.empty(); ++i) {
         const std::size_t index = random_below(random_, open.size());
         if (!best || open[index].first_event < best->first_event) {
--- a/src/routing/replica_board.h
+++ b/src/routing/replica_board.h
@@ -181,7 +181,12 @@
     replica_use use_of(std::uint64_t epoch, time_point now) const;
     void subtract(const peer_state& peer);
     void forget_silent_peers(time_point now);
-    std::optional<replica_offer> best_of_few(std::vector<replica_offer> open) const;
+    struct candidate {
+        const serving_replica* replica = nullptr;
+        duration first_event{};
+        std::uint32_t running = 0;
+    };
+    std::optional<candidate> best_of_few(std::vector<candidate> open) const;
 
     random_source random_;
     board_settings settings_;
