--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -365,7 +365,7 @@
     }
 }
 
-/** The other nodes of this failure domain whose word from the log is fresh. */
+/** The other nodes of this failure domain that are not about to stop. */
 std::vector<const schema::peer_word*> relay_node::domain_peers() const
 {
     std::vector<const schema::peer_word*> peers;
