Split the shared reading of the log from relay_node

relay_node.cpp had 628 lines and two jobs. shared_reading takes the choice of the reader, questions, answers and news; word_values how records and times travel.

--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -7,11 +7,11 @@
 #include <utility>
 
 #include "base/event_log.h"
-#include "base/hash.h"
 #include "base/milliseconds.h"
 #include "base/task.h"
 #include "members/lead_choice.h"
 #include "relay/call_intake.h"
+#include "relay/word_values.h"
 
 namespace chervildyke {
 
@@ -35,60 +35,10 @@
 constexpr duration last_requests = 300ms; // A round trip of most callers.
 constexpr duration leaving_accept = 2500ms; // Callers keep an address for that long.
 
-constexpr duration apply_reserve = 1200ms;       // Of the time in which a configuration must be in
-                                                 // force: to read it, and for calls on their way.
-constexpr duration shortest_shared_age = 1500ms; // Below, nodes that read for others would read
-                                                 // more often than each for itself.
-constexpr std::size_t fewest_sharing = 6;  // Nodes of a failure domain; fewer read for themselves.
-constexpr duration reader_check = 200ms;   // How often the choice of the reader is renewed.
-constexpr double ask_share = 0.2;          // Of the age at which a node reads for itself: between
-                                           // two questions.
-constexpr double worry_share = 0.75;       // From this share on another node is asked as well.
-constexpr std::size_t news_bytes = 12'000; // In one datagram, beside its header.
-constexpr std::size_t max_note_bytes = 60'000; // Of a datagram.
-constexpr duration never_read = 24h;           // The age told of a topic that was not read yet.
+constexpr duration fleet_check = 200ms; // How often it is looked at who lives and who reads.
+constexpr duration never_read = 24h;    // The age told of a topic that was not read yet.
 constexpr const char* plain_text = "text/plain";
 
-using record_words = google::protobuf::RepeatedPtrField<schema::ledger_record>;
-
-std::vector<keyed_record> from_words(const record_words& words)
-{
-    std::vector<keyed_record> records;
-    for (const schema::ledger_record& word : words) {
-        keyed_record record;
-        record.offset = word.offset();
-        record.key = word.key();
-        if (!word.value().empty()) {
-            record.value = word.value();
-        }
-        records.push_back(std::move(record));
-    }
-    return records;
-}
-
-void to_words(const std::vector<keyed_record>& records, record_words& words)
-{
-    for (const keyed_record& record : records) {
-        schema::ledger_record& word = *words.Add();
-        word.set_offset(record.offset);
-        word.set_key(record.key);
-        word.set_value(record.value.value_or(""));
-    }
-}
-
-/** \return the age up to which a node relies on what others have read; zero: not at all. */
-duration shared_configuration_age(const schema::relay_settings& settings)
-{
-    const duration age = from_ms(settings.configuration_apply_ms()) - apply_reserve;
-    return age < shortest_shared_age ? duration::zero() : age;
-}
-
-std::uint32_t in_whole_ms(duration span)
-{
-    return static_cast<std::uint32_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
-}
-
 } // namespace
 
 relay_node::relay_node(asio::any_io_executor executor, schema::relay_settings settings,
@@ -100,8 +50,7 @@
       calls_(executor_, [this](http_exchange& exchange) { return serve(exchange); }),
       ready_(executor_, [this](http_exchange& exchange) { return serve_ready(exchange); }),
       directory_(executor_, [this](http_exchange& exchange) { return serve_directory(exchange); }),
-      metrics_(executor_, [this](http_exchange& exchange) { return serve_metrics(exchange); }),
-      asker_(random_)
+      metrics_(executor_, [this](http_exchange& exchange) { return serve_metrics(exchange); })
 {
     fleet_view_settings view;
     view.backend_interval =
@@ -130,16 +79,17 @@
     view_->on_configuration = [this](const service_map_ptr& map) { take_configuration(map); };
     view_->on_change = [this] { take_change(); };
     view_->wants_fresh_list = [this] { return leads(); };
-    view_->reads_for_itself = [this] { return !reader_; };
+    view_->reads_for_itself = [this] { return reading_->reads_for_itself(); };
     view_->on_read = [this](schema::shared_topic topic, const keyed_records& read) {
-        forward_news(topic, read);
+        reading_->forward_news(topic, read);
     };
     peer_exchange_settings exchange;
     exchange.failure_domain = settings_.failure_domain();
     peers_ = std::make_shared<peer_exchange>(
         executor_, [this](schema::peer_word& word) { describe(word); }, random_, exchange);
+    reading_ = std::make_unique<shared_reading>(settings_, *view_, *peers_, random_);
     apply_limits();
-    peers_->on_note = [this](const schema::peer_word& note) { take_note(note); };
+    peers_->on_note = [this](const schema::peer_word& note) { reading_->take_note(note); };
     peers_->on_word = [this](const schema::peer_word& word) { take_word(word); };
     assembler_hooks hooks;
     hooks.leads = [this] { return leads(); };
@@ -222,7 +172,7 @@
     spawn_task(executor_, "assembly", assembler_->run());
     spawn_task(executor_, "address", publish_address());
     spawn_task(executor_, "node list", follow_peers());
-    spawn_task(executor_, "shared reading", share_reading());
+    spawn_task(executor_, "fleet", follow_fleet());
     spawn_task(executor_, "loop lag", context_.lag.measure());
     node_log.write("started", {{"address", settings_.call_address()},
                                {"incarnation", std::to_string(incarnation_)},
@@ -365,161 +315,21 @@
     }
 }
 
-/** The other nodes of this failure domain that are not about to stop. */
-std::vector<const schema::peer_word*> relay_node::domain_peers() const
-{
-    std::vector<const schema::peer_word*> peers;
-    for (const known_node* node : peers_->live()) {
-        const schema::peer_word& word = node->word;
-        if (word.failure_domain() == settings_.failure_domain() && !word.leaving()) {
-            peers.push_back(&word);
-        }
-    }
-    return peers;
-}
-
-/** In a large failure domain one node reads the log for the others. That two think themselves the
- * first, or none, costs calls on the log and nothing else.
- */
-void relay_node::choose_reader()
-{
-    const auto peers = domain_peers();
-    // Those with the most processor time, which goes with the widest link: news come in bursts.
-    std::vector<std::string> able;
-    double most = view_->store_is_sound() ? settings_.processor_share() : 0;
-    for (const schema::peer_word* word : peers) {
-        most = std::max(most, word->sound_store() ? word->processor_share() : 0);
-    }
-    for (const schema::peer_word* word : peers) {
-        if (word->sound_store() && word->processor_share() >= most) {
-            able.push_back(word->name());
-        }
-    }
-    const bool shared = shared_configuration_age(settings_) > duration::zero() &&
-                        peers.size() + 1 >= fewest_sharing && !context_.leaving;
-    const bool self_able = view_->store_is_sound() && settings_.processor_share() >= most;
-    if (!shared || (able.empty() && !self_able)) {
-        reader_.reset();
-        reads_for_domain_ = false;
-        return;
-    }
-    if (self_able) {
-        able.push_back(settings_.name());
-    }
-    const std::string first = rendezvous_order(settings_.failure_domain(), able, 1).front();
-    reads_for_domain_ = first == settings_.name();
-    reader_.reset();
-    for (const schema::peer_word* word : peers) {
-        if (word->name() == first) {
-            reader_ = *word;
-        }
-    }
-}
-
-void relay_node::ask_for_freshness(const schema::peer_word& peer)
-{
-    schema::peer_word note;
-    note.mutable_question()->set_nonce(asker_.ask(awake_or_suspended_time()));
-    peers_->send_note(std::move(note), peer.address(), static_cast<std::uint16_t>(peer.port()));
-}
-
 /** Calls of nodes that are gone have ended; in a large fleet calls stay in their failure domain;
  * the retry budget is divided by the nodes that live.
  */
-void relay_node::follow_fleet_size()
-{
-    std::set<std::string> live;
-    for (const known_node* node : peers_->live()) {
-        live.insert(node->word.name());
-    }
-    context_.board->retain_peers(live);
-    apply_limits();
-    context_.board->prefer_domain(peers_->is_large() ? settings_.failure_domain() : "");
-}
-
-asio::awaitable<void> relay_node::share_reading()
+asio::awaitable<void> relay_node::follow_fleet()
 {
-    const duration limit = shared_configuration_age(settings_);
-    const auto share = [limit](double part) {
-        return std::chrono::duration_cast<duration>(limit * part);
-    };
     while (true) {
-        co_await sleep_for(reader_check);
-        choose_reader();
-        follow_fleet_size();
-        const time_point now = monotonic_clock::now();
-        if (!reader_ || now - asked_at_ < share(ask_share)) {
-            continue;
-        }
-        asked_at_ = now;
-        ask_for_freshness(*reader_);
-        const auto age = view_->configuration_age();
-        const auto others = peers_->live();
-        if (age && *age > share(worry_share) && !others.empty()) {
-            ask_for_freshness(others[random_below(random_, others.size())]->word);
-        }
-    }
-}
-
-void relay_node::take_note(const schema::peer_word& note)
-{
-    if (note.has_question() && view_->configuration_age()) {
-        schema::peer_word reply;
-        schema::freshness_answer& answer = *reply.mutable_answer();
-        answer.set_nonce(note.question().nonce());
-        answer.set_configuration_end(view_->configuration_offset());
-        answer.set_configuration_age_ms(in_whole_ms(*view_->configuration_age()) + 1);
-        peers_->send_note(std::move(reply), note.address(),
-                          static_cast<std::uint16_t>(note.port()));
-    }
-    if (note.has_answer()) {
-        const schema::freshness_answer& answer = note.answer();
-        const auto age =
-            asker_.age_at(answer.nonce(), std::chrono::milliseconds(answer.configuration_age_ms()),
-                          awake_or_suspended_time());
-        if (age) {
-            view_->confirm_configuration(answer.configuration_end(), *age);
-        }
-        else {
-            view_->note_newer_configuration(answer.configuration_end());
-        }
-    }
-    if (note.has_news()) {
-        view_->take_news(note.news().topic(), {from_words(note.news().records()), 0});
-    }
-}
-
-/** Sends what this node has read to the others of its failure domain, in as many datagrams as it
- * takes. Who misses one reads the log.
- */
-void relay_node::forward_news(schema::shared_topic topic, const keyed_records& read)
-{
-    if (!reads_for_domain_ || read.records.empty()) {
-        return;
-    }
-    std::vector<schema::peer_word> notes;
-    std::size_t bytes = news_bytes;
-    for (const keyed_record& record : read.records) {
-        const std::size_t size = record.key.size() + (record.value ? record.value->size() : 0);
-        if (bytes + size > news_bytes) {
-            notes.emplace_back().mutable_news()->set_topic(topic);
-            bytes = 0;
-        }
-        bytes += size;
-        to_words({record}, *notes.back().mutable_news()->mutable_records());
-    }
-    if (topic == schema::shared_topic_configuration) {
-        // One that fits no datagram is read by each node.
-        schema::freshness_answer& end = *notes.emplace_back().mutable_answer();
-        end.set_configuration_end(read.next_offset);
-        std::erase_if(notes, [](const schema::peer_word& note) {
-            return note.ByteSizeLong() > max_note_bytes;
-        });
-    }
-    for (const schema::peer_word* peer : domain_peers()) {
-        for (const schema::peer_word& note : notes) {
-            peers_->send_note(note, peer->address(), static_cast<std::uint16_t>(peer->port()));
+        co_await sleep_for(fleet_check);
+        reading_->renew(context_.leaving);
+        std::set<std::string> live;
+        for (const known_node* node : peers_->live()) {
+            live.insert(node->word.name());
         }
+        context_.board->retain_peers(live);
+        apply_limits();
+        context_.board->prefer_domain(peers_->is_large() ? settings_.failure_domain() : "");
     }
 }
 
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -12,13 +12,13 @@
 
 #include "assembly/assembler.h"
 #include "base/http_server.h"
-#include "members/freshness_asker.h"
 #include "members/peer_exchange.h"
 #include "node.pb.h"
 #include "relay/call_dialect.h"
 #include "relay/fleet_dialect.h"
 #include "relay/fleet_view.h"
 #include "relay/relay_context.h"
+#include "relay/shared_reading.h"
 
 namespace chervildyke {
 
@@ -55,13 +55,7 @@
     boost::asio::awaitable<void> follow_peers();
     void take_configuration(const service_map_ptr& services);
     void take_change();
-    boost::asio::awaitable<void> share_reading();
-    void choose_reader();
-    void follow_fleet_size();
-    void ask_for_freshness(const schema::peer_word& peer);
-    void take_note(const schema::peer_word& note);
-    void forward_news(schema::shared_topic topic, const keyed_records& read);
-    std::vector<const schema::peer_word*> domain_peers() const;
+    boost::asio::awaitable<void> follow_fleet();
     void take_word(const schema::peer_word& word);
     void describe(schema::peer_word& word);
     std::vector<std::string> call_addresses() const;
@@ -81,16 +75,13 @@
     relay_context context_;
     std::shared_ptr<fleet_view> view_;
     std::shared_ptr<peer_exchange> peers_;
+    std::unique_ptr<shared_reading> reading_;
     std::shared_ptr<assembler> assembler_;
     http_server calls_;
     http_server ready_;
     http_server directory_;
     http_server metrics_;
     bool calls_began_ = false;
-    freshness_asker asker_;
-    std::optional<schema::peer_word> reader_; // The node that reads the log for this one.
-    bool reads_for_domain_ = false;           // This node reads it for its failure domain.
-    time_point asked_at_{};
     std::string last_reason_;
 };
 
