--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "base/read_limit.h"
 #include "base/scope_guard.h"
 
 namespace chervildyke {
@@ -84,37 +85,6 @@
            error == asio::error::operation_aborted || error == asio::error::broken_pipe;
 }
 
-/** Cancels a read that takes too long, and leaves the connection open so that it can be answered;
- * the stream's own expiry would close it.
- */
-class read_limit {
-  public:
-    read_limit(beast::tcp_stream& stream, duration limit)
-        : timer_(stream.get_executor()), shared_(std::make_shared<watched>(watched{&stream}))
-    {
-        timer_.expires_after(limit);
-        timer_.async_wait([watching = shared_](const error_code& error) {
-            if (!error && watching->stream != nullptr) {
-                watching->passed = true;
-                watching->stream->cancel();
-            }
-        });
-    }
-    ~read_limit() { shared_->stream = nullptr; }
-    read_limit(const read_limit&) = delete;
-    read_limit& operator=(const read_limit&) = delete;
-
-    bool passed() const { return shared_->passed; }
-
-  private:
-    struct watched {
-        beast::tcp_stream* stream; // Null once the read has ended.
-        bool passed = false;
-    };
-    timer timer_;
-    std::shared_ptr<watched> shared_;
-};
-
 class beast_exchange : public http_exchange {
   public:
     beast_exchange(beast::tcp_stream& stream, http_request request, bool keep_alive,
--- a/src/relay/plain_relay.cpp
+++ b/src/relay/plain_relay.cpp
@@ -9,6 +9,7 @@
 
 #include "base/event_log.h"
 #include "base/scope_guard.h"
+#include "relay/gathered_body.h"
 
 namespace chervildyke {
 
@@ -80,25 +81,12 @@
     http_stream& answer = **opened;
     const std::vector<http_header> headers = answer.headers();
     const answer_marks marks = call.context.dialect.read_marks(answer.status(), headers);
-    std::string body;
     byte_budget::share held(call.context.gathered);
-    while (true) {
-        // The whole answer has this long, so that a byte now and then does not keep it alive.
-        const duration left = std::min<duration>(call.time_left(), until - monotonic_clock::now());
-        auto part = co_await answer.read_some(std::max<duration>(left, 1ms));
-        if (!part) {
-            co_return read_failure(part.last_reason());
-        }
-        if (part->empty()) {
-            break;
-        }
-        body += *part;
-        if (body.size() > call.context.limits.max_answer_bytes || !held.take(part->size())) {
-            co_return read_failure({http_error::broken, target.address +
-                                                            ": the answer is longer than " +
-                                                            std::to_string(body.size() - 1) +
-                                                            " bytes, the most there is room for"});
-        }
+    const time_point end_of_answer = std::min<time_point>(call.deadline, until);
+    auto body =
+        co_await gather_body(answer, call.context.limits.max_answer_bytes, held, end_of_answer);
+    if (!body) {
+        co_return read_failure(body.last_reason());
     }
     attempt_end end;
     const unsigned status = answer.status();
@@ -113,7 +101,7 @@
     }
     end.own_failure = status >= 500;
     end.result = attempt_result::answered;
-    end.reply = pass_on(status, headers, std::move(body));
+    end.reply = pass_on(status, headers, std::move(*body));
     co_return end;
 }
 
--- a/src/relay/stream_relay.cpp
+++ b/src/relay/stream_relay.cpp
@@ -10,6 +10,7 @@
 #include "base/scope_guard.h"
 #include "relay/attempt_watch.h"
 #include "relay/event_splitter.h"
+#include "relay/gathered_body.h"
 #include "routing/replica_pace.h"
 
 namespace chervildyke {
@@ -322,25 +323,14 @@
 {
     attempt_end end;
     end.result = attempt_result::broken;
-    std::string body;
-    while (true) {
-        auto part = co_await answer.read_some(rest_of_time());
-        if (!part) {
-            end.reason = part.last_reason().reason;
-            co_return end;
-        }
-        if (part->empty()) {
-            break;
-        }
-        body += *part;
-        if (body.size() > max_error_body) {
-            end.reason =
-                "the body of an error is longer than " + std::to_string(max_error_body) + " bytes";
-            co_return end;
-        }
+    byte_budget::share held(call_.context.gathered);
+    auto body = co_await gather_body(answer, max_error_body, held, call_.deadline - settle_margin);
+    if (!body) {
+        end.reason = body.last_reason().reason;
+        co_return end;
     }
     end.reason = "the head answered " + std::to_string(answer.status());
-    end.reply = pass_on(answer.status(), answer.headers(), std::move(body));
+    end.reply = pass_on(answer.status(), answer.headers(), std::move(*body));
     end.result = attempt_result::answered;
     co_return end;
 }
