Fill fabric domains with whole replicas; spares repair what serves

Cause: targets were rounded over the whole service, and replicas placed without regard to what remains of a domain: with replicas of 6 and 3 VMs in domains of 11, 39 of 66 VMs served while callers were refused at full replicas. Spares were loaded to complete replicas that nobody wanted instead of repairing those that serve. Change: domain_packing counts targets in what domains can hold, places the larger replicas first where the rest can be filled, and keeps a tenth of each domain, one VM at least, as spares (15% of the service before). Loads complete replicas only below the target; spares are shared among the models that serve in their domain. Tests: the tests of targets now count in domains (as strict: exact counts); 18 VMs a domain of which two are spares give 10 and 32 replicas where 162 VMs without domains gave 9 and 30.

--- a/src/assembly/assembly_plan.cpp
+++ b/src/assembly/assembly_plan.cpp
@@ -7,6 +7,7 @@
 #include <cmath>
 #include <set>
 
+#include "assembly/domain_packing.h"
 #include "assembly/load_planner.h"
 #include "assembly/member_selection.h"
 
@@ -368,23 +369,62 @@
         return counts;
     }
 
+    domain_packing packing(const member_pool& pool) const
+    {
+        std::map<std::string, domain_room> domains;
+        for (const auto& [name, vms] : pool.usable_by_domain()) {
+            domains[name].vms = vms;
+        }
+        for (const auto& [name, replica] : in_.ledger->replicas()) {
+            if (replica.service() == in_.service && stays(replica)) {
+                const listed_backend* head = in_.backends->find(replica.members(0).id());
+                ++domains[head->self.fabric_domain].replicas[replica.model()];
+            }
+        }
+        return domain_packing(model_shares(*in_.profile, in_.demand_ms_per_s, settings_),
+                              std::move(domains), settings_.spare_share);
+    }
+
+    void form(const model_profile& model, const std::vector<schema::shared_member>& members)
+    {
+        const std::uint64_t offset = in_.ledger->end() + plan_.records.size();
+        schema::shared_replica formed;
+        formed.set_service(in_.service);
+        formed.set_model(model.name);
+        formed.set_epoch(offset + 1); // Above zero, so that it is never the default.
+        formed.set_phase(schema::shared_phase_forming);
+        formed.set_reason("fewer replicas than the demand needs");
+        *formed.mutable_members() = {members.begin(), members.end()};
+        plan_.records.push_back(to_record(replica_name(offset), formed));
+        formed_.insert(formed_.end(), members.begin(), members.end());
+    }
+
     void form_replicas()
     {
         member_pool pool(in_);
-        const auto targets =
-            target_replicas(*in_.profile, in_.demand_ms_per_s, pool.usable(), settings_);
+        const domain_packing packed = packing(pool);
+        targets_ = packed.targets();
+        if (in_.loads_are_free) {
+            for (const placement& placed : packed.missing()) {
+                const model_profile& model = *in_.profile->find(placed.model);
+                const auto members = pool.take_in(placed.domain, model);
+                if (!members.empty()) {
+                    form(model, members);
+                }
+            }
+            return;
+        }
         auto counts = counts_by_model();
         std::set<std::string> unplaceable;
-        std::uint64_t offset = in_.ledger->end() + plan_.records.size();
         while (true) {
             const model_profile* neediest = nullptr;
             double lowest = 1;
             for (const model_profile& model : in_.profile->models) {
-                const auto target = targets.find(model.name);
-                if (target == targets.end() || unplaceable.contains(model.name)) {
+                if (unplaceable.contains(model.name)) {
                     continue;
                 }
-                const double filled = static_cast<double>(counts[model.name]) / target->second;
+                const double filled =
+                    static_cast<double>(counts[model.name]) / targets_.at(model.name);
                 if (filled < lowest) {
                     lowest = filled;
                     neediest = &model;
@@ -393,22 +433,13 @@
             if (neediest == nullptr) {
                 return;
             }
-            const auto members = pool.take(*neediest, !in_.loads_are_free);
+            const auto members = pool.take(*neediest, true);
             if (members.empty()) {
                 unplaceable.insert(neediest->name);
                 continue;
             }
-            schema::shared_replica formed;
-            formed.set_service(in_.service);
-            formed.set_model(neediest->name);
-            formed.set_epoch(offset + 1); // Above zero, so that it is never the default.
-            formed.set_phase(schema::shared_phase_forming);
-            formed.set_reason("fewer replicas than the demand needs");
-            *formed.mutable_members() = {members.begin(), members.end()};
-            plan_.records.push_back(to_record(replica_name(offset), formed));
+            form(*neediest, members);
             ++counts[neediest->name];
-            ++offset;
-            formed_.insert(formed_.end(), members.begin(), members.end());
         }
     }
 
@@ -417,9 +448,7 @@
      */
     void load_models()
     {
-        load_planner loads(in_, formed_, counts_by_model(),
-                           target_replicas(*in_.profile, in_.demand_ms_per_s,
-                                           member_pool(in_).usable(), settings_));
+        load_planner loads(in_, formed_, counts_by_model(), targets_);
         plan_.free_vms = loads.describe();
         for (const planned_load& load : loads.choose(loads_left_)) {
             replica_order order;
@@ -432,16 +461,16 @@
     const assembly_input& in_;
     const assembly_settings& settings_;
     std::uint32_t loads_left_;
+    std::map<std::string, std::uint32_t> targets_; // Replicas wanted, by model.
     std::vector<schema::shared_member> formed_;
     assembly_plan plan_;
 };
 
 } // namespace
 
-std::map<std::string, std::uint32_t> target_replicas(const engine_profile& profile,
-                                                     const std::map<std::string, double>& demand,
-                                                     std::size_t vms,
-                                                     const assembly_settings& settings)
+std::vector<packed_model> model_shares(const engine_profile& profile,
+                                       const std::map<std::string, double>& demand,
+                                       const assembly_settings& settings)
 {
     std::map<std::string, double> asked;
     double total_asked = 0;
@@ -450,24 +479,21 @@
         asked[model.name] = found == demand.end() ? 0 : found->second * model.replica_size;
         total_asked += asked[model.name];
     }
-    std::map<std::string, double> shares;
+    std::vector<packed_model> models;
     double total = 0;
     for (const model_profile& model : profile.models) {
         // Half of each share is as before demand was known: measured demand swings, and shifting
         // VMs between models costs loads.
         const double share =
             total_asked > 0 ? (asked[model.name] / total_asked + model.share) / 2 : model.share;
-        shares[model.name] = share * (1 + settings.loss_allowance * model.replica_size);
-        total += shares[model.name];
+        models.push_back({model.name, model.replica_size,
+                          share * (1 + settings.loss_allowance * model.replica_size)});
+        total += models.back().share;
     }
-    std::map<std::string, std::uint32_t> targets;
-    const double used = static_cast<double>(vms) * (1 - settings.spare_share);
-    for (const model_profile& model : profile.models) {
-        const double share = total > 0 ? shares[model.name] / total : 0;
-        const double replicas = used * share / model.replica_size;
-        targets[model.name] = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(replicas));
+    for (packed_model& model : models) {
+        model.share = total > 0 ? model.share / total : 0;
     }
-    return targets;
+    return models;
 }
 
 bool leaving_but_usable(const listed_backend& member, bool is_head, time_point now,
--- a/src/assembly/assembly_plan.h
+++ b/src/assembly/assembly_plan.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "assembly/assembly_memory.h"
+#include "assembly/domain_packing.h"
 #include "assembly/replica_ledger.h"
 #include "assembly/replica_order.h"
 #include "base/clock.h"
@@ -37,8 +38,8 @@
                                         // its heartbeats have been missing for longer.
     double loss_allowance = 0.05; // More of a model's share for each VM of a replica: it stands
                                   // still whichever of them is lost.
-    double spare_share = 0.15;    // Of a service's VMs, kept staged beside the replicas; covers
-                                  // the loss of the largest replica in each fabric domain.
+    double spare_share = 0.1;     // Of each fabric domain's VMs, kept staged beside its replicas,
+                                  // one at least: a loss in a domain is rarer than a load is long.
 };
 
 /** All that a plan is made from. */
@@ -80,12 +81,11 @@
 
 assembly_plan plan_assembly(const assembly_input& input, const assembly_settings& settings);
 
-/** \return how many replicas of each model the service's VMs should form.
- * \param vms that can be used.
+/** \return the models with their shares of the VMs in replicas.
+ * \param demand replica time asked for, by model.
  */
-std::map<std::string, std::uint32_t> target_replicas(const engine_profile& profile,
-                                                     const std::map<std::string, double>& demand,
-                                                     std::size_t vms,
-                                                     const assembly_settings& settings);
+std::vector<packed_model> model_shares(const engine_profile& profile,
+                                       const std::map<std::string, double>& demand,
+                                       const assembly_settings& settings);
 
 } // namespace chervildyke
--- a/src/assembly/load_planner.cpp
+++ b/src/assembly/load_planner.cpp
@@ -199,6 +199,9 @@
     option best;
     for (auto& [name, domain] : domains_) {
         for (const model_profile& model : in_.profile->models) {
+            if (!below_target(model)) {
+                continue; // Spares that can repair what serves are worth more.
+            }
             const std::uint32_t loads =
                 model.replica_size - domain.holding[model.name] % model.replica_size;
             // VMs that are too few for a replica of the model that they hold serve nobody.
@@ -225,9 +228,12 @@
             continue;
         }
         for (const model_profile& model : in_.profile->models) {
-            // A spare saves the whole replica that lost a member.
-            const double value = need_of(model) * kinship(domain, model) * model.replica_size /
-                                 (1 + domain.holding[model.name]);
+            // A spare saves the whole replica that lost a member; the more VMs of its model serve
+            // in the domain, the sooner it is wanted.
+            const auto vms = static_cast<double>(1 + domain.serving[model.name]);
+            const double spares = domain.holding[model.name] % model.replica_size;
+            const double value = need_of(model) * kinship(domain, model) * model.replica_size *
+                                 vms / ((1 + spares) * (1 + spares));
             if (value > best.value) {
                 best = {&domain, &model, 1, value};
             }
--- a/src/assembly/member_selection.cpp
+++ b/src/assembly/member_selection.cpp
@@ -40,7 +40,7 @@
         if (listed.self.service != input.service || listed.self.leaving) {
             continue;
         }
-        ++usable_;
+        ++usable_[listed.self.fabric_domain];
         const auto holder = input.ledger->holder_of(id);
         if (holder) {
             const std::string& model = input.ledger->replicas().at(*holder).model();
@@ -102,25 +102,42 @@
             best_staged = useful;
         }
     }
-    std::vector<schema::shared_member> members;
     if (best == nullptr) {
-        return members;
+        return {};
+    }
+    return take_from(*best_domain, *best, model);
+}
+
+std::vector<schema::shared_member> member_pool::take_in(const std::string& domain,
+                                                        const model_profile& model)
+{
+    const auto found = free_.find(domain);
+    if (found == free_.end() || found->second.size() < model.replica_size) {
+        return {};
     }
+    return take_from(domain, found->second, model);
+}
+
+std::vector<schema::shared_member> member_pool::take_from(const std::string& domain,
+                                                          std::vector<const backend*>& vms,
+                                                          const model_profile& model)
+{
     // Those with the model first, then those whose host holds nothing that would be lost.
-    std::stable_sort(best->begin(), best->end(), [&](const backend* a, const backend* b) {
+    std::stable_sort(vms.begin(), vms.end(), [&](const backend* a, const backend* b) {
         const auto rank = [&](const backend& vm) {
             return has_staged(vm, model.name) ? 0 : vm.staged_models.empty() ? 1 : 2;
         };
         return rank(*a) < rank(*b);
     });
+    std::vector<schema::shared_member> members;
     for (std::uint32_t i = 0; i < model.replica_size; ++i) {
         schema::shared_member member;
-        member.set_id((*best)[i]->id);
-        member.set_started_ms((*best)[i]->started_ms);
+        member.set_id(vms[i]->id);
+        member.set_started_ms(vms[i]->started_ms);
         members.push_back(std::move(member));
     }
-    best->erase(best->begin(), best->begin() + model.replica_size);
-    serving_[*best_domain][model.name] += model.replica_size;
+    vms.erase(vms.begin(), vms.begin() + model.replica_size);
+    serving_[domain][model.name] += model.replica_size;
     return members;
 }
 
--- a/src/assembly/member_selection.h
+++ b/src/assembly/member_selection.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -33,6 +34,12 @@
      */
     std::vector<schema::shared_member> take(const model_profile& model, bool only_staged);
 
+    /** Picks members within the domain given, staged or not.
+     * \return nothing when it has too few free VMs.
+     */
+    std::vector<schema::shared_member> take_in(const std::string& domain,
+                                               const model_profile& model);
+
     const std::map<std::string, std::vector<const backend*>>& free_by_domain() const
     {
         return free_;
@@ -41,15 +48,18 @@
     /** How many VMs of the domain are in replicas of the model. */
     std::size_t serving(const std::string& domain, const std::string& model) const;
 
-    /** How many of the service's VMs can be used, in replicas or free. */
-    std::size_t usable() const { return usable_; }
+    /** How many of the service's VMs each domain can use, in replicas or free. */
+    const std::map<std::string, std::uint32_t>& usable_by_domain() const { return usable_; }
 
   private:
     std::size_t kin(const std::string& domain, const std::string& model) const;
+    std::vector<schema::shared_member> take_from(const std::string& domain,
+                                                 std::vector<const backend*>& vms,
+                                                 const model_profile& model);
 
     std::map<std::string, std::vector<const backend*>> free_;           // By fabric domain.
     std::map<std::string, std::map<std::string, std::size_t>> serving_; // VMs by domain and model.
-    std::size_t usable_ = 0;
+    std::map<std::string, std::uint32_t> usable_;
 };
 
 } // namespace chervildyke
--- a/src/fleet/backend.h
+++ b/src/fleet/backend.h
@@ -32,7 +32,8 @@
     bool leaving = false;
     std::uint32_t slots = 1;
     std::uint64_t started_ms = 0; // Unix time of its start; names one life of the id.
-    std::vector<std::string> staged_models;
+    std::string loaded_model;     // Of the replica that it joined last, on its accelerators.
+    std::vector<std::string> staged_models; // In its host's memory.
     std::optional<replica_membership> membership;
 
     bool operator==(const backend&) const = default;
--- /dev/null
+++ b/test/correctness/assembly_packing.cpp
@@ -0,0 +1,184 @@
+/** \file
+ * Tests that fabric domains are filled with whole replicas and keep spares, whatever sizes they and
+ * the replicas have.
+ */
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "assembly/domain_packing.h"
+#include "support/assembly_bench.h"
+
+using namespace chervildyke;
+using test::assembly_bench;
+
+namespace {
+
+using counts = std::map<std::string, std::uint32_t>;
+
+std::map<std::string, domain_room> equal_domains(std::uint32_t domains, std::uint32_t vms)
+{
+    std::map<std::string, domain_room> made;
+    for (std::uint32_t i = 0; i < domains; ++i) {
+        made["d" + std::to_string(100 + i)].vms = vms;
+    }
+    return made;
+}
+
+/** Carries out what is missing. */
+std::map<std::string, domain_room> fill(const std::vector<packed_model>& models,
+                                        std::map<std::string, domain_room> domains,
+                                        double spare_share = 0.1)
+{
+    for (const placement& placed : domain_packing(models, domains, spare_share).missing()) {
+        ++domains.at(placed.domain).replicas[placed.model];
+    }
+    return domains;
+}
+
+std::uint32_t vms_used(const std::vector<packed_model>& models, const domain_room& domain)
+{
+    std::uint32_t used = 0;
+    for (const packed_model& model : models) {
+        const auto found = domain.replicas.find(model.name);
+        used += found == domain.replicas.end() ? 0 : found->second * model.replica_size;
+    }
+    return used;
+}
+
+} // namespace
+
+TEST_CASE("idle VMs beside refused callers: domains that one model can't divide hold both")
+{
+    // Shares alone gave 4 large and 5 small replicas here: 39 of 66 VMs served.
+    assembly_bench bench;
+    bench.profile.models[0].replica_size = 6;
+    bench.profile.models[0].share = 0.67;
+    bench.profile.models[1].replica_size = 3;
+    bench.profile.models[1].share = 0.33;
+    for (const char* domain : {"d0-", "d1-", "d2-", "d3-", "d4-", "d5-"}) {
+        bench.add_domain(domain, 11);
+    }
+    bench.steps(6);
+    CHECK(bench.serving("large").size() == 6);
+    CHECK(bench.serving("small").size() == 6);
+}
+
+TEST_CASE("whatever the sizes, no domain leaves more idle than its spares and a remainder")
+{
+    struct fleet {
+        std::uint32_t domain_vms;
+        std::uint32_t large;
+        std::uint32_t small;
+        std::uint32_t used; // Of each domain; the most that whole replicas can beside the spares.
+    };
+    for (const fleet& given : std::vector<fleet>{
+             {10, 4, 2, 8}, {11, 6, 3, 9}, {18, 8, 2, 16}, {19, 8, 4, 16}, {27, 12, 6, 24}}) {
+        for (const double share : {0.1, 0.35, 0.5, 0.7, 0.9}) {
+            const std::vector<packed_model> models = {{"large", given.large, share},
+                                                      {"small", given.small, 1 - share}};
+            const auto filled = fill(models, equal_domains(6, given.domain_vms));
+            for (const auto& [name, domain] : filled) {
+                CAPTURE(given.domain_vms);
+                CAPTURE(share);
+                CHECK(vms_used(models, domain) <= given.domain_vms - 1);
+                CHECK(vms_used(models, domain) >= given.used - given.small);
+            }
+        }
+    }
+}
+
+TEST_CASE("a model whose replicas divide a domain has domains of its own")
+{
+    const std::vector<packed_model> models = {{"large", 4, 0.5}, {"small", 2, 0.5}};
+    for (const auto& [name, domain] : fill(models, equal_domains(6, 10))) {
+        CHECK(domain.replicas.size() == 1);
+    }
+}
+
+TEST_CASE("a domain that lost a VM uses its spare; one that got a VM changes no other's spares")
+{
+    const std::vector<packed_model> models = {{"large", 6, 0.67}, {"small", 3, 0.33}};
+    std::map<std::string, domain_room> domains = equal_domains(6, 11);
+    SUBCASE("lost one: both replicas still fit")
+    {
+        domains["d100"].vms = 9;
+        domains["d100"].replicas = {{"small", 1}};
+        const auto filled = fill(models, domains);
+        CHECK(filled.at("d100").replicas == counts{{"large", 1}, {"small", 1}});
+    }
+    SUBCASE("got one")
+    {
+        domains["d100"].vms = 12;
+        for (const auto& [name, domain] : fill(models, domains)) {
+            CHECK(vms_used(models, domain) == 9);
+        }
+    }
+}
+
+TEST_CASE("a domain that holds just one replica holds it without a spare")
+{
+    const std::vector<packed_model> models = {{"large", 16, 1}};
+    CHECK(domain_packing(models, equal_domains(3, 16), 0.1).targets() == counts{{"large", 3}});
+}
+
+TEST_CASE("a replica as large as a domain is placed although no spare is left there")
+{
+    const std::vector<packed_model> models = {{"large", 16, 0.5}, {"small", 4, 0.5}};
+    const auto filled = fill(models, equal_domains(4, 16));
+    std::uint32_t large = 0;
+    for (const auto& [name, domain] : filled) {
+        const auto found = domain.replicas.find("large");
+        large += found == domain.replicas.end() ? 0 : found->second;
+    }
+    CHECK(large == 2);
+}
+
+TEST_CASE("replicas that serve stay where they are, and the rest is filled round them")
+{
+    const std::vector<packed_model> models = {{"large", 6, 0.67}, {"small", 3, 0.33}};
+    std::map<std::string, domain_room> domains = equal_domains(2, 11);
+    domains["d100"].replicas = {{"small", 1}};
+    const auto missing = domain_packing(models, domains, 0.1).missing();
+    const std::vector<placement> expected = {
+        {"d100", "large"}, {"d101", "large"}, {"d101", "small"}};
+    CHECK(missing.size() == expected.size());
+    for (const placement& placed : expected) {
+        CHECK(std::count(missing.begin(), missing.end(), placed) == 1);
+    }
+}
+
+TEST_CASE("targets follow the demand, but not further than half way")
+{
+    assembly_bench bench;
+    assembly_settings settings;
+    settings.loss_allowance = 0;
+    const auto targets = [&](const std::map<std::string, double>& demand) {
+        return domain_packing(model_shares(bench.profile, demand, settings), equal_domains(6, 10),
+                              settings.spare_share)
+            .targets();
+    };
+    CHECK(targets({}) == counts{{"large", 6}, {"small", 12}});
+    CHECK(targets({{"small", 5000}}) == counts{{"large", 3}, {"small", 18}});
+}
+
+TEST_CASE(
+    "a model whose replicas have more VMs gets more of them, since it loses replicas more often")
+{
+    assembly_bench bench;
+    assembly_settings settings;
+    const auto targets = [&](std::uint32_t domains, std::uint32_t vms) {
+        return domain_packing(model_shares(bench.profile, {}, settings),
+                              equal_domains(domains, vms), settings.spare_share)
+            .targets();
+    };
+    // 48 VMs in replicas; shares of 0.5 x 1.2 and 0.5 x 1.1.
+    CHECK(targets(6, 10) == counts{{"large", 6}, {"small", 12}});
+    bench.profile.models[0].replica_size = 8; // 144 VMs; 0.5 x 1.4 and 0.5 x 1.1.
+    CHECK(targets(9, 18) == counts{{"large", 10}, {"small", 32}});
+    settings.loss_allowance = 0;
+    CHECK(targets(9, 18) == counts{{"large", 9}, {"small", 36}});
+}
