Repair replicas from warm spares, sooner, and from replicas of a better served model

Once a domain's spares were used up, five of six VMs of a large replica stood still for good while the small model had more replicas than callers. Change: spares join a replica of their own that never opens, so the model is on their accelerators (0.2 s instead of 1.6 s); their hosts, and those of members, then hold another model, loaded before the first call or with at most half of what the weight store carries; a node remembers the accelerators' model, which entries name only for members. Members are probed after 450 ms, each until it answers, a second time after 200 ms. Plans are made at once after orders, appends and changes of the list. A replica gives way where its VMs complete one of a model further below its target.

--- a/src/assembly/assembler.cpp
+++ b/src/assembly/assembler.cpp
@@ -19,13 +19,14 @@
 
 const event_log assembly_log("assembly");
 
-constexpr duration plan_interval = 100ms; // A tenth of a heartbeat.
-constexpr duration settle_time = 700ms;   // After taking the lead, until its list and peers are
-                                          // known; two gossip rounds and one read of the list.
-constexpr double load_rate_use = 0.75;    // Of the ceiling; the rest is for a node that acts twice.
-constexpr double load_burst_s = 1;        // Seconds of loads that may start at once.
-constexpr duration told_load_time = 40s;  // Loads that are older have ended.
-constexpr duration memory_time = 60s;     // Longer than an order can be in flight.
+constexpr duration plan_interval = 100ms;      // A tenth of a heartbeat.
+constexpr duration least_plan_interval = 25ms; // A plan for a thousand VMs takes a few ms.
+constexpr duration settle_time = 700ms;  // After taking the lead, until its list and peers are
+                                         // known; two gossip rounds and one read of the list.
+constexpr double load_rate_use = 0.75;   // Of the ceiling; the rest is for a node that acts twice.
+constexpr double load_burst_s = 1;       // Seconds of loads that may start at once.
+constexpr duration told_load_time = 40s; // Loads that are older have ended.
+constexpr duration memory_time = 60s;    // Longer than an order can be in flight.
 
 std::string demand_text(const std::map<std::string, double>& demand)
 {
@@ -43,10 +44,21 @@
                      const replica_board& board, assembler_hooks hooks, assembly_settings settings)
     : executor_(std::move(executor)), log_(std::move(log)), engines_(std::move(engines)),
       ledger_(ledger), backends_(backends), board_(board), hooks_(std::move(hooks)),
-      settings_(settings)
+      settings_(settings), next_plan_(executor_)
 {
 }
 
+void assembler::plan_soon()
+{
+    if (!led_) {
+        return;
+    }
+    const time_point soonest = planned_at_ + least_plan_interval;
+    if (next_plan_.expiry() > soonest) {
+        next_plan_.expires_at(soonest); // Wakes the task, which waits for the rest.
+    }
+}
+
 void assembler::refill_loads(const engine_profile& profile)
 {
     const time_point now = monotonic_clock::now();
@@ -128,6 +140,7 @@
                         {"outcome", appended ? "done" : appended.last_reason().reason}});
     if (appended) {
         hooks_.take_records(written);
+        plan_soon();
         co_return;
     }
     co_await hooks_.refresh_ledger();
@@ -151,6 +164,7 @@
                                  {"model", sent.model},
                                  {"loads", order.loads_weights ? "yes" : "no"},
                                  {"outcome", to_text(outcome)}});
+    plan_soon();
 }
 
 asio::awaitable<void> assembler::probe(backend vm)
@@ -163,6 +177,9 @@
                                  {"outcome", outcome == probe_outcome::answered ? "answered"
                                              : outcome == probe_outcome::silent ? "silent"
                                                                                 : "refused"}});
+    if (outcome != probe_outcome::answered) {
+        plan_soon();
+    }
 }
 
 asio::awaitable<void> assembler::act(const std::string& service, const engine_profile& profile)
@@ -208,11 +225,20 @@
     }
 }
 
+asio::awaitable<void> assembler::wait_for_plan()
+{
+    next_plan_.expires_at(planned_at_ + plan_interval);
+    while (monotonic_clock::now() < next_plan_.expiry()) {
+        co_await next_plan_.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    planned_at_ = monotonic_clock::now();
+}
+
 asio::awaitable<void> assembler::run()
 {
     const auto self = shared_from_this();
     while (true) {
-        co_await sleep_for(plan_interval);
+        co_await wait_for_plan();
         remember_backends();
         const bool leads = hooks_.leads();
         const time_point now = monotonic_clock::now();
--- a/src/assembly/assembler.h
+++ b/src/assembly/assembler.h
@@ -50,6 +50,9 @@
     /** Plans and acts until the process ends. */
     boost::asio::awaitable<void> run();
 
+    /** Plans sooner than usual, since something that a plan may wait for has changed. */
+    void plan_soon();
+
     /** True while this node acts. */
     bool leading() const { return led_; }
 
@@ -64,6 +67,7 @@
     boost::asio::awaitable<void> append(std::vector<keyed_record> records);
     boost::asio::awaitable<void> send(backend vm, planned_order order);
     boost::asio::awaitable<void> probe(backend vm);
+    boost::asio::awaitable<void> wait_for_plan();
     void refill_loads(const engine_profile& profile);
     void note_lost_heads();
     void remember_backends();
@@ -78,7 +82,9 @@
     assembly_settings settings_;
     assembly_memory memory_;
     std::map<std::string, backend> last_seen_; // Also of VMs that vanished.
-    double loads_ = 0;                         // That may start now.
+    timer next_plan_;
+    time_point planned_at_{};
+    double loads_ = 0; // That may start now.
     time_point loads_refilled_at_{};
     time_point led_since_{};
     bool led_ = false;
--- a/src/assembly/assembly_memory.cpp
+++ b/src/assembly/assembly_memory.cpp
@@ -39,15 +39,12 @@
 
 void assembly_memory::note_probe_sent(const std::string& vm, time_point now)
 {
-    probe_memory& probe = probes_[vm];
-    probe.last_at = now;
-    probe.under_way = true;
+    probes_[vm].last_at = now;
 }
 
 void assembly_memory::note_probe(const std::string& vm, probe_outcome outcome, time_point now)
 {
     probe_memory& probe = probes_[vm];
-    probe.under_way = false;
     if (outcome == probe_outcome::answered) {
         probe.answered_at = now;
         probe.failures = 0;
--- a/src/assembly/assembly_memory.h
+++ b/src/assembly/assembly_memory.h
@@ -27,7 +27,6 @@
 
 struct probe_memory {
     time_point last_at{};
-    bool under_way = false;
     std::uint32_t failures = 0; // In a row.
     time_point first_failure_at{};
     bool refused = false; // The last attempt to connect was refused: no process listens.
--- a/src/assembly/assembly_plan.cpp
+++ b/src/assembly/assembly_plan.cpp
@@ -67,6 +67,7 @@
         }
         if (in_.list_is_current) {
             form_replicas();
+            give_way_to_needier();
             load_models();
         }
         return std::move(plan_);
@@ -102,8 +103,10 @@
     void probe(const std::string& vm)
     {
         const probe_memory* before = in_.memory->probe_of(vm);
-        const bool due = before == nullptr || (!before->under_way && in_.now - before->last_at >=
-                                                                         settings_.probe_interval);
+        const bool trusted = before != nullptr && before->failures == 0 &&
+                             in_.now - before->answered_at < settings_.probe_trust;
+        const bool due = !trusted && (before == nullptr ||
+                                      in_.now - before->last_at >= settings_.probe_interval);
         if (due && in_.backends->find(vm) != nullptr) {
             plan_.probes.push_back(vm);
         }
@@ -133,6 +136,9 @@
         changed.set_reason(reason);
         changed.set_abort_calls(abort_calls);
         plan_.records.push_back(to_record(entry.first, changed));
+        if (phase == schema::shared_phase_retiring) {
+            given_up_.insert(entry.first);
+        }
     }
 
     void drop(const ledger_entry& entry)
@@ -189,9 +195,7 @@
             const listed_backend* listed = present(member);
             const replica_membership* joined = membership_in(listed, entry);
             if (joined == nullptr) {
-                const auto& staged = listed->self.staged_models;
-                const bool loads =
-                    std::find(staged.begin(), staged.end(), entry.second.model()) == staged.end();
+                const bool loads = !holds(listed->self, entry.second.model());
                 send(member.id(), make_order(order_kind::join, entry), loads);
                 continue;
             }
@@ -397,6 +401,7 @@
         *formed.mutable_members() = {members.begin(), members.end()};
         plan_.records.push_back(to_record(replica_name(offset), formed));
         formed_.insert(formed_.end(), members.begin(), members.end());
+        ++counts_[model.name];
     }
 
     void form_replicas()
@@ -404,6 +409,7 @@
         member_pool pool(in_);
         const domain_packing packed = packing(pool);
         targets_ = packed.targets();
+        counts_ = counts_by_model();
         if (in_.loads_are_free) {
             for (const placement& placed : packed.missing()) {
                 const model_profile& model = *in_.profile->find(placed.model);
@@ -414,7 +420,6 @@
             }
             return;
         }
-        auto counts = counts_by_model();
         std::set<std::string> unplaceable;
         while (true) {
             const model_profile* neediest = nullptr;
@@ -423,10 +428,8 @@
                 if (unplaceable.contains(model.name)) {
                     continue;
                 }
-                const double filled =
-                    static_cast<double>(counts[model.name]) / targets_.at(model.name);
-                if (filled < lowest) {
-                    lowest = filled;
+                if (filled(model.name) < lowest) {
+                    lowest = filled(model.name);
                     neediest = &model;
                 }
             }
@@ -439,7 +442,108 @@
                 continue;
             }
             form(*neediest, members);
-            ++counts[neediest->name];
+        }
+    }
+
+    /** \return the part of the replicas wanted that form or serve. */
+    double filled(const std::string& model) const
+    {
+        const auto have = counts_.find(model);
+        return (have == counts_.end() ? 0.0 : have->second) / targets_.at(model);
+    }
+
+    /** \return how many VMs of each domain hold each model and are free, or will be when a
+     * replica has given way.
+     */
+    std::map<std::string, std::map<std::string, std::uint32_t>> available() const
+    {
+        std::map<std::string, std::map<std::string, std::uint32_t>> counts;
+        const auto add = [&](const backend& vm) {
+            for (const model_profile& model : in_.profile->models) {
+                counts[vm.fabric_domain][model.name] += holds(vm, model.name) ? 1 : 0;
+            }
+        };
+        const member_pool pool(in_);
+        for (const auto& [domain, vms] : pool.free_by_domain()) {
+            for (const backend* vm : vms) {
+                if (!is_taken(vm->id)) {
+                    add(*vm);
+                }
+            }
+        }
+        for (const auto& [name, replica] : in_.ledger->replicas()) {
+            const bool gives_way =
+                replica.service() == in_.service && (!stays(replica) || given_up_.contains(name));
+            for (int i = 0; gives_way && i < replica.members_size(); ++i) {
+                const listed_backend* listed = present(replica.members(i));
+                if (listed != nullptr && !listed->self.leaving) {
+                    add(listed->self);
+                }
+            }
+        }
+        return counts;
+    }
+
+    bool is_taken(const std::string& vm) const
+    {
+        return std::any_of(
+            formed_.begin(), formed_.end(),
+            [&vm](const schema::shared_member& member) { return member.id() == vm; });
+    }
+
+    /** Retires a replica whose VMs complete one of a model that is further below its target, which
+     * would otherwise strand what is left of its own. One at a time.
+     */
+    void give_way_to_needier()
+    {
+        if (in_.loads_are_free) {
+            return;
+        }
+        const auto holding = available();
+        const model_profile* needy = nullptr;
+        double needy_filled = 1;
+        for (const model_profile& model : in_.profile->models) {
+            std::uint32_t soon = 0; // Replicas that form without any to give way.
+            for (const auto& [domain, counts] : holding) {
+                soon += counts.at(model.name) / model.replica_size;
+            }
+            const double part = filled(model.name) + 1.0 * soon / targets_.at(model.name);
+            if (part < needy_filled) {
+                needy = &model;
+                needy_filled = part;
+            }
+        }
+        if (needy == nullptr) {
+            return;
+        }
+        const ledger_entry* best = nullptr;
+        std::uint32_t best_held = 0;
+        for (const ledger_entry& entry : in_.ledger->replicas()) {
+            const schema::shared_replica& replica = entry.second;
+            const bool may_go = replica.service() == in_.service &&
+                                replica.phase() == schema::shared_phase_serving &&
+                                replica.model() != needy->name && stays(replica) &&
+                                !given_up_.contains(entry.first);
+            if (!may_go ||
+                filled(replica.model()) - 1.0 / targets_.at(replica.model()) <= needy_filled) {
+                continue;
+            }
+            std::uint32_t members = 0;
+            for (const schema::shared_member& member : replica.members()) {
+                const listed_backend* listed = present(member);
+                members += listed != nullptr && holds(listed->self, needy->name) ? 1 : 0;
+            }
+            const auto domain =
+                holding.find(in_.backends->find(replica.members(0).id())->self.fabric_domain);
+            const std::uint32_t held = domain == holding.end() ? 0 : domain->second.at(needy->name);
+            if (held + members >= needy->replica_size && held > best_held) {
+                best = &entry;
+                best_held = held;
+            }
+        }
+        if (best != nullptr) {
+            record(*best, schema::shared_phase_retiring,
+                   "its VMs complete a replica of model " + needy->name);
         }
     }
 
@@ -448,13 +552,42 @@
      */
     void load_models()
     {
-        load_planner loads(in_, formed_, counts_by_model(), targets_);
+        load_planner loads(in_, formed_, counts_, targets_);
         plan_.free_vms = loads.describe();
+        std::set<std::string> loading;
         for (const planned_load& load : loads.choose(loads_left_)) {
             replica_order order;
             order.kind = order_kind::stage;
             order.model = load.model;
             send(load.vm, order, true);
+            loading.insert(load.vm);
+        }
+        warm_spares(loads, loading);
+    }
+
+    /** Lets spares join a replica of their own, which never opens, so that the model gets on their
+     * accelerators: they take the place of a lost member sooner, and their hosts can hold another
+     * model.
+     */
+    void warm_spares(const load_planner& loads, const std::set<std::string>& loading)
+    {
+        const member_pool pool(in_);
+        for (const auto& [domain, vms] : pool.free_by_domain()) {
+            for (const backend* vm : vms) {
+                const bool busy =
+                    is_taken(vm->id) || loading.contains(vm->id) || loads.loading(*vm) != nullptr;
+                if (busy || !vm->loaded_model.empty() || vm->staged_models.empty()) {
+                    continue;
+                }
+                replica_order order;
+                order.kind = order_kind::join;
+                order.replica = "spare-" + vm->id;
+                // Below any replica that this node does not know of, which then keeps the VM.
+                order.epoch = in_.ledger->end();
+                order.model = vm->staged_models.front();
+                order.members = {vm->id};
+                send(vm->id, order);
+            }
         }
     }
 
@@ -462,6 +595,8 @@
     const assembly_settings& settings_;
     std::uint32_t loads_left_;
     std::map<std::string, std::uint32_t> targets_; // Replicas wanted, by model.
+    std::map<std::string, std::uint32_t> counts_;  // Replicas that form or serve, by model.
+    std::set<std::string> given_up_;               // Replicas that this plan retires.
     std::vector<schema::shared_member> formed_;
     assembly_plan plan_;
 };
--- a/src/assembly/assembly_plan.h
+++ b/src/assembly/assembly_plan.h
@@ -21,15 +21,17 @@
 namespace chervildyke {
 
 struct assembly_settings {
-    duration order_retry = 600ms;  // A lost order is sent again; an answer takes a few ms.
-    duration stall_probe = 700ms;  // Silence of a replica with calls, after which members are
-                                   // probed; ten times the longest usual gap between events.
-    duration stall_limit = 2500ms; // Silence after which a replica is given up although its
-                                   // members answer: the fabric between them is cut.
-    duration probe_interval = 400ms;
-    std::uint32_t probe_failures = 2;     // In a row, after which a VM counts as lost.
-    duration forming_limit = 40s;         // Longer than any load that is under way.
-    duration idle_close_limit = 8s;       // The longest call; then the rest is broken off.
+    duration order_retry = 600ms;     // A lost order is sent again; an answer takes a few ms.
+    duration stall_probe = 450ms;     // Silence of a replica with calls, after which members are
+                                      // probed; five times the longest usual gap between events.
+    duration stall_limit = 2500ms;    // Silence after which a replica is given up although its
+                                      // members answer: the fabric between them is cut.
+    duration probe_interval = 200ms;  // Of one VM; less than an answer may take, so that two lost
+                                      // datagrams are told from a lost VM sooner.
+    duration probe_trust = 1s;        // A VM that answered is not probed again for so long.
+    std::uint32_t probe_failures = 2; // In a row, after which a VM counts as lost.
+    duration forming_limit = 40s;     // Longer than any load that is under way.
+    duration idle_close_limit = 8s;   // The longest call; then the rest is broken off.
     duration leaving_member_use = 6500ms; // A member that leaves stays for 10 s while its head has
                                           // calls; the longest of them must end by then.
     duration lost_head_wait = 4s;       // From a head's lapse until its VMs may be used again, when
--- a/src/assembly/load_planner.cpp
+++ b/src/assembly/load_planner.cpp
@@ -26,6 +26,7 @@
     : in_(input), counts_(std::move(counts)), targets_(std::move(targets))
 {
     read_domains(taken);
+    read_members();
 }
 
 bool load_planner::lacks_all(const model_profile& model) const
@@ -42,18 +43,19 @@
     });
 }
 
-bool load_planner::is_loading(const backend& vm, const sent_order& sent,
-                              const model_profile& model) const
+const model_profile* load_planner::loading(const backend& vm) const
 {
-    const duration age = in_.now - sent.at;
-    const bool never_began =
-        sent.outcome == order_outcome::no_contact || sent.outcome == order_outcome::other_vm;
-    if (has_staged(vm, model.name) || never_began) {
-        return false;
+    const sent_order* sent = in_.memory->find(vm.id, order_kind::stage, 0);
+    const model_profile* model = sent != nullptr ? in_.profile->find(sent->model) : nullptr;
+    if (model == nullptr || has_staged(vm, model->name)) {
+        return nullptr;
     }
+    const bool never_began =
+        sent->outcome == order_outcome::no_contact || sent->outcome == order_outcome::other_vm;
     // A VM that refuses is busy with another load, of which this node does not know.
-    const bool refused = sent.outcome == order_outcome::refused;
-    return age < (refused ? refused_load_pause : longest_load_factor * model.load_time);
+    const bool refused = sent->outcome == order_outcome::refused;
+    const duration limit = refused ? refused_load_pause : longest_load_factor * model->load_time;
+    return !never_began && in_.now - sent->at < limit ? model : nullptr;
 }
 
 std::size_t load_planner::spare_holders(const domain_state& domain, const std::string& held,
@@ -90,14 +92,22 @@
 
 std::string load_planner::take(domain_state& domain, const model_profile& wanted) const
 {
-    if (!domain.empty.empty()) {
-        std::string vm = domain.empty.back();
-        domain.empty.pop_back();
+    // First one that holds nothing yet.
+    std::stable_sort(domain.open.begin(), domain.open.end(),
+                     [](const backend* a, const backend* b) {
+                         return a->loaded_model.empty() && !b->loaded_model.empty();
+                     });
+    const auto open = std::find_if(domain.open.begin(), domain.open.end(), [&](const backend* vm) {
+        return vm->loaded_model != wanted.name;
+    });
+    if (open != domain.open.end()) {
+        std::string vm = (*open)->id;
+        domain.open.erase(open);
         return vm;
     }
     for (auto& [held, vms] : domain.holders) {
         if (spare_holders(domain, held, wanted) > 0) {
-            std::string vm = vms.back();
+            std::string vm = vms.back()->id;
             vms.pop_back();
             --domain.holding[held];
             return vm;
@@ -128,6 +138,24 @@
     }
 }
 
+void load_planner::read_members()
+{
+    for (const auto& [id, listed] : in_.backends->all()) {
+        const backend& vm = listed.self;
+        const bool serves = vm.service == in_.service && !vm.leaving &&
+                            in_.ledger->holder_of(id).has_value() && !vm.loaded_model.empty();
+        if (!serves) {
+            continue;
+        }
+        if (loading(vm) != nullptr) {
+            ++running_;
+        }
+        else if (has_open_host(vm)) {
+            domains_[vm.fabric_domain].members.push_back(&vm);
+        }
+    }
+}
+
 void load_planner::read_domains(const std::vector<schema::shared_member>& taken)
 {
     std::set<std::string> gone;
@@ -145,18 +173,19 @@
             if (gone.contains(vm->id)) {
                 continue;
             }
-            const sent_order* sent = in_.memory->find(vm->id, order_kind::stage, 0);
-            const model_profile* model = sent ? in_.profile->find(sent->model) : nullptr;
-            if (model != nullptr && is_loading(*vm, *sent, *model)) {
+            if (!vm->loaded_model.empty()) {
+                ++domain.holding[vm->loaded_model];
+            }
+            if (const model_profile* model = loading(*vm)) {
                 ++domain.holding[model->name];
                 ++running_;
             }
-            else if (vm->staged_models.empty()) {
-                domain.empty.push_back(vm->id);
+            else if (has_open_host(*vm)) {
+                domain.open.push_back(vm);
             }
             else {
                 ++domain.holding[vm->staged_models.front()];
-                domain.holders[vm->staged_models.front()].push_back(vm->id);
+                domain.holders[vm->staged_models.front()].push_back(vm);
             }
         }
     }
@@ -205,7 +234,10 @@
             const std::uint32_t loads =
                 model.replica_size - domain.holding[model.name] % model.replica_size;
             // VMs that are too few for a replica of the model that they hold serve nobody.
-            const std::size_t usable = domain.empty.size() + leftover(domain, model);
+            const auto open = static_cast<std::size_t>(
+                std::count_if(domain.open.begin(), domain.open.end(),
+                              [&](const backend* vm) { return vm->loaded_model != model.name; }));
+            const std::size_t usable = open + leftover(domain, model);
             if (loads > usable) {
                 continue;
             }
@@ -224,10 +256,13 @@
 {
     option best;
     for (auto& [name, domain] : domains_) {
-        if (domain.empty.empty()) {
-            continue;
-        }
         for (const model_profile& model : in_.profile->models) {
+            const bool useful =
+                std::any_of(domain.open.begin(), domain.open.end(),
+                            [&](const backend* vm) { return vm->loaded_model != model.name; });
+            if (!useful) {
+                continue;
+            }
             // A spare saves the whole replica that lost a member; the more VMs of its model serve
             // in the domain, the sooner it is wanted.
             const auto vms = static_cast<double>(1 + domain.serving[model.name]);
@@ -246,7 +281,7 @@
 {
     std::string text = "loading:" + std::to_string(running_);
     for (const auto& [name, domain] : domains_) {
-        text += " " + name + ":empty:" + std::to_string(domain.empty.size());
+        text += " " + name + ":open:" + std::to_string(domain.open.size());
         for (const auto& [model, count] : domain.holding) {
             text += "," + model + ":" + std::to_string(count);
         }
@@ -276,7 +311,39 @@
         }
         counts_[chosen.model->name] += completes ? 1 : 0;
     }
+    if (!in_.loads_are_free) {
+        const std::size_t spared = in_.profile->loads_at_once / 2;
+        add_second_models(loads, std::min(most, spared - std::min<std::size_t>(spared, running_)));
+    }
+    else if (!any_forming()) {
+        add_second_models(loads, most);
+    }
     return loads;
 }
 
+bool load_planner::any_forming() const
+{
+    return std::any_of(
+        in_.ledger->replicas().begin(), in_.ledger->replicas().end(),
+        [](const auto& entry) { return entry.second.phase() == schema::shared_phase_forming; });
+}
+
+void load_planner::add_second_models(std::vector<planned_load>& loads, std::size_t most)
+{
+    for (auto& [name, domain] : domains_) {
+        for (const backend* vm : domain.members) {
+            const model_profile* best = nullptr;
+            for (const model_profile& model : in_.profile->models) {
+                const bool other = model.name != vm->loaded_model;
+                if (other && (best == nullptr || need_of(model) > need_of(*best))) {
+                    best = &model;
+                }
+            }
+            if (best != nullptr && loads.size() < most) {
+                loads.push_back({vm->id, best->name});
+            }
+        }
+    }
+}
+
 } // namespace chervildyke
--- a/src/assembly/load_planner.h
+++ b/src/assembly/load_planner.h
@@ -39,13 +39,17 @@
     /** \param allowance how many loads may start. */
     std::vector<planned_load> choose(std::uint32_t allowance);
 
+    /** \return the model that the VM loads into its host's memory now, or null. */
+    const model_profile* loading(const backend& vm) const;
+
   private:
     /** The free VMs of one fabric domain. */
     struct domain_state {
         std::map<std::string, std::uint32_t> holding; // By model, those that load it included.
-        std::map<std::string, std::vector<std::string>> holders; // By model, without loading ones.
-        std::vector<std::string> empty;
-        std::map<std::string, std::size_t> serving; // VMs in replicas, by model.
+        std::vector<const backend*> open;             // Whose hosts lose nothing by a load.
+        std::map<std::string, std::vector<const backend*>> holders; // Others, by the host's model.
+        std::map<std::string, std::size_t> serving;                 // VMs in replicas, by model.
+        std::vector<const backend*> members;                        // In replicas, with open hosts.
 
         /** True when some VM serves or holds the model. */
         bool knows(const std::string& model) const;
@@ -57,10 +61,10 @@
         double value = 0;
     };
 
-    bool is_loading(const backend& vm, const sent_order& sent, const model_profile& model) const;
     /** Counts the VMs that replicas about to give way will leave behind. */
     void count_coming();
     void read_domains(const std::vector<schema::shared_member>& taken);
+    void read_members();
 
     /** True when no replica serves the model and free VMs can form none. */
     bool lacks_all(const model_profile& model) const;
@@ -83,6 +87,11 @@
     bool known_somewhere(const model_profile& model) const;
     option best_completion();
     option best_spare();
+
+    bool any_forming() const;
+
+    /** Loads other models beside those that serve, with what is left of the weight store. */
+    void add_second_models(std::vector<planned_load>& loads, std::size_t most);
     double need_of(const model_profile& model) const;
     double kinship(const domain_state& domain, const model_profile& model) const;
 
--- a/src/assembly/member_selection.cpp
+++ b/src/assembly/member_selection.cpp
@@ -15,6 +15,17 @@
            vm.staged_models.end();
 }
 
+bool holds(const backend& vm, const std::string& model)
+{
+    return vm.loaded_model == model || has_staged(vm, model);
+}
+
+bool has_open_host(const backend& vm)
+{
+    return std::all_of(vm.staged_models.begin(), vm.staged_models.end(),
+                       [&vm](const std::string& staged) { return staged == vm.loaded_model; });
+}
+
 namespace {
 
 /** A head that no replica of the ledger names may still take calls after a late order. */
@@ -85,10 +96,8 @@
         if (vms.size() < model.replica_size) {
             continue;
         }
-        const auto staged =
-            static_cast<std::size_t>(std::count_if(vms.begin(), vms.end(), [&](const backend* vm) {
-                return has_staged(*vm, model.name);
-            }));
+        const auto staged = static_cast<std::size_t>(std::count_if(
+            vms.begin(), vms.end(), [&](const backend* vm) { return holds(*vm, model.name); }));
         if (only_staged && staged < model.replica_size) {
             continue;
         }
@@ -122,10 +131,14 @@
                                                           std::vector<const backend*>& vms,
                                                           const model_profile& model)
 {
-    // Those with the model first, then those whose host holds nothing that would be lost.
+    // Those with the model on their accelerators first, then in their host's memory, then those
+    // whose host holds nothing that would be lost.
     std::stable_sort(vms.begin(), vms.end(), [&](const backend* a, const backend* b) {
         const auto rank = [&](const backend& vm) {
-            return has_staged(vm, model.name) ? 0 : vm.staged_models.empty() ? 1 : 2;
+            if (vm.loaded_model == model.name) {
+                return 0;
+            }
+            return has_staged(vm, model.name) ? 1 : has_open_host(vm) ? 2 : 3;
         };
         return rank(*a) < rank(*b);
     });
--- a/src/assembly/member_selection.h
+++ b/src/assembly/member_selection.h
@@ -20,6 +20,14 @@
 /** True when the VM's host holds the model. */
 bool has_staged(const backend& vm, const std::string& model);
 
+/** True when the VM can join a replica of the model without a load from the weight store. */
+bool holds(const backend& vm, const std::string& model);
+
+/** True when the VM's host can load another model without losing one: it holds none, or the one
+ * that is on the accelerators as well.
+ */
+bool has_open_host(const backend& vm);
+
 /** The VMs that no replica holds, by fabric domain. */
 class member_pool {
   public:
--- a/src/fleet/backend_table.cpp
+++ b/src/fleet/backend_table.cpp
@@ -3,6 +3,8 @@
  */
 #include "fleet/backend_table.h"
 
+#include <utility>
+
 #include <algorithm>
 
 namespace chervildyke {
@@ -17,13 +19,20 @@
 void backend_table::apply(const backend& entry, time_point now)
 {
     listed_backend& listed = backends_[entry.id];
-    if (listed.self != entry || listed.lapses_at) {
+    backend known = listed.self;
+    known.loaded_model = entry.loaded_model;
+    if (known != entry || listed.lapses_at) {
         ++version_;
     }
     const std::optional<time_point> leaving_since =
         listed.leaving_since && listed.self.started_ms == entry.started_ms ? listed.leaving_since
                                                                            : std::optional(now);
+    // An entry names the model of a replica only while its server is a member.
+    const bool same_life = listed.self.started_ms == entry.started_ms;
+    std::string loaded =
+        entry.loaded_model.empty() && same_life ? listed.self.loaded_model : entry.loaded_model;
     listed = {entry, now, std::nullopt, entry.leaving ? leaving_since : std::nullopt};
+    listed.self.loaded_model = std::move(loaded);
 }
 
 void backend_table::remove(const std::string& id, time_point now)
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -241,6 +241,9 @@
 {
     context_.board->set_serving(view_->serving());
     context_.gate->pump();
+    if (assembler_) {
+        assembler_->plan_soon();
+    }
 }
 
 void relay_node::take_word(const schema::peer_word& word)
--- a/test/correctness/assembly_plans.cpp
+++ b/test/correctness/assembly_plans.cpp
@@ -283,10 +283,16 @@
         const bool spare = !bench.ledger.holder_of(id).has_value();
         if (spare) {
             bench.backends.remove(id, bench.now);
+            continue;
         }
+        backend member = listed.self; // Its host holds no second model.
+        member.staged_models = {member.loaded_model};
+        bench.backends.apply(member, bench.now);
     }
     bench.backends.remove(bench.replica(lost).members(3).id(), bench.now);
+    bench.load_allowance = 0;
     bench.steps(6);
+    bench.load_allowance = 1000;
     bench.add_domain("d2-", 10);
     bench.add_domain(domain + "new", 1);
     backend joins = bench.backends.find(domain + "new0")->self;
--- /dev/null
+++ b/test/correctness/assembly_spares.cpp
@@ -0,0 +1,199 @@
+/** \file
+ * Tests that spares and members hold what repairs need before it is needed.
+ */
+#include <algorithm>
+#include <map>
+#include <string>
+
+#include <doctest/doctest.h>
+
+#include "assembly/member_selection.h"
+#include "support/assembly_bench.h"
+
+using namespace chervildyke;
+using test::assembly_bench;
+
+namespace {
+
+/** One domain with a large replica of 6, a small one of 3 and two spares. */
+struct mixed_domain : assembly_bench {
+    mixed_domain()
+    {
+        profile.models[0].replica_size = 6;
+        profile.models[0].share = 0.67;
+        profile.models[1].replica_size = 3;
+        profile.models[1].share = 0.33;
+        add_domain("d0-", 11);
+        steps(8);
+        REQUIRE(serving("large").size() == 1);
+        REQUIRE(serving("small").size() == 1);
+        loads_are_free = false;
+    }
+
+    /** Loses a member that is no head.
+     * \return the loads that were ordered until the replica was formed anew.
+     */
+    int lose_member_of(const std::string& model)
+    {
+        const schema::shared_replica before = replica(serving(model).front());
+        backends.remove(before.members(2).id(), now);
+        int loads = 0;
+        for (int i = 0; i < 8; ++i) {
+            for (const planned_order& order : step().orders) {
+                loads += order.loads_weights && order.order.kind == order_kind::join ? 1 : 0;
+            }
+        }
+        return loads;
+    }
+};
+
+} // namespace
+
+TEST_CASE("lost VMs come one after another: spares of both models replace them without a load")
+{
+    for (const char* first : {"large", "small"}) {
+        mixed_domain bench;
+        bench.load_allowance = 0; // The weight store is busy elsewhere.
+        const std::string second = std::string(first) == "large" ? "small" : "large";
+        CHECK(bench.lose_member_of(first) == 0);
+        CHECK(bench.lose_member_of(second) == 0);
+        CHECK(bench.serving("large").size() == 1);
+        CHECK(bench.serving("small").size() == 1);
+    }
+}
+
+TEST_CASE("spares have a model on their accelerators and another in their hosts")
+{
+    mixed_domain bench;
+    bench.steps(4);
+    for (const auto& [id, listed] : bench.backends.all()) {
+        CAPTURE(id);
+        CHECK_FALSE(listed.self.loaded_model.empty());
+        CHECK(holds(listed.self, "large"));
+        CHECK(holds(listed.self, "small"));
+    }
+}
+
+TEST_CASE("a small replica gives way where its VMs complete a large one that lacks members")
+{
+    assembly_bench bench;
+    bench.profile.models[0].replica_size = 6;
+    bench.profile.models[0].share = 0.67;
+    bench.profile.models[1].replica_size = 3;
+    bench.profile.models[1].share = 0.33;
+    for (const char* domain : {"d0-", "d1-", "d2-", "d3-"}) {
+        bench.add_domain(domain, 11);
+    }
+    bench.steps(8);
+    REQUIRE(bench.serving("large").size() == 4);
+    REQUIRE(bench.serving("small").size() == 4);
+    bench.loads_are_free = false;
+    bench.load_allowance = 0;
+    // A domain loses three members of its large replicas one after another, and has two spares.
+    const std::string domain =
+        bench.replica(bench.serving("large").front()).members(0).id().substr(0, 3);
+    for (int losses = 0; losses < 3; ++losses) {
+        for (const std::string& name : bench.serving("large")) {
+            const schema::shared_replica found = bench.replica(name);
+            if (found.members(0).id().starts_with(domain)) {
+                bench.backends.remove(found.members(2).id(), bench.now);
+                break;
+            }
+        }
+        bench.steps(8);
+    }
+    CHECK(bench.serving("large").size() == 4);
+    CHECK(bench.serving("small").size() == 3);
+    // Nothing gives way back: the small model is no further below its target.
+    bench.steps(10);
+    CHECK(bench.serving("large").size() == 4);
+    CHECK(bench.serving("small").size() == 3);
+}
+
+TEST_CASE("no replica gives way while the needier model can form by itself")
+{
+    assembly_bench bench;
+    for (const char* domain : {"d0-", "d1-", "d2-"}) {
+        bench.add_domain(domain, 10);
+    }
+    bench.steps(8);
+    bench.loads_are_free = false;
+    bench.load_allowance = 0;
+    const schema::shared_replica lost = bench.replica(bench.serving("large").front());
+    bench.backends.remove(lost.members(2).id(), bench.now);
+    const std::size_t small = bench.serving("small").size();
+    for (int i = 0; i < 10; ++i) {
+        bench.step();
+        CHECK(bench.serving("small").size() == small);
+    }
+    CHECK(bench.serving("large").size() == 3);
+}
+
+TEST_CASE("a spare's own replica is older than any that this node does not know of")
+{
+    // A VM that another node's record takes meanwhile refuses the older order.
+    mixed_domain bench;
+    bench.add_domain("d1-", 1);
+    backend spare = bench.backends.find("d1-0")->self;
+    spare.fabric_domain = "d0-";
+    spare.staged_models = {"large"};
+    bench.backends.apply(spare, bench.now);
+    const assembly_plan plan = bench.plan();
+    const auto warmed =
+        std::find_if(plan.orders.begin(), plan.orders.end(), [](const planned_order& order) {
+            return order.vm == "d1-0" && order.order.kind == order_kind::join;
+        });
+    REQUIRE(warmed != plan.orders.end());
+    CHECK(warmed->order.epoch == bench.ledger.end());
+    CHECK(warmed->order.members == std::vector<std::string>{"d1-0"});
+    CHECK_FALSE(warmed->loads_weights);
+}
+
+TEST_CASE("a VM that loads is left alone until the load has ended")
+{
+    // A join would wait for the load, and then replace in the host's memory what it brought.
+    mixed_domain bench;
+    backend empty;
+    empty.id = "new";
+    empty.service = "pool";
+    empty.fabric_domain = "d0-";
+    empty.started_ms = 1;
+    bench.backends.apply(empty, bench.now);
+    bench.deaf = {"new"};
+    bench.step();
+    REQUIRE(bench.memory.find("new", order_kind::stage, 0) != nullptr);
+    empty.staged_models = {"small"}; // Of a load before; another is under way.
+    bench.memory = assembly_memory();
+    replica_order load;
+    load.kind = order_kind::stage;
+    load.model = "large";
+    bench.memory.note_sent("new", load, bench.now);
+    bench.memory.note_outcome("new", load, order_outcome::begun);
+    bench.backends.apply(empty, bench.now);
+    for (const planned_order& order : bench.plan().orders) {
+        CHECK(order.vm != "new");
+    }
+}
+
+TEST_CASE("second models wait while the weight store is busy")
+{
+    mixed_domain bench;
+    for (const auto& [id, listed] : std::map(bench.backends.all())) {
+        backend vm = listed.self; // As after a repair of each.
+        vm.staged_models = {vm.loaded_model};
+        bench.backends.apply(vm, bench.now);
+    }
+    bench.memory = assembly_memory();
+    bench.deaf = {"d0-0", "d0-1", "d0-2", "d0-3", "d0-4", "d0-5",
+                  "d0-6", "d0-7", "d0-8", "d0-9", "d0-10"}; // Loads take long.
+    std::size_t loads = 0;
+    for (int i = 0; i < 4; ++i) {
+        for (const planned_order& order : bench.step().orders) {
+            const sent_order* sent = bench.memory.find(order.vm, order_kind::stage, 0);
+            loads += sent != nullptr && order.loads_weights ? 1 : 0;
+        }
+    }
+    // Two by the spares, and then half of what the store carries at full speed.
+    CHECK(loads <= bench.profile.loads_at_once);
+    CHECK(loads >= bench.profile.loads_at_once / 2);
+}
--- a/test/support/assembly_bench.h
+++ b/test/support/assembly_bench.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "assembly/assembly_plan.h"
+#include "assembly/member_selection.h"
 
 namespace chervildyke::test {
 
@@ -122,10 +123,12 @@
     {
         backend vm = backends.find(order.vm)->self;
         const replica_order& given = order.order;
-        if (given.kind == order_kind::stage || given.kind == order_kind::join) {
+        const bool joins = given.kind == order_kind::join;
+        if (given.kind == order_kind::stage || (joins && !holds(vm, given.model))) {
             vm.staged_models = {given.model};
         }
-        if (given.kind == order_kind::join) {
+        if (joins) {
+            vm.loaded_model = given.model;
             replica_membership membership;
             membership.replica = given.replica;
             membership.epoch = given.epoch;
