Heed what backend servers say of themselves: leaving, and pauses that bind

Cause: nothing read Server-Leaving, and Retry-After of a 503 was not read on the fleet's path: a server that leaves got calls until its entry said so, also while the list could not be read, and one that asked for a pause was called again. Change: routing/backend_notices holds what servers said in this life of theirs (bounded, on the node's own clock); plain calls, streams, answers to orders and probes feed it; replicas and servers that leave or pause take no calls, asked last before a request is written; where all pause, the caller is refused at once and told when the first is back. A value that can't be read changes nothing and is logged; a pause is cut off at 60 s. http_client::call keeps all headers of an answer instead of three. Orders go to VMs that pause: they close and free replicas; probes do not. Spares join once, such loads are forgotten, forming waits until the list has not grown for 400 ms, and room is filled by smaller replicas.

--- a/src/assembly/assembler.cpp
+++ b/src/assembly/assembler.cpp
@@ -21,8 +21,10 @@
 
 constexpr duration plan_interval = 100ms;      // A tenth of a heartbeat.
 constexpr duration least_plan_interval = 25ms; // A plan for a thousand VMs takes a few ms.
-constexpr duration settle_time = 700ms;  // After taking the lead, until its list and peers are
-                                         // known; two gossip rounds and one read of the list.
+constexpr duration settle_time = 700ms;      // After taking the lead, until its list and peers are
+                                             // known; two gossip rounds and one read of the list.
+constexpr duration list_settle_time = 400ms; // Without a new VM; a third of a usual heartbeat.
+constexpr duration longest_list_growth = 3s; // Two heartbeats of each VM.
 constexpr double load_rate_use = 0.75;   // Of the ceiling; the rest is for a node that acts twice.
 constexpr double load_burst_s = 1;       // Seconds of loads that may start at once.
 constexpr duration told_load_time = 40s; // Loads that are older have ended.
@@ -182,10 +184,34 @@
     }
 }
 
+/** True while VMs still appear on the list of a fleet that has just started: how replicas divide a
+ * domain can't be told before its VMs are known.
+ */
+bool assembler::list_grows(const std::string& service)
+{
+    const time_point now = monotonic_clock::now();
+    std::size_t listed = 0;
+    for (const auto& [id, entry] : backends_.all()) {
+        listed += entry.self.service == service ? 1 : 0;
+    }
+    list_growth& growth = growths_[service];
+    if (growth.vms == 0 && listed > 0) {
+        growth.began_at = now;
+    }
+    if (listed > growth.vms) {
+        growth.vms = listed;
+        growth.grew_at = now;
+    }
+    return now - growth.grew_at < list_settle_time && now - growth.began_at < longest_list_growth;
+}
+
 asio::awaitable<void> assembler::act(const std::string& service, const engine_profile& profile)
 {
     const time_point now = monotonic_clock::now();
     const bool rationed = hooks_.calls_began();
+    if (!rationed && list_grows(service)) {
+        co_return;
+    }
     refill_loads(profile);
     assembly_input input;
     input.service = service;
@@ -208,6 +234,9 @@
                                         {"vms", told_free_vms_}});
     }
     for (const std::string& vm : plan.probes) {
+        if (!hooks_.may_probe(last_seen_[vm])) {
+            continue;
+        }
         memory_.note_probe_sent(vm, now);
         spawn_task(executor_, "probe", probe(last_seen_[vm]));
     }
@@ -217,7 +246,7 @@
             continue;
         }
         loads_ -= order.loads_weights && rationed ? 1 : 0;
-        memory_.note_sent(order.vm, order.order, now);
+        memory_.note_sent(order.vm, order.order, now, order.loads_weights);
         spawn_task(executor_, "order", send(target->second, std::move(order)));
     }
     if (!plan.records.empty()) {
--- a/src/assembly/assembler.h
+++ b/src/assembly/assembler.h
@@ -32,6 +32,9 @@
     /** True while the list of backend servers is current. */
     std::function<bool()> list_is_current;
 
+    /** False while the VM has asked this node for a pause. */
+    std::function<bool(const backend&)> may_probe;
+
     std::function<std::map<std::string, double>()> demand_ms_per_s;
 
     /** Reads the topic of replicas once, so that an append meets the log's end. */
@@ -64,6 +67,7 @@
 
   private:
     boost::asio::awaitable<void> act(const std::string& service, const engine_profile& profile);
+    bool list_grows(const std::string& service);
     boost::asio::awaitable<void> append(std::vector<keyed_record> records);
     boost::asio::awaitable<void> send(backend vm, planned_order order);
     boost::asio::awaitable<void> probe(backend vm);
@@ -82,6 +86,13 @@
     assembly_settings settings_;
     assembly_memory memory_;
     std::map<std::string, backend> last_seen_; // Also of VMs that vanished.
+    /** The VMs of a service, as the list has shown them so far. */
+    struct list_growth {
+        std::size_t vms = 0; // Listed at once at most.
+        time_point began_at{};
+        time_point grew_at{};
+    };
+    std::map<std::string, list_growth> growths_; // By service.
     timer next_plan_;
     time_point planned_at_{};
     double loads_ = 0; // That may start now.
--- a/src/assembly/assembly_memory.cpp
+++ b/src/assembly/assembly_memory.cpp
@@ -5,8 +5,12 @@
 
 namespace chervildyke {
 
-void assembly_memory::note_sent(const std::string& vm, const replica_order& order, time_point now)
+void assembly_memory::note_sent(const std::string& vm, const replica_order& order, time_point now,
+                                bool loads_weights)
 {
+    if (order.kind == order_kind::join && loads_weights) {
+        orders_.erase({vm, order_kind::stage, 0});
+    }
     orders_[{vm, order.kind, order.epoch}] = {now, order.model, std::nullopt};
 }
 
@@ -26,6 +30,19 @@
     return found == orders_.end() ? nullptr : &found->second;
 }
 
+bool assembly_memory::sent_since(const std::string& vm, order_kind kind, time_point time) const
+{
+    for (auto sent = orders_.lower_bound({vm, kind, 0});
+         sent != orders_.end() && std::get<0>(sent->first) == vm &&
+         std::get<order_kind>(sent->first) == kind;
+         ++sent) {
+        if (sent->second.at >= time) {
+            return true;
+        }
+    }
+    return false;
+}
+
 std::vector<std::pair<std::string, sent_order>> assembly_memory::loads_since(time_point time) const
 {
     std::vector<std::pair<std::string, sent_order>> loads;
--- a/src/assembly/assembly_memory.h
+++ b/src/assembly/assembly_memory.h
@@ -46,10 +46,17 @@
 
 class assembly_memory {
   public:
-    void note_sent(const std::string& vm, const replica_order& order, time_point now);
+    /** \param loads_weights for a join: the VM's host loads the model first, in place of what an
+     * earlier order let it load.
+     */
+    void note_sent(const std::string& vm, const replica_order& order, time_point now,
+                   bool loads_weights = false);
     void note_outcome(const std::string& vm, const replica_order& order, order_outcome outcome);
     const sent_order* find(const std::string& vm, order_kind kind, std::uint64_t epoch) const;
 
+    /** True when an order of the kind went to the VM since the time given, for any replica. */
+    bool sent_since(const std::string& vm, order_kind kind, time_point time) const;
+
     /** The loads ordered since the time given. */
     std::vector<std::pair<std::string, sent_order>> loads_since(time_point time) const;
 
--- a/src/assembly/assembly_plan.cpp
+++ b/src/assembly/assembly_plan.cpp
@@ -576,7 +576,10 @@
             for (const backend* vm : vms) {
                 const bool busy =
                     is_taken(vm->id) || loading.contains(vm->id) || loads.loading(*vm) != nullptr;
-                if (busy || !vm->loaded_model.empty() || vm->staged_models.empty()) {
+                // A join that is repeated begins anew.
+                const bool joins = in_.memory->sent_since(vm->id, order_kind::join,
+                                                          in_.now - settings_.spare_join_limit);
+                if (busy || joins || !vm->loaded_model.empty() || vm->staged_models.empty()) {
                     continue;
                 }
                 replica_order order;
--- a/src/assembly/assembly_plan.h
+++ b/src/assembly/assembly_plan.h
@@ -31,6 +31,7 @@
     duration probe_trust = 1s;        // A VM that answered is not probed again for so long.
     std::uint32_t probe_failures = 2; // In a row, after which a VM counts as lost.
     duration forming_limit = 40s;     // Longer than any load that is under way.
+    duration spare_join_limit = 5s;   // Twice the time from a host's memory to its accelerators.
     duration idle_close_limit = 8s;   // The longest call; then the rest is broken off.
     duration leaving_member_use = 6500ms; // A member that leaves stays for 10 s while its head has
                                           // calls; the longest of them must end by then.
--- a/src/assembly/load_planner.cpp
+++ b/src/assembly/load_planner.cpp
@@ -294,8 +294,8 @@
     std::vector<planned_load> loads;
     const std::uint32_t places =
         in_.profile->loads_at_once > running_ ? in_.profile->loads_at_once - running_ : 0;
-    const std::size_t most = in_.loads_are_free ? domains_.size() * in_.backends->all().size()
-                                                : std::min(allowance, places);
+    const std::size_t most =
+        in_.loads_are_free ? loads_before_calls() : std::min(allowance, places);
     while (loads.size() < most) {
         option chosen = best_completion();
         const bool completes = chosen.domain != nullptr;
@@ -311,16 +311,29 @@
         }
         counts_[chosen.model->name] += completes ? 1 : 0;
     }
-    if (!in_.loads_are_free) {
-        const std::size_t spared = in_.profile->loads_at_once / 2;
-        add_second_models(loads, std::min(most, spared - std::min<std::size_t>(spared, running_)));
-    }
-    else if (!any_forming()) {
-        add_second_models(loads, most);
+    if (!in_.loads_are_free || !any_forming()) {
+        add_second_models(loads, std::min(most, spared_loads()));
     }
     return loads;
 }
 
+std::size_t load_planner::spared_loads() const
+{
+    const std::uint32_t half = in_.profile->loads_at_once / 2;
+    return half - std::min(half, running_);
+}
+
+std::size_t load_planner::loads_before_calls() const
+{
+    std::size_t empty = 0;
+    for (const auto& [name, domain] : domains_) {
+        empty += static_cast<std::size_t>(
+            std::count_if(domain.open.begin(), domain.open.end(),
+                          [](const backend* vm) { return vm->loaded_model.empty(); }));
+    }
+    return empty + spared_loads();
+}
+
 bool load_planner::any_forming() const
 {
     return std::any_of(
--- a/src/assembly/load_planner.h
+++ b/src/assembly/load_planner.h
@@ -90,6 +90,14 @@
 
     bool any_forming() const;
 
+    /** \return how many loads may start that nothing waits for. */
+    std::size_t spared_loads() const;
+
+    /** Loads that still run when calls begin are slow from then on and slow down those that repair.
+     * \return how many may start before.
+     */
+    std::size_t loads_before_calls() const;
+
     /** Loads other models beside those that serve, with what is left of the weight store. */
     void add_second_models(std::vector<planned_load>& loads, std::size_t most);
     double need_of(const model_profile& model) const;
--- a/src/base/http_client.cpp
+++ b/src/base/http_client.cpp
@@ -405,11 +405,7 @@
     http_reply reply;
     reply.status = answer.status();
     reply.content_type = answer.header("content-type");
-    for (const char* name : {"retry-after", "x-chervil-outcome", "etag"}) {
-        if (std::string value = answer.header(name); !value.empty()) {
-            reply.headers.push_back({name, std::move(value)});
-        }
-    }
+    reply.headers = answer.headers();
     while (true) {
         const duration left = std::max<duration>(end - monotonic_clock::now(), 1ms);
         auto part = co_await answer.read_some(left);
--- a/src/fleet/backend.h
+++ b/src/fleet/backend.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "fleet/backend_life.h"
+
 namespace chervildyke {
 
 /** How far a VM is in the replica that it was last told to join. */
@@ -39,4 +41,9 @@
     bool operator==(const backend&) const = default;
 };
 
+inline backend_life life_of(const backend& server)
+{
+    return {server.id, server.started_ms};
+}
+
 } // namespace chervildyke
--- a/src/relay/call_dialect.h
+++ b/src/relay/call_dialect.h
@@ -11,6 +11,7 @@
 
 #include "base/clock.h"
 #include "base/http_message.h"
+#include "routing/backend_notices.h"
 
 namespace chervildyke {
 
@@ -45,6 +46,8 @@
     bool sealed = false;  // It vouches for the answer.
     std::string call_id;  // Which call it answers; empty: it does not say.
     std::string at_fault; // The backend server that is to blame for a refusal.
+    backend_notice notice;
+    std::string unread_pause; // A pause that it asked for in a form that can't be read.
 
     bool operator==(const answer_marks&) const = default;
 };
--- a/src/relay/call_gate.cpp
+++ b/src/relay/call_gate.cpp
@@ -62,6 +62,7 @@
     gate_answer answer;
     if (found.serving == 0) {
         answer.verdict = gate_verdict::no_replica;
+        answer.paused_until = found.paused_until;
         return answer;
     }
     if (!found.offer) {
--- a/src/relay/call_gate.h
+++ b/src/relay/call_gate.h
@@ -37,6 +37,7 @@
     gate_verdict verdict = gate_verdict::no_replica;
     std::optional<replica_offer> offer;
     std::unique_ptr<replica_board::call> use; // Holds the place at the replica.
+    std::optional<time_point> paused_until;   // All replicas want no calls until then.
     std::string seen; // What the board said of the model's replicas, for the log.
 };
 
--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -394,6 +394,7 @@
         found.service = replica.service();
         found.model = replica.model();
         found.head_id = head.id;
+        found.head_started_ms = head.started_ms;
         found.head_address = head.address;
         found.failure_domain = head.failure_domain;
         replicas.push_back(std::move(found));
--- a/src/relay/plain_relay.cpp
+++ b/src/relay/plain_relay.cpp
@@ -36,17 +36,38 @@
     std::string reason;
 };
 
-std::vector<backend_candidate> candidates_of(const relayed_call& call)
+std::vector<backend_candidate> candidates_of(const relayed_call& call, time_point now)
 {
     std::vector<backend_candidate> candidates;
     for (const auto& [id, listed] : call.context.backends->all()) {
-        if (listed.self.service == call.service && !listed.self.leaving) {
+        const bool usable = listed.self.service == call.service && !listed.self.leaving &&
+                            call.context.notices->may_call(life_of(listed.self), now);
+        if (usable) {
             candidates.push_back({listed.self.address, listed.self.failure_domain});
         }
     }
     return candidates;
 }
 
+/** \return after how long a server may take the call: at once, unless all have asked for a pause.
+ */
+duration come_back_to(const relayed_call& call)
+{
+    const time_point now = monotonic_clock::now();
+    std::optional<time_point> soonest;
+    for (const auto& [id, listed] : call.context.backends->all()) {
+        if (listed.self.service != call.service || listed.self.leaving) {
+            continue;
+        }
+        const backend_standing held = call.context.notices->standing(life_of(listed.self), now);
+        const time_point until = held.paused_until.value_or(now);
+        if (!held.leaving && (!soonest || until < *soonest)) {
+            soonest = until;
+        }
+    }
+    return std::max<duration>(come_back, soonest ? *soonest - now : duration::zero());
+}
+
 const backend* backend_at(const relayed_call& call, const std::string& address)
 {
     for (const auto& [id, listed] : call.context.backends->all()) {
@@ -70,7 +91,7 @@
 {
     const time_point until = monotonic_clock::now() + patience;
     http_request request = call.attempt(target.id, call.terms.last_event);
-    http_call_options options = call.options(patience);
+    http_call_options options = call.options(patience, life_of(target));
     if (call.route->repeat == repeat_rule::never) {
         options.max_idle = max_idle_for_single_runs;
     }
@@ -81,6 +102,7 @@
     http_stream& answer = **opened;
     const std::vector<http_header> headers = answer.headers();
     const answer_marks marks = call.context.dialect.read_marks(answer.status(), headers);
+    call.take_notice(life_of(target), marks);
     byte_budget::share held(call.context.gathered);
     const time_point end_of_answer = std::min<time_point>(call.deadline, until);
     auto body =
@@ -130,14 +152,13 @@
 asio::awaitable<void> relay_plain_call(relayed_call& call)
 {
     std::set<std::string> tried;
-    const std::vector<backend_candidate> candidates = candidates_of(call);
     attempt_end last;
     last.reason = "no backend server of the service can be called";
     call.context.budget_of(call.service).note_call();
     std::optional<attempt_end> kept; // A failure that a backend server answered.
     while (true) {
         const time_point now = monotonic_clock::now();
-        const auto address = call.context.book->choose(candidates, tried, now);
+        const auto address = call.context.book->choose(candidates_of(call, now), tried, now);
         const backend* listed = address ? backend_at(call, *address) : nullptr;
         if (listed == nullptr) {
             break;
@@ -187,7 +208,8 @@
         co_return;
     }
     if (call.end.runs == 0) {
-        co_await refuse(call, 503, last.reason, come_back);
+        const duration wait = come_back_to(call);
+        co_await refuse(call, 503, last.reason, wait);
         co_return;
     }
     const bool too_late = call.time_left() <= settle_margin;
--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -20,6 +20,7 @@
 #include "relay/call_dialect.h"
 #include "relay/call_gate.h"
 #include "routing/backend_book.h"
+#include "routing/backend_notices.h"
 #include "routing/demand_meter.h"
 #include "routing/replica_board.h"
 #include "routing/retry_policy.h"
@@ -46,6 +47,7 @@
     std::shared_ptr<replica_board> board;
     std::shared_ptr<call_gate> gate;
     std::shared_ptr<backend_book> book;
+    std::shared_ptr<backend_notices> notices;
     demand_meter demand;
     const backend_table* backends = nullptr;
     std::map<std::string, retry_budget> budgets; // By service.
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -72,6 +72,13 @@
     });
     context_.board = std::make_shared<replica_board>(random_);
     context_.gate = std::make_shared<call_gate>(executor_, *context_.board);
+    context_.notices = surroundings_.notices;
+    context_.notices->on_change = [this](const backend_life& server, const backend_standing& held) {
+        note_standing(server, held);
+    };
+    context_.board->head_standing = [this](const serving_replica& replica, time_point now) {
+        return context_.notices->standing({replica.head_id, replica.head_started_ms}, now);
+    };
     context_.book = std::make_shared<backend_book>(settings_.failure_domain(), random_);
     context_.backends = &view_->backends();
     context_.services = [this] { return view_->services(); };
@@ -99,6 +106,9 @@
         const auto age = view_->backend_age();
         return age && *age < list_current_limit;
     };
+    hooks.may_probe = [this](const backend& vm) {
+        return !context_.notices->standing(life_of(vm), monotonic_clock::now()).paused_until;
+    };
     hooks.demand_ms_per_s = [this] { return demand(); };
     hooks.refresh_ledger = [this] { return view_->read_replicas(); };
     hooks.take_records = [this](const keyed_records& records) {
@@ -111,6 +121,19 @@
                                              std::move(hooks), assembly);
 }
 
+void relay_node::note_standing(const backend_life& server, const backend_standing& held)
+{
+    const duration pause = held.paused_until.value_or(time_point{}) - monotonic_clock::now();
+    const duration left = std::max<duration>(pause, duration::zero());
+    node_log.write("backend_standing", {{"backend", server.id},
+                                        {"started_ms", std::to_string(server.started_ms)},
+                                        {"leaving", held.leaving ? "yes" : "no"},
+                                        {"pause_ms", to_ms_text(left)},
+                                        {"cause", "its own answer"}});
+    context_.metrics->counter("chervil_backend_notices_total",
+                              {{"leaving", held.leaving ? "yes" : "no"}}) += 1;
+}
+
 void relay_node::apply_limits()
 {
     context_.limits.retry_ratio = settings_.retry_ratio() * retry_use;
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -28,6 +28,7 @@
     engine_calls engines;
     call_dialect calls;
     fleet_dialect fleet;
+    std::shared_ptr<backend_notices> notices; // Of the answers to orders and probes as well.
 };
 
 class relay_node {
@@ -62,6 +63,7 @@
     std::map<std::string, double> demand() const;
     bool listen(http_server& server, const std::string& address);
     void apply_limits();
+    void note_standing(const backend_life& server, const backend_standing& held);
     void introduce_seeds();
     bool ready() const;
     bool leads() const;
--- a/src/relay/relayed_call.cpp
+++ b/src/relay/relayed_call.cpp
@@ -6,12 +6,16 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/event_log.h"
+
 namespace chervildyke {
 
 namespace asio = boost::asio;
 
 namespace {
 
+const event_log call_log("call");
+
 constexpr duration connect_timeout =
     250ms; // Far more than a round trip; SYNs are resent after 1 s.
 
@@ -28,17 +32,27 @@
     return context.dialect.write_attempt(exchange.request(), added);
 }
 
-http_call_options relayed_call::options(duration patience) const
+void relayed_call::take_notice(const backend_life& server, const answer_marks& marks) const
+{
+    if (!marks.unread_pause.empty()) {
+        call_log.write(
+            "pause_not_read",
+            {{"request", terms.id}, {"backend", server.id}, {"value", marks.unread_pause}});
+    }
+    context.notices->note(server, marks.notice, monotonic_clock::now());
+}
+
+http_call_options relayed_call::options(duration patience, const backend_life& target) const
 {
     http_call_options options;
     options.timeout = std::max<duration>(std::min(patience, time_left()), 1ms);
     options.connect_timeout = connect_timeout;
     options.cancel = cancel;
-    options.still_wanted = [this] {
+    options.still_wanted = [this, target] {
         if (exchange.peer_has_closed()) {
             cancel->cancel();
         }
-        return !cancel->cancelled();
+        return !cancel->cancelled() && context.notices->may_call(target, monotonic_clock::now());
     };
     options.belongs = [read_marks = context.dialect.read_marks,
                        id = terms.id](const std::vector<http_header>& headers) {
--- a/src/relay/relayed_call.h
+++ b/src/relay/relayed_call.h
@@ -57,8 +57,12 @@
 
     /** Options for an attempt.
      * \param patience time until the head of an answer.
+     * \param target is asked for nothing once it has said that it wants no calls.
      */
-    http_call_options options(duration patience) const;
+    http_call_options options(duration patience, const backend_life& target) const;
+
+    /** Remembers what an answer says of its server. */
+    void take_notice(const backend_life& server, const answer_marks& marks) const;
 
     /** Takes a retry from the service's budget. */
     bool take_retry() const { return context.budget_of(service).take(); }
--- a/src/relay/stream_relay.cpp
+++ b/src/relay/stream_relay.cpp
@@ -48,6 +48,11 @@
     http_reply reply; // When answered with something else than a stream.
 };
 
+backend_life head_of(const replica_offer& offer)
+{
+    return {offer.replica.head_id, offer.replica.head_started_ms};
+}
+
 /** One call on its way through replicas. */
 class stream_run {
   public:
@@ -89,8 +94,9 @@
     bool started_ = false;                    // The head of the answer was passed on.
     time_point last_event_at_{};
     std::set<std::uint64_t> tried_;
-    std::optional<gate_answer> reserved_; // The place for the next attempt, its retry paid.
-    bool retry_paid_ = false;             // For the next attempt.
+    std::optional<gate_answer> reserved_;    // The place for the next attempt, its retry paid.
+    bool retry_paid_ = false;                // For the next attempt.
+    std::optional<time_point> paused_until_; // All replicas want no calls until then.
 };
 
 bool stream_run::came_back() const
@@ -303,6 +309,7 @@
     attempt_end end;
     const std::vector<http_header> headers = answer.headers();
     const answer_marks marks = call_.context.dialect.read_marks(answer.status(), headers);
+    call_.take_notice(head_of(state.offer), marks);
     if (marks.not_run) {
         end.reason = "the head refused with " + std::to_string(answer.status()) +
                      (marks.at_fault.empty() ? "" : ", at fault: " + marks.at_fault);
@@ -347,7 +354,7 @@
     attempt_watch watch(call_.context.executor, std::move(hooks), offer.first_event);
     attempt_state state{offer, use, watch, monotonic_clock::now()};
     http_request request = call_.attempt(offer.replica.head_id, last_event_);
-    http_call_options options = call_.options(rest_of_time());
+    http_call_options options = call_.options(rest_of_time(), head_of(offer));
     options.cancel = cancel;
     auto opened =
         co_await call_.context.http->open(offer.replica.head_address, std::move(request), options);
@@ -392,7 +399,10 @@
 duration stream_run::come_back() const
 {
     const double part = random_fraction(call_.context.random);
-    return come_back_min + std::chrono::duration_cast<duration>(come_back_spread * part);
+    const duration usual =
+        come_back_min + std::chrono::duration_cast<duration>(come_back_spread * part);
+    return paused_until_ ? std::max<duration>(usual, *paused_until_ - monotonic_clock::now())
+                         : usual;
 }
 
 asio::awaitable<void> stream_run::finish(attempt_end last)
@@ -439,6 +449,7 @@
             break;
         }
         if (admitted.verdict != gate_verdict::admitted) {
+            paused_until_ = admitted.paused_until;
             const std::string verdict =
                 std::string(to_text(admitted.verdict)) + " (" + admitted.seen + ")";
             last.reason = last.reason.empty() ? verdict : last.reason + "; then " + verdict;
--- a/src/routing/replica_board.cpp
+++ b/src/routing/replica_board.cpp
@@ -141,6 +141,15 @@
         if (replica.service != request.service || replica.model != request.model) {
             continue;
         }
+        const backend_standing head =
+            head_standing ? head_standing(replica, now) : backend_standing();
+        if (head.paused_until && !head.leaving) {
+            answer.paused_until =
+                std::min(*head.paused_until, answer.paused_until.value_or(*head.paused_until));
+        }
+        if (head.leaving || head.paused_until) {
+            continue;
+        }
         ++answer.serving;
         const auto suspected = suspects_.find(epoch);
         const bool left_out = suspected != suspects_.end() && now < suspected->second;
--- a/src/routing/replica_board.h
+++ b/src/routing/replica_board.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -15,6 +16,7 @@
 #include "base/clock.h"
 #include "base/random.h"
 #include "fleet/engine_profile.h"
+#include "routing/backend_notices.h"
 #include "routing/prediction_error.h"
 
 namespace chervildyke {
@@ -26,6 +28,7 @@
     std::string service;
     std::string model;
     std::string head_id;
+    std::uint64_t head_started_ms = 0;
     std::string head_address;
     std::string failure_domain;
 
@@ -58,11 +61,12 @@
 
 /** What the board can say to a call now. */
 struct board_answer {
-    std::optional<replica_offer> offer; // None: no replica has room.
-    std::uint32_t serving = 0;          // Replicas of the model,
-    std::uint32_t full = 0;             // of which these have no room,
-    std::uint32_t stalled = 0;          // these stand still,
-    std::uint32_t left_out = 0;         // and these failed calls lately, or this call before.
+    std::optional<replica_offer> offer;     // None: no replica has room.
+    std::optional<time_point> paused_until; // Of the replicas that want no calls now, the soonest.
+    std::uint32_t serving = 0;              // Replicas of the model,
+    std::uint32_t full = 0;                 // of which these have no room,
+    std::uint32_t stalled = 0;              // these stand still,
+    std::uint32_t left_out = 0;             // and these failed calls lately, or this call before.
 };
 
 struct board_settings {
@@ -94,6 +98,11 @@
     void set_serving(std::vector<serving_replica> replicas);
     const std::map<std::uint64_t, serving_replica>& serving() const { return serving_; }
 
+    /** What a replica's head has said of itself; empty: nothing. Replicas whose head leaves or
+     * pauses take no calls.
+     */
+    std::function<backend_standing(const serving_replica&, time_point)> head_standing;
+
     /** Prefers replicas of a failure domain, whose calls this node knows best; empty: none. */
     void prefer_domain(std::string failure_domain) { home_ = std::move(failure_domain); }
 
--- a/test/correctness/assembly_spares.cpp
+++ b/test/correctness/assembly_spares.cpp
@@ -149,6 +149,44 @@
     CHECK_FALSE(warmed->loads_weights);
 }
 
+TEST_CASE("a spare is told to join once: a join that is repeated begins anew")
+{
+    mixed_domain bench;
+    backend spare;
+    spare.id = "new";
+    spare.service = "pool";
+    spare.fabric_domain = "d0-";
+    spare.started_ms = 1;
+    spare.staged_models = {"large"};
+    bench.backends.apply(spare, bench.now);
+    bench.deaf = {"new"}; // It takes long.
+    int joins = 0;
+    for (int i = 0; i < 5; ++i) {
+        bench.add_domain("d" + std::to_string(i + 1) + "-", 1); // Other things go on.
+        for (const planned_order& order : bench.step().orders) {
+            joins += order.vm == "new" && order.order.kind == order_kind::join ? 1 : 0;
+        }
+    }
+    CHECK(joins == 1);
+}
+
+TEST_CASE("a load that a later join made void is not waited for")
+{
+    assembly_memory memory;
+    replica_order load;
+    load.kind = order_kind::stage;
+    load.model = "small";
+    replica_order join;
+    join.kind = order_kind::join;
+    join.model = "large";
+    join.epoch = 7;
+    memory.note_sent("vm", load, time_point(1s));
+    memory.note_sent("vm", join, time_point(2s), false);
+    CHECK(memory.find("vm", order_kind::stage, 0) != nullptr);
+    memory.note_sent("vm", join, time_point(3s), true);
+    CHECK(memory.find("vm", order_kind::stage, 0) == nullptr);
+}
+
 TEST_CASE("a VM that loads is left alone until the load has ended")
 {
     // A join would wait for the load, and then replace in the host's memory what it brought.
--- a/test/support/relay_bench.h
+++ b/test/support/relay_bench.h
@@ -38,6 +38,9 @@
         head.content_type = "text/event-stream";
         head.headers = {{"X-Attempt-Id", std::string(request.header("X-Attempt-Id"))},
                         {"X-Response-Seal", seal}};
+        if (leaving) {
+            head.headers.push_back({"Server-Leaving", "1"});
+        }
         const std::string from(request.header("Last-Event-Id"));
         std::uint64_t id = from.empty() ? 0 : std::stoull(from);
         co_await sleep_for(delay);
@@ -56,7 +59,8 @@
     }
 
     std::uint64_t breaks;
-    duration delay{}; // Before the first event.
+    duration delay{};     // Before the first event.
+    bool leaving = false; // As its answers say.
     std::string seal = "first";
     int calls = 0;
     http_server server;
@@ -105,6 +109,10 @@
         node.gate = std::make_shared<call_gate>(context.get_executor(), *node.board);
         node.book = std::make_shared<backend_book>("a", node.random);
         node.backends = &backends;
+        node.notices = std::make_shared<backend_notices>();
+        node.board->head_standing = [this](const serving_replica& replica, time_point now) {
+            return node.notices->standing({replica.head_id, replica.head_started_ms}, now);
+        };
         node.services = [this] { return services; };
         node.configuration_age = [this] { return age; };
         node.board->set_profile("pool", engine);
--- a/test/support/run_task.h
+++ b/test/support/run_task.h
@@ -24,6 +24,7 @@
             std::rethrow_exception(thrown);
         }
     });
+    context.restart();
     context.run_for(std::chrono::seconds(60));
     CHECK(ended);
 }
