Give models fabric domains of their own where that wastes no VM

Hypothesis: spread over domains, a model strands less when VMs are lost one after another. Conclusion: no; survivors of a model make a new replica together where they are many.

--- a/src/assembly/domain_packing.cpp
+++ b/src/assembly/domain_packing.cpp
@@ -107,8 +107,8 @@
                                                const std::map<std::string, domain_room>& domains,
                                                bool keep_spares) const
 {
-    // Without waste first; then where few of the model are: what is left of a domain that lost VMs
-    // is at most a small replica where it has small ones.
+    // Without waste first; then where few other models are, since what is left of replicas that
+    // lost members makes new ones only within a domain.
     using rank = std::tuple<bool, std::int64_t, std::int64_t>;
     rank best_rank;
     const std::string* best = nullptr;
@@ -122,7 +122,7 @@
         const bool tight =
             model.replica_size + best_fill(room - model.replica_size) == best_fill(room);
         const std::uint32_t own = model.replica_size * count_of(domain.replicas, model.name);
-        const rank found{tight, -static_cast<std::int64_t>(own), -static_cast<std::int64_t>(taken)};
+        const rank found{tight, std::int64_t{own}, -std::int64_t{taken - own}};
         if (best == nullptr || found > best_rank) {
             best = &name;
             best_rank = found;
