--- a/src/assembly/assembler.cpp
+++ b/src/assembly/assembler.cpp
@@ -7,6 +7,8 @@
 #include <cmath>
 #include <utility>
 
+#include <boost/asio.hpp>
+
 #include "assembly/member_selection.h"
 #include "base/event_log.h"
 #include "base/task.h"
--- a/test/correctness/assembly_spares.cpp
+++ b/test/correctness/assembly_spares.cpp
@@ -66,8 +66,7 @@
 {
     mixed_domain bench;
     bench.steps(4);
-    for (const auto& [id, listed] : bench.backends.all()) {
-        CAPTURE(id);
+    for (const auto& [name, listed] : bench.backends.all()) {
         CHECK_FALSE(listed.self.loaded_model.empty());
         CHECK(holds(listed.self, "large"));
         CHECK(holds(listed.self, "small"));
--- a/test/correctness/routing_backend_notices.cpp
+++ b/test/correctness/routing_backend_notices.cpp
@@ -112,7 +112,7 @@
     board.set_profile("s", profile);
     std::vector<serving_replica> replicas(2);
     backend_notices notices;
-    for (std::uint64_t epoch : {1, 2}) {
+    for (const std::uint64_t epoch : {1U, 2U}) {
         serving_replica& replica = replicas[epoch - 1];
         replica.epoch = epoch;
         replica.service = "s";
