Split the formation of replicas from the plan of their lives

replica_formation decides how many replicas there are and of which VMs; assembly_plan keeps their phases, orders and loads. Behaviour is unchanged but for one guard: a replica whose model the configuration no longer names has no target and is left alone (it would have ended the plan with an exception; shown by a test).

--- a/src/assembly/assembly_plan.cpp
+++ b/src/assembly/assembly_plan.cpp
@@ -7,9 +7,9 @@
 #include <cmath>
 #include <set>
 
-#include "assembly/domain_packing.h"
 #include "assembly/load_planner.h"
 #include "assembly/member_selection.h"
+#include "assembly/replica_formation.h"
 
 namespace chervildyke {
 
@@ -30,13 +30,6 @@
     return order;
 }
 
-std::string replica_name(std::uint64_t epoch)
-{
-    std::string name = std::to_string(epoch);
-    name.insert(name.begin(), 'r');
-    return name;
-}
-
 /** Makes one plan. */
 class planner {
   public:
@@ -66,20 +59,20 @@
             }
         }
         if (in_.list_is_current) {
-            form_replicas();
-            give_way_to_needier();
-            load_models();
+            replica_formation formation(in_, settings_, given_up_,
+                                        in_.ledger->end() + plan_.records.size());
+            formation.run();
+            plan_.records.insert(plan_.records.end(), formation.records().begin(),
+                                 formation.records().end());
+            load_models(formation);
         }
         return std::move(plan_);
     }
 
   private:
-    /** \return the member's entry when this life of it is still listed, else null. */
     const listed_backend* present(const schema::shared_member& member) const
     {
-        const listed_backend* listed = in_.backends->find(member.id());
-        const bool same_life = listed != nullptr && listed->self.started_ms == member.started_ms();
-        return same_life ? listed : nullptr;
+        return present_member(*in_.backends, member);
     }
 
     static const replica_membership* membership_in(const listed_backend* listed,
@@ -128,17 +121,10 @@
         return true;
     }
 
-    void record(const ledger_entry& entry, schema::shared_phase phase, const std::string& reason,
-                bool abort_calls = false)
+    void retire(const ledger_entry& entry, const std::string& reason, bool abort_calls)
     {
-        schema::shared_replica changed = entry.second;
-        changed.set_phase(phase);
-        changed.set_reason(reason);
-        changed.set_abort_calls(abort_calls);
-        plan_.records.push_back(to_record(entry.first, changed));
-        if (phase == schema::shared_phase_retiring) {
-            given_up_.insert(entry.first);
-        }
+        plan_.records.push_back(retired(entry.first, entry.second, reason, abort_calls));
+        given_up_.insert(entry.first);
     }
 
     void drop(const ledger_entry& entry)
@@ -187,7 +173,7 @@
     {
         const std::string fault = fault_of_members(entry);
         if (!fault.empty()) {
-            record(entry, schema::shared_phase_retiring, fault, true);
+            retire(entry, fault, true);
             return;
         }
         std::size_t ready = 0;
@@ -208,8 +194,11 @@
         }
         const schema::shared_member& head = entry.second.members(0);
         if (membership_in(present(head), entry)->phase == membership_phase::open) {
-            record(entry, schema::shared_phase_serving,
-                   "all members were ready and the head opened");
+            schema::shared_replica opened = entry.second;
+            opened.set_phase(schema::shared_phase_serving);
+            opened.set_reason("all members were ready and the head opened");
+            opened.set_abort_calls(false);
+            plan_.records.push_back(to_record(entry.first, opened));
             return;
         }
         send(head.id(), make_order(order_kind::open, entry));
@@ -226,7 +215,7 @@
             fault = fault_of_progress(entry);
         }
         if (!fault.empty()) {
-            record(entry, schema::shared_phase_retiring, fault, !leaving);
+            retire(entry, fault, !leaving);
         }
     }
 
@@ -351,208 +340,12 @@
         send(head, make_order(answered(forced) ? order_kind::leave : order_kind::close_now, entry));
     }
 
-    /** True unless the replica gives way, now or when a member that leaves has left. */
-    bool stays(const schema::shared_replica& replica) const
-    {
-        for (const schema::shared_member& member : replica.members()) {
-            const listed_backend* listed = in_.backends->find(member.id());
-            if (listed == nullptr || listed->self.leaving) {
-                return false;
-            }
-        }
-        return replica.phase() != schema::shared_phase_retiring;
-    }
-
-    std::map<std::string, std::uint32_t> counts_by_model() const
-    {
-        std::map<std::string, std::uint32_t> counts;
-        for (const auto& [name, replica] : in_.ledger->replicas()) {
-            const bool counted = replica.service() == in_.service && stays(replica);
-            counts[replica.model()] += counted ? 1 : 0;
-        }
-        return counts;
-    }
-
-    domain_packing packing(const member_pool& pool) const
-    {
-        std::map<std::string, domain_room> domains;
-        for (const auto& [name, vms] : pool.usable_by_domain()) {
-            domains[name].vms = vms;
-        }
-        for (const auto& [name, replica] : in_.ledger->replicas()) {
-            if (replica.service() == in_.service && stays(replica)) {
-                const listed_backend* head = in_.backends->find(replica.members(0).id());
-                ++domains[head->self.fabric_domain].replicas[replica.model()];
-            }
-        }
-        return domain_packing(model_shares(*in_.profile, in_.demand_ms_per_s, settings_),
-                              std::move(domains), settings_.spare_share);
-    }
-
-    void form(const model_profile& model, const std::vector<schema::shared_member>& members)
-    {
-        const std::uint64_t offset = in_.ledger->end() + plan_.records.size();
-        schema::shared_replica formed;
-        formed.set_service(in_.service);
-        formed.set_model(model.name);
-        formed.set_epoch(offset + 1); // Above zero, so that it is never the default.
-        formed.set_phase(schema::shared_phase_forming);
-        formed.set_reason("fewer replicas than the demand needs");
-        *formed.mutable_members() = {members.begin(), members.end()};
-        plan_.records.push_back(to_record(replica_name(offset), formed));
-        formed_.insert(formed_.end(), members.begin(), members.end());
-        ++counts_[model.name];
-    }
-
-    void form_replicas()
-    {
-        member_pool pool(in_);
-        const domain_packing packed = packing(pool);
-        targets_ = packed.targets();
-        counts_ = counts_by_model();
-        if (in_.loads_are_free) {
-            for (const placement& placed : packed.missing()) {
-                const model_profile& model = *in_.profile->find(placed.model);
-                const auto members = pool.take_in(placed.domain, model);
-                if (!members.empty()) {
-                    form(model, members);
-                }
-            }
-            return;
-        }
-        std::set<std::string> unplaceable;
-        while (true) {
-            const model_profile* neediest = nullptr;
-            double lowest = 1;
-            for (const model_profile& model : in_.profile->models) {
-                if (unplaceable.contains(model.name)) {
-                    continue;
-                }
-                if (filled(model.name) < lowest) {
-                    lowest = filled(model.name);
-                    neediest = &model;
-                }
-            }
-            if (neediest == nullptr) {
-                return;
-            }
-            const auto members = pool.take(*neediest, true);
-            if (members.empty()) {
-                unplaceable.insert(neediest->name);
-                continue;
-            }
-            form(*neediest, members);
-        }
-    }
-
-    /** \return the part of the replicas wanted that form or serve. */
-    double filled(const std::string& model) const
-    {
-        const auto have = counts_.find(model);
-        return (have == counts_.end() ? 0.0 : have->second) / targets_.at(model);
-    }
-
-    /** \return how many VMs of each domain hold each model and are free, or will be when a
-     * replica has given way.
-     */
-    std::map<std::string, std::map<std::string, std::uint32_t>> available() const
-    {
-        std::map<std::string, std::map<std::string, std::uint32_t>> counts;
-        const auto add = [&](const backend& vm) {
-            for (const model_profile& model : in_.profile->models) {
-                counts[vm.fabric_domain][model.name] += holds(vm, model.name) ? 1 : 0;
-            }
-        };
-        const member_pool pool(in_);
-        for (const auto& [domain, vms] : pool.free_by_domain()) {
-            for (const backend* vm : vms) {
-                if (!is_taken(vm->id)) {
-                    add(*vm);
-                }
-            }
-        }
-        for (const auto& [name, replica] : in_.ledger->replicas()) {
-            const bool gives_way =
-                replica.service() == in_.service && (!stays(replica) || given_up_.contains(name));
-            for (int i = 0; gives_way && i < replica.members_size(); ++i) {
-                const listed_backend* listed = present(replica.members(i));
-                if (listed != nullptr && !listed->self.leaving) {
-                    add(listed->self);
-                }
-            }
-        }
-        return counts;
-    }
-
-    bool is_taken(const std::string& vm) const
-    {
-        return std::any_of(
-            formed_.begin(), formed_.end(),
-            [&vm](const schema::shared_member& member) { return member.id() == vm; });
-    }
-
-    /** Retires a replica whose VMs complete one of a model that is further below its target, which
-     * would otherwise strand what is left of its own. One at a time.
-     */
-    void give_way_to_needier()
-    {
-        if (in_.loads_are_free) {
-            return;
-        }
-        const auto holding = available();
-        const model_profile* needy = nullptr;
-        double needy_filled = 1;
-        for (const model_profile& model : in_.profile->models) {
-            std::uint32_t soon = 0; // Replicas that form without any to give way.
-            for (const auto& [domain, counts] : holding) {
-                soon += counts.at(model.name) / model.replica_size;
-            }
-            const double part = filled(model.name) + 1.0 * soon / targets_.at(model.name);
-            if (part < needy_filled) {
-                needy = &model;
-                needy_filled = part;
-            }
-        }
-        if (needy == nullptr) {
-            return;
-        }
-        const ledger_entry* best = nullptr;
-        std::uint32_t best_held = 0;
-        for (const ledger_entry& entry : in_.ledger->replicas()) {
-            const schema::shared_replica& replica = entry.second;
-            const bool may_go = replica.service() == in_.service &&
-                                replica.phase() == schema::shared_phase_serving &&
-                                replica.model() != needy->name && stays(replica) &&
-                                !given_up_.contains(entry.first);
-            if (!may_go ||
-                filled(replica.model()) - 1.0 / targets_.at(replica.model()) <= needy_filled) {
-                continue;
-            }
-            std::uint32_t members = 0;
-            for (const schema::shared_member& member : replica.members()) {
-                const listed_backend* listed = present(member);
-                members += listed != nullptr && holds(listed->self, needy->name) ? 1 : 0;
-            }
-            const auto domain =
-                holding.find(in_.backends->find(replica.members(0).id())->self.fabric_domain);
-            const std::uint32_t held = domain == holding.end() ? 0 : domain->second.at(needy->name);
-            if (held + members >= needy->replica_size && held > best_held) {
-                best = &entry;
-                best_held = held;
-            }
-        }
-        if (best != nullptr) {
-            record(*best, schema::shared_phase_retiring,
-                   "its VMs complete a replica of model " + needy->name);
-        }
-    }
-
     /** Loads models into the hosts of free VMs: first where that makes a replica whole, then so
      * that a lost member can be replaced.
      */
-    void load_models()
+    void load_models(const replica_formation& formation)
     {
-        load_planner loads(in_, formed_, counts_, targets_);
+        load_planner loads(in_, formation.taken(), formation.counts(), formation.targets());
         plan_.free_vms = loads.describe();
         std::set<std::string> loading;
         for (const planned_load& load : loads.choose(loads_left_)) {
@@ -562,20 +355,21 @@
             send(load.vm, order, true);
             loading.insert(load.vm);
         }
-        warm_spares(loads, loading);
+        warm_spares(formation, loads, loading);
     }
 
     /** Lets spares join a replica of their own, which never opens, so that the model gets on their
      * accelerators: they take the place of a lost member sooner, and their hosts can hold another
      * model.
      */
-    void warm_spares(const load_planner& loads, const std::set<std::string>& loading)
+    void warm_spares(const replica_formation& formation, const load_planner& loads,
+                     const std::set<std::string>& loading)
     {
         const member_pool pool(in_);
         for (const auto& [domain, vms] : pool.free_by_domain()) {
             for (const backend* vm : vms) {
-                const bool busy =
-                    is_taken(vm->id) || loading.contains(vm->id) || loads.loading(*vm) != nullptr;
+                const bool busy = formation.takes(vm->id) || loading.contains(vm->id) ||
+                                  loads.loading(*vm) != nullptr;
                 // A join that is repeated begins anew.
                 const bool joins = in_.memory->sent_since(vm->id, order_kind::join,
                                                           in_.now - settings_.spare_join_limit);
@@ -597,43 +391,12 @@
     const assembly_input& in_;
     const assembly_settings& settings_;
     std::uint32_t loads_left_;
-    std::map<std::string, std::uint32_t> targets_; // Replicas wanted, by model.
-    std::map<std::string, std::uint32_t> counts_;  // Replicas that form or serve, by model.
-    std::set<std::string> given_up_;               // Replicas that this plan retires.
-    std::vector<schema::shared_member> formed_;
+    std::set<std::string> given_up_; // Replicas that this plan retires.
     assembly_plan plan_;
 };
 
 } // namespace
 
-std::vector<packed_model> model_shares(const engine_profile& profile,
-                                       const std::map<std::string, double>& demand,
-                                       const assembly_settings& settings)
-{
-    std::map<std::string, double> asked;
-    double total_asked = 0;
-    for (const model_profile& model : profile.models) {
-        const auto found = demand.find(model.name);
-        asked[model.name] = found == demand.end() ? 0 : found->second * model.replica_size;
-        total_asked += asked[model.name];
-    }
-    std::vector<packed_model> models;
-    double total = 0;
-    for (const model_profile& model : profile.models) {
-        // Half of each share is as before demand was known: measured demand swings, and shifting
-        // VMs between models costs loads.
-        const double share =
-            total_asked > 0 ? (asked[model.name] / total_asked + model.share) / 2 : model.share;
-        models.push_back({model.name, model.replica_size,
-                          share * (1 + settings.loss_allowance * model.replica_size)});
-        total += models.back().share;
-    }
-    for (packed_model& model : models) {
-        model.share = total > 0 ? model.share / total : 0;
-    }
-    return models;
-}
-
 bool leaving_but_usable(const listed_backend& member, bool is_head, time_point now,
                         const assembly_settings& settings)
 {
--- a/src/assembly/assembly_plan.h
+++ b/src/assembly/assembly_plan.h
@@ -10,7 +10,6 @@
 #include <vector>
 
 #include "assembly/assembly_memory.h"
-#include "assembly/domain_packing.h"
 #include "assembly/replica_ledger.h"
 #include "assembly/replica_order.h"
 #include "base/clock.h"
@@ -84,11 +83,4 @@
 
 assembly_plan plan_assembly(const assembly_input& input, const assembly_settings& settings);
 
-/** \return the models with their shares of the VMs in replicas.
- * \param demand replica time asked for, by model.
- */
-std::vector<packed_model> model_shares(const engine_profile& profile,
-                                       const std::map<std::string, double>& demand,
-                                       const assembly_settings& settings);
-
 } // namespace chervildyke
--- a/src/assembly/replica_ledger.cpp
+++ b/src/assembly/replica_ledger.cpp
@@ -47,6 +47,15 @@
     return record;
 }
 
+keyed_record retired(const std::string& name, schema::shared_replica replica,
+                     const std::string& reason, bool abort_calls)
+{
+    replica.set_phase(schema::shared_phase_retiring);
+    replica.set_reason(reason);
+    replica.set_abort_calls(abort_calls);
+    return to_record(name, replica);
+}
+
 void replica_ledger::replace(const keyed_records& newest)
 {
     replicas_.clear();
--- a/src/assembly/replica_ledger.h
+++ b/src/assembly/replica_ledger.h
@@ -53,4 +53,10 @@
 /** \return the record that states the replica. */
 keyed_record to_record(const std::string& name, const schema::shared_replica& replica);
 
+/** \return the record with which the replica gives way.
+ * \param abort_calls breaks its calls off instead of letting them end.
+ */
+keyed_record retired(const std::string& name, schema::shared_replica replica,
+                     const std::string& reason, bool abort_calls);
+
 } // namespace chervildyke
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -77,7 +77,7 @@
         note_standing(server, held);
     };
     context_.board->head_standing = [this](const serving_replica& replica, time_point now) {
-        return context_.notices->standing({replica.head_id, replica.head_started_ms}, now);
+        return context_.notices->standing(head_life(replica), now);
     };
     context_.book = std::make_shared<backend_book>(settings_.failure_domain(), random_);
     context_.backends = &view_->backends();
--- a/src/relay/stream_relay.cpp
+++ b/src/relay/stream_relay.cpp
@@ -48,11 +48,6 @@
     http_reply reply; // When answered with something else than a stream.
 };
 
-backend_life head_of(const replica_offer& offer)
-{
-    return {offer.replica.head_id, offer.replica.head_started_ms};
-}
-
 /** One call on its way through replicas. */
 class stream_run {
   public:
@@ -309,7 +304,7 @@
     attempt_end end;
     const std::vector<http_header> headers = answer.headers();
     const answer_marks marks = call_.context.dialect.read_marks(answer.status(), headers);
-    call_.take_notice(head_of(state.offer), marks);
+    call_.take_notice(head_life(state.offer.replica), marks);
     if (marks.not_run) {
         end.reason = "the head refused with " + std::to_string(answer.status()) +
                      (marks.at_fault.empty() ? "" : ", at fault: " + marks.at_fault);
@@ -354,7 +349,7 @@
     attempt_watch watch(call_.context.executor, std::move(hooks), offer.first_event);
     attempt_state state{offer, use, watch, monotonic_clock::now()};
     http_request request = call_.attempt(offer.replica.head_id, last_event_);
-    http_call_options options = call_.options(rest_of_time(), head_of(offer));
+    http_call_options options = call_.options(rest_of_time(), head_life(offer.replica));
     options.cancel = cancel;
     auto opened =
         co_await call_.context.http->open(offer.replica.head_address, std::move(request), options);
--- a/src/routing/replica_board.h
+++ b/src/routing/replica_board.h
@@ -35,6 +35,11 @@
     bool operator==(const serving_replica&) const = default;
 };
 
+inline backend_life head_life(const serving_replica& replica)
+{
+    return {replica.head_id, replica.head_started_ms};
+}
+
 /** The calls that one node has at a replica. */
 struct replica_use {
     std::uint32_t running = 0;       // Calls without an end.
--- a/test/correctness/assembly_packing.cpp
+++ b/test/correctness/assembly_packing.cpp
@@ -10,6 +10,7 @@
 #include <doctest/doctest.h>
 
 #include "assembly/domain_packing.h"
+#include "assembly/replica_formation.h"
 #include "support/assembly_bench.h"
 
 using namespace chervildyke;
--- a/test/correctness/assembly_spares.cpp
+++ b/test/correctness/assembly_spares.cpp
@@ -109,6 +109,20 @@
     CHECK(bench.serving("small").size() == 3);
 }
 
+TEST_CASE("replicas of a model that the configuration does not name any more are left alone")
+{
+    assembly_bench bench;
+    for (const char* domain : {"d0-", "d1-"}) {
+        bench.add_domain(domain, 10);
+    }
+    bench.steps(8);
+    bench.loads_are_free = false;
+    const std::size_t large = bench.serving("large").size();
+    bench.profile.models.erase(bench.profile.models.begin());
+    bench.steps(4);
+    CHECK(bench.serving("large").size() == large);
+}
+
 TEST_CASE("no replica gives way while the needier model can form by itself")
 {
     assembly_bench bench;
--- a/test/correctness/routing_backend_notices.cpp
+++ b/test/correctness/routing_backend_notices.cpp
@@ -122,7 +122,7 @@
     }
     board.set_serving(replicas);
     board.head_standing = [&](const serving_replica& replica, time_point now) {
-        return notices.standing({replica.head_id, replica.head_started_ms}, now);
+        return notices.standing(head_life(replica), now);
     };
     replica_request request;
     request.service = "s";
--- a/test/support/relay_bench.h
+++ b/test/support/relay_bench.h
@@ -111,7 +111,7 @@
         node.backends = &backends;
         node.notices = std::make_shared<backend_notices>();
         node.board->head_standing = [this](const serving_replica& replica, time_point now) {
-            return node.notices->standing({replica.head_id, replica.head_started_ms}, now);
+            return node.notices->standing(head_life(replica), now);
         };
         node.services = [this] { return services; };
         node.configuration_age = [this] { return age; };
