--- a/src/assembly/assembly_plan.cpp
+++ b/src/assembly/assembly_plan.cpp
@@ -59,8 +59,7 @@
             }
         }
         if (in_.list_is_current) {
-            replica_formation formation(in_, settings_, given_up_,
-                                        in_.ledger->end() + plan_.records.size());
+            replica_formation formation(in_, settings_, in_.ledger->end() + plan_.records.size());
             formation.run();
             plan_.records.insert(plan_.records.end(), formation.records().begin(),
                                  formation.records().end());
@@ -124,7 +123,6 @@
     void retire(const ledger_entry& entry, const std::string& reason, bool abort_calls)
     {
         plan_.records.push_back(retired(entry.first, entry.second, reason, abort_calls));
-        given_up_.insert(entry.first);
     }
 
     void drop(const ledger_entry& entry)
@@ -391,7 +389,6 @@
     const assembly_input& in_;
     const assembly_settings& settings_;
     std::uint32_t loads_left_;
-    std::set<std::string> given_up_; // Replicas that this plan retires.
     assembly_plan plan_;
 };
 
--- a/src/assembly/load_planner.cpp
+++ b/src/assembly/load_planner.cpp
@@ -26,7 +26,6 @@
     : in_(input), counts_(std::move(counts)), targets_(std::move(targets))
 {
     read_domains(taken);
-    read_members();
 }
 
 bool load_planner::lacks_all(const model_profile& model) const
@@ -138,24 +137,6 @@
     }
 }
 
-void load_planner::read_members()
-{
-    for (const auto& [id, listed] : in_.backends->all()) {
-        const backend& vm = listed.self;
-        const bool serves = vm.service == in_.service && !vm.leaving &&
-                            in_.ledger->holder_of(id).has_value() && !vm.loaded_model.empty();
-        if (!serves) {
-            continue;
-        }
-        if (loading(vm) != nullptr) {
-            ++running_;
-        }
-        else if (has_open_host(vm)) {
-            domains_[vm.fabric_domain].members.push_back(&vm);
-        }
-    }
-}
-
 void load_planner::read_domains(const std::vector<schema::shared_member>& taken)
 {
     std::set<std::string> gone;
@@ -311,9 +292,6 @@
         }
         counts_[chosen.model->name] += completes ? 1 : 0;
     }
-    if (!in_.loads_are_free || !any_forming()) {
-        add_second_models(loads, std::min(most, spared_loads()));
-    }
     return loads;
 }
 
@@ -334,29 +312,4 @@
     return empty + spared_loads();
 }
 
-bool load_planner::any_forming() const
-{
-    return std::any_of(
-        in_.ledger->replicas().begin(), in_.ledger->replicas().end(),
-        [](const auto& entry) { return entry.second.phase() == schema::shared_phase_forming; });
-}
-
-void load_planner::add_second_models(std::vector<planned_load>& loads, std::size_t most)
-{
-    for (auto& [name, domain] : domains_) {
-        for (const backend* vm : domain.members) {
-            const model_profile* best = nullptr;
-            for (const model_profile& model : in_.profile->models) {
-                const bool other = model.name != vm->loaded_model;
-                if (other && (best == nullptr || need_of(model) > need_of(*best))) {
-                    best = &model;
-                }
-            }
-            if (best != nullptr && loads.size() < most) {
-                loads.push_back({vm->id, best->name});
-            }
-        }
-    }
-}
-
 } // namespace chervildyke
--- a/src/assembly/load_planner.h
+++ b/src/assembly/load_planner.h
@@ -64,7 +64,6 @@
     /** Counts the VMs that replicas about to give way will leave behind. */
     void count_coming();
     void read_domains(const std::vector<schema::shared_member>& taken);
-    void read_members();
 
     /** True when no replica serves the model and free VMs can form none. */
     bool lacks_all(const model_profile& model) const;
@@ -88,8 +87,6 @@
     option best_completion();
     option best_spare();
 
-    bool any_forming() const;
-
     /** \return how many loads may start that nothing waits for. */
     std::size_t spared_loads() const;
 
@@ -98,8 +95,6 @@
      */
     std::size_t loads_before_calls() const;
 
-    /** Loads other models beside those that serve, with what is left of the weight store. */
-    void add_second_models(std::vector<planned_load>& loads, std::size_t most);
     double need_of(const model_profile& model) const;
     double kinship(const domain_state& domain, const model_profile& model) const;
 
--- a/src/assembly/replica_formation.cpp
+++ b/src/assembly/replica_formation.cpp
@@ -4,6 +4,7 @@
 #include "assembly/replica_formation.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace chervildyke {
@@ -56,9 +57,8 @@
 }
 
 replica_formation::replica_formation(const assembly_input& input, const assembly_settings& settings,
-                                     std::set<std::string> given_up, std::uint64_t first_offset)
-    : in_(input), settings_(settings), given_up_(std::move(given_up)), next_offset_(first_offset),
-      pool_(input)
+                                     std::uint64_t first_offset)
+    : in_(input), settings_(settings), next_offset_(first_offset), pool_(input)
 {
 }
 
@@ -72,7 +72,6 @@
         return;
     }
     form_from_holders();
-    give_way_to_needier();
 }
 
 bool replica_formation::takes(const std::string& vm) const
@@ -175,96 +174,4 @@
     return (have == counts_.end() ? 0.0 : have->second) / targets_.at(model);
 }
 
-replica_formation::vms_by_model replica_formation::available() const
-{
-    vms_by_model counts;
-    const auto add = [&](const backend& vm) {
-        for (const model_profile& model : in_.profile->models) {
-            counts[vm.fabric_domain][model.name] += holds(vm, model.name) ? 1 : 0;
-        }
-    };
-    for (const auto& [domain, vms] : pool_.free_by_domain()) {
-        for (const backend* vm : vms) {
-            add(*vm);
-        }
-    }
-    for (const auto& [name, replica] : in_.ledger->replicas()) {
-        const bool gives_way =
-            replica.service() == in_.service && (!stays(replica) || given_up_.contains(name));
-        for (int i = 0; gives_way && i < replica.members_size(); ++i) {
-            const listed_backend* listed = present_member(*in_.backends, replica.members(i));
-            if (listed != nullptr && !listed->self.leaving) {
-                add(listed->self);
-            }
-        }
-    }
-    return counts;
-}
-
-replica_formation::needy_model replica_formation::neediest(const vms_by_model& holding) const
-{
-    needy_model found;
-    for (const model_profile& model : in_.profile->models) {
-        std::uint32_t soon = 0; // Replicas that form without any to give way.
-        for (const auto& [domain, counts] : holding) {
-            soon += counts.at(model.name) / model.replica_size;
-        }
-        const double part = filled(model.name) + 1.0 * soon / targets_.at(model.name);
-        if (part < found.filled) {
-            found = {&model, part};
-        }
-    }
-    return found;
-}
-
-/** True when the replica's model would still be better served than the needy one is now. */
-bool replica_formation::may_give_way(const std::string& name, const schema::shared_replica& replica,
-                                     const needy_model& needy) const
-{
-    const std::string& model = replica.model();
-    const bool serves = replica.service() == in_.service && stays(replica) &&
-                        replica.phase() == schema::shared_phase_serving &&
-                        !given_up_.contains(name);
-    // A model that the configuration does not name any more has no target.
-    return serves && model != needy.model->name && targets_.contains(model) &&
-           filled(model) - 1.0 / targets_.at(model) > needy.filled;
-}
-
-/** Retires a replica whose VMs complete one of a model that is further below its target, which
- * would otherwise strand what is left of its own. One at a time.
- */
-void replica_formation::give_way_to_needier()
-{
-    const vms_by_model holding = available();
-    const needy_model needy = neediest(holding);
-    if (needy.model == nullptr) {
-        return;
-    }
-    const std::string& wanted = needy.model->name;
-    const std::string* best = nullptr;
-    std::uint32_t most_held = 0; // By VMs of the domain that wait for the rest of their replica.
-    for (const auto& [name, replica] : in_.ledger->replicas()) {
-        if (!may_give_way(name, replica, needy)) {
-            continue;
-        }
-        std::uint32_t members = 0;
-        for (const schema::shared_member& member : replica.members()) {
-            const listed_backend* listed = present_member(*in_.backends, member);
-            members += listed != nullptr && holds(listed->self, wanted) ? 1 : 0;
-        }
-        const std::string& place = in_.backends->find(replica.members(0).id())->self.fabric_domain;
-        const auto domain = holding.find(place);
-        const std::uint32_t held = domain == holding.end() ? 0 : domain->second.at(wanted);
-        if (held + members >= needy.model->replica_size && held > most_held) {
-            best = &name;
-            most_held = held;
-        }
-    }
-    if (best != nullptr) {
-        records_.push_back(retired(*best, in_.ledger->replicas().at(*best),
-                                   "its VMs complete a replica of model " + wanted, false));
-        ++next_offset_;
-    }
-}
-
 } // namespace chervildyke
--- a/src/assembly/replica_formation.h
+++ b/src/assembly/replica_formation.h
@@ -1,11 +1,10 @@
 /** \file
- * Defines replica_formation, which decides which replicas form and which give way to them.
+ * Defines replica_formation, which decides which replicas form.
  */
 #pragma once
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -29,13 +28,11 @@
 /** The part of a plan that decides how many replicas there are, and of which VMs. */
 class replica_formation {
   public:
-    /** \param given_up replicas that the same plan retires.
-     * \param first_offset of the records made here.
-     */
+    /** \param first_offset of the records made here. */
     replica_formation(const assembly_input& input, const assembly_settings& settings,
-                      std::set<std::string> given_up, std::uint64_t first_offset);
+                      std::uint64_t first_offset);
 
-    /** Forms replicas below their targets, then lets one give way to a needier model. */
+    /** Forms replicas below their targets. */
     void run();
 
     /** \return the records to append. */
@@ -52,13 +49,6 @@
     const std::map<std::string, std::uint32_t>& targets() const { return targets_; }
 
   private:
-    /** The model furthest below its target. */
-    struct needy_model {
-        const model_profile* model = nullptr;
-        double filled = 1; // Of its target, with the replicas that form by themselves.
-    };
-    using vms_by_model = std::map<std::string, std::map<std::string, std::uint32_t>>; // By domain.
-
     /** True unless the replica gives way, now or when a member that leaves has left. */
     bool stays(const schema::shared_replica& replica) const;
     std::map<std::string, std::uint32_t> counts_by_model() const;
@@ -70,18 +60,8 @@
     /** \return the part of the replicas wanted that form or serve. */
     double filled(const std::string& model) const;
 
-    /** \return how many VMs of each domain hold each model and are free, or will be when a replica
-     * has given way.
-     */
-    vms_by_model available() const;
-    needy_model neediest(const vms_by_model& holding) const;
-    bool may_give_way(const std::string& name, const schema::shared_replica& replica,
-                      const needy_model& needy) const;
-    void give_way_to_needier();
-
     const assembly_input& in_;
     const assembly_settings& settings_;
-    std::set<std::string> given_up_;
     std::uint64_t next_offset_;
     member_pool pool_;
     std::map<std::string, std::uint32_t> counts_;
