--- a/test/correctness/assembly_spares.cpp
+++ b/test/correctness/assembly_spares.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -30,6 +32,19 @@
         loads_are_free = false;
     }
 
+    /** Adds a VM whose host holds the models given. */
+    backend add_vm(const std::string& id, std::vector<std::string> staged)
+    {
+        backend vm;
+        vm.id = id;
+        vm.service = "pool";
+        vm.fabric_domain = "d0-";
+        vm.started_ms = 1;
+        vm.staged_models = std::move(staged);
+        backends.apply(vm, now);
+        return vm;
+    }
+
     /** Loses a member that is no head.
      * \return the loads that were ordered until the replica was formed anew.
      */
@@ -94,32 +109,22 @@
 {
     // A VM that another node's record takes meanwhile refuses the older order.
     mixed_domain bench;
-    bench.add_domain("d1-", 1);
-    backend spare = bench.backends.find("d1-0")->self;
-    spare.fabric_domain = "d0-";
-    spare.staged_models = {"large"};
-    bench.backends.apply(spare, bench.now);
+    bench.add_vm("new", {"large"});
     const assembly_plan plan = bench.plan();
     const auto warmed =
         std::find_if(plan.orders.begin(), plan.orders.end(), [](const planned_order& order) {
-            return order.vm == "d1-0" && order.order.kind == order_kind::join;
+            return order.vm == "new" && order.order.kind == order_kind::join;
         });
     REQUIRE(warmed != plan.orders.end());
     CHECK(warmed->order.epoch == bench.ledger.end());
-    CHECK(warmed->order.members == std::vector<std::string>{"d1-0"});
+    CHECK(warmed->order.members == std::vector<std::string>{"new"});
     CHECK_FALSE(warmed->loads_weights);
 }
 
 TEST_CASE("a spare is told to join once: a join that is repeated begins anew")
 {
     mixed_domain bench;
-    backend spare;
-    spare.id = "new";
-    spare.service = "pool";
-    spare.fabric_domain = "d0-";
-    spare.started_ms = 1;
-    spare.staged_models = {"large"};
-    bench.backends.apply(spare, bench.now);
+    bench.add_vm("new", {"large"});
     bench.deaf = {"new"}; // It takes long.
     int joins = 0;
     for (int i = 0; i < 5; ++i) {
@@ -152,23 +157,17 @@
 {
     // A join would wait for the load, and then replace in the host's memory what it brought.
     mixed_domain bench;
-    backend empty;
-    empty.id = "new";
-    empty.service = "pool";
-    empty.fabric_domain = "d0-";
-    empty.started_ms = 1;
-    bench.backends.apply(empty, bench.now);
+    bench.add_vm("new", {});
     bench.deaf = {"new"};
     bench.step();
     REQUIRE(bench.memory.find("new", order_kind::stage, 0) != nullptr);
-    empty.staged_models = {"small"}; // Of a load before; another is under way.
+    bench.add_vm("new", {"small"}); // Of a load before; another is under way.
     bench.memory = assembly_memory();
     replica_order load;
     load.kind = order_kind::stage;
     load.model = "large";
     bench.memory.note_sent("new", load, bench.now);
     bench.memory.note_outcome("new", load, order_outcome::begun);
-    bench.backends.apply(empty, bench.now);
     for (const planned_order& order : bench.plan().orders) {
         CHECK(order.vm != "new");
     }
