Drop what the removal left dead: a parameter that was always true, a list that nobody filled

member_pool::take picks among VMs that hold the model, which was its only use since packed replicas are formed by take_in; take_in carries it out. domain_state::members went with second models. Behaviour is unchanged.

--- a/src/assembly/load_planner.h
+++ b/src/assembly/load_planner.h
@@ -49,7 +49,6 @@
         std::vector<const backend*> open;             // Whose hosts lose nothing by a load.
         std::map<std::string, std::vector<const backend*>> holders; // Others, by the host's model.
         std::map<std::string, std::size_t> serving;                 // VMs in replicas, by model.
-        std::vector<const backend*> members;                        // In replicas, with open hosts.
 
         /** True when some VM serves or holds the model. */
         bool knows(const std::string& model) const;
--- a/src/assembly/member_selection.cpp
+++ b/src/assembly/member_selection.cpp
@@ -87,34 +87,18 @@
     return score;
 }
 
-std::vector<schema::shared_member> member_pool::take(const model_profile& model, bool only_staged)
+std::vector<schema::shared_member> member_pool::take(const model_profile& model)
 {
-    std::vector<const backend*>* best = nullptr;
-    const std::string* best_domain = nullptr;
-    std::size_t best_staged = 0;
-    for (auto& [domain, vms] : free_) {
-        if (vms.size() < model.replica_size) {
-            continue;
-        }
-        const auto staged = static_cast<std::size_t>(std::count_if(
-            vms.begin(), vms.end(), [&](const backend* vm) { return holds(*vm, model.name); }));
-        if (only_staged && staged < model.replica_size) {
-            continue;
-        }
-        const std::size_t useful = std::min<std::size_t>(staged, model.replica_size);
-        const bool better =
-            best == nullptr || useful > best_staged ||
-            (useful == best_staged && kin(domain, model.name) > kin(*best_domain, model.name));
-        if (better) {
-            best = &vms;
-            best_domain = &domain;
-            best_staged = useful;
+    const std::string* best = nullptr;
+    for (const auto& [domain, vms] : free_) {
+        const auto holders = std::count_if(
+            vms.begin(), vms.end(), [&](const backend* vm) { return holds(*vm, model.name); });
+        const bool enough = static_cast<std::size_t>(holders) >= model.replica_size;
+        if (enough && (best == nullptr || kin(domain, model.name) > kin(*best, model.name))) {
+            best = &domain;
         }
     }
-    if (best == nullptr) {
-        return {};
-    }
-    return take_from(*best_domain, *best, model);
+    return best == nullptr ? std::vector<schema::shared_member>() : take_in(*best, model);
 }
 
 std::vector<schema::shared_member> member_pool::take_in(const std::string& domain,
@@ -124,13 +108,7 @@
     if (found == free_.end() || found->second.size() < model.replica_size) {
         return {};
     }
-    return take_from(domain, found->second, model);
-}
-
-std::vector<schema::shared_member> member_pool::take_from(const std::string& domain,
-                                                          std::vector<const backend*>& vms,
-                                                          const model_profile& model)
-{
+    std::vector<const backend*>& vms = found->second;
     // Those with the model on their accelerators first, then in their host's memory, then those
     // whose host holds nothing that would be lost.
     std::stable_sort(vms.begin(), vms.end(), [&](const backend* a, const backend* b) {
--- a/src/assembly/member_selection.h
+++ b/src/assembly/member_selection.h
@@ -33,14 +33,12 @@
   public:
     explicit member_pool(const assembly_input& input);
 
-    /** Picks the members of a replica within one fabric domain: where fewest must load the model
-     * from the weight store, then where most VMs serve or hold it already. What is left of replicas
-     * of one model that lost members makes new ones only within a domain, so each domain should
-     * hold few models.
-     * \param only_staged leaves out VMs that would have to load it.
-     * \return nothing when no domain has enough VMs.
+    /** Picks the members of a replica within one fabric domain, of VMs that hold the model: where
+     * most VMs serve it already. What is left of replicas of one model that lost members makes new
+     * ones only within a domain, so each domain should hold few models.
+     * \return nothing when no domain has enough such VMs.
      */
-    std::vector<schema::shared_member> take(const model_profile& model, bool only_staged);
+    std::vector<schema::shared_member> take(const model_profile& model);
 
     /** Picks members within the domain given, staged or not.
      * \return nothing when it has too few free VMs.
@@ -61,9 +59,6 @@
 
   private:
     std::size_t kin(const std::string& domain, const std::string& model) const;
-    std::vector<schema::shared_member> take_from(const std::string& domain,
-                                                 std::vector<const backend*>& vms,
-                                                 const model_profile& model);
 
     std::map<std::string, std::vector<const backend*>> free_;           // By fabric domain.
     std::map<std::string, std::map<std::string, std::size_t>> serving_; // VMs by domain and model.
--- a/src/assembly/replica_formation.cpp
+++ b/src/assembly/replica_formation.cpp
@@ -159,7 +159,7 @@
         if (neediest == nullptr) {
             return;
         }
-        const auto members = pool_.take(*neediest, true);
+        const auto members = pool_.take(*neediest);
         if (members.empty()) {
             unplaceable.insert(neediest->name);
             continue;
