control: name and word the control node's source in the field's terms

The source spoke of parts, a keeper, a desk, pages, news and peers that are spoken to. It now names components, a reconciler, a coordinator, HTTP endpoints, member state and cached clients. Comments say what the code does; log lines, task names and error messages name the subject and the cause. No behaviour changes.

--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements control_node: start and stop of its parts.
+ * Implements control_node: the start and stop of its components.
  */
 #include "control/control_node.h"
 
@@ -10,7 +10,7 @@
 
 #include "base/log.h"
 #include "base/task.h"
-#include "control/control_parts.h"
+#include "control/control_components.h"
 
 namespace chervildyke {
 
@@ -18,12 +18,13 @@
 
 const part_log control_log("control");
 
-constexpr duration rpc_stop_grace = 2s;
+constexpr duration rpc_stop_grace_period = 2s;
+constexpr duration stop_poll_interval = 5ms;
 
 } // namespace
 
 control_node::control_node(boost::asio::any_io_executor executor, schema::control_settings settings)
-    : parts_(std::make_unique<parts>(std::move(executor), std::move(settings)))
+    : components_(std::make_unique<components>(std::move(executor), std::move(settings)))
 {
 }
 
@@ -31,66 +32,68 @@
 
 bool control_node::start()
 {
-    return parts_->start();
+    return components_->start();
 }
 
 const std::string& control_node::last_reason() const
 {
-    return parts_->last_reason;
+    return components_->last_reason;
 }
 
 boost::asio::awaitable<void> control_node::stop()
 {
-    return parts_->stop();
+    return components_->stop();
 }
 
-bool control_node::parts::start()
+bool control_node::components::start()
 {
     const std::string& address = settings.node().address();
-    if (!rpc.listen(address, static_cast<std::uint16_t>(settings.grpc_port()))) {
-        last_reason = "can't listen on " + address + ":" + std::to_string(settings.grpc_port());
+    if (!rpc_server.listen(address, static_cast<std::uint16_t>(settings.grpc_port()))) {
+        last_reason =
+            "can't listen for gRPC on " + address + ":" + std::to_string(settings.grpc_port());
         return false;
     }
-    if (!pages.listen(address, static_cast<std::uint16_t>(settings.http_port()))) {
-        last_reason = pages.last_reason();
+    if (!http_endpoints.listen(address, static_cast<std::uint16_t>(settings.http_port()))) {
+        last_reason = http_endpoints.last_reason();
         return false;
     }
     journal.subscribe([this](const auto&) {
-        views.notify_changed();
-        keeper.wake();
+        publisher.notify_changed();
+        reconciler.wake();
     });
     spawn_task(executor, "journal", journal.run());
-    spawn_task(executor, "own news", keep_self_news());
-    spawn_task(executor, "peer memory", forget_gone_peers());
-    spawn_task(executor, "prober", probes.run());
-    spawn_task(executor, "entry watch", entry.run());
+    spawn_task(executor, "member state", publish_self_state());
+    spawn_task(executor, "client eviction", evict_unused_clients());
+    spawn_task(executor, "prober", failure_detector.run());
+    spawn_task(executor, "entry status", entry_poller.run());
     spawn_task(executor, "VM watcher", watcher.run());
-    spawn_task(executor, "replica keeper", keeper.run());
-    spawn_task(executor, "order desk", desk.run());
-    control_log.info("started as ", options.incarnation, " on ", address);
+    spawn_task(executor, "replica reconciler", reconciler.run());
+    spawn_task(executor, "order coordinator", coordinator.run());
+    control_log.info("Started on ", address, " as incarnation ", options.incarnation, ".");
     return true;
 }
 
-boost::asio::awaitable<void> control_node::parts::stop()
+boost::asio::awaitable<void> control_node::components::stop()
 {
     stopping = true;
-    control_log.info("stopping");
-    pages.stop_accepting();
-    views.stop();
+    control_log.info("Stopping on request.");
+    http_endpoints.stop_accepting();
+    publisher.stop();
     members.leave();
-    co_await pages.wait_until_quiet();
-    // The server waits for calls that end on this executor, so it stops on another thread.
+    co_await http_endpoints.wait_until_quiet();
+    // control_server::stop() blocks until its calls have ended. They end on this executor, so
+    // stop() runs on a thread of its own.
     bool stopped = false;
     std::thread stopper([this, &stopped] {
-        rpc.stop(rpc_stop_grace);
+        rpc_server.stop(rpc_stop_grace_period);
         boost::asio::post(executor, [&stopped] { stopped = true; });
     });
     while (!stopped) {
-        co_await sleep_for(5ms);
+        co_await sleep_for(stop_poll_interval);
     }
     stopper.join();
-    desk.stop();
-    control_log.info("stopped");
+    coordinator.stop();
+    control_log.info("Stopped.");
 }
 
 } // namespace chervildyke
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -13,30 +13,35 @@
 
 namespace chervildyke {
 
-/** Puts the parts of a control together: it follows the journal, takes part in the members,
- * watches VMs, keeps replicas, answers claims and streams the view to entries. What each part
- * decides is left to the part.
+/** Owns and connects the components of a control plane process. Together they apply the journal,
+ * exchange membership state with the other control nodes, watch VMs, form and repair replicas,
+ * answer claims and settlements of orders, and stream the routing view to entries. This class makes
+ * no decisions of its own; each component makes those of its task.
  */
 class control_node {
   public:
-    /** \param settings checked already; zero values are replaced by defaults. */
+    /** \param settings validated settings; zero values are replaced by defaults. */
     control_node(boost::asio::any_io_executor executor, schema::control_settings settings);
     ~control_node();
     control_node(const control_node&) = delete;
     control_node& operator=(const control_node&) = delete;
 
-    /** Starts to listen and starts all tasks.
-     * \return false with last_reason() set when an address can't be had.
+    /** Binds the gRPC and HTTP ports and starts all tasks.
+     * \return false with last_reason() set when a port can't be bound.
      */
     bool start();
+
+    /** The cause of the last failure of start(); empty when there was none. */
     const std::string& last_reason() const;
 
-    /** Says goodbye to the members, ends the views and completes once no call is in progress. */
+    /** Marks this node as left in the membership state, ends the view streams, and completes once
+     * no call is in progress.
+     */
     boost::asio::awaitable<void> stop();
 
   private:
-    struct parts;
-    std::unique_ptr<parts> parts_;
+    struct components;
+    std::unique_ptr<components> components_;
 };
 
 } // namespace chervildyke
--- a/src/control/control_options.cpp
+++ b/src/control/control_options.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements the reading of a control's settings into the options of its parts.
+ * Implements the conversion of a control node's settings to the options of its components.
  */
 #include "control/control_options.h"
 
@@ -7,9 +7,9 @@
 
 namespace {
 
-duration from_ms(std::uint32_t milliseconds, duration otherwise)
+duration from_ms(std::uint32_t milliseconds, duration default_value)
 {
-    return milliseconds == 0 ? otherwise : duration(std::chrono::milliseconds(milliseconds));
+    return milliseconds == 0 ? default_value : duration(std::chrono::milliseconds(milliseconds));
 }
 
 } // namespace
@@ -32,17 +32,18 @@
         options.watcher.watchers_per_vm = settings.watchers_per_vm();
     }
 
-    options.keeper.repair.bounds = options.bounds;
-    options.keeper.repair.engines_check_fencing = settings.engines_check_fencing();
-    options.keeper.repair.order_quarantine =
-        from_ms(settings.order_quarantine_ms(), options.keeper.repair.order_quarantine);
+    options.reconciler.repair.bounds = options.bounds;
+    options.reconciler.repair.engines_check_fencing = settings.engines_check_fencing();
+    options.reconciler.repair.order_quarantine =
+        from_ms(settings.order_quarantine_ms(), options.reconciler.repair.order_quarantine);
 
-    options.desk.self = options.self;
-    options.desk.incarnation = incarnation;
-    options.desk.window_ms = settings.claim_window_ms();
-    options.desk.batch_delay = from_ms(settings.claim_batch_delay_ms(), options.desk.batch_delay);
+    options.coordinator.self = options.self;
+    options.coordinator.incarnation = incarnation;
+    options.coordinator.window_ms = settings.claim_window_ms();
+    options.coordinator.batch_delay =
+        from_ms(settings.claim_batch_delay_ms(), options.coordinator.batch_delay);
     if (settings.order_streams() != 0) {
-        options.desk.streams = settings.order_streams();
+        options.coordinator.streams = settings.order_streams();
     }
     return options;
 }
--- a/src/control/control_options.h
+++ b/src/control/control_options.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines the defaults of a control's settings and their typed form.
+ * Defines control_options, the typed options of a control node's components.
  */
 #pragma once
 
@@ -11,20 +11,21 @@
 
 namespace chervildyke {
 
-/** The options of each part, as the settings and the defaults give them. */
+/** The options of all components: the values of the settings, with defaults for the others. */
 struct control_options {
-    std::string self;        // This control's name among the members: its VM.
-    std::string incarnation; // New for each start.
-    duration view_heartbeat = 500ms;
+    std::string self;                // The member name of this control node: its VM.
+    std::string incarnation;         // Unique to each start of the process.
+    duration view_heartbeat = 500ms; // The longest time between two views to one entry.
     watch_bounds bounds;
     journal_options journal;
     vm_watcher_options watcher;
-    replica_keeper_options keeper;
-    order_coordinator_settings desk;
+    replica_keeper_options reconciler;
+    order_coordinator_settings coordinator;
 };
 
-/** \param settings checked already.
- * \param incarnation a name that no other start has.
+/** Converts settings to options.
+ * \param settings validated settings; zero values are replaced by defaults.
+ * \param incarnation a name that is unique to this start of the process.
  */
 control_options make_control_options(const schema::control_settings& settings,
                                      const std::string& incarnation);
--- a/src/control/entry_watch.cpp
+++ b/src/control/entry_status_poller.cpp
@@ -1,7 +1,7 @@
 /** \file
- * Implements entry_watch over the entry's GET /status.
+ * Implements entry_status_poller with GET /status of the entry.
  */
-#include "control/entry_watch.h"
+#include "control/entry_status_poller.h"
 
 #include <utility>
 
@@ -16,15 +16,15 @@
 
 } // namespace
 
-entry_watch::entry_watch(std::shared_ptr<http_client> http, std::string address,
-                         std::string failure_domain)
+entry_status_poller::entry_status_poller(std::shared_ptr<http_client> http, std::string address,
+                                         std::string failure_domain)
     : http_(std::move(http)), address_(std::move(address)),
       failure_domain_(std::move(failure_domain))
 {
     status_.mutable_load()->set_draining(true);
 }
 
-boost::asio::awaitable<void> entry_watch::run()
+boost::asio::awaitable<void> entry_status_poller::run()
 {
     while (true) {
         co_await poll();
@@ -32,7 +32,7 @@
     }
 }
 
-boost::asio::awaitable<void> entry_watch::poll()
+boost::asio::awaitable<void> entry_status_poller::poll()
 {
     http_request request;
     request.target = "/status";
--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-boost::asio::awaitable<int> control_until_stopped(control_node& node)
+boost::asio::awaitable<int> run_until_stopped(control_node& node)
 {
     if (!node.start()) {
         part_log("control").error(node.last_reason());
@@ -26,8 +26,9 @@
 
 int main(int argc, char** argv)
 {
-    const program_description description{"chervil-control", CHERVIL_VERSION,
-                                          "Follows the log, forms replicas, serves entries."};
+    const program_description description{
+        "chervil-control", CHERVIL_VERSION,
+        "Applies the journal, forms replicas and streams routing views to entries."};
     schema::control_settings settings;
     int exit_code = exit_success;
     if (!read_command_line(argc, argv, description, settings, exit_code)) {
@@ -36,5 +37,5 @@
     start_log(settings.log().level(), settings.log().file());
     boost::asio::io_context context(1);
     control_node node(context.get_executor(), settings);
-    return run_main_task(context, [&node] { return control_until_stopped(node); });
+    return run_main_task(context, [&node] { return run_until_stopped(node); });
 }
--- a/src/control/node_status.cpp
+++ b/src/control/node_status.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements a control's description of itself.
+ * Implements the status reply and the metrics of a control node.
  */
 #include "control/node_status.h"
 
@@ -12,34 +12,34 @@
 
 namespace {
 
-void put_report(const vm_knowledge& from, time_point now, schema::vm_report& into)
+void write_vm_report(const vm_knowledge& vm, time_point now, schema::vm_report& report)
 {
     using std::chrono::duration_cast;
     using std::chrono::milliseconds;
-    into.set_vm(from.vm);
-    into.set_watcher(from.watcher);
-    into.set_reachable(!from.lost_since.has_value());
-    into.set_leaving(from.is_leaving());
-    if (from.heard_at) {
-        const auto age = duration_cast<milliseconds>(now - *from.heard_at);
-        into.set_age_ms(static_cast<std::uint32_t>(age.count()));
+    report.set_vm(vm.vm);
+    report.set_watcher(vm.watcher);
+    report.set_reachable(!vm.lost_since.has_value());
+    report.set_leaving(vm.is_leaving());
+    if (vm.heard_at) {
+        const auto age = duration_cast<milliseconds>(now - *vm.heard_at);
+        report.set_age_ms(static_cast<std::uint32_t>(age.count()));
     }
-    if (from.report) {
-        *into.mutable_engine() = *from.report;
+    if (vm.report) {
+        *report.mutable_engine() = *vm.report;
     }
 }
 
-void put_gauge(std::ostream& out, const char* name, const char* help, double value)
+void write_gauge(std::ostream& out, const char* name, const char* help, double value)
 {
     out << "# HELP " << name << " " << help << "\n# TYPE " << name << " gauge\n"
         << name << " " << value << "\n";
 }
 
-double count_phase(const fleet_state& state, schema::replica_phase phase)
+double count_replicas_in_phase(const fleet_state& state, schema::replica_phase phase)
 {
     double count = 0;
-    for (const auto& [id, known] : state.replicas()) {
-        count += known.phase == phase ? 1 : 0;
+    for (const auto& [id, subject] : state.replicas()) {
+        count += subject.phase == phase ? 1 : 0;
     }
     return count;
 }
@@ -60,36 +60,36 @@
     if (!with_replicas) {
         return reply;
     }
-    for (const auto& [id, known] : state.replicas()) {
-        write_replica(known, *reply.add_replicas());
+    for (const auto& [id, subject] : state.replicas()) {
+        write_replica(subject, *reply.add_replicas());
     }
     const time_point now = monotonic_clock::now();
-    for (const auto& [name, vm] : sources.table->knowledge().vms) {
-        put_report(vm, now, *reply.add_reports());
+    for (const auto& [name, vm] : sources.reports->knowledge().vms) {
+        write_vm_report(vm, now, *reply.add_reports());
     }
     return reply;
 }
 
-std::string make_metrics(const status_sources& sources)
+std::string format_metrics(const status_sources& sources)
 {
     const fleet_state& state = *sources.journal->state();
     std::ostringstream out;
-    put_gauge(out, "chervil_control_ready", "Whether the journal state is current.",
-              sources.journal->ready() ? 1 : 0);
-    put_gauge(out, "chervil_control_log_reachable", "Whether the log answered the last read.",
-              sources.journal->log_reachable() ? 1 : 0);
-    put_gauge(out, "chervil_control_journal_offset", "The highest applied offset.",
-              static_cast<double>(state.offset()));
-    put_gauge(out, "chervil_control_configuration_version", "The configuration in force.",
-              static_cast<double>(state.configuration_version()));
-    put_gauge(out, "chervil_control_replicas_forming", "Replicas that are being formed.",
-              count_phase(state, schema::forming));
-    put_gauge(out, "chervil_control_replicas_serving", "Replicas that serve by the journal.",
-              count_phase(state, schema::serving));
-    put_gauge(out, "chervil_control_replicas_retiring", "Replicas that are let go.",
-              count_phase(state, schema::retiring));
-    put_gauge(out, "chervil_control_known_vms", "VMs that the VM list showed.",
-              static_cast<double>(sources.table->knowledge().vms.size()));
+    write_gauge(out, "chervil_control_ready", "Whether the journal state is current.",
+                sources.journal->ready() ? 1 : 0);
+    write_gauge(out, "chervil_control_log_reachable", "Whether the log answered the last read.",
+                sources.journal->log_reachable() ? 1 : 0);
+    write_gauge(out, "chervil_control_journal_offset", "The highest applied offset.",
+                static_cast<double>(state.offset()));
+    write_gauge(out, "chervil_control_configuration_version", "The configuration in force.",
+                static_cast<double>(state.configuration_version()));
+    write_gauge(out, "chervil_control_replicas_forming", "Replicas that are being formed.",
+                count_replicas_in_phase(state, schema::forming));
+    write_gauge(out, "chervil_control_replicas_serving", "Replicas that serve by the journal.",
+                count_replicas_in_phase(state, schema::serving));
+    write_gauge(out, "chervil_control_replicas_retiring", "Replicas that are let go.",
+                count_replicas_in_phase(state, schema::retiring));
+    write_gauge(out, "chervil_control_known_vms", "VMs that the VM list showed.",
+                static_cast<double>(sources.reports->knowledge().vms.size()));
     return out.str();
 }
 
--- a/src/control/node_status.h
+++ b/src/control/node_status.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines how a control describes itself to operators and to its metrics page.
+ * Defines the status reply and the metrics of a control node.
  */
 #pragma once
 
@@ -11,19 +11,21 @@
 
 namespace chervildyke {
 
-/** What a status is made of. */
+/** The inputs of a status. The pointers must not be null. */
 struct status_sources {
     std::string vm;
     std::string incarnation;
     const journal_node* journal = nullptr;
-    const report_table* table = nullptr;
-    std::uint64_t entry_configuration_version = 0;
+    const report_table* reports = nullptr;
+    std::uint64_t entry_configuration_version = 0; // In force at the entry on the same VM.
 };
 
-/** \param with_replicas also lists replicas and reports, which is long. */
+/** Builds the reply to a status request.
+ * \param with_replicas whether to list all replicas and VM reports, which can be long.
+ */
 schema::status_reply make_status(const status_sources& sources, bool with_replicas);
 
-/** \return the control's gauges as Prometheus text. */
-std::string make_metrics(const status_sources& sources);
+/** \return the gauges of the control node in the Prometheus text format. */
+std::string format_metrics(const status_sources& sources);
 
 } // namespace chervildyke
--- a/src/control/view_publisher.cpp
+++ b/src/control/view_publisher.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr duration min_view_interval = 20ms; // Gathers changes that come together.
+constexpr duration min_view_interval = 20ms; // Coalesces changes in quick succession.
 
 } // namespace
 
--- a/src/control/view_publisher.h
+++ b/src/control/view_publisher.h
@@ -13,8 +13,8 @@
 
 namespace chervildyke {
 
-/** Sends each watcher the view at once, after every change, and at every heartbeat. What the view
- * holds is left to the source hook.
+/** Sends the view to each watcher when it connects, after each change, and at each heartbeat. The
+ * source hook builds the view.
  */
 class view_publisher {
   public:
@@ -25,23 +25,24 @@
      */
     view_publisher(view_source source, duration heartbeat);
 
-    /** Serves one watcher until it is gone or the publisher stops. */
+    /** Streams views to one watcher until it disconnects or stop() is called. */
     boost::asio::awaitable<void> serve(view_writer write);
 
-    /** Has a new view sent to every watcher soon. */
+    /** Triggers a new view for every watcher. Changes in quick succession share one view. */
     void notify_changed();
 
     /** Ends all streams. */
     void stop();
 
   private:
+    /** Waits until change_count_ differs from seen, or for the rest of the heartbeat. */
     boost::asio::awaitable<void> wait_for_change(std::uint64_t seen);
 
     view_source source_;
     duration heartbeat_;
     std::uint64_t change_count_ = 0;
     bool stopped_ = false;
-    std::set<timer*> waiting_;
+    std::set<timer*> waiting_; // The heartbeat timers of all watchers that wait for a change.
 };
 
 } // namespace chervildyke
