ctl: name and word chervilctl's source and output in the field's terms

chervilctl spoke of verdicts, void records, winners and of asking all controls. It now speaks of outcomes, rejected records, the version in force, status requests to control nodes and the progress of a rollout. The texts that scripts match stay: "accepted" first on its line, "in force is version", all JSON keys, flags and exit codes. No behaviour changes.

Files: control_fanout -> control_status, publishing -> publish_commands, showing -> show_commands.

New constant: writer_id_length.

--- a/src/ctl/command_line.cpp
+++ b/src/ctl/command_line.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements the reading of chervilctl's command line over cxxopts.
+ * Implements the parsing of chervilctl's command line with cxxopts.
  */
 #include "ctl/command_line.h"
 
@@ -16,35 +16,37 @@
 
 namespace {
 
-constexpr std::size_t any_number = std::numeric_limits<std::size_t>::max();
+constexpr std::size_t unlimited = std::numeric_limits<std::size_t>::max();
 
-/** A verb with how many arguments it takes. */
-struct verb_form {
+/** The syntax of one verb: its name and the number of arguments that it takes. */
+struct verb_syntax {
     const char* name;
     ctl_verb verb;
-    std::size_t least;
-    std::size_t most;
+    std::size_t min_arguments;
+    std::size_t max_arguments;
     const char* usage;
 };
 
-constexpr verb_form forms[] = {
+constexpr verb_syntax verb_syntaxes[] = {
     {"validate", ctl_verb::validate, 1, 1, "validate FILE         check a configuration file"},
-    {"diff", ctl_verb::diff, 1, 1, "diff FILE             show what a file would change"},
+    {"diff", ctl_verb::diff, 1, 1,
+     "diff FILE             show the changes from the version in force"},
     {"publish", ctl_verb::publish, 1, 1, "publish FILE          put a configuration in force"},
-    {"status", ctl_verb::status, 0, 0, "status                show members and replicas"},
+    {"status", ctl_verb::status, 0, 0, "status                show control nodes and replicas"},
     {"history", ctl_verb::history, 0, 0, "history               show accepted configurations"},
     {"rollback", ctl_verb::rollback, 1, 1,
-     "rollback VERSION      publish an older one as a new one"},
-    {"explain", ctl_verb::explain, 1, 1, "explain TEAM|VM       say why it is as it is"},
-    {"drain", ctl_verb::drain, 1, any_number, "drain VM...           have VMs emptied"},
-    {"undrain", ctl_verb::undrain, 1, any_number, "undrain VM...         have VMs used again"},
+     "rollback VERSION      publish an older version as a new version"},
+    {"explain", ctl_verb::explain, 1, 1,
+     "explain TEAM|VM       show the state of a team or VM and its causes"},
+    {"drain", ctl_verb::drain, 1, unlimited, "drain VM...           stop using VMs for replicas"},
+    {"undrain", ctl_verb::undrain, 1, unlimited, "undrain VM...         use drained VMs again"},
 };
 
-const verb_form* find_form(const std::string& name)
+const verb_syntax* find_verb_syntax(const std::string& name)
 {
-    for (const verb_form& form : forms) {
-        if (name == form.name) {
-            return &form;
+    for (const verb_syntax& syntax : verb_syntaxes) {
+        if (name == syntax.name) {
+            return &syntax;
         }
     }
     return nullptr;
@@ -53,8 +55,8 @@
 void print_help(const cxxopts::Options& options)
 {
     std::cout << options.help() << "\nCommands:\n";
-    for (const verb_form& form : forms) {
-        std::cout << "  " << form.usage << "\n";
+    for (const verb_syntax& syntax : verb_syntaxes) {
+        std::cout << "  " << syntax.usage << "\n";
     }
 }
 
@@ -68,71 +70,75 @@
     return faults.empty() ? exit_success : exit_bad_settings;
 }
 
-std::optional<ctl_command> to_command(const cxxopts::ParseResult& given)
+std::optional<ctl_command> make_command(const cxxopts::ParseResult& parsed)
 {
-    const auto words = given.count("words") != 0 ? given["words"].as<std::vector<std::string>>()
-                                                 : std::vector<std::string>();
-    const verb_form* form = words.empty() ? nullptr : find_form(words[0]);
-    if (form == nullptr) {
-        std::cerr << "chervilctl: give one of the commands that --help lists\n";
+    const auto positional = parsed.count("words") != 0
+                                ? parsed["words"].as<std::vector<std::string>>()
+                                : std::vector<std::string>();
+    const verb_syntax* syntax = positional.empty() ? nullptr : find_verb_syntax(positional[0]);
+    if (syntax == nullptr) {
+        std::cerr << "chervilctl: expected a command; --help lists all commands\n";
         return std::nullopt;
     }
-    if (words.size() - 1 < form->least || words.size() - 1 > form->most) {
-        std::cerr << "chervilctl: expected " << form->usage << "\n";
+    if (positional.size() - 1 < syntax->min_arguments ||
+        positional.size() - 1 > syntax->max_arguments) {
+        std::cerr << "chervilctl: expected " << syntax->usage << "\n";
         return std::nullopt;
     }
-    if (given.count("settings") == 0 && form->verb != ctl_verb::validate) {
-        std::cerr << "chervilctl: give --settings FILE\n";
+    if (parsed.count("settings") == 0 && syntax->verb != ctl_verb::validate) {
+        std::cerr << "chervilctl: this command requires --settings FILE\n";
         return std::nullopt;
     }
     ctl_command command;
-    command.verb = form->verb;
-    command.arguments.assign(words.begin() + 1, words.end());
-    if (given.count("settings") != 0) {
-        command.settings_file = given["settings"].as<std::string>();
+    command.verb = syntax->verb;
+    command.arguments.assign(positional.begin() + 1, positional.end());
+    if (parsed.count("settings") != 0) {
+        command.settings_file = parsed["settings"].as<std::string>();
     }
-    if (given.count("base") != 0) {
-        command.base_version = given["base"].as<std::uint64_t>();
+    if (parsed.count("base") != 0) {
+        command.base_version = parsed["base"].as<std::uint64_t>();
     }
-    command.comment = given["comment"].as<std::string>();
-    command.wait = std::chrono::seconds(given["wait"].as<std::uint32_t>());
-    command.json = given.count("json") != 0;
+    command.comment = parsed["comment"].as<std::string>();
+    command.timeout = std::chrono::seconds(parsed["wait"].as<std::uint32_t>());
+    command.json = parsed.count("json") != 0;
     return command;
 }
 
 } // namespace
 
-std::optional<ctl_command> read_ctl_command(int argc, char** argv, const std::string& version,
-                                            int& exit_code)
+std::optional<ctl_command> parse_ctl_command(int argc, char** argv, const std::string& version,
+                                             int& exit_code)
 {
-    cxxopts::Options options("chervilctl", "Publishes configuration and shows the fleet.");
+    cxxopts::Options options("chervilctl",
+                             "Publishes configurations and shows the state of the fleet.");
     options.positional_help("COMMAND ARGUMENTS");
     options.add_options()("settings", "the settings file", cxxopts::value<std::string>())(
-        "check-settings", "check a settings file and end", cxxopts::value<std::string>())(
-        "base", "the version that is edited; the one in force if not given",
-        cxxopts::value<std::uint64_t>())("comment", "kept beside the version",
+        "check-settings", "check a settings file and exit", cxxopts::value<std::string>())(
+        "base", "the version that the configuration edits; default: the version in force",
+        cxxopts::value<std::uint64_t>())("comment", "comment to store with the version",
                                          cxxopts::value<std::string>()->default_value(""))(
-        "wait", "seconds to wait for the verdict and until it is in force",
+        "wait",
+        "time limit in seconds for each step: reading the journal, the outcome, the rollout",
         cxxopts::value<std::uint32_t>()->default_value("15"))("json", "print JSON")(
-        "version", "print the version and end")("help", "print this and end")(
+        "version", "print the version and exit")("help", "print this help and exit")(
         "words", "", cxxopts::value<std::vector<std::string>>());
     options.parse_positional({"words"});
     exit_code = exit_success;
     try {
-        const auto given = options.parse(argc, argv);
-        if (given.count("help") != 0) {
+        const auto parsed = options.parse(argc, argv);
+        if (parsed.count("help") != 0) {
             print_help(options);
             return std::nullopt;
         }
-        if (given.count("version") != 0) {
+        if (parsed.count("version") != 0) {
             std::cout << "chervilctl " << version << "\n";
             return std::nullopt;
         }
-        if (given.count("check-settings") != 0) {
-            exit_code = check_settings(given["check-settings"].as<std::string>());
+        if (parsed.count("check-settings") != 0) {
+            exit_code = check_settings(parsed["check-settings"].as<std::string>());
             return std::nullopt;
         }
-        auto command = to_command(given);
+        auto command = make_command(parsed);
         exit_code = command ? exit_success : exit_bad_settings;
         return command;
     }
--- a/src/ctl/command_line.h
+++ b/src/ctl/command_line.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines ctl_command, one command of an operator as the command line states it.
+ * Defines ctl_command, the parsed command line of chervilctl.
  */
 #pragma once
 
@@ -14,22 +14,30 @@
 
 enum class ctl_verb { validate, diff, publish, status, history, rollback, explain, drain, undrain };
 
+/** One command of an operator with its options. */
 struct ctl_command {
     ctl_verb verb = ctl_verb::status;
-    std::vector<std::string> arguments; // A file, a version, a subject or VMs.
+    std::vector<std::string> arguments; // A file, a version, a team or VM, or several VMs.
     std::string settings_file;
-    std::optional<std::uint64_t> base_version;
+    std::optional<std::uint64_t> base_version; // The version that a published configuration edits.
     std::string comment;
-    duration wait = 15s; // For the verdict, and again until it is in force.
+
+    /** Applies in turn to reading the journal, to the outcome of the appended record, and to the
+     * rollout of the accepted version.
+     */
+    duration timeout = 15s;
     bool json = false;
 
     bool operator==(const ctl_command&) const = default;
 };
 
-/** Reads the command line; prints help, version or what is wrong with it.
- * \param exit_code set when there is no command to run.
+/** Parses the command line. Prints the help, the version, the result of --check-settings or an
+ * error when there is no command to run.
+ * \param version the program's version, for --version.
+ * \param exit_code set to the exit code of the program when there is no command to run.
+ * \return the command; empty when there is none to run.
  */
-std::optional<ctl_command> read_ctl_command(int argc, char** argv, const std::string& version,
-                                            int& exit_code);
+std::optional<ctl_command> parse_ctl_command(int argc, char** argv, const std::string& version,
+                                             int& exit_code);
 
 } // namespace chervildyke
--- a/src/ctl/journal_session.cpp
+++ b/src/ctl/journal_session.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements journal_session over journal_node.
+ * Implements journal_session with journal_node.
  */
 #include "ctl/journal_session.h"
 
@@ -15,17 +15,18 @@
 namespace {
 
 constexpr duration snapshot_timeout = 2s;
-constexpr duration ready_poll = 20ms;
+constexpr duration ready_poll_interval = 20ms;
+constexpr std::size_t writer_id_length = 12;
 
-journal_options make_options()
+journal_options make_journal_options()
 {
     journal_options options;
-    options.writer = "chervilctl-" + random_id(system_random()).substr(0, 12);
+    options.writer = "chervilctl-" + random_id(system_random()).substr(0, writer_id_length);
     options.writes_checkpoints = false;
     return options;
 }
 
-/** Asks one control after the other for its state. */
+/** Fetches the state of the first control node that serves one. */
 boost::asio::awaitable<journal_result<schema::state_snapshot>>
 fetch_snapshot(boost::asio::any_io_executor executor, std::vector<std::string> addresses)
 {
@@ -37,14 +38,15 @@
             co_return std::move(*snapshot);
         }
     }
-    co_return journal_failure{journal_error::unavailable, "no control gave its state"};
+    co_return journal_failure{journal_error::unavailable,
+                              "no control node of the settings served a state"};
 }
 
 } // namespace
 
 journal_session::journal_session(boost::asio::any_io_executor executor,
                                  const schema::ctl_settings& settings)
-    : executor_(std::move(executor)), node_(make_options(), make_hooks(settings))
+    : executor_(std::move(executor)), node_(make_journal_options(), make_hooks(settings))
 {
 }
 
@@ -68,7 +70,7 @@
     spawn_task(executor_, "journal", node_.run());
     const time_point end = monotonic_clock::now() + timeout;
     while (!node_.ready() && monotonic_clock::now() < end) {
-        co_await sleep_for(ready_poll);
+        co_await sleep_for(ready_poll_interval);
     }
     co_return node_.ready();
 }
--- a/src/ctl/journal_session.h
+++ b/src/ctl/journal_session.h
@@ -1,5 +1,6 @@
 /** \file
- * Defines journal_session, through which an operator's command reads the journal and appends to it.
+ * Defines journal_session, through which a command of chervilctl reads the journal and appends to
+ * it.
  */
 #pragma once
 
@@ -15,21 +16,23 @@
 
 namespace chervildyke {
 
-/** Follows the journal for the length of one command. It needs only the log service; when the
- * newest checkpoint is out of reach it asks the controls of the settings.
+/** Applies the journal while one command runs. The log service alone suffices; when the newest
+ * checkpoint can't be read from it, the state is fetched from the control nodes of the settings.
  */
 class journal_session {
   public:
     journal_session(boost::asio::any_io_executor executor, const schema::ctl_settings& settings);
 
-    /** Completes once the state is current.
-     * \return false after the timeout.
+    /** Starts to read the journal and waits until the state is current.
+     * \return whether it is current; false after the timeout.
      */
     boost::asio::awaitable<bool> open(duration timeout);
 
     const std::shared_ptr<const fleet_state>& state() const { return node_.state(); }
 
-    /** Appends a configuration and waits for its verdict. */
+    /** Appends a configuration record and waits for its outcome.
+     * \return the record's offset and outcome, or the errors of journal_node::propose().
+     */
     boost::asio::awaitable<journal_result<proposal_outcome>>
     propose(schema::configuration_change change, duration timeout);
 
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -1,5 +1,5 @@
 /** \file
- * chervilctl: the operators' command.
+ * The program chervilctl: the command line of operators.
  */
 #include <iostream>
 #include <memory>
@@ -9,8 +9,8 @@
 #include "base/settings.h"
 #include "ctl/command_line.h"
 #include "ctl/journal_session.h"
-#include "ctl/publishing.h"
-#include "ctl/showing.h"
+#include "ctl/publish_commands.h"
+#include "ctl/show_commands.h"
 
 namespace chervildyke {
 
@@ -25,14 +25,15 @@
     return faults.empty();
 }
 
-/** Runs a command that needs the journal. */
+/** Runs a command that reads the journal. */
 boost::asio::awaitable<int> run_with_journal(boost::asio::any_io_executor executor,
                                              ctl_command command, schema::ctl_settings settings)
 {
     const auto session = std::make_shared<journal_session>(executor, settings);
-    const bool current = co_await session->open(command.wait);
+    const bool current = co_await session->open(command.timeout);
     if (!current) {
-        std::cerr << "chervilctl: the journal can't be read; is the log service up?\n";
+        std::cerr << "chervilctl: the journal could not be read to its end within --wait seconds; "
+                     "is the log service reachable?\n";
         co_return exit_failure;
     }
     if (command.verb == ctl_verb::history) {
@@ -40,7 +41,7 @@
     }
     if (command.verb == ctl_verb::diff) {
         const auto next = read_configuration(command.arguments[0]);
-        co_return next ? show_difference(*next, *session->state()) : exit_bad_settings;
+        co_return next ? show_diff(*next, *session->state()) : exit_bad_settings;
     }
     co_return co_await publish(executor, std::move(command), std::move(settings), session);
 }
@@ -61,7 +62,7 @@
 int run(int argc, char** argv)
 {
     int exit_code = exit_success;
-    const auto command = read_ctl_command(argc, argv, CHERVIL_VERSION, exit_code);
+    const auto command = parse_ctl_command(argc, argv, CHERVIL_VERSION, exit_code);
     if (!command) {
         return exit_code;
     }
--- a/src/ctl/publishing.cpp
+++ b/src/ctl/publish_commands.cpp
@@ -1,7 +1,7 @@
 /** \file
- * Implements the commands that put a configuration in force.
+ * Implements the commands that check, compare and publish configurations.
  */
-#include "ctl/publishing.h"
+#include "ctl/publish_commands.h"
 
 #include <algorithm>
 #include <charconv>
@@ -11,7 +11,7 @@
 
 #include "base/program.h"
 #include "base/settings.h"
-#include "ctl/control_fanout.h"
+#include "ctl/control_status.h"
 #include "journal/validate.h"
 
 namespace chervildyke {
@@ -20,14 +20,14 @@
 
 using schema::fleet_configuration;
 
-constexpr duration in_force_poll = 200ms;
+constexpr duration rollout_poll_interval = 200ms;
 
 std::optional<fleet_configuration> find_version(const fleet_state& state, const std::string& text)
 {
     std::uint64_t version = 0;
     const auto parsed = std::from_chars(text.data(), text.data() + text.size(), version);
     if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) {
-        std::cerr << "chervilctl: expected the number of a version, not " << text << "\n";
+        std::cerr << "chervilctl: expected a version number, found " << text << "\n";
         return std::nullopt;
     }
     for (const configuration_entry& entry : state.history()) {
@@ -35,11 +35,12 @@
             return *entry.configuration;
         }
     }
-    std::cerr << "chervilctl: version " << version << " is not kept; see history\n";
+    std::cerr << "chervilctl: version " << version
+              << " is not in the kept history; see 'chervilctl history'\n";
     return std::nullopt;
 }
 
-fleet_configuration with_drained(const fleet_state& state, const ctl_command& command)
+fleet_configuration apply_drain_command(const fleet_state& state, const ctl_command& command)
 {
     fleet_configuration next = *state.configuration();
     std::vector<std::string> drained(next.drained_vms().begin(), next.drained_vms().end());
@@ -54,21 +55,21 @@
     return next;
 }
 
-std::optional<fleet_configuration> wanted_configuration(const ctl_command& command,
-                                                        const fleet_state& state)
+std::optional<fleet_configuration> make_next_configuration(const ctl_command& command,
+                                                           const fleet_state& state)
 {
     switch (command.verb) {
     case ctl_verb::rollback:
         return find_version(state, command.arguments[0]);
     case ctl_verb::drain:
     case ctl_verb::undrain:
-        return with_drained(state, command);
+        return apply_drain_command(state, command);
     default:
         return read_configuration(command.arguments[0]);
     }
 }
 
-std::string change_comment(const ctl_command& command)
+std::string make_comment(const ctl_command& command)
 {
     if (!command.comment.empty()) {
         return command.comment;
@@ -85,42 +86,46 @@
     }
 }
 
-void print_winner(const fleet_state& state)
+void print_current_version(const fleet_state& state)
 {
     if (state.history().empty()) {
         return;
     }
-    const configuration_entry& winner = state.history().back();
-    std::cout << "in force is version " << winner.version << " by "
-              << (winner.author.empty() ? "somebody unnamed" : winner.author)
-              << (winner.comment.empty() ? "" : " (" + winner.comment + ")") << "\n";
+    const configuration_entry& current = state.history().back();
+    std::cout << "in force is version " << current.version << " by "
+              << (current.author.empty() ? "an unnamed author" : current.author)
+              << (current.comment.empty() ? "" : " (" + current.comment + ")") << "\n";
 }
 
-/** Waits until every control that answers, and its entry, has the version in force. */
-boost::asio::awaitable<bool> wait_in_force(boost::asio::any_io_executor executor,
-                                           std::vector<std::string> addresses,
-                                           std::uint64_t version, duration timeout)
+/** Waits until every control node that replies, and its entry, has the version in force, and prints
+ * the progress at the end.
+ * \return false after the timeout.
+ */
+boost::asio::awaitable<bool> wait_for_rollout(boost::asio::any_io_executor executor,
+                                              std::vector<std::string> addresses,
+                                              std::uint64_t version, duration timeout)
 {
     const time_point end = monotonic_clock::now() + timeout;
-    in_force_count count;
+    rollout_progress progress;
     while (true) {
-        const auto answers = co_await ask_all(executor, addresses, false);
-        count = count_in_force(answers, version);
-        if (count.everywhere() || monotonic_clock::now() >= end) {
+        const auto statuses = co_await fetch_control_statuses(executor, addresses, false);
+        progress = measure_rollout(statuses, version);
+        if (progress.is_complete() || monotonic_clock::now() >= end) {
             break;
         }
-        co_await sleep_for(in_force_poll);
+        co_await sleep_for(rollout_poll_interval);
     }
-    std::cout << "in force on " << count.controls << " controls and " << count.entries
-              << " entries; " << count.answered << " of " << count.asked << " nodes answered\n";
-    co_return count.everywhere();
+    std::cout << "in force on " << progress.updated_controls << " control nodes and "
+              << progress.updated_entries << " entries; " << progress.responding_controls << " of "
+              << progress.total_controls << " control nodes replied\n";
+    co_return progress.is_complete();
 }
 
 int print_failure(const journal_failure& failure)
 {
     if (failure.code == journal_error::unknown_outcome) {
-        std::cout << "unclear: the record may be in the journal; see history (" << failure.reason
-                  << ")\n";
+        std::cout << "unknown outcome: the record may be in the journal; see 'chervilctl history' ("
+                  << failure.reason << ")\n";
     }
     else {
         std::cout << "not published: " << failure.reason << "\n";
@@ -150,7 +155,7 @@
     return configuration;
 }
 
-int show_difference(const fleet_configuration& next, const fleet_state& state)
+int show_diff(const fleet_configuration& next, const fleet_state& state)
 {
     std::string report;
     google::protobuf::util::MessageDifferencer differencer;
@@ -159,7 +164,7 @@
         std::cout << "no difference from version " << state.configuration_version() << "\n";
         return exit_success;
     }
-    std::cout << "against version " << state.configuration_version() << ":\n" << report;
+    std::cout << "changes from version " << state.configuration_version() << ":\n" << report;
     return exit_success;
 }
 
@@ -167,7 +172,7 @@
                                     schema::ctl_settings settings,
                                     std::shared_ptr<journal_session> session)
 {
-    const auto next = wanted_configuration(command, *session->state());
+    const auto next = make_next_configuration(command, *session->state());
     if (!next) {
         co_return exit_bad_settings;
     }
@@ -176,23 +181,23 @@
         command.base_version.value_or(session->state()->configuration_version()));
     *change.mutable_configuration() = *next;
     change.set_author(settings.author());
-    change.set_comment(change_comment(command));
-    auto verdict = co_await session->propose(std::move(change), command.wait);
-    if (!verdict) {
-        co_return print_failure(verdict.last_reason());
+    change.set_comment(make_comment(command));
+    auto proposal = co_await session->propose(std::move(change), command.timeout);
+    if (!proposal) {
+        co_return print_failure(proposal.last_reason());
     }
-    if (!verdict->outcome.accepted()) {
-        std::cout << "void at offset " << verdict->offset << ": " << verdict->outcome.reason
+    if (!proposal->outcome.accepted()) {
+        std::cout << "rejected at offset " << proposal->offset << ": " << proposal->outcome.reason
                   << "\n";
-        print_winner(*session->state());
+        print_current_version(*session->state());
         co_return exit_failure;
     }
-    std::cout << "accepted as version " << verdict->offset << "\n";
+    std::cout << "accepted as version " << proposal->offset << "\n";
     const std::vector<std::string> controls(settings.control_addresses().begin(),
                                             settings.control_addresses().end());
-    const bool everywhere =
-        co_await wait_in_force(executor, controls, verdict->offset, command.wait);
-    co_return everywhere ? exit_success : exit_failure;
+    const bool is_complete =
+        co_await wait_for_rollout(executor, controls, proposal->offset, command.timeout);
+    co_return is_complete ? exit_success : exit_failure;
 }
 
 } // namespace chervildyke
--- a/src/ctl/showing.cpp
+++ b/src/ctl/show_commands.cpp
@@ -1,14 +1,14 @@
 /** \file
- * Implements the commands that show the fleet.
+ * Implements the commands that show the state of the fleet.
  */
-#include "ctl/showing.h"
+#include "ctl/show_commands.h"
 
 #include <iostream>
 
 #include <nlohmann/json.hpp>
 
 #include "base/program.h"
-#include "ctl/control_fanout.h"
+#include "ctl/control_status.h"
 #include "external/json_message.h"
 
 namespace chervildyke {
@@ -38,24 +38,24 @@
     }
 }
 
-void print_control(const control_answer& answer)
+void print_control_status(const control_status& status)
 {
-    std::cout << "  " << answer.address << "  ";
-    if (!answer.status) {
-        std::cout << "no answer: " << answer.last_reason << "\n";
+    std::cout << "  " << status.address << "  ";
+    if (!status.reply) {
+        std::cout << "no reply: " << status.last_reason << "\n";
         return;
     }
-    const schema::status_reply& status = *answer.status;
-    std::cout << status.vm() << "  " << (status.ready() ? "ready" : "not ready") << "  offset "
-              << status.highest_offset() << "  version " << status.configuration_version()
-              << "  entry's version " << status.entry_configuration_version() << "  log "
-              << (status.log_reachable() ? "up" : "down") << "\n";
+    const schema::status_reply& reply = *status.reply;
+    std::cout << reply.vm() << "  " << (reply.ready() ? "ready" : "not ready") << "  offset "
+              << reply.highest_offset() << "  version " << reply.configuration_version()
+              << "  entry version " << reply.entry_configuration_version() << "  log "
+              << (reply.log_reachable() ? "up" : "down") << "\n";
 }
 
-void print_replicas(const schema::status_reply& status)
+void print_replicas(const schema::status_reply& reply)
 {
     std::cout << "replicas:\n";
-    for (const schema::replica_record& replica : status.replicas()) {
+    for (const schema::replica_record& replica : reply.replicas()) {
         std::cout << "  " << replica.replica_id() << "  " << replica.team() << "  "
                   << phase_name(replica.phase()) << " ";
         for (const schema::replica_member& member : replica.members()) {
@@ -70,33 +70,33 @@
     return json::parse(to_json(message), nullptr, false);
 }
 
-void print_status_json(const std::vector<control_answer>& answers)
+void print_status_json(const std::vector<control_status>& statuses)
 {
     json all = json::array();
-    for (const control_answer& answer : answers) {
-        json one = {{"address", answer.address}};
-        if (answer.status) {
-            one["status"] = to_json_value(*answer.status);
+    for (const control_status& status : statuses) {
+        json one = {{"address", status.address}};
+        if (status.reply) {
+            one["status"] = to_json_value(*status.reply);
         }
         else {
-            one["reason"] = answer.last_reason;
+            one["reason"] = status.last_reason;
         }
         all.push_back(std::move(one));
     }
     std::cout << all.dump() << "\n";
 }
 
-/** The newest status among the answers, or null. */
-const schema::status_reply* newest(const std::vector<control_answer>& answers)
+/** \return the reply with the highest journal offset; null when there is none. */
+const schema::status_reply* find_newest_status(const std::vector<control_status>& statuses)
 {
-    const schema::status_reply* best = nullptr;
-    for (const control_answer& answer : answers) {
-        if (answer.status &&
-            (best == nullptr || answer.status->highest_offset() > best->highest_offset())) {
-            best = &*answer.status;
+    const schema::status_reply* newest = nullptr;
+    for (const control_status& status : statuses) {
+        if (status.reply &&
+            (newest == nullptr || status.reply->highest_offset() > newest->highest_offset())) {
+            newest = &*status.reply;
         }
     }
-    return best;
+    return newest;
 }
 
 } // namespace
@@ -118,7 +118,7 @@
         std::cout << "version " << entry.version << "  by "
                   << (entry.author.empty() ? "-" : entry.author) << "  at " << entry.written_at_ms
                   << " ms  " << entry.comment << (in_force ? "  (in force)" : "")
-                  << (entry.configuration ? "" : "  (text no longer kept)") << "\n";
+                  << (entry.configuration ? "" : "  (configuration no longer kept)") << "\n";
     }
     if (as_json) {
         std::cout << all.dump() << "\n";
@@ -129,27 +129,28 @@
 boost::asio::awaitable<int> show_status(boost::asio::any_io_executor executor, ctl_command command,
                                         schema::ctl_settings settings)
 {
-    const auto answers = co_await ask_all(executor, control_addresses(settings), true);
-    const schema::status_reply* best = newest(answers);
+    const auto statuses =
+        co_await fetch_control_statuses(executor, control_addresses(settings), true);
+    const schema::status_reply* newest = find_newest_status(statuses);
     if (command.json) {
-        print_status_json(answers);
-        co_return best != nullptr ? exit_success : exit_failure;
+        print_status_json(statuses);
+        co_return newest != nullptr ? exit_success : exit_failure;
     }
-    std::cout << "controls:\n";
-    for (const control_answer& answer : answers) {
-        print_control(answer);
+    std::cout << "control nodes:\n";
+    for (const control_status& status : statuses) {
+        print_control_status(status);
     }
-    if (best == nullptr) {
+    if (newest == nullptr) {
         co_return exit_failure;
     }
-    print_replicas(*best);
+    print_replicas(*newest);
     co_return exit_success;
 }
 
 boost::asio::awaitable<int> show_explanation(boost::asio::any_io_executor executor,
                                              ctl_command command, schema::ctl_settings settings)
 {
-    std::string last_reason = "no control is named in the settings";
+    std::string last_reason = "the settings name no control node";
     for (const std::string& address : settings.control_addresses()) {
         control_client control(executor, address);
         schema::explain_request request;
@@ -164,7 +165,7 @@
         }
         co_return exit_success;
     }
-    std::cerr << "chervilctl: no control answered: " << last_reason << "\n";
+    std::cerr << "chervilctl: no control node replied: " << last_reason << "\n";
     co_return exit_failure;
 }
 
--- a/src/ctl/showing.h
+++ b/src/ctl/show_commands.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines the commands that show the fleet to operators.
+ * Defines the commands of chervilctl that show the state of the fleet.
  */
 #pragma once
 
@@ -12,16 +12,22 @@
 
 namespace chervildyke {
 
-/** Prints the accepted configurations, newest last. */
+/** Prints the accepted configurations, newest last.
+ * \return the exit code.
+ */
 int show_history(const fleet_state& state, bool json);
 
-/** Prints members, versions in force and replicas.
- * \return failure when no control answered.
+/** Prints the status of the control nodes of the settings, and the replicas as the most advanced
+ * one lists them.
+ * \return the exit code; failure when no control node replied.
  */
 boost::asio::awaitable<int> show_status(boost::asio::any_io_executor executor, ctl_command command,
                                         schema::ctl_settings settings);
 
-/** Prints why a team or a VM is as it is, as the first control that answers says. */
+/** Prints the state of a team or VM and its causes, as the first control node that replies explains
+ * them.
+ * \return the exit code; failure when no control node replied.
+ */
 boost::asio::awaitable<int> show_explanation(boost::asio::any_io_executor executor,
                                              ctl_command command, schema::ctl_settings settings);
 
