--- a/soak/backend_server.cpp
+++ b/soak/backend_server.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements what backend servers share, and the server of orders.
+ * Implements backend_server and order_server.
  */
 #include "soak/backend_server.h"
 
@@ -14,25 +14,25 @@
 
 namespace {
 
-constexpr duration entry_lapse = 3600ms;  // From a server's last word to its entry's removal.
-constexpr duration drain_beyond = 1s;     // How long a leaving server still listens after its time.
-constexpr duration order_work = 15ms;     // What one call to a server of orders takes.
-constexpr std::uint32_t order_queue = 4;  // Calls that wait for a slot on a server of orders.
-constexpr duration drain_at_most = 10s;   // How long calls in progress hold up its end.
-constexpr duration work_poll = 5ms;       // How often a leaving server looks for its last call.
-constexpr duration publish_retry = 200ms; // Until a server tells a store that was down.
+constexpr duration entry_ttl = 3600ms;           // From the end of a server's updates.
+constexpr duration extra_listen_time = 1s;       // From the end of the drain period.
+constexpr duration order_processing_time = 15ms; // Of one call to a server of orders.
+constexpr std::uint32_t order_queue_limit = 4; // Calls that wait for a slot on a server of orders.
+constexpr duration drain_timeout = 10s;        // For how long running calls may delay the end.
+constexpr duration drain_poll_interval = 5ms;  // Between two checks of a leaving server for calls.
+constexpr duration publish_retry_interval = 200ms; // While the store is down.
 
 } // namespace
 
 bool backend_server::start(const std::string& ip)
 {
     ip_ = ip;
-    around_.newest_lives[entry_.id] = entry_.started_ms;
+    environment_.newest_start_ms_by_id[entry_.id] = entry_.started_ms;
     const std::weak_ptr<backend_server> weak = weak_from_this();
     server_ = std::make_unique<http_server>(
-        around_.executor, [weak](http_exchange& exchange) -> asio::awaitable<void> {
+        environment_.executor, [weak](http_exchange& exchange) -> asio::awaitable<void> {
             const auto self = weak.lock();
-            if (!self || !self->lives_) {
+            if (!self || !self->alive_) {
                 exchange.abort();
                 co_return;
             }
@@ -52,96 +52,96 @@
 
 void backend_server::publish()
 {
-    if (!lives_ || !listed_) {
+    if (!alive_ || !publishes_entry_) {
         return;
     }
-    if (!around_.store.faults().down) {
-        around_.store.put(server_topic, entry_.id, write_server(entry_));
+    if (!environment_.store.faults().down) {
+        environment_.store.put(server_topic, entry_.id, write_server(entry_));
         return;
     }
     const auto self = shared_from_this();
     asio::co_spawn(
-        around_.executor,
+        environment_.executor,
         [self]() -> asio::awaitable<void> {
-            co_await sleep_for(publish_retry);
+            co_await sleep_for(publish_retry_interval);
             self->publish();
         },
         asio::detached);
 }
 
-asio::awaitable<void> backend_server::lapse()
+asio::awaitable<void> backend_server::expire_entry()
 {
     const auto self = shared_from_this();
-    co_await sleep_for(entry_lapse);
-    if (around_.newest_lives[entry_.id] != entry_.started_ms) {
-        co_return; // A newer life writes under the id.
+    co_await sleep_for(entry_ttl);
+    if (environment_.newest_start_ms_by_id[entry_.id] != entry_.started_ms) {
+        co_return; // A newer incarnation uses the id.
     }
-    around_.store.put(server_topic, entry_.id, "");
+    environment_.store.put(server_topic, entry_.id, "");
 }
 
 void backend_server::crash()
 {
-    if (!lives_) {
+    if (!alive_) {
         return;
     }
-    lives_ = false;
+    alive_ = false;
     server_->stop_accepting();
-    if (listed_) {
-        asio::co_spawn(around_.executor, lapse(), asio::detached);
+    if (publishes_entry_) {
+        asio::co_spawn(environment_.executor, expire_entry(), asio::detached);
     }
 }
 
-void backend_server::cut_from_store()
+void backend_server::disconnect_from_store()
 {
-    if (listed_ && lives_) {
-        listed_ = false;
-        asio::co_spawn(around_.executor, lapse(), asio::detached);
+    if (publishes_entry_ && alive_) {
+        publishes_entry_ = false;
+        asio::co_spawn(environment_.executor, expire_entry(), asio::detached);
     }
 }
 
-asio::awaitable<void> backend_server::end_after_drain()
+asio::awaitable<void> backend_server::stop_after_drain()
 {
     const auto self = shared_from_this();
-    const duration span = drain_time + drain_beyond;
+    const duration span = drain_period + extra_listen_time;
     co_await sleep_for(span);
-    const time_point until = monotonic_clock::now() + drain_at_most;
-    while (has_work() && monotonic_clock::now() < until) {
-        co_await sleep_for(work_poll);
+    const time_point deadline = monotonic_clock::now() + drain_timeout;
+    while (has_running_calls() && monotonic_clock::now() < deadline) {
+        co_await sleep_for(drain_poll_interval);
     }
-    if (lives_) {
-        around_.store.put(server_topic, entry_.id, "");
-        listed_ = false;
+    if (alive_) {
+        environment_.store.put(server_topic, entry_.id, "");
+        publishes_entry_ = false;
         crash();
     }
 }
 
 void backend_server::leave()
 {
-    if (!lives_ || entry_.leaving) {
+    if (!alive_ || entry_.leaving) {
         return;
     }
     entry_.leaving = true;
     publish();
-    asio::co_spawn(around_.executor, end_after_drain(), asio::detached);
+    asio::co_spawn(environment_.executor, stop_after_drain(), asio::detached);
 }
 
 std::string backend_server::make_seal() const
 {
-    return random_id(around_.random).substr(0, 12);
+    return random_id(environment_.random).substr(0, 12);
 }
 
-void backend_server::note_refused(const http_request& request)
+void backend_server::record_refusal(const http_request& request)
 {
-    around_.book.arrived(read_run(request), monotonic_clock::now());
+    environment_.checker.record_arrival(read_arrival(request), monotonic_clock::now());
 }
 
 asio::awaitable<void> backend_server::refuse(http_exchange& exchange, unsigned status)
 {
-    http_reply reply = write_not_run(read_run(exchange.request()).id, status);
+    http_reply reply = write_not_executed(read_arrival(exchange.request()).id, status);
     co_await exchange.respond(std::move(reply));
 }
 
-asio::awaitable<void> backend_server::take_order(http_exchange& exchange)
+asio::awaitable<void> backend_server::serve_command(http_exchange& exchange)
 {
     return refuse(exchange, 400);
 }
@@ -149,32 +149,32 @@
 asio::awaitable<void> backend_server::serve(http_exchange& exchange)
 {
     const http_request& request = exchange.request();
-    const std::string wanted = wanted_server(request);
-    const server_path path = read_path(request);
-    if (!wanted.empty() && wanted != entry_.id) {
-        if (path == server_path::call) {
-            note_refused(request);
+    const std::string target_id = target_server_id(request);
+    const request_kind kind = read_request_kind(request);
+    if (!target_id.empty() && target_id != entry_.id) {
+        if (kind == request_kind::call) {
+            record_refusal(request);
         }
         co_await refuse(exchange, 421);
         co_return;
     }
-    switch (path) {
-    case server_path::report: {
-        http_reply reply = write_report(entry_, running_);
+    switch (kind) {
+    case request_kind::report: {
+        http_reply reply = write_report(entry_, running_calls_);
         co_await exchange.respond(std::move(reply));
         break;
     }
-    case server_path::health: {
+    case request_kind::health: {
         http_reply reply;
         reply.status = entry_.leaving ? 503 : 200;
         co_await exchange.respond(std::move(reply));
         break;
     }
-    case server_path::order:
-        co_await take_order(exchange);
+    case request_kind::command:
+        co_await serve_command(exchange);
         break;
-    case server_path::call:
-        around_.calls_began = true;
+    case request_kind::call:
+        environment_.has_received_call = true;
         co_await serve_call(exchange);
         break;
     }
@@ -182,29 +182,30 @@
 
 asio::awaitable<void> order_server::serve_call(http_exchange& exchange)
 {
-    seen_run run = read_run(exchange.request());
-    if (running_ >= order_slots + order_queue) {
-        around_.book.arrived(run, monotonic_clock::now());
+    call_arrival arrival = read_arrival(exchange.request());
+    if (running_calls_ >= slots_per_order_server + order_queue_limit) {
+        environment_.checker.record_arrival(arrival, monotonic_clock::now());
         co_await refuse(exchange, 503);
         co_return;
     }
-    run.began = true;
-    around_.book.arrived(run, monotonic_clock::now());
-    ++running_;
-    const duration work = std::chrono::duration_cast<duration>(order_work * faults_.slowness);
-    co_await sleep_for(work);
-    --running_;
-    made_answer answer{200, make_seal(), "done " + run.id + " by " + entry_.id};
-    if (happens(faults_.fails)) {
+    arrival.started = true;
+    environment_.checker.record_arrival(arrival, monotonic_clock::now());
+    ++running_calls_;
+    const duration processing_time =
+        std::chrono::duration_cast<duration>(order_processing_time * faults_.slowdown_factor);
+    co_await sleep_for(processing_time);
+    --running_calls_;
+    server_answer answer{200, make_seal(), "done " + arrival.id + " by " + entry_.id};
+    if (draw_with_probability(faults_.failure_probability)) {
         answer.status = 500;
-        answer.body = "failed " + run.id;
+        answer.body = "failed " + arrival.id;
     }
-    around_.book.answered(run.id, answer);
-    if (!lives() || happens(faults_.loses_answers)) {
+    environment_.checker.record_server_answer(arrival.id, answer);
+    if (!alive() || draw_with_probability(faults_.answer_loss_probability)) {
         exchange.abort();
         co_return;
     }
-    http_reply reply = write_made_answer(run.id, answer);
+    http_reply reply = write_server_answer(arrival.id, answer);
     co_await exchange.respond(std::move(reply));
 }
 
--- a/soak/backend_server.h
+++ b/soak/backend_server.h
@@ -1,6 +1,6 @@
 /** \file
- * Defines backend_server, what all stand-ins for backend servers share: a listing in the store, a
- * life that ends by a crash, and answers that go wrong.
+ * Defines backend_server, the base of all stand-ins for backend servers: it publishes an entry in
+ * the store, can crash or drain, and serves faulty answers on demand. Also defines order_server.
  */
 #pragma once
 
@@ -14,101 +14,114 @@
 #include "base/http_server.h"
 #include "base/random.h"
 #include "soak/deployment.h"
-#include "soak/promises.h"
-#include "soak/store.h"
-#include "soak/wire.h"
+#include "soak/invariant_checker.h"
+#include "soak/metadata_store.h"
+#include "soak/wire_format.h"
 
 namespace chervildyke::soak {
 
-/** How the answers of a server go wrong. */
+/** Faults that are active on one server. */
 struct server_faults {
-    double fails = 0;         // The share of calls that run and get a failure.
-    double loses_answers = 0; // The share of calls that run and whose answer never comes.
-    double breaks_off = 0;    // The share of answers that are cut off.
-    duration order_delay{};   // Orders are carried out so late, and not answered.
-    double slowness = 1;      // A factor on all times.
+    double failure_probability = 0;     // A call runs and is answered with status 500.
+    double answer_loss_probability = 0; // A call runs and is not answered.
+    double truncation_probability = 0;  // A stream ends before its last event.
+    duration command_delay{};           // If not zero: commands run after it and are not answered.
+    double slowdown_factor = 1;         // Multiplies the time that calls take.
 };
 
 class model_server;
 
-/** What the servers of a soak share. */
-struct server_surroundings {
+/** State that all servers of one soak share. */
+struct server_environment {
     boost::asio::any_io_executor executor;
     metadata_store& store;
-    promise_book& book;
+    invariant_checker& checker;
     random_source random;
-    std::map<std::string, std::weak_ptr<model_server>> models_by_id; // The servers that live.
-    std::map<std::string, std::uint64_t> newest_lives; // Of each id, by the time of its start.
-    std::map<std::string, deployed_model> models;
-    bool calls_began = false;
+    /** The model servers that have not ended. */
+    std::map<std::string, std::weak_ptr<model_server>> model_servers_by_id;
+    /** Unix time of the start of each id's latest incarnation. */
+    std::map<std::string, std::uint64_t> newest_start_ms_by_id;
+    std::map<std::string, deployed_model> models_by_name;
+    bool has_received_call = false; // True once any server got a call.
 };
 
-/** One life of a backend server. */
+/** One incarnation of a backend server. */
 class backend_server : public std::enable_shared_from_this<backend_server> {
   public:
-    backend_server(server_surroundings& around, server_entry entry)
-        : around_(around), entry_(std::move(entry))
+    backend_server(server_environment& environment, server_entry entry)
+        : environment_(environment), entry_(std::move(entry))
     {
     }
     virtual ~backend_server() = default;
     backend_server(const backend_server&) = delete;
     backend_server& operator=(const backend_server&) = delete;
 
-    /** Listens and lists itself.
-     * \param ip where to listen; the port is taken from those that are free.
-     * \return false with the address in use.
+    /** Starts to listen on a free port and publishes the server's entry.
+     * \return false if the server can't listen on the address.
      */
     bool start(const std::string& ip);
+
+    /** \return ip:port. */
     std::string listening_address() const;
 
-    /** Ends this life at once; its entry lapses later. */
+    /** Ends this incarnation at once. Its entry expires later. */
     virtual void crash();
 
-    /** Reports that it is leaving; it serves on for a while and ends then. */
+    /** Publishes that the server is leaving. It still serves for the drain period, then ends. */
     void leave();
 
-    /** From now on the store does not hear of it. */
-    void cut_from_store();
+    /** Stops updates of the server's entry, which expires later. The server still serves. */
+    void disconnect_from_store();
 
-    bool lives() const { return lives_; }
+    bool alive() const { return alive_; }
     bool leaving() const { return entry_.leaving; }
     const server_entry& entry() const { return entry_; }
     server_faults& faults() { return faults_; }
 
   protected:
     virtual boost::asio::awaitable<void> serve_call(http_exchange& exchange) = 0;
-    virtual boost::asio::awaitable<void> take_order(http_exchange& exchange);
+    virtual boost::asio::awaitable<void> serve_command(http_exchange& exchange);
 
-    /** True while it may not end, though it has reported that it leaves. */
-    virtual bool has_work() const { return running_ > 0; }
+    /** \return true while calls run that delay the end of a leaving server. */
+    virtual bool has_running_calls() const { return running_calls_ > 0; }
 
-    /** Brings the store's entry up to date. */
+    /** Writes the server's entry to the store, and retries while the store is down. */
     void publish();
 
+    /** Answers that the call or command was not executed. */
     boost::asio::awaitable<void> refuse(http_exchange& exchange, unsigned status);
 
-    /** Notes the arrival of a call that is refused. */
-    void note_refused(const http_request& request);
-    bool happens(double share) const { return random_fraction(around_.random) < share; }
+    /** Records the arrival of a call that is refused. */
+    void record_refusal(const http_request& request);
+
+    /** Draws one random number. */
+    bool draw_with_probability(double probability) const
+    {
+        return random_fraction(environment_.random) < probability;
+    }
+
+    /** \return a random value by which the checker recognizes an answer. */
     std::string make_seal() const;
 
-    server_surroundings& around_;
+    server_environment& environment_;
     server_entry entry_;
     server_faults faults_;
-    std::uint32_t running_ = 0;
+    std::uint32_t running_calls_ = 0;
 
   private:
     boost::asio::awaitable<void> serve(http_exchange& exchange);
-    boost::asio::awaitable<void> lapse();
-    boost::asio::awaitable<void> end_after_drain();
+
+    /** Deletes the server's entry after its TTL unless a newer incarnation uses the id. */
+    boost::asio::awaitable<void> expire_entry();
+    boost::asio::awaitable<void> stop_after_drain();
 
     std::unique_ptr<http_server> server_;
     std::string ip_;
-    bool lives_ = true;
-    bool listed_ = true;
+    bool alive_ = true;
+    bool publishes_entry_ = true;
 };
 
-/** A server of orders: runs each call once and answers it whole. */
+/** A stand-in for a server of orders, which answers calls without streaming. */
 class order_server : public backend_server {
   public:
     using backend_server::backend_server;
--- /dev/null
+++ b/soak/caller_pool.cpp
@@ -0,0 +1,241 @@
+/** \file
+ * Implements caller_pool.
+ */
+#include "soak/caller_pool.h"
+
+#include <limits>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace chervildyke::soak {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr duration address_ttl = 2s;          // For how long resolved addresses are used.
+constexpr duration directory_timeout = 1s;    // For each attempt to resolve addresses.
+constexpr int max_directory_attempts = 3;     // Then the old addresses are used again.
+constexpr duration connect_timeout = 1s;      // For a new connection to a node.
+constexpr duration read_timeout = 4s;         // For each part of an answer.
+constexpr std::uint64_t pause_limit_ms = 120; // A caller waits for less than this before each call.
+constexpr std::uint64_t min_events = 10;
+constexpr std::uint64_t event_limit = 60;   // A stream has fewer events.
+constexpr double stream_probability = 0.7;  // That a call is a stream.
+constexpr double cancel_probability = 0.05; // That a caller cancels a stream.
+constexpr std::size_t cancel_after_bytes = 200;
+// A younger call may have met a normal close of its connection.
+constexpr duration min_lost_call_age = 200ms;
+constexpr duration max_retry_wait = 1s; // A caller does not retry after a longer wait.
+
+/** \return true for the statuses with which nodes refuse calls that were not executed. */
+bool is_refusal(unsigned status)
+{
+    return status == 429 || status == 503;
+}
+
+} // namespace
+
+caller_pool::caller_pool(asio::any_io_executor executor, caller_network network,
+                         const deployment& deployed, invariant_checker& checker,
+                         const fault_tracker& tracker, random_source random)
+    : executor_(std::move(executor)), network_(std::move(network)), deployment_(deployed),
+      checker_(checker), fault_tracker_(tracker), random_(std::move(random))
+{
+}
+
+void caller_pool::start(std::size_t count)
+{
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto caller = std::make_shared<caller_state>();
+        caller->http = std::make_shared<http_client>(executor_, 1);
+        caller->name = std::to_string(i);
+        ++active_count_;
+        asio::co_spawn(executor_, run_caller(caller), asio::detached);
+    }
+}
+
+asio::awaitable<void> caller_pool::run_caller(std::shared_ptr<caller_state> caller)
+{
+    while (running_) {
+        const auto pause = std::chrono::milliseconds(random_below(random_, pause_limit_ms));
+        co_await sleep_for(pause);
+        if (monotonic_clock::now() > caller->addresses_until) {
+            co_await resolve_addresses(caller);
+        }
+        if (!caller->addresses.empty()) {
+            co_await call_random_route(caller);
+        }
+    }
+    --active_count_;
+}
+
+asio::awaitable<void> caller_pool::resolve_addresses(std::shared_ptr<caller_state> caller)
+{
+    for (int i = 0; i < max_directory_attempts; ++i) {
+        const std::string node =
+            network_
+                .directory_addresses[random_below(random_, network_.directory_addresses.size())];
+        http_request request;
+        request.target = resolve_target(deployment_.host, "a");
+        http_call_options options;
+        options.timeout = directory_timeout;
+        auto reply = co_await caller->http->call(node, std::move(request), options);
+        if (reply && reply->status == 200) {
+            const auto resolved = read_addresses(reply->body);
+            if (!resolved.empty()) {
+                caller->addresses = resolved;
+                caller->addresses_until = monotonic_clock::now() + address_ttl;
+                co_return;
+            }
+        }
+    }
+}
+
+sent_call caller_pool::make_call(caller_state& caller, const deployed_route& route)
+{
+    sent_call call;
+    call.id = caller.name + "-" + std::to_string(++caller.call_count);
+    call.retry = route.streaming    ? retry_rule::resumable
+                 : route.idempotent ? retry_rule::idempotent
+                                    : retry_rule::never;
+    call.target = route.path_prefix + call.id;
+    const auto& team = deployment_.teams[random_below(random_, deployment_.teams.size())];
+    call.team = team.name;
+    call.key = team.keys[random_below(random_, team.keys.size())];
+    if (route.streaming) {
+        call.event_count = min_events + random_below(random_, event_limit - min_events);
+        call.body = std::to_string(call.event_count);
+    }
+    else {
+        call.body = "for " + call.id;
+    }
+    call.sent_at = monotonic_clock::now();
+    return call;
+}
+
+asio::awaitable<void> caller_pool::call_random_route(std::shared_ptr<caller_state> caller)
+{
+    const bool streaming = random_fraction(random_) < stream_probability;
+    std::vector<const deployed_route*> routes;
+    for (const deployed_route& route : deployment_.routes) {
+        if (route.streaming == streaming) {
+            routes.push_back(&route);
+        }
+    }
+    const deployed_route route = *routes[random_below(random_, routes.size())];
+    std::string model;
+    if (streaming) {
+        model = deployment_.models[random_below(random_, deployment_.models.size())].name;
+    }
+    const time_point deadline = monotonic_clock::now() + route.timeout;
+    const auto retry_after = co_await send_call(caller, route, model, route.timeout);
+    if (retry_after) {
+        const duration wait = *retry_after;
+        co_await sleep_for(wait);
+        const duration time_left = deadline - monotonic_clock::now();
+        co_await send_call(caller, route, model, time_left);
+    }
+}
+
+void caller_pool::report_if_lost(const sent_call& call, const http_failure& failure)
+{
+    const bool cut = failure.code == http_error::unanswered || failure.code == http_error::broken;
+    const duration age = monotonic_clock::now() - call.sent_at;
+    if (cut && age > min_lost_call_age && fault_tracker_.fault_free_since(call.sent_at)) {
+        checker_.report_lost_connection(call.id, failure.reason);
+    }
+}
+
+void caller_pool::count_result(const std::string& workload, const received_answer& answer)
+{
+    const bool success = answer.status >= 200 && answer.status < 300 && answer.complete;
+    for (call_counts* const counts : {&counts_, &counts_by_workload_[workload]}) {
+        ++counts->sent;
+        if (success) {
+            ++counts->served;
+        }
+        else if (is_refusal(answer.status)) {
+            ++counts->refused;
+        }
+        else {
+            ++counts->failed;
+        }
+    }
+}
+
+asio::awaitable<received_answer> caller_pool::read_answer(std::shared_ptr<http_stream> stream,
+                                                          std::string id, std::size_t cancel_after)
+{
+    received_answer answer;
+    answer.status = stream->status();
+    answer.seal = read_seal(stream->headers());
+    while (answer.body.size() < cancel_after) {
+        auto part = co_await stream->read_some(read_timeout);
+        if (!part) {
+            co_return answer;
+        }
+        if (part->empty()) {
+            answer.complete = true;
+            co_return answer;
+        }
+        answer.body += *part;
+    }
+    checker_.record_cancellation(id, monotonic_clock::now(),
+                                 fault_tracker_.fault_free_since(monotonic_clock::now()));
+    co_return answer;
+}
+
+asio::awaitable<std::optional<duration>>
+caller_pool::send_call(std::shared_ptr<caller_state> caller, const deployed_route& route,
+                       std::string model, duration time_left)
+{
+    const auto& addresses = caller->addresses;
+    const std::string address = addresses[random_below(random_, addresses.size())];
+    const auto proxy = network_.proxies_by_address.find(address);
+    if (proxy == network_.proxies_by_address.end()) {
+        checker_.add_finding("addresses", "a directory returned " + address +
+                                              ", which is not the call address of a node");
+        co_return std::nullopt;
+    }
+    const sent_call call = make_call(*caller, route);
+    checker_.record_sent(call);
+    const std::string workload = model.empty() ? route.name : model;
+    http_request request = write_call(call, deployment_.host, model, time_left);
+    http_call_options options;
+    options.timeout = time_left;
+    options.connect_timeout = connect_timeout;
+    const std::string proxy_address = proxy->second;
+    auto stream = co_await caller->http->open(proxy_address, std::move(request), options);
+    if (!stream) {
+        count_result(workload, {});
+        report_if_lost(call, stream.last_reason());
+        co_return std::nullopt;
+    }
+    const bool cancels = route.streaming && random_fraction(random_) < cancel_probability;
+    const std::size_t cancel_after =
+        cancels ? cancel_after_bytes : std::numeric_limits<std::size_t>::max();
+    const received_answer answer = co_await read_answer(*stream, call.id, cancel_after);
+    checker_.record_received_answer(call.id, answer);
+    if (!cancels && !checker_.is_revoked(call.key)) {
+        count_result(workload, answer);
+    }
+    if (!cancels && !answer.complete) {
+        report_if_lost(call,
+                       {http_error::broken, "the connection ended before the answer was complete"});
+    }
+    const std::string retry_after((*stream)->header("Retry-After"));
+    if (!is_refusal(answer.status) || retry_after.empty()) {
+        co_return std::nullopt;
+    }
+    const duration wait =
+        std::chrono::duration_cast<duration>(std::chrono::duration<double>(std::stod(retry_after)));
+    if (wait > max_retry_wait || wait > time_left / 3) {
+        co_return std::nullopt;
+    }
+    co_return wait;
+}
+
+} // namespace chervildyke::soak
--- /dev/null
+++ b/soak/caller_pool.h
@@ -0,0 +1,112 @@
+/** \file
+ * Defines caller_pool, a set of callers that resolve node addresses, send calls and report the
+ * answers to the invariant checker.
+ */
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include "base/http_client.h"
+#include "base/random.h"
+#include "soak/fault_tracker.h"
+#include "soak/invariant_checker.h"
+#include "soak/wire_format.h"
+
+namespace chervildyke::soak {
+
+/** How callers reach the nodes. */
+struct caller_network {
+    std::vector<std::string> directory_addresses; // ip:port of each node's directory.
+    /** The proxy (ip:port) for each node's call address. */
+    std::map<std::string, std::string> proxies_by_address;
+};
+
+/** Counts of calls by result, without cancelled streams and answered calls with a revoked key. */
+struct call_counts {
+    std::uint64_t sent = 0;
+    std::uint64_t served = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t failed = 0;
+
+    bool operator==(const call_counts&) const = default;
+};
+
+/** Sends calls to random routes, models and nodes with random API keys. Each caller waits for the
+ * answer to one call before it sends the next.
+ */
+class caller_pool {
+  public:
+    /** \param deployed the routes, models and keys to use; may include revoked keys.
+     * \param tracker used to report lost answers only if no fault can be the cause.
+     */
+    caller_pool(boost::asio::any_io_executor executor, caller_network network,
+                const deployment& deployed, invariant_checker& checker,
+                const fault_tracker& tracker, random_source random);
+
+    /** Starts callers that send calls until stop(). */
+    void start(std::size_t count);
+
+    /** Makes each caller end after its current call. */
+    void stop() { running_ = false; }
+
+    /** \return the number of callers that have not ended. */
+    std::size_t active_count() const { return active_count_; }
+    const call_counts& counts() const { return counts_; }
+
+    /** \return counts by model, or by route for calls without a model. */
+    const std::map<std::string, call_counts>& counts_by_workload() const
+    {
+        return counts_by_workload_;
+    }
+
+  private:
+    /** One caller's HTTP client and resolved addresses. */
+    struct caller_state {
+        std::shared_ptr<http_client> http;
+        std::vector<std::string> addresses;
+        time_point addresses_until{};
+        std::uint64_t call_count = 0;
+        std::string name;
+    };
+
+    boost::asio::awaitable<void> run_caller(std::shared_ptr<caller_state> caller);
+    boost::asio::awaitable<void> resolve_addresses(std::shared_ptr<caller_state> caller);
+
+    /** Sends a call, and a second one after a refusal that gives a short retry time. */
+    boost::asio::awaitable<void> call_random_route(std::shared_ptr<caller_state> caller);
+
+    /** \return the time after which to retry; nothing: don't retry. */
+    boost::asio::awaitable<std::optional<duration>> send_call(std::shared_ptr<caller_state> caller,
+                                                              const deployed_route& route,
+                                                              std::string model,
+                                                              duration time_left);
+
+    /** Reads the body of an answer.
+     * \param cancel_after the number of bytes after which the caller stops reading.
+     */
+    boost::asio::awaitable<received_answer> read_answer(std::shared_ptr<http_stream> stream,
+                                                        std::string id, std::size_t cancel_after);
+
+    /** Reports a connection that was lost although no fault was active. */
+    void report_if_lost(const sent_call& call, const http_failure& failure);
+    sent_call make_call(caller_state& caller, const deployed_route& route);
+    void count_result(const std::string& workload, const received_answer& answer);
+
+    boost::asio::any_io_executor executor_;
+    caller_network network_;
+    const deployment& deployment_;
+    invariant_checker& checker_;
+    const fault_tracker& fault_tracker_;
+    random_source random_;
+    bool running_ = true;
+    std::size_t active_count_ = 0;
+    call_counts counts_;
+    std::map<std::string, call_counts> counts_by_workload_;
+};
+
+} // namespace chervildyke::soak
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements the fleet.
+ * Implements soak_fleet.
  */
 #include "soak/fleet.h"
 
@@ -27,175 +27,180 @@
 constexpr std::uint16_t store_port = 9000;
 constexpr std::uint16_t server_port = 8100;
 
-// The third number of addresses, for each kind of place.
-constexpr std::uint32_t node_group = 1;
-constexpr std::uint32_t caller_link_group = 2;
-constexpr std::uint32_t store_link_group = 3;
-constexpr std::uint32_t store_group = 4;
-constexpr std::uint32_t server_link_group = 5;
-constexpr std::uint32_t server_group = 6;
+// Third byte of the fleet's addresses, by what listens there.
+constexpr std::uint32_t node_subnet = 1;
+constexpr std::uint32_t caller_link_subnet = 2;
+constexpr std::uint32_t store_link_subnet = 3;
+constexpr std::uint32_t store_subnet = 4;
+constexpr std::uint32_t server_link_subnet = 5;
+constexpr std::uint32_t server_subnet = 6;
 
 constexpr std::size_t caller_count = 24;
-constexpr std::size_t fabric_domain_size = 7;
-constexpr double same_id_share = 0.25; // Servers that come back under their id.
+constexpr duration callers_stop_timeout = 8s; // For the callers' last calls.
+constexpr std::size_t servers_per_fabric_domain = 7;
+constexpr double same_id_probability = 0.25; // That a restarted server keeps its id.
 
 deployment make_deployment()
 {
-    deployment made;
-    made.routes = {
+    deployment initial;
+    initial.routes = {
         {"draft", "/draft/", model_service, true, true, 4s, 400ms, 1},
         {"place", "/place/", order_service, false, false, 1s, 100ms, 0},
         {"look", "/look/", order_service, false, true, 1s, 100ms, 2},
     };
-    made.models = {{"large", 4, 0.6, 1600ms, 300ms}, {"small", 2, 0.4, 1200ms, 200ms}};
-    made.teams = {{"mills", {"mills-1", "mills-2", "mills-3"}}, {"yards", {"yards-1"}}};
-    return made;
+    initial.models = {{"large", 4, 0.6, 1600ms, 300ms}, {"small", 2, 0.4, 1200ms, 200ms}};
+    initial.teams = {{"mills", {"mills-1", "mills-2", "mills-3"}}, {"yards", {"yards-1"}}};
+    return initial;
 }
 
 } // namespace
 
 soak_fleet::soak_fleet(asio::any_io_executor executor, fleet_options options)
-    : executor_(std::move(executor)), options_(std::move(options)), book_(attempts_limit),
-      store_(executor_), around_{executor_, store_, book_, seeded_random(options_.seed),
-                                 {},        {},     {}},
-      deployed_(make_deployment()), known_(deployed_)
+    : executor_(std::move(executor)), options_(std::move(options)), checker_(max_attempts_per_call),
+      store_(executor_), environment_{executor_, store_, checker_, seeded_random(options_.seed),
+                                      {},        {},     {}},
+      deployment_(make_deployment()), initial_deployment_(deployment_)
 {
-    for (const deployed_model& model : deployed_.models) {
-        around_.models[model.name] = model;
+    for (const deployed_model& model : deployment_.models) {
+        environment_.models_by_name[model.name] = model;
     }
 }
 
 soak_fleet::~soak_fleet() = default;
 
-std::string soak_fleet::ip_of(std::uint32_t group, std::size_t number) const
+std::string soak_fleet::ip_of(std::uint32_t subnet, std::size_t index) const
 {
-    return "127." + std::to_string(options_.net) + "." + std::to_string(group) + "." +
-           std::to_string(number + 1);
+    return "127." + std::to_string(options_.network_number) + "." + std::to_string(subnet) + "." +
+           std::to_string(index + 1);
 }
 
 void soak_fleet::publish_configuration()
 {
-    store_.put(configuration_topic, configuration_key, write_configuration(deployed_));
+    store_.put(configuration_topic, configuration_key, write_configuration(deployment_));
 }
 
-void soak_fleet::write_settings(const soak_node& started, double address_validity_s)
+void soak_fleet::write_settings(const soak_node& node, double address_validity_s)
 {
     nlohmann::json seeds = nlohmann::json::array();
-    for (std::size_t i = 0; i < options_.nodes; ++i) {
-        seeds.push_back(ip_of(node_group, i) + ":" + std::to_string(peer_port));
+    for (std::size_t i = 0; i < options_.node_count; ++i) {
+        seeds.push_back(ip_of(node_subnet, i) + ":" + std::to_string(peer_port));
     }
-    const auto address = [&started](std::uint16_t port) {
-        return started.ip + ":" + std::to_string(port);
+    const auto address = [&node](std::uint16_t port) {
+        return node.ip + ":" + std::to_string(port);
     };
-    nlohmann::json settings = {{"name", started.name},
-                               {"address", started.ip},
-                               {"failureDomain", started.name},
-                               {"callAddress", address(call_port)},
-                               {"readyAddress", address(ready_port)},
-                               {"directoryAddress", address(directory_port)},
-                               {"peerPort", peer_port},
-                               {"metricsPort", metrics_port},
-                               {"seedAddresses", seeds},
-                               {"keyStalenessMs", in_ms(key_staleness)},
-                               {"stopGraceS", std::chrono::duration<double>(stop_grace).count()},
-                               {"backendDrainMs", in_ms(drain_time)},
-                               {"retryRatio", 0.2},
-                               {"retrySlack", 100},
-                               {"addressValidityS", address_validity_s},
-                               {"clockSettleMs", 2500}};
+    nlohmann::json settings = {
+        {"name", node.name},
+        {"address", node.ip},
+        {"failureDomain", node.name},
+        {"callAddress", address(call_port)},
+        {"readyAddress", address(ready_port)},
+        {"directoryAddress", address(directory_port)},
+        {"peerPort", peer_port},
+        {"metricsPort", metrics_port},
+        {"seedAddresses", seeds},
+        {"keyStalenessMs", in_ms(key_staleness)},
+        {"stopGraceS", std::chrono::duration<double>(stop_grace_period).count()},
+        {"backendDrainMs", in_ms(drain_period)},
+        {"retryRatio", 0.2},
+        {"retrySlack", 100},
+        {"addressValidityS", address_validity_s},
+        {"clockSettleMs", 2500}};
     settings["storeAddress"] =
-        ip_of(store_link_group, started.number) + ":" + std::to_string(store_port);
-    std::ofstream(options_.folder / (started.name + ".json")) << settings.dump(2);
+        ip_of(store_link_subnet, node.index) + ":" + std::to_string(store_port);
+    std::ofstream(options_.folder / (node.name + ".json")) << settings.dump(2);
 }
 
 bool soak_fleet::start_nodes()
 {
-    for (std::size_t i = 0; i < options_.nodes; ++i) {
-        auto made = std::make_unique<soak_node>();
-        made->number = i;
-        made->name = "node-" + std::to_string(i);
-        made->ip = ip_of(node_group, i);
-        made->from_callers = std::make_unique<link_proxy>(executor_);
-        made->to_store = std::make_unique<link_proxy>(executor_);
-        const std::string store_ip = ip_of(store_group, i);
-        const bool listens = made->from_callers->listen(ip_of(caller_link_group, i), call_port) &&
-                             made->to_store->listen(ip_of(store_link_group, i), store_port) &&
+    for (std::size_t i = 0; i < options_.node_count; ++i) {
+        auto node = std::make_unique<soak_node>();
+        node->index = i;
+        node->name = "node-" + std::to_string(i);
+        node->ip = ip_of(node_subnet, i);
+        node->caller_link = std::make_unique<link_proxy>(executor_);
+        node->store_link = std::make_unique<link_proxy>(executor_);
+        const std::string store_ip = ip_of(store_subnet, i);
+        const bool listens = node->caller_link->listen(ip_of(caller_link_subnet, i), call_port) &&
+                             node->store_link->listen(ip_of(store_link_subnet, i), store_port) &&
                              store_.listen_for_node(i, store_ip, store_port);
         if (!listens) {
-            last_reason_ = "an address of 127." + std::to_string(options_.net) + " is in use";
+            last_reason_ =
+                "can't listen on an address of 127." + std::to_string(options_.network_number);
             return false;
         }
-        made->from_callers->set_target(made->ip + ":" + std::to_string(call_port));
-        made->to_store->set_target(store_ip + ":" + std::to_string(store_port));
-        write_settings(*made, 2);
-        const auto settings = options_.folder / (made->name + ".json");
-        const auto log = options_.folder / (made->name + ".log");
-        made->process = std::make_unique<node_process>(options_.node_program, settings, log);
-        if (!made->process->start()) {
-            last_reason_ = "cannot start " + options_.node_program;
+        node->caller_link->set_target(node->ip + ":" + std::to_string(call_port));
+        node->store_link->set_target(store_ip + ":" + std::to_string(store_port));
+        write_settings(*node, 2);
+        const auto settings = options_.folder / (node->name + ".json");
+        const auto log = options_.folder / (node->name + ".log");
+        node->process = std::make_unique<node_process>(options_.node_program, settings, log);
+        if (!node->process->start()) {
+            last_reason_ = "can't start the node program " + options_.node_program;
             return false;
         }
-        nodes_.push_back(std::move(made));
+        nodes_.push_back(std::move(node));
     }
     return true;
 }
 
-bool soak_fleet::start_server(server_place& place, bool same_id)
+bool soak_fleet::start_server(server_endpoint& endpoint, bool same_id)
 {
     server_entry entry;
-    ++place.lives;
-    if (same_id && place.server) {
-        entry.id = place.server->entry().id;
-        entry.staged = place.server->entry().staged;
+    ++endpoint.start_count;
+    if (same_id && endpoint.server) {
+        entry.id = endpoint.server->entry().id;
+        entry.staged_models = endpoint.server->entry().staged_models;
     }
     else {
-        entry.id = "i-" + std::to_string(place.number + 1) + "-" + std::to_string(place.lives);
+        entry.id =
+            "i-" + std::to_string(endpoint.index + 1) + "-" + std::to_string(endpoint.start_count);
     }
-    entry.service = place.service;
-    entry.address = ip_of(server_link_group, place.number) + ":" + std::to_string(server_port);
-    entry.domain = place.failure_domain;
-    entry.fabric_domain = place.fabric_domain;
+    entry.service = endpoint.service;
+    entry.address = ip_of(server_link_subnet, endpoint.index) + ":" + std::to_string(server_port);
+    entry.failure_domain = endpoint.failure_domain;
+    entry.fabric_domain = endpoint.fabric_domain;
     entry.started_ms = wall_clock_ms();
-    entry.slots = place.service == model_service ? batch_slots : order_slots;
-    if (place.service == model_service) {
-        const auto server = std::make_shared<model_server>(around_, entry);
-        around_.models_by_id[entry.id] = server;
-        place.server = server;
+    entry.slots = endpoint.service == model_service ? slots_per_replica : slots_per_order_server;
+    if (endpoint.service == model_service) {
+        const auto server = std::make_shared<model_server>(environment_, entry);
+        environment_.model_servers_by_id[entry.id] = server;
+        endpoint.server = server;
     }
     else {
-        place.server = std::make_shared<order_server>(around_, entry);
+        endpoint.server = std::make_shared<order_server>(environment_, entry);
     }
-    if (!place.server->start(place.ip)) {
-        last_reason_ = "cannot listen on " + place.ip;
+    if (!endpoint.server->start(endpoint.ip)) {
+        last_reason_ = "can't listen on a free port of " + endpoint.ip;
         return false;
     }
-    place.link->set_target(place.server->listening_address());
-    place.link->faults().refuses = false;
+    endpoint.link->set_target(endpoint.server->listening_address());
+    endpoint.link->faults().resets_new_connections = false;
     return true;
 }
 
 bool soak_fleet::start_servers()
 {
-    const std::size_t count = options_.model_servers + options_.order_servers;
+    const std::size_t count = options_.model_server_count + options_.order_server_count;
     for (std::size_t i = 0; i < count; ++i) {
-        auto place = std::make_unique<server_place>();
-        const bool runs_model = i < options_.model_servers;
-        place->number = i;
-        place->ip = ip_of(server_group, i);
-        place->service = runs_model ? model_service : order_service;
-        place->failure_domain = "node-" + std::to_string(i % options_.nodes);
+        auto endpoint = std::make_unique<server_endpoint>();
+        const bool runs_model = i < options_.model_server_count;
+        endpoint->index = i;
+        endpoint->ip = ip_of(server_subnet, i);
+        endpoint->service = runs_model ? model_service : order_service;
+        endpoint->failure_domain = "node-" + std::to_string(i % options_.node_count);
         if (runs_model) {
-            place->fabric_domain = "fabric-" + std::to_string(i / fabric_domain_size);
+            endpoint->fabric_domain = "fabric-" + std::to_string(i / servers_per_fabric_domain);
         }
-        place->link = std::make_unique<link_proxy>(executor_);
-        if (!place->link->listen(ip_of(server_link_group, i), server_port)) {
-            last_reason_ = "an address of 127." + std::to_string(options_.net) + " is in use";
+        endpoint->link = std::make_unique<link_proxy>(executor_);
+        if (!endpoint->link->listen(ip_of(server_link_subnet, i), server_port)) {
+            last_reason_ =
+                "can't listen on an address of 127." + std::to_string(options_.network_number);
             return false;
         }
-        if (!start_server(*place, false)) {
+        if (!start_server(*endpoint, false)) {
             return false;
         }
-        places_.push_back(std::move(place));
+        endpoints_.push_back(std::move(endpoint));
     }
     return true;
 }
@@ -204,13 +209,14 @@
 {
     caller_network network;
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
-        network.directories.push_back(nodes_[i]->ip + ":" + std::to_string(directory_port));
-        network.proxies[nodes_[i]->ip + ":" + std::to_string(call_port)] =
-            ip_of(caller_link_group, i) + ":" + std::to_string(call_port);
+        network.directory_addresses.push_back(nodes_[i]->ip + ":" + std::to_string(directory_port));
+        network.proxies_by_address[nodes_[i]->ip + ":" + std::to_string(call_port)] =
+            ip_of(caller_link_subnet, i) + ":" + std::to_string(call_port);
     }
-    callers_ = std::make_unique<callers>(executor_, std::move(network), known_, book_, calm_,
-                                         seeded_random(options_.seed + 1));
-    callers_->start(caller_count);
+    caller_pool_ =
+        std::make_unique<caller_pool>(executor_, std::move(network), initial_deployment_, checker_,
+                                      fault_tracker_, seeded_random(options_.seed + 1));
+    caller_pool_->start(caller_count);
 }
 
 bool soak_fleet::start()
@@ -225,29 +231,29 @@
     return true;
 }
 
-void soak_fleet::note_end(const soak_node& ended, int status)
+void soak_fleet::check_exit(const soak_node& node, int status)
 {
-    if (!ended.end_expected) {
-        book_.broken("own end",
-                     ended.name + " ended by itself with status " + std::to_string(status));
+    if (!node.exit_expected) {
+        checker_.add_finding("own end",
+                             node.name + " ended by itself with status " + std::to_string(status));
     }
 }
 
 asio::awaitable<void> soak_fleet::watch_nodes()
 {
     while (!stopping_) {
-        co_await sleep_for(node_poll);
-        for (const auto& watched : nodes_) {
-            const auto status = watched->process->take_end();
+        co_await sleep_for(node_poll_interval);
+        for (const auto& node : nodes_) {
+            const auto status = node->process->poll_exit_status();
             if (!status) {
                 continue;
             }
-            note_end(*watched, *status);
-            co_await sleep_for(restart_after);
-            watched->end_expected = false;
-            ++watched->lives;
-            if (!stopping_ && !watched->process->start()) {
-                book_.broken("start", watched->name + " could not be started again");
+            check_exit(*node, *status);
+            co_await sleep_for(restart_delay);
+            node->exit_expected = false;
+            ++node->restart_count;
+            if (!stopping_ && !node->process->start()) {
+                checker_.add_finding("start", node->name + " could not be restarted");
             }
         }
     }
@@ -256,22 +262,22 @@
 asio::awaitable<void> soak_fleet::watch_servers()
 {
     while (!stopping_) {
-        co_await sleep_for(node_poll);
-        for (const auto& place : places_) {
-            if (place->server->lives() || place->link->faults().refuses) {
+        co_await sleep_for(node_poll_interval);
+        for (const auto& endpoint : endpoints_) {
+            if (endpoint->server->alive() || endpoint->link->faults().resets_new_connections) {
                 continue;
             }
-            // The life has ended: nothing answers at its address until the next one.
-            place->link->faults().refuses = true;
-            place->link->reset_open();
-            server_place* const ended = place.get();
+            // The server has ended. Its address accepts no connections until the next one starts.
+            endpoint->link->faults().resets_new_connections = true;
+            endpoint->link->reset_open_connections();
+            server_endpoint* const down_endpoint = endpoint.get();
             asio::co_spawn(
                 executor_,
-                [this, ended]() -> asio::awaitable<void> {
-                    co_await sleep_for(server_back_after);
-                    const bool same_id = random_fraction(around_.random) < same_id_share;
-                    if (!stopping_ && !start_server(*ended, same_id)) {
-                        book_.broken("soak", last_reason_);
+                [this, down_endpoint]() -> asio::awaitable<void> {
+                    co_await sleep_for(server_restart_delay);
+                    const bool same_id = random_fraction(environment_.random) < same_id_probability;
+                    if (!stopping_ && !start_server(*down_endpoint, same_id)) {
+                        checker_.add_finding("soak", last_reason_);
                     }
                 },
                 asio::detached);
@@ -281,47 +287,48 @@
 
 void soak_fleet::change_configuration()
 {
-    deployed_.version += 1 + random_below(around_.random, 5);
-    const std::string name = "added-" + std::to_string(deployed_.version);
-    deployed_.routes.push_back({name, "/" + name + "/", order_service, false, true, 1s, 100ms, 3});
+    deployment_.version += 1 + random_below(environment_.random, 5);
+    const std::string name = "added-" + std::to_string(deployment_.version);
+    deployment_.routes.push_back(
+        {name, "/" + name + "/", order_service, false, true, 1s, 100ms, 3});
     publish_configuration();
 }
 
 void soak_fleet::revoke_key()
 {
-    auto& keys = deployed_.teams.front().keys;
+    auto& keys = deployment_.teams.front().keys;
     if (keys.size() > 1) {
-        book_.key_void_from(keys.back(), monotonic_clock::now() + key_staleness);
+        checker_.record_key_revocation(keys.back(), monotonic_clock::now() + key_staleness);
         keys.pop_back();
-        ++deployed_.version;
+        ++deployment_.version;
         publish_configuration();
     }
 }
 
 asio::awaitable<void> soak_fleet::stop()
 {
-    callers_->stop();
-    const time_point until = monotonic_clock::now() + 8s;
-    while (callers_->at_work() > 0 && monotonic_clock::now() < until) {
-        co_await sleep_for(node_poll);
+    caller_pool_->stop();
+    const time_point callers_deadline = monotonic_clock::now() + callers_stop_timeout;
+    while (caller_pool_->active_count() > 0 && monotonic_clock::now() < callers_deadline) {
+        co_await sleep_for(node_poll_interval);
     }
     stopping_ = true;
-    co_await sleep_for(restart_after * 2);
-    for (const auto& stopped : nodes_) {
-        stopped->process->send(SIGTERM);
+    co_await sleep_for(restart_delay * 2);
+    for (const auto& node : nodes_) {
+        node->process->send_signal(SIGTERM);
     }
-    const time_point limit = monotonic_clock::now() + stop_grace;
-    for (const auto& stopped : nodes_) {
-        while (stopped->process->runs() && monotonic_clock::now() < limit) {
-            const auto status = stopped->process->take_end();
+    const time_point nodes_deadline = monotonic_clock::now() + stop_grace_period;
+    for (const auto& node : nodes_) {
+        while (node->process->is_running() && monotonic_clock::now() < nodes_deadline) {
+            const auto status = node->process->poll_exit_status();
             if (status && *status != 0) {
-                book_.broken("stop",
-                             stopped->name + " ended with status " + std::to_string(*status));
+                checker_.add_finding("stop",
+                                     node->name + " ended with status " + std::to_string(*status));
             }
-            co_await sleep_for(node_poll);
+            co_await sleep_for(node_poll_interval);
         }
-        if (stopped->process->runs()) {
-            book_.broken("stop", stopped->name + " did not end within its grace");
+        if (node->process->is_running()) {
+            checker_.add_finding("stop", node->name + " did not end within its stop grace period");
         }
     }
 }
--- a/soak/link_proxy.cpp
+++ b/soak/link_proxy.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements the proxy: two tasks for each connection, one for each way.
+ * Implements link_proxy with two tasks for each connection, one for each direction.
  */
 #include "soak/link_proxy.h"
 
@@ -23,25 +23,25 @@
 
 namespace {
 
-constexpr std::size_t piece_bytes = 16'384; // Read at once.
-constexpr duration cut_poll = 10ms;         // How often a held piece looks whether the cut ended.
+constexpr std::size_t buffer_bytes = 16'384;
+constexpr duration block_poll_interval = 10ms; // While a chunk is held back.
 
-/** Both sockets of one connection. */
-struct joined_pair {
-    explicit joined_pair(tcp::socket connecting)
-        : front(std::move(connecting)), back(front.get_executor())
+/** One connection through the proxy. */
+struct proxied_connection {
+    explicit proxied_connection(tcp::socket connecting)
+        : client(std::move(connecting)), server(client.get_executor())
     {
     }
 
-    tcp::socket front;
-    tcp::socket back;
-    bool silent = false;
+    tcp::socket client;
+    tcp::socket server;
+    bool blackholed = false;
     bool closed = false;
 
     void reset()
     {
         closed = true;
-        for (tcp::socket* socket : {&front, &back}) {
+        for (tcp::socket* socket : {&client, &server}) {
             error_code ignored; // The socket may be closed already.
             socket->set_option(asio::socket_base::linger(true, 0), ignored);
             socket->close(ignored);
@@ -58,39 +58,41 @@
     tcp::acceptor acceptor;
     std::string target;
     link_faults faults;
-    std::list<std::weak_ptr<joined_pair>> pairs;
+    std::list<std::weak_ptr<proxied_connection>> connections;
 
     template <typename Action>
-    void for_open(const Action& action)
+    void for_each_open(const Action& action)
     {
-        for (const auto& weak : pairs) {
-            if (const auto pair = weak.lock()) {
-                action(*pair);
+        for (const auto& weak : connections) {
+            if (const auto connection = weak.lock()) {
+                action(*connection);
             }
         }
-        pairs.remove_if([](const auto& weak) { return weak.expired(); });
+        connections.remove_if([](const auto& weak) { return weak.expired(); });
     }
 
-    asio::awaitable<void> pass(std::shared_ptr<joined_pair> pair, bool forward)
+    asio::awaitable<void> forward_bytes(std::shared_ptr<proxied_connection> connection,
+                                        bool forward)
     {
-        tcp::socket& from = forward ? pair->front : pair->back;
-        tcp::socket& to = forward ? pair->back : pair->front;
-        std::array<char, piece_bytes> piece{};
-        while (!pair->closed) {
+        tcp::socket& from = forward ? connection->client : connection->server;
+        tcp::socket& to = forward ? connection->server : connection->client;
+        std::array<char, buffer_bytes> buffer{};
+        while (!connection->closed) {
             error_code error;
             auto token = asio::redirect_error(asio::use_awaitable, error);
-            const auto room = asio::buffer(piece);
-            const std::size_t size = co_await from.async_read_some(room, token);
-            if (pair->silent && !error) {
+            const auto free_space = asio::buffer(buffer);
+            const std::size_t size = co_await from.async_read_some(free_space, token);
+            if (connection->blackholed && !error) {
                 continue;
             }
             if (faults.delay > duration::zero()) {
                 co_await sleep_for(faults.delay);
             }
-            while ((forward ? faults.cut_forward : faults.cut_backward) && !pair->closed) {
-                co_await sleep_for(cut_poll);
+            while ((forward ? faults.forward_blocked : faults.backward_blocked) &&
+                   !connection->closed) {
+                co_await sleep_for(block_poll_interval);
             }
-            if (pair->silent) {
+            if (connection->blackholed) {
                 continue;
             }
             if (error == asio::error::eof) {
@@ -99,42 +101,42 @@
                 co_return;
             }
             if (error) {
-                pair->reset();
+                connection->reset();
                 co_return;
             }
-            const auto bytes = asio::buffer(piece.data(), size);
+            const auto bytes = asio::buffer(buffer.data(), size);
             co_await asio::async_write(to, bytes, token);
             if (error) {
-                pair->reset();
+                connection->reset();
                 co_return;
             }
         }
     }
 
-    asio::awaitable<void> join(std::shared_ptr<joined_pair> pair)
+    asio::awaitable<void> connect_to_target(std::shared_ptr<proxied_connection> connection)
     {
         std::string ip;
         std::uint16_t port = 0;
-        if (faults.refuses || !split_address(target, ip, port)) {
-            pair->reset();
+        if (faults.resets_new_connections || !split_address(target, ip, port)) {
+            connection->reset();
             co_return;
         }
         error_code error;
         auto token = asio::redirect_error(asio::use_awaitable, error);
         const tcp::endpoint endpoint(asio::ip::make_address(ip), port);
-        co_await pair->back.async_connect(endpoint, token);
-        if (error || pair->closed) {
-            pair->reset();
+        co_await connection->server.async_connect(endpoint, token);
+        if (error || connection->closed) {
+            connection->reset();
             co_return;
         }
-        pair->front.set_option(tcp::no_delay(true), error);
-        pair->back.set_option(tcp::no_delay(true), error);
+        connection->client.set_option(tcp::no_delay(true), error);
+        connection->server.set_option(tcp::no_delay(true), error);
         const auto self = shared_from_this();
-        asio::co_spawn(executor, self->pass(pair, true), asio::detached);
-        asio::co_spawn(executor, self->pass(pair, false), asio::detached);
+        asio::co_spawn(executor, self->forward_bytes(connection, true), asio::detached);
+        asio::co_spawn(executor, self->forward_bytes(connection, false), asio::detached);
     }
 
-    asio::awaitable<void> accept()
+    asio::awaitable<void> accept_connections()
     {
         const auto self = shared_from_this();
         while (acceptor.is_open()) {
@@ -144,10 +146,10 @@
             if (error) {
                 continue;
             }
-            const auto pair = std::make_shared<joined_pair>(std::move(socket));
-            pairs.remove_if([](const auto& weak) { return weak.expired(); });
-            pairs.push_back(pair);
-            asio::co_spawn(executor, join(pair), asio::detached);
+            const auto connection = std::make_shared<proxied_connection>(std::move(socket));
+            connections.remove_if([](const auto& weak) { return weak.expired(); });
+            connections.push_back(connection);
+            asio::co_spawn(executor, connect_to_target(connection), asio::detached);
         }
     }
 };
@@ -159,9 +161,9 @@
 
 link_proxy::~link_proxy()
 {
-    error_code ignored; // Closing tells the accepting task to end.
+    error_code ignored; // Closing the acceptor ends the accepting task.
     state_->acceptor.close(ignored);
-    reset_open();
+    reset_open_connections();
 }
 
 bool link_proxy::listen(const std::string& ip, std::uint16_t port)
@@ -175,7 +177,7 @@
         return false;
     }
     state_->acceptor.listen(asio::socket_base::max_listen_connections, error);
-    asio::co_spawn(state_->executor, state_->accept(), asio::detached);
+    asio::co_spawn(state_->executor, state_->accept_connections(), asio::detached);
     return !error;
 }
 
@@ -189,14 +191,14 @@
     return state_->faults;
 }
 
-void link_proxy::reset_open()
+void link_proxy::reset_open_connections()
 {
-    state_->for_open([](joined_pair& pair) { pair.reset(); });
+    state_->for_each_open([](proxied_connection& connection) { connection.reset(); });
 }
 
-void link_proxy::silence_open()
+void link_proxy::blackhole_open_connections()
 {
-    state_->for_open([](joined_pair& pair) { pair.silent = true; });
+    state_->for_each_open([](proxied_connection& connection) { connection.blackholed = true; });
 }
 
 } // namespace chervildyke::soak
--- a/soak/link_proxy.h
+++ b/soak/link_proxy.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines link_proxy, a loopback proxy that harms the connections that pass through it.
+ * Defines link_proxy, a loopback proxy that injects faults into connections.
  */
 #pragma once
 
@@ -15,15 +15,15 @@
 
 namespace chervildyke::soak {
 
-/** What a link does to the bytes of all its connections. */
+/** Faults that are active on all connections of a link. */
 struct link_faults {
-    duration delay{};          // Of each piece, both ways.
-    bool cut_forward = false;  // Holds back what the connecting side sends.
-    bool cut_backward = false; // Holds back what the listening side sends.
-    bool refuses = false;      // Resets new connections.
+    duration delay{};              // Added to each chunk in both directions.
+    bool forward_blocked = false;  // Holds back what the connecting side sends.
+    bool backward_blocked = false; // Holds back what the listening side sends.
+    bool resets_new_connections = false;
 };
 
-/** Passes bytes on between whoever connects and one listening address. */
+/** Forwards connections to one target address. */
 class link_proxy {
   public:
     explicit link_proxy(boost::asio::any_io_executor executor);
@@ -31,19 +31,23 @@
     link_proxy(const link_proxy&) = delete;
     link_proxy& operator=(const link_proxy&) = delete;
 
-    /** \return false when the address can't be had. */
+    /** \return false if the proxy can't listen on the address. */
     bool listen(const std::string& ip, std::uint16_t port);
 
-    /** \param address ip:port of the listening side, for connections made from now on. */
+    /** Sets the target of new connections.
+     * \param address ip:port
+     */
     void set_target(const std::string& address);
 
     link_faults& faults();
 
     /** Resets all open connections. */
-    void reset_open();
+    void reset_open_connections();
 
-    /** From now on nothing passes on open connections, and nothing tells so; new ones work. */
-    void silence_open();
+    /** Discards all further bytes of the open connections without closing them. New connections are
+     * not affected.
+     */
+    void blackhole_open_connections();
 
   private:
     struct state;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,6 +1,6 @@
 /** \file
- * The program chervil-soak: runs real nodes under faults drawn from a seed and checks what they
- * promise.
+ * The program chervil-soak, which runs real nodes under faults drawn from a seed and checks what
+ * they guarantee.
  */
 #include <cstdio>
 #include <filesystem>
@@ -11,7 +11,7 @@
 #include <cxxopts.hpp>
 
 #include "base/program.h"
-#include "soak/fault_player.h"
+#include "soak/fault_injector.h"
 #include "soak/fleet.h"
 
 using namespace chervildyke;
@@ -20,10 +20,10 @@
 
 namespace {
 
-constexpr duration forming_time = 4s;    // Until the first replicas serve.
-constexpr duration recovery_time = 12s;  // From the last fault to full service.
-constexpr duration measured_time = 4s;   // In which recovery is measured.
-constexpr double recovered_share = 0.25; // Of calls that must be served again.
+constexpr duration formation_time = 4s;   // Until the first replicas serve.
+constexpr duration recovery_time = 12s;   // From the last fault to full service.
+constexpr duration measurement_time = 4s; // For which calls are counted after recovery.
+constexpr double min_served_share = 0.25; // Of the calls of each model or route, after recovery.
 
 std::string in_seconds(duration span)
 {
@@ -52,80 +52,82 @@
         std::cerr << "chervil-soak: " << fleet.last_reason() << '\n';
         co_return exit_failure;
     }
-    co_await sleep_for(forming_time);
-    print("formed", fleet.people().counts());
-    fault_player faults(co_await asio::this_coro::executor, fleet);
-    const time_point began = monotonic_clock::now();
-    for (const planned_fault& fault : draw_schedule(options.seed, span)) {
-        const duration wait = began + fault.at - monotonic_clock::now();
+    co_await sleep_for(formation_time);
+    print("formed", fleet.callers().counts());
+    fault_injector faults(co_await asio::this_coro::executor, fleet);
+    const time_point schedule_start = monotonic_clock::now();
+    for (const scheduled_fault& fault : draw_schedule(options.seed, span)) {
+        const duration wait = schedule_start + fault.start - monotonic_clock::now();
         co_await sleep_for(wait);
-        std::cout << in_seconds(monotonic_clock::now() - began) << "  " << fault.to_string()
-                  << std::endl;
-        faults.begin(fault);
+        std::cout << in_seconds(monotonic_clock::now() - schedule_start) << "  "
+                  << fault.to_string() << std::endl;
+        faults.start(fault);
     }
-    co_await faults.all_settled();
+    co_await faults.wait_until_recovered();
     co_await sleep_for(recovery_time);
-    print("recovered", fleet.people().counts());
-    const auto before = fleet.people().counts_by_kind();
-    co_await sleep_for(measured_time);
-    for (const auto& [kind, counts] : fleet.people().counts_by_kind()) {
-        const auto earlier = before.find(kind);
+    print("recovered", fleet.callers().counts());
+    const auto before = fleet.callers().counts_by_workload();
+    co_await sleep_for(measurement_time);
+    for (const auto& [workload, counts] : fleet.callers().counts_by_workload()) {
+        const auto earlier = before.find(workload);
         const double share =
             served_share(earlier == before.end() ? call_counts() : earlier->second, counts);
-        std::cout << "served after recovery, " << kind << ": " << share << '\n';
-        if (share < recovered_share) {
-            fleet.book().broken("recover", "only a share of " + std::to_string(share) + " of " +
-                                               kind + " is served");
+        std::cout << "served after recovery, " << workload << ": " << share << '\n';
+        if (share < min_served_share) {
+            fleet.checker().add_finding("recover", "only a share of " + std::to_string(share) +
+                                                       " of the calls of " + workload +
+                                                       " is served after recovery");
         }
     }
     co_await fleet.stop();
-    fleet.book().close();
-    print("ended", fleet.people().counts());
-    for (const std::string& finding : fleet.book().findings()) {
+    fleet.checker().check_final_state();
+    print("ended", fleet.callers().counts());
+    for (const std::string& finding : fleet.checker().findings()) {
         std::cout << "BROKEN " << finding << '\n';
     }
-    std::cout << "seed " << options.seed << ": " << fleet.book().findings().size()
-              << " findings in " << fleet.book().calls() << " calls" << std::endl;
-    co_return fleet.book().findings().empty() ? exit_success : exit_failure;
+    std::cout << "seed " << options.seed << ": " << fleet.checker().findings().size()
+              << " findings in " << fleet.checker().call_count() << " calls" << std::endl;
+    co_return fleet.checker().findings().empty() ? exit_success : exit_failure;
 }
 
 } // namespace
 
 int main(int argc, char** argv)
 {
-    cxxopts::Options known("chervil-soak", "Runs chervil-node under faults drawn from a seed.");
-    known.add_options()("seed", "what the faults are drawn from",
-                        cxxopts::value<std::uint64_t>()->default_value("1"))(
-        "seconds", "the time in which faults begin",
+    cxxopts::Options parser("chervil-soak", "Runs chervil-node under faults drawn from a seed.");
+    parser.add_options()("seed", "the seed from which the faults are drawn",
+                         cxxopts::value<std::uint64_t>()->default_value("1"))(
+        "seconds", "the time within which faults start, in seconds",
         cxxopts::value<unsigned>()->default_value("20"))(
-        "nodes", "how many nodes run", cxxopts::value<std::size_t>()->default_value("4"))(
-        "model-servers", "how many VMs run models",
+        "nodes", "the number of nodes", cxxopts::value<std::size_t>()->default_value("4"))(
+        "model-servers", "the number of VMs that run models",
         cxxopts::value<std::size_t>()->default_value("14"))(
         "node-program", "the program of a node",
         cxxopts::value<std::string>()->default_value("build/bin/chervil-node"))(
-        "folder", "where settings and logs go",
+        "folder", "the folder for the settings and logs of the nodes",
         cxxopts::value<std::string>()->default_value("run/soak"))(
-        "net", "addresses are 127.NET.x.y; 0: taken from the seed",
+        "net", "second byte of all addresses, 127.NET.x.y; 0: derived from the seed",
         cxxopts::value<std::uint32_t>()->default_value("0"))("help", "prints this text");
     try {
-        const auto given = known.parse(argc, argv);
-        if (given.count("help") > 0) {
-            std::cout << known.help();
+        const auto arguments = parser.parse(argc, argv);
+        if (arguments.count("help") > 0) {
+            std::cout << parser.help();
             return exit_success;
         }
-        constexpr std::uint64_t nets = 100; // Seeds that may run side by side.
+        constexpr std::uint64_t network_count = 100; // For seeds that run together.
         fleet_options options;
-        options.seed = given["seed"].as<std::uint64_t>();
-        options.nodes = given["nodes"].as<std::size_t>();
-        options.model_servers = given["model-servers"].as<std::size_t>();
-        options.node_program = given["node-program"].as<std::string>();
-        options.folder = given["folder"].as<std::string>();
-        options.net = given["net"].as<std::uint32_t>();
-        if (options.net == 0) {
-            options.net = static_cast<std::uint32_t>(nets + options.seed % nets);
+        options.seed = arguments["seed"].as<std::uint64_t>();
+        options.node_count = arguments["nodes"].as<std::size_t>();
+        options.model_server_count = arguments["model-servers"].as<std::size_t>();
+        options.node_program = arguments["node-program"].as<std::string>();
+        options.folder = arguments["folder"].as<std::string>();
+        options.network_number = arguments["net"].as<std::uint32_t>();
+        if (options.network_number == 0) {
+            options.network_number =
+                static_cast<std::uint32_t>(network_count + options.seed % network_count);
         }
         std::filesystem::create_directories(options.folder);
-        const std::chrono::seconds span(given["seconds"].as<unsigned>());
+        const std::chrono::seconds span(arguments["seconds"].as<unsigned>());
         asio::io_context context(1);
         soak_fleet fleet(context.get_executor(), options);
         return run_main_task(context, [&] { return run(fleet, options, span); });
--- a/soak/store.cpp
+++ b/soak/metadata_store.cpp
@@ -1,7 +1,7 @@
 /** \file
- * Implements the store.
+ * Implements metadata_store.
  */
-#include "soak/store.h"
+#include "soak/metadata_store.h"
 
 #include <utility>
 
@@ -11,9 +11,9 @@
 
 namespace {
 
-constexpr duration poll_interval = 5ms; // How often a read looks for its first record.
-constexpr duration answer_time = 2ms;   // Of a sound store.
-constexpr std::size_t page_items = 500; // Records in one page of the newest.
+constexpr duration read_poll_interval = 5ms; // Between two checks of a waiting read for records.
+constexpr duration response_time = 2ms;      // Without faults.
+constexpr std::size_t max_page_records = 500;
 
 http_reply refusal(unsigned status)
 {
@@ -35,28 +35,28 @@
     return true;
 }
 
-void metadata_store::add(const std::string& topic, stored_record record)
+void metadata_store::append_record(const std::string& topic, stored_record record)
 {
     topic_log& log = topics_[topic];
-    record.offset = log.end();
+    record.offset = log.end_offset();
     if (record.value.empty()) {
-        log.newest.erase(record.key);
+        log.newest_by_key.erase(record.key);
     }
     else {
-        log.newest[record.key] = record;
+        log.newest_by_key[record.key] = record;
     }
     log.records.push_back(std::move(record));
 }
 
 void metadata_store::put(const std::string& topic, const std::string& key, const std::string& value)
 {
-    add(topic, {0, key, value});
+    append_record(topic, {0, key, value});
 }
 
-void metadata_store::forget_history()
+void metadata_store::trim_history()
 {
     for (auto& [name, log] : topics_) {
-        log.first = log.end();
+        log.first_offset = log.end_offset();
         log.records.clear();
     }
 }
@@ -67,46 +67,48 @@
         return refusal(403);
     }
     topic_log& log = topics_[call.topic];
-    if (call.at && *call.at != log.end()) {
-        return write_conflict(log.end());
+    if (call.expected_end && *call.expected_end != log.end_offset()) {
+        return write_conflict(log.end_offset());
     }
-    const std::uint64_t offset = log.end();
+    const std::uint64_t offset = log.end_offset();
     for (const stored_record& record : call.records) {
-        add(call.topic, record);
+        append_record(call.topic, record);
     }
-    return write_appended(offset, log.end());
+    return write_append_result(offset, log.end_offset());
 }
 
 http_reply metadata_store::read(const store_call& call)
 {
     const topic_log& log = topics_[call.topic];
-    if (call.from < log.first) {
-        return write_gone(log.first);
+    if (call.from_offset < log.first_offset) {
+        return write_trimmed(log.first_offset);
     }
-    const std::size_t skipped = std::min<std::size_t>(call.from - log.first, log.records.size());
-    const std::vector<stored_record> wanted(
+    const std::size_t skipped =
+        std::min<std::size_t>(call.from_offset - log.first_offset, log.records.size());
+    const std::vector<stored_record> selected(
         log.records.begin() + static_cast<std::ptrdiff_t>(skipped), log.records.end());
-    return write_read(log.end(), log.first, wanted);
+    return write_records(log.end_offset(), log.first_offset, selected);
 }
 
-http_reply metadata_store::newest(const store_call& call)
+http_reply metadata_store::read_latest(const store_call& call)
 {
     const topic_log& log = topics_[call.topic];
     std::vector<stored_record> page;
-    auto next = call.after.empty() ? log.newest.begin() : log.newest.upper_bound(call.after);
-    for (; next != log.newest.end() && page.size() < page_items; ++next) {
+    auto next = call.after_key.empty() ? log.newest_by_key.begin()
+                                       : log.newest_by_key.upper_bound(call.after_key);
+    for (; next != log.newest_by_key.end() && page.size() < max_page_records; ++next) {
         page.push_back(next->second);
     }
-    return write_newest(page, next != log.newest.end(), log.end());
+    return write_latest_page(page, next != log.newest_by_key.end(), log.end_offset());
 }
 
-asio::awaitable<http_reply> metadata_store::answer(store_call call)
+asio::awaitable<http_reply> metadata_store::handle(store_call call)
 {
     switch (call.operation) {
     case store_operation::append:
         co_return append(call);
-    case store_operation::newest:
-        co_return newest(call);
+    case store_operation::read_latest:
+        co_return read_latest(call);
     case store_operation::read:
         break;
     case store_operation::trim:
@@ -114,26 +116,26 @@
     case store_operation::unknown:
         co_return refusal(404);
     }
-    const time_point until = monotonic_clock::now() + call.wait;
-    while (monotonic_clock::now() < until && topics_[call.topic].end() <= call.from &&
-           !faults_.down) {
-        co_await sleep_for(poll_interval);
+    const time_point deadline = monotonic_clock::now() + call.max_wait;
+    while (monotonic_clock::now() < deadline &&
+           topics_[call.topic].end_offset() <= call.from_offset && !faults_.down) {
+        co_await sleep_for(read_poll_interval);
     }
     co_return read(call);
 }
 
 asio::awaitable<void> metadata_store::serve(http_exchange& exchange, std::size_t node)
 {
-    const duration delay = answer_time + faults_.delay;
+    const duration delay = response_time + faults_.delay;
     co_await sleep_for(delay);
-    if (faults_.down || faults_.rejected.contains(node)) {
+    if (faults_.down || faults_.rejected_nodes.contains(node)) {
         http_reply reply = refusal(503);
         co_await exchange.respond(std::move(reply));
         co_return;
     }
     store_call call = read_store_call(exchange.request());
-    http_reply reply = co_await answer(std::move(call));
-    if (faults_.loses_answers) {
+    http_reply reply = co_await handle(std::move(call));
+    if (faults_.drops_answers) {
         exchange.abort();
         co_return;
     }
--- a/soak/model_server.cpp
+++ b/soak/model_server.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements the engine's side of replicas.
+ * Implements model_server.
  */
 #include "soak/model_server.h"
 
@@ -15,276 +15,289 @@
 
 namespace {
 
-constexpr duration prompt_time = 10ms;  // Until the first token of a call.
-constexpr duration stall_poll = 20ms;   // How often a stalled replica looks for its members.
-constexpr duration close_poll = 5ms;    // How often a closing head looks for its last call.
-constexpr int loads_before_calls = 10;  // Loads are so many times as fast before the first call.
-constexpr std::size_t staged_limit = 1; // Models that a host keeps.
+constexpr duration time_to_first_token = 10ms;
+constexpr duration stall_poll_interval = 20ms; // For the return of members.
+constexpr duration close_poll_interval = 5ms;  // For the end of running calls.
+constexpr int initial_load_speedup = 10;     // Factor on the speed of loads before the first call.
+constexpr std::size_t max_staged_models = 1; // In the memory of a host.
 
-constexpr unsigned taken = 202;
-constexpr unsigned holds_already = 200;
-constexpr unsigned not_fitting = 409;
-constexpr unsigned outdated = 412;
+// HTTP statuses that answer commands.
+constexpr unsigned accepted = 202;
+constexpr unsigned already_done = 200;
+constexpr unsigned conflicting = 409;
+constexpr unsigned stale_epoch = 412;
 
 } // namespace
 
 void model_server::crash()
 {
-    around_.models_by_id.erase(entry_.id);
-    ++changes_;
+    environment_.model_servers_by_id.erase(entry_.id);
+    ++membership_version_;
     backend_server::crash();
 }
 
-bool model_server::holds(const std::string& replica, std::uint64_t epoch) const
+bool model_server::is_member(const std::string& replica, std::uint64_t epoch) const
 {
-    return lives() && entry_.replica == replica && entry_.epoch == epoch;
+    return alive() && entry_.replica == replica && entry_.epoch == epoch;
 }
 
-bool model_server::heads_open(const std::string& replica, std::uint64_t epoch) const
+bool model_server::is_open_head(const std::string& replica, std::uint64_t epoch) const
 {
-    const bool open = entry_.state == member_state::open || entry_.state == member_state::closing;
-    return holds(replica, epoch) && entry_.rank == 0 && open;
+    const bool accepts_or_drains =
+        entry_.phase == membership_phase::open || entry_.phase == membership_phase::closing;
+    return is_member(replica, epoch) && entry_.rank == 0 && accepts_or_drains;
 }
 
-bool model_server::whole() const
+bool model_server::all_members_present() const
 {
     return std::all_of(members_.begin(), members_.end(), [this](const std::string& id) {
-        const auto found = around_.models_by_id.find(id);
-        const auto member = found == around_.models_by_id.end() ? nullptr : found->second.lock();
-        return member && member->holds(entry_.replica, entry_.epoch);
+        const auto found = environment_.model_servers_by_id.find(id);
+        const auto member =
+            found == environment_.model_servers_by_id.end() ? nullptr : found->second.lock();
+        return member && member->is_member(entry_.replica, entry_.epoch);
     });
 }
 
 bool model_server::is_staged(const std::string& model) const
 {
-    return std::find(entry_.staged.begin(), entry_.staged.end(), model) != entry_.staged.end();
+    return std::find(entry_.staged_models.begin(), entry_.staged_models.end(), model) !=
+           entry_.staged_models.end();
 }
 
-void model_server::enter(member_state state)
+void model_server::set_phase(membership_phase phase)
 {
-    entry_.state = state;
+    entry_.phase = phase;
     publish();
 }
 
-void model_server::note_load()
+void model_server::record_load()
 {
-    if (around_.calls_began) {
-        around_.book.load_began(monotonic_clock::now(), loads_per_s);
+    if (environment_.has_received_call) {
+        environment_.checker.record_load_start(monotonic_clock::now(), max_loads_per_s);
     }
 }
 
 void model_server::leave_replica()
 {
-    ++changes_;
+    ++membership_version_;
     entry_.replica.clear();
     entry_.epoch = 0;
-    entry_.state = member_state::none;
+    entry_.phase = membership_phase::none;
     members_.clear();
     publish();
 }
 
-unsigned model_server::join(const engine_order& order)
+unsigned model_server::join_replica(const engine_command& command)
 {
-    const bool same = entry_.replica == order.replica && entry_.epoch == order.epoch;
-    if (order.epoch < highest_epoch_ || (same && members_ != order.members)) {
-        return outdated;
+    const bool same_membership = entry_.replica == command.replica && entry_.epoch == command.epoch;
+    if (command.epoch < highest_epoch_ || (same_membership && members_ != command.members)) {
+        return stale_epoch;
     }
-    if (same) {
-        return holds_already;
+    if (same_membership) {
+        return already_done;
     }
-    const auto own = std::find(order.members.begin(), order.members.end(), entry_.id);
-    const auto model = around_.models.find(order.model);
-    if (own == order.members.end() || model == around_.models.end()) {
-        return not_fitting;
+    const auto own_position = std::find(command.members.begin(), command.members.end(), entry_.id);
+    const auto model = environment_.models_by_name.find(command.model);
+    if (own_position == command.members.end() || model == environment_.models_by_name.end()) {
+        return conflicting;
     }
     if (!members_.empty()) {
-        const auto found = around_.models_by_id.find(members_.front());
-        const auto head = found == around_.models_by_id.end() ? nullptr : found->second.lock();
-        if (head && head->heads_open(entry_.replica, entry_.epoch)) {
-            around_.book.member_taken(entry_.id, entry_.replica);
+        const auto found = environment_.model_servers_by_id.find(members_.front());
+        const auto head =
+            found == environment_.model_servers_by_id.end() ? nullptr : found->second.lock();
+        if (head && head->is_open_head(entry_.replica, entry_.epoch)) {
+            environment_.checker.report_member_taken(entry_.id, entry_.replica);
         }
     }
-    highest_epoch_ = order.epoch;
-    ++changes_;
-    aborts_ = false;
-    entry_.replica = order.replica;
-    entry_.epoch = order.epoch;
-    entry_.rank = static_cast<std::uint32_t>(own - order.members.begin());
-    members_ = order.members;
-    model_ = order.model;
-    enter(member_state::joining);
-    duration span = warm_rejoin;
-    const bool loads = last_model_ != order.model && !is_staged(order.model);
-    if (loads) {
-        span = around_.calls_began ? model->second.load_time
-                                   : model->second.load_time / loads_before_calls;
-        note_load();
+    highest_epoch_ = command.epoch;
+    ++membership_version_;
+    aborts_calls_ = false;
+    entry_.replica = command.replica;
+    entry_.epoch = command.epoch;
+    entry_.rank = static_cast<std::uint32_t>(own_position - command.members.begin());
+    members_ = command.members;
+    model_ = command.model;
+    set_phase(membership_phase::joining);
+    duration join_time = rejoin_time;
+    const bool loads_weights = last_model_ != command.model && !is_staged(command.model);
+    if (loads_weights) {
+        join_time = environment_.has_received_call ? model->second.load_time
+                                                   : model->second.load_time / initial_load_speedup;
+        record_load();
     }
-    else if (last_model_ != order.model) {
-        span = model->second.warm_time;
+    else if (last_model_ != command.model) {
+        join_time = model->second.warm_load_time;
     }
-    asio::co_spawn(around_.executor, become_ready(changes_, span, loads), asio::detached);
-    return taken;
+    asio::co_spawn(environment_.executor,
+                   finish_join(membership_version_, join_time, loads_weights), asio::detached);
+    return accepted;
 }
 
-asio::awaitable<void> model_server::become_ready(std::uint64_t change, duration span, bool loads)
+asio::awaitable<void> model_server::finish_join(std::uint64_t membership_version,
+                                                duration join_time, bool loads_weights)
 {
     const auto self = shared_from_this();
-    co_await sleep_for(span);
-    if (change != changes_) {
+    co_await sleep_for(join_time);
+    if (membership_version != membership_version_) {
         co_return;
     }
-    if (loads) {
-        entry_.staged.push_back(model_);
-        if (entry_.staged.size() > staged_limit) {
-            entry_.staged.erase(entry_.staged.begin());
+    if (loads_weights) {
+        entry_.staged_models.push_back(model_);
+        if (entry_.staged_models.size() > max_staged_models) {
+            entry_.staged_models.erase(entry_.staged_models.begin());
         }
     }
     last_model_ = model_;
-    around_.book.member_ready(entry_.replica, entry_.epoch, entry_.id);
-    enter(member_state::ready);
+    environment_.checker.record_member_ready(entry_.replica, entry_.epoch, entry_.id);
+    set_phase(membership_phase::ready);
 }
 
-asio::awaitable<void> model_server::become_open(std::uint64_t change)
+asio::awaitable<void> model_server::finish_open(std::uint64_t membership_version)
 {
     const auto self = shared_from_this();
-    co_await sleep_for(open_time);
-    if (change == changes_ && entry_.state == member_state::ready) {
-        enter(member_state::open);
+    co_await sleep_for(open_delay);
+    if (membership_version == membership_version_ && entry_.phase == membership_phase::ready) {
+        set_phase(membership_phase::open);
     }
 }
 
-asio::awaitable<void> model_server::finish_closing(std::uint64_t change)
+asio::awaitable<void> model_server::finish_close(std::uint64_t membership_version)
 {
     const auto self = shared_from_this();
-    while (running_ > 0 && change == changes_) {
-        co_await sleep_for(close_poll);
+    while (running_calls_ > 0 && membership_version == membership_version_) {
+        co_await sleep_for(close_poll_interval);
     }
-    if (change == changes_ && entry_.state == member_state::closing) {
-        aborts_ = false;
-        enter(member_state::ready);
+    if (membership_version == membership_version_ && entry_.phase == membership_phase::closing) {
+        aborts_calls_ = false;
+        set_phase(membership_phase::ready);
     }
 }
 
-asio::awaitable<void> model_server::stage(std::string model)
+asio::awaitable<void> model_server::stage_model(std::string model)
 {
     const auto self = shared_from_this();
-    const duration span = around_.models.at(model).load_time;
-    co_await sleep_for(span);
-    entry_.staged = {std::move(model)};
+    const duration load_time = environment_.models_by_name.at(model).load_time;
+    co_await sleep_for(load_time);
+    entry_.staged_models = {std::move(model)};
     publish();
 }
 
-unsigned model_server::carry_out(const engine_order& order)
+unsigned model_server::execute(const engine_command& command)
 {
-    if (order.operation == engine_operation::join) {
-        return join(order);
+    if (command.operation == engine_operation::join) {
+        return join_replica(command);
     }
-    if (order.operation == engine_operation::stage) {
-        if (!around_.models.contains(order.model)) {
-            return not_fitting;
+    if (command.operation == engine_operation::stage) {
+        if (!environment_.models_by_name.contains(command.model)) {
+            return conflicting;
         }
-        note_load();
-        asio::co_spawn(around_.executor, stage(order.model), asio::detached);
-        return taken;
+        record_load();
+        asio::co_spawn(environment_.executor, stage_model(command.model), asio::detached);
+        return accepted;
     }
-    if (entry_.replica != order.replica || entry_.epoch != order.epoch) {
-        return not_fitting;
+    if (entry_.replica != command.replica || entry_.epoch != command.epoch) {
+        return conflicting;
     }
-    if (order.operation == engine_operation::leave) {
+    if (command.operation == engine_operation::leave) {
         leave_replica();
-        return taken;
+        return accepted;
     }
     if (entry_.rank != 0) {
-        return not_fitting;
+        return conflicting;
     }
-    if (order.operation == engine_operation::open) {
-        if (entry_.state == member_state::open) {
-            return holds_already;
+    if (command.operation == engine_operation::open) {
+        if (entry_.phase == membership_phase::open) {
+            return already_done;
         }
-        if (entry_.state != member_state::ready) {
-            return not_fitting;
+        if (entry_.phase != membership_phase::ready) {
+            return conflicting;
         }
-        asio::co_spawn(around_.executor, become_open(changes_), asio::detached);
-        return taken;
+        asio::co_spawn(environment_.executor, finish_open(membership_version_), asio::detached);
+        return accepted;
     }
-    if (entry_.state != member_state::open) {
-        return entry_.state == member_state::ready ? holds_already : not_fitting;
+    if (entry_.phase != membership_phase::open) {
+        return entry_.phase == membership_phase::ready ? already_done : conflicting;
     }
-    aborts_ = order.aborts_calls;
-    enter(member_state::closing);
-    asio::co_spawn(around_.executor, finish_closing(changes_), asio::detached);
-    return taken;
+    aborts_calls_ = command.aborts_calls;
+    set_phase(membership_phase::closing);
+    asio::co_spawn(environment_.executor, finish_close(membership_version_), asio::detached);
+    return accepted;
 }
 
-asio::awaitable<void> model_server::take_order(http_exchange& exchange)
+asio::awaitable<void> model_server::serve_command(http_exchange& exchange)
 {
-    const auto order = read_order(exchange.request().body);
-    if (!order) {
+    const auto command = read_command(exchange.request().body);
+    if (!command) {
         co_await refuse(exchange, 400);
         co_return;
     }
-    if (faults_.order_delay > duration::zero()) {
-        const duration delay = faults_.order_delay;
+    if (faults_.command_delay > duration::zero()) {
+        const duration delay = faults_.command_delay;
         co_await sleep_for(delay);
-        if (lives()) {
-            carry_out(*order);
+        if (alive()) {
+            execute(*command);
         }
         exchange.abort();
         co_return;
     }
     http_reply reply;
-    reply.status = carry_out(*order);
+    reply.status = execute(*command);
     co_await exchange.respond(std::move(reply));
 }
 
-bool model_server::has_work() const
+bool model_server::has_running_calls() const
 {
     if (members_.empty()) {
         return false;
     }
-    const auto found = around_.models_by_id.find(members_.front());
-    const auto head = found == around_.models_by_id.end() ? nullptr : found->second.lock();
-    return head && head->holds(entry_.replica, entry_.epoch) && head->running_ > 0;
+    const auto found = environment_.model_servers_by_id.find(members_.front());
+    const auto head =
+        found == environment_.model_servers_by_id.end() ? nullptr : found->second.lock();
+    return head && head->is_member(entry_.replica, entry_.epoch) && head->running_calls_ > 0;
 }
 
-asio::awaitable<bool> model_server::step(duration span)
+asio::awaitable<bool> model_server::run_step(duration step_time)
 {
-    const std::uint64_t change = changes_;
-    const duration scaled = std::chrono::duration_cast<duration>(span * faults_.slowness);
+    const std::uint64_t membership_version = membership_version_;
+    const duration scaled =
+        std::chrono::duration_cast<duration>(step_time * faults_.slowdown_factor);
     co_await sleep_for(scaled);
     time_point stalled_since = monotonic_clock::now();
-    while (lives() && change == changes_ && !whole()) {
-        if (entry_.state != member_state::broken &&
-            monotonic_clock::now() - stalled_since > stall_time) {
-            enter(member_state::broken);
+    while (alive() && membership_version == membership_version_ && !all_members_present()) {
+        if (entry_.phase != membership_phase::broken &&
+            monotonic_clock::now() - stalled_since > stall_timeout) {
+            set_phase(membership_phase::broken);
         }
-        if (entry_.state == member_state::broken) {
+        if (entry_.phase == membership_phase::broken) {
             co_return false;
         }
-        co_await sleep_for(stall_poll);
+        co_await sleep_for(stall_poll_interval);
     }
-    co_return lives() && change == changes_ && !aborts_ && entry_.state != member_state::broken;
+    co_return alive() && membership_version == membership_version_ && !aborts_calls_ &&
+        entry_.phase != membership_phase::broken;
 }
 
 asio::awaitable<void> model_server::write_events(http_exchange& exchange, std::string call_id,
-                                                 std::uint64_t from, std::uint64_t to)
+                                                 std::uint64_t after_event,
+                                                 std::uint64_t last_event)
 {
-    const std::uint64_t last = happens(faults_.breaks_off) ? from + (to - from) / 2 : to;
-    for (std::uint64_t event = from + 1; event <= last; ++event) {
-        const bool moved = co_await step(event_time);
-        if (!moved) {
+    const std::uint64_t last_written = draw_with_probability(faults_.truncation_probability)
+                                           ? after_event + (last_event - after_event) / 2
+                                           : last_event;
+    for (std::uint64_t event = after_event + 1; event <= last_written; ++event) {
+        const bool advanced = co_await run_step(event_interval);
+        if (!advanced) {
             exchange.abort();
             co_return;
         }
-        const std::string bytes = event_bytes(call_id, event);
+        const std::string bytes = encode_event(call_id, event);
         const bool written = co_await exchange.write_chunk(bytes);
         if (!written) {
             co_return;
         }
     }
-    if (last < to) {
-        co_await exchange.write_chunk("id: 9"); // Within an event.
+    if (last_written < last_event) {
+        co_await exchange.write_chunk("id: 9"); // A partial event.
         exchange.abort();
         co_return;
     }
@@ -293,20 +306,20 @@
 
 asio::awaitable<void> model_server::serve_call(http_exchange& exchange)
 {
-    seen_run run = read_run(exchange.request());
-    const bool head = !entry_.replica.empty() && entry_.rank == 0;
-    const bool open = head && entry_.state == member_state::open;
-    if (!open || running_ >= batch_slots) {
-        around_.book.arrived(run, monotonic_clock::now());
-        co_await refuse(exchange, head ? 503 : 421);
+    call_arrival arrival = read_arrival(exchange.request());
+    const bool is_head = !entry_.replica.empty() && entry_.rank == 0;
+    const bool is_open = is_head && entry_.phase == membership_phase::open;
+    if (!is_open || running_calls_ >= slots_per_replica) {
+        environment_.checker.record_arrival(arrival, monotonic_clock::now());
+        co_await refuse(exchange, is_head ? 503 : 421);
         co_return;
     }
-    ++running_;
-    const bool begins = co_await step(prompt_time);
-    if (!begins) {
-        --running_;
-        around_.book.arrived(run, monotonic_clock::now());
-        if (lives()) {
+    ++running_calls_;
+    const bool started = co_await run_step(time_to_first_token);
+    if (!started) {
+        --running_calls_;
+        environment_.checker.record_arrival(arrival, monotonic_clock::now());
+        if (alive()) {
             co_await refuse(exchange, 503);
         }
         else {
@@ -314,26 +327,26 @@
         }
         co_return;
     }
-    run.began = true;
-    around_.book.arrived(run, monotonic_clock::now());
-    around_.book.run_began_in(
-        {entry_.replica, entry_.epoch, members_, around_.models.at(model_).size});
-    if (happens(faults_.fails)) {
-        --running_;
-        const made_answer failed{500, make_seal(), "failed " + run.id};
-        around_.book.answered(run.id, failed);
-        http_reply reply = write_made_answer(run.id, failed);
+    arrival.started = true;
+    environment_.checker.record_arrival(arrival, monotonic_clock::now());
+    environment_.checker.check_replica({entry_.replica, entry_.epoch, members_,
+                                        environment_.models_by_name.at(model_).replica_size});
+    if (draw_with_probability(faults_.failure_probability)) {
+        --running_calls_;
+        const server_answer failed{500, make_seal(), "failed " + arrival.id};
+        environment_.checker.record_server_answer(arrival.id, failed);
+        http_reply reply = write_server_answer(arrival.id, failed);
         co_await exchange.respond(std::move(reply));
         co_return;
     }
-    const made_answer answer{200, make_seal(), ""};
-    around_.book.answered(run.id, answer);
-    http_reply start = write_made_answer(run.id, answer);
+    const server_answer answer{200, make_seal(), ""};
+    environment_.checker.record_server_answer(arrival.id, answer);
+    http_reply start = write_server_answer(arrival.id, answer);
     start.content_type = "text/event-stream";
     co_await exchange.start_stream(std::move(start));
-    const std::uint64_t last_event = std::stoull(run.body);
-    co_await write_events(exchange, run.id, run.after_event, last_event);
-    --running_;
+    const std::uint64_t event_count = std::stoull(arrival.body);
+    co_await write_events(exchange, arrival.id, arrival.after_event, event_count);
+    --running_calls_;
 }
 
 } // namespace chervildyke::soak
--- a/soak/node_process.cpp
+++ b/soak/node_process.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements a node as a process.
+ * Implements node_process.
  */
 #include "soak/node_process.h"
 
@@ -28,8 +28,8 @@
 
 node_process::~node_process()
 {
-    send(SIGKILL);
-    if (runs()) {
+    send_signal(SIGKILL);
+    if (is_running()) {
         ::waitpid(pid_, nullptr, 0);
     }
 }
@@ -41,7 +41,7 @@
     ::posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log_file_.c_str(),
                                        O_WRONLY | O_CREAT | O_APPEND, log_mode);
     ::posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
-    // A node that held our sockets would keep them open when we close them.
+    // A child that inherited sockets would keep them open after this process closes them.
     ::posix_spawn_file_actions_addclosefrom_np(&files, STDERR_FILENO + 1);
     std::string option = "--settings";
     std::array<char*, 4> arguments = {program_.data(), option.data(), settings_file_.data(),
@@ -55,17 +55,17 @@
     return failed == 0;
 }
 
-void node_process::send(int signal)
+void node_process::send_signal(int signal)
 {
-    if (runs()) {
+    if (is_running()) {
         ::kill(pid_, signal);
     }
 }
 
-std::optional<int> node_process::take_end()
+std::optional<int> node_process::poll_exit_status()
 {
     int status = 0;
-    if (!runs() || ::waitpid(pid_, &status, WNOHANG) != pid_) {
+    if (!is_running() || ::waitpid(pid_, &status, WNOHANG) != pid_) {
         return std::nullopt;
     }
     pid_ = 0;
--- a/soak/node_process.h
+++ b/soak/node_process.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines node_process, one node of the system run as a process of its own.
+ * Defines node_process, a node that runs as a child process.
  */
 #pragma once
 
@@ -10,28 +10,28 @@
 
 namespace chervildyke::soak {
 
-/** Starts a program, sends it signals and learns how it ended. Only its own process is ever
- * signalled.
+/** Starts a program, sends signals to it and reports its exit status. Signals go only to the child
+ * process, which is killed with this object.
  */
 class node_process {
   public:
-    /** \param log_file takes what the program writes, also over several lives. */
+    /** \param log_file the program's output is appended to it, also after restarts. */
     node_process(std::string program, std::string settings_file, std::string log_file);
     ~node_process();
     node_process(const node_process&) = delete;
     node_process& operator=(const node_process&) = delete;
 
-    /** \return false when the program can't be started. */
+    /** \return false if the program can't be started. */
     bool start();
-    bool runs() const { return pid_ > 0; }
+    bool is_running() const { return pid_ > 0; }
 
-    /** Does nothing when the process does not run. */
-    void send(int signal);
+    /** Sends a signal if the process is running. */
+    void send_signal(int signal);
 
-    /** Looks whether the process has ended.
-     * \return its status as waitpid gives it.
+    /** \return the process's status in the form of waitpid if it has ended since the last call,
+     * nothing otherwise.
      */
-    std::optional<int> take_end();
+    std::optional<int> poll_exit_status();
 
   private:
     std::string program_;
--- a/soak/schedule.cpp
+++ b/soak/schedule.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements the drawing of faults.
+ * Implements the drawing of schedules.
  */
 #include "soak/schedule.h"
 
@@ -12,15 +12,16 @@
 
 namespace {
 
-struct kind_row {
+/** How faults of one kind are drawn and printed. */
+struct fault_kind_info {
     fault_kind kind;
     const char* name;
-    std::uint32_t weight; // How often it is drawn, beside the others.
-    bool lasts;
-    bool planned;
+    std::uint32_t weight; // How often it is drawn relative to the others.
+    bool has_length;      // False for faults that take effect at one moment.
+    bool planned_operation;
 };
 
-constexpr std::array<kind_row, 25> kinds = {{
+constexpr std::array<fault_kind_info, 25> fault_kinds = {{
     {fault_kind::node_killed, "node_killed", 4, false, false},
     {fault_kind::node_stopped, "node_stopped", 4, false, true},
     {fault_kind::node_frozen, "node_frozen", 3, true, false},
@@ -48,33 +49,33 @@
     {fault_kind::key_revoked, "key_revoked", 2, false, true},
 }};
 
-constexpr std::uint64_t fewest_faults = 6;
-constexpr std::uint64_t most_faults = 18;
-constexpr std::uint64_t shortest_ms = 300; // Of a fault that lasts.
-constexpr std::uint64_t longest_ms = 6'000;
-constexpr double in_series = 0.3; // The share of faults that come right behind another.
-constexpr std::uint64_t series_gap_ms = 400;
+constexpr std::uint64_t min_faults = 6;
+constexpr std::uint64_t fault_limit = 18; // A schedule has fewer faults.
+constexpr std::uint64_t min_length_ms = 300;
+constexpr std::uint64_t length_limit_ms = 6'000;      // Faults are shorter.
+constexpr double follow_up_probability = 0.3;         // That a fault starts soon after another.
+constexpr std::uint64_t follow_up_gap_limit_ms = 400; // It starts earlier.
 
-const kind_row& row_of(fault_kind kind)
+const fault_kind_info& info_of(fault_kind kind)
 {
-    return *std::find_if(kinds.begin(), kinds.end(),
-                         [kind](const kind_row& row) { return row.kind == kind; });
+    return *std::find_if(fault_kinds.begin(), fault_kinds.end(),
+                         [kind](const fault_kind_info& info) { return info.kind == kind; });
 }
 
-const kind_row& draw_kind(const random_source& random)
+const fault_kind_info& draw_kind(const random_source& random)
 {
     std::uint32_t total = 0;
-    for (const kind_row& row : kinds) {
-        total += row.weight;
+    for (const fault_kind_info& info : fault_kinds) {
+        total += info.weight;
     }
-    std::uint64_t left = random_below(random, total);
-    for (const kind_row& row : kinds) {
-        if (left < row.weight) {
-            return row;
+    std::uint64_t remaining = random_below(random, total);
+    for (const fault_kind_info& info : fault_kinds) {
+        if (remaining < info.weight) {
+            return info;
         }
-        left -= row.weight;
+        remaining -= info.weight;
     }
-    return kinds.back();
+    return fault_kinds.back();
 }
 
 std::chrono::milliseconds draw_ms(const random_source& random, std::uint64_t from, std::uint64_t to)
@@ -84,46 +85,48 @@
 
 } // namespace
 
-bool is_planned_work(fault_kind kind)
+bool is_planned_operation(fault_kind kind)
 {
-    return row_of(kind).planned;
+    return info_of(kind).planned_operation;
 }
 
-std::string planned_fault::to_string() const
+std::string scheduled_fault::to_string() const
 {
-    const std::array<const char*, 3> places = {"callers to node", "node to store", "to server"};
-    std::string text = row_of(kind).name;
+    const std::array<const char*, 3> link_names = {"callers to node", "node to store", "to server"};
+    std::string text = info_of(kind).name;
     if (text.starts_with("link")) {
-        text += std::string(" (") + places[static_cast<std::size_t>(place)] + ")";
+        text += std::string(" (") + link_names[static_cast<std::size_t>(link)] + ")";
     }
     return text + " target " + std::to_string(target % 1000) + " for " +
-           std::to_string(lasts / 1ms) + " ms";
+           std::to_string(length / 1ms) + " ms";
 }
 
-std::vector<planned_fault> draw_schedule(std::uint64_t seed, duration span)
+std::vector<scheduled_fault> draw_schedule(std::uint64_t seed, duration span)
 {
     const random_source random = seeded_random(seed);
-    const std::uint64_t count = fewest_faults + random_below(random, most_faults - fewest_faults);
+    const std::uint64_t count = min_faults + random_below(random, fault_limit - min_faults);
     const auto span_ms = static_cast<std::uint64_t>(span / 1ms);
-    std::vector<planned_fault> faults;
+    std::vector<scheduled_fault> faults;
     for (std::uint64_t i = 0; i < count; ++i) {
-        planned_fault fault;
-        const bool follows = !faults.empty() && random_fraction(random) < in_series;
-        fault.at = draw_ms(random, 0, span_ms);
-        if (follows) {
-            const std::size_t before = random_below(random, faults.size());
-            const duration gap = draw_ms(random, 0, series_gap_ms);
-            fault.at = std::min<duration>(faults[before].at + gap, span);
+        scheduled_fault fault;
+        const bool follows_another =
+            !faults.empty() && random_fraction(random) < follow_up_probability;
+        fault.start = draw_ms(random, 0, span_ms);
+        if (follows_another) {
+            const std::size_t earlier = random_below(random, faults.size());
+            const duration gap = draw_ms(random, 0, follow_up_gap_limit_ms);
+            fault.start = std::min<duration>(faults[earlier].start + gap, span);
         }
-        const kind_row& row = draw_kind(random);
-        fault.kind = row.kind;
-        fault.lasts = row.lasts ? draw_ms(random, shortest_ms, longest_ms) : duration::zero();
-        fault.place = static_cast<link_place>(random_below(random, 3));
+        const fault_kind_info& info = draw_kind(random);
+        fault.kind = info.kind;
+        fault.length =
+            info.has_length ? draw_ms(random, min_length_ms, length_limit_ms) : duration::zero();
+        fault.link = static_cast<link_kind>(random_below(random, 3));
         fault.target = random();
         faults.push_back(fault);
     }
     std::sort(faults.begin(), faults.end(),
-              [](const planned_fault& a, const planned_fault& b) { return a.at < b.at; });
+              [](const scheduled_fault& a, const scheduled_fault& b) { return a.start < b.start; });
     return faults;
 }
 
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines the faults of one run of the soak, drawn from its seed.
+ * Defines the schedule of faults of one soak, which is drawn from a seed.
  */
 #pragma once
 
@@ -11,53 +11,57 @@
 
 namespace chervildyke::soak {
 
+/** Nodes and servers that end by a fault are started again. */
 enum class fault_kind {
     node_killed,
-    node_stopped, // Asked to stop, then started again.
+    node_stopped, // By SIGTERM.
     node_frozen,
-    node_reloaded,
+    node_reloaded, // Re-reads changed settings.
     all_nodes_killed,
     link_slow,
-    link_reset,
-    link_cut_forward,
-    link_cut_backward,
-    link_silent,
+    link_reset,        // Open connections are reset.
+    link_cut_forward,  // What the connecting side sends is held back.
+    link_cut_backward, // What the listening side sends is held back.
+    link_silent,       // Open connections stay open but pass nothing on.
     server_crashed,
     server_leaves,
-    server_cut_from_store,
+    server_cut_from_store, // Its entry is no longer updated; the server crashes later.
     server_slow,
-    server_fails,
-    server_loses_answers,
-    server_breaks_off,
-    orders_late,
+    server_fails,         // Some calls get status 500.
+    server_loses_answers, // Some calls run and get no answer.
+    server_breaks_off,    // Some streams end before their last event.
+    orders_late,          // Some servers run commands late and leave them unanswered.
     store_down,
     store_slow,
-    store_loses_answers,
+    store_loses_answers, // Calls are executed and not answered.
     store_rejects_node,
-    store_forgets,
+    store_forgets, // Only the newest record of each key is kept.
     configuration_changed,
     key_revoked,
 };
 
-/** Which links a fault of a link harms. */
-enum class link_place { callers_to_node, node_to_store, to_server };
+/** The links that a fault may affect. */
+enum class link_kind { callers_to_node, node_to_store, to_server };
 
-struct planned_fault {
-    duration at{};    // From the first call.
-    duration lasts{}; // Zero for faults of one moment.
+/** One fault of a schedule. */
+struct scheduled_fault {
+    duration start{};  // Since the start of the schedule.
+    duration length{}; // Zero for faults that take effect at one moment.
     fault_kind kind = fault_kind::node_killed;
-    link_place place = link_place::callers_to_node;
-    std::uint64_t target = 0; // Which node or server, modulo their number.
+    link_kind link = link_kind::callers_to_node; // For faults of links only.
+    std::uint64_t target = 0; // Index of the node or server, modulo their number.
 
+    /** \return the kind, link, target and length, as printed during a run. */
     std::string to_string() const;
 };
 
-/** True for what operators do every day: callers must not notice it. */
-bool is_planned_work(fault_kind kind);
+/** \return true for the routine operations of a deployment, which callers must not notice. */
+bool is_planned_operation(fault_kind kind);
 
-/** Draws the faults, in the order of their time; they may overlap and come in series.
- * \param span the time in which they begin.
+/** Draws a schedule, which is the same for the same seed. Faults may overlap.
+ * \param span the time within which faults start.
+ * \return the faults in the order of their start.
  */
-std::vector<planned_fault> draw_schedule(std::uint64_t seed, duration span);
+std::vector<scheduled_fault> draw_schedule(std::uint64_t seed, duration span);
 
 } // namespace chervildyke::soak
--- a/soak/wire.cpp
+++ b/soak/wire_format.cpp
@@ -1,7 +1,7 @@
 /** \file
- * Implements what the stand-ins say and read.
+ * Implements the encoding and decoding.
  */
-#include "soak/wire.h"
+#include "soak/wire_format.h"
 
 #include <array>
 #include <charconv>
@@ -22,7 +22,7 @@
 
 namespace {
 
-constexpr std::size_t length_bytes = 4; // Before each record.
+constexpr std::size_t record_length_bytes = 4; // The size of each record stands before it.
 
 std::uint64_t read_number(const std::string& text)
 {
@@ -36,7 +36,7 @@
     return std::chrono::duration<double>(span).count();
 }
 
-std::string base64(const std::string& bytes)
+std::string to_base64(const std::string& bytes)
 {
     std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
     const int written = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
@@ -54,15 +54,15 @@
     return reply;
 }
 
-/** Cuts the body of an append into records; a record that is cut off ends it. */
-std::vector<stored_record> cut_records(const std::string& body)
+/** Decodes the body of an append, up to the first truncated record. */
+std::vector<stored_record> decode_records(const std::string& body)
 {
     std::vector<stored_record> records;
     std::size_t at = 0;
-    while (body.size() - at > length_bytes) {
+    while (body.size() - at > record_length_bytes) {
         const std::size_t length =
             boost::endian::load_big_u32(reinterpret_cast<const unsigned char*>(body.data() + at));
-        at += length_bytes;
+        at += record_length_bytes;
         if (length == 0 || body.size() - at < length) {
             break;
         }
@@ -85,55 +85,55 @@
         return store_operation::read;
     }
     if (path == "/chervildyke/log-newest") {
-        return store_operation::newest;
+        return store_operation::read_latest;
     }
     return path == "/chervildyke/log-trim" ? store_operation::trim : store_operation::unknown;
 }
 
-const char* name_of(member_state state)
+const char* phase_name(membership_phase phase)
 {
-    switch (state) {
-    case member_state::none:
+    switch (phase) {
+    case membership_phase::none:
         return "";
-    case member_state::joining:
+    case membership_phase::joining:
         return "joining";
-    case member_state::ready:
+    case membership_phase::ready:
         return "ready";
-    case member_state::open:
+    case membership_phase::open:
         return "open";
-    case member_state::closing:
+    case membership_phase::closing:
         return "closing";
-    case member_state::broken:
+    case membership_phase::broken:
         return "broken";
     }
     return "";
 }
 
-json write_engine(const deployment& deployed)
+json write_engine_settings(const deployment& deployed)
 {
     json models = json::array();
     for (const deployed_model& model : deployed.models) {
         models.push_back({{"name", model.name},
-                          {"size", model.size},
-                          {"share", model.share},
+                          {"size", model.replica_size},
+                          {"share", model.initial_share},
                           {"pace", 1.0},
                           {"load-time-s", in_s(model.load_time)},
-                          {"warmup-s", in_s(model.warm_time)}});
+                          {"warmup-s", in_s(model.warm_load_time)}});
     }
-    return {{"slots", batch_slots},
+    return {{"slots", slots_per_replica},
             {"stride", 1},
-            {"step_ms", in_ms(event_time)},
+            {"step_ms", in_ms(event_interval)},
             {"per_seq_ms", 0.0},
             {"context_per_k", 0.0},
             {"read_per_s", 50'000.0},
-            {"loads-per-s", loads_per_s},
+            {"loads-per-s", max_loads_per_s},
             {"loads_at_once", 7},
-            {"form-ms", in_ms(open_time)},
+            {"form-ms", in_ms(open_delay)},
             {"usual", {{"prompt", 500}, {"answer", 15}}},
             {"models", models}};
 }
 
-void append_big_u64(std::string& bytes, std::uint64_t number)
+void append_big_endian_u64(std::string& bytes, std::uint64_t number)
 {
     std::array<unsigned char, 8> text{};
     boost::endian::store_big_u64(text.data(), number);
@@ -147,43 +147,43 @@
     store_call call;
     call.operation = read_operation(request.path());
     call.topic = request.query("topic");
-    call.from = read_number(request.query("from"));
-    call.wait = std::chrono::milliseconds(read_number(request.query("wait-ms")));
-    call.after = request.query("after");
+    call.from_offset = read_number(request.query("from"));
+    call.max_wait = std::chrono::milliseconds(read_number(request.query("wait-ms")));
+    call.after_key = request.query("after");
     if (!request.query("at").empty()) {
-        call.at = read_number(request.query("at"));
+        call.expected_end = read_number(request.query("at"));
     }
     if (call.operation == store_operation::append) {
-        call.records = cut_records(request.body);
+        call.records = decode_records(request.body);
     }
     return call;
 }
 
-http_reply write_appended(std::uint64_t offset, std::uint64_t end)
+http_reply write_append_result(std::uint64_t offset, std::uint64_t end_offset)
 {
-    return json_reply(200, {{"offset", offset}, {"end-offset", end}});
+    return json_reply(200, {{"offset", offset}, {"end-offset", end_offset}});
 }
 
-http_reply write_conflict(std::uint64_t end)
+http_reply write_conflict(std::uint64_t end_offset)
 {
-    return json_reply(412, {{"end-offset", end}});
+    return json_reply(412, {{"end-offset", end_offset}});
 }
 
-http_reply write_gone(std::uint64_t first)
+http_reply write_trimmed(std::uint64_t first_offset)
 {
-    return json_reply(410, {{"first-offset", first}});
+    return json_reply(410, {{"first-offset", first_offset}});
 }
 
-http_reply write_read(std::uint64_t end, std::uint64_t first,
-                      const std::vector<stored_record>& records)
+http_reply write_records(std::uint64_t end_offset, std::uint64_t first_offset,
+                         const std::vector<stored_record>& records)
 {
     http_reply reply;
     reply.content_type = "application/octet-stream";
-    append_big_u64(reply.body, end);
-    append_big_u64(reply.body, first);
+    append_big_endian_u64(reply.body, end_offset);
+    append_big_endian_u64(reply.body, first_offset);
     for (const stored_record& record : records) {
         const std::size_t size = 1 + record.key.size() + record.value.size();
-        std::array<unsigned char, length_bytes> length{};
+        std::array<unsigned char, record_length_bytes> length{};
         boost::endian::store_big_u32(length.data(), static_cast<std::uint32_t>(size));
         reply.body.append(reinterpret_cast<const char*>(length.data()), length.size());
         reply.body += static_cast<char>(record.key.size());
@@ -192,42 +192,44 @@
     return reply;
 }
 
-http_reply write_newest(const std::vector<stored_record>& records, bool has_more, std::uint64_t end)
+http_reply write_latest_page(const std::vector<stored_record>& records, bool has_more,
+                             std::uint64_t end_offset)
 {
     json items = json::array();
     for (const stored_record& record : records) {
         items.push_back(
-            {{"key", record.key}, {"value", base64(record.value)}, {"offset", record.offset}});
+            {{"key", record.key}, {"value", to_base64(record.value)}, {"offset", record.offset}});
     }
-    return json_reply(200, {{"items", items}, {"has-more", has_more}, {"end-offset", end}});
+    return json_reply(200, {{"items", items}, {"has-more", has_more}, {"end-offset", end_offset}});
 }
 
 std::string write_configuration(const deployment& deployed)
 {
     json routes = json::array();
     for (const deployed_route& route : deployed.routes) {
-        json given = {{"name", route.name},
+        json entry = {{"name", route.name},
                       {"host", deployed.host},
                       {"path-prefix", route.path_prefix},
                       {"service", route.service},
                       {"kind", route.streaming    ? "streaming"
-                               : route.repeatable ? "idempotent"
+                               : route.idempotent ? "idempotent"
                                                   : "non_idempotent"},
-                      {"resumable", route.streaming && route.repeatable},
-                      {"max-attempts", attempts_limit},
+                      {"resumable", route.streaming && route.idempotent},
+                      {"max-attempts", max_attempts_per_call},
                       {"timeout-ms", in_ms(route.timeout)},
-                      {"target-latency-ms", in_ms(route.target)},
+                      {"target-latency-ms", in_ms(route.target_latency)},
                       {"target-gap-ms", 300},
                       {"priority", route.priority}};
-        routes.push_back(std::move(given));
+        routes.push_back(std::move(entry));
     }
     json teams = json::array();
     for (const deployed_team& team : deployed.teams) {
         teams.push_back({{"name", team.name}, {"api-keys", team.keys}});
     }
-    const json services = {
-        {{"name", model_service}, {"max-connections", 300}, {"engine", write_engine(deployed)}},
-        {{"name", order_service}, {"max-connections", 100}}};
+    const json services = {{{"name", model_service},
+                            {"max-connections", 300},
+                            {"engine", write_engine_settings(deployed)}},
+                           {{"name", order_service}, {"max-connections", 100}}};
     const json limits = {{"max-header-bytes", 16'384},
                          {"max-body-bytes", 1'048'576},
                          {"header-timeout-ms", 3'000},
@@ -242,84 +244,84 @@
 
 std::string write_server(const server_entry& server)
 {
-    json entry = {{"service", server.service}, {"address", server.address},
-                  {"zone", server.domain},     {"version", "1"},
-                  {"slots", server.slots},     {"state", server.leaving ? "draining" : "ready"},
-                  {"cold-remaining-ms", 0},    {"sequence", 1},
+    json entry = {{"service", server.service},     {"address", server.address},
+                  {"zone", server.failure_domain}, {"version", "1"},
+                  {"slots", server.slots},         {"state", server.leaving ? "draining" : "ready"},
+                  {"cold-remaining-ms", 0},        {"sequence", 1},
                   {"born", server.started_ms}};
     if (!server.fabric_domain.empty()) {
         entry["domain"] = server.fabric_domain;
-        entry["staged"] = server.staged;
+        entry["staged"] = server.staged_models;
     }
     if (!server.replica.empty()) {
         entry["group"] = {{"name", server.replica},
                           {"epoch", server.epoch},
                           {"rank", server.rank},
-                          {"state", name_of(server.state)}};
+                          {"state", phase_name(server.phase)}};
     }
     return entry.dump();
 }
 
-std::optional<engine_order> read_order(const std::string& body)
+std::optional<engine_command> read_command(const std::string& body)
 {
-    const json given = json::parse(body, nullptr, false);
-    if (!given.is_object()) {
+    const json parsed = json::parse(body, nullptr, false);
+    if (!parsed.is_object()) {
         return std::nullopt;
     }
-    const std::string operation = given.value("operation", "");
-    engine_order order;
+    const std::string operation = parsed.value("operation", "");
+    engine_command command;
     if (operation == "join") {
-        order.operation = engine_operation::join;
+        command.operation = engine_operation::join;
     }
     else if (operation == "open") {
-        order.operation = engine_operation::open;
+        command.operation = engine_operation::open;
     }
     else if (operation == "close") {
-        order.operation = engine_operation::close;
+        command.operation = engine_operation::close;
     }
     else if (operation == "leave") {
-        order.operation = engine_operation::leave;
+        command.operation = engine_operation::leave;
     }
     else if (operation != "stage") {
         return std::nullopt;
     }
-    order.replica = given.value("group", "");
-    order.epoch = given.value("epoch", std::uint64_t{0});
-    order.model = given.value("model", "");
-    order.aborts_calls = given.value("close-mode", "") == "aborted";
-    order.members = given.value("members", std::vector<std::string>());
-    return order;
+    command.replica = parsed.value("group", "");
+    command.epoch = parsed.value("epoch", std::uint64_t{0});
+    command.model = parsed.value("model", "");
+    command.aborts_calls = parsed.value("close-mode", "") == "aborted";
+    command.members = parsed.value("members", std::vector<std::string>());
+    return command;
 }
 
-server_path read_path(const http_request& request)
+request_kind read_request_kind(const http_request& request)
 {
     if (request.path() == "/chervildyke/report") {
-        return server_path::report;
+        return request_kind::report;
     }
     if (request.path() == "/chervildyke/order") {
-        return server_path::order;
+        return request_kind::command;
     }
-    return request.path() == "/health" ? server_path::health : server_path::call;
+    return request.path() == "/health" ? request_kind::health : request_kind::call;
 }
 
-std::string wanted_server(const http_request& request)
+std::string target_server_id(const http_request& request)
 {
     return std::string(request.header("X-Target-Instance"));
 }
 
-seen_run read_run(const http_request& request)
+call_arrival read_arrival(const http_request& request)
 {
-    seen_run run;
-    run.id = request.header("X-Attempt-Id");
-    run.target = request.target;
-    run.team = request.header("X-Tenant");
-    run.body = request.body;
-    run.has_key = !request.header("Authorization").empty();
-    run.after_event = read_number(std::string(request.header("Last-Event-Id")));
-    return run;
+    call_arrival arrival;
+    arrival.id = request.header("X-Attempt-Id");
+    arrival.target = request.target;
+    arrival.team = request.header("X-Tenant");
+    arrival.body = request.body;
+    arrival.has_key = !request.header("Authorization").empty();
+    arrival.after_event = read_number(std::string(request.header("Last-Event-Id")));
+    return arrival;
 }
 
-http_reply write_made_answer(const std::string& call_id, const made_answer& answer)
+http_reply write_server_answer(const std::string& call_id, const server_answer& answer)
 {
     http_reply reply;
     reply.status = answer.status;
@@ -328,7 +330,7 @@
     return reply;
 }
 
-http_reply write_not_run(const std::string& call_id, unsigned status)
+http_reply write_not_executed(const std::string& call_id, unsigned status)
 {
     http_reply reply;
     reply.status = status;
@@ -361,7 +363,7 @@
                        {"Authorization", "Token " + call.key}};
     if (!model.empty()) {
         request.headers.push_back({"X-Model", model});
-        request.headers.push_back({"X-Token-Usage", "500," + std::to_string(call.last_event)});
+        request.headers.push_back({"X-Token-Usage", "500," + std::to_string(call.event_count)});
         request.headers.push_back({"X-Prompt-Prefix", "5c1e07a2:500"});
     }
     return request;
@@ -372,16 +374,16 @@
     return std::string(find_header(headers, "X-Response-Seal"));
 }
 
-std::string directory_target(const std::string& host, const std::string& domain)
+std::string resolve_target(const std::string& host, const std::string& failure_domain)
 {
-    return "/chervildyke/resolve?name=" + host + "&region=r&zone=" + domain;
+    return "/chervildyke/resolve?name=" + host + "&region=r&zone=" + failure_domain;
 }
 
 std::vector<std::string> read_addresses(const std::string& body)
 {
-    const json given = json::parse(body, nullptr, false);
-    return given.is_object() ? given.value("addresses", std::vector<std::string>())
-                             : std::vector<std::string>();
+    const json parsed = json::parse(body, nullptr, false);
+    return parsed.is_object() ? parsed.value("addresses", std::vector<std::string>())
+                              : std::vector<std::string>();
 }
 
 } // namespace chervildyke::soak
--- a/test/correctness/platform_store.cpp
+++ b/test/correctness/platform_store.cpp
@@ -6,7 +6,7 @@
 #include <boost/asio.hpp>
 
 #include "platform/store_client.h"
-#include "soak/store.h"
+#include "soak/metadata_store.h"
 #include "support/run_task.h"
 
 using namespace chervildyke;
@@ -107,7 +107,7 @@
 {
     store_fixture fixture;
     fixture.store.put("keyed.t", "a", "1");
-    fixture.store.forget_history();
+    fixture.store.trim_history();
     test::run_task(fixture.context, [&fixture]() -> asio::awaitable<void> {
         const auto trimmed = co_await fixture.log.read("t", 0, 0ms);
         REQUIRE_FALSE(trimmed);
@@ -117,12 +117,12 @@
         REQUIRE_FALSE(refused);
         CHECK(refused.last_reason().code == shared_log_error::refused);
         fixture.store.faults().down = false;
-        fixture.store.faults().loses_answers = true;
+        fixture.store.faults().drops_answers = true;
         std::vector<keyed_record> records = {make_record(1, "b", "2")};
         const auto unanswered = co_await fixture.log.append("t", records);
         REQUIRE_FALSE(unanswered);
         CHECK(unanswered.last_reason().code == shared_log_error::unknown_outcome);
-        fixture.store.faults().loses_answers = false;
+        fixture.store.faults().drops_answers = false;
         const auto newest = co_await fixture.log.read_latest("t");
         REQUIRE(newest);
         CHECK(newest->records.size() == 2); // The append was applied.
