Use the field's terms in the load generator and the experiment runner

Many names in load/ were figurative or private: oracle and judge for the invariant checks, by and where for the caller and the fleet, straight for the direct baseline, look_at, whole, wanted and spread in the monitor, truth, stretch and patience. Comments told little about units, empty values and errors. Names and comments now use the usual terms, and bare numbers with a meaning are named constants. Behaviour, figures, invariants, options, JSON keys and attempt ids stay.

Renamed types and files: caller -> entry_caller, straight_caller (straight_call) -> direct_caller, oracle -> invariant_checker, violations -> invariant_violations, monitor -> fleet_monitor, figures -> measurements, samples -> sample_set, fleet -> fleet_description, report -> html_report, try_result -> attempt_result, outcome -> call_outcome, trace_line -> trace_call, checked_bound -> bound_result.

Renamed functions: try_once -> call_once, address -> entry_address, leave -> fail_over_from, ask_for_addresses -> refresh_entries, take_text -> append_text, judge -> check_attempt, judge_orders -> check_orders, judge_text -> check_answer, look_at_engines -> poll_engines, look_at_controls -> poll_controls, look_at_status -> record_status, note_version -> record_version, whole -> is_complete, whole_replicas -> count_complete_replicas, member_of -> find_member, add_up -> add_downtime, look_at_leaving -> check_leaving_vms, conclude -> write_totals, closed_caller -> run_closed_loop, open_arrivals -> run_open_loop, one_call -> make_call, call_engine -> call_directly, next_spec -> next_call, for_the_shell -> is_process_fault, make_fault -> inject_fault, send_fault -> send_fault_request, spread_over_domain -> expand_domain_fault, add_truth -> collect_ground_truth, share -> ratio, derive -> add_derived_figures, report_progress -> run_until_end, flat -> flatten, find_heads -> discover_heads, read_loads -> refresh_reports, choose -> choose_head, read_fleet -> read_fleet_description.

Texts that changed, none of which a test or script matches: the help and errors of chervil-load, the differences of a replayed trace, three lines of an experiment's summary, and one column head of the HTML report.

--- a/load/experiment.cpp
+++ b/load/experiment.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements the runner of experiments.
+ * Implements run_experiment and the JSON and text forms of its result.
  */
 #include "load/experiment.h"
 
@@ -12,7 +12,7 @@
 #include <nlohmann/json.hpp>
 
 #include "external/json_message.h"
-#include "load/monitor.h"
+#include "load/fleet_monitor.h"
 #include "load/workload.h"
 
 namespace chervildyke::load {
@@ -21,52 +21,64 @@
 
 namespace {
 
-constexpr duration ready_limit = 60s;
-constexpr duration open_calls_limit = 40s;
+constexpr duration ready_timeout = 60s;
+constexpr duration open_calls_timeout = 40s; // After the end of the experiment.
+constexpr duration open_calls_poll_interval = 100ms;
+constexpr duration progress_interval = 1s;
+constexpr std::size_t kept_connections_per_address = 256;
+constexpr std::string_view vm_list_prefix = "list:";
+constexpr std::string_view replica_prefix = "replica:";
 
-bool for_the_shell(const schema::load_fault& fault)
+/** Whether only the script that started the processes can inject the fault. */
+bool is_process_fault(const schema::load_fault& fault)
 {
     const std::string& target = fault.target();
     return target.starts_with("entry-") || target.starts_with("control-") ||
            fault.action() == "publish";
 }
 
-std::string fault_address(const fleet& where, const std::string& target)
+/** \return ip:port where the target's stand-in takes faults; empty if there is no such target. */
+std::string fault_address(const fleet_description& fleet, const std::string& target)
 {
     if (target == "log") {
-        return where.log;
+        return fleet.log_address;
     }
     if (target == "weights") {
-        return where.weights;
+        return fleet.weight_store_address;
     }
-    if (target == "vm_list" || target.starts_with("list:")) {
-        return where.vm_list;
+    if (target == "vm_list" || target.starts_with(vm_list_prefix)) {
+        return fleet.vm_list_address;
     }
-    const fleet_vm* vm = where.find(target);
-    return vm == nullptr ? "" : vm->faults;
+    const fleet_vm* vm = fleet.find(target);
+    return vm == nullptr ? "" : vm->fault_address;
 }
 
-/** Turns replica:K:first into the VM that this is now. A repeated fault stays with its VM. */
-void resolve_target(schema::load_fault& fault, const monitor& watched)
+/** Replaces replica:K:first or replica:K:last in the target by the name of that VM. A repeated
+ * fault thus stays with the VM that was chosen the first time.
+ */
+void resolve_target(schema::load_fault& fault, const fleet_monitor& monitor)
 {
     const std::string& target = fault.target();
-    const std::size_t at = target.find("replica:");
+    const std::size_t at = target.find(replica_prefix);
     if (at == std::string::npos) {
         return;
     }
-    const std::size_t rank = static_cast<std::size_t>(std::atoi(target.c_str() + at + 8));
-    fault.set_target(target.substr(0, at) + watched.member_of(rank, target.ends_with(":first")));
+    const std::size_t rank =
+        static_cast<std::size_t>(std::atoi(target.c_str() + at + replica_prefix.size()));
+    fault.set_target(target.substr(0, at) + monitor.find_member(rank, target.ends_with(":first")));
 }
 
-asio::awaitable<void> send_fault(run_context& run, schema::load_fault fault)
+/** Sends the fault to the stand-in of its target. */
+asio::awaitable<void> send_fault_request(run_context& run, schema::load_fault fault)
 {
     schema::fault_request body;
     const std::string& target = fault.target();
-    const std::string vm = target.starts_with("list:") ? target.substr(5) : target;
-    if (run.where.find(vm) != nullptr) {
+    const std::string vm =
+        target.starts_with(vm_list_prefix) ? target.substr(vm_list_prefix.size()) : target;
+    if (run.fleet.find(vm) != nullptr) {
         body.set_vm(vm);
     }
-    const fleet_vm* from = run.where.find(fault.from_address());
+    const fleet_vm* from = run.fleet.find(fault.from_address());
     body.set_fault(fault.action());
     body.set_factor(fault.factor());
     body.set_duration_ms(fault.duration_ms());
@@ -76,199 +88,212 @@
     request.method = "POST";
     request.target = "/faults";
     request.body = to_json(body);
-    auto reply = co_await run.http->call(fault_address(run.where, target), request);
+    auto reply = co_await run.http->call(fault_address(run.fleet, target), request);
     if (!reply || reply->status != 200) {
-        ++run.measured.counted["faults_not_made"];
+        ++run.measured.counters["faults_not_made"];
     }
 }
 
-asio::awaitable<void> make_fault(run_context& run, const monitor& watched, schema::load_fault fault,
-                                 process_action actions)
+/** Injects a fault as often and at the times that it states. */
+asio::awaitable<void> inject_fault(run_context& run, const fleet_monitor& monitor,
+                                   schema::load_fault fault, process_action act)
 {
-    const std::uint32_t times = std::max(fault.times(), 1U);
-    for (std::uint32_t i = 0; i < times; ++i) {
-        const double due = fault.at_s() + i * fault.every_s();
-        const double wait = std::max(due - run.seconds(), 0.0);
+    const std::uint32_t repetitions = std::max(fault.times(), 1U);
+    for (std::uint32_t i = 0; i < repetitions; ++i) {
+        const double due_s = fault.at_s() + i * fault.every_s();
+        const double wait_s = std::max(due_s - run.elapsed_s(), 0.0);
         co_await sleep_for(
-            std::chrono::duration_cast<duration>(std::chrono::duration<double>(wait)));
-        ++run.measured.counted["faults"];
-        resolve_target(fault, watched);
-        if (for_the_shell(fault)) {
-            actions(fault.target(), fault.action());
+            std::chrono::duration_cast<duration>(std::chrono::duration<double>(wait_s)));
+        ++run.measured.counters["faults"];
+        resolve_target(fault, monitor);
+        if (is_process_fault(fault)) {
+            act(fault.target(), fault.action());
         }
         else {
-            co_await send_fault(run, fault);
+            co_await send_fault_request(run, fault);
         }
     }
 }
 
-/** A fault on a whole fabric or failure domain becomes one on each of its model workers. */
-std::vector<schema::load_fault> spread_over_domain(const fleet& where,
-                                                   const schema::load_fault& fault)
+/** \return one fault for each model worker if the target is a fabric or failure domain, else the
+ * fault itself.
+ */
+std::vector<schema::load_fault> expand_domain_fault(const fleet_description& fleet,
+                                                    const schema::load_fault& fault)
 {
-    std::vector<schema::load_fault> all;
-    for (const fleet_vm& vm : where.vms) {
-        const bool in = vm.accelerators > 0 &&
-                        (vm.fabric_domain == fault.target() || vm.failure_domain == fault.target());
-        if (in) {
-            all.push_back(fault);
-            all.back().set_target(vm.vm);
+    std::vector<schema::load_fault> expanded;
+    for (const fleet_vm& vm : fleet.vms) {
+        const bool in_domain = vm.accelerators > 0 && (vm.fabric_domain == fault.target() ||
+                                                       vm.failure_domain == fault.target());
+        if (in_domain) {
+            expanded.push_back(fault);
+            expanded.back().set_target(vm.vm);
         }
     }
-    if (all.empty()) {
-        all.push_back(fault);
+    if (expanded.empty()) {
+        expanded.push_back(fault);
     }
-    return all;
+    return expanded;
 }
 
-asio::awaitable<void> add_truth(run_context& run)
+/** Checks the orders against the executions at the services, and adds the counters of the log. */
+asio::awaitable<void> collect_ground_truth(run_context& run)
 {
     http_request request;
     request.target = "/truth";
-    for (const std::string& address : run.where.truth) {
+    for (const std::string& address : run.fleet.ground_truth_addresses) {
         auto reply = co_await run.http->call(address, request);
-        schema::service_truth truth;
-        if (!reply || !from_json(reply->body, truth)) {
-            ++run.measured.counted["truth_not_read"];
+        schema::service_truth executed;
+        if (!reply || !from_json(reply->body, executed)) {
+            ++run.measured.counters["truth_not_read"];
             continue;
         }
-        run.judge.judge_orders(truth);
+        run.checker.check_orders(executed);
     }
     request.target = "/counts";
-    auto reply = co_await run.http->call(run.where.log, request);
+    auto reply = co_await run.http->call(run.fleet.log_address, request);
     const auto counts =
         reply ? nlohmann::json::parse(reply->body, nullptr, false) : nlohmann::json::object();
     for (const auto& [name, value] : counts.items()) {
-        run.measured.counted["log_" + name] = value;
+        run.measured.counters["log_" + name] = value;
     }
 }
 
-double share(const std::map<std::string, double>& figures, const std::string& part,
-             const std::string& whole)
+/** \return the quotient of two figures, or 0 if one is missing or the denominator is 0. */
+double ratio(const std::map<std::string, double>& figures, const std::string& numerator,
+             const std::string& denominator)
 {
-    const auto of = figures.find(part);
-    const auto all = figures.find(whole);
-    return of == figures.end() || all == figures.end() || all->second == 0
+    const auto dividend = figures.find(numerator);
+    const auto divisor = figures.find(denominator);
+    return dividend == figures.end() || divisor == figures.end() || divisor->second == 0
                ? 0
-               : of->second / all->second;
+               : dividend->second / divisor->second;
 }
 
-/** Figures that follow from others, for each stretch of load. */
-void derive(const schema::load_experiment& experiment, std::map<std::string, double>& figures)
+/** Adds the figures that are calculated from others: rates and shares of each load, and quotients
+ * and differences of each pair of loads.
+ */
+void add_derived_figures(const schema::load_experiment& experiment,
+                         std::map<std::string, double>& figures)
 {
-    double best = 0;
-    for (const schema::load_stretch& stretch : experiment.loads()) {
-        const std::string name = stretch.name() + ".";
-        const double span = stretch.end_s() - stretch.start_s();
-        figures[name + "goodput_per_s"] = figures[name + "complete"] / span;
-        figures[name + "tokens_per_s"] = figures[name + "tokens"] / span;
-        figures[name + "complete_share"] = share(figures, name + "complete", name + "calls");
-        figures[name + "unknown_share"] = share(figures, name + "unknown", name + "calls");
+    double best_goodput = 0;
+    for (const schema::load_stretch& load : experiment.loads()) {
+        const std::string name = load.name() + ".";
+        const double seconds = load.end_s() - load.start_s();
+        figures[name + "goodput_per_s"] = figures[name + "complete"] / seconds;
+        figures[name + "tokens_per_s"] = figures[name + "tokens"] / seconds;
+        figures[name + "complete_share"] = ratio(figures, name + "complete", name + "calls");
+        figures[name + "unknown_share"] = ratio(figures, name + "unknown", name + "calls");
         figures[name + "cut_off"] += 0;
-        best = std::max(best, figures[name + "goodput_per_s"]);
+        best_goodput = std::max(best_goodput, figures[name + "goodput_per_s"]);
         for (const schema::load_stretch& other : experiment.loads()) {
-            const std::string pair = stretch.name() + "_over_" + other.name();
+            const std::string pair = load.name() + "_over_" + other.name();
             for (const char* measure : {"first_token_ms.p95", "order_ms.p95", "goodput_per_s"}) {
-                const std::string of = name + measure;
-                const std::string to = other.name() + "." + measure;
-                if (&other != &stretch && figures.contains(of) && figures.contains(to) &&
-                    figures[to] > 0) {
-                    figures[pair + "." + measure] = figures[of] / figures[to];
-                    figures[pair + "." + measure + ".minus"] = figures[of] - figures[to];
+                const std::string dividend = name + measure;
+                const std::string divisor = other.name() + "." + measure;
+                if (&other != &load && figures.contains(dividend) && figures.contains(divisor) &&
+                    figures[divisor] > 0) {
+                    figures[pair + "." + measure] = figures[dividend] / figures[divisor];
+                    figures[pair + "." + measure + ".minus"] = figures[dividend] - figures[divisor];
                 }
             }
         }
     }
-    for (const schema::load_stretch& stretch : experiment.loads()) {
-        const std::string name = stretch.name() + ".";
-        figures[name + "goodput_of_best"] = best == 0 ? 0 : figures[name + "goodput_per_s"] / best;
+    for (const schema::load_stretch& load : experiment.loads()) {
+        const std::string name = load.name() + ".";
+        figures[name + "goodput_of_best"] =
+            best_goodput == 0 ? 0 : figures[name + "goodput_per_s"] / best_goodput;
     }
 }
 
-checked_bound check(const schema::load_bound& bound, const std::map<std::string, double>& figures)
+bound_result check_bound(const schema::load_bound& bound,
+                         const std::map<std::string, double>& figures)
 {
-    checked_bound checked;
-    checked.figure = bound.figure();
+    bound_result result;
+    result.figure = bound.figure();
     const auto found = figures.find(bound.figure());
-    checked.met = found != figures.end();
-    checked.measured = found == figures.end() ? std::nan("") : found->second;
+    result.met = found != figures.end();
+    result.measured = found == figures.end() ? std::nan("") : found->second;
     std::ostringstream target;
     if (bound.has_at_most()) {
         target << "<= " << bound.at_most();
-        checked.met = checked.met && checked.measured <= bound.at_most();
+        result.met = result.met && result.measured <= bound.at_most();
     }
     if (bound.has_at_least()) {
         target << (bound.has_at_most() ? ", " : "") << ">= " << bound.at_least();
-        checked.met = checked.met && checked.measured >= bound.at_least();
+        result.met = result.met && result.measured >= bound.at_least();
     }
-    checked.target = target.str();
-    return checked;
+    result.target = target.str();
+    return result;
 }
 
-asio::awaitable<void> report_progress(run_context& run, monitor& watched, double seconds,
-                                      std::function<void(const std::string&)> progress)
+/** Shows the progress until the time is over, then stops the monitor. */
+asio::awaitable<void> run_until_end(run_context& run, fleet_monitor& monitor, double duration_s,
+                                    std::function<void(const std::string&)> show_progress)
 {
-    while (run.seconds() < seconds) {
-        co_await sleep_for(1s);
+    while (run.elapsed_s() < duration_s) {
+        co_await sleep_for(progress_interval);
         double calls = 0;
-        for (const auto& [name, value] : run.measured.counted) {
+        for (const auto& [name, value] : run.measured.counters) {
             calls += name.ends_with(".calls") ? value : 0;
         }
         std::ostringstream line;
-        line << static_cast<int>(run.seconds()) << "/" << seconds << " s, " << calls
-             << " calls ended, " << run.open_calls << " open, " << run.judge.found().total()
+        line << static_cast<int>(run.elapsed_s()) << "/" << duration_s << " s, " << calls
+             << " calls ended, " << run.open_calls << " open, " << run.checker.violations().total()
              << " violations";
-        progress(line.str());
+        show_progress(line.str());
     }
-    watched.stop();
+    monitor.stop();
 }
 
 } // namespace
 
-asio::awaitable<experiment_result> run_experiment(schema::load_experiment experiment, fleet where,
-                                                  std::uint64_t seed, process_action actions,
-                                                  std::function<void(const std::string&)> progress)
+asio::awaitable<experiment_result>
+run_experiment(schema::load_experiment experiment, fleet_description fleet, std::uint64_t seed,
+               process_action act, std::function<void(const std::string&)> show_progress)
 {
     run_context run;
     run.executor = co_await asio::this_coro::executor;
-    run.http = std::make_shared<http_client>(run.executor, 256);
-    run.where = std::move(where);
+    run.http = std::make_shared<http_client>(run.executor, kept_connections_per_address);
+    run.fleet = std::move(fleet);
     run.seed = seed;
     experiment_result result;
     result.name = experiment.name();
     result.seed = seed;
-    monitor watched(run);
-    result.ready = co_await watched.wait_for_replicas(ready_limit);
-    run.start = monotonic_clock::now();
-    std::vector<std::unique_ptr<workload>> loads;
-    for (const schema::load_stretch& stretch : experiment.loads()) {
-        loads.push_back(std::make_unique<workload>(run, stretch));
-        asio::co_spawn(run.executor, loads.back()->make_calls(), asio::detached);
+    fleet_monitor monitor(run);
+    result.ready = co_await monitor.wait_for_replicas(ready_timeout);
+    run.started_at = monotonic_clock::now();
+    std::vector<std::unique_ptr<workload>> workloads;
+    for (const schema::load_stretch& load : experiment.loads()) {
+        workloads.push_back(std::make_unique<workload>(run, load));
+        asio::co_spawn(run.executor, workloads.back()->make_calls(), asio::detached);
     }
     for (const schema::load_fault& fault : experiment.faults()) {
-        for (const schema::load_fault& each : spread_over_domain(run.where, fault)) {
-            asio::co_spawn(run.executor, make_fault(run, watched, each, actions), asio::detached);
+        for (const schema::load_fault& each : expand_domain_fault(run.fleet, fault)) {
+            asio::co_spawn(run.executor, inject_fault(run, monitor, each, act), asio::detached);
         }
     }
-    const double whole = experiment.seconds() + experiment.settle_s();
-    asio::co_spawn(run.executor, report_progress(run, watched, whole, progress), asio::detached);
-    co_await watched.watch();
-    const time_point patience = monotonic_clock::now() + open_calls_limit;
-    while (run.open_calls > 0 && monotonic_clock::now() < patience) {
-        co_await sleep_for(100ms);
+    const double duration_s = experiment.seconds() + experiment.settle_s();
+    asio::co_spawn(run.executor, run_until_end(run, monitor, duration_s, show_progress),
+                   asio::detached);
+    co_await monitor.watch();
+    const time_point deadline = monotonic_clock::now() + open_calls_timeout;
+    while (run.open_calls > 0 && monotonic_clock::now() < deadline) {
+        co_await sleep_for(open_calls_poll_interval);
     }
-    co_await add_truth(run);
-    watched.conclude();
+    co_await collect_ground_truth(run);
+    monitor.write_totals();
     for (const char* name : {"faults_not_made", "truth_not_read", "new_versions"}) {
-        run.measured.counted[name] += 0;
+        run.measured.counters[name] += 0;
     }
-    run.measured.counted["orders"] = static_cast<double>(run.judge.orders());
-    run.measured.counted["unsettled_orders"] = static_cast<double>(run.judge.unsettled_orders());
-    run.measured.counted["calls_never_ended"] = static_cast<double>(run.open_calls);
-    result.figures = run.measured.flat();
-    derive(experiment, result.figures);
-    result.violations = run.judge.found().counts;
-    result.first_violation = run.judge.found().first;
+    run.measured.counters["orders"] = static_cast<double>(run.checker.order_count());
+    run.measured.counters["unsettled_orders"] =
+        static_cast<double>(run.checker.unsettled_order_count());
+    run.measured.counters["calls_never_ended"] = static_cast<double>(run.open_calls);
+    result.figures = run.measured.flatten();
+    add_derived_figures(experiment, result.figures);
+    result.violations = run.checker.violations().counts;
+    result.first_violation = run.checker.violations().first;
     for (const char* name : {"vm_in_two_replicas", "unequal_verdicts", "reverts",
                              "late_work_on_leaving", "stale_orders_obeyed"}) {
         if (result.figures[name] > 0) {
@@ -276,7 +301,7 @@
         }
     }
     for (const schema::load_bound& bound : experiment.bounds()) {
-        result.bounds.push_back(check(bound, result.figures));
+        result.bounds.push_back(check_bound(bound, result.figures));
     }
     co_return result;
 }
@@ -297,7 +322,7 @@
                            {"violations", violations},
                            {"first_violation", first_violation},
                            {"bounds", nlohmann::json::array()}};
-    for (const checked_bound& bound : bounds) {
+    for (const bound_result& bound : bounds) {
         json["bounds"].push_back({{"figure", bound.figure},
                                   {"target", bound.target},
                                   {"measured", bound.measured},
@@ -311,15 +336,15 @@
     std::ostringstream text;
     text << name << " (seed " << seed << "): " << (passed() ? "passed" : "FAILED") << "\n";
     if (!ready) {
-        text << "  the fleet did not serve before the load began\n";
+        text << "  the replicas of the fleet were not complete and stable when the load began\n";
     }
-    for (const auto& [kind, count] : violations) {
-        text << "  broken: " << kind << " " << count << " times\n";
+    for (const auto& [invariant, count] : violations) {
+        text << "  violated: " << invariant << ", " << count << " times\n";
     }
     if (!first_violation.empty()) {
-        text << "  first: " << first_violation << "\n";
+        text << "  first violation: " << first_violation << "\n";
     }
-    for (const checked_bound& bound : bounds) {
+    for (const bound_result& bound : bounds) {
         text << "  " << (bound.met ? "met   " : "MISSED") << " " << bound.figure << " = "
              << bound.measured << " (target " << bound.target << ")\n";
     }
--- a/load/report.h
+++ b/load/html_report.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines the page that shows the results of experiments.
+ * Defines html_report, which makes an HTML page of the results of experiments.
  */
 #pragma once
 
@@ -8,8 +8,8 @@
 
 namespace chervildyke::load {
 
-/** Makes one HTML page that needs nothing else.
- * \param results the JSON texts that experiments wrote.
+/** \param results JSON texts that experiment_result::to_json made.
+ * \return a self-contained HTML page.
  */
 std::string html_report(const std::vector<std::string>& results);
 
--- a/load/main.cpp
+++ b/load/main.cpp
@@ -1,5 +1,5 @@
 /** \file
- * The program chervil-load: callers, recorded traces and experiments.
+ * Implements the program chervil-load: single calls, replays of recorded traces, and experiments.
  */
 #include <unistd.h>
 
@@ -16,7 +16,7 @@
 #include "base/program.h"
 #include "base/settings.h"
 #include "load/experiment.h"
-#include "load/report.h"
+#include "load/html_report.h"
 #include "load/trace.h"
 #include "load/workload.h"
 #include "standin/answer_token.h"
@@ -42,21 +42,23 @@
     return stream.good();
 }
 
-int bad_use(const std::string& why)
+int report_usage_error(const std::string& reason)
 {
-    std::cerr << "chervil-load: " << why << " (see --help)\n";
+    std::cerr << "chervil-load: " << reason << " (see --help)\n";
     return exit_bad_settings;
 }
 
-/** Runs one task to its end. */
+/** Runs an event loop until the task completes.
+ * \return the task's result.
+ */
 template <typename Result>
-Result run_to_end(const std::function<asio::awaitable<Result>()>& task)
+Result run_task(const std::function<asio::awaitable<Result>()>& task)
 {
     std::signal(SIGPIPE, SIG_IGN);
     asio::io_context context;
     Result result{};
-    asio::co_spawn(context, task(), [&](const std::exception_ptr& thrown, Result ended) {
-        result = std::move(ended);
+    asio::co_spawn(context, task(), [&](const std::exception_ptr& thrown, Result returned) {
+        result = std::move(returned);
         context.stop();
         if (thrown) {
             std::rethrow_exception(thrown);
@@ -66,66 +68,68 @@
     return result;
 }
 
-void print_tries(const std::vector<try_result>& tries)
+void print_attempts(const std::vector<attempt_result>& attempts)
 {
-    for (const try_result& each : tries) {
+    for (const attempt_result& each : attempts) {
         const auto ms = [&](time_point at) {
-            return std::chrono::duration<double, std::milli>(at - each.started).count();
+            return std::chrono::duration<double, std::milli>(at - each.started_at).count();
         };
-        std::cout << each.entry << ": " << to_string(each.ended) << " (status " << each.status
+        std::cout << each.address << ": " << to_string(each.outcome) << " (status " << each.status
                   << ") after " << ms(each.ended_at) << " ms";
-        if (each.first_token != time_point()) {
-            samples gaps;
-            for (const float gap : each.gaps_ms) {
-                gaps.add(gap);
+        if (each.first_token_at != time_point()) {
+            sample_set gaps;
+            for (const float gap_ms : each.token_gaps_ms) {
+                gaps.add(gap_ms);
             }
-            std::cout << "; first token " << ms(each.first_token) << " ms, between tokens "
+            std::cout << "; first token " << ms(each.first_token_at) << " ms, between tokens "
                       << gaps.quantile(0.5) << " ms (p95 " << gaps.quantile(0.95) << " ms)";
         }
         std::cout << "\n" << (each.text.empty() ? each.reason : each.text) << "\n";
     }
 }
 
-int make_call(const cxxopts::ParseResult& given, const fleet& where)
+int make_call(const cxxopts::ParseResult& given, const fleet_description& fleet)
 {
     call_spec spec;
     spec.tenant = given["tenant"].as<std::string>();
-    for (const fleet_tenant& tenant : where.tenants) {
-        if (tenant.name == spec.tenant || spec.bearer.empty()) {
-            spec.bearer = tenant.key;
+    for (const fleet_tenant& tenant : fleet.tenants) {
+        if (tenant.name == spec.tenant || spec.api_key.empty()) {
+            spec.api_key = tenant.api_key;
         }
     }
     spec.team = given["team"].as<std::string>();
     spec.operation = given["operation"].as<std::string>();
-    spec.key = given["key"].as<std::string>();
+    spec.idempotency_key = given["key"].as<std::string>();
     spec.body = given["prompt"].as<std::string>();
-    const bool marked = spec.body.find("[[") != std::string::npos;
-    spec.prompt = marked ? spec.body : "[[" + spec.body + "]]";
-    spec.subject = standin::answer_subject(spec.prompt);
-    spec.tokens = given["tokens"].as<std::uint32_t>();
-    spec.tries = given["tries"].as<std::uint32_t>();
+    const bool has_subject = spec.body.find("[[") != std::string::npos;
+    spec.prompt = has_subject ? spec.body : "[[" + spec.body + "]]";
+    spec.answer_subject = standin::answer_subject(spec.prompt);
+    spec.max_tokens = given["tokens"].as<std::uint32_t>();
+    spec.max_attempts = given["tries"].as<std::uint32_t>();
     const auto seed = given["seed"].as<std::uint64_t>();
-    const auto task = [&]() -> asio::awaitable<std::vector<try_result>> {
+    const auto task = [&]() -> asio::awaitable<std::vector<attempt_result>> {
         const auto executor = co_await asio::this_coro::executor;
         const auto http = std::make_shared<http_client>(executor);
-        caller by(http, where.entry_addresses(), seeded_random(seed));
-        co_return co_await by.call(spec);
+        entry_caller caller(http, fleet.entry_addresses(), seeded_random(seed));
+        co_return co_await caller.call(spec);
     };
-    const auto tries = run_to_end<std::vector<try_result>>(task);
-    print_tries(tries);
-    oracle judge;
-    judge.judge(spec, tries.back());
-    if (judge.found().total() > 0) {
-        std::cout << judge.found().first << "\n";
+    const auto attempts = run_task<std::vector<attempt_result>>(task);
+    print_attempts(attempts);
+    invariant_checker checker;
+    checker.check_attempt(spec, attempts.back());
+    if (checker.violations().total() > 0) {
+        std::cout << checker.violations().first << "\n";
     }
-    return judge.found().total() == 0 && tries.back().ended == outcome::complete ? exit_success
-                                                                                 : exit_failure;
+    return checker.violations().total() == 0 && attempts.back().outcome == call_outcome::complete
+               ? exit_success
+               : exit_failure;
 }
 
-int experiment(const cxxopts::ParseResult& given, const fleet& where, const std::string& file)
+int run_experiment_file(const cxxopts::ParseResult& given, const fleet_description& fleet,
+                        const std::string& file)
 {
-    schema::load_experiment read;
-    const auto faults = load_document(file, read);
+    schema::load_experiment experiment;
+    const auto faults = load_document(file, experiment);
     for (const settings_fault& fault : faults) {
         std::cerr << fault.to_string() << "\n";
     }
@@ -143,54 +147,55 @@
     const bool on_terminal = isatty(STDERR_FILENO) != 0;
     const auto progress = [&](const std::string& line) {
         if (on_terminal) {
-            std::cerr << "\r" << read.name() << ": " << line << "   " << std::flush;
+            std::cerr << "\r" << experiment.name() << ": " << line << "   " << std::flush;
         }
     };
-    const auto task = [&] { return run_experiment(read, where, seed, act, progress); };
-    const auto result = run_to_end<experiment_result>(task);
+    const auto task = [&] { return run_experiment(experiment, fleet, seed, act, progress); };
+    const auto result = run_task<experiment_result>(task);
     std::cout << (on_terminal ? "\n" : "") << result.summary();
     if (given.count("json") != 0 &&
         !write_file(given["json"].as<std::string>(), result.to_json())) {
-        return bad_use("can't write " + given["json"].as<std::string>());
+        return report_usage_error("can't write the result to " + given["json"].as<std::string>());
     }
     return result.passed() ? exit_success : exit_failure;
 }
 
-int list(const std::string& folder)
+int list_experiments(const std::string& folder)
 {
-    std::vector<std::string> names;
-    int code = exit_success;
+    std::vector<std::string> lines;
+    int exit_code = exit_success;
     for (const auto& file : std::filesystem::directory_iterator(folder)) {
-        schema::load_experiment read;
+        schema::load_experiment experiment;
         if (file.path().extension() != ".json") {
             continue;
         }
-        const auto faults = load_document(file.path().string(), read);
+        const auto faults = load_document(file.path().string(), experiment);
         for (const settings_fault& fault : faults) {
             std::cerr << fault.to_string() << "\n";
         }
-        code = faults.empty() ? code : exit_bad_settings;
-        names.push_back(read.name() + ": " + read.purpose());
+        exit_code = faults.empty() ? exit_code : exit_bad_settings;
+        lines.push_back(experiment.name() + ": " + experiment.purpose());
     }
-    std::sort(names.begin(), names.end());
-    for (const std::string& name : names) {
-        std::cout << name << "\n";
+    std::sort(lines.begin(), lines.end());
+    for (const std::string& line : lines) {
+        std::cout << line << "\n";
     }
-    return code;
+    return exit_code;
 }
 
-int replay(const fleet& where, const std::string& file)
+int replay_trace_file(const fleet_description& fleet, const std::string& file)
 {
-    std::vector<std::string> faults;
-    const auto trace = read_trace(read_file(file), faults);
-    for (const std::string& fault : faults) {
-        std::cerr << file << ": " << fault << "\n";
+    std::vector<std::string> errors;
+    const auto trace = read_trace(read_file(file), errors);
+    for (const std::string& error : errors) {
+        std::cerr << file << ": " << error << "\n";
     }
-    if (!faults.empty() || trace.empty()) {
-        return bad_use("no readable trace in " + file);
+    if (!errors.empty() || trace.empty()) {
+        return report_usage_error(
+            "expected a trace of at least one call and no malformed line in " + file);
     }
-    const auto task = [&] { return replay_trace(trace, where); };
-    const auto differences = run_to_end<std::vector<std::string>>(task);
+    const auto task = [&] { return replay_trace(trace, fleet); };
+    const auto differences = run_task<std::vector<std::string>>(task);
     for (const std::string& difference : differences) {
         std::cout << difference << "\n";
     }
@@ -198,65 +203,71 @@
     return differences.empty() ? exit_success : exit_failure;
 }
 
-int report(const std::vector<std::string>& files, const std::string& out)
+int write_report(const std::vector<std::string>& files, const std::string& out)
 {
     std::vector<std::string> results;
     for (const std::string& file : files) {
         results.push_back(read_file(file));
     }
-    return write_file(out, html_report(results)) ? exit_success : bad_use("can't write " + out);
+    return write_file(out, html_report(results))
+               ? exit_success
+               : report_usage_error("can't write the report to " + out);
 }
 
 int run_command(const cxxopts::ParseResult& given)
 {
-    const auto what = given["what"].as<std::vector<std::string>>();
-    const std::string& command = what.front();
-    const std::vector<std::string> rest(what.begin() + 1, what.end());
+    const auto positional = given["what"].as<std::vector<std::string>>();
+    const std::string& command = positional.front();
+    const std::vector<std::string> arguments(positional.begin() + 1, positional.end());
     const auto folder = given["experiments"].as<std::string>();
     if (command == "list") {
-        return list(folder);
+        return list_experiments(folder);
     }
     if (command == "report") {
-        return report(rest, given["out"].as<std::string>());
+        return write_report(arguments, given["out"].as<std::string>());
     }
-    const auto where = read_fleet(given["fleet"].as<std::string>());
-    if (!where) {
-        return bad_use("can't read the fleet's description, --fleet RUN/fleet.json");
+    const auto fleet = read_fleet_description(given["fleet"].as<std::string>());
+    if (!fleet) {
+        return report_usage_error("can't read the fleet description " +
+                                  given["fleet"].as<std::string>() +
+                                  "; give --fleet RUN/fleet.json");
     }
     if (command == "call") {
-        return make_call(given, *where);
+        return make_call(given, *fleet);
     }
     if (command == "run" && given.count("settings") != 0) {
-        return experiment(given, *where, given["settings"].as<std::string>());
+        return run_experiment_file(given, *fleet, given["settings"].as<std::string>());
     }
-    if (command == "experiment" && rest.size() == 1) {
-        return experiment(given, *where, folder + "/" + rest.front() + ".json");
+    if (command == "experiment" && arguments.size() == 1) {
+        return run_experiment_file(given, *fleet, folder + "/" + arguments.front() + ".json");
     }
-    if (command == "replay" && rest.size() == 1) {
-        return replay(*where, rest.front());
+    if (command == "replay" && arguments.size() == 1) {
+        return replay_trace_file(*fleet, arguments.front());
     }
-    return bad_use("unknown command");
+    return report_usage_error("expected a command with its arguments, found: " + command);
 }
 
 } // namespace
 
 int main(int argc, char** argv)
 {
-    cxxopts::Options options("chervil-load", "Callers, traces and experiments");
+    cxxopts::Options options("chervil-load", "Makes calls, replays traces and runs experiments");
     options.custom_help("call | run --settings FILE | experiment NAME | list | replay TRACE | "
                         "report FILES...  [OPTIONS]");
     options.add_options()("what", "", cxxopts::value<std::vector<std::string>>())(
-        "fleet", "what start-fleet wrote",
+        "fleet", "the fleet description that tools/start-fleet wrote",
         cxxopts::value<std::string>()->default_value("fleet.json"))(
         "experiments", "the folder of experiments",
         cxxopts::value<std::string>()->default_value("scenarios/experiments"))(
-        "settings", "an experiment's file",
-        cxxopts::value<std::string>())("check-settings", "only check the experiment's file")(
-        "seed", "the seed of load and faults", cxxopts::value<std::uint64_t>()->default_value("1"))(
-        "json", "where the result goes", cxxopts::value<std::string>())(
-        "actions", "where actions on processes are written, one a line",
+        "settings", "the file of an experiment",
+        cxxopts::value<std::string>())("check-settings", "only check the file of the experiment")(
+        "seed", "the seed of the loads' random draws",
+        cxxopts::value<std::uint64_t>()->default_value("1"))("json", "the file for the result",
+                                                             cxxopts::value<std::string>())(
+        "actions", "the file for actions on processes, one a line",
         cxxopts::value<std::string>()->default_value("/dev/null"))(
-        "o,out", "the page to write", cxxopts::value<std::string>()->default_value("report.html"))(
+        "o,out", "the file for the HTML page",
+        cxxopts::value<std::string>()->default_value("report.html"))(
         "tenant", "", cxxopts::value<std::string>()->default_value(""))(
         "team", "", cxxopts::value<std::string>()->default_value(""))(
         "operation", "service/operation", cxxopts::value<std::string>()->default_value(""))(
@@ -278,11 +289,11 @@
             return exit_success;
         }
         if (given.count("what") == 0) {
-            return bad_use("give a command");
+            return report_usage_error("expected a command, found none");
         }
         return run_command(given);
     }
     catch (const cxxopts::exceptions::exception& error) {
-        return bad_use(error.what());
+        return report_usage_error(error.what());
     }
 }
--- a/load/trace.h
+++ b/load/trace.h
@@ -1,5 +1,6 @@
 /** \file
- * Defines the recorded traces: calls with the outcomes stated beside them, one JSON object a line.
+ * Defines the reading and the replay of recorded traces: calls with their expected outcomes, one
+ * JSON object a line.
  */
 #pragma once
 
@@ -10,39 +11,40 @@
 
 #include <boost/asio/awaitable.hpp>
 
-#include "load/fleet.h"
+#include "load/fleet_description.h"
 
 namespace chervildyke::load {
 
-/** One recorded call and what must come of it. */
-struct trace_line {
-    std::size_t line = 0;
-    double at_ms = 0; // From the trace's start.
+/** One recorded call and its expected result. */
+struct trace_call {
+    std::size_t line = 0; // In the trace's text, from one.
+    double at_ms = 0;     // From the trace's start.
     std::string tenant;
     std::string team;
     std::string prompt;
-    std::uint32_t tokens = 0;
+    std::uint32_t max_tokens = 0;
     std::string operation;
     std::string body;
-    std::string key;
+    std::string idempotency_key;
     std::uint32_t deadline_ms = 0;
-    std::string outcome; // complete, not_run or unknown; empty: any.
-    unsigned status = 0; // Zero: any.
-    std::string same_as; // The key whose confirmation this one must repeat.
-    bool wait = true;    // The next line starts when this call ended.
+    std::string expected_outcome; // complete, not_run or unknown; empty: any.
+    unsigned expected_status = 0; // HTTP status; zero: any.
+    std::string same_as;          // The answer must equal that to the call with this key.
+    bool wait = true;             // The next call starts only when this one has ended.
 
-    bool operator==(const trace_line&) const = default;
+    bool operator==(const trace_call&) const = default;
 };
 
-/** \param faults filled with each line that can't be read.
- * \return the trace's lines.
+/** Reads a trace. Empty lines and lines that start with // are skipped.
+ * \param errors gets a text for each line that can't be read.
+ * \return the calls of all other lines.
  */
-std::vector<trace_line> read_trace(const std::string& text, std::vector<std::string>& faults);
+std::vector<trace_call> read_trace(const std::string& text, std::vector<std::string>& errors);
 
-/** Replays a trace and compares each outcome with the one stated.
- * \return one text for each difference.
+/** Replays a trace and compares each result with the expected one.
+ * \return a text for each difference.
  */
-boost::asio::awaitable<std::vector<std::string>> replay_trace(std::vector<trace_line> trace,
-                                                              fleet where);
+boost::asio::awaitable<std::vector<std::string>> replay_trace(std::vector<trace_call> trace,
+                                                              fleet_description fleet);
 
 } // namespace chervildyke::load
--- a/load/workload.h
+++ b/load/workload.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines workload, which makes the calls of one stretch of load.
+ * Defines workload, which generates the calls of one load of an experiment.
  */
 #pragma once
 
@@ -12,52 +12,55 @@
 
 #include "base/random.h"
 #include "load.pb.h"
-#include "load/caller.h"
-#include "load/figures.h"
-#include "load/fleet.h"
-#include "load/oracle.h"
-#include "load/straight_call.h"
+#include "load/direct_caller.h"
+#include "load/entry_caller.h"
+#include "load/fleet_description.h"
+#include "load/invariant_checker.h"
+#include "load/measurements.h"
 
 namespace chervildyke::load {
 
-/** What the calls of a run share. */
+/** The state that all loads and faults of a run share. */
 struct run_context {
     boost::asio::any_io_executor executor;
     std::shared_ptr<http_client> http;
-    fleet where;
+    fleet_description fleet;
     std::uint64_t seed = 0;
-    time_point start{};
-    figures measured;
-    oracle judge;
+    time_point started_at{};
+    measurements measured;
+    invariant_checker checker;
     std::size_t open_calls = 0;
 
-    double seconds() const;
+    /** \return the seconds since the run's start. */
+    double elapsed_s() const;
 };
 
-/** Makes the calls of one stretch and counts how they end. Must outlive its calls. */
+/** Generates the calls of one load, closed-loop or open-loop, and records their results. Must
+ * outlive its calls.
+ */
 class workload {
   public:
-    workload(run_context& run, schema::load_stretch stretch);
+    workload(run_context& run, schema::load_stretch load);
 
-    /** Completes when the stretch is over; calls may still be open. */
+    /** Completes at the load's end; calls may still be open. */
     boost::asio::awaitable<void> make_calls();
 
   private:
-    boost::asio::awaitable<void> closed_caller(std::uint64_t number);
-    boost::asio::awaitable<void> open_arrivals();
-    boost::asio::awaitable<void> one_call(std::shared_ptr<caller> by, call_spec spec,
-                                          double repeat);
-    boost::asio::awaitable<void> repeat_order(std::shared_ptr<caller> by, call_spec spec);
-    boost::asio::awaitable<std::vector<try_result>> call_engine(call_spec spec);
-    call_spec next_spec(double& repeat);
-    std::shared_ptr<caller> new_caller();
-    void count(const call_spec& spec, const std::vector<try_result>& tries);
+    boost::asio::awaitable<void> run_closed_loop(std::uint64_t caller_index);
+    boost::asio::awaitable<void> run_open_loop();
+    boost::asio::awaitable<void> make_call(std::shared_ptr<entry_caller> caller, call_spec spec,
+                                           double repeat_probability);
+    boost::asio::awaitable<void> repeat_order(std::shared_ptr<entry_caller> caller, call_spec spec);
+    boost::asio::awaitable<std::vector<attempt_result>> call_directly(call_spec spec);
+    call_spec next_call(double& repeat_probability);
+    std::shared_ptr<entry_caller> make_caller();
+    void record(const call_spec& spec, const std::vector<attempt_result>& attempts);
 
     run_context& run_;
-    schema::load_stretch stretch_;
+    schema::load_stretch load_;
     random_source random_;
-    std::uint64_t made_ = 0;
-    straight_caller straight_;
+    std::uint64_t call_count_ = 0; // Calls generated.
+    direct_caller direct_caller_;
 };
 
 } // namespace chervildyke::load
