--- a/tools/fleet.jq
+++ b/tools/fleet.jq
@@ -1,7 +1,7 @@
-# Turns a scenario into the description of one fleet on loopback addresses: every VM with its address,
-# pool, domains and the address of its stand-in's fault calls.
-# Arguments: $net, $size, $override (an object laid over the scenario).
-def two: tostring | if length < 2 then "0" + . else . end;
+# Makes the description of a fleet on loopback addresses from a scenario: each VM with its address, pool, domains and
+# the address where its stand-in takes faults.
+# Arguments: $net (second byte of the addresses), $size, $override (an object merged over the scenario).
+def two_digits: tostring | if length < 2 then "0" + . else . end;
 (. * $override) as $s | $s.sizes[$size] as $z | "127.\($net)" as $ip
 | ($s.failure_domains | length) as $domains
 | def worker_net($i): ($i / 250 | floor) | if . == 0 then 2 else . + 3 end;
@@ -18,7 +18,7 @@
       vm: "entry-\(. + 1)", ip: "\($ip).1.\(. + 1)", address: "\($ip).1.\(. + 1):8080", pool: "entry",
       failure_domain: domain(.), fabric_domain: "", accelerators: 0, faults: ""}] +
     [range($z.workers) | . as $i | ($i % $domains) as $d | (($i / $domains) | floor) as $k | {
-      vm: "\($s.vm_prefix)-\($i + 1 | two)", address: "\($ip).\(worker_net($i)).\($i % 250 + 1):9000", pool: $s.model_pool,
+      vm: "\($s.vm_prefix)-\($i + 1 | two_digits)", address: "\($ip).\(worker_net($i)).\($i % 250 + 1):9000", pool: $s.model_pool,
       failure_domain: domain($i),
       fabric_domain: "\(domain($i))-f\($k % $z.fabric_domains_per_failure_domain + 1)",
       accelerators: $s.accelerators_per_vm, faults: "\($ip).0.\(21 + $d):7004"}] +
