Name the parts of the stand-ins by the terms of the field

Comments were fragments, and some public functions had none. The log line of a bad listen address says what was expected and found.

--- a/standin/answer_token.h
+++ b/standin/answer_token.h
@@ -1,6 +1,6 @@
 /** \file
- * Defines the answers of the engine stand-in: each token follows from the prompt and its place, so
- * that a reader can judge any answer token by token.
+ * Defines the answers of the simulated engines. Each token is computed from the prompt and the
+ * token's index, so that a reader can verify any answer token by token.
  */
 #pragma once
 
@@ -10,15 +10,19 @@
 
 namespace chervildyke::standin {
 
-/** The part of a prompt that its answer depends on: what stands in the last [[ ]], or all of it
- * without spaces around.
+/** \return the part of a prompt that determines its answer: the text inside the last [[ ]], or else
+ * the whole prompt without surrounding whitespace.
  */
 std::string answer_subject(std::string_view prompt);
 
-/** The token at a place, counted from zero, with the space that follows it. */
-std::string answer_token(std::string_view subject, std::uint32_t place);
+/** \return a token of the answer, with the space that follows it.
+ * \param index the token's index in the answer, from zero.
+ */
+std::string answer_token(std::string_view subject, std::uint32_t index);
 
-/** How many tokens the whole answer has; a subject that holds n=NUMBER states it. */
+/** \return the number of tokens in the whole answer. A subject that contains n=NUMBER sets it;
+ * otherwise it is computed from the subject.
+ */
 std::uint32_t answer_length(std::string_view subject);
 
 } // namespace chervildyke::standin
--- a/standin/faults.cpp
+++ b/standin/fault_injector.cpp
@@ -1,7 +1,7 @@
 /** \file
- * Implements the faults of the stand-ins.
+ * Implements fault injection into the stand-ins.
  */
-#include "standin/faults.h"
+#include "standin/fault_injector.h"
 
 #include "external/json_message.h"
 #include "standin/http_replies.h"
@@ -12,7 +12,7 @@
 
 constexpr duration poll_interval = 5ms;
 
-time_point end_of(const schema::fault_request& request)
+time_point end_time(const schema::fault_request& request)
 {
     if (request.duration_ms() == 0) {
         return time_point::max();
@@ -20,18 +20,18 @@
     return monotonic_clock::now() + std::chrono::milliseconds(request.duration_ms());
 }
 
-bool still(time_point until)
+bool is_future(time_point time)
 {
-    return monotonic_clock::now() < until;
+    return monotonic_clock::now() < time;
 }
 
 } // namespace
 
-bool fault_switch::apply(const schema::fault_request& request)
+bool fault_injector::apply(const schema::fault_request& request)
 {
     const std::string& fault = request.fault();
     if (fault == "pause") {
-        paused_until_ = end_of(request);
+        paused_until_ = end_time(request);
     }
     else if (fault == "resume") {
         paused_until_ = {};
@@ -39,17 +39,17 @@
         slow_until_ = {};
     }
     else if (fault == "outage") {
-        outage_until_ = end_of(request);
+        outage_until_ = end_time(request);
     }
     else if (fault == "slow") {
-        factor_ = request.factor();
-        slow_until_ = end_of(request);
+        slow_factor_ = request.factor();
+        slow_until_ = end_time(request);
     }
     else if (fault == "drop_reply") {
-        reply_drops_ += std::max(request.count(), 1U);
+        pending_reply_drops_ += std::max(request.count(), 1U);
     }
     else if (fault == "partition") {
-        partitioned_until_[request.from_address()] = end_of(request);
+        partitioned_until_[request.from_address()] = end_time(request);
     }
     else if (fault == "heal") {
         partitioned_until_.clear();
@@ -60,11 +60,11 @@
     return true;
 }
 
-boost::asio::awaitable<bool> fault_switch::admit(http_exchange& exchange)
+boost::asio::awaitable<bool> fault_injector::allow_request(http_exchange& exchange)
 {
     const std::string peer = exchange.peer_address();
-    if (partitioned(peer)) {
-        while (partitioned(peer)) {
+    if (is_partitioned(peer)) {
+        while (is_partitioned(peer)) {
             co_await sleep_for(poll_interval);
         }
         exchange.abort();
@@ -78,50 +78,51 @@
     co_return true;
 }
 
-boost::asio::awaitable<void> fault_switch::wait_while_paused()
+boost::asio::awaitable<void> fault_injector::wait_while_paused()
 {
-    while (paused()) {
+    while (is_paused()) {
         co_await sleep_for(poll_interval);
     }
 }
 
-bool fault_switch::take_reply_drop()
+bool fault_injector::consume_reply_drop()
 {
-    if (reply_drops_ == 0) {
+    if (pending_reply_drops_ == 0) {
         return false;
     }
-    --reply_drops_;
+    --pending_reply_drops_;
     return true;
 }
 
-double fault_switch::slowdown() const
+double fault_injector::slowdown_factor() const
 {
-    return still(slow_until_) ? std::max(factor_, 1.0) : 1.0;
+    return is_future(slow_until_) ? std::max(slow_factor_, 1.0) : 1.0;
 }
 
-bool fault_switch::paused() const
+bool fault_injector::is_paused() const
 {
-    return still(paused_until_);
+    return is_future(paused_until_);
 }
 
-bool fault_switch::in_outage() const
+bool fault_injector::in_outage() const
 {
-    return still(outage_until_);
+    return is_future(outage_until_);
 }
 
-void fault_switch::clear()
+void fault_injector::clear()
 {
-    *this = fault_switch();
+    *this = fault_injector();
 }
 
-bool fault_switch::partitioned(const std::string& peer) const
+bool fault_injector::is_partitioned(const std::string& peer) const
 {
     const auto found = partitioned_until_.find(peer);
-    return found != partitioned_until_.end() && still(found->second);
+    return found != partitioned_until_.end() && is_future(found->second);
 }
 
-boost::asio::awaitable<void> serve_fault(http_exchange& exchange,
-                                         std::function<bool(const schema::fault_request&)> apply)
+boost::asio::awaitable<void>
+serve_fault_request(http_exchange& exchange,
+                    std::function<bool(const schema::fault_request&)> apply)
 {
     schema::fault_request request;
     http_reply reply = status_reply(200);
--- a/standin/http_replies.cpp
+++ b/standin/http_replies.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements the common replies of the stand-ins.
+ * Implements the HTTP replies that the stand-ins have in common.
  */
 #include "standin/http_replies.h"
 
@@ -52,7 +52,7 @@
     std::string ip;
     std::uint16_t port = 0;
     if (!split_address(address, ip, port)) {
-        log_to.error("not ip:port: ", address);
+        log_to.error("listen address: expected ip:port, found ", address);
         return false;
     }
     if (!server.listen(ip, port)) {
--- a/standin/log_service.cpp
+++ b/standin/log_service.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements the stand-in of the log.
+ * Implements log_service.
  */
 #include "standin/log_service.h"
 
@@ -12,12 +12,14 @@
 
 namespace {
 
-constexpr std::uint64_t default_read_limit = 1000;
+constexpr std::uint64_t default_read_limit = 1000; // Records.
 constexpr std::uint64_t max_reply_bytes = 4U << 20U;
-constexpr double burst_seconds = 0.1;
-constexpr double least_burst = 10;
+constexpr double burst_seconds = 0.1;   // The bucket holds the appends of this time,
+constexpr double min_burst_tokens = 10; // but at least this many.
 
-/** Splits /streams/{name}/{action}. */
+/** Splits the path /streams/{name}/{action}.
+ * \return false when it has another form or an empty name.
+ */
 bool split_path(std::string_view path, std::string& name, std::string& action)
 {
     constexpr std::string_view prefix = "/streams/";
@@ -50,15 +52,15 @@
         const auto apply = [this](const schema::fault_request& request) {
             return faults_.apply(request);
         };
-        co_await serve_fault(exchange, apply);
+        co_await serve_fault_request(exchange, apply);
         co_return;
     }
     if (path == "/counts") {
-        http_reply reply = status_reply(200, counts());
+        http_reply reply = status_reply(200, counters_json());
         co_await exchange.respond(std::move(reply));
         co_return;
     }
-    if (!co_await faults_.admit(exchange)) {
+    if (!co_await faults_.allow_request(exchange)) {
         co_return;
     }
     std::string name;
@@ -84,27 +86,27 @@
         co_await exchange.respond(std::move(bad));
         co_return;
     }
-    if (!take_append_permit()) {
-        ++refused_;
+    if (!consume_append_token()) {
+        ++rejected_appends_;
         http_reply busy = status_reply(429);
         co_await exchange.respond(std::move(busy));
         co_return;
     }
     const auto latency = std::chrono::duration<double, std::milli>(settings_.append_latency_ms() *
-                                                                   faults_.slowdown());
+                                                                   faults_.slowdown_factor());
     co_await sleep_for(std::chrono::duration_cast<duration>(latency));
     stream& to = streams_[name];
     schema::log_entry entry;
     entry.set_offset(to.next_offset++);
     entry.set_appended_at_ms(wall_clock_ms());
     appended_bytes_ += body.payload().size();
-    ++appended_;
+    ++appended_records_;
     *entry.mutable_payload() = std::move(*body.mutable_payload());
     schema::log_append_reply answer;
     answer.set_offset(entry.offset());
     to.entries.push_back(std::move(entry));
-    to.changed.wake();
-    if (faults_.take_reply_drop() || faults_.in_outage()) {
+    to.appended.notify_all();
+    if (faults_.consume_reply_drop() || faults_.in_outage()) {
         exchange.abort();
         co_return;
     }
@@ -115,40 +117,41 @@
 asio::awaitable<void> log_service::read(http_exchange& exchange, std::string name)
 {
     const std::uint64_t from = std::max<std::uint64_t>(query_number(exchange.request(), "from"), 1);
-    const std::uint64_t asked = query_number(exchange.request(), "limit");
-    const std::uint64_t limit = asked == 0 ? default_read_limit : asked;
+    const std::uint64_t requested_limit = query_number(exchange.request(), "limit");
+    const std::uint64_t limit = requested_limit == 0 ? default_read_limit : requested_limit;
     const std::chrono::milliseconds wait(query_number(exchange.request(), "wait_ms"));
     const time_point end = monotonic_clock::now() + wait;
     stream& source = streams_[name];
     while (source.next_offset <= from && monotonic_clock::now() < end) {
-        co_await source.changed.wait(end - monotonic_clock::now());
+        co_await source.appended.wait_for(end - monotonic_clock::now());
     }
     if (faults_.in_outage()) {
         exchange.abort();
         co_return;
     }
-    http_reply reply = json_reply(read_now(source, from, limit));
+    http_reply reply = json_reply(read_records(source, from, limit));
     read_bytes_ += reply.body.size();
     co_await exchange.respond(std::move(reply));
 }
 
-bool log_service::take_append_permit()
+bool log_service::consume_append_token()
 {
     if (settings_.appends_per_second() == 0) {
         return true;
     }
     const double rate = settings_.appends_per_second();
-    const double burst = std::max(rate * burst_seconds, least_burst);
+    const double burst = std::max(rate * burst_seconds, min_burst_tokens);
     const time_point now = monotonic_clock::now();
-    const double passed = permits_at_ == time_point()
-                              ? 1.0
-                              : std::chrono::duration<double>(now - permits_at_).count();
-    permits_at_ = now;
-    permits_ = std::min(permits_ + passed * rate, burst);
-    if (permits_ < 1) {
+    const double elapsed_seconds =
+        bucket_refilled_at_ == time_point()
+            ? 1.0
+            : std::chrono::duration<double>(now - bucket_refilled_at_).count();
+    bucket_refilled_at_ = now;
+    bucket_tokens_ = std::min(bucket_tokens_ + elapsed_seconds * rate, burst);
+    if (bucket_tokens_ < 1) {
         return false;
     }
-    permits_ -= 1;
+    bucket_tokens_ -= 1;
     return true;
 }
 
@@ -164,7 +167,8 @@
     }
 }
 
-schema::log_read_reply log_service::read_now(stream& from, std::uint64_t first, std::uint64_t limit)
+schema::log_read_reply log_service::read_records(stream& from, std::uint64_t first,
+                                                 std::uint64_t limit)
 {
     drop_expired(from);
     schema::log_read_reply reply;
@@ -185,11 +189,11 @@
     return reply;
 }
 
-std::string log_service::counts() const
+std::string log_service::counters_json() const
 {
-    return "{\"appends\":" + std::to_string(appended_) +
+    return "{\"appends\":" + std::to_string(appended_records_) +
            ",\"append_bytes\":" + std::to_string(appended_bytes_) +
-           ",\"refused\":" + std::to_string(refused_) +
+           ",\"refused\":" + std::to_string(rejected_appends_) +
            ",\"read_bytes\":" + std::to_string(read_bytes_) + "}";
 }
 
--- a/standin/log_service.h
+++ b/standin/log_service.h
@@ -12,18 +12,21 @@
 #include "base/clock.h"
 #include "base/http_server.h"
 #include "settings.pb.h"
-#include "standin/faults.h"
-#include "standin/wake_list.h"
+#include "standin/async_condition.h"
+#include "standin/fault_injector.h"
 
 namespace chervildyke::standin {
 
-/** Keeps streams of records for a limited time, takes a limited number of appends a second over
- * all streams, and counts what it did.
+/** Stores streams of records for a limited time and rate-limits the appends to all streams together
+ * by a token bucket. GET /counts returns counters of its work.
  */
 class log_service {
   public:
     log_service(boost::asio::any_io_executor executor, schema::standin_log_settings settings);
 
+    /** Starts to listen.
+     * \return false when that fails; the reason is logged.
+     */
     bool listen();
     std::uint16_t port() const { return server_.port(); }
 
@@ -31,27 +34,28 @@
     struct stream {
         std::deque<schema::log_entry> entries;
         std::uint64_t next_offset = 1;
-        wake_list changed; // Long polls wait here for an append.
+        async_condition appended; // Notified by an append; long polls wait for it.
     };
 
     boost::asio::awaitable<void> serve(http_exchange& exchange);
     boost::asio::awaitable<void> append(http_exchange& exchange, std::string name);
     boost::asio::awaitable<void> read(http_exchange& exchange, std::string name);
-    bool take_append_permit();
+    /** \return false when the rate limit is exceeded. */
+    bool consume_append_token();
     void drop_expired(stream& from);
-    schema::log_read_reply read_now(stream& from, std::uint64_t first, std::uint64_t limit);
-    std::string counts() const;
+    schema::log_read_reply read_records(stream& from, std::uint64_t first, std::uint64_t limit);
+    std::string counters_json() const;
 
     schema::standin_log_settings settings_;
-    fault_switch faults_;
+    fault_injector faults_;
     std::map<std::string, stream> streams_;
-    double permits_ = 0;
-    time_point permits_at_{};
-    std::uint64_t appended_ = 0;
+    double bucket_tokens_ = 0;
+    time_point bucket_refilled_at_{};
+    std::uint64_t appended_records_ = 0;
     std::uint64_t appended_bytes_ = 0;
-    std::uint64_t refused_ = 0;
+    std::uint64_t rejected_appends_ = 0; // By the rate limit.
     std::uint64_t read_bytes_ = 0;
-    http_server server_; // Last, so that it stops before what it serves goes.
+    http_server server_; // Last, so that it stops before the other members are destroyed.
 };
 
 } // namespace chervildyke::standin
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -1,5 +1,5 @@
 /** \file
- * The program chervil-standin: runs each stand-in that its settings hold.
+ * The program chervil-standin, which runs each stand-in that its settings configure.
  */
 #include <algorithm>
 #include <iostream>
@@ -8,9 +8,9 @@
 
 #include "base/log.h"
 #include "base/program.h"
-#include "standin/engine.h"
 #include "standin/log_service.h"
 #include "standin/plain_service.h"
+#include "standin/simulated_engines.h"
 #include "standin/vm_list.h"
 #include "standin/weight_store.h"
 
@@ -18,11 +18,14 @@
 
 namespace {
 
+/** Creates a stand-in and starts it, if it is configured.
+ * \return false when it can't listen.
+ */
 template <typename Standin, typename Settings>
-bool start(std::unique_ptr<Standin>& into, boost::asio::io_context& context, bool wanted,
-           const Settings& settings)
+bool start_if_configured(std::unique_ptr<Standin>& into, boost::asio::io_context& context,
+                         bool configured, const Settings& settings)
 {
-    if (!wanted) {
+    if (!configured) {
         return true;
     }
     into = std::make_unique<Standin>(context.get_executor(), settings);
@@ -47,14 +50,15 @@
     std::unique_ptr<standin::log_service> log_service;
     std::unique_ptr<standin::vm_list> vm_list;
     std::unique_ptr<standin::weight_store> weight_store;
-    std::unique_ptr<standin::engine> engine;
+    std::unique_ptr<standin::simulated_engines> engines;
     std::unique_ptr<standin::plain_service> service;
     const bool started =
-        start(log_service, context, settings.has_log_service(), settings.log_service()) &&
-        start(vm_list, context, settings.has_vm_list(), settings.vm_list()) &&
-        start(weight_store, context, settings.has_weights(), settings.weights()) &&
-        start(engine, context, settings.has_engine(), settings.engine()) &&
-        start(service, context, settings.has_service(), settings.service());
+        start_if_configured(log_service, context, settings.has_log_service(),
+                            settings.log_service()) &&
+        start_if_configured(vm_list, context, settings.has_vm_list(), settings.vm_list()) &&
+        start_if_configured(weight_store, context, settings.has_weights(), settings.weights()) &&
+        start_if_configured(engines, context, settings.has_engine(), settings.engine()) &&
+        start_if_configured(service, context, settings.has_service(), settings.service());
     if (!started) {
         return exit_failure;
     }
--- a/standin/plain_service.cpp
+++ b/standin/plain_service.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements the stand-in of the plain services.
+ * Implements plain_service.
  */
 #include "standin/plain_service.h"
 
@@ -12,6 +12,7 @@
 
 namespace {
 constexpr std::string_view operations_prefix = "/operations/";
+constexpr std::size_t confirmation_digits = 16;
 } // namespace
 
 plain_service::plain_service(asio::any_io_executor executor,
@@ -20,85 +21,85 @@
       fault_server_(executor, [this](http_exchange& exchange) { return serve_faults(exchange); })
 {
     for (const schema::standin_vm& vm : settings_.vms()) {
-        auto made = std::make_unique<node>();
-        made->vm = vm;
-        nodes_[vm.vm()] = std::move(made);
+        auto created = std::make_unique<backend_server>();
+        created->vm = vm;
+        backends_[vm.vm()] = std::move(created);
     }
 }
 
 bool plain_service::listen()
 {
-    bool good = listen_on(fault_server_, settings_.fault_listen());
-    for (auto& [name, on] : nodes_) {
-        good = good && start(*on);
+    bool listening = listen_on(fault_server_, settings_.fault_listen());
+    for (auto& [name, backend] : backends_) {
+        listening = listening && start_backend(*backend);
     }
-    return good;
+    return listening;
 }
 
 std::uint16_t plain_service::port(const std::string& vm) const
 {
-    return nodes_.at(vm)->server->port();
+    return backends_.at(vm)->server->port();
 }
 
-bool plain_service::start(node& on)
+bool plain_service::start_backend(backend_server& backend)
 {
-    on.server = std::make_unique<http_server>(
-        executor_, [this, &on](http_exchange& exchange) { return serve(on, exchange); });
-    return listen_on(*on.server, on.vm.address());
+    backend.server = std::make_unique<http_server>(
+        executor_, [this, &backend](http_exchange& exchange) { return serve(backend, exchange); });
+    return listen_on(*backend.server, backend.vm.address());
 }
 
-schema::service_truth plain_service::truth() const
+schema::service_truth plain_service::ground_truth() const
 {
-    schema::service_truth all;
+    schema::service_truth result;
     for (const auto& [key, run] : runs_) {
-        *all.add_runs() = run;
+        *result.add_runs() = run;
     }
-    return all;
+    return result;
 }
 
 bool plain_service::apply(const schema::fault_request& request)
 {
-    const auto found = nodes_.find(request.vm());
-    if (found == nodes_.end()) {
+    const auto found = backends_.find(request.vm());
+    if (found == backends_.end()) {
         return false;
     }
-    node& on = *found->second;
+    backend_server& backend = *found->second;
     if (request.fault() == "die") {
-        on.server.reset();
+        backend.server.reset();
         return true;
     }
     if (request.fault() == "restart") {
-        on.faults.clear();
-        on.leaving = false;
-        return on.server != nullptr || start(on);
+        backend.faults.clear();
+        backend.leaving = false;
+        return backend.server != nullptr || start_backend(backend);
     }
     if (request.fault() == "leave") {
-        on.leaving = true;
+        backend.leaving = true;
         return true;
     }
-    return on.faults.apply(request);
+    return backend.faults.apply(request);
 }
 
-asio::awaitable<void> plain_service::serve(node& on, http_exchange& exchange)
+asio::awaitable<void> plain_service::serve(backend_server& backend, http_exchange& exchange)
 {
-    if (!co_await on.faults.admit(exchange)) {
+    if (!co_await backend.faults.allow_request(exchange)) {
         co_return;
     }
-    if (!on.server) {
-        exchange.abort(); // Dead; an older connection reached it.
+    if (!backend.server) {
+        exchange.abort(); // The VM died; the request came over an older connection.
         co_return;
     }
     const std::string path(exchange.request().path());
     if (path.starts_with(operations_prefix) && exchange.request().method == "POST") {
-        co_await run_operation(on, exchange);
+        co_await run_operation(backend, exchange);
         co_return;
     }
-    const std::string health = on.leaving ? R"({"leaving":true})" : R"({"leaving":false})";
+    const std::string health = backend.leaving ? R"({"leaving":true})" : R"({"leaving":false})";
     http_reply reply = path == "/health" ? status_reply(200, health) : status_reply(404);
     co_await exchange.respond(std::move(reply));
 }
 
-asio::awaitable<void> plain_service::run_operation(node& on, http_exchange& exchange)
+asio::awaitable<void> plain_service::run_operation(backend_server& backend, http_exchange& exchange)
 {
     const std::string attempt(exchange.request().header("X-Attempt-Id"));
     std::string key(exchange.request().header("Idempotency-Key"));
@@ -109,12 +110,13 @@
     run.set_key(key);
     run.set_attempt_id(attempt);
     run.set_times(run.times() + 1);
-    const std::string confirmation = sha256_hex(key + "\n" + exchange.request().body).substr(0, 16);
-    const auto span = std::chrono::duration<double, std::milli>(settings_.service_time_ms() *
-                                                                on.faults.slowdown());
-    co_await sleep_for(std::chrono::duration_cast<duration>(span));
-    co_await on.faults.wait_while_paused();
-    if (!on.server || on.faults.take_reply_drop()) {
+    const std::string confirmation =
+        sha256_hex(key + "\n" + exchange.request().body).substr(0, confirmation_digits);
+    const auto service_time = std::chrono::duration<double, std::milli>(
+        settings_.service_time_ms() * backend.faults.slowdown_factor());
+    co_await sleep_for(std::chrono::duration_cast<duration>(service_time));
+    co_await backend.faults.wait_while_paused();
+    if (!backend.server || backend.faults.consume_reply_drop()) {
         exchange.abort();
         co_return;
     }
@@ -125,12 +127,12 @@
 asio::awaitable<void> plain_service::serve_faults(http_exchange& exchange)
 {
     if (exchange.request().path() == "/truth") {
-        http_reply reply = json_reply(truth());
+        http_reply reply = json_reply(ground_truth());
         co_await exchange.respond(std::move(reply));
         co_return;
     }
     const auto hook = [this](const schema::fault_request& request) { return apply(request); };
-    co_await serve_fault(exchange, hook);
+    co_await serve_fault_request(exchange, hook);
 }
 
 } // namespace chervildyke::standin
--- a/standin/plain_service.h
+++ b/standin/plain_service.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines plain_service, the stand-in of the services beside the model engines.
+ * Defines plain_service, the stand-in of a service that runs operations but no model.
  */
 #pragma once
 
@@ -13,41 +13,52 @@
 #include "base/http_server.h"
 #include "platform.pb.h"
 #include "settings.pb.h"
-#include "standin/faults.h"
+#include "standin/fault_injector.h"
 
 namespace chervildyke::standin {
 
-/** Serves several VMs, each on its own address, and counts every run of every order. The counts
- * outlive the VMs: GET /truth on the fault address gives them.
+/** Simulates the backend servers of several VMs, each on its own address, and counts the runs of
+ * each order. The counts survive the death of a VM; GET /truth on the fault address returns them,
+ * so that a test can find orders that ran twice.
  */
 class plain_service {
   public:
     plain_service(boost::asio::any_io_executor executor, schema::standin_service_settings settings);
 
+    /** Starts to listen on all addresses.
+     * \return false when that fails; the reason is logged.
+     */
     bool listen();
 
-    /** The port of one VM; for tests that listen on port zero. */
+    /** \return the port of one VM that is alive; for tests that listen on port zero. */
     std::uint16_t port(const std::string& vm) const;
-    schema::service_truth truth() const;
+
+    /** \return how often each order has run. */
+    schema::service_truth ground_truth() const;
+
+    /** Applies a fault to one VM.
+     * \return false for an unknown fault or VM.
+     */
     bool apply(const schema::fault_request& request);
 
   private:
-    struct node {
+    /** The server of one VM. */
+    struct backend_server {
         schema::standin_vm vm;
-        fault_switch faults;
+        fault_injector faults;
         bool leaving = false;
         std::unique_ptr<http_server> server; // Empty while the VM is dead.
     };
 
-    bool start(node& on);
-    boost::asio::awaitable<void> serve(node& on, http_exchange& exchange);
-    boost::asio::awaitable<void> run_operation(node& on, http_exchange& exchange);
+    bool start_backend(backend_server& backend);
+    boost::asio::awaitable<void> serve(backend_server& backend, http_exchange& exchange);
+    boost::asio::awaitable<void> run_operation(backend_server& backend, http_exchange& exchange);
     boost::asio::awaitable<void> serve_faults(http_exchange& exchange);
 
     boost::asio::any_io_executor executor_;
     schema::standin_service_settings settings_;
-    std::map<std::string, schema::service_run> runs_;
-    std::map<std::string, std::unique_ptr<node>> nodes_;
+    std::map<std::string, schema::service_run> runs_; // By idempotency key, or else attempt id.
+    std::map<std::string, std::unique_ptr<backend_server>> backends_; // By VM.
     http_server fault_server_;
 };
 
--- a/standin/prefix_cache.cpp
+++ b/standin/prefix_cache.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements the prefix cache of the engine stand-in.
+ * Implements prefix_cache.
  */
 #include "standin/prefix_cache.h"
 
@@ -8,8 +8,8 @@
 namespace chervildyke::standin {
 
 namespace {
-constexpr std::size_t kept_events = 1024;
-constexpr std::size_t most_reported = 256;
+constexpr std::size_t max_stored_events = 1024;
+constexpr std::size_t max_reported_prefixes = 256;
 } // namespace
 
 prefix_cache::prefix_cache(prefix_cache_settings settings, random_source random)
@@ -17,57 +17,58 @@
 {
 }
 
-std::size_t prefix_cache::use(const std::vector<std::uint64_t>& prefixes)
+std::size_t prefix_cache::look_up_and_insert(const std::vector<std::uint64_t>& prefixes)
 {
     std::size_t cached = 0;
-    while (cached < prefixes.size() && places_.contains(prefixes[cached])) {
+    while (cached < prefixes.size() && positions_.contains(prefixes[cached])) {
         ++cached;
     }
-    // The shortest prefix is used last, since the longer ones are of no use without it.
+    // The shortest prefix becomes the most recently used, and is evicted last, because the longer
+    // ones are useless without it.
     std::for_each(prefixes.rbegin(), prefixes.rend(),
-                  [this](std::uint64_t prefix) { keep(prefix); });
+                  [this](std::uint64_t prefix) { insert_or_refresh(prefix); });
     return cached;
 }
 
-void prefix_cache::keep(std::uint64_t prefix)
+void prefix_cache::insert_or_refresh(std::uint64_t prefix)
 {
-    if (settings_.entries == 0) {
+    if (settings_.max_entries == 0) {
         return;
     }
-    const auto found = places_.find(prefix);
-    if (found != places_.end()) {
-        by_use_.splice(by_use_.begin(), by_use_, found->second);
+    const auto found = positions_.find(prefix);
+    if (found != positions_.end()) {
+        by_recency_.splice(by_recency_.begin(), by_recency_, found->second);
         return;
     }
-    by_use_.push_front(prefix);
-    places_[prefix] = by_use_.begin();
-    note(prefix, true);
-    if (by_use_.size() > settings_.entries) {
-        note(by_use_.back(), false);
-        places_.erase(by_use_.back());
-        by_use_.pop_back();
+    by_recency_.push_front(prefix);
+    positions_[prefix] = by_recency_.begin();
+    record_event(prefix, true);
+    if (by_recency_.size() > settings_.max_entries) {
+        record_event(by_recency_.back(), false);
+        positions_.erase(by_recency_.back());
+        by_recency_.pop_back();
     }
 }
 
-void prefix_cache::note(std::uint64_t prefix, bool added)
+void prefix_cache::record_event(std::uint64_t prefix, bool added)
 {
     ++last_sequence_;
-    if (random_fraction(random_) < settings_.event_loss) {
-        return; // A gap in the sequence is all that readers see.
+    if (random_fraction(random_) < settings_.event_loss_probability) {
+        return; // Readers see only a gap in the sequence.
     }
     events_.push_back(
         {last_sequence_, prefix, added, monotonic_clock::now() + settings_.event_lag});
-    if (events_.size() > kept_events) {
-        reported();
+    if (events_.size() > max_stored_events) {
+        reported_prefixes(); // Applies the visible events before the oldest is dropped.
         events_.pop_front();
     }
 }
 
-std::vector<std::uint64_t> prefix_cache::reported()
+std::vector<std::uint64_t> prefix_cache::reported_prefixes()
 {
     const time_point now = monotonic_clock::now();
     for (const event& each : events_) {
-        if (each.sequence <= reported_sequence_ || each.arrives > now) {
+        if (each.sequence <= reported_sequence_ || each.visible_at > now) {
             continue;
         }
         reported_sequence_ = each.sequence;
@@ -79,8 +80,8 @@
         }
     }
     std::vector<std::uint64_t> prefixes;
-    for (const auto& [prefix, known] : reported_) {
-        if (prefixes.size() < most_reported) {
+    for (const auto& [prefix, present] : reported_) {
+        if (prefixes.size() < max_reported_prefixes) {
             prefixes.push_back(prefix);
         }
     }
@@ -92,7 +93,7 @@
     std::string json = "[";
     const time_point now = monotonic_clock::now();
     for (const event& each : events_) {
-        if (each.sequence <= sequence || each.arrives > now) {
+        if (each.sequence <= sequence || each.visible_at > now) {
             continue;
         }
         json += json.size() > 1 ? "," : "";
@@ -103,9 +104,9 @@
     return json + "]";
 }
 
-std::vector<std::uint64_t> prefix_cache::contents() const
+std::vector<std::uint64_t> prefix_cache::cached_prefixes() const
 {
-    return {by_use_.begin(), by_use_.end()};
+    return {by_recency_.begin(), by_recency_.end()};
 }
 
 } // namespace chervildyke::standin
--- a/standin/prefix_cache.h
+++ b/standin/prefix_cache.h
@@ -1,5 +1,6 @@
 /** \file
- * Defines prefix_cache, the limited prefix cache of an engine and its late, lossy events.
+ * Defines prefix_cache, the bounded LRU prefix cache of a simulated engine, and its cache events,
+ * which are delayed and may be lost.
  */
 #pragma once
 
@@ -16,44 +17,49 @@
 namespace chervildyke::standin {
 
 struct prefix_cache_settings {
-    std::size_t entries = 0;
-    duration event_lag{};
-    double event_loss = 0;
+    std::size_t max_entries = 0; // Zero disables the cache.
+    duration event_lag{};        // From a change to its event becoming visible.
+    double event_loss_probability = 0;
 };
 
-/** Keeps the hashes of prompt prefixes that were used last. */
+/** Keeps the hashes of the prompt prefixes that were used most recently. */
 class prefix_cache {
   public:
     prefix_cache(prefix_cache_settings settings, random_source random);
 
-    /** Uses a prompt's prefixes, the shortest first, and keeps them.
-     * \return how many of them, from the first on, were cached already.
+    /** Looks up a prompt's prefixes, then inserts them or marks them as recently used.
+     * \param prefixes their hashes, the shortest prefix first.
+     * \return the number of leading prefixes that were cached before the call.
      */
-    std::size_t use(const std::vector<std::uint64_t>& prefixes);
+    std::size_t look_up_and_insert(const std::vector<std::uint64_t>& prefixes);
 
-    /** The cached prefixes as the events that have arrived by now tell it. */
-    std::vector<std::uint64_t> reported();
+    /** \return the cached prefixes according to the events that are visible by now, at most 256. As
+     * lost events are never visible, this may differ from what is cached.
+     */
+    std::vector<std::uint64_t> reported_prefixes();
 
-    /** The events after a sequence number that have arrived by now, as a JSON array. */
+    /** \return the events with a higher sequence number that are visible by now, as a JSON array. A
+     * lost event leaves a gap in the sequence.
+     */
     std::string events_after(std::uint64_t sequence) const;
 
-    /** What is cached now. */
-    std::vector<std::uint64_t> contents() const;
+    /** \return what is cached now, the most recently used prefix first. */
+    std::vector<std::uint64_t> cached_prefixes() const;
 
   private:
     struct event {
         std::uint64_t sequence;
         std::uint64_t prefix;
         bool added;
-        time_point arrives;
+        time_point visible_at;
     };
-    void keep(std::uint64_t prefix);
-    void note(std::uint64_t prefix, bool added);
+    void insert_or_refresh(std::uint64_t prefix);
+    void record_event(std::uint64_t prefix, bool added);
 
     prefix_cache_settings settings_;
     random_source random_;
-    std::list<std::uint64_t> by_use_; // The one used last stands first.
-    std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> places_;
+    std::list<std::uint64_t> by_recency_; // The most recently used first.
+    std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> positions_;
     std::deque<event> events_;
     std::uint64_t last_sequence_ = 0;
     std::uint64_t reported_sequence_ = 0;
--- a/standin/vm_list.cpp
+++ b/standin/vm_list.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements the stand-in of the VM list.
+ * Implements vm_list.
  */
 #include "standin/vm_list.h"
 
@@ -15,17 +15,17 @@
       server_(executor, [this](http_exchange& exchange) { return serve(exchange); })
 {
     for (const schema::standin_vm& vm : settings_.vms()) {
-        schema::vm_entry& entry = known_[vm.vm()];
+        schema::vm_entry& entry = vms_[vm.vm()];
         entry.set_vm(vm.vm());
         entry.set_address(vm.address());
         entry.set_pool(vm.pool());
         entry.set_failure_domain(vm.failure_domain());
         entry.set_fabric_domain(vm.fabric_domain());
         entry.set_accelerators(vm.accelerators());
-        shown_[vm.vm()] = true;
+        listed_[vm.vm()] = true;
     }
     publish();
-    versions_.front().since = time_point::min(); // The first list is not late.
+    versions_.front().published_at = time_point::min(); // The first list is visible without a lag.
 }
 
 bool vm_list::listen()
@@ -38,10 +38,10 @@
     const std::string path(exchange.request().path());
     if (path == "/faults") {
         const auto hook = [this](const schema::fault_request& request) { return apply(request); };
-        co_await serve_fault(exchange, hook);
+        co_await serve_fault_request(exchange, hook);
         co_return;
     }
-    if (!co_await faults_.admit(exchange)) {
+    if (!co_await faults_.allow_request(exchange)) {
         co_return;
     }
     http_reply reply = path == "/vms" ? list_reply(exchange.request()) : status_reply(404);
@@ -64,8 +64,8 @@
     if (request.vm().empty()) {
         return faults_.apply(request);
     }
-    const auto found = known_.find(request.vm());
-    if (found == known_.end()) {
+    const auto found = vms_.find(request.vm());
+    if (found == vms_.end()) {
         return false;
     }
     const std::string& fault = request.fault();
@@ -73,11 +73,11 @@
         found->second.set_state(schema::vm_leaving);
     }
     else if (fault == "gone") {
-        shown_[request.vm()] = false;
+        listed_[request.vm()] = false;
     }
     else if (fault == "back" || fault == "add") {
         found->second.set_state(schema::vm_live);
-        shown_[request.vm()] = true;
+        listed_[request.vm()] = true;
     }
     else {
         return false;
@@ -89,10 +89,10 @@
 void vm_list::publish()
 {
     version next;
-    next.since = monotonic_clock::now();
+    next.published_at = monotonic_clock::now();
     next.list.set_as_of_ms(wall_clock_ms());
-    for (const auto& [name, entry] : known_) {
-        if (shown_[name]) {
+    for (const auto& [name, entry] : vms_) {
+        if (listed_[name]) {
             *next.list.add_vms() = entry;
         }
     }
@@ -102,7 +102,7 @@
 const schema::vm_list_reply& vm_list::lagged_list()
 {
     const time_point as_of = monotonic_clock::now() - std::chrono::milliseconds(settings_.lag_ms());
-    while (versions_.size() > 1 && versions_[1].since <= as_of) {
+    while (versions_.size() > 1 && versions_[1].published_at <= as_of) {
         versions_.pop_front();
     }
     return versions_.front().list;
--- a/standin/vm_list.h
+++ b/standin/vm_list.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines vm_list, the stand-in of the platform's list of VMs, which lags behind reality.
+ * Defines vm_list, the stand-in of the platform's VM list, which lags behind the actual state.
  */
 #pragma once
 
@@ -12,23 +12,28 @@
 #include "base/clock.h"
 #include "base/http_server.h"
 #include "settings.pb.h"
-#include "standin/faults.h"
+#include "standin/fault_injector.h"
 
 namespace chervildyke::standin {
 
-/** Shows live and leaving VMs as they were some time ago. The fault leave marks a VM as leaving,
- * gone removes it, and back or add shows it again as live.
+/** Serves GET /vms: the live and leaving VMs as they were lag_ms ago. POST /faults changes the
+ * list: the fault leave marks a VM as leaving, gone removes it, and back or add lists it as live
+ * again. Without a VM, the fault applies to the list service itself.
  */
 class vm_list {
   public:
     vm_list(boost::asio::any_io_executor executor, schema::standin_vm_list_settings settings);
 
+    /** Starts to listen.
+     * \return false when that fails; the reason is logged.
+     */
     bool listen();
     std::uint16_t port() const { return server_.port(); }
 
   private:
+    /** The list as of one time. */
     struct version {
-        time_point since;
+        time_point published_at;
         schema::vm_list_reply list;
     };
 
@@ -39,10 +44,10 @@
     const schema::vm_list_reply& lagged_list();
 
     schema::standin_vm_list_settings settings_;
-    fault_switch faults_;
-    std::map<std::string, schema::vm_entry> known_;
-    std::map<std::string, bool> shown_;
-    std::deque<version> versions_;
+    fault_injector faults_;
+    std::map<std::string, schema::vm_entry> vms_;
+    std::map<std::string, bool> listed_; // By VM, like vms_.
+    std::deque<version> versions_;       // Oldest first; the newest may not be visible yet.
     http_server server_;
 };
 
--- a/test/correctness/standin_engine.cpp
+++ b/test/correctness/standin_engine.cpp
@@ -1,5 +1,6 @@
 /** \file
- * Tests that the engine stand-in is as strict, and as faulty, as the real ones may be.
+ * Tests that the simulated engines and services check orders and calls as strictly as real ones,
+ * and show the same faults. Less strict stand-ins would hide faults of the system.
  */
 #include <doctest/doctest.h>
 
@@ -7,8 +8,8 @@
 #include "external/http_external.h"
 #include "external/json_message.h"
 #include "standin/answer_token.h"
-#include "standin/engine.h"
 #include "standin/plain_service.h"
+#include "standin/simulated_engines.h"
 #include "support/run_task.h"
 
 using namespace chervildyke;
@@ -16,7 +17,7 @@
 
 namespace {
 
-schema::standin_engine_settings three_vms(bool check_fencing)
+schema::standin_engine_settings make_settings(bool check_fencing)
 {
     schema::standin_engine_settings settings;
     settings.set_fault_listen("127.0.0.1:0");
@@ -31,9 +32,9 @@
     return settings;
 }
 
-struct engine_bench {
-    explicit engine_bench(bool check_fencing)
-        : engines(context.get_executor(), three_vms(check_fencing))
+struct engine_fixture {
+    explicit engine_fixture(bool check_fencing)
+        : engines(context.get_executor(), make_settings(check_fencing))
     {
         REQUIRE(engines.listen());
         client = http_engine_client(http);
@@ -44,7 +45,7 @@
         return "127.0.0.1:" + std::to_string(engines.port(vm));
     }
 
-    asio::awaitable<bool> join(std::string vm, std::uint64_t replica)
+    asio::awaitable<bool> send_join(std::string vm, std::uint64_t replica)
     {
         schema::engine_order order;
         order.set_kind(schema::order_join);
@@ -61,7 +62,9 @@
         co_return reply && reply->accepted();
     }
 
-    /** \return the whole text, or the status and code of the refusal. */
+    /** \return the text of the answer, or the refusal's code, followed by "not_run" if it says so;
+     * "broken" without a reply.
+     */
     asio::awaitable<std::string> generate(schema::engine_call call)
     {
         http_request request;
@@ -87,7 +90,7 @@
         co_return text;
     }
 
-    static schema::engine_call call(std::uint64_t replica, const std::string& attempt)
+    static schema::engine_call make_call(std::uint64_t replica, const std::string& attempt)
     {
         schema::engine_call made;
         made.set_attempt_id(attempt);
@@ -97,7 +100,7 @@
         return made;
     }
 
-    void fault(const std::string& vm, const std::string& name)
+    void inject_fault(const std::string& vm, const std::string& name)
     {
         schema::fault_request request;
         request.set_vm(vm);
@@ -106,103 +109,103 @@
     }
 
     asio::io_context context;
-    standin::engine engines;
+    standin::simulated_engines engines;
     std::shared_ptr<http_client> http = std::make_shared<http_client>(context.get_executor());
     engine_client client;
 };
 
-std::string expected_answer(std::uint32_t from, std::uint32_t to)
+std::string expected_answer(std::uint32_t begin, std::uint32_t end)
 {
     std::string text;
-    for (std::uint32_t place = from; place < to; ++place) {
-        text += standin::answer_token("oak n=6", place);
+    for (std::uint32_t index = begin; index < end; ++index) {
+        text += standin::answer_token("oak n=6", index);
     }
     return text;
 }
 
 } // namespace
 
-TEST_CASE("a group serves only while it is whole, and refuses as not run otherwise")
+TEST_CASE("a replica serves only while all members are ready, and else refuses calls as not run")
 {
-    engine_bench bench(true);
-    test::run_task(bench.context, [&]() -> asio::awaitable<void> {
-        CHECK(co_await bench.join("w1", 7));
-        auto call = engine_bench::call(7, "a");
-        std::string answer = co_await bench.generate(call);
+    engine_fixture fixture(true);
+    test::run_task(fixture.context, [&]() -> asio::awaitable<void> {
+        CHECK(co_await fixture.send_join("w1", 7));
+        auto call = engine_fixture::make_call(7, "a");
+        std::string answer = co_await fixture.generate(call);
         CHECK(answer == "group_incomplete not_run");
-        CHECK(co_await bench.join("w2", 7));
-        answer = co_await bench.generate(call);
+        CHECK(co_await fixture.send_join("w2", 7));
+        answer = co_await fixture.generate(call);
         CHECK(answer == expected_answer(0, 6));
-        bench.fault("w2", "pause");
+        fixture.inject_fault("w2", "pause");
         call.set_attempt_id("b");
-        answer = co_await bench.generate(call);
+        answer = co_await fixture.generate(call);
         CHECK(answer == "group_incomplete not_run");
-        bench.fault("w2", "resume");
-        answer = co_await bench.generate(call);
+        fixture.inject_fault("w2", "resume");
+        answer = co_await fixture.generate(call);
         CHECK(answer == expected_answer(0, 6));
-        bench.fault("w2", "die");
+        fixture.inject_fault("w2", "die");
         call.set_attempt_id("c");
-        answer = co_await bench.generate(call);
+        answer = co_await fixture.generate(call);
         CHECK(answer == "group_incomplete not_run");
     });
 }
 
-TEST_CASE("calls for another replica are refused, attempts are found again and continued")
+TEST_CASE("a call for another replica is refused; an attempt can be resumed and continued")
 {
-    engine_bench bench(true);
-    test::run_task(bench.context, [&]() -> asio::awaitable<void> {
-        CHECK(co_await bench.join("w1", 7));
-        CHECK(co_await bench.join("w2", 7));
-        auto call = engine_bench::call(6, "a");
-        std::string answer = co_await bench.generate(call);
+    engine_fixture fixture(true);
+    test::run_task(fixture.context, [&]() -> asio::awaitable<void> {
+        CHECK(co_await fixture.send_join("w1", 7));
+        CHECK(co_await fixture.send_join("w2", 7));
+        auto call = engine_fixture::make_call(6, "a");
+        std::string answer = co_await fixture.generate(call);
         CHECK(answer == "other_replica not_run");
-        call = engine_bench::call(7, "a");
+        call = engine_fixture::make_call(7, "a");
         call.set_resume_only(true);
-        answer = co_await bench.generate(call);
+        answer = co_await fixture.generate(call);
         CHECK(answer == "unknown_attempt");
         call.set_resume_only(false);
-        answer = co_await bench.generate(call);
+        answer = co_await fixture.generate(call);
         CHECK(answer == expected_answer(0, 6));
         call.set_resume_only(true);
         call.set_resume_from(4);
-        answer = co_await bench.generate(call);
+        answer = co_await fixture.generate(call);
         CHECK(answer == expected_answer(4, 6));
-        call = engine_bench::call(7, "continued");
+        call = engine_fixture::make_call(7, "continued");
         call.set_prior_tokens(2);
-        answer = co_await bench.generate(call);
+        answer = co_await fixture.generate(call);
         CHECK(answer == expected_answer(2, 6));
     });
 }
 
-TEST_CASE("an order with an old fencing number is refused only where engines check")
+TEST_CASE("an order with an old fencing number is refused only by engines that check fencing")
 {
-    for (const bool check : {true, false}) {
-        engine_bench bench(check);
-        test::run_task(bench.context, [&]() -> asio::awaitable<void> {
-            CHECK(co_await bench.join("w1", 9));
-            const bool obeyed = co_await bench.join("w1", 8);
-            CHECK(obeyed == !check);
-            auto report = co_await bench.client.report(bench.address("w1"), 1s);
-            CHECK(report->replica_id() == (check ? 9 : 8));
+    for (const bool checks_fencing : {true, false}) {
+        engine_fixture fixture(checks_fencing);
+        test::run_task(fixture.context, [&]() -> asio::awaitable<void> {
+            CHECK(co_await fixture.send_join("w1", 9));
+            const bool accepted = co_await fixture.send_join("w1", 8);
+            CHECK(accepted == !checks_fencing);
+            auto report = co_await fixture.client.report(fixture.address("w1"), 1s);
+            CHECK(report->replica_id() == (checks_fencing ? 9 : 8));
         });
     }
 }
 
-TEST_CASE("an engine that restarted holds nothing and has another incarnation")
+TEST_CASE("a restarted engine belongs to no replica and has another incarnation")
 {
-    engine_bench bench(true);
-    test::run_task(bench.context, [&]() -> asio::awaitable<void> {
-        CHECK(co_await bench.join("w1", 7));
-        auto before = co_await bench.client.report(bench.address("w1"), 1s);
-        bench.fault("w1", "restart");
-        auto after = co_await bench.client.report(bench.address("w1"), 1s);
+    engine_fixture fixture(true);
+    test::run_task(fixture.context, [&]() -> asio::awaitable<void> {
+        CHECK(co_await fixture.send_join("w1", 7));
+        auto before = co_await fixture.client.report(fixture.address("w1"), 1s);
+        fixture.inject_fault("w1", "restart");
+        auto after = co_await fixture.client.report(fixture.address("w1"), 1s);
         CHECK(before->replica_id() == 7);
         CHECK(after->replica_id() == 0);
         CHECK(before->incarnation() != after->incarnation());
     });
 }
 
-TEST_CASE("the service stand-in counts every run, also one whose reply was lost")
+TEST_CASE("the service stand-in counts each run of an order, even if its reply was dropped")
 {
     asio::io_context context;
     schema::standin_service_settings settings;
@@ -214,10 +217,10 @@
     REQUIRE(service.listen());
     http_client client(context.get_executor());
     test::run_task(context, [&]() -> asio::awaitable<void> {
-        schema::fault_request drop;
-        drop.set_vm("s1");
-        drop.set_fault("drop_reply");
-        CHECK(service.apply(drop));
+        schema::fault_request drop_reply;
+        drop_reply.set_vm("s1");
+        drop_reply.set_fault("drop_reply");
+        CHECK(service.apply(drop_reply));
         http_request request;
         request.method = "POST";
         request.target = "/operations/sample_order";
@@ -228,6 +231,6 @@
         auto second = co_await client.call(address, request);
         CHECK(second->status == 200);
     });
-    REQUIRE(service.truth().runs_size() == 1);
-    CHECK(service.truth().runs(0).times() == 2);
+    REQUIRE(service.ground_truth().runs_size() == 1);
+    CHECK(service.ground_truth().runs(0).times() == 2);
 }
