--- a/tutorial/apply_records.cpp
+++ b/tutorial/apply_records.cpp
@@ -1,8 +1,8 @@
 /** \file
- * Tutorial 1: two writers race for the same VM, and every reader of the journal agrees who won.
+ * Tutorial 1: two writers race for the same VM, and all readers of the journal agree on the winner.
  *
- * The journal's state is a value. Applying the same records in the order of their offsets gives
- * every reader the same state and the same verdicts, so no leader is needed.
+ * The journal's state is a value. Every reader that applies the same records in the order of their
+ * offsets gets the same state and the same outcomes, so no leader is needed.
  */
 #include <iostream>
 
@@ -13,13 +13,13 @@
 namespace {
 
 /** A fleet with one team whose only replica needs two VMs. */
-schema::journal_record first_configuration()
+schema::journal_record configuration_record()
 {
     schema::journal_record record;
     record.set_id("configuration-1");
     record.set_format(1);
     schema::configuration_change& change = *record.mutable_configuration();
-    change.set_base_version(0); // It edits the empty configuration.
+    change.set_base_version(0); // The empty configuration, to which this is the change.
     schema::fleet_configuration& fleet = *change.mutable_configuration();
     fleet.set_deployment("tutorial");
     fleet.add_backend_pools("pool");
@@ -37,7 +37,7 @@
     return record;
 }
 
-schema::journal_record formation(const std::string& id, const std::string& second_vm)
+schema::journal_record formation_record(const std::string& id, const std::string& second_vm)
 {
     schema::journal_record record;
     record.set_id(id);
@@ -55,27 +55,28 @@
 
 int main()
 {
-    // Two controls propose a replica with vm-1 at the same time; the log orders their records.
-    const schema::journal_record log[] = {first_configuration(), formation("by-control-a", "vm-2"),
-                                          formation("by-control-b", "vm-3")};
-    fleet_state_builder reader((fleet_state()));
+    // Two controls propose a replica with vm-1 at the same time. The log puts the records in order.
+    const schema::journal_record log[] = {configuration_record(),
+                                          formation_record("by-control-a", "vm-2"),
+                                          formation_record("by-control-b", "vm-3")};
+    fleet_state_builder first_reader((fleet_state()));
     log_offset offset = 0;
     int accepted = 0;
     for (const schema::journal_record& record : log) {
-        const record_outcome v = reader.apply(record, ++offset);
-        accepted += v.accepted() ? 1 : 0;
-        std::cout << record.id() << ": " << (v.accepted() ? "accepted" : "void, " + v.reason)
-                  << "\n";
+        const record_outcome outcome = first_reader.apply(record, ++offset);
+        accepted += outcome.accepted() ? 1 : 0;
+        std::cout << record.id() << ": "
+                  << (outcome.accepted() ? "accepted" : "rejected, " + outcome.reason) << "\n";
     }
 
-    // A reader that starts from a snapshot in the middle reaches the same state.
-    fleet_state_builder early((fleet_state()));
-    early.apply(log[0], 1);
-    const auto restored = fleet_state::from_snapshot(early.current().to_snapshot());
-    fleet_state_builder late(**restored);
-    late.apply(log[1], 2);
-    late.apply(log[2], 3);
-    const bool same = late.current() == reader.current();
+    // A reader that starts from a snapshot of an earlier offset reaches the same state.
+    fleet_state_builder snapshot_source((fleet_state()));
+    snapshot_source.apply(log[0], 1);
+    const auto restored = fleet_state::from_snapshot(snapshot_source.current().to_snapshot());
+    fleet_state_builder restored_reader(**restored);
+    restored_reader.apply(log[1], 2);
+    restored_reader.apply(log[2], 3);
+    const bool same = restored_reader.current() == first_reader.current();
     std::cout << "a reader that started from a snapshot " << (same ? "agrees" : "differs") << "\n";
     return same && accepted == 2 ? 0 : 1;
 }
--- a/tutorial/claim_a_key.cpp
+++ b/tutorial/claim_a_key.cpp
@@ -1,8 +1,9 @@
 /** \file
- * Tutorial 2: a key is claimed twice through different entries, and only one attempt may be sent.
+ * Tutorial 2: an idempotency key is claimed through different entries, and only one attempt is
+ * sent.
  *
- * The claim at the lowest offset of the order stream wins. Its settlement keeps the confirmation,
- * so that the key gets the same answer from any entry.
+ * The claim at the lowest offset of the order stream wins. Its settlement stores the confirmation,
+ * so that later calls with the key get the same answer from any entry.
  */
 #include <iostream>
 
@@ -12,20 +13,20 @@
 
 namespace {
 
-constexpr std::uint64_t window_ms = 60'000;
+constexpr std::uint64_t claim_window_ms = 60'000;
 
-schema::order_record record_of(const std::string& id)
+schema::order_record make_record(const std::string& id)
 {
     schema::order_record record;
     record.set_id(id);
     record.set_format(order_record_format);
-    record.set_window_ms(window_ms);
+    record.set_window_ms(claim_window_ms);
     return record;
 }
 
-schema::order_record claim_by(const std::string& attempt, const std::string& entry)
+schema::order_record make_claim(const std::string& attempt, const std::string& entry)
 {
-    schema::order_record record = record_of("record-" + attempt);
+    schema::order_record record = make_record("record-" + attempt);
     schema::order_claim& claim = *record.add_claims();
     claim.set_tenant("joiners");
     claim.set_key("key-1");
@@ -36,9 +37,9 @@
     return record;
 }
 
-schema::order_record settlement_by(const std::string& attempt)
+schema::order_record make_settlement(const std::string& attempt)
 {
-    schema::order_record record = record_of("settlement-" + attempt);
+    schema::order_record record = make_record("settlement-" + attempt);
     schema::order_settlement& settlement = *record.add_settlements();
     settlement.set_tenant("joiners");
     settlement.set_key("key-1");
@@ -53,10 +54,10 @@
 int main()
 {
     claim_table table;
-    const auto first = table.apply(claim_by("a", "entry-1"), 1, 1'000);
-    const auto second = table.apply(claim_by("b", "entry-2"), 2, 1'010);
-    table.apply(settlement_by("a"), 3, 1'050);
-    const auto repeated = table.apply(claim_by("c", "entry-3"), 4, 2'000);
+    const auto first = table.apply(make_claim("a", "entry-1"), 1, 1'000);
+    const auto second = table.apply(make_claim("b", "entry-2"), 2, 1'010);
+    table.apply(make_settlement("a"), 3, 1'050);
+    const auto repeated = table.apply(make_claim("c", "entry-3"), 4, 2'000);
 
     const bool one_won = first.claims[0].result() == schema::claim_won &&
                          second.claims[0].result() == schema::claim_held;
