--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -1,8 +1,9 @@
-# How this project's targets are made: warnings, precompiled headers, aliases.
+# Functions that define the targets of the project, with warnings, precompiled headers and aliases.
 
 set(chervil_warnings -Wall -Wextra -Wpedantic -Wshadow -Wconversion -Werror)
 
-# One shared precompiled header holds what is slow to parse.
+# Enables the warnings, and the precompiled header of chervil_base, which holds the headers that are
+# slow to parse.
 function(chervil_share_headers target)
   target_compile_options(${target} PRIVATE ${chervil_warnings} -fpch-preprocess)
   if(NOT target STREQUAL chervil_base)
@@ -10,8 +11,8 @@
   endif()
 endfunction()
 
-# chervil_library(NAME SOURCES... ) makes chervil_NAME, with the alias chervildyke::NAME,
-# from all sources of the current folder but main.cpp.
+# chervil_library(NAME LINK ...) defines the library chervil_NAME, with the alias chervildyke::NAME,
+# from all sources of the current folder except main.cpp.
 function(chervil_library name)
   cmake_parse_arguments(arg "" "" "LINK" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS *.cpp)
@@ -23,8 +24,8 @@
   chervil_share_headers(chervil_${name})
 endfunction()
 
-# chervil_program(NAME [SOURCES ...] LINK ...) makes one program from the sources, or from all of
-# the current folder.
+# chervil_program(NAME [SOURCES ...] LINK ...) defines a program from the given sources, or else from
+# all sources of the current folder.
 function(chervil_program name)
   cmake_parse_arguments(arg "" "" "SOURCES;LINK" ${ARGN})
   set(sources ${arg_SOURCES})
