State what the fault slow lengthens

Cause: the comment of slowdown_factor said every duration; loads of adapters, for one, are not lengthened. Change: that comment only. Run: whole build, correctness/standin and the tutorial tests passed.

--- a/standin/fault_injector.h
+++ b/standin/fault_injector.h
@@ -44,7 +44,8 @@
      */
     bool consume_reply_drop();
 
-    /** \return the factor by which the fault slow lengthens every duration; 1 without it. */
+    /** \return the factor by which the fault slow lengthens the work of the stand-in; 1 without it.
+     */
     double slowdown_factor() const;
     bool is_paused() const;
     bool in_outage() const;
