--- a/src/control/control_options.cpp
+++ b/src/control/control_options.cpp
@@ -34,8 +34,8 @@
 
     options.keeper.repair.bounds = options.bounds;
     options.keeper.repair.engines_check_fencing = settings.engines_check_fencing();
-    options.keeper.repair.order_quarantine =
-        from_ms(settings.order_quarantine_ms(), options.keeper.repair.order_quarantine);
+    options.keeper.repair.command_quarantine =
+        from_ms(settings.order_quarantine_ms(), options.keeper.repair.command_quarantine);
 
     options.desk.self = options.self;
     options.desk.incarnation = incarnation;
--- a/src/control/control_options.h
+++ b/src/control/control_options.h
@@ -5,7 +5,7 @@
 
 #include "journal/journal_node.h"
 #include "orders/order_coordinator.h"
-#include "replicas/replica_keeper.h"
+#include "replicas/replica_reconciler.h"
 #include "replicas/vm_watcher.h"
 #include "settings.pb.h"
 
@@ -19,7 +19,7 @@
     watch_bounds bounds;
     journal_options journal;
     vm_watcher_options watcher;
-    replica_keeper_options keeper;
+    replica_reconciler_options keeper;
     order_coordinator_settings desk;
 };
 
--- a/src/control/control_parts.cpp
+++ b/src/control/control_parts.cpp
@@ -204,13 +204,15 @@
     return hooks;
 }
 
-replica_keeper_hooks control_node::parts::make_keeper_hooks()
+replica_reconciler_hooks control_node::parts::make_keeper_hooks()
 {
-    replica_keeper_hooks hooks;
+    replica_reconciler_hooks hooks;
     hooks.state = [this] { return journal.state(); };
     hooks.alive_members = [this] { return members.alive_members(); };
     hooks.can_act = [this] { return can_act(); };
-    hooks.attend = [this](std::set<std::string> vms) { watcher.attend(std::move(vms)); };
+    hooks.prioritize_vms = [this](std::set<std::string> vms) {
+        watcher.prioritize(std::move(vms));
+    };
     hooks.propose = [this](schema::journal_record change,
                            duration timeout) -> asio::awaitable<std::optional<record_outcome>> {
         auto judged = co_await journal.propose(std::move(change), timeout);
@@ -322,10 +324,10 @@
 {
     std::size_t listed = 0;
     std::size_t unheard = 0;
-    for (const auto& [name, vm] : table.knowledge().vms) {
+    for (const auto& [name, vm] : table.fleet().vms) {
         const bool counts = vm.role == vm_role::engine && vm.presence != vm_presence::gone;
         listed += counts ? 1U : 0U;
-        unheard += counts && !vm.heard_at ? 1U : 0U;
+        unheard += counts && !vm.last_answer_at ? 1U : 0U;
     }
     if (unheard * unheard_part <= listed) {
         unheard_since.reset();
@@ -361,8 +363,8 @@
     }
     for (const auto& [id, known] : journal.state()->replicas()) {
         for (const replica_vm& held : known.members) {
-            const vm_knowledge* vm = table.knowledge().find(held.vm);
-            if (known.live() && (vm == nullptr || !vm->heard_at)) {
+            const observed_vm* vm = table.fleet().find(held.vm);
+            if (known.live() && (vm == nullptr || !vm->last_answer_at)) {
                 return false;
             }
         }
@@ -373,7 +375,7 @@
 std::vector<schema::entry_view> control_node::parts::known_entries() const
 {
     std::vector<schema::entry_view> entries;
-    for (const auto& [name, vm] : table.knowledge().vms) {
+    for (const auto& [name, vm] : table.fleet().vms) {
         if (vm.pool != settings.entry_pool() || vm.presence == vm_presence::gone) {
             continue;
         }
@@ -395,7 +397,7 @@
     context.ready = knows_replicas();
     context.bounds = options.bounds;
     context.entries = known_entries();
-    return build_view(*journal.state(), table.knowledge(), context, monotonic_clock::now());
+    return build_view(*journal.state(), table.fleet(), context, monotonic_clock::now());
 }
 
 status_sources control_node::parts::sources() const
--- a/src/control/control_parts.h
+++ b/src/control/control_parts.h
@@ -25,7 +25,7 @@
 #include "members/member_table.h"
 #include "members/prober.h"
 #include "orders/order_coordinator.h"
-#include "replicas/replica_keeper.h"
+#include "replicas/replica_reconciler.h"
 #include "replicas/report_table.h"
 #include "replicas/vm_watcher.h"
 #include "rpc/control_server.h"
@@ -51,7 +51,7 @@
     prober probes;
     report_table table;
     vm_watcher watcher;
-    replica_keeper keeper;
+    replica_reconciler keeper;
     order_coordinator desk;
     view_publisher views;
     control_server rpc;
@@ -65,7 +65,7 @@
     journal_hooks make_journal_hooks();
     prober_hooks make_prober_hooks();
     vm_watcher_hooks make_watcher_hooks();
-    replica_keeper_hooks make_keeper_hooks();
+    replica_reconciler_hooks make_keeper_hooks();
     order_coordinator_hooks make_desk_hooks();
     control_hooks make_rpc_hooks();
     control_http_hooks make_page_hooks();
--- a/src/control/node_status.cpp
+++ b/src/control/node_status.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-void put_report(const vm_knowledge& from, time_point now, schema::vm_report& into)
+void put_report(const observed_vm& from, time_point now, schema::vm_report& into)
 {
     using std::chrono::duration_cast;
     using std::chrono::milliseconds;
@@ -20,8 +20,8 @@
     into.set_watcher(from.watcher);
     into.set_reachable(!from.lost_since.has_value());
     into.set_leaving(from.is_leaving());
-    if (from.heard_at) {
-        const auto age = duration_cast<milliseconds>(now - *from.heard_at);
+    if (from.last_answer_at) {
+        const auto age = duration_cast<milliseconds>(now - *from.last_answer_at);
         into.set_age_ms(static_cast<std::uint32_t>(age.count()));
     }
     if (from.report) {
@@ -64,7 +64,7 @@
         write_replica(known, *reply.add_replicas());
     }
     const time_point now = monotonic_clock::now();
-    for (const auto& [name, vm] : sources.table->knowledge().vms) {
+    for (const auto& [name, vm] : sources.table->fleet().vms) {
         put_report(vm, now, *reply.add_reports());
     }
     return reply;
@@ -89,7 +89,7 @@
     put_gauge(out, "chervil_control_replicas_retiring", "Replicas that are let go.",
               count_phase(state, schema::retiring));
     put_gauge(out, "chervil_control_known_vms", "VMs that the VM list showed.",
-              static_cast<double>(sources.table->knowledge().vms.size()));
+              static_cast<double>(sources.table->fleet().vms.size()));
     return out.str();
 }
 
--- a/src/replicas/explanation.cpp
+++ b/src/replicas/explanation.cpp
@@ -8,7 +8,7 @@
 #include <sstream>
 
 #include "replicas/replica_health.h"
-#include "replicas/vm_supply.h"
+#include "replicas/vm_allocator.h"
 
 namespace chervildyke {
 
@@ -36,10 +36,10 @@
     return schema::replica_phase_Name(phase);
 }
 
-void explain_replica(const replica& subject, const fleet_knowledge& fleet,
+void explain_replica(const replica& subject, const observed_fleet& fleet,
                      const repair_options& options, time_point now, std::vector<std::string>& lines)
 {
-    const replica_health health = judge_replica(subject, fleet, options.bounds, now);
+    const replica_health health = assess_replica(subject, fleet, options.bounds, now);
     std::ostringstream line;
     line << "replica " << subject.id << " is " << phase_name(subject.phase) << " on "
          << subject.members.size() << " VMs, " << (health.complete ? "complete" : "incomplete");
@@ -55,7 +55,7 @@
 }
 
 void explain_team(const std::string& name, const configured_team& team, const fleet_state& state,
-                  const fleet_knowledge& fleet, const repair_options& options, time_point now,
+                  const observed_fleet& fleet, const repair_options& options, time_point now,
                   std::vector<std::string>& lines)
 {
     const schema::team_parameters& wanted = team.parameters;
@@ -72,30 +72,32 @@
     }
 }
 
-void explain_vm(const vm_knowledge& vm, const fleet_state& state, const repair_options& options,
-                const fleet_knowledge& fleet, time_point now, std::vector<std::string>& lines)
+void explain_vm(const observed_vm& vm, const fleet_state& state, const repair_options& options,
+                const observed_fleet& fleet, time_point now, std::vector<std::string>& lines)
 {
     const auto& names = state.configuration()->drained_vms();
     const std::set<std::string> drained(names.begin(), names.end());
-    const unfit_reason unfit = judge_fitness(vm, drained, options.bounds, now);
+    const unfit_reason unfit = check_fitness(vm, drained, options.bounds, now);
     const auto holder = state.holder_of(vm.vm);
     lines.push_back("VM " + vm.vm + " of pool " + vm.pool + " in " + vm.fabric_domain + ", " +
                     std::to_string(vm.accelerators) + " accelerators");
     if (unfit != unfit_reason::none) {
         lines.push_back("it is unfit for a new replica: " + std::string(to_string(unfit)));
     }
-    if (fleet.in_dark_domain(vm)) {
-        lines.push_back("its fabric domain went silent as one");
+    if (fleet.in_unreachable_domain(vm)) {
+        lines.push_back(
+            "its fabric domain is unreachable: most of its VMs stopped answering together");
     }
     if (vm.straggling_since) {
         lines.push_back("it is slower than its peers with the same model");
     }
     if (!holder) {
-        const bool believes = vm.report && vm.report->replica_id() != 0;
-        lines.push_back(believes ? "no replica holds it, but its engine still reports replica " +
-                                       std::to_string(vm.report->replica_id())
-                                 : std::string("no replica holds it: no team lacks a replica that "
-                                               "it could complete"));
+        const bool reports_replica = vm.report && vm.report->replica_id() != 0;
+        lines.push_back(reports_replica
+                            ? "no replica holds it, but its engine still reports replica " +
+                                  std::to_string(vm.report->replica_id())
+                            : std::string("no replica holds it: no team lacks a replica that "
+                                          "it could complete"));
         return;
     }
     const replica* subject = state.find_replica(*holder);
@@ -106,7 +108,7 @@
     explain_replica(*subject, fleet, options, now, lines);
 }
 
-bool concerns(const decision& subject, const std::string& name)
+bool is_about(const decision& subject, const std::string& name)
 {
     const auto& vms = subject.vms;
     return subject.team == name || std::find(vms.begin(), vms.end(), name) != vms.end();
@@ -126,15 +128,15 @@
         line << (i == 0 ? " with " : ", ") << subject.vms[i];
     }
     line << ": " << subject.reason;
-    for (const alternative& way : subject.alternatives) {
-        line << "; " << to_string(way.action) << " would cost " << way.cost << " (" << way.note
-             << ")";
+    for (const repair_candidate& candidate : subject.candidates) {
+        line << "; " << to_string(candidate.action) << " would cost " << candidate.cost << " ("
+             << candidate.note << ")";
     }
     return line.str();
 }
 
 std::vector<std::string> explain_subject(const std::string& subject, const fleet_state& state,
-                                         const fleet_knowledge& fleet,
+                                         const observed_fleet& fleet,
                                          const std::vector<decision>& plan,
                                          const repair_options& options, time_point now)
 {
@@ -143,20 +145,20 @@
     if (team != state.teams().end()) {
         explain_team(subject, team->second, state, fleet, options, now, lines);
     }
-    const vm_knowledge* vm = fleet.find(subject);
+    const observed_vm* vm = fleet.find(subject);
     if (vm != nullptr) {
         explain_vm(*vm, state, options, fleet, now, lines);
     }
-    for (const decision& made : plan) {
-        if (concerns(made, subject)) {
-            lines.push_back(to_line(made));
+    for (const decision& next : plan) {
+        if (is_about(next, subject)) {
+            lines.push_back(to_line(next));
         }
     }
-    if (fleet.blind) {
-        lines.push_back("this control hears no engine at all, so it decides nothing");
+    if (fleet.isolated) {
+        lines.push_back("no engine answers this control, so it makes no decisions");
     }
     if (lines.empty()) {
-        lines.push_back("no team and no VM is called " + subject);
+        lines.push_back("no team and no VM has the name " + subject);
     }
     return lines;
 }
--- a/src/replicas/explanation.h
+++ b/src/replicas/explanation.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines how decisions and conditions are explained to operators.
+ * Defines functions that explain decisions, teams and VMs to operators.
  */
 #pragma once
 
@@ -10,16 +10,16 @@
 
 namespace chervildyke {
 
-/** \return a decision in one line, with the alternatives and their costs. */
+/** \return the decision in one line, with the repairs that were compared and their costs. */
 std::string to_line(const decision& subject);
 
-/** Explains why a team has the replicas it has, or what a VM does and why it is idle.
- * \param subject a team's or a VM's name.
- * \param plan the decisions made last.
- * \return short lines; one that says so when the subject is unknown.
+/** Explains why a team has its replicas, or what a VM is used for and why it is idle.
+ * \param subject the name of a team or of a VM.
+ * \param plan the newest decisions.
+ * \return short lines; a single one when neither a team nor a VM has the name.
  */
 std::vector<std::string> explain_subject(const std::string& subject, const fleet_state& state,
-                                         const fleet_knowledge& fleet,
+                                         const observed_fleet& fleet,
                                          const std::vector<decision>& plan,
                                          const repair_options& options, time_point now);
 
--- a/src/replicas/repair_plan.cpp
+++ b/src/replicas/repair_plan.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements the entry point of the repair plan.
+ * Implements plan_repairs.
  */
 #include "replicas/repair_plan.h"
 
@@ -24,20 +24,19 @@
     return "unknown";
 }
 
-std::size_t least_cost(const std::vector<alternative>& ways)
+std::size_t cheapest_candidate(const std::vector<repair_candidate>& candidates)
 {
-    const auto least =
-        std::min_element(ways.begin(), ways.end(), [](const alternative& a, const alternative& b) {
-            return a.cost < b.cost;
-        });
-    return static_cast<std::size_t>(least - ways.begin());
+    const auto least = std::min_element(
+        candidates.begin(), candidates.end(),
+        [](const repair_candidate& a, const repair_candidate& b) { return a.cost < b.cost; });
+    return static_cast<std::size_t>(least - candidates.begin());
 }
 
-std::vector<decision> plan_repairs(const fleet_state& state, const fleet_knowledge& fleet,
-                                   const repair_memory& memory, const repair_options& options,
+std::vector<decision> plan_repairs(const fleet_state& state, const observed_fleet& fleet,
+                                   const repair_history& history, const repair_options& options,
                                    time_point now)
 {
-    return internal::planner(state, fleet, memory, options, now).plan();
+    return internal::repair_planner(state, fleet, history, options, now).plan();
 }
 
 } // namespace chervildyke
--- a/src/replicas/repair_planner.cpp
+++ b/src/replicas/repair_planner.cpp
@@ -1,5 +1,6 @@
 /** \file
- * Implements the planner's steps but the repair of what is broken.
+ * Implements repair_planner, except for the repair of broken replicas and the formation of missing
+ * ones.
  */
 #include "replicas/repair_planner.h"
 
@@ -8,18 +9,28 @@
 
 namespace chervildyke::internal {
 
-std::vector<decision> planner::plan()
+namespace {
+
+/** Surplus replicas are retired in this order. */
+constexpr int usefulness_of_broken = 0;
+constexpr int usefulness_of_outdated = 1;
+constexpr int usefulness_of_starting = 2;
+constexpr int usefulness_of_routable = 3;
+
+} // namespace
+
+std::vector<decision> repair_planner::plan()
 {
-    if (fleet_.blind) {
+    if (fleet_.isolated) {
         return {};
     }
-    gather();
+    assess_teams();
     for (const auto& [id, subject] : state_.replicas()) {
         if (subject.phase == schema::retiring) {
             release(subject);
         }
     }
-    for (team_units* team : by_value()) {
+    for (assessed_team* team : teams_by_value()) {
         mark_serving(*team);
         retire_surplus(*team);
         repair_broken(*team);
@@ -29,49 +40,52 @@
     return std::move(decisions_);
 }
 
-void planner::gather()
+void repair_planner::assess_teams()
 {
     for (const auto& [name, team] : state_.teams()) {
         teams_[name].name = name;
         teams_[name].team = &team;
     }
     for (const auto& [id, subject] : state_.replicas()) {
-        team_units& team = teams_[subject.team];
+        assessed_team& team = teams_[subject.team];
         team.name = subject.team;
         if (!subject.live()) {
             team.has_retiring = true;
             continue;
         }
-        ++team.live;
-        unit next;
+        ++team.live_replicas;
+        assessed_replica next;
         next.subject = &subject;
-        next.health = judge_replica(subject, fleet_, options_.bounds, now_);
-        next.settled = subject.phase == schema::serving && next.health.complete &&
-                       memory_.in_phase(id, now_) >= options_.settle_time;
-        next.outdated = team.team == nullptr ? std::string() : why_outdated(subject, *team.team);
-        team.units.push_back(std::move(next));
+        next.health = assess_replica(subject, fleet_, options_.bounds, now_);
+        next.is_routable = subject.phase == schema::serving && next.health.complete &&
+                           history_.phase_duration(id, now_) >= options_.routing_propagation_time;
+        next.outdated_reason =
+            team.team == nullptr ? std::string() : find_outdated_reason(subject, *team.team);
+        team.replicas.push_back(std::move(next));
     }
 }
 
-std::vector<team_units*> planner::by_value()
+std::vector<assessed_team*> repair_planner::teams_by_value()
 {
-    std::vector<team_units*> order;
+    std::vector<assessed_team*> order;
     for (auto& [name, team] : teams_) {
         order.push_back(&team);
     }
-    const auto rank = [&](const team_units* team) {
+    const auto rank = [&](const assessed_team* team) {
         const double value =
             team->team == nullptr ? 0.0 : repair_costs::team_value(team->team->parameters);
-        const auto down = memory_.down_since.find(team->name);
-        const time_point since = down == memory_.down_since.end() ? now_ : down->second;
+        const auto down = history_.down_since.find(team->name);
+        const time_point since = down == history_.down_since.end() ? now_ : down->second;
         return std::make_tuple(-value, since);
     };
-    std::stable_sort(order.begin(), order.end(),
-                     [&](const team_units* a, const team_units* b) { return rank(a) < rank(b); });
+    std::stable_sort(
+        order.begin(), order.end(),
+        [&](const assessed_team* a, const assessed_team* b) { return rank(a) < rank(b); });
     return order;
 }
 
-std::string planner::why_outdated(const replica& subject, const configured_team& team) const
+std::string repair_planner::find_outdated_reason(const replica& subject,
+                                                 const configured_team& team) const
 {
     const schema::team_parameters& wanted = team.parameters;
     if (subject.model != wanted.model()) {
@@ -86,7 +100,7 @@
         if (drained_.count(member.vm) > 0) {
             return member.vm + " is drained";
         }
-        const vm_knowledge* vm = fleet_.find(member.vm);
+        const observed_vm* vm = fleet_.find(member.vm);
         if (vm == nullptr) {
             continue;
         }
@@ -94,7 +108,8 @@
         if (vm->pool != wanted.pool()) {
             return "the team's pool is now " + wanted.pool();
         }
-        if (vm->straggling_since && now_ - *vm->straggling_since > options_.straggler_patience) {
+        if (vm->straggling_since &&
+            now_ - *vm->straggling_since > options_.straggler_grace_period) {
             slow = member.vm + " is slower than its peers";
         }
     }
@@ -104,15 +119,15 @@
     return slow;
 }
 
-vm_need planner::need_of(const team_units& team) const
+vm_requirements repair_planner::requirements_of(const assessed_team& team) const
 {
     const schema::team_parameters& wanted = team.team->parameters;
     return {wanted.pool(), wanted.model(), wanted.vms_per_replica(), wanted.one_fabric_domain()};
 }
 
-void planner::mark_serving(const team_units& team)
+void repair_planner::mark_serving(const assessed_team& team)
 {
-    for (const unit& each : team.units) {
+    for (const assessed_replica& each : team.replicas) {
         if (each.subject->phase == schema::forming && each.health.complete) {
             decision next;
             next.kind = decision_kind::mark_serving;
@@ -124,9 +139,9 @@
     }
 }
 
-void planner::release(const replica& retiring)
+void repair_planner::release(const replica& retiring)
 {
-    const duration since = memory_.in_phase(retiring.id, now_);
+    const duration since = history_.phase_duration(retiring.id, now_);
     for (const replica_vm& member : retiring.members) {
         if (member.released) {
             continue;
@@ -136,29 +151,33 @@
         next.team = retiring.team;
         next.replica = retiring.id;
         next.vms = {member.vm};
-        const vm_knowledge* vm = fleet_.find(member.vm);
-        const bool gone = vm == nullptr || vm->presence == vm_presence::gone;
-        const bool heard = vm != nullptr && vm->report && !vm->lost_since &&
-                           vm->heard_within(options_.bounds.report_freshness, now_);
-        // An order sent just before the retirement may still arrive at engines that obey any.
-        const bool settled = options_.engines_check_fencing || since >= options_.order_quarantine;
+        const observed_vm* vm = fleet_.find(member.vm);
+        const bool is_gone = vm == nullptr || vm->presence == vm_presence::gone;
+        const bool is_heard = vm != nullptr && vm->report && !vm->lost_since &&
+                              vm->answered_within(options_.bounds.report_freshness, now_);
+        // At engines that don't check fencing, a command sent just before the retirement may still
+        // arrive.
+        const bool commands_expired =
+            options_.engines_check_fencing || since >= options_.command_quarantine;
         const time_point retiring_since = now_ - since;
-        if (heard) {
-            const bool after = *vm->heard_at >= retiring_since;
-            if (vm->report->replica_id() == retiring.id || !after || !settled) {
+        if (is_heard) {
+            const bool is_confirmed = *vm->last_answer_at >= retiring_since;
+            if (vm->report->replica_id() == retiring.id || !is_confirmed || !commands_expired) {
                 continue;
             }
             next.evidence = schema::engine_confirmed;
-            next.reason = "its engine let go";
+            next.reason = "its engine has left the replica";
         }
-        else if (gone) {
-            const duration missing =
+        else if (is_gone) {
+            const duration gone_for =
                 vm != nullptr && vm->gone_since ? now_ - *vm->gone_since : since;
-            if (missing < options_.bounds.list_lag) {
+            if (gone_for < options_.bounds.list_lag) {
                 continue;
             }
             next.evidence = schema::vm_gone;
-            next.reason = "it is silent and gone from the VM list for longer than its lag";
+            next.reason =
+                "it does not answer and has been gone from the VM list for longer than the "
+                "list's lag";
         }
         else {
             continue;
@@ -167,7 +186,8 @@
     }
 }
 
-void planner::retire(const unit& target, const std::string& reason, std::vector<alternative> ways)
+void repair_planner::retire(const assessed_replica& target, const std::string& reason,
+                            std::vector<repair_candidate> candidates)
 {
     if (!retired_.insert(target.subject->id).second) {
         return;
@@ -178,115 +198,122 @@
     next.team = target.subject->team;
     next.replica = target.subject->id;
     next.reason = reason;
-    next.alternatives = std::move(ways);
+    next.candidates = std::move(candidates);
     decisions_.push_back(std::move(next));
 }
 
-void planner::form(const team_units& team, const vm_pick& pick, replica_id replaces,
-                   const std::string& reason)
+void repair_planner::form(const assessed_team& team, const vm_selection& selection,
+                          replica_id replaces, const std::string& reason)
 {
     decision next;
     next.kind = decision_kind::form_replica;
     next.team = team.name;
     next.replica = replaces;
-    next.vms = pick.vms;
+    next.vms = selection.vms;
     next.model = team.team->parameters.model();
     next.reason = reason;
-    costs_.queue_loads(next.model, pick.loads, repair_costs::team_value(team.team->parameters));
+    costs_.add_queued_loads(next.model, selection.loads,
+                            repair_costs::team_value(team.team->parameters));
     decisions_.push_back(std::move(next));
-    supply_.reserve(pick);
+    allocator_.reserve(selection);
 }
 
-void planner::wait(const team_units& team, replica_id id, const std::string& reason,
-                   std::vector<alternative> ways)
+void repair_planner::wait(const assessed_team& team, replica_id id, const std::string& reason,
+                          std::vector<repair_candidate> candidates)
 {
     decision next;
     next.kind = decision_kind::wait;
     next.team = team.name;
     next.replica = id;
     next.reason = reason;
-    next.alternatives = std::move(ways);
+    next.candidates = std::move(candidates);
     decisions_.push_back(std::move(next));
 }
 
-void planner::retire_surplus(team_units& team)
+void repair_planner::retire_surplus(assessed_team& team)
 {
-    if (team.units.size() <= team.wanted()) {
+    if (team.replicas.size() <= team.wanted()) {
         return;
     }
-    const auto usefulness = [](const unit& each) {
+    const auto usefulness = [](const assessed_replica& each) {
         if (each.health.broken) {
-            return 0;
+            return usefulness_of_broken;
         }
-        if (!each.outdated.empty()) {
-            return 1;
+        if (!each.outdated_reason.empty()) {
+            return usefulness_of_outdated;
         }
-        return each.settled ? 3 : 2;
+        return each.is_routable ? usefulness_of_routable : usefulness_of_starting;
     };
-    std::stable_sort(team.units.begin(), team.units.end(), [&](const unit& a, const unit& b) {
-        return std::make_tuple(usefulness(a), b.subject->id) <
-               std::make_tuple(usefulness(b), a.subject->id);
-    });
-    const bool newcomer_settles = std::any_of(team.units.begin(), team.units.end(),
-                                              [&](auto& each) { return usefulness(each) == 2; });
-    while (team.units.size() > team.wanted()) {
-        const unit least = team.units.front();
-        const bool may_serve = least.health.broken ? least.health.can_return : true;
-        if (usefulness(least) <= 1 && may_serve && newcomer_settles && team.wanted() > 0) {
-            wait(team, least.subject->id, "its replacement is not settled yet");
+    std::stable_sort(team.replicas.begin(), team.replicas.end(),
+                     [&](const assessed_replica& a, const assessed_replica& b) {
+                         return std::make_tuple(usefulness(a), b.subject->id) <
+                                std::make_tuple(usefulness(b), a.subject->id);
+                     });
+    const bool has_starting_replacement =
+        std::any_of(team.replicas.begin(), team.replicas.end(),
+                    [&](auto& each) { return usefulness(each) == usefulness_of_starting; });
+    while (team.replicas.size() > team.wanted()) {
+        const assessed_replica least_useful = team.replicas.front();
+        const bool can_still_serve =
+            least_useful.health.broken ? least_useful.health.recoverable : true;
+        if (usefulness(least_useful) <= usefulness_of_outdated && can_still_serve &&
+            has_starting_replacement && team.wanted() > 0) {
+            wait(team, least_useful.subject->id, "its replacement does not receive calls yet");
             return;
         }
         std::string reason = "the team has more replicas than it wants";
         if (team.team == nullptr) {
             reason = "the team was removed";
         }
-        else if (!least.outdated.empty()) {
-            reason = "it was replaced: " + least.outdated;
+        else if (!least_useful.outdated_reason.empty()) {
+            reason = "it was replaced: " + least_useful.outdated_reason;
         }
-        retire(least, reason);
-        team.units.erase(team.units.begin());
+        retire(least_useful, reason);
+        team.replicas.erase(team.replicas.begin());
     }
 }
 
-void planner::replace_outdated(team_units& team)
+void repair_planner::replace_outdated(assessed_team& team)
 {
-    if (team.team == nullptr || team.has_retiring || team.units.size() != team.wanted()) {
+    if (team.team == nullptr || team.has_retiring || team.replicas.size() != team.wanted()) {
         return;
     }
-    const unit* oldest = nullptr;
-    for (const unit& each : team.units) {
-        if (!each.settled || retired_.count(each.subject->id) > 0) {
-            return; // One replica of a team at a time.
+    const assessed_replica* oldest = nullptr;
+    for (const assessed_replica& each : team.replicas) {
+        if (!each.is_routable || retired_.count(each.subject->id) > 0) {
+            return; // Replace one replica of a team at a time.
         }
-        if (oldest == nullptr && !each.outdated.empty()) {
+        if (oldest == nullptr && !each.outdated_reason.empty()) {
             oldest = &each;
         }
     }
     if (oldest == nullptr) {
         return;
     }
-    const vm_need need = need_of(team);
-    const auto spare = supply_.pick(need, {}, false);
+    const vm_requirements requirements = requirements_of(team);
+    const auto spare = allocator_.select(requirements, {}, false);
     if (spare) {
         form(team, *spare, oldest->subject->id,
-             "replaces replica " + std::to_string(oldest->subject->id) + ": " + oldest->outdated);
+             "replaces replica " + std::to_string(oldest->subject->id) + ": " +
+                 oldest->outdated_reason);
         return;
     }
-    if (supply_.pick(need, {}, true)) {
-        wait(team, oldest->subject->id, oldest->outdated + "; VMs are about to be free");
+    if (allocator_.select(requirements, {}, true)) {
+        wait(team, oldest->subject->id, oldest->outdated_reason + "; VMs are about to be free");
         return;
     }
-    const bool fits_later = supply_.pick(need, fit_members(*oldest->subject), true).has_value();
+    const bool fits_later =
+        allocator_.select(requirements, fit_members(*oldest->subject), true).has_value();
     const bool drained =
         std::any_of(oldest->subject->members.begin(), oldest->subject->members.end(),
                     [&](const replica_vm& member) { return drained_.count(member.vm) > 0; });
-    const bool only_slow = oldest->subject->model == need.model &&
-                           oldest->subject->members.size() == need.count && !drained;
+    const bool only_slow = oldest->subject->model == requirements.model &&
+                           oldest->subject->members.size() == requirements.vm_count && !drained;
     if (drained || (fits_later && !only_slow)) {
-        retire(*oldest, oldest->outdated + "; no spare VMs for a surplus replica");
+        retire(*oldest, oldest->outdated_reason + "; no spare VMs for a surplus replica");
         return;
     }
-    wait(team, oldest->subject->id, oldest->outdated + "; no VMs to replace it with");
+    wait(team, oldest->subject->id, oldest->outdated_reason + "; no VMs to replace it with");
 }
 
 } // namespace chervildyke::internal
--- a/src/replicas/replica_health.cpp
+++ b/src/replicas/replica_health.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements the judgement of replicas and their members.
+ * Implements the assessment of replicas and their members.
  */
 #include "replicas/replica_health.h"
 
@@ -7,8 +7,8 @@
 
 namespace chervildyke {
 
-member_state judge_member(const replica& subject, const vm_knowledge* vm,
-                          const watch_bounds& bounds, time_point now)
+member_state assess_member(const replica& subject, const observed_vm* vm,
+                           const watch_bounds& bounds, time_point now)
 {
     if (vm == nullptr || vm->presence == vm_presence::gone) {
         return member_state::gone;
@@ -19,11 +19,11 @@
     if (vm->lost_since) {
         return member_state::lost;
     }
-    if (!vm->report || !vm->heard_within(bounds.report_freshness, now)) {
+    if (!vm->report || !vm->answered_within(bounds.report_freshness, now)) {
         return member_state::stale;
     }
     if (!vm->reports_replica(subject.id)) {
-        return member_state::dissenting;
+        return member_state::not_joined;
     }
     switch (vm->report->condition()) {
     case schema::engine_ready:
@@ -35,19 +35,19 @@
     }
 }
 
-replica_health judge_replica(const replica& subject, const fleet_knowledge& fleet,
-                             const watch_bounds& bounds, time_point now)
+replica_health assess_replica(const replica& subject, const observed_fleet& fleet,
+                              const watch_bounds& bounds, time_point now)
 {
     replica_health health;
     health.complete = !subject.members.empty();
     for (const replica_vm& member : subject.members) {
-        const member_state state = judge_member(subject, fleet.find(member.vm), bounds, now);
-        const bool for_good = state == member_state::gone || state == member_state::leaving ||
-                              state == member_state::broken;
+        const member_state state = assess_member(subject, fleet.find(member.vm), bounds, now);
+        const bool is_permanent = state == member_state::gone || state == member_state::leaving ||
+                                  state == member_state::broken;
         health.members.push_back(state);
         health.complete = health.complete && state == member_state::ready;
-        health.broken = health.broken || for_good || state == member_state::lost;
-        health.can_return = health.can_return && !for_good;
+        health.broken = health.broken || is_permanent || state == member_state::lost;
+        health.recoverable = health.recoverable && !is_permanent;
     }
     return health;
 }
@@ -59,7 +59,7 @@
         return "ready";
     case member_state::loading:
         return "loading";
-    case member_state::dissenting:
+    case member_state::not_joined:
         return "not in the replica by its own report";
     case member_state::stale:
         return "without a fresh report";
--- a/src/replicas/replica_health.h
+++ b/src/replicas/replica_health.h
@@ -1,5 +1,6 @@
 /** \file
- * Defines how the members of a replica are judged from what their engines report.
+ * Defines replica_health and assess_replica, which derives the health of a replica and its members
+ * from what their engines report.
  */
 #pragma once
 
@@ -7,42 +8,44 @@
 #include <vector>
 
 #include "journal/replica.h"
-#include "replicas/vm_knowledge.h"
+#include "replicas/observed_fleet.h"
 
 namespace chervildyke {
 
-/** What one member's VM is for its replica. */
+/** The state of one member of a replica. */
 enum class member_state {
-    ready,      // Reported freshly that it holds its part of the replica.
+    ready,      // Freshly reported that it holds its part of the replica.
     loading,    // Joined, but is not ready yet.
-    dissenting, // Reports another replica or none; it has to be ordered again.
+    not_joined, // Reports another replica or none, so it has to be commanded to join.
     stale,      // Its last report is too old to rely on, but it is not lost yet.
-    broken,     // Its engine reports that it can't go on.
+    broken,     // Its engine reports a failure that it can't recover from.
     leaving,    // The VM list or its engine says that it is leaving.
-    lost,       // Silent towards all watchers beyond the detection bound.
+    lost,       // It answered no watcher within the detection bound.
     gone,       // No longer in the VM list.
 };
 
-/** \param vm what is known of the member's VM, or null when it was never listed.
+/** \param vm the member's VM, or null when the VM list did not show it.
  * \return the member's state.
  */
-member_state judge_member(const replica& subject, const vm_knowledge* vm,
-                          const watch_bounds& bounds, time_point now);
+member_state assess_member(const replica& subject, const observed_vm* vm,
+                           const watch_bounds& bounds, time_point now);
 
-/** The state of a replica as a whole. */
+/** The health of a replica as a whole. */
 struct replica_health {
     std::vector<member_state> members; // In the order of the replica's members.
     bool complete = false;             // All members are ready.
     bool broken = false;               // A member is lost, gone, leaving or broken.
-    bool can_return = true;            // No member is gone, leaving or broken for good.
+    bool recoverable =
+        true; // It can become complete with its present members: none is gone, leaving or broken.
 
     bool operator==(const replica_health&) const = default;
 };
 
-replica_health judge_replica(const replica& subject, const fleet_knowledge& fleet,
-                             const watch_bounds& bounds, time_point now);
+/** \return the health of a replica by its members' newest reports. */
+replica_health assess_replica(const replica& subject, const observed_fleet& fleet,
+                              const watch_bounds& bounds, time_point now);
 
-/** \return a word for people. */
+/** \return the state as shown to operators. */
 const char* to_string(member_state state);
 
 } // namespace chervildyke
--- a/src/replicas/replica_keeper.cpp
+++ b/src/replicas/replica_reconciler.cpp
@@ -1,7 +1,7 @@
 /** \file
- * Implements the carrying out of the repair plan.
+ * Implements replica_reconciler.
  */
-#include "replicas/replica_keeper.h"
+#include "replicas/replica_reconciler.h"
 
 #include <algorithm>
 
@@ -18,12 +18,12 @@
 
 namespace {
 
-const part_log keeper_log("replicas");
+const part_log reconciler_log("replicas");
 
-/** The shortest time between two plans, so that a burst of news makes one. */
-constexpr duration shortest_tick = 20ms;
+/** The shortest time between two plans, so that a burst of changes leads to one plan. */
+constexpr duration min_plan_interval = 20ms;
 
-std::string key_of(const decision& subject)
+std::string decision_key(const decision& subject)
 {
     const std::string vm = subject.vms.empty() ? std::string() : subject.vms.front();
     switch (subject.kind) {
@@ -41,14 +41,15 @@
     return "wait " + subject.team;
 }
 
-/** Replies to orders reach the control that sends them first, so that one also marks and
- * releases.
+/** \return the subject of the rendezvous hash that selects the control for a decision. The control
+ * that sends a replica's commands receives the replies first, so it also marks the replica as
+ * serving and releases its VMs.
  */
-std::string placement_of(const decision& subject)
+std::string rendezvous_subject(const decision& subject)
 {
-    const bool of_replica =
+    const bool is_by_replica =
         subject.kind == decision_kind::mark_serving || subject.kind == decision_kind::release_vm;
-    return of_replica ? "replica-" + std::to_string(subject.replica) : "team-" + subject.team;
+    return is_by_replica ? "replica-" + std::to_string(subject.replica) : "team-" + subject.team;
 }
 
 schema::journal_record to_record(const decision& subject, std::uint64_t configuration_version)
@@ -83,64 +84,68 @@
     return record;
 }
 
-engine_order_options order_options(const repair_options& options, std::function<void()> on_report)
+command_sender_options sender_options(const repair_options& options,
+                                      std::function<void()> on_report)
 {
-    engine_order_options made;
+    command_sender_options made;
     made.engines_check_fencing = options.engines_check_fencing;
-    made.order_quarantine = options.order_quarantine;
+    made.command_quarantine = options.command_quarantine;
     made.on_report = std::move(on_report);
     return made;
 }
 
 } // namespace
 
-struct replica_keeper::state : std::enable_shared_from_this<replica_keeper::state> {
+struct replica_reconciler::state : std::enable_shared_from_this<replica_reconciler::state> {
     state(boost::asio::any_io_executor the_executor, std::string the_self, report_table& the_table,
-          replica_keeper_hooks the_hooks, const replica_keeper_options& the_options)
+          replica_reconciler_hooks the_hooks, const replica_reconciler_options& the_options)
         : executor(the_executor), self(std::move(the_self)), table(the_table),
           hooks(std::move(the_hooks)), options(the_options),
-          orders(the_executor, self, the_table, hooks.engine,
-                 order_options(options.repair, [this] { wake(); })),
-          pause(the_executor)
+          commands(the_executor, self, the_table, hooks.engine,
+                   sender_options(options.repair, [this] { wake(); })),
+          wake_timer(the_executor)
     {
     }
 
     void wake();
-    void tick(time_point now);
-    void log_new(const std::vector<decision>& plan) const;
+    void reconcile(time_point now);
+    void log_new_decisions(const std::vector<decision>& plan) const;
     bool is_first(const std::string& subject, const std::vector<std::string>& alive) const;
-    void begin(const decision& subject, const fleet_state& journal, time_point now);
-    void attend_to_orders(const fleet_state& journal, const std::vector<std::string>& alive) const;
-    boost::asio::awaitable<void> carry_out(std::string key, schema::journal_record record);
+    void start_proposal(const decision& subject, const fleet_state& journal, time_point now);
+
+    /** Prioritizes the VMs of forming and retiring replicas whose commands this control sends. */
+    void prioritize_unsettled_vms(const fleet_state& journal,
+                                  const std::vector<std::string>& alive) const;
+    boost::asio::awaitable<void> propose(std::string key, schema::journal_record record);
 
     boost::asio::any_io_executor executor;
     std::string self;
     report_table& table;
-    replica_keeper_hooks hooks;
-    replica_keeper_options options;
-    engine_orders orders;
-    timer pause;
-    repair_memory memory;
+    replica_reconciler_hooks hooks;
+    replica_reconciler_options options;
+    command_sender commands;
+    timer wake_timer;
+    repair_history history;
     std::vector<decision> last_plan;
-    std::set<std::string> pending;
-    std::map<std::string, time_point> not_before; // After a proposal that failed.
+    std::set<std::string> pending;              // Decisions that are being proposed.
+    std::map<std::string, time_point> retry_at; // Decisions whose proposal failed.
     bool woken = false;
     bool stopped = false;
 };
 
-void replica_keeper::state::wake()
+void replica_reconciler::state::wake()
 {
     woken = true;
-    pause.cancel();
+    wake_timer.cancel();
 }
 
-bool replica_keeper::state::is_first(const std::string& subject,
-                                     const std::vector<std::string>& alive) const
+bool replica_reconciler::state::is_first(const std::string& subject,
+                                         const std::vector<std::string>& alive) const
 {
     return is_first_member_for(subject, self, alive);
 }
 
-void replica_keeper::state::log_new(const std::vector<decision>& plan) const
+void replica_reconciler::state::log_new_decisions(const std::vector<decision>& plan) const
 {
     for (const decision& next : plan) {
         const auto is_same = [&](const decision& known) {
@@ -151,70 +156,70 @@
             std::any_of(last_plan.begin(), last_plan.end(), is_same)) {
             continue;
         }
-        keeper_log.info(to_line(next));
+        reconciler_log.info(to_line(next));
     }
 }
 
-void replica_keeper::state::tick(time_point now)
+void replica_reconciler::state::reconcile(time_point now)
 {
     const auto journal = hooks.state();
-    memory.update(*journal, table.knowledge(), options.repair.bounds, now);
+    history.update(*journal, table.fleet(), options.repair.bounds, now);
     std::vector<decision> plan =
-        plan_repairs(*journal, table.knowledge(), memory, options.repair, now);
-    log_new(plan);
+        plan_repairs(*journal, table.fleet(), history, options.repair, now);
+    log_new_decisions(plan);
     last_plan = std::move(plan);
-    if (!hooks.can_act() || table.knowledge().blind) {
+    if (!hooks.can_act() || table.fleet().isolated) {
         return;
     }
     const std::vector<std::string> alive = hooks.alive_members();
     for (const decision& next : last_plan) {
-        if (next.kind != decision_kind::wait && is_first(placement_of(next), alive)) {
-            begin(next, *journal, now);
+        if (next.kind != decision_kind::wait && is_first(rendezvous_subject(next), alive)) {
+            start_proposal(next, *journal, now);
         }
     }
-    orders.carry_out(find_due_orders(*journal, table.knowledge(), memory, options.repair, now),
-                     alive, now);
-    attend_to_orders(*journal, alive);
+    commands.send_due(find_due_commands(*journal, table.fleet(), history, options.repair, now),
+                      alive, now);
+    prioritize_unsettled_vms(*journal, alive);
 }
 
-void replica_keeper::state::attend_to_orders(const fleet_state& journal,
-                                             const std::vector<std::string>& alive) const
+void replica_reconciler::state::prioritize_unsettled_vms(
+    const fleet_state& journal, const std::vector<std::string>& alive) const
 {
-    if (!hooks.attend) {
+    if (!hooks.prioritize_vms) {
         return;
     }
-    std::set<std::string> awaited;
+    std::set<std::string> vms;
     for (const auto& [id, subject] : journal.replicas()) {
         if (subject.phase == schema::serving || !is_first("replica-" + std::to_string(id), alive)) {
             continue;
         }
         for (const replica_vm& member : subject.members) {
-            const vm_knowledge* vm = table.knowledge().find(member.vm);
+            const observed_vm* vm = table.fleet().find(member.vm);
             if (!member.released && vm != nullptr && !vm->lost_since) {
-                awaited.insert(member.vm);
+                vms.insert(member.vm);
             }
         }
     }
-    hooks.attend(std::move(awaited));
+    hooks.prioritize_vms(std::move(vms));
 }
 
-void replica_keeper::state::begin(const decision& subject, const fleet_state& journal,
-                                  time_point now)
+void replica_reconciler::state::start_proposal(const decision& subject, const fleet_state& journal,
+                                               time_point now)
 {
-    const std::string key = key_of(subject);
-    const auto blocked = not_before.find(key);
-    if (blocked != not_before.end() && now < blocked->second) {
+    const std::string key = decision_key(subject);
+    const auto blocked = retry_at.find(key);
+    if (blocked != retry_at.end() && now < blocked->second) {
         return;
     }
     if (!pending.insert(key).second) {
         return;
     }
     auto record = to_record(subject, journal.configuration_version());
-    boost::asio::co_spawn(executor, carry_out(key, std::move(record)), boost::asio::detached);
+    boost::asio::co_spawn(executor, propose(key, std::move(record)), boost::asio::detached);
 }
 
-boost::asio::awaitable<void> replica_keeper::state::carry_out(std::string key,
-                                                              schema::journal_record record)
+boost::asio::awaitable<void> replica_reconciler::state::propose(std::string key,
+                                                                schema::journal_record record)
 {
     const auto keep = shared_from_this();
     const auto outcome = co_await hooks.propose(std::move(record), options.proposal_timeout);
@@ -223,66 +228,66 @@
     }
     pending.erase(key);
     if (outcome && outcome->accepted()) {
-        not_before.erase(key);
+        retry_at.erase(key);
         wake();
         co_return;
     }
-    keeper_log.info(
-        key, " did not take effect: ", outcome ? outcome->reason : std::string("no verdict yet"));
-    not_before[key] = monotonic_clock::now() + options.retry_after;
+    reconciler_log.info(key, " did not take effect: ",
+                        outcome ? outcome->reason : std::string("its outcome is unknown"));
+    retry_at[key] = monotonic_clock::now() + options.retry_delay;
 }
 
-replica_keeper::replica_keeper(boost::asio::any_io_executor executor, std::string self,
-                               report_table& table, replica_keeper_hooks hooks,
-                               replica_keeper_options options)
+replica_reconciler::replica_reconciler(boost::asio::any_io_executor executor, std::string self,
+                                       report_table& table, replica_reconciler_hooks hooks,
+                                       replica_reconciler_options options)
     : state_(std::make_shared<state>(std::move(executor), std::move(self), table, std::move(hooks),
                                      options))
 {
 }
 
-replica_keeper::~replica_keeper()
+replica_reconciler::~replica_reconciler()
 {
     state_->stopped = true;
-    state_->pause.cancel();
+    state_->wake_timer.cancel();
 }
 
-boost::asio::awaitable<void> replica_keeper::run()
+boost::asio::awaitable<void> replica_reconciler::run()
 {
     const auto self = state_;
     while (!self->stopped) {
         const time_point now = monotonic_clock::now();
         self->woken = false;
-        self->tick(now);
-        co_await sleep_for(shortest_tick);
+        self->reconcile(now);
+        co_await sleep_for(min_plan_interval);
         if (self->stopped || self->woken) {
             continue;
         }
-        self->pause.expires_at(now + self->options.tick);
+        self->wake_timer.expires_at(now + self->options.interval);
         boost::system::error_code ignored;
-        co_await self->pause.async_wait(
+        co_await self->wake_timer.async_wait(
             boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
     }
 }
 
-void replica_keeper::wake()
+void replica_reconciler::wake()
 {
     state_->wake();
 }
 
-const std::vector<decision>& replica_keeper::last_plan() const
+const std::vector<decision>& replica_reconciler::last_plan() const
 {
     return state_->last_plan;
 }
 
-std::vector<std::string> replica_keeper::explain(const std::string& subject) const
+std::vector<std::string> replica_reconciler::explain(const std::string& subject) const
 {
-    return explain_subject(subject, *state_->hooks.state(), state_->table.knowledge(),
+    return explain_subject(subject, *state_->hooks.state(), state_->table.fleet(),
                            state_->last_plan, state_->options.repair, monotonic_clock::now());
 }
 
-std::uint64_t replica_keeper::orders_sent() const
+std::uint64_t replica_reconciler::commands_sent() const
 {
-    return state_->orders.sent();
+    return state_->commands.sent_count();
 }
 
 } // namespace chervildyke
--- a/src/replicas/report_table.cpp
+++ b/src/replicas/report_table.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements the gathering of reports.
+ * Implements report_table.
  */
 #include "replicas/report_table.h"
 
@@ -10,8 +10,8 @@
 
 namespace {
 
-constexpr duration gone_memory = 600s;
-constexpr std::size_t outages_kept = 64;
+constexpr duration gone_vm_retention = 600s;
+constexpr std::size_t max_recorded_outages = 64;
 constexpr std::uint64_t sequences_per_ms = 1000;
 
 std::uint32_t age_in_ms(time_point since, time_point now)
@@ -20,8 +20,8 @@
     return static_cast<std::uint32_t>(std::max<std::int64_t>(age.count(), 0));
 }
 
-/** True when decisions may differ after the report. */
-bool differs(const schema::engine_report* before, const schema::engine_report& after)
+/** \return true when decisions can depend on the difference between the reports. */
+bool affects_decisions(const schema::engine_report* before, const schema::engine_report& after)
 {
     return before == nullptr || before->replica_id() != after.replica_id() ||
            before->fencing() != after.fencing() || before->condition() != after.condition() ||
@@ -30,7 +30,7 @@
            before->adapters_size() != after.adapters_size();
 }
 
-void fill_from_list(vm_knowledge& vm, const schema::vm_entry& entry)
+void copy_list_entry(observed_vm& vm, const schema::vm_entry& entry)
 {
     vm.address = entry.address();
     vm.pool = entry.pool();
@@ -46,7 +46,7 @@
 report_table::report_table(std::string self, watch_bounds bounds,
                            std::function<vm_role(const std::string& pool)> role_of_pool)
     : self_(std::move(self)), bounds_(bounds), role_of_pool_(std::move(role_of_pool)),
-      // Above any sequence of an earlier process of the same name.
+      // Starts above all sequences of earlier processes of the same name.
       sequence_(wall_clock_ms() * sequences_per_ms)
 {
 }
@@ -56,112 +56,114 @@
     std::set<std::string> listed;
     for (const schema::vm_entry& entry : list.vms()) {
         listed.insert(entry.vm());
-        const auto [place, is_new] = knowledge_.vms.try_emplace(entry.vm());
-        vm_knowledge& vm = place->second;
+        const auto [position, is_new] = fleet_.vms.try_emplace(entry.vm());
+        observed_vm& vm = position->second;
         if (is_new) {
             vm.vm = entry.vm();
-            vm.known_since = now;
+            vm.listed_since = now;
         }
         if (!is_new && vm.address != entry.address()) {
             vm.report.reset();
-            vm.heard_at.reset();
-            vm.known_since = now;
+            vm.last_answer_at.reset();
+            vm.listed_since = now;
         }
         const vm_presence before = vm.presence;
-        fill_from_list(vm, entry);
-        changes_ += is_new || vm.presence != before ? 1 : 0;
+        copy_list_entry(vm, entry);
+        change_count_ += is_new || vm.presence != before ? 1 : 0;
         vm.role = role_of_pool_(vm.pool);
     }
-    for (auto& [name, vm] : knowledge_.vms) {
+    for (auto& [name, vm] : fleet_.vms) {
         if (listed.count(name) == 0 && vm.presence != vm_presence::gone) {
             vm.presence = vm_presence::gone;
             vm.gone_since = now;
-            ++changes_;
+            ++change_count_;
         }
     }
-    forget_gone(now);
+    remove_gone_vms(now);
 }
 
-void report_table::forget_gone(time_point now)
+void report_table::remove_gone_vms(time_point now)
 {
-    for (auto place = knowledge_.vms.begin(); place != knowledge_.vms.end();) {
-        const vm_knowledge& vm = place->second;
-        const bool old = vm.gone_since && now - *vm.gone_since > gone_memory;
-        if (old) {
-            own_.erase(place->first);
+    for (auto position = fleet_.vms.begin(); position != fleet_.vms.end();) {
+        const observed_vm& vm = position->second;
+        const bool expired = vm.gone_since && now - *vm.gone_since > gone_vm_retention;
+        if (expired) {
+            own_answers_.erase(position->first);
         }
-        place = old ? knowledge_.vms.erase(place) : std::next(place);
+        position = expired ? fleet_.vms.erase(position) : std::next(position);
     }
 }
 
-void report_table::note_answer(const std::string& vm, const schema::engine_report& report,
-                               time_point asked_at)
+void report_table::add_report(const std::string& vm, const schema::engine_report& report,
+                              time_point requested_at)
 {
-    const auto found = knowledge_.vms.find(vm);
-    if (found == knowledge_.vms.end() || (!report.vm().empty() && report.vm() != vm)) {
+    const auto found = fleet_.vms.find(vm);
+    if (found == fleet_.vms.end() || (!report.vm().empty() && report.vm() != vm)) {
         return;
     }
-    remember_own(vm, report.SerializeAsString(), asked_at);
-    vm_knowledge& known = found->second;
-    if (known.heard_at && *known.heard_at > asked_at) {
+    store_own_answer(vm, report.SerializeAsString(), requested_at);
+    observed_vm& known = found->second;
+    if (known.last_answer_at && *known.last_answer_at > requested_at) {
         return;
     }
-    known.heard_at = asked_at;
+    known.last_answer_at = requested_at;
     known.watcher = self_;
-    take_report(known, report);
+    store_report(known, report);
 }
 
-void report_table::take_report(vm_knowledge& vm, const schema::engine_report& report)
+void report_table::store_report(observed_vm& vm, const schema::engine_report& report)
 {
-    changes_ += differs(vm.report.get(), report) ? 1 : 0;
+    change_count_ += affects_decisions(vm.report.get(), report) ? 1 : 0;
     vm.report = std::make_shared<const schema::engine_report>(report);
 }
 
-void report_table::note_healthy(const std::string& vm, time_point asked_at)
+void report_table::add_health_check(const std::string& vm, time_point requested_at)
 {
-    const auto found = knowledge_.vms.find(vm);
-    if (found == knowledge_.vms.end()) {
+    const auto found = fleet_.vms.find(vm);
+    if (found == fleet_.vms.end()) {
         return;
     }
-    remember_own(vm, std::string(), asked_at);
-    found->second.heard_at = std::max(found->second.heard_at.value_or(asked_at), asked_at);
+    store_own_answer(vm, std::string(), requested_at);
+    found->second.last_answer_at =
+        std::max(found->second.last_answer_at.value_or(requested_at), requested_at);
     found->second.watcher = self_;
 }
 
-void report_table::remember_own(const std::string& vm, std::string content, time_point asked_at)
+void report_table::store_own_answer(const std::string& vm, std::string serialized_report,
+                                    time_point requested_at)
 {
-    own_report& own = own_[vm];
+    own_answer& own = own_answers_[vm];
     ++sequence_;
-    if (own.changed_sequence == 0 || own.content != content) {
-        own.changed_sequence = sequence_;
-        own.content = std::move(content);
+    if (own.content_sequence == 0 || own.serialized_report != serialized_report) {
+        own.content_sequence = sequence_;
+        own.serialized_report = std::move(serialized_report);
     }
-    own.heard_sequence = sequence_;
-    own.asked_at = asked_at;
+    own.answer_sequence = sequence_;
+    own.requested_at = requested_at;
 }
 
-bool report_table::merge(const schema::report_batch& batch, time_point asked_at)
+bool report_table::merge(const schema::report_batch& batch, time_point requested_at)
 {
     bool complete = true;
-    for (const schema::vm_report& heard : batch.reports()) {
-        const auto found = knowledge_.vms.find(heard.vm());
-        if (found == knowledge_.vms.end() || !heard.reachable()) {
+    for (const schema::vm_report& received : batch.reports()) {
+        const auto found = fleet_.vms.find(received.vm());
+        if (found == fleet_.vms.end() || !received.reachable()) {
             continue;
         }
-        vm_knowledge& known = found->second;
-        const time_point heard_at = asked_at - std::chrono::milliseconds(heard.age_ms());
-        if (known.heard_at && *known.heard_at >= heard_at) {
+        observed_vm& known = found->second;
+        const time_point answered_at = requested_at - std::chrono::milliseconds(received.age_ms());
+        if (known.last_answer_at && *known.last_answer_at >= answered_at) {
             continue;
         }
-        if (heard.has_engine()) {
-            take_report(known, heard.engine());
+        if (received.has_engine()) {
+            store_report(known, received.engine());
         }
-        else if (known.role == vm_role::engine && known.watcher != heard.watcher()) {
-            complete = false; // It says "unchanged" of a report that another watcher replaced.
+        else if (known.role == vm_role::engine && known.watcher != received.watcher()) {
+            complete = false; // "unchanged" refers to a report that was replaced here.
             continue;
         }
-        known.heard_at = heard_at;
-        known.watcher = heard.watcher();
+        known.last_answer_at = answered_at;
+        known.watcher = received.watcher();
     }
     return complete;
 }
@@ -173,43 +175,43 @@
 {
     schema::report_batch batch;
     batch.set_sequence(sequence_);
-    for (const auto& [name, own] : own_) {
-        if (own.heard_sequence <= after_sequence || !wanted(name)) {
+    for (const auto& [name, own] : own_answers_) {
+        if (own.answer_sequence <= after_sequence || !wanted(name)) {
             continue;
         }
-        schema::vm_report& heard = *batch.add_reports();
-        heard.set_vm(name);
-        heard.set_watcher(self_);
-        heard.set_age_ms(age_in_ms(own.asked_at, now));
-        heard.set_reachable(true);
-        if (own.changed_sequence > after_sequence && !own.content.empty()) {
-            heard.mutable_engine()->ParseFromString(own.content);
+        schema::vm_report& written = *batch.add_reports();
+        written.set_vm(name);
+        written.set_watcher(self_);
+        written.set_age_ms(age_in_ms(own.requested_at, now));
+        written.set_reachable(true);
+        if (own.content_sequence > after_sequence && !own.serialized_report.empty()) {
+            written.mutable_engine()->ParseFromString(own.serialized_report);
         }
     }
     return batch;
 }
 
-duration report_table::silence(const vm_knowledge& vm, time_point now) const
+duration report_table::silence(const observed_vm& vm, time_point now) const
 {
-    const time_point heard = vm.heard_at.value_or(vm.known_since);
-    return now - std::max({heard, vm.known_since, listening_since_});
+    const time_point answered_at = vm.last_answer_at.value_or(vm.listed_since);
+    return now - std::max({answered_at, vm.listed_since, watching_since_});
 }
 
 void report_table::refresh(time_point now)
 {
-    const bool was_paused = refreshed_at_ && now - *refreshed_at_ > bounds_.detection_bound / 2;
-    if (!refreshed_at_ || was_paused) {
-        listening_since_ = now;
+    const bool was_paused = last_refresh_ && now - *last_refresh_ > bounds_.detection_bound / 2;
+    if (!last_refresh_ || was_paused) {
+        watching_since_ = now;
     }
-    refreshed_at_ = now;
-    for (auto& [name, vm] : knowledge_.vms) {
-        judge_silence(vm, now);
+    last_refresh_ = now;
+    for (auto& [name, vm] : fleet_.vms) {
+        update_loss(vm, now);
     }
-    judge_domains(now);
-    judge_stragglers(now);
+    update_domains(now);
+    update_stragglers(now);
 }
 
-void report_table::judge_silence(vm_knowledge& vm, time_point now)
+void report_table::update_loss(observed_vm& vm, time_point now)
 {
     if (vm.role == vm_role::other) {
         return;
@@ -217,57 +219,59 @@
     const bool lost = silence(vm, now) > bounds_.detection_bound;
     if (lost && !vm.lost_since) {
         vm.lost_since = now;
-        ++changes_;
-        vm.losses.push_back(now);
+        ++change_count_;
+        vm.recent_losses.push_back(now);
     }
     if (!lost && vm.lost_since) {
-        if (!knowledge_.in_dark_domain(vm)) {
-            note_outage(knowledge_.vm_outages, now - *vm.lost_since);
+        if (!fleet_.in_unreachable_domain(vm)) {
+            add_outage(fleet_.past_vm_outages, now - *vm.lost_since);
         }
         vm.lost_since.reset();
-        ++changes_;
+        ++change_count_;
     }
-    const auto is_old = [&](time_point loss) { return now - loss > bounds_.flap_window; };
-    vm.losses.erase(std::remove_if(vm.losses.begin(), vm.losses.end(), is_old), vm.losses.end());
+    const auto is_expired = [&](time_point loss) { return now - loss > bounds_.flap_window; };
+    vm.recent_losses.erase(
+        std::remove_if(vm.recent_losses.begin(), vm.recent_losses.end(), is_expired),
+        vm.recent_losses.end());
 }
 
-void report_table::note_outage(std::vector<duration>& outages, duration span)
+void report_table::add_outage(std::vector<duration>& outages, duration outage)
 {
-    if (outages.size() >= outages_kept) {
+    if (outages.size() >= max_recorded_outages) {
         outages.erase(outages.begin());
     }
-    outages.push_back(span);
+    outages.push_back(outage);
 }
 
-void report_table::judge_domains(time_point now)
+void report_table::update_domains(time_point now)
 {
-    std::map<std::string, duration> silences;
-    bool any_heard = false;
-    for (const auto& [name, vm] : knowledge_.vms) {
+    std::map<std::string, duration> silence_by_vm;
+    bool any_answers = false;
+    for (const auto& [name, vm] : fleet_.vms) {
         if (vm.role == vm_role::engine) {
-            silences[name] = silence(vm, now);
-            any_heard = any_heard || !vm.lost_since;
+            silence_by_vm[name] = silence(vm, now);
+            any_answers = any_answers || !vm.lost_since;
         }
     }
-    knowledge_.blind = silences.size() > 1 && !any_heard;
-    std::map<std::string, time_point> dark;
-    for (const std::string& domain : find_dark_domains(knowledge_, silences, bounds_)) {
-        const auto known = knowledge_.dark_domains.find(domain);
-        dark[domain] = known == knowledge_.dark_domains.end() ? now : known->second;
+    fleet_.isolated = silence_by_vm.size() > 1 && !any_answers;
+    std::map<std::string, time_point> unreachable;
+    for (const std::string& domain : find_unreachable_domains(fleet_, silence_by_vm, bounds_)) {
+        const auto known = fleet_.unreachable_domains.find(domain);
+        unreachable[domain] = known == fleet_.unreachable_domains.end() ? now : known->second;
     }
-    for (const auto& [domain, since] : knowledge_.dark_domains) {
-        if (dark.count(domain) == 0) {
-            note_outage(knowledge_.domain_outages, now - since);
+    for (const auto& [domain, since] : fleet_.unreachable_domains) {
+        if (unreachable.count(domain) == 0) {
+            add_outage(fleet_.past_domain_outages, now - since);
         }
     }
-    knowledge_.dark_domains = std::move(dark);
+    fleet_.unreachable_domains = std::move(unreachable);
 }
 
-void report_table::judge_stragglers(time_point now)
+void report_table::update_stragglers(time_point now)
 {
-    const std::vector<std::string> slow = find_stragglers(knowledge_, bounds_);
+    const std::vector<std::string> slow = find_stragglers(fleet_, bounds_);
     const std::set<std::string> names(slow.begin(), slow.end());
-    for (auto& [name, vm] : knowledge_.vms) {
+    for (auto& [name, vm] : fleet_.vms) {
         if (names.count(name) == 0) {
             vm.straggling_since.reset();
         }
--- a/src/replicas/report_table.h
+++ b/src/replicas/report_table.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines report_table, which gathers the VM list and the engines' reports into fleet_knowledge.
+ * Defines report_table, which collects the VM list and the engines' reports into observed_fleet.
  */
 #pragma once
 
@@ -8,85 +8,98 @@
 #include <string>
 
 #include "control_api.pb.h"
-#include "replicas/vm_knowledge.h"
+#include "replicas/observed_fleet.h"
 
 namespace chervildyke {
 
-/** Keeps the newest report of each VM, whoever heard it, and judges silence. Asking is left to
- * vm_watcher.
+/** Keeps the newest report of each VM, whichever control received it, and detects lost VMs,
+ * unreachable fabric domains and stragglers. The vm_watcher sends the requests.
  */
 class report_table {
   public:
-    /** \param self the name of this control, under which its own reports go to peers.
-     * \param role_of_pool says what runs on the VMs of a pool.
+    /** \param self the name of this control, sent to peers as the watcher of its own reports.
+     * \param role_of_pool returns what runs on the VMs of a pool.
      */
     report_table(std::string self, watch_bounds bounds,
                  std::function<vm_role(const std::string& pool)> role_of_pool);
 
-    const fleet_knowledge& knowledge() const { return knowledge_; }
+    const observed_fleet& fleet() const { return fleet_; }
     const watch_bounds& bounds() const { return bounds_; }
 
-    /** Takes in one answer of the VM list. */
+    /** Updates the VMs from a reply of the VM list. VMs that it lacks are marked as gone and
+     * removed ten minutes later.
+     */
     void apply_list(const schema::vm_list_reply& list, time_point now);
 
-    /** Takes in an engine's own answer.
-     * \param asked_at when the call began; the answer can't be older.
+    /** Records a report that this control received from an engine. Reports of VMs that are not
+     * listed, or that name another VM, are ignored.
+     * \param requested_at when the call began; the report is not older.
      */
-    void note_answer(const std::string& vm, const schema::engine_report& report,
-                     time_point asked_at);
+    void add_report(const std::string& vm, const schema::engine_report& report,
+                    time_point requested_at);
 
-    /** Takes in that a plain service answered its health call. */
-    void note_healthy(const std::string& vm, time_point asked_at);
+    /** Records that a plain service passed the health check of this control.
+     * \param requested_at when the health check began.
+     */
+    void add_health_check(const std::string& vm, time_point requested_at);
 
-    /** Takes in what a peer heard. Ages count from the start of the call that brought the batch.
-     * \return false when the batch leans on reports that this table does not hold; the caller then
-     * asks anew from sequence zero.
+    /** Merges the reports that a peer received.
+     * \param requested_at when the call for the batch began; the ages in the batch count from it.
+     * \return false when the batch marks a report as unchanged that this table does not hold; the
+     * caller then requests all reports, from sequence zero.
      */
-    bool merge(const schema::report_batch& batch, time_point asked_at);
+    bool merge(const schema::report_batch& batch, time_point requested_at);
 
-    /** Writes what this control heard itself since a sequence.
-     * \param wanted chooses the VMs.
+    /** \param after_sequence only answers that this control received after it are included, and
+     * contents only where they have changed since.
+     * \param wanted selects the VMs.
+     * \return the answers that this control itself received.
      */
     schema::report_batch own_reports(std::uint64_t after_sequence,
                                      const std::function<bool(const std::string& vm)>& wanted,
                                      time_point now) const;
 
-    /** Judges silence, dark domains and stragglers; to be called a few times a second. After a
-     * pause of this process silence counts anew, since it was not listening.
+    /** Detects lost VMs, unreachable domains and stragglers. Must be called a few times a second:
+     * after a longer gap this process was paused and received nothing, so silence counts from now.
      */
     void refresh(time_point now);
 
-    /** Counts what decisions depend on: replicas, conditions, presence and losses, but not load. */
-    std::uint64_t changes() const { return changes_; }
+    /** \return how many changes were seen that decisions depend on: of replicas, conditions,
+     * presence and losses, but not of load.
+     */
+    std::uint64_t change_count() const { return change_count_; }
 
-    /** How long a VM has been silent, counted from when this control began to listen. */
-    duration silence(const vm_knowledge& vm, time_point now) const;
+    /** \return the time since the VM last answered, but not more than since it was listed or this
+     * control began to watch.
+     */
+    duration silence(const observed_vm& vm, time_point now) const;
 
   private:
-    struct own_report {
-        std::string content; // Serialised; empty for plain services.
-        time_point asked_at{};
-        std::uint64_t heard_sequence = 0;
-        std::uint64_t changed_sequence = 0;
+    struct own_answer {
+        std::string serialized_report; // Empty for plain services.
+        time_point requested_at{};
+        std::uint64_t answer_sequence = 0;
+        std::uint64_t content_sequence = 0;
     };
 
-    void take_report(vm_knowledge& vm, const schema::engine_report& report);
-    void remember_own(const std::string& vm, std::string content, time_point asked_at);
-    void judge_silence(vm_knowledge& vm, time_point now);
-    void note_outage(std::vector<duration>& outages, duration span);
-    void judge_stragglers(time_point now);
-    void judge_domains(time_point now);
-    void forget_gone(time_point now);
+    void store_report(observed_vm& vm, const schema::engine_report& report);
+    void store_own_answer(const std::string& vm, std::string serialized_report,
+                          time_point requested_at);
+    void update_loss(observed_vm& vm, time_point now);
+    void add_outage(std::vector<duration>& outages, duration outage);
+    void update_stragglers(time_point now);
+    void update_domains(time_point now);
+    void remove_gone_vms(time_point now);
 
     std::string self_;
     watch_bounds bounds_;
     std::function<vm_role(const std::string&)> role_of_pool_;
-    fleet_knowledge knowledge_;
-    std::map<std::string, own_report> own_;
+    observed_fleet fleet_;
+    std::map<std::string, own_answer> own_answers_;
     std::uint64_t sequence_;
-    std::uint64_t changes_ = 0;
-    std::optional<time_point> refreshed_at_;
-    time_point listening_since_{};
+    std::uint64_t change_count_ = 0;
+    std::optional<time_point> last_refresh_;
+    time_point watching_since_{};
 };
 
 } // namespace chervildyke
--- a/src/replicas/view_builder.cpp
+++ b/src/replicas/view_builder.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements the building of the routing view.
+ * Implements build_view.
  */
 #include "replicas/view_builder.h"
 
@@ -12,26 +12,32 @@
 
 namespace {
 
-std::uint32_t oldest_age_ms(const replica& subject, const fleet_knowledge& fleet,
-                            const watch_bounds& bounds, time_point now)
+constexpr std::int64_t max_report_age_ms = 3'600'000;
+
+/** \return the age of the oldest of the members' newest answers; a member without an answer counts
+ * as older than any fresh report.
+ */
+std::uint32_t oldest_report_age_ms(const replica& subject, const observed_fleet& fleet,
+                                   const watch_bounds& bounds, time_point now)
 {
     duration oldest{0};
     for (const replica_vm& member : subject.members) {
-        const vm_knowledge* vm = fleet.find(member.vm);
-        const bool heard = vm != nullptr && vm->heard_at;
-        oldest = std::max(oldest, heard ? now - *vm->heard_at : 2 * bounds.report_freshness);
+        const observed_vm* vm = fleet.find(member.vm);
+        const bool has_answered = vm != nullptr && vm->last_answer_at;
+        oldest = std::max(oldest,
+                          has_answered ? now - *vm->last_answer_at : 2 * bounds.report_freshness);
     }
     const auto age = std::chrono::ceil<std::chrono::milliseconds>(oldest).count();
-    return static_cast<std::uint32_t>(std::min<std::int64_t>(age, 3'600'000));
+    return static_cast<std::uint32_t>(std::min<std::int64_t>(age, max_report_age_ms));
 }
 
-/** The adapters that every member has loaded. */
-std::set<std::string> common_adapters(const replica& subject, const fleet_knowledge& fleet)
+/** \return the adapters that every member has loaded. */
+std::set<std::string> common_adapters(const replica& subject, const observed_fleet& fleet)
 {
     std::set<std::string> common;
     bool first = true;
     for (const replica_vm& member : subject.members) {
-        const vm_knowledge* vm = fleet.find(member.vm);
+        const observed_vm* vm = fleet.find(member.vm);
         std::set<std::string> loaded;
         if (vm != nullptr && vm->report) {
             loaded.insert(vm->report->adapters().begin(), vm->report->adapters().end());
@@ -45,7 +51,8 @@
     return common;
 }
 
-void fill_load(const vm_knowledge* front, schema::replica_view& view)
+/** \param front the member that receives the calls, or null. */
+void fill_load(const observed_vm* front, schema::replica_view& view)
 {
     if (front == nullptr || !front->report) {
         return;
@@ -58,22 +65,22 @@
     *view.mutable_cached_prefixes() = report.cached_prefixes();
 }
 
-void fill_replica(const replica& subject, const fleet_knowledge& fleet, const watch_bounds& bounds,
+void fill_replica(const replica& subject, const observed_fleet& fleet, const watch_bounds& bounds,
                   time_point now, schema::replica_view& view)
 {
-    const replica_health health = judge_replica(subject, fleet, bounds, now);
+    const replica_health health = assess_replica(subject, fleet, bounds, now);
     view.set_replica_id(subject.id);
     view.set_team(subject.team);
     view.set_model(subject.model);
     view.set_serving(subject.phase == schema::serving && health.complete);
-    view.set_oldest_report_age_ms(oldest_age_ms(subject, fleet, bounds, now));
+    view.set_oldest_report_age_ms(oldest_report_age_ms(subject, fleet, bounds, now));
     for (const std::string& adapter : common_adapters(subject, fleet)) {
         view.add_loaded_adapters(adapter);
     }
     for (const replica_vm& member : subject.members) {
         schema::member_view& shown = *view.add_members();
         shown.set_vm(member.vm);
-        const vm_knowledge* vm = fleet.find(member.vm);
+        const observed_vm* vm = fleet.find(member.vm);
         if (vm != nullptr) {
             shown.set_address(vm->address);
             shown.set_failure_domain(vm->failure_domain);
@@ -84,7 +91,7 @@
 }
 
 void fill_service(const schema::plain_service& service, const std::set<std::string>& drained,
-                  const fleet_knowledge& fleet, schema::service_view& view)
+                  const observed_fleet& fleet, schema::service_view& view)
 {
     view.set_name(service.name());
     *view.mutable_operations() = service.operations();
@@ -96,14 +103,14 @@
         backend.set_vm(name);
         backend.set_address(vm.address);
         backend.set_failure_domain(vm.failure_domain);
-        backend.set_healthy(!vm.is_leaving() && !vm.lost_since && vm.heard_at &&
+        backend.set_healthy(!vm.is_leaving() && !vm.lost_since && vm.last_answer_at &&
                             drained.count(name) == 0);
     }
 }
 
 } // namespace
 
-schema::routing_view build_view(const fleet_state& state, const fleet_knowledge& fleet,
+schema::routing_view build_view(const fleet_state& state, const observed_fleet& fleet,
                                 const view_context& context, time_point now)
 {
     const schema::fleet_configuration& configuration = *state.configuration();
--- a/src/replicas/view_builder.h
+++ b/src/replicas/view_builder.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines how the routing view that entries follow is built.
+ * Defines build_view, which builds the routing view that entries follow.
  */
 #pragma once
 
@@ -8,23 +8,23 @@
 
 #include "control_api.pb.h"
 #include "journal/fleet_state.h"
-#include "replicas/vm_knowledge.h"
+#include "replicas/observed_fleet.h"
 
 namespace chervildyke {
 
-/** What a view says beside the state and the reports. */
+/** What a view contains besides the state and the reports. */
 struct view_context {
-    std::string control; // The name of the control that builds it.
-    bool ready = false;  // The control's journal is ready.
+    std::string control; // The control that builds the view.
+    bool ready = false;  // The control knows the journal and the replicas' VMs.
     watch_bounds bounds;
     std::vector<schema::entry_view> entries;
-    std::vector<std::string> teams; // The teams to include; empty means all.
+    std::vector<std::string> teams; // The teams to include; all if empty.
 };
 
-/** Builds the view. A replica is shown as serving only when the journal says so and every member
- * freshly reported that it is ready in this replica and is not leaving.
+/** Builds the routing view. A replica is serving in it only if it is serving in the journal and
+ * every member has freshly reported that it is ready in this replica and is not leaving.
  */
-schema::routing_view build_view(const fleet_state& state, const fleet_knowledge& fleet,
+schema::routing_view build_view(const fleet_state& state, const observed_fleet& fleet,
                                 const view_context& context, time_point now);
 
 } // namespace chervildyke
--- a/src/replicas/vm_supply.cpp
+++ b/src/replicas/vm_allocator.cpp
@@ -1,7 +1,7 @@
 /** \file
- * Implements the choice of VMs for new replicas.
+ * Implements vm_allocator.
  */
-#include "replicas/vm_supply.h"
+#include "replicas/vm_allocator.h"
 
 #include <algorithm>
 #include <tuple>
@@ -10,12 +10,12 @@
 
 namespace {
 
-/** Where all VMs of a pool stand, for replicas that may span fabric domains. */
+/** The key of all VMs of a pool, for replicas that may span fabric domains. */
 const std::string any_domain;
 
 } // namespace
 
-unfit_reason judge_fitness(const vm_knowledge& vm, const std::set<std::string>& drained,
+unfit_reason check_fitness(const observed_vm& vm, const std::set<std::string>& drained,
                            const watch_bounds& bounds, time_point now)
 {
     if (vm.role != vm_role::engine) {
@@ -33,7 +33,7 @@
     if (vm.lost_since) {
         return unfit_reason::lost;
     }
-    if (!vm.report || !vm.heard_within(bounds.report_freshness, now)) {
+    if (!vm.report || !vm.answered_within(bounds.report_freshness, now)) {
         return unfit_reason::stale;
     }
     if (vm.report->condition() == schema::engine_broken) {
@@ -67,39 +67,39 @@
     return "unknown";
 }
 
-bool holds_weights(const vm_knowledge& vm, const std::string& model)
+bool holds_weights(const observed_vm& vm, const std::string& model)
 {
     return vm.report && vm.report->model() == model &&
            vm.report->condition() != schema::engine_loading;
 }
 
-vm_supply::vm_supply(const fleet_state& state, const fleet_knowledge& fleet,
-                     const watch_bounds& bounds, time_point now)
+vm_allocator::vm_allocator(const fleet_state& state, const observed_fleet& fleet,
+                           const watch_bounds& bounds, time_point now)
     : fleet_(fleet), bounds_(bounds), now_(now),
       drained_(state.configuration()->drained_vms().begin(),
                state.configuration()->drained_vms().end())
 {
     for (const auto& [name, vm] : fleet.vms) {
-        if (judge_fitness(vm, drained_, bounds_, now_) != unfit_reason::none) {
+        if (check_fitness(vm, drained_, bounds_, now_) != unfit_reason::none) {
             continue;
         }
         const auto holder = state.holder_of(name);
         if (!holder) {
-            // An engine that still believes in an old replica has to let go first.
-            pool_map& into = vm.report->replica_id() == 0 ? free_ : arriving_;
+            // An engine that still reports an old replica has to leave it first.
+            vms_by_pool& into = vm.report->replica_id() == 0 ? free_ : releasing_;
             into[vm.pool][vm.fabric_domain].push_back(&vm);
             continue;
         }
-        const replica* held_by = state.find_replica(*holder);
-        if (held_by != nullptr && held_by->phase == schema::retiring) {
-            arriving_[vm.pool][vm.fabric_domain].push_back(&vm);
+        const replica* holding_replica = state.find_replica(*holder);
+        if (holding_replica != nullptr && holding_replica->phase == schema::retiring) {
+            releasing_[vm.pool][vm.fabric_domain].push_back(&vm);
         }
     }
     add_all_domains(free_);
-    add_all_domains(arriving_);
+    add_all_domains(releasing_);
 }
 
-void vm_supply::add_all_domains(pool_map& pools)
+void vm_allocator::add_all_domains(vms_by_pool& pools)
 {
     for (auto& [pool, domains] : pools) {
         vm_list all;
@@ -110,115 +110,117 @@
     }
 }
 
-bool vm_supply::is_fit(const std::string& vm) const
+bool vm_allocator::is_fit(const std::string& vm) const
 {
-    const vm_knowledge* known = fleet_.find(vm);
-    return known != nullptr && judge_fitness(*known, drained_, bounds_, now_) == unfit_reason::none;
+    const observed_vm* known = fleet_.find(vm);
+    return known != nullptr && check_fitness(*known, drained_, bounds_, now_) == unfit_reason::none;
 }
 
-std::size_t vm_supply::free_count(const std::string& pool) const
+std::size_t vm_allocator::free_vms(const std::string& pool) const
 {
     const auto found = free_.find(pool);
     return found == free_.end() ? 0 : found->second.at(any_domain).size();
 }
 
-std::size_t vm_supply::group::size() const
+std::size_t vm_allocator::vm_group::size() const
 {
     return freed.size() + (free == nullptr ? 0 : free->size()) +
-           (arriving == nullptr ? 0 : arriving->size());
+           (releasing == nullptr ? 0 : releasing->size());
 }
 
-std::map<std::string, vm_supply::group> vm_supply::groups_for(const vm_need& need,
-                                                              const std::vector<std::string>& freed,
-                                                              bool with_arriving) const
+std::map<std::string, vm_allocator::vm_group>
+vm_allocator::candidate_groups(const vm_requirements& wanted, const std::vector<std::string>& freed,
+                               bool include_releasing) const
 {
-    std::map<std::string, group> groups;
-    const auto fits = [&](const std::string& domain) {
-        return need.one_fabric_domain != (domain == any_domain);
+    std::map<std::string, vm_group> groups;
+    const auto is_allowed = [&](const std::string& domain) {
+        return wanted.one_fabric_domain != (domain == any_domain);
     };
-    const auto free = free_.find(need.pool);
+    const auto free = free_.find(wanted.pool);
     if (free != free_.end()) {
         for (const auto& [domain, vms] : free->second) {
-            if (fits(domain)) {
+            if (is_allowed(domain)) {
                 groups[domain].free = &vms;
             }
         }
     }
-    const auto arriving = arriving_.find(need.pool);
-    if (with_arriving && arriving != arriving_.end()) {
-        for (const auto& [domain, vms] : arriving->second) {
-            if (fits(domain)) {
-                groups[domain].arriving = &vms;
+    const auto releasing = releasing_.find(wanted.pool);
+    if (include_releasing && releasing != releasing_.end()) {
+        for (const auto& [domain, vms] : releasing->second) {
+            if (is_allowed(domain)) {
+                groups[domain].releasing = &vms;
             }
         }
     }
     for (const std::string& name : freed) {
-        const vm_knowledge* vm = fleet_.find(name);
-        if (vm != nullptr && vm->pool == need.pool && reserved_.count(name) == 0 && is_fit(name)) {
-            groups[need.one_fabric_domain ? vm->fabric_domain : any_domain].freed.push_back(vm);
+        const observed_vm* vm = fleet_.find(name);
+        if (vm != nullptr && vm->pool == wanted.pool && reserved_.count(name) == 0 &&
+            is_fit(name)) {
+            groups[wanted.one_fabric_domain ? vm->fabric_domain : any_domain].freed.push_back(vm);
         }
     }
     return groups;
 }
 
-std::optional<vm_pick> vm_supply::pick(const vm_need& need, const std::vector<std::string>& freed,
-                                       bool with_arriving) const
+std::optional<vm_selection> vm_allocator::select(const vm_requirements& wanted,
+                                                 const std::vector<std::string>& freed,
+                                                 bool include_releasing) const
 {
-    std::optional<vm_pick> best;
-    std::size_t best_left = 0;
-    for (const auto& [domain, from] : groups_for(need, freed, with_arriving)) {
-        if (from.size() < need.count) {
+    std::optional<vm_selection> best;
+    std::size_t best_left_over = 0;
+    for (const auto& [domain, from] : candidate_groups(wanted, freed, include_releasing)) {
+        if (from.size() < wanted.vm_count) {
             continue;
         }
-        const std::size_t left = from.size() - need.count;
-        vm_pick found = best_of(from, need);
+        const std::size_t left_over = from.size() - wanted.vm_count;
+        vm_selection found = select_from(from, wanted);
         found.fabric_domain = domain;
-        if (!best || std::tie(found.loads, found.not_free, left) <
-                         std::tie(best->loads, best->not_free, best_left)) {
+        if (!best || std::tie(found.loads, found.held_vms, left_over) <
+                         std::tie(best->loads, best->held_vms, best_left_over)) {
             best = std::move(found);
-            best_left = left;
+            best_left_over = left_over;
         }
     }
     return best;
 }
 
-vm_pick vm_supply::best_of(const group& from, const vm_need& need) const
+vm_selection vm_allocator::select_from(const vm_group& from, const vm_requirements& wanted) const
 {
     struct candidate {
-        const vm_knowledge* vm = nullptr;
+        const observed_vm* vm = nullptr;
         bool needs_load = false;
         bool is_free = false;
     };
     std::vector<candidate> candidates;
     const auto add = [&](const vm_list& vms, bool is_free) {
-        for (const vm_knowledge* vm : vms) {
-            candidates.push_back({vm, !holds_weights(*vm, need.model), is_free});
+        for (const observed_vm* vm : vms) {
+            candidates.push_back({vm, !holds_weights(*vm, wanted.model), is_free});
         }
     };
     if (from.free != nullptr) {
         add(*from.free, true);
     }
-    if (from.arriving != nullptr) {
-        add(*from.arriving, false);
+    if (from.releasing != nullptr) {
+        add(*from.releasing, false);
     }
     add(from.freed, false);
     const auto rank = [](const candidate& c) {
         return std::make_tuple(c.needs_load, c.vm->straggling_since.has_value(), !c.is_free,
-                               c.vm->losses.size(), std::cref(c.vm->vm));
+                               c.vm->recent_losses.size(), std::cref(c.vm->vm));
     };
-    const auto end = candidates.begin() + static_cast<std::ptrdiff_t>(need.count);
+    const auto end = candidates.begin() + static_cast<std::ptrdiff_t>(wanted.vm_count);
     std::partial_sort(candidates.begin(), end, candidates.end(),
                       [&](const candidate& a, const candidate& b) { return rank(a) < rank(b); });
-    vm_pick best;
+    vm_selection selected;
     for (auto chosen = candidates.begin(); chosen != end; ++chosen) {
-        best.vms.push_back(chosen->vm->vm);
-        best.loads += chosen->needs_load ? 1 : 0;
-        best.not_free += chosen->is_free ? 0 : 1;
+        selected.vms.push_back(chosen->vm->vm);
+        selected.loads += chosen->needs_load ? 1 : 0;
+        selected.held_vms += chosen->is_free ? 0 : 1;
     }
-    return best;
+    return selected;
 }
 
-void vm_supply::remove(pool_map& from, const vm_knowledge& vm)
+void vm_allocator::remove(vms_by_pool& from, const observed_vm& vm)
 {
     const auto pool = from.find(vm.pool);
     if (pool == from.end()) {
@@ -233,13 +235,13 @@
     }
 }
 
-void vm_supply::reserve(const vm_pick& pick)
+void vm_allocator::reserve(const vm_selection& selection)
 {
-    for (const std::string& name : pick.vms) {
-        const vm_knowledge* vm = fleet_.find(name);
+    for (const std::string& name : selection.vms) {
+        const observed_vm* vm = fleet_.find(name);
         if (vm != nullptr && reserved_.insert(name).second) {
             remove(free_, *vm);
-            remove(arriving_, *vm);
+            remove(releasing_, *vm);
         }
     }
 }
--- a/src/replicas/vm_watcher.h
+++ b/src/replicas/vm_watcher.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines vm_watcher, the task that reads the VM list and asks backend server VMs how they are.
+ * Defines vm_watcher, the task that reads the VM list and polls backend server VMs for reports.
  */
 #pragma once
 
@@ -21,27 +21,29 @@
 
 namespace chervildyke {
 
-/** What the watcher asks of others. */
+/** What the watcher uses of the rest of a control. */
 struct vm_watcher_hooks {
     vm_list_client vm_list;
     engine_client engine;
 
-    /** Asks a plain service whether it is well. Empty: services count as well while listed. */
+    /** Checks the health of a plain service. If empty, services count as healthy
+     * while they are listed.
+     */
     std::function<boost::asio::awaitable<bool>(std::string address, duration timeout)>
         service_health;
 
-    /** The names of the controls that seem alive, this one among them. */
+    /** The names of the controls that seem alive, including this one. */
     std::function<std::vector<std::string>()> alive_members;
 
-    /** Asks another control for what it heard; no value when it did not answer. */
+    /** Requests the reports that another control received; no value when it did not answer. */
     std::function<boost::asio::awaitable<std::optional<schema::report_batch>>(
         std::string peer, schema::report_request request, duration timeout)>
         pull_reports;
 
-    /** Told after each answer. May be empty. */
-    std::function<void()> on_news;
+    /** Called after each poll, pull and reading of the VM list. May be empty. */
+    std::function<void()> on_answer;
 
-    /** Told when decisions may differ from before. May be empty. */
+    /** Called after changes that decisions depend on. May be empty. */
     std::function<void()> on_change;
 };
 
@@ -52,10 +54,11 @@
     duration list_interval = 1s;
 };
 
-/** Watches each VM through a few controls, chosen by rendezvous hash over the controls alive. The
- * first of a VM's watchers asks it in each interval; the others ask once the first one's news is
- * late, so that a VM is lost only when it answers none of them. What peers heard is pulled and
- * counts with its age. Judging is left to report_table.
+/** Watches the VMs together with the other controls. Each VM has a few watchers, selected by
+ * rendezvous hash over the alive controls. A VM's first watcher polls it in each interval. The
+ * other watchers poll it only while its newest report is overdue, so that a VM counts as lost only
+ * when it answers none of them. Reports that other controls received are pulled from them and count
+ * with their age. The report_table detects lost VMs.
  */
 class vm_watcher {
   public:
@@ -68,21 +71,22 @@
     /** Watches until the task is cancelled. */
     boost::asio::awaitable<void> run();
 
-    /** Answers another control's pull_reports: without names those VMs that this control watches
-     * first, otherwise those named.
+    /** Answers a pull_reports call of another control.
+     * \return the reports of the requested VMs, or when none are named, of the VMs of which this
+     * control is the first watcher.
      */
     schema::report_batch serve_reports(const schema::report_request& request) const;
 
-    /** Names VMs whose next report is awaited, such as members that load: this control asks them
-     * itself and more often, until it names others.
+    /** Sets the VMs whose reports are needed soon, such as members that load. This control polls
+     * them itself and more often, until the next call sets others.
      */
-    void attend(std::set<std::string> vms);
+    void prioritize(std::set<std::string> vms);
 
-    /** True once the VM list was read at least once. */
+    /** \return true once the VM list has been read. */
     bool has_list() const;
 
-    /** How many VMs this control is the first watcher of. */
-    std::size_t watched_first() const;
+    /** \return of how many VMs this control is the first watcher. */
+    std::size_t first_watcher_count() const;
 
   private:
     struct state;
--- a/test/correctness/entry_calls.cpp
+++ b/test/correctness/entry_calls.cpp
@@ -6,7 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "entry/sse_parser.h"
-#include "support/fake_engine.h"
+#include "support/scripted_engine.h"
 
 using namespace chervildyke;
 using namespace chervildyke::testing;
@@ -49,7 +49,7 @@
 TEST_CASE("a whole answer and a streamed one carry the same text and the outcome")
 {
     asio::io_context context;
-    fake_engine engine(context);
+    scripted_engine engine(context);
     engine.answer = [](http_exchange& exchange, schema::engine_call call) {
         return stream_words(exchange, std::move(call), 5);
     };
@@ -70,7 +70,7 @@
 TEST_CASE("a broken stream is resumed on the same replica without a gap")
 {
     asio::io_context context;
-    fake_engine engine(context);
+    scripted_engine engine(context);
     engine.answer = [](http_exchange& exchange, schema::engine_call call) {
         return stream_words(exchange, call, 6, call.resume_only() ? -1 : 3);
     };
@@ -87,8 +87,8 @@
 TEST_CASE("a repeatable call goes on at another replica when its first one is lost")
 {
     asio::io_context context;
-    fake_engine first(context);
-    fake_engine second(context);
+    scripted_engine first(context);
+    scripted_engine second(context);
     const auto answer = [](http_exchange& exchange, schema::engine_call call) {
         const bool is_first_try = call.prior_tokens() == 0 && !call.resume_only();
         return call.resume_only() ? refuse(exchange)
@@ -109,7 +109,7 @@
     "a begun call outlasts the time in which its only replica refuses because it is incomplete")
 {
     asio::io_context context;
-    fake_engine engine(context);
+    scripted_engine engine(context);
     time_point broken_at{};
     engine.answer = [&](http_exchange& exchange, schema::engine_call call) {
         if (broken_at == time_point()) {
@@ -129,7 +129,7 @@
 TEST_CASE("foreign and repeated chunks are dropped, and a gap is never passed on")
 {
     asio::io_context context;
-    fake_engine engine(context);
+    scripted_engine engine(context);
     engine.answer = [](http_exchange& exchange, schema::engine_call call) -> asio::awaitable<void> {
         if (call.resume_only()) {
             co_await stream_words(exchange, call, 4);
@@ -155,7 +155,7 @@
 TEST_CASE("a call that no replica ran is not_run, one that may have run is unknown")
 {
     asio::io_context context;
-    fake_engine engine(context);
+    scripted_engine engine(context);
     engine.answer = [](http_exchange& exchange, schema::engine_call) { return refuse(exchange); };
     entry_under_test entry(context);
     REQUIRE(entry.start(view_of({engine.address()})));
@@ -174,7 +174,7 @@
 TEST_CASE("the engine is told when the caller leaves")
 {
     asio::io_context context;
-    fake_engine engine(context);
+    scripted_engine engine(context);
     engine.answer = [](http_exchange& exchange, schema::engine_call call) -> asio::awaitable<void> {
         http_reply head;
         co_await exchange.start_stream(head);
@@ -203,7 +203,7 @@
 TEST_CASE("a call that must not be repeated is claimed, sent once and settled")
 {
     asio::io_context context;
-    fake_engine engine(context);
+    scripted_engine engine(context);
     engine.answer = [](http_exchange& exchange, schema::engine_call call) {
         return stream_words(exchange, std::move(call), 3);
     };
@@ -244,7 +244,7 @@
 TEST_CASE("a draining entry is not offered to callers and cuts off nothing")
 {
     asio::io_context context;
-    fake_engine engine(context);
+    scripted_engine engine(context);
     engine.answer = [](http_exchange& exchange, schema::engine_call call) -> asio::awaitable<void> {
         co_await sleep_for(900ms);
         co_await stream_words(exchange, call, 3);
--- a/test/error/entry_bad_input.cpp
+++ b/test/error/entry_bad_input.cpp
@@ -6,7 +6,7 @@
 #include <boost/asio.hpp>
 #include <nlohmann/json.hpp>
 
-#include "support/fake_engine.h"
+#include "support/scripted_engine.h"
 
 using namespace chervildyke;
 using namespace chervildyke::testing;
@@ -16,7 +16,7 @@
 
 struct bench {
     asio::io_context context;
-    fake_engine engine{context};
+    scripted_engine engine{context};
     entry_under_test entry{context, 4096};
 
     bench()
--- a/test/error/replicas_faults.cpp
+++ b/test/error/replicas_faults.cpp
@@ -1,5 +1,6 @@
 /** \file
- * Tests that replicas heal from the faults of VMs, fabric domains and controls.
+ * Guards against replicas that are not repaired, or repaired at too high a cost, after faults of
+ * VMs, fabric domains and controls.
  */
 #include <doctest/doctest.h>
 
@@ -41,14 +42,14 @@
 
 void check_invariants(const replica_fleet& fleet)
 {
-    for (const std::string& complaint : fleet.broken_invariants()) {
-        FAIL_CHECK(complaint);
+    for (const std::string& violation : fleet.invariant_violations()) {
+        FAIL_CHECK(violation);
     }
 }
 
 } // namespace
 
-TEST_CASE("after one VM's loss a spare takes its place within the bound")
+TEST_CASE("a spare replaces a lost VM within the time bound")
 {
     replica_fleet fleet(replica_fleet_options{});
     add_domain(fleet, "fab-1", 5);
@@ -57,20 +58,20 @@
     fleet.advance(30s);
     REQUIRE(fleet.serving("oak") == 1);
     const replica before = only_replica(fleet, "oak");
-    fleet.forget_measures();
-    fleet.engines.die(before.members[1].vm);
+    fleet.reset_measurements();
+    fleet.engines.crash(before.members[1].vm);
     fleet.advance(20s);
     CHECK(fleet.serving("oak") == 1);
     CHECK_FALSE(has_member(only_replica(fleet, "oak"), before.members[1].vm));
-    // Detection bound of 2 s and one load of 4 s.
+    // The detection bound of 2 s and one load of 4 s.
     CHECK(fleet.group_downtime() <= 1.3 * (2.0 + 4.0));
     check_invariants(fleet);
 }
 
-TEST_CASE("a short pause of a member is waited for when a load would take longer")
+TEST_CASE("a replica waits for a member that pauses briefly when a load would take longer")
 {
     replica_fleet_options options;
-    options.keeper.repair.presumed_vm_outages = {5s};
+    options.reconciler.repair.assumed_vm_outages = {5s};
     replica_fleet fleet(options);
     add_domain(fleet, "fab-1", 3);
     fleet.publish(make_configuration({{"oak", 1, 2, 1}}, 30 * gigabyte, gigabyte));
@@ -87,7 +88,7 @@
     check_invariants(fleet);
 }
 
-TEST_CASE("a paused engine that wakes after its replica was rebuilt is only a dissenting member")
+TEST_CASE("a paused engine that resumes after its replica was rebuilt leaves the old replica")
 {
     replica_fleet fleet(replica_fleet_options{});
     add_domain(fleet, "fab-1", 3);
@@ -109,7 +110,8 @@
     check_invariants(fleet);
 }
 
-TEST_CASE("a dark domain is rebuilt elsewhere one replica after the other, and its return ends it")
+TEST_CASE(
+    "replicas of an unreachable domain are rebuilt elsewhere one by one, until the domain returns")
 {
     replica_fleet_options options;
     options.store_bytes_per_second = 1e9;
@@ -118,7 +120,7 @@
     add_domain(fleet, "fab-2", 6);
     fleet.start();
     fleet.advance(3s);
-    // Three replicas fit into each domain; loading one takes 20 s, a dark domain 60 s.
+    // Three replicas fit into each domain. One takes 20 s to load, all take 60 s.
     fleet.publish(make_configuration({{"oak", 1, 2, 3}, {"elm", 1, 2, 2}, {"ash", 1, 2, 1}},
                                      10 * gigabyte, gigabyte));
     fleet.advance(90s);
@@ -135,7 +137,7 @@
     }
     fleet.advance(28s);
     CHECK(fleet.serving("oak") == 1);
-    CHECK(fleet.engines.most_loads() <= 4);
+    CHECK(fleet.engines.max_concurrent_loads() <= 4);
     for (const auto& [name, engine] : fleet.engines.all()) {
         if (engine.paused) {
             fleet.engines.resume(name);
@@ -146,7 +148,7 @@
     check_invariants(fleet);
 }
 
-TEST_CASE("a flapping VM is not taken as a spare again")
+TEST_CASE("a flapping VM is not used as a spare")
 {
     replica_fleet fleet(replica_fleet_options{});
     add_domain(fleet, "fab-1", 4);
@@ -155,25 +157,25 @@
     fleet.advance(20s);
     const std::string flapping = only_replica(fleet, "oak").members[0].vm;
     for (int i = 0; i < 3; ++i) {
-        fleet.engines.die(flapping);
+        fleet.engines.crash(flapping);
         fleet.advance(6s);
         fleet.engines.reboot(flapping);
         fleet.advance(12s);
     }
     CHECK_FALSE(has_member(only_replica(fleet, "oak"), flapping));
     const replica settled = only_replica(fleet, "oak");
-    fleet.engines.die(settled.members[0].vm);
+    fleet.engines.crash(settled.members[0].vm);
     fleet.advance(20s);
     CHECK_FALSE(has_member(only_replica(fleet, "oak"), flapping));
-    const auto lines = fleet.keeper(0).explain(flapping);
-    const auto says = [](const std::string& line) {
+    const auto lines = fleet.reconciler(0).explain(flapping);
+    const auto is_expected_line = [](const std::string& line) {
         return line.find("lost too often") != std::string::npos;
     };
-    CHECK(std::any_of(lines.begin(), lines.end(), says));
+    CHECK(std::any_of(lines.begin(), lines.end(), is_expected_line));
     check_invariants(fleet);
 }
 
-TEST_CASE("a leaving VM gets no new work after 3 s, and its running calls end first")
+TEST_CASE("a leaving VM gets no new calls after 3 s, and leaves once its running calls have ended")
 {
     for (const bool by_list : {true, false}) {
         replica_fleet fleet(replica_fleet_options{});
@@ -210,7 +212,7 @@
     }
 }
 
-TEST_CASE("a rolling change of the model keeps capacity")
+TEST_CASE("a rolling change of the model takes down at most one replica at a time")
 {
     for (const int spares : {0, 2}) {
         replica_fleet fleet(replica_fleet_options{});
@@ -234,7 +236,7 @@
     }
 }
 
-TEST_CASE("drained VMs are emptied, a surplus replica first")
+TEST_CASE("a replica on a drained VM is replaced before it retires")
 {
     replica_fleet fleet(replica_fleet_options{});
     add_domain(fleet, "fab-1", 4);
@@ -245,14 +247,14 @@
     const std::string drained = only_replica(fleet, "oak").members[0].vm;
     configuration.add_drained_vms(drained);
     fleet.publish(configuration);
-    fleet.forget_measures();
+    fleet.reset_measurements();
     fleet.advance(20s);
     CHECK_FALSE(fleet.journal().holder_of(drained));
     CHECK(fleet.group_downtime() == 0);
     check_invariants(fleet);
 }
 
-TEST_CASE("two broken replicas complete one another")
+TEST_CASE("the members of two broken replicas form one replica")
 {
     replica_fleet fleet(replica_fleet_options{});
     add_domain(fleet, "fab-1", 4);
@@ -261,8 +263,8 @@
     fleet.advance(20s);
     const replica oak = only_replica(fleet, "oak");
     const replica elm = only_replica(fleet, "elm");
-    fleet.engines.die(oak.members[0].vm);
-    fleet.engines.die(elm.members[0].vm);
+    fleet.engines.crash(oak.members[0].vm);
+    fleet.engines.crash(elm.members[0].vm);
     fleet.advance(20s);
     CHECK(fleet.serving("oak") == 1);
     CHECK(has_member(only_replica(fleet, "oak"), oak.members[1].vm));
@@ -270,7 +272,7 @@
     check_invariants(fleet);
 }
 
-TEST_CASE("a team of higher priority preempts one of lower priority, with the reason kept")
+TEST_CASE("a team of higher priority preempts one of lower priority, and the reason is explained")
 {
     replica_fleet fleet(replica_fleet_options{});
     add_domain(fleet, "fab-1", 4);
@@ -278,37 +280,37 @@
     fleet.start();
     fleet.advance(20s);
     const replica oak = only_replica(fleet, "oak");
-    fleet.engines.die(oak.members[0].vm);
+    fleet.engines.crash(oak.members[0].vm);
     fleet.engines.at(oak.members[0].vm).listed = false;
     fleet.advance(30s);
     CHECK(fleet.serving("oak") == 1);
     CHECK(fleet.serving("elm") == 0);
-    const auto lines = fleet.keeper(0).explain("elm");
-    const auto says = [](const std::string& line) {
+    const auto lines = fleet.reconciler(0).explain("elm");
+    const auto is_expected_line = [](const std::string& line) {
         return line.find("no fabric domain has 2 free VMs") != std::string::npos;
     };
-    CHECK(std::any_of(lines.begin(), lines.end(), says));
+    CHECK(std::any_of(lines.begin(), lines.end(), is_expected_line));
     check_invariants(fleet);
 }
 
-TEST_CASE("controls that all believe to be alone never put one VM into two replicas")
+TEST_CASE("controls that all see only themselves never put one VM into two replicas")
 {
     replica_fleet fleet(replica_fleet_options{});
     add_domain(fleet, "fab-1", 9);
     fleet.publish(make_configuration({{"oak", 2, 2, 1}, {"elm", 2, 2, 1}}, gigabyte, gigabyte));
     fleet.start();
     for (std::size_t control = 0; control < 3; ++control) {
-        fleet.believe_alone(control);
+        fleet.see_only_itself(control);
     }
     fleet.advance(30s);
     CHECK(fleet.serving("oak") + fleet.serving("elm") == 4);
-    fleet.engines.die(only_replica(fleet, "oak").members[0].vm);
+    fleet.engines.crash(only_replica(fleet, "oak").members[0].vm);
     fleet.advance(30s);
     CHECK(fleet.serving("oak") + fleet.serving("elm") == 4);
     check_invariants(fleet);
 }
 
-TEST_CASE("loads are paced to the store's rate, the most valuable team first")
+TEST_CASE("loads are limited to the store's rate, the most valuable team first")
 {
     replica_fleet fleet(replica_fleet_options{});
     add_domain(fleet, "fab-1", 8);
@@ -327,6 +329,6 @@
         }
     }
     CHECK(order == std::vector<std::string>{"oak", "fir", "elm", "ash"});
-    CHECK(fleet.engines.most_loads() <= 4);
+    CHECK(fleet.engines.max_concurrent_loads() <= 4);
     check_invariants(fleet);
 }
--- a/test/fuzz/replicas_lifecycle.cpp
+++ b/test/fuzz/replicas_lifecycle.cpp
@@ -1,5 +1,7 @@
 /** \file
- * Fuzzes the lifecycle of replicas under random faults against a simple oracle.
+ * Runs random faults, heals and configuration changes. Guards against views that serve a broken
+ * replica, a VM in two replicas, and teams that stay below their configured replicas after all
+ * faults have ended.
  */
 #include <doctest/doctest.h>
 
@@ -22,7 +24,9 @@
 constexpr int domains = 2;
 constexpr int vms_per_domain = 5;
 
-/** Draws evenly whatever the size of the test, which scales rapidcheck's own ranges. */
+/** Draws uniformly. The test size, by which rapidcheck shrinks its ranges, is set to its nominal
+ * value.
+ */
 template <typename Number>
 Number draw(Number first, Number end)
 {
@@ -35,7 +39,7 @@
            std::to_string(index % vms_per_domain);
 }
 
-/** The oracle: which VMs are fit in truth, and what the teams want. */
+/** The oracle: which VMs have faults, and what the teams want. */
 struct oracle_model {
     std::set<std::string> faulty;
     std::uint32_t oak = 1;
@@ -65,8 +69,8 @@
     static replica_fleet_options options(bool check_fencing)
     {
         replica_fleet_options made;
-        made.keeper.repair.engines_check_fencing = check_fencing;
-        made.keeper.repair.bounds.flap_window = 60s;
+        made.reconciler.repair.engines_check_fencing = check_fencing;
+        made.reconciler.repair.bounds.flap_window = 60s;
         made.store_bytes_per_second = 2e9;
         made.check_interval = 20ms;
         return made;
@@ -74,7 +78,7 @@
 
     void assert_invariants() const
     {
-        RC_ASSERT(fleet.broken_invariants() == std::vector<std::string>{});
+        RC_ASSERT(fleet.invariant_violations() == std::vector<std::string>{});
     }
 
     replica_fleet fleet;
@@ -82,7 +86,7 @@
 
 using fleet_command = rc::state::Command<oracle_model, fleet_under_test>;
 
-struct fault_vm : fleet_command {
+struct inject_fault : fleet_command {
     std::string vm = vm_name(draw(0, domains* vms_per_domain));
     int kind = draw(0, 8);
     int seconds = draw(0, 6);
@@ -93,7 +97,7 @@
         auto& engines = tested.fleet.engines;
         switch (kind) {
         case 0:
-            engines.die(vm);
+            engines.crash(vm);
             break;
         case 1:
             engines.pause(vm);
@@ -102,16 +106,16 @@
             engines.at(vm).entry.set_state(schema::vm_leaving);
             break;
         case 3:
-            engines.at(vm).order_delay = 2s;
+            engines.at(vm).command_delay = 2s;
             break;
         case 4:
             engines.at(vm).running = 1;
             break;
         case 5:
-            engines.die(vm);
+            engines.crash(vm);
             engines.at(vm).listed = false;
             break;
-        default: // Restarts at once, without replica or weights.
+        default: // Restarts at once, without a replica or weights.
             engines.reboot(vm);
             break;
         }
@@ -124,11 +128,11 @@
     }
 };
 
-void heal(replica_fleet& fleet, const std::string& vm, bool reboots)
+void repair_vm(replica_fleet& fleet, const std::string& vm, bool reboots)
 {
     test::fake_engine& engine = fleet.engines.at(vm);
     engine.entry.set_state(schema::vm_live);
-    engine.order_delay = duration{0};
+    engine.command_delay = duration{0};
     engine.running = 0;
     engine.listed = true;
     if (engine.paused && !reboots) {
@@ -139,7 +143,7 @@
     }
 }
 
-struct heal_vm : fleet_command {
+struct heal_fault : fleet_command {
     std::string vm = vm_name(draw(0, domains* vms_per_domain));
     bool reboots = *rc::gen::arbitrary<bool>();
     int seconds = draw(0, 8);
@@ -147,7 +151,7 @@
     void apply(oracle_model& model) const override { model.faulty.erase(vm); }
     void run(const oracle_model&, fleet_under_test& tested) const override
     {
-        heal(tested.fleet, vm, reboots);
+        repair_vm(tested.fleet, vm, reboots);
         tested.fleet.advance(std::chrono::seconds(seconds));
         tested.assert_invariants();
     }
@@ -182,8 +186,8 @@
     }
 };
 
-/** A control acts as if alone, or an old order arrives late at an engine that obeys any. */
-struct disturb : fleet_command {
+/** A control sees only itself or is blocked, or an old command arrives late at an engine. */
+struct disturb_control : fleet_command {
     std::size_t control = draw<std::size_t>(0, 3);
     int kind = draw(0, 3);
     std::string vm = vm_name(draw(0, domains* vms_per_domain));
@@ -192,10 +196,10 @@
     void run(const oracle_model&, fleet_under_test& tested) const override
     {
         if (kind == 0) {
-            tested.fleet.believe_alone(control);
+            tested.fleet.see_only_itself(control);
         }
         else if (kind == 1) {
-            tested.fleet.hold_back(control, true);
+            tested.fleet.set_blocked(control, true);
         }
         else {
             const log_offset offset = tested.fleet.journal().offset();
@@ -208,7 +212,7 @@
             tested.fleet.engines.deliver(vm, late);
         }
         tested.fleet.advance(3s);
-        tested.fleet.hold_back(control, false);
+        tested.fleet.set_blocked(control, false);
         tested.assert_invariants();
     }
     void show(std::ostream& out) const override
@@ -217,13 +221,13 @@
     }
 };
 
-/** All faults end; the teams must come to what they want. */
+/** Ends all faults and checks that the teams reach their configured number of replicas. */
 void check_convergence(const oracle_model& model, fleet_under_test& tested)
 {
     for (int i = 0; i < domains * vms_per_domain; ++i) {
-        heal(tested.fleet, vm_name(i), true);
+        repair_vm(tested.fleet, vm_name(i), true);
     }
-    tested.fleet.advance(150s); // Longer than flapping is remembered.
+    tested.fleet.advance(150s); // Longer than the flap window.
     tested.assert_invariants();
     RC_ASSERT(tested.fleet.serving("oak") == model.oak);
     RC_ASSERT(tested.fleet.serving("elm") == model.elm);
@@ -235,8 +239,8 @@
         const oracle_model start;
         fleet_under_test tested(check_fencing);
         const auto commands = *rc::state::gen::commands(
-            start, rc::state::gen::execOneOfWithArgs<fault_vm, fault_vm, heal_vm, change_teams,
-                                                     disturb>());
+            start, rc::state::gen::execOneOfWithArgs<inject_fault, inject_fault, heal_fault,
+                                                     change_teams, disturb_control>());
         oracle_model model = start;
         for (const auto& command : commands) {
             command->run(model, tested);
@@ -255,7 +259,7 @@
     {
         fuzz(true);
     }
-    SUBCASE("engines obey any order")
+    SUBCASE("engines don't check fencing")
     {
         fuzz(false);
     }
--- a/test/performance/replicas_repair_policy.cpp
+++ b/test/performance/replicas_repair_policy.cpp
@@ -1,6 +1,6 @@
 /** \file
- * Compares the repair policy with the simplest ones over a seeded sequence of faults, and prints
- * how long one plan takes by fleet size.
+ * Guards against a repair policy that costs more than always waiting or always rebuilding, over a
+ * seeded sequence of faults. Also prints how long one plan takes by fleet size.
  */
 #include <doctest/doctest.h>
 
@@ -20,11 +20,11 @@
 constexpr std::uint64_t bytes_per_vm = 8 * gigabyte;
 constexpr std::uint64_t large_bytes_per_vm = 60 * gigabyte;
 constexpr std::uint64_t store_rate = 2 * gigabyte;
-constexpr int domains = 3;
+constexpr int domain_count = 3;
 constexpr int vms_per_domain = 9;
-constexpr int faults = 16;
+constexpr int fault_count = 16;
 
-struct weighting {
+struct weights_setup {
     const char* name;
     double group_downtime;
     double stranded_accelerator;
@@ -32,29 +32,29 @@
 
 struct policy {
     const char* name;
-    repair_choice choose;
+    candidate_selector select;
 };
 
-struct measured {
+struct measurement {
     double group_downtime = 0;
-    double valued_downtime = 0; // Counted by the teams' priorities, as the policy counts it.
+    double weighted_downtime = 0; // Weighted by the teams' priorities, as in the policy.
     double stranded = 0;
 
-    double cost(const weighting& weights) const
+    double cost(const weights_setup& weights) const
     {
-        return valued_downtime * weights.group_downtime + stranded * weights.stranded_accelerator;
+        return weighted_downtime * weights.group_downtime + stranded * weights.stranded_accelerator;
     }
 };
 
-std::size_t always_wait(const std::vector<alternative>&)
+std::size_t always_wait(const std::vector<repair_candidate>&)
 {
     return 0;
 }
 
-std::size_t always_rebuild(const std::vector<alternative>& ways)
+std::size_t always_rebuild(const std::vector<repair_candidate>& candidates)
 {
-    for (std::size_t i = 0; i < ways.size(); ++i) {
-        if (ways[i].action == repair_action::rebuild) {
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (candidates[i].action == repair_action::rebuild) {
             return i;
         }
     }
@@ -66,10 +66,10 @@
     return "fab-" + std::to_string(domain) + "-" + std::to_string(index);
 }
 
-/** Strikes one VM, or a whole domain, for a random time. */
-void strike(replica_fleet& fleet, const random_source& random)
+/** Pauses a domain, or pauses or crashes one VM, for a random time. */
+void inject_fault(replica_fleet& fleet, const random_source& random)
 {
-    const int domain = static_cast<int>(random_below(random, domains));
+    const int domain = static_cast<int>(random_below(random, domain_count));
     const std::string vm = vm_name(domain, static_cast<int>(random_below(random, vms_per_domain)));
     const auto seconds = std::chrono::seconds(1 + random_below(random, 40));
     const std::uint64_t kind = random_below(random, 10);
@@ -87,8 +87,8 @@
         fleet.advance(seconds);
         fleet.engines.resume(vm);
     }
-    else { // A crash; the platform's replacement comes after two minutes.
-        fleet.engines.die(vm);
+    else { // A crash; the platform replaces the VM after two minutes.
+        fleet.engines.crash(vm);
         fleet.advance(30s);
         fleet.engines.at(vm).listed = false;
         fleet.advance(90s);
@@ -97,15 +97,15 @@
     fleet.advance(std::chrono::seconds(5 + random_below(random, 60)));
 }
 
-measured run_policy(const policy& tried, const weighting& weights, std::uint64_t seed)
+measurement run_policy(const policy& tested, const weights_setup& weights, std::uint64_t seed)
 {
     replica_fleet_options options;
     options.controls = 1;
     options.check_interval = 50ms;
     options.store_bytes_per_second = static_cast<double>(store_rate);
-    options.keeper.repair.choose = tried.choose;
+    options.reconciler.repair.select = tested.select;
     replica_fleet fleet(options);
-    for (int domain = 0; domain < domains; ++domain) {
+    for (int domain = 0; domain < domain_count; ++domain) {
         for (int i = 0; i < vms_per_domain; ++i) {
             fleet.engines.add(vm_name(domain, i), "fab-" + std::to_string(domain));
         }
@@ -120,19 +120,22 @@
     fleet.advance(3s);
     fleet.publish(configuration);
     fleet.advance(400s);
-    fleet.forget_measures();
+    fleet.reset_measurements();
     const random_source random = seeded_random(seed);
-    for (int i = 0; i < faults; ++i) {
-        strike(fleet, random);
+    for (int i = 0; i < fault_count; ++i) {
+        inject_fault(fleet, random);
     }
     fleet.advance(120s);
-    for (const std::string& complaint : fleet.broken_invariants()) {
-        FAIL_CHECK(complaint);
+    for (const std::string& violation : fleet.invariant_violations()) {
+        FAIL_CHECK(violation);
     }
-    return {fleet.group_downtime(), fleet.valued_downtime(), fleet.stranded_seconds()};
+    return {fleet.group_downtime(), fleet.weighted_downtime(),
+            fleet.stranded_accelerator_seconds()};
 }
 
-/** A fleet of teams with one replica of 4 VMs for each 5 VMs, of which some are lost. */
+/** The state and observations of a fleet with one replica of 4 VMs for each 5 VMs. Every
+ * 97th VM is lost.
+ */
 struct large_fleet {
     explicit large_fleet(int vms)
     {
@@ -165,7 +168,7 @@
                 for (int member = 0; member < 4; ++member) {
                     const std::string vm = std::to_string(next_vm++);
                     formation.add_vms(vm);
-                    hold(vm, offset + 1, team.model);
+                    report_membership(vm, offset + 1, team.model);
                 }
                 builder.apply(formed, ++offset);
                 schema::journal_record serving;
@@ -180,57 +183,60 @@
 
     void add_vm(int index, time_point now)
     {
-        vm_knowledge vm;
+        observed_vm vm;
         vm.vm = std::to_string(index);
         vm.pool = "chervil-pool";
         vm.fabric_domain = "fab-" + std::to_string(index / 60);
         vm.accelerators = 2;
         vm.role = vm_role::engine;
-        vm.known_since = now;
-        vm.heard_at = now;
+        vm.listed_since = now;
+        vm.last_answer_at = now;
         vm.report = std::make_shared<const schema::engine_report>();
         if (index % 97 == 0) {
             vm.lost_since = now;
         }
-        knowledge.vms[vm.vm] = vm;
+        observed.vms[vm.vm] = vm;
     }
 
-    void hold(const std::string& vm, replica_id id, const std::string& model)
+    void report_membership(const std::string& vm, replica_id id, const std::string& model)
     {
         schema::engine_report report;
         report.set_replica_id(id);
         report.set_fencing(id);
         report.set_model(model);
         report.set_condition(schema::engine_ready);
-        knowledge.vms.at(vm).report = std::make_shared<const schema::engine_report>(report);
+        observed.vms.at(vm).report = std::make_shared<const schema::engine_report>(report);
     }
 
     std::shared_ptr<const fleet_state> state;
-    fleet_knowledge knowledge;
+    observed_fleet observed;
 };
 
 } // namespace
 
-TEST_CASE("the weighed policy costs no more than the simplest ones under the deployment's weights")
+TEST_CASE("the cheapest repairs cost no more than always waiting or always rebuilding")
 {
-    const weighting weightings[] = {{"downtime-heavy", 1.0, 0.02}, {"stranded-heavy", 0.1, 1.0}};
-    const policy policies[] = {
-        {"weighed", least_cost}, {"always wait", always_wait}, {"always rebuild", always_rebuild}};
+    const weights_setup weights_setups[] = {{"downtime-heavy", 1.0, 0.02},
+                                            {"stranded-heavy", 0.1, 1.0}};
+    const policy policies[] = {{"weighed", cheapest_candidate},
+                               {"always wait", always_wait},
+                               {"always rebuild", always_rebuild}};
     std::printf("%-15s %-15s %14s %12s %18s %10s\n", "weighting", "policy", "downtime (s)",
                 "valued (s)", "stranded (acc-s)", "cost");
-    for (const weighting& weights : weightings) {
+    for (const weights_setup& weights : weights_setups) {
         std::vector<double> costs;
-        for (const policy& tried : policies) {
-            measured total;
+        for (const policy& tested : policies) {
+            measurement total;
             for (const std::uint64_t seed : {11U, 12U}) {
-                const measured one = run_policy(tried, weights, seed);
+                const measurement one = run_policy(tested, weights, seed);
                 total.group_downtime += one.group_downtime;
-                total.valued_downtime += one.valued_downtime;
+                total.weighted_downtime += one.weighted_downtime;
                 total.stranded += one.stranded;
             }
             costs.push_back(total.cost(weights));
-            std::printf("%-15s %-15s %14.0f %12.0f %18.0f %10.0f\n", weights.name, tried.name,
-                        total.group_downtime, total.valued_downtime, total.stranded, costs.back());
+            std::printf("%-15s %-15s %14.0f %12.0f %18.0f %10.0f\n", weights.name, tested.name,
+                        total.group_downtime, total.weighted_downtime, total.stranded,
+                        costs.back());
         }
         CHECK(costs[0] <= costs[1]);
         CHECK(costs[0] <= costs[2]);
@@ -241,17 +247,18 @@
 {
     for (const int vms : {60, 960, 6200}) {
         const large_fleet fleet(vms);
-        constexpr int rounds = 20;
+        constexpr int plan_count = 20;
         std::size_t decisions = 0;
-        const auto begun = std::chrono::steady_clock::now();
-        for (int i = 0; i < rounds; ++i) {
+        const auto started_at = std::chrono::steady_clock::now();
+        for (int i = 0; i < plan_count; ++i) {
             decisions =
-                plan_repairs(*fleet.state, fleet.knowledge, {}, {}, monotonic_clock::now()).size();
+                plan_repairs(*fleet.state, fleet.observed, {}, {}, monotonic_clock::now()).size();
         }
-        const auto spent = std::chrono::steady_clock::now() - begun;
-        const double each = std::chrono::duration<double, std::milli>(spent).count() / rounds;
+        const auto elapsed = std::chrono::steady_clock::now() - started_at;
+        const double ms_per_plan =
+            std::chrono::duration<double, std::milli>(elapsed).count() / plan_count;
         std::printf("%5d VMs, %4zu replicas: %8.3f ms a plan, %zu decisions\n", vms,
-                    fleet.state->replicas().size(), each, decisions);
+                    fleet.state->replicas().size(), ms_per_plan, decisions);
         CHECK(decisions > 0);
     }
 }
--- a/test/support/fake_engines.cpp
+++ b/test/support/fake_engines.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements the fake engines.
+ * Implements fake_engines.
  */
 #include "support/fake_engines.h"
 
@@ -9,7 +9,7 @@
 
 namespace {
 
-bool silent(const fake_engine& engine)
+bool is_silent(const fake_engine& engine)
 {
     return engine.dead || engine.paused;
 }
@@ -22,11 +22,11 @@
     return engine.bytes_to_load > 0 ? schema::engine_loading : schema::engine_ready;
 }
 
-void let_go(fake_engine& engine)
+void leave_replica(fake_engine& engine)
 {
     engine.replica_id = 0;
     engine.fencing = 0;
-    engine.leave_wanted = false;
+    engine.leave_pending = false;
     if (!engine.keeps_weights || engine.bytes_to_load > 0) {
         engine.model.clear();
         engine.bytes_to_load = 0;
@@ -36,7 +36,7 @@
 } // namespace
 
 fake_engines::fake_engines(double bytes_per_second)
-    : bytes_per_second_(bytes_per_second), settled_at_(monotonic_clock::now())
+    : bytes_per_second_(bytes_per_second), advanced_at_(monotonic_clock::now())
 {
 }
 
@@ -53,19 +53,19 @@
     engines_[vm] = engine;
 }
 
-void fake_engines::settle()
+void fake_engines::advance_loads()
 {
     const time_point now = monotonic_clock::now();
-    double seconds = std::chrono::duration<double>(now - settled_at_).count();
-    settled_at_ = now;
+    double seconds = std::chrono::duration<double>(now - advanced_at_).count();
+    advanced_at_ = now;
     for (;;) {
         std::vector<fake_engine*> loading;
         for (auto& [name, engine] : engines_) {
-            if (engine.bytes_to_load > 0 && !silent(engine)) {
+            if (engine.bytes_to_load > 0 && !is_silent(engine)) {
                 loading.push_back(&engine);
             }
         }
-        most_loads_ = std::max(most_loads_, loading.size());
+        max_concurrent_loads_ = std::max(max_concurrent_loads_, loading.size());
         if (loading.empty() || seconds <= 0) {
             break;
         }
@@ -73,103 +73,103 @@
         for (const fake_engine* engine : loading) {
             least = std::min(least, engine->bytes_to_load);
         }
-        const double share = bytes_per_second_ / static_cast<double>(loading.size());
-        const double span = std::min(seconds, least / share);
+        const double rate = bytes_per_second_ / static_cast<double>(loading.size());
+        const double seconds_to_advance = std::min(seconds, least / rate);
         for (fake_engine* engine : loading) {
-            engine->bytes_to_load -= span * share;
+            engine->bytes_to_load -= seconds_to_advance * rate;
             engine->bytes_to_load = engine->bytes_to_load < 1.0 ? 0.0 : engine->bytes_to_load;
         }
-        seconds -= span;
+        seconds -= seconds_to_advance;
     }
     for (auto& [name, engine] : engines_) {
-        if (engine.leave_wanted && engine.running == 0 && !silent(engine)) {
-            let_go(engine);
+        if (engine.leave_pending && engine.running == 0 && !is_silent(engine)) {
+            leave_replica(engine);
         }
     }
 }
 
-void fake_engines::die(const std::string& vm)
+void fake_engines::crash(const std::string& vm)
 {
-    settle();
+    advance_loads();
     at(vm).dead = true;
 }
 
 void fake_engines::reboot(const std::string& vm)
 {
-    settle();
+    advance_loads();
     fake_engine& engine = at(vm);
     engine.dead = false;
     engine.paused = false;
     engine.listed = true;
     ++engine.reboots;
-    let_go(engine);
+    leave_replica(engine);
     engine.model.clear();
     engine.bytes_to_load = 0;
     engine.running = 0;
     engine.highest_fencing = 0;
-    engine.waiting.clear();
+    engine.queued_commands.clear();
 }
 
 void fake_engines::pause(const std::string& vm)
 {
-    settle();
+    advance_loads();
     at(vm).paused = true;
 }
 
 void fake_engines::resume(const std::string& vm)
 {
-    settle();
+    advance_loads();
     fake_engine& engine = at(vm);
     engine.paused = false;
-    for (const schema::engine_order& order : std::exchange(engine.waiting, {})) {
-        obey(engine, order);
+    for (const schema::engine_order& command : std::exchange(engine.queued_commands, {})) {
+        execute(engine, command);
     }
 }
 
-void fake_engines::deliver(const std::string& vm, const schema::engine_order& order)
+void fake_engines::deliver(const std::string& vm, const schema::engine_order& command)
 {
-    settle();
+    advance_loads();
     fake_engine& engine = at(vm);
     if (engine.paused) {
-        engine.waiting.push_back(order);
+        engine.queued_commands.push_back(command);
     }
     else if (!engine.dead) {
-        obey(engine, order);
+        execute(engine, command);
     }
 }
 
-schema::engine_order_reply fake_engines::obey(fake_engine& engine,
-                                              const schema::engine_order& order)
+schema::engine_order_reply fake_engines::execute(fake_engine& engine,
+                                                 const schema::engine_order& command)
 {
     schema::engine_order_reply reply;
     reply.set_accepted(true);
-    const bool is_copy = order.order_id() == engine.order_id;
-    if (engine.checks_fencing && order.fencing() < engine.highest_fencing) {
+    const bool is_copy = command.order_id() == engine.command_id;
+    if (engine.checks_fencing && command.fencing() < engine.highest_fencing) {
         reply.set_accepted(false);
         reply.set_reason("an old fencing number");
     }
     else if (!is_copy) {
-        engine.order_id = order.order_id();
-        engine.highest_fencing = std::max(engine.highest_fencing, order.fencing());
-        ++engine.orders_obeyed;
-        if (order.kind() == schema::order_join) {
-            if (engine.model != order.model()) {
-                engine.model = order.model();
-                engine.bytes_to_load = static_cast<double>(order.bytes());
+        engine.command_id = command.order_id();
+        engine.highest_fencing = std::max(engine.highest_fencing, command.fencing());
+        ++engine.executed_commands;
+        if (command.kind() == schema::order_join) {
+            if (engine.model != command.model()) {
+                engine.model = command.model();
+                engine.bytes_to_load = static_cast<double>(command.bytes());
             }
-            engine.replica_id = order.replica_id();
-            engine.fencing = order.fencing();
-            engine.leave_wanted = false;
-            engine.adapters.assign(order.adapters().begin(), order.adapters().end());
+            engine.replica_id = command.replica_id();
+            engine.fencing = command.fencing();
+            engine.leave_pending = false;
+            engine.adapters.assign(command.adapters().begin(), command.adapters().end());
         }
-        else if (order.kind() == schema::order_leave) {
-            engine.leave_wanted = engine.replica_id != 0;
+        else if (command.kind() == schema::order_leave) {
+            engine.leave_pending = engine.replica_id != 0;
         }
-        else if (order.kind() == schema::order_load_adapter) {
-            engine.adapters.push_back(order.adapter());
+        else if (command.kind() == schema::order_load_adapter) {
+            engine.adapters.push_back(command.adapter());
         }
     }
-    settle();
+    advance_loads();
     *reply.mutable_report() = report_of(engine.entry.vm());
     return reply;
 }
@@ -182,7 +182,7 @@
     report.set_incarnation(vm + "-" + std::to_string(engine.reboots));
     report.set_replica_id(engine.replica_id);
     report.set_fencing(engine.fencing);
-    report.set_order_id(engine.order_id);
+    report.set_order_id(engine.command_id);
     report.set_model(engine.bytes_to_load > 0 ? std::string() : engine.model);
     for (const std::string& adapter : engine.adapters) {
         report.add_adapters(adapter);
@@ -199,30 +199,30 @@
 boost::asio::awaitable<external_result<schema::engine_report>>
 fake_engines::report(std::string vm, duration timeout)
 {
-    settle();
+    advance_loads();
     const auto found = engines_.find(vm);
-    if (found == engines_.end() || silent(found->second)) {
+    if (found == engines_.end() || is_silent(found->second)) {
         co_await sleep_for(timeout);
         co_return external_failure{external_error::unclear, "no answer"};
     }
     co_await sleep_for(1ms);
-    settle();
+    advance_loads();
     co_return report_of(vm);
 }
 
 boost::asio::awaitable<external_result<schema::engine_order_reply>>
-fake_engines::order(std::string vm, schema::engine_order order, duration timeout)
+fake_engines::order(std::string vm, schema::engine_order command, duration timeout)
 {
-    settle();
+    advance_loads();
     fake_engine& engine = at(vm);
-    const duration delay = engine.order_delay;
+    const duration delay = engine.command_delay;
     co_await sleep_for(std::max(delay, duration(1ms)));
-    if (silent(engine) || delay > timeout) {
-        deliver(vm, order);
+    if (is_silent(engine) || delay > timeout) {
+        deliver(vm, command);
         co_return external_failure{external_error::unclear, "no answer"};
     }
-    settle();
-    co_return obey(engine, order);
+    advance_loads();
+    co_return execute(engine, command);
 }
 
 engine_client fake_engines::client()
--- a/test/support/replica_fleet.cpp
+++ b/test/support/replica_fleet.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements the keepers over one journal and fake engines.
+ * Implements replica_fleet.
  */
 #include "support/replica_fleet.h"
 
@@ -10,9 +10,9 @@
 
 namespace {
 
-constexpr double accelerators_per_vm = 2;
-constexpr duration heard_slack = 300ms;
-constexpr std::size_t most_complaints = 20;
+constexpr double accelerators_per_vm = 2; // The default of fake_engines::add().
+constexpr duration propagation_slack = 300ms;
+constexpr std::size_t max_violations = 20;
 
 vm_role role_of(const std::string& pool)
 {
@@ -66,14 +66,14 @@
     }
     for (auto& each : controls_) {
         boost::asio::co_spawn(context, each->watcher->run(), boost::asio::detached);
-        boost::asio::co_spawn(context, each->keeper->run(), boost::asio::detached);
+        boost::asio::co_spawn(context, each->reconciler->run(), boost::asio::detached);
     }
 }
 
-std::vector<std::string> replica_fleet::alive_for(const control& asking) const
+std::vector<std::string> replica_fleet::members_seen_by(const control& viewer) const
 {
-    if (asking.alone) {
-        return {asking.name};
+    if (viewer.sees_only_itself) {
+        return {viewer.name};
     }
     std::vector<std::string> names;
     for (const auto& each : controls_) {
@@ -85,14 +85,14 @@
 void replica_fleet::add_control(const std::string& name)
 {
     controls_.push_back(std::make_unique<control>());
-    control& made = *controls_.back();
-    made.name = name;
-    made.table = std::make_unique<report_table>(name, options_.keeper.repair.bounds, role_of);
-    vm_watcher_hooks watching;
-    watching.vm_list = engines.vm_list();
-    watching.engine = engines.client();
-    watching.alive_members = [this, &made] { return alive_for(made); };
-    watching.pull_reports =
+    control& added = *controls_.back();
+    added.name = name;
+    added.table = std::make_unique<report_table>(name, options_.reconciler.repair.bounds, role_of);
+    vm_watcher_hooks watcher_hooks;
+    watcher_hooks.vm_list = engines.vm_list();
+    watcher_hooks.engine = engines.client();
+    watcher_hooks.alive_members = [this, &added] { return members_seen_by(added); };
+    watcher_hooks.pull_reports =
         [this](std::string peer, schema::report_request request,
                duration) -> boost::asio::awaitable<std::optional<schema::report_batch>> {
         co_await sleep_for(2ms);
@@ -103,28 +103,32 @@
         }
         co_return std::nullopt;
     };
-    watching.on_change = [&made] {
-        if (made.keeper) {
-            made.keeper->wake();
+    watcher_hooks.on_change = [&added] {
+        if (added.reconciler) {
+            added.reconciler->wake();
         }
     };
-    made.watcher = std::make_unique<vm_watcher>(context.get_executor(), name, *made.table,
-                                                std::move(watching), options_.watcher);
-    replica_keeper_hooks keeping;
-    keeping.engine = engines.client();
-    keeping.state = [this] { return state_; };
-    keeping.alive_members = [this, &made] { return alive_for(made); };
-    keeping.can_act = [&made] { return !made.held && made.watcher->has_list(); };
-    keeping.attend = [&made](std::set<std::string> vms) { made.watcher->attend(std::move(vms)); };
-    keeping.propose = [this](schema::journal_record change,
-                             duration) -> boost::asio::awaitable<std::optional<record_outcome>> {
+    added.watcher = std::make_unique<vm_watcher>(context.get_executor(), name, *added.table,
+                                                 std::move(watcher_hooks), options_.watcher);
+    replica_reconciler_hooks reconciler_hooks;
+    reconciler_hooks.engine = engines.client();
+    reconciler_hooks.state = [this] { return state_; };
+    reconciler_hooks.alive_members = [this, &added] { return members_seen_by(added); };
+    reconciler_hooks.can_act = [&added] { return !added.blocked && added.watcher->has_list(); };
+    reconciler_hooks.prioritize_vms = [&added](std::set<std::string> vms) {
+        added.watcher->prioritize(std::move(vms));
+    };
+    reconciler_hooks.propose =
+        [this](schema::journal_record change,
+               duration) -> boost::asio::awaitable<std::optional<record_outcome>> {
         co_await sleep_for(options_.append_latency / 2);
         const record_outcome outcome = append(std::move(change));
         co_await sleep_for(options_.append_latency / 2);
         co_return outcome;
     };
-    made.keeper = std::make_unique<replica_keeper>(context.get_executor(), name, *made.table,
-                                                   std::move(keeping), options_.keeper);
+    added.reconciler =
+        std::make_unique<replica_reconciler>(context.get_executor(), name, *added.table,
+                                             std::move(reconciler_hooks), options_.reconciler);
 }
 
 record_outcome replica_fleet::append(schema::journal_record record)
@@ -144,7 +148,7 @@
     *record.mutable_configuration()->mutable_configuration() = configuration;
     const record_outcome outcome = append(std::move(record));
     if (!outcome.accepted()) {
-        broken_.push_back("the configuration is void: " + outcome.reason);
+        violations_.push_back("the configuration was rejected: " + outcome.reason);
     }
 }
 
@@ -153,23 +157,24 @@
     const time_point end = monotonic_clock::now() + span;
     while (monotonic_clock::now() < end) {
         clock.advance(options_.check_interval, options_.check_interval / 2);
-        note_truth();
+        record_membership();
         check_views();
         check_journal();
         measure(std::chrono::duration<double>(options_.check_interval).count());
     }
 }
 
-void replica_fleet::note_truth()
+void replica_fleet::record_membership()
 {
     for (const auto& [name, engine] : engines.all()) {
-        const bool holds = engine.replica_id != 0 && !engine.dead && !engine.paused &&
-                           engine.bytes_to_load <= 0 && engine.replica_id == engine.fencing;
-        if (engine.dead || engine.paused || last_silent_.count(name) == 0) {
-            last_silent_[name] = monotonic_clock::now();
+        const bool is_ready_member = engine.replica_id != 0 && !engine.dead && !engine.paused &&
+                                     engine.bytes_to_load <= 0 &&
+                                     engine.replica_id == engine.fencing;
+        if (engine.dead || engine.paused || last_silent_at_.count(name) == 0) {
+            last_silent_at_[name] = monotonic_clock::now();
         }
-        if (holds) {
-            last_true_[name][engine.replica_id] = monotonic_clock::now();
+        if (is_ready_member) {
+            last_member_at_[name][engine.replica_id] = monotonic_clock::now();
         }
     }
 }
@@ -177,25 +182,25 @@
 void replica_fleet::check_views()
 {
     const time_point now = monotonic_clock::now();
-    const duration freshness = options_.keeper.repair.bounds.report_freshness + 20ms;
-    // An engine that answers is heard by all within a question, a pull and their steps.
-    const duration hearing =
-        options_.watcher.watch_interval + options_.watcher.pull_interval + heard_slack;
-    for (std::size_t i = 0; i < controls_.size() && broken_.size() < most_complaints; ++i) {
+    const duration freshness = options_.reconciler.repair.bounds.report_freshness + 20ms;
+    // All controls know an engine's answer after one poll, one pull and the steps between them.
+    const duration propagation_time =
+        options_.watcher.watch_interval + options_.watcher.pull_interval + propagation_slack;
+    for (std::size_t i = 0; i < controls_.size() && violations_.size() < max_violations; ++i) {
         const schema::routing_view whole = view(i);
         for (const schema::replica_view& shown : whole.replicas()) {
             if (!shown.serving()) {
                 continue;
             }
             for (const schema::member_view& member : shown.members()) {
-                const auto& truths = last_true_[member.vm()];
-                const auto truth = truths.find(shown.replica_id());
-                const bool answers = now - last_silent_[member.vm()] > hearing;
-                const duration allowed = answers ? hearing : freshness;
-                if (truth == truths.end() || now - truth->second > allowed) {
-                    broken_.push_back("control " + std::to_string(i) + " serves replica " +
-                                      std::to_string(shown.replica_id()) + " without " +
-                                      member.vm());
+                const auto& memberships = last_member_at_[member.vm()];
+                const auto membership = memberships.find(shown.replica_id());
+                const bool answers = now - last_silent_at_[member.vm()] > propagation_time;
+                const duration allowed = answers ? propagation_time : freshness;
+                if (membership == memberships.end() || now - membership->second > allowed) {
+                    violations_.push_back("control " + std::to_string(i) + " serves replica " +
+                                          std::to_string(shown.replica_id()) + " without " +
+                                          member.vm());
                 }
             }
         }
@@ -208,7 +213,7 @@
     for (const auto& [id, subject] : state_->replicas()) {
         for (const replica_vm& member : subject.members) {
             if (!member.released && !holders.emplace(member.vm, id).second) {
-                broken_.push_back(member.vm + " belongs to two replicas");
+                violations_.push_back(member.vm + " belongs to two replicas");
             }
         }
     }
@@ -218,51 +223,51 @@
 {
     const schema::routing_view shown = view(0);
     std::map<std::string, std::size_t> complete;
-    std::set<std::string> working;
+    std::set<std::string> working_vms;
     for (const schema::replica_view& each : shown.replicas()) {
         if (each.serving()) {
             ++complete[each.team()];
             for (const schema::member_view& member : each.members()) {
-                working.insert(member.vm());
+                working_vms.insert(member.vm());
             }
         }
     }
-    double missing = 0;
+    double missing_replicas = 0;
     double usable_accelerators = 0;
     for (const auto& [name, team] : state_->teams()) {
         const std::size_t wanted = team.parameters.replicas();
-        const auto lacking = static_cast<double>(wanted - std::min(wanted, complete[name]));
-        missing += lacking;
-        valued_downtime_ += seconds * lacking * (1.0 + team.parameters.priority());
-        usable_accelerators += lacking * team.parameters.vms_per_replica() * accelerators_per_vm;
+        const auto missing = static_cast<double>(wanted - std::min(wanted, complete[name]));
+        missing_replicas += missing;
+        weighted_downtime_ += seconds * missing * (1.0 + team.parameters.priority());
+        usable_accelerators += missing * team.parameters.vms_per_replica() * accelerators_per_vm;
     }
     double idle_accelerators = 0;
     for (const auto& [name, engine] : engines.all()) {
-        const bool idle = !engine.dead && !engine.paused && working.count(name) == 0;
+        const bool idle = !engine.dead && !engine.paused && working_vms.count(name) == 0;
         idle_accelerators += idle ? engine.entry.accelerators() : 0;
     }
-    group_downtime_ += seconds * missing;
-    stranded_seconds_ += seconds * std::min(idle_accelerators, usable_accelerators);
+    group_downtime_ += seconds * missing_replicas;
+    stranded_accelerator_seconds_ += seconds * std::min(idle_accelerators, usable_accelerators);
 }
 
-void replica_fleet::forget_measures()
+void replica_fleet::reset_measurements()
 {
     group_downtime_ = 0;
-    valued_downtime_ = 0;
-    stranded_seconds_ = 0;
+    weighted_downtime_ = 0;
+    stranded_accelerator_seconds_ = 0;
 }
 
-const fleet_knowledge& replica_fleet::knowledge(std::size_t index) const
+const observed_fleet& replica_fleet::observed(std::size_t index) const
 {
-    return controls_.at(index)->table->knowledge();
+    return controls_.at(index)->table->fleet();
 }
 
 schema::routing_view replica_fleet::view(std::size_t index) const
 {
     view_context shown;
     shown.control = controls_.at(index)->name;
-    shown.bounds = options_.keeper.repair.bounds;
-    return build_view(*state_, knowledge(index), shown, monotonic_clock::now());
+    shown.bounds = options_.reconciler.repair.bounds;
+    return build_view(*state_, observed(index), shown, monotonic_clock::now());
 }
 
 std::size_t replica_fleet::serving(const std::string& team, std::size_t index) const
--- a/test/support/replica_fleet.h
+++ b/test/support/replica_fleet.h
@@ -1,6 +1,6 @@
 /** \file
- * Defines replica_fleet, several replica keepers over one journal and fake engines, for tests under
- * the manual clock.
+ * Defines replica_fleet, several controls with one journal and fake engines, for tests that use the
+ * manual clock.
  */
 #pragma once
 
@@ -10,14 +10,14 @@
 #include <string>
 #include <vector>
 
-#include "replicas/replica_keeper.h"
+#include "replicas/replica_reconciler.h"
 #include "replicas/view_builder.h"
 #include "replicas/vm_watcher.h"
 #include "support/fake_engines.h"
 
 namespace chervildyke::test {
 
-/** What one team of a test configuration asks for. */
+/** The parameters of one team of a test configuration. */
 struct team_setup {
     std::string name;
     std::uint32_t replicas = 1;
@@ -26,7 +26,9 @@
     std::string model = "oak-large";
 };
 
-/** \return a configuration with one model of the given size for each model named. */
+/** \param bytes_per_vm the size of each model that the teams name.
+ * \return a configuration with these teams and their models.
+ */
 schema::fleet_configuration make_configuration(const std::vector<team_setup>& teams,
                                                std::uint64_t bytes_per_vm,
                                                std::uint64_t store_bytes_per_second);
@@ -34,14 +36,14 @@
 struct replica_fleet_options {
     std::size_t controls = 3;
     double store_bytes_per_second = 1e9;
-    replica_keeper_options keeper;
+    replica_reconciler_options reconciler;
     vm_watcher_options watcher;
     duration append_latency = 20ms;
     duration check_interval = 10ms; // Between two checks of the invariants.
 };
 
-/** The keepers of several controls. The journal is one value that each append changes; a control
- * may be held back or made to believe that it is alone.
+/** The watchers and reconcilers of several controls. All controls use the same journal state, which
+ * each append replaces at once.
  */
 class replica_fleet {
   public:
@@ -50,41 +52,45 @@
     /** Appends a configuration to the journal. */
     void publish(const schema::fleet_configuration& configuration);
 
-    /** Moves time on and checks the invariants at each interval. */
+    /** Advances the clock and checks the invariants at each check interval. */
     void advance(duration span);
 
     /** Starts the controls; engines must have been added. */
     void start();
 
     const fleet_state& journal() const { return *state_; }
-    replica_keeper& keeper(std::size_t index) { return *controls_.at(index)->keeper; }
-    const fleet_knowledge& knowledge(std::size_t index) const;
+    replica_reconciler& reconciler(std::size_t index) { return *controls_.at(index)->reconciler; }
+
+    /** \return what a control has observed. */
+    const observed_fleet& observed(std::size_t index) const;
+    /** \return the routing view that a control builds. */
     schema::routing_view view(std::size_t index) const;
 
-    /** How many replicas of the team a control's view shows as serving. */
+    /** \return how many replicas of the team are serving in a control's view. */
     std::size_t serving(const std::string& team, std::size_t index = 0) const;
 
     /** Makes a control act as if no other were alive. */
-    void believe_alone(std::size_t index) { controls_.at(index)->alone = true; }
+    void see_only_itself(std::size_t index) { controls_.at(index)->sees_only_itself = true; }
 
-    /** Keeps a control from acting, as if it were cut off from the log. */
-    void hold_back(std::size_t index, bool held) { controls_.at(index)->held = held; }
+    /** Stops a control from acting, or lets it act again, as if it were cut off from the log. */
+    void set_blocked(std::size_t index, bool blocked) { controls_.at(index)->blocked = blocked; }
 
-    /** What the invariants found broken so far; empty when they held. */
-    const std::vector<std::string>& broken_invariants() const { return broken_; }
+    /** \return descriptions of the invariant violations so far. */
+    const std::vector<std::string>& invariant_violations() const { return violations_; }
 
-    /** Seconds in which wanted replicas did not serve, by control 0's view. */
+    /** \return the seconds of downtime, summed over the wanted replicas, by control 0's view. */
     double group_downtime() const { return group_downtime_; }
 
-    /** As group_downtime, each second counted by one plus the team's priority. */
-    double valued_downtime() const { return valued_downtime_; }
+    /** \return as group_downtime(), with each second multiplied by one plus the team's priority. */
+    double weighted_downtime() const { return weighted_downtime_; }
 
-    /** Accelerator-seconds of engines that answered but stood idle while a wanted replica that
-     * could have used them did not serve.
+    /** \return the accelerator-seconds of engines that answered but were idle while a wanted
+     * replica that could have used them did not serve.
      */
-    double stranded_seconds() const { return stranded_seconds_; }
+    double stranded_accelerator_seconds() const { return stranded_accelerator_seconds_; }
 
-    void forget_measures();
+    /** Sets the downtimes and accelerator-seconds to zero. */
+    void reset_measurements();
 
     boost::asio::io_context context;
     manual_clock clock;
@@ -93,18 +99,22 @@
   private:
     struct control {
         std::string name;
-        bool alone = false;
-        bool held = false;
+        bool sees_only_itself = false;
+        bool blocked = false;
         std::unique_ptr<report_table> table;
         std::unique_ptr<vm_watcher> watcher;
-        std::unique_ptr<replica_keeper> keeper;
+        std::unique_ptr<replica_reconciler> reconciler;
     };
 
     void add_control(const std::string& name);
     record_outcome append(schema::journal_record record);
-    std::vector<std::string> alive_for(const control& asking) const;
-    void note_truth();
+    std::vector<std::string> members_seen_by(const control& viewer) const;
+    void record_membership();
+    /** A replica must not be serving in a view when a member is no longer ready in it. The time
+     * that reports need is allowed for.
+     */
     void check_views();
+    /** A VM must not be held by two replicas. */
     void check_journal();
     void measure(double seconds);
 
@@ -112,12 +122,13 @@
     std::shared_ptr<const fleet_state> state_;
     log_offset next_offset_ = 1;
     std::vector<std::unique_ptr<control>> controls_;
-    std::map<std::string, std::map<std::uint64_t, time_point>> last_true_; // VM, replica, time.
-    std::map<std::string, time_point> last_silent_; // When the VM last did not answer.
-    std::vector<std::string> broken_;
+    std::map<std::string, std::map<std::uint64_t, time_point>>
+        last_member_at_; // By VM and replica: when the engine was last a ready member.
+    std::map<std::string, time_point> last_silent_at_; // When the VM last did not answer.
+    std::vector<std::string> violations_;
     double group_downtime_ = 0;
-    double valued_downtime_ = 0;
-    double stranded_seconds_ = 0;
+    double weighted_downtime_ = 0;
+    double stranded_accelerator_seconds_ = 0;
 };
 
 } // namespace chervildyke::test
--- a/test/support/fake_engine.h
+++ b/test/support/scripted_engine.h
@@ -1,5 +1,6 @@
 /** \file
- * Defines fake_engine, a scripted model engine on a real socket, and an entry in front of it.
+ * Defines scripted_engine, a model engine with scripted answers on a real socket, and
+ * entry_under_test, an entry that sends calls to it.
  */
 #pragma once
 
@@ -21,11 +22,11 @@
 
 namespace asio = boost::asio;
 
-/** Answers /generate by a script and keeps what it was sent. */
-struct fake_engine {
+/** Answers /generate by a script and records the calls and cancellations that it receives. */
+struct scripted_engine {
     using script = std::function<asio::awaitable<void>(http_exchange&, schema::engine_call)>;
 
-    explicit fake_engine(asio::io_context& context)
+    explicit scripted_engine(asio::io_context& context)
         : server(context.get_executor(),
                  [this](http_exchange& exchange) { return serve(exchange); })
     {
@@ -62,6 +63,7 @@
     http_server server;
 };
 
+/** \return one chunk as a server-sent event. */
 inline std::string chunk_event(const std::string& attempt, std::uint32_t sequence,
                                const std::string& text, bool last)
 {
@@ -75,8 +77,10 @@
     return "data: " + to_json(chunk) + "\n\n";
 }
 
-/** Streams the words t0 t1 ... from the call's first wanted one to the end; stops after
- * break_after chunks, without a terminal chunk, when that is not negative.
+/** Streams the words t0 t1 ... from the first one that the call has not received.
+ * \param words how many words the whole answer has.
+ * \param break_after the number of chunks after which the connection is aborted, without a last
+ * chunk; negative to stream to the end.
  */
 inline asio::awaitable<void> stream_words(http_exchange& exchange, schema::engine_call call,
                                           std::uint32_t words, int break_after = -1)
@@ -100,6 +104,7 @@
     co_await exchange.end_stream();
 }
 
+/** Refuses a call as busy, marked as not run. */
 inline asio::awaitable<void> refuse(http_exchange& exchange)
 {
     schema::refusal refusal;
@@ -111,6 +116,7 @@
     co_await exchange.respond(reply);
 }
 
+/** \return the text of the first words that stream_words() sends. */
 inline std::string words_up_to(std::uint32_t words)
 {
     std::string text;
@@ -120,7 +126,7 @@
     return text;
 }
 
-/** A view of the team "desk" with one replica for each address. */
+/** \return a view with the team "desk" and one serving replica for each engine address. */
 inline schema::routing_view view_of(const std::vector<std::string>& engines)
 {
     schema::routing_view view;
@@ -145,7 +151,7 @@
     return view;
 }
 
-/** An entry on a free port, with one client. */
+/** An entry on a free port and a client of it. */
 struct entry_under_test {
     explicit entry_under_test(asio::io_context& on, std::uint32_t max_body_bytes = 0)
         : context(on), client(on.get_executor())
@@ -180,7 +186,7 @@
         return request;
     }
 
-    /** Runs one task to its end. */
+    /** Runs a task until it ends, for at most 30 s. */
     void run(const std::function<asio::awaitable<void>()>& task)
     {
         asio::co_spawn(context, task(), [this](const std::exception_ptr& thrown) {
@@ -193,7 +199,7 @@
         context.run_for(30s);
     }
 
-    /** Makes one call. */
+    /** \return the reply to one call; without a reply its status is 0 and its body the reason. */
     http_reply call(const http_request& request, http_call_options options = {})
     {
         http_reply answer;
