--- a/src/replicas/command_sender.cpp
+++ b/src/replicas/command_sender.cpp
@@ -18,7 +18,7 @@
 
 const part_log sender_log("engine-orders");
 
-/** A command that is no longer due is forgotten so long after it could have been sent_count again.
+/** A command that is no longer due is forgotten so long after it could have been sent again.
  */
 constexpr duration sent_command_retention = 600s;
 
@@ -61,7 +61,7 @@
     {
     }
 
-    /** A command that was sent_count at least once. It is kept while it is due and for some time
+    /** A command that was sent at least once. It is kept while it is due and for some time
      * after.
      */
     struct sent_command {
