--- a/src/control/control_components.cpp
+++ b/src/control/control_components.cpp
@@ -214,13 +214,15 @@
     return hooks;
 }
 
-replica_keeper_hooks control_node::components::make_reconciler_hooks()
+replica_reconciler_hooks control_node::components::make_reconciler_hooks()
 {
-    replica_keeper_hooks hooks;
+    replica_reconciler_hooks hooks;
     hooks.state = [this] { return journal.state(); };
     hooks.alive_members = [this] { return members.alive_members(); };
     hooks.can_act = [this] { return can_act(); };
-    hooks.attend = [this](std::set<std::string> vms) { watcher.attend(std::move(vms)); };
+    hooks.prioritize_vms = [this](std::set<std::string> vms) {
+        watcher.prioritize(std::move(vms));
+    };
     hooks.propose = [this](schema::journal_record change,
                            duration timeout) -> asio::awaitable<std::optional<record_outcome>> {
         auto proposal = co_await journal.propose(std::move(change), timeout);
@@ -337,10 +339,10 @@
 {
     std::size_t expected = 0;
     std::size_t missing = 0;
-    for (const auto& [name, vm] : reports.knowledge().vms) {
+    for (const auto& [name, vm] : reports.fleet().vms) {
         const bool is_expected = vm.role == vm_role::engine && vm.presence != vm_presence::gone;
         expected += is_expected ? 1U : 0U;
-        missing += is_expected && !vm.heard_at ? 1U : 0U;
+        missing += is_expected && !vm.last_answer_at ? 1U : 0U;
     }
     if (missing * min_engines_per_missing_report <= expected) {
         reports_missing_since.reset();
@@ -376,8 +378,8 @@
     }
     for (const auto& [id, subject] : journal.state()->replicas()) {
         for (const replica_vm& member : subject.members) {
-            const vm_knowledge* vm = reports.knowledge().find(member.vm);
-            if (subject.live() && (vm == nullptr || !vm->heard_at)) {
+            const observed_vm* vm = reports.fleet().find(member.vm);
+            if (subject.live() && (vm == nullptr || !vm->last_answer_at)) {
                 return false;
             }
         }
@@ -388,7 +390,7 @@
 std::vector<schema::entry_view> control_node::components::known_entries() const
 {
     std::vector<schema::entry_view> entries;
-    for (const auto& [name, vm] : reports.knowledge().vms) {
+    for (const auto& [name, vm] : reports.fleet().vms) {
         if (vm.pool != settings.entry_pool() || vm.presence == vm_presence::gone) {
             continue;
         }
@@ -410,7 +412,7 @@
     context.ready = has_replica_reports();
     context.bounds = options.bounds;
     context.entries = known_entries();
-    return build_view(*journal.state(), reports.knowledge(), context, monotonic_clock::now());
+    return build_view(*journal.state(), reports.fleet(), context, monotonic_clock::now());
 }
 
 status_sources control_node::components::make_status_sources() const
--- a/src/control/control_components.h
+++ b/src/control/control_components.h
@@ -25,7 +25,7 @@
 #include "members/member_table.h"
 #include "members/prober.h"
 #include "orders/order_coordinator.h"
-#include "replicas/replica_keeper.h"
+#include "replicas/replica_reconciler.h"
 #include "replicas/report_table.h"
 #include "replicas/vm_watcher.h"
 #include "rpc/control_server.h"
@@ -53,7 +53,7 @@
     prober failure_detector;
     report_table reports;
     vm_watcher watcher;
-    replica_keeper reconciler;
+    replica_reconciler reconciler;
     order_coordinator coordinator;
     view_publisher publisher;
     control_server rpc_server;
@@ -71,7 +71,7 @@
     journal_hooks make_journal_hooks();
     prober_hooks make_prober_hooks();
     vm_watcher_hooks make_watcher_hooks();
-    replica_keeper_hooks make_reconciler_hooks();
+    replica_reconciler_hooks make_reconciler_hooks();
     order_coordinator_hooks make_coordinator_hooks();
     control_hooks make_rpc_hooks();
     control_http_hooks make_http_hooks();
--- a/src/control/control_options.cpp
+++ b/src/control/control_options.cpp
@@ -34,8 +34,8 @@
 
     options.reconciler.repair.bounds = options.bounds;
     options.reconciler.repair.engines_check_fencing = settings.engines_check_fencing();
-    options.reconciler.repair.order_quarantine =
-        from_ms(settings.order_quarantine_ms(), options.reconciler.repair.order_quarantine);
+    options.reconciler.repair.command_quarantine =
+        from_ms(settings.order_quarantine_ms(), options.reconciler.repair.command_quarantine);
 
     options.coordinator.self = options.self;
     options.coordinator.incarnation = incarnation;
--- a/src/control/node_status.cpp
+++ b/src/control/node_status.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-void write_vm_report(const vm_knowledge& vm, time_point now, schema::vm_report& report)
+void write_vm_report(const observed_vm& vm, time_point now, schema::vm_report& report)
 {
     using std::chrono::duration_cast;
     using std::chrono::milliseconds;
@@ -20,8 +20,8 @@
     report.set_watcher(vm.watcher);
     report.set_reachable(!vm.lost_since.has_value());
     report.set_leaving(vm.is_leaving());
-    if (vm.heard_at) {
-        const auto age = duration_cast<milliseconds>(now - *vm.heard_at);
+    if (vm.last_answer_at) {
+        const auto age = duration_cast<milliseconds>(now - *vm.last_answer_at);
         report.set_age_ms(static_cast<std::uint32_t>(age.count()));
     }
     if (vm.report) {
@@ -64,7 +64,7 @@
         write_replica(subject, *reply.add_replicas());
     }
     const time_point now = monotonic_clock::now();
-    for (const auto& [name, vm] : sources.reports->knowledge().vms) {
+    for (const auto& [name, vm] : sources.reports->fleet().vms) {
         write_vm_report(vm, now, *reply.add_reports());
     }
     return reply;
@@ -89,7 +89,7 @@
     write_gauge(out, "chervil_control_replicas_retiring", "Replicas that are let go.",
                 count_replicas_in_phase(state, schema::retiring));
     write_gauge(out, "chervil_control_known_vms", "VMs that the VM list showed.",
-                static_cast<double>(sources.reports->knowledge().vms.size()));
+                static_cast<double>(sources.reports->fleet().vms.size()));
     return out.str();
 }
 
