--- a/src/entry/api_error.cpp
+++ b/src/entry/api_error.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements the JSON form of errors.
+ * Implements the encoding of errors and the parsing of common headers.
  */
 #include "entry/api_error.h"
 
@@ -14,13 +14,13 @@
 
 constexpr std::int64_t max_deadline_ms = 3'600'000;
 
-std::optional<std::int64_t> read_number(std::string_view text)
+std::optional<std::int64_t> parse_integer(std::string_view text)
 {
     std::int64_t number = 0;
     const char* end = text.data() + text.size();
     const auto parsed = std::from_chars(text.data(), end, number);
-    const bool whole = parsed.ec == std::errc() && parsed.ptr == end;
-    return whole ? std::optional<std::int64_t>(number) : std::nullopt;
+    const bool is_complete = parsed.ec == std::errc() && parsed.ptr == end;
+    return is_complete ? std::optional<std::int64_t>(number) : std::nullopt;
 }
 
 std::string retry_after_seconds(duration span)
@@ -92,26 +92,26 @@
     return to_reply(error);
 }
 
-std::optional<duration> read_deadline(const http_request& request, duration fallback)
+std::optional<duration> read_call_timeout(const http_request& request, duration fallback)
 {
     const std::string_view text = request.header("X-Chervil-Deadline-Ms");
     if (text.empty()) {
         return fallback;
     }
-    const auto milliseconds = read_number(text);
+    const auto milliseconds = parse_integer(text);
     if (!milliseconds || *milliseconds < 1 || *milliseconds > max_deadline_ms) {
         return std::nullopt;
     }
     return std::chrono::milliseconds(*milliseconds);
 }
 
-std::optional<std::uint64_t> read_key_created(const http_request& request)
+std::optional<std::uint64_t> read_key_creation_time_ms(const http_request& request)
 {
     const std::string_view text = request.header("X-Chervil-Key-Created-Ms");
     if (text.empty()) {
         return 0;
     }
-    const auto milliseconds = read_number(text);
+    const auto milliseconds = parse_integer(text);
     if (!milliseconds || *milliseconds < 0) {
         return std::nullopt;
     }
--- a/src/entry/api_error.h
+++ b/src/entry/api_error.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines api_error, a refusal in the shape that OpenAI clients read.
+ * Defines api_error, an error in the format of the OpenAI API, and the parsing of common headers.
  */
 #pragma once
 
@@ -10,48 +10,51 @@
 #include "base/http_message.h"
 #include "base/http_server.h"
 #include "base/result.h"
-#include "entry/call_guard.h"
+#include "entry/at_most_once.h"
 
 namespace chervildyke {
 
-/** Why a call has no answer. */
+/** Why a call has no complete response. */
 struct api_error {
     unsigned status = 500;
     std::string message;
     std::string type = "invalid_request_error";
     std::string code;
     call_outcome outcome = call_outcome::not_run;
-    std::optional<duration> retry_after; // When the caller may come back.
+    std::optional<duration> retry_after; // When the caller may retry.
 
     bool operator==(const api_error&) const = default;
 };
 
-/** \return a 400 whose outcome is not_run. */
+/** \return an error with status 400 and outcome not_run. */
 api_error invalid_request(std::string message, std::string code = "invalid_request");
 
-/** \return a 503 whose outcome is not_run. */
+/** \return an error with status 503 and outcome not_run. */
 api_error unavailable(std::string message, std::string code, duration retry_after);
 
-/** \return the error as a JSON object {"error":{...}}, for a body or a stream's event. */
+/** \return the error as a JSON object {"error":{...}}, for a body or an event. */
 std::string to_json_text(const api_error& error);
 
+/** \return the HTTP reply that reports the error. */
 http_reply to_reply(const api_error& error);
 
-/** \return the reply to a request that could not be read. */
+/** \return the reply to a request that can't be read. */
 http_reply bad_request_reply(bad_request kind);
 
 /** Reads X-Chervil-Deadline-Ms.
- * \param fallback used when the header is missing.
- * \return the time that the caller allows; nothing when the header is no number in range.
+ * \param fallback the result if the header is missing.
+ * \return the time until the caller's deadline, or nothing if the header is no integer or out of
+ * range.
  */
-std::optional<duration> read_deadline(const http_request& request, duration fallback);
+std::optional<duration> read_call_timeout(const http_request& request, duration fallback);
 
-/** Reads X-Chervil-Key-Created-Ms, when the caller made its key.
- * \return zero when the header is missing; nothing when it is no number.
+/** Reads X-Chervil-Key-Created-Ms, the creation time of the idempotency key.
+ * \return milliseconds since 1970, zero if the header is missing, or nothing if it is no integer or
+ * negative.
  */
-std::optional<std::uint64_t> read_key_created(const http_request& request);
+std::optional<std::uint64_t> read_key_creation_time_ms(const http_request& request);
 
-/** A value beside the error that the caller is told. */
+/** A value, or the error that is returned to the caller. */
 template <typename Value>
 class [[nodiscard]] api_result {
   public:
--- a/src/entry/call_context.h
+++ b/src/entry/call_context.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines call_context, what all calls of one entry share.
+ * Defines call_context, the state that all calls of one entry share.
  */
 #pragma once
 
@@ -10,14 +10,14 @@
 #include "base/http_client.h"
 #include "base/metrics.h"
 #include "base/random.h"
-#include "entry/call_guard.h"
+#include "entry/at_most_once.h"
 #include "routing/admission.h"
 #include "routing/replica_router.h"
 #include "routing/retry_policy.h"
 
 namespace chervildyke {
 
-/** Shared by all calls; outlives each of them, also those that end with the process. */
+/** Shared by all calls. Outlives each of them, also those in progress when the process ends. */
 struct call_context : std::enable_shared_from_this<call_context> {
     boost::asio::any_io_executor executor;
     random_source random;
@@ -26,7 +26,7 @@
     std::shared_ptr<replica_router> router;
     std::shared_ptr<admission> admissions;
     retry_budget retries;
-    call_guard guard;
+    at_most_once_hooks at_most_once;
 };
 
 } // namespace chervildyke
--- a/src/entry/completion_call.h
+++ b/src/entry/completion_call.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines completion_call, one caller's completions call from admission to its outcome.
+ * Defines completion_call, which handles one completions call.
  */
 #pragma once
 
@@ -8,57 +8,60 @@
 
 #include <boost/asio/awaitable.hpp>
 
-#include "entry/answer_writer.h"
 #include "entry/call_context.h"
 #include "entry/completion_request.h"
-#include "entry/engine_run.h"
-#include "entry/view_follower.h"
+#include "entry/completion_writer.h"
+#include "entry/engine_call_runner.h"
+#include "entry/view_watcher.h"
 
 namespace chervildyke {
 
-/** Checks the call against the team, lets it in, runs it and tells the caller the outcome. Calls
- * that must not be repeated are claimed before and settled after.
+/** Validates a call, passes it through admission, runs it on model engines and responds to the
+ * caller. A call that runs at most once is claimed before it is sent and settled afterwards.
  */
 class completion_call {
   public:
     /** \param context outlives the call.
-     * \param body_digest names target and body, for calls that must not be repeated.
+     * \param body_digest a hash of the request's target and body, for calls that run at most once.
      */
-    completion_call(call_context& context, http_exchange& exchange, caller who,
+    completion_call(call_context& context, http_exchange& exchange, caller_info caller,
                     completion_request request, routing_view_ptr view, std::string body_digest);
 
-    /** Answers the caller. Ends early, with the engine told so, when the caller leaves a call that
-     * may be repeated; one that may not runs on to its settlement.
+    /** Handles the call to its end. If the caller disconnects, an idempotent call is cancelled,
+     * also at the engine; a call that runs at most once continues until it is settled.
      */
     boost::asio::awaitable<void> run();
 
   private:
-    std::optional<api_error> find_team();
-    boost::asio::awaitable<void> run_admitted();
-    boost::asio::awaitable<void> run_claimed();
-    boost::asio::awaitable<engine_run_result> run_on_engines();
-    boost::asio::awaitable<void> tell(engine_run_result result);
-    boost::asio::awaitable<void> repeat_settled(schema::order_settlement settlement);
-    admission_request admission_terms() const;
-    schema::engine_call engine_call_terms() const;
-    token_usage usage_of(const engine_run_result& result) const;
+    /** Validates the call and sets the members that depend on the team.
+     * \return the error with which the call is refused, if any.
+     */
+    std::optional<api_error> validate();
+    boost::asio::awaitable<void> admit_and_run();
+    boost::asio::awaitable<void> claim_and_run();
+    boost::asio::awaitable<engine_call_result> run_on_engines();
+    boost::asio::awaitable<void> respond(engine_call_result result);
+    boost::asio::awaitable<void> replay_settlement(schema::order_settlement settlement);
+    admission_request make_admission_request() const;
+    schema::engine_call make_engine_call() const;
+    token_usage usage_of(const engine_call_result& result) const;
     boost::asio::awaitable<void> fail(api_error error);
-    void count(call_outcome outcome);
+    void count_outcome(call_outcome outcome);
 
     call_context& context_;
     http_exchange& exchange_;
-    caller who_;
+    caller_info caller_;
     completion_request request_;
     routing_view_ptr view_;
     std::string body_digest_;
     const schema::team_view* team_ = nullptr;
     std::vector<std::uint64_t> prefixes_;
     time_point deadline_{};
-    answer_writer writer_;
+    completion_writer writer_;
     admission_ticket_ptr ticket_;
-    bool never_repeat_ = false;
-    bool within_share_ = true; // As admission saw it; engines then take the call first.
-    bool counted_ = false;
+    bool at_most_once_ = false;
+    bool within_share_ = true; // The admission result; raises the priority at engines.
+    bool outcome_counted_ = false;
 };
 
 } // namespace chervildyke
--- a/src/entry/engine_attempt.cpp
+++ b/src/entry/engine_attempt.cpp
@@ -19,8 +19,8 @@
 constexpr duration finish_timeout = 50ms;
 constexpr std::size_t max_refusal_bytes = 64U << 10U;
 
-/** Reads one chunk. Chunks come by the thousand, so this goes past protobuf's reflection. */
-bool read_chunk(const std::string& data, schema::engine_chunk& chunk)
+/** Parses one chunk, without the reflection of protobuf for speed: thousands of chunks arrive. */
+bool parse_chunk(const std::string& data, schema::engine_chunk& chunk)
 {
     const auto document = nlohmann::json::parse(data, nullptr, false);
     if (!document.is_object()) {
@@ -47,7 +47,7 @@
     return true;
 }
 
-std::optional<duration> read_retry_after(const std::string& text)
+std::optional<duration> parse_retry_after(const std::string& text)
 {
     std::int64_t seconds = 0;
     const auto parsed = std::from_chars(text.data(), text.data() + text.size(), seconds);
@@ -57,12 +57,12 @@
     return std::chrono::seconds(seconds);
 }
 
-attempt_step ended(attempt_state state, std::string reason)
+attempt_progress failed_progress(engine_attempt_state state, std::string reason)
 {
-    attempt_step step;
-    step.state = state;
-    step.reason = std::move(reason);
-    return step;
+    attempt_progress progress;
+    progress.state = state;
+    progress.reason = std::move(reason);
+    return progress;
 }
 
 } // namespace
@@ -74,28 +74,29 @@
 {
 }
 
-asio::awaitable<attempt_step> engine_attempt::open(duration timeout, bool fresh_connection)
+asio::awaitable<attempt_progress> engine_attempt::open(duration timeout, bool fresh_connection)
 {
     http_request request = json_post("/generate", call_);
     http_call_options options;
     options.timeout = timeout;
     options.fresh_connection = fresh_connection;
-    auto opened = co_await http_->open(address_, std::move(request), options);
-    if (!opened) {
-        const http_failure& why = opened.last_reason();
-        const attempt_state state = why.code == http_error::not_sent    ? attempt_state::not_sent
-                                    : why.code == http_error::timed_out ? attempt_state::stalled
-                                                                        : attempt_state::broken;
-        co_return ended(state, why.reason);
+    auto stream = co_await http_->open(address_, std::move(request), options);
+    if (!stream) {
+        const http_failure& error = stream.last_reason();
+        const engine_attempt_state state =
+            error.code == http_error::not_sent    ? engine_attempt_state::not_sent
+            : error.code == http_error::timed_out ? engine_attempt_state::stalled
+                                                  : engine_attempt_state::broken;
+        co_return failed_progress(state, error.reason);
     }
-    stream_ = std::move(*opened);
+    stream_ = std::move(*stream);
     if (stream_->status() != 200) {
         co_return co_await read_refusal(stream_->status(), timeout);
     }
-    co_return attempt_step();
+    co_return attempt_progress();
 }
 
-asio::awaitable<attempt_step> engine_attempt::read_refusal(unsigned status, duration timeout)
+asio::awaitable<attempt_progress> engine_attempt::read_refusal(unsigned status, duration timeout)
 {
     std::string body;
     while (body.size() < max_refusal_bytes) {
@@ -106,70 +107,72 @@
         body += *part;
     }
     schema::refusal refusal;
-    const bool ran_nothing = from_json(body, refusal) && refusal.not_run();
-    attempt_step step =
-        ended(ran_nothing ? attempt_state::refused : attempt_state::broken,
-              "HTTP " + std::to_string(status) + " " + refusal.code() + " " + refusal.reason());
-    step.retry_after = read_retry_after(stream_->header("retry-after"));
-    co_return step;
+    const bool not_run = from_json(body, refusal) && refusal.not_run();
+    attempt_progress progress = failed_progress(
+        not_run ? engine_attempt_state::refused : engine_attempt_state::broken,
+        "HTTP " + std::to_string(status) + " " + refusal.code() + " " + refusal.reason());
+    progress.retry_after = parse_retry_after(stream_->header("retry-after"));
+    co_return progress;
 }
 
-bool engine_attempt::take_event(const std::string& data, attempt_step& step)
+bool engine_attempt::process_event(const std::string& data, attempt_progress& progress)
 {
     schema::engine_chunk chunk;
-    if (!read_chunk(data, chunk)) {
-        step.state = attempt_state::broken;
-        step.reason = "a chunk that can't be read";
+    if (!parse_chunk(data, chunk)) {
+        progress.state = engine_attempt_state::broken;
+        progress.reason = "a chunk is not a JSON object";
         return false;
     }
     if (chunk.attempt_id() != call_.attempt_id() || chunk.sequence() < next_sequence_) {
-        ++dropped_;
+        ++dropped_chunks_;
         return true;
     }
     if (chunk.sequence() > next_sequence_) {
-        step.state = attempt_state::broken;
-        step.reason = "chunk " + std::to_string(next_sequence_) + " is missing";
+        progress.state = engine_attempt_state::broken;
+        progress.reason = "chunk " + std::to_string(next_sequence_) + " is missing";
         return false;
     }
     ++next_sequence_;
     const bool last = chunk.last();
-    step.chunks.push_back(std::move(chunk));
+    progress.chunks.push_back(std::move(chunk));
     if (last) {
-        step.state = attempt_state::complete;
+        progress.state = engine_attempt_state::complete;
     }
     return !last;
 }
 
-asio::awaitable<attempt_step> engine_attempt::next(duration timeout)
+asio::awaitable<attempt_progress> engine_attempt::next_chunks(duration timeout)
 {
-    attempt_step step;
-    while (step.chunks.empty()) {
+    attempt_progress progress;
+    while (progress.chunks.empty()) {
         auto part = co_await stream_->read_some(timeout);
         if (!part) {
-            const bool silent = part.last_reason().code == http_error::timed_out;
-            co_return ended(silent ? attempt_state::stalled : attempt_state::broken,
-                            part.last_reason().reason);
+            const bool is_timeout = part.last_reason().code == http_error::timed_out;
+            co_return failed_progress(is_timeout ? engine_attempt_state::stalled
+                                                 : engine_attempt_state::broken,
+                                      part.last_reason().reason);
         }
         if (part->empty()) {
-            co_return ended(attempt_state::broken, "the stream ended before its last chunk");
+            co_return failed_progress(engine_attempt_state::broken,
+                                      "the stream ended before its last chunk");
         }
         if (!parser_.feed(*part)) {
-            co_return ended(attempt_state::broken, "an event that is too long");
+            co_return failed_progress(engine_attempt_state::broken, "an event is too long");
         }
-        while (const auto data = parser_.next()) {
-            if (!take_event(*data, step)) {
-                co_return step;
+        while (const auto data = parser_.next_event()) {
+            if (!process_event(*data, progress)) {
+                co_return progress;
             }
         }
     }
-    co_return step;
+    co_return progress;
 }
 
 asio::awaitable<void> engine_attempt::finish()
 {
     if (stream_) {
-        // Whatever comes or fails, the attempt is over.
-        [[maybe_unused]] const auto rest = co_await stream_->read_some(finish_timeout);
+        // The attempt has ended, whatever this read returns.
+        [[maybe_unused]] const auto ignored = co_await stream_->read_some(finish_timeout);
     }
 }
 
@@ -181,8 +184,8 @@
     http_request request = json_post("/cancel", cancel);
     http_call_options options;
     options.timeout = cancel_timeout;
-    // A cancel that fails costs the engine work that nobody reads, nothing else.
-    [[maybe_unused]] const auto answer =
+    // If the request fails, the engine wastes work on an unread stream, with no other effect.
+    [[maybe_unused]] const auto ignored =
         co_await http->call(std::move(address), std::move(request), options);
 }
 
--- a/src/entry/addresses.cpp
+++ b/src/entry/entry_list.cpp
@@ -1,7 +1,7 @@
 /** \file
- * Implements the choice of entries for callers.
+ * Implements the list of entries for callers.
  */
-#include "entry/addresses.h"
+#include "entry/entry_list.h"
 
 #include <algorithm>
 #include <vector>
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::size_t max_entries = 8; // Enough to go on at the next ones for a while.
+constexpr std::size_t max_entries = 8; // Enough for several failovers of the caller.
 
 std::vector<schema::entry_load> usable_entries(const schema::routing_view* view,
                                                const schema::entry_load& own)
@@ -35,34 +35,36 @@
     return usable;
 }
 
-/** Takes the better of two random entries: another failure domain than the last, then less load. */
-schema::entry_load take_next(std::vector<schema::entry_load>& from, const std::string& last_domain,
-                             const random_source& random)
+/** Removes the better of two random entries and returns it: one in another failure domain than the
+ * last is better, then one with less load.
+ */
+schema::entry_load take_better_of_two(std::vector<schema::entry_load>& candidates,
+                                      const std::string& last_domain, const random_source& random)
 {
-    std::size_t best = random_below(random, from.size());
-    const std::size_t other = random_below(random, from.size());
+    std::size_t best = random_below(random, candidates.size());
+    const std::size_t other = random_below(random, candidates.size());
     const auto cost = [&](const schema::entry_load& entry) {
         return std::make_pair(entry.failure_domain() == last_domain, entry.calls_in_flight());
     };
-    if (cost(from[other]) < cost(from[best])) {
+    if (cost(candidates[other]) < cost(candidates[best])) {
         best = other;
     }
-    std::swap(from[best], from.back());
-    schema::entry_load taken = std::move(from.back());
-    from.pop_back();
+    std::swap(candidates[best], candidates.back());
+    schema::entry_load taken = std::move(candidates.back());
+    candidates.pop_back();
     return taken;
 }
 
 } // namespace
 
-std::string entries_document(const schema::routing_view* view, const schema::entry_load& own,
-                             duration validity, const random_source& random)
+std::string entry_list_json(const schema::routing_view* view, const schema::entry_load& own,
+                            duration validity, const random_source& random)
 {
     std::vector<schema::entry_load> usable = usable_entries(view, own);
     nlohmann::json entries = nlohmann::json::array();
     std::string last_domain;
     while (!usable.empty() && entries.size() < max_entries) {
-        const schema::entry_load taken = take_next(usable, last_domain, random);
+        const schema::entry_load taken = take_better_of_two(usable, last_domain, random);
         last_domain = taken.failure_domain();
         entries.push_back({{"address", taken.address()}, {"failure_domain", last_domain}});
     }
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -9,8 +9,8 @@
 
 #include "base/hash.h"
 #include "base/log.h"
-#include "entry/addresses.h"
 #include "entry/completion_call.h"
+#include "entry/entry_list.h"
 #include "external/http_external.h"
 #include "external/json_message.h"
 
@@ -26,9 +26,10 @@
 constexpr std::uint32_t default_address_validity_ms = 30'000;
 constexpr std::uint32_t default_report_freshness_ms = 3'000;
 constexpr std::uint32_t default_drain_timeout_ms = 120'000;
-constexpr duration leave_list_span = 500ms; // In which callers learn that this entry leaves.
-constexpr duration drain_poll = 20ms;
-constexpr std::size_t kept_connections = 64; // For each engine.
+// In which callers can read a list of entries without this one.
+constexpr duration drain_notice_period = 500ms;
+constexpr duration drain_poll_interval = 20ms;
+constexpr std::size_t max_idle_connections_per_engine = 64;
 const part_log log("entry");
 
 schema::entry_settings with_defaults(schema::entry_settings settings)
@@ -78,11 +79,11 @@
                                            const schema::entry_settings& settings,
                                            const random_source& random)
 {
-    auto made = std::make_shared<call_context>();
-    call_context& context = *made;
+    auto result = std::make_shared<call_context>();
+    call_context& context = *result;
     context.executor = executor;
     context.random = random;
-    context.http = std::make_shared<http_client>(executor, kept_connections);
+    context.http = std::make_shared<http_client>(executor, max_idle_connections_per_engine);
     context.metrics = std::make_shared<metrics_registry>();
     context.router = std::make_shared<replica_router>(settings.node().failure_domain(),
                                                       ms(settings.report_freshness_ms()), random);
@@ -90,22 +91,22 @@
     context.admissions = std::make_shared<admission>(executor, [router](const std::string& team) {
         return router->capacity(team, monotonic_clock::now());
     });
-    return made;
+    return result;
 }
 
-api_error unknown_key()
+api_error invalid_api_key()
 {
-    api_error error = invalid_request("the bearer key is not known", "invalid_api_key");
+    api_error error = invalid_request("the bearer key is unknown", "invalid_api_key");
     error.status = 401;
     return error;
 }
 
-api_error no_route(const http_request& request)
+api_error route_not_found(const http_request& request)
 {
-    const bool known = request.path().starts_with("/v1/") && request.method != "POST";
-    api_error error = invalid_request("there is nothing at " + std::string(request.path()),
-                                      known ? "method_not_allowed" : "not_found");
-    error.status = known ? 405 : 404;
+    const bool wrong_method = request.path().starts_with("/v1/") && request.method != "POST";
+    api_error error = invalid_request("there is no resource at " + std::string(request.path()),
+                                      wrong_method ? "method_not_allowed" : "not_found");
+    error.status = wrong_method ? 405 : 404;
     return error;
 }
 
@@ -122,26 +123,26 @@
                        const random_source& random)
     : executor_(executor), settings_(with_defaults(settings)), incarnation_(random_id(random)),
       address_(settings.node().address() + ":" + std::to_string(settings.http_port())),
-      context_(make_context(executor, settings_, random)), keys_(random),
-      link_(executor, control_addresses(settings_), incarnation_, [this] { return load(); }),
-      follower_(link_.watch(), link_.size(), random),
-      checks_(context_->router, http_engine_client(context_->http),
-              [this] { return view_is_stale(); }),
+      context_(make_context(executor, settings_, random)), authenticator_(random),
+      controls_(executor, control_addresses(settings_), incarnation_, [this] { return load(); }),
+      view_watcher_(controls_.make_watch_hook(), controls_.control_count(), random),
+      health_checker_(context_->router, http_engine_client(context_->http),
+                      [this] { return view_is_stale(); }),
       server_(
-          executor, [this](http_exchange& exchange) { return serve(exchange); },
+          executor, [this](http_exchange& exchange) { return handle_request(exchange); },
           limits_of(settings_), bad_request_reply)
 {
-    follower_.on_change = [this](const held_view& held) {
-        context_->router->use_view(held.view, held.arrived_at);
+    view_watcher_.on_change = [this](const received_view& current) {
+        context_->router->use_view(current.view, current.arrived_at);
         context_->admissions->capacity_changed();
     };
-    checks_.view = [this] { return follower_.held().view; };
-    add_gauges();
+    health_checker_.current_view = [this] { return view_watcher_.current().view; };
+    register_gauges();
 }
 
 entry_node::~entry_node() = default;
 
-void entry_node::add_gauges()
+void entry_node::register_gauges()
 {
     metrics_registry& metrics = *context_->metrics;
     metrics.gauge("chervil_calls_in_progress",
@@ -152,7 +153,7 @@
                   [this] { return static_cast<double>(server_.connections()); });
     metrics.gauge("chervil_retry_budget", [this] { return context_->retries.left(); });
     metrics.gauge("chervil_view_configuration_version", [this] {
-        const routing_view_ptr view = follower_.held().view;
+        const routing_view_ptr view = view_watcher_.current().view;
         return view ? static_cast<double>(view->configuration_version()) : 0.0;
     });
 }
@@ -163,8 +164,8 @@
     if (!server_.listen(settings_.node().address(), port)) {
         return false;
     }
-    asio::co_spawn(executor_, follower_.run(), asio::detached);
-    asio::co_spawn(executor_, checks_.run(), asio::detached);
+    asio::co_spawn(executor_, view_watcher_.run(), asio::detached);
+    asio::co_spawn(executor_, health_checker_.run(), asio::detached);
     log.info("listening on ", address_, " as ", settings_.node().vm());
     return true;
 }
@@ -174,14 +175,14 @@
     draining_ = true;
     log.info("draining, calls in progress: ", server_.requests_in_progress());
     const time_point end = monotonic_clock::now() + ms(settings_.drain_timeout_ms());
-    co_await sleep_for(leave_list_span);
+    co_await sleep_for(drain_notice_period);
     server_.stop_accepting();
     while (server_.requests_in_progress() > 0 && monotonic_clock::now() < end) {
-        co_await sleep_for(drain_poll);
+        co_await sleep_for(drain_poll_interval);
     }
-    const bool quiet = server_.requests_in_progress() == 0;
-    log.info(quiet ? "drained" : "the drain timeout passed");
-    co_return quiet;
+    const bool drained = server_.requests_in_progress() == 0;
+    log.info(drained ? "drained" : "drain timeout passed with calls in progress");
+    co_return drained;
 }
 
 schema::entry_load entry_node::load() const
@@ -200,34 +201,36 @@
     schema::entry_status now;
     now.set_incarnation(incarnation_);
     *now.mutable_load() = load();
-    const routing_view_ptr view = follower_.held().view;
+    const routing_view_ptr view = view_watcher_.current().view;
     now.set_configuration_version(view ? view->configuration_version() : 0);
     return now;
 }
 
 bool entry_node::ready() const
 {
-    return !draining_ && follower_.held().view != nullptr && follower_.held().view->ready();
+    return !draining_ && view_watcher_.current().view != nullptr &&
+           view_watcher_.current().view->ready();
 }
 
 bool entry_node::view_is_stale() const
 {
-    return follower_.age() > ms(settings_.report_freshness_ms()) / 2;
+    return view_watcher_.age() > ms(settings_.report_freshness_ms()) / 2;
 }
 
 http_reply entry_node::list_models(const http_request& request)
 {
-    const routing_view_ptr view = follower_.held().view;
+    const routing_view_ptr view = view_watcher_.current().view;
     if (!view) {
-        return to_reply(unavailable("the entry has no view yet", "not_ready", 1s));
+        return to_reply(
+            unavailable("the entry has not received a routing view yet", "not_ready", 1s));
     }
-    const auto who = keys_.identify(view, request.header("Authorization"));
-    if (!who) {
-        return to_reply(unknown_key());
+    const auto caller = authenticator_.authenticate(view, request.header("Authorization"));
+    if (!caller) {
+        return to_reply(invalid_api_key());
     }
     nlohmann::json models = nlohmann::json::array();
     for (const schema::team_view& team : view->teams()) {
-        if (who->may_call(team.name())) {
+        if (caller->may_call(team.name())) {
             models.push_back({{"id", team.name()},
                               {"object", "model"},
                               {"created", 0},
@@ -238,7 +241,7 @@
     return json_reply(document.dump());
 }
 
-http_reply entry_node::answer_get(const http_request& request)
+http_reply entry_node::handle_get(const http_request& request)
 {
     const std::string_view path = request.path();
     if (path == "/healthz") {
@@ -256,20 +259,20 @@
         return json_reply(to_json(status()));
     }
     if (path == "/v1/entries") {
-        return json_reply(entries_document(follower_.held().view.get(), load(),
-                                           ms(settings_.address_validity_ms()), context_->random));
+        return json_reply(entry_list_json(view_watcher_.current().view.get(), load(),
+                                          ms(settings_.address_validity_ms()), context_->random));
     }
     if (path == "/v1/models") {
         return list_models(request);
     }
-    return to_reply(no_route(request));
+    return to_reply(route_not_found(request));
 }
 
-asio::awaitable<void> entry_node::serve_completion(http_exchange& exchange, call_kind kind,
-                                                   caller who, routing_view_ptr view)
+asio::awaitable<void> entry_node::handle_completion(http_exchange& exchange, completion_kind kind,
+                                                    caller_info caller, routing_view_ptr view)
 {
     const http_request& request = exchange.request();
-    auto read = read_completion(kind, request);
+    auto read = parse_completion_request(kind, request);
     if (!read) {
         context_->metrics->counter("chervil_bad_requests_total") += 1;
         http_reply refusal = to_reply(read.error());
@@ -277,12 +280,12 @@
         co_return;
     }
     std::string digest = sha256_hex(request.target + "\n" + request.body);
-    completion_call call(*context_, exchange, std::move(who), std::move(*read), std::move(view),
+    completion_call call(*context_, exchange, std::move(caller), std::move(*read), std::move(view),
                          std::move(digest));
     co_await call.run();
 }
 
-asio::awaitable<void> entry_node::serve_call(http_exchange& exchange)
+asio::awaitable<void> entry_node::handle_post(http_exchange& exchange)
 {
     const http_request& request = exchange.request();
     const std::string_view path = request.path();
@@ -290,23 +293,26 @@
     const bool text = path == "/v1/completions";
     const bool service = path.starts_with("/v1/services/") && on_service_call != nullptr;
     http_reply refusal;
-    const routing_view_ptr view = follower_.held().view;
-    const auto who = view ? keys_.identify(view, request.header("Authorization")) : std::nullopt;
+    const routing_view_ptr view = view_watcher_.current().view;
+    const auto caller =
+        view ? authenticator_.authenticate(view, request.header("Authorization")) : std::nullopt;
     if (!chat && !text && !service) {
-        refusal = to_reply(no_route(request));
+        refusal = to_reply(route_not_found(request));
     }
     else if (!view) {
-        refusal = to_reply(unavailable("the entry has no view yet", "not_ready", 1s));
+        refusal =
+            to_reply(unavailable("the entry has not received a routing view yet", "not_ready", 1s));
     }
-    else if (!who) {
-        refusal = to_reply(unknown_key());
+    else if (!caller) {
+        refusal = to_reply(invalid_api_key());
     }
     else if (service) {
-        co_await on_service_call(exchange, *who, *view);
+        co_await on_service_call(exchange, *caller, *view);
         co_return;
     }
     else {
-        co_await serve_completion(exchange, chat ? call_kind::chat : call_kind::text, *who, view);
+        co_await handle_completion(exchange, chat ? completion_kind::chat : completion_kind::text,
+                                   *caller, view);
         co_return;
     }
     co_await exchange.respond(std::move(refusal));
@@ -316,26 +322,26 @@
 {
     const std::string& method = exchange.request().method;
     if (method == "POST") {
-        co_await serve_call(exchange);
+        co_await handle_post(exchange);
         co_return;
     }
-    http_reply reply =
-        method == "GET" ? answer_get(exchange.request()) : to_reply(no_route(exchange.request()));
+    http_reply reply = method == "GET" ? handle_get(exchange.request())
+                                       : to_reply(route_not_found(exchange.request()));
     co_await exchange.respond(std::move(reply));
 }
 
-asio::awaitable<void> entry_node::serve(http_exchange& exchange)
+asio::awaitable<void> entry_node::handle_request(http_exchange& exchange)
 {
-    std::string fault;
+    std::string failure;
     try {
         co_await route(exchange);
     }
     catch (const std::exception& error) {
-        fault = error.what();
+        failure = error.what();
     }
-    if (!fault.empty()) {
+    if (!failure.empty()) {
         context_->metrics->counter("chervil_internal_errors_total") += 1;
-        log.error("a call failed inside the entry: ", fault);
+        log.error("internal error while serving a call: ", failure);
         exchange.abort();
     }
 }
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -5,8 +5,8 @@
 
 #include "base/log.h"
 #include "base/program.h"
+#include "entry/call_hooks.h"
 #include "entry/entry_node.h"
-#include "entry/order_routes.h"
 
 using namespace chervildyke;
 
@@ -37,6 +37,6 @@
     start_log(settings.log().level(), settings.log().file());
     boost::asio::io_context context(1);
     entry_node node(context.get_executor(), settings, system_random());
-    serve_orders(node, context.get_executor(), settings);
+    set_call_hooks(node, context.get_executor(), settings);
     return run_main_task(context, [&node] { return serve_until_stopped(node); });
 }
--- a/src/entry/order_call.cpp
+++ b/src/entry/order_client.cpp
@@ -1,7 +1,7 @@
 /** \file
- * Implements claiming, the last check before sending, and settling until it is kept.
+ * Implements order_client.
  */
-#include "entry/order_call.h"
+#include "entry/order_client.h"
 
 #include <algorithm>
 #include <cctype>
@@ -22,13 +22,13 @@
 
 const part_log log("orders");
 
-constexpr duration settle_call_timeout = 2s;
-constexpr duration shortest_settle_pause = 50ms;
-constexpr duration longest_settle_pause = 5s;
+constexpr duration settle_rpc_timeout = 2s;
+constexpr duration min_settle_backoff = 50ms;
+constexpr duration max_settle_backoff = 5s;
 constexpr duration retry_after = 1s;
 constexpr std::size_t uuid_length = 36;
 constexpr std::size_t uuid_version_index = 14;
-constexpr std::size_t uuid_time_end = 13;
+constexpr std::size_t uuid_time_end = 13; // 48 bits as 12 digits and a dash.
 
 std::uint64_t to_ms(duration span)
 {
@@ -36,17 +36,18 @@
     return count > 0 ? static_cast<std::uint64_t>(count) : 0;
 }
 
-/** The time since the claim was made. A paused VM's monotonic clock may stand still, and the wall
- * clock may be set; the larger of the two spans is the safe one.
+/** Measures the time since a claim was made. The monotonic clock may stop while the VM is paused,
+ * and the wall clock may be adjusted, so the longer of the two times is used.
  */
 class claim_age {
   public:
     duration elapsed() const
     {
         const duration monotonic = monotonic_clock::now() - started_;
-        const std::uint64_t wall = wall_clock_ms();
-        const std::uint64_t passed = wall > wall_started_ms_ ? wall - wall_started_ms_ : 0;
-        return std::max<duration>(monotonic, std::chrono::milliseconds(passed));
+        const std::uint64_t wall_ms = wall_clock_ms();
+        const std::uint64_t wall_elapsed_ms =
+            wall_ms > wall_started_ms_ ? wall_ms - wall_started_ms_ : 0;
+        return std::max<duration>(monotonic, std::chrono::milliseconds(wall_elapsed_ms));
     }
 
   private:
@@ -67,7 +68,7 @@
     return schema::order_unknown;
 }
 
-claim_decision decide(schema::claim_result result, std::string reason)
+claim_decision make_decision(schema::claim_result result, std::string reason)
 {
     claim_decision decision;
     decision.result = result;
@@ -77,7 +78,7 @@
 
 } // namespace
 
-bool is_own_key(const call_identity& identity)
+bool has_generated_key(const call_identity& identity)
 {
     return identity.key.empty() || identity.key == identity.attempt_id;
 }
@@ -90,9 +91,9 @@
     std::string digits;
     for (std::size_t i = 0; i < key.size(); ++i) {
         const bool is_dash = i == 8 || i == 13 || i == 18 || i == 23;
-        const bool fits =
+        const bool is_valid =
             is_dash ? key[i] == '-' : std::isxdigit(static_cast<unsigned char>(key[i]));
-        if (!fits) {
+        if (!is_valid) {
             return 0;
         }
         if (!is_dash && i < uuid_time_end) {
@@ -102,7 +103,7 @@
     return std::stoull(digits, nullptr, 16);
 }
 
-api_error not_claimed(const claim_decision& decision)
+api_error not_claimed_error(const claim_decision& decision)
 {
     api_error error = unavailable(decision.reason, "not_claimed", retry_after);
     if (decision.result == schema::claim_other_body) {
@@ -122,7 +123,7 @@
     return error;
 }
 
-http_reply replay_of(const schema::order_settlement& settlement)
+http_reply replay_reply(const schema::order_settlement& settlement)
 {
     http_reply reply;
     if (settlement.outcome() == schema::order_complete) {
@@ -137,7 +138,7 @@
         reply.headers.push_back({"X-Chervil-Outcome", to_text(call_outcome::complete)});
     }
     else {
-        api_error error = unavailable("how the call with this key ended is not known",
+        api_error error = unavailable("the outcome of the call with this key is unknown",
                                       "outcome_unknown", retry_after);
         error.status = 502;
         error.outcome = call_outcome::unknown;
@@ -148,13 +149,14 @@
     return reply;
 }
 
-struct order_calls::state : std::enable_shared_from_this<order_calls::state> {
+struct order_client::state : std::enable_shared_from_this<order_client::state> {
     asio::any_io_executor executor;
-    order_call_settings settings;
-    order_call_hooks hooks;
-    std::size_t background = 0;
+    order_client_settings settings;
+    order_client_hooks hooks;
+    std::size_t background_settlement_count = 0;
 
-    schema::claim_request claim_terms(const call_identity& identity, duration left) const
+    schema::claim_request make_claim_request(const call_identity& identity,
+                                             duration time_left) const
     {
         schema::claim_request request;
         schema::order_claim& claim = *request.add_claims();
@@ -163,7 +165,7 @@
         claim.set_attempt_id(identity.attempt_id);
         claim.set_entry(settings.incarnation);
         claim.set_body_digest(identity.body_digest);
-        claim.set_valid_ms(to_ms(left + settings.settle_margin));
+        claim.set_valid_ms(to_ms(time_left + settings.settlement_margin));
         claim.set_key_created_ms(identity.key_created_ms != 0 ? identity.key_created_ms
                                                               : uuid_v7_time_ms(identity.key));
         return request;
@@ -172,45 +174,49 @@
     asio::awaitable<claim_decision> claim(call_identity identity)
     {
         const auto self = shared_from_this();
-        if (is_own_key(identity)) {
-            co_return decide(schema::claim_won, "");
+        if (has_generated_key(identity)) {
+            co_return make_decision(schema::claim_won, "");
         }
         const claim_age age;
-        const duration left = identity.deadline - monotonic_clock::now();
-        const duration timeout = std::min(left / 2, settings.claim_timeout);
+        const duration time_left = identity.deadline - monotonic_clock::now();
+        const duration timeout = std::min(time_left / 2, settings.claim_timeout);
         if (timeout < 1ms) {
-            co_return decide(schema::claim_refused, "the deadline is over");
+            co_return make_decision(schema::claim_refused,
+                                    "the deadline passed before the claim was sent");
         }
-        schema::claim_request request = claim_terms(identity, left);
+        schema::claim_request request = make_claim_request(identity, time_left);
         request.set_timeout_ms(to_ms(timeout));
         const auto reply = co_await hooks.claim(std::move(request), timeout);
-        claim_decision decision = decide(schema::claim_undecided, reply.last_reason().reason);
+        claim_decision decision =
+            make_decision(schema::claim_undecided, reply.last_reason().reason);
         if (reply && reply->verdicts_size() == 1) {
             const schema::claim_verdict& verdict = reply->verdicts(0);
-            decision = decide(verdict.result(), verdict.reason());
+            decision = make_decision(verdict.result(), verdict.reason());
             if (verdict.has_settlement()) {
                 decision.settlement = verdict.settlement();
             }
         }
-        if (decision.result == schema::claim_won && age.elapsed() >= left) {
-            decision = decide(schema::claim_undecided, "the deadline passed before the claim won");
+        if (decision.result == schema::claim_won && age.elapsed() >= time_left) {
+            decision = make_decision(schema::claim_undecided,
+                                     "the deadline passed before the claim was won");
         }
         if (decision.result == schema::claim_undecided) {
-            withdraw(identity);
+            release_claim(identity);
         }
         co_return decision;
     }
 
-    /** Settles an attempt that is never sent, without waiting. */
-    void withdraw(const call_identity& identity)
+    /** Settles an attempt that is never sent as not run, in the background. */
+    void release_claim(const call_identity& identity)
     {
-        asio::co_spawn(executor,
-                       settle_until_kept(settlement_of(identity, call_outcome::not_run), nullptr),
-                       asio::detached);
+        asio::co_spawn(
+            executor,
+            settle_with_retries(make_settlement(identity, call_outcome::not_run), nullptr),
+            asio::detached);
     }
 
-    schema::order_settlement settlement_of(const call_identity& identity,
-                                           call_outcome outcome) const
+    schema::order_settlement make_settlement(const call_identity& identity,
+                                             call_outcome outcome) const
     {
         schema::order_settlement settlement;
         settlement.set_tenant(identity.tenant);
@@ -224,54 +230,57 @@
                                  std::string content_type, std::string body)
     {
         const auto self = shared_from_this();
-        if (is_own_key(identity)) {
+        if (has_generated_key(identity)) {
             co_return;
         }
-        schema::order_settlement settlement = settlement_of(identity, outcome);
+        schema::order_settlement settlement = make_settlement(identity, outcome);
         settlement.set_http_status(status);
         if (body.size() <= settings.max_confirmation_bytes) {
             settlement.set_content_type(std::move(content_type));
             settlement.set_confirmation(std::move(body));
         }
         const auto settled = std::make_shared<timer>(executor);
-        settled->expires_after(settings.settle_wait);
-        asio::co_spawn(executor, settle_until_kept(std::move(settlement), settled), asio::detached);
+        settled->expires_after(settings.max_settlement_wait);
+        asio::co_spawn(executor, settle_with_retries(std::move(settlement), settled),
+                       asio::detached);
         boost::system::error_code ignored;
         co_await settled->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
 
-    /** \param settled its wait ends once the settlement is kept; may be null. */
-    asio::awaitable<void> settle_until_kept(schema::order_settlement settlement,
-                                            std::shared_ptr<timer> settled)
+    /** Sends a settlement until it is kept or the retry timeout has passed.
+     * \param settled is expired at the end; may be null.
+     */
+    asio::awaitable<void> settle_with_retries(schema::order_settlement settlement,
+                                              std::shared_ptr<timer> settled)
     {
         const auto self = shared_from_this();
-        if (background >= settings.max_background_settlements) {
-            log.warning("Too many settlements wait; an order stays unsettled");
+        if (background_settlement_count >= settings.max_background_settlements) {
+            log.warning("settlement dropped: too many settlements are being retried");
             co_return;
         }
-        ++background;
-        const time_point give_up = monotonic_clock::now() + settings.settle_give_up;
-        duration pause = shortest_settle_pause;
+        ++background_settlement_count;
+        const time_point retry_until = monotonic_clock::now() + settings.settlement_retry_timeout;
+        duration backoff = min_settle_backoff;
         bool kept = false;
-        while (!kept && monotonic_clock::now() < give_up) {
+        while (!kept && monotonic_clock::now() < retry_until) {
             schema::settle_request request;
             *request.add_settlements() = settlement;
-            const auto reply = co_await hooks.settle(std::move(request), settle_call_timeout);
+            const auto reply = co_await hooks.settle(std::move(request), settle_rpc_timeout);
             kept = reply && reply->kept();
             if (!kept) {
-                co_await sleep_for(pause);
-                pause = std::min(2 * pause, longest_settle_pause);
+                co_await sleep_for(backoff);
+                backoff = std::min(2 * backoff, max_settle_backoff);
             }
         }
-        --background;
+        --background_settlement_count;
         if (settled) {
             settled->expires_at(time_point::min());
         }
     }
 };
 
-order_calls::order_calls(asio::any_io_executor executor, order_call_settings settings,
-                         order_call_hooks hooks)
+order_client::order_client(asio::any_io_executor executor, order_client_settings settings,
+                           order_client_hooks hooks)
     : state_(std::make_shared<state>())
 {
     state_->executor = std::move(executor);
@@ -279,23 +288,23 @@
     state_->hooks = std::move(hooks);
 }
 
-call_guard order_calls::guard() const
+at_most_once_hooks order_client::at_most_once() const
 {
-    call_guard made;
-    made.claim = [self = state_](call_identity identity) {
+    at_most_once_hooks result;
+    result.claim = [self = state_](call_identity identity) {
         return self->claim(std::move(identity));
     };
-    made.settle = [self = state_](call_identity identity, call_outcome outcome, unsigned status,
-                                  std::string content_type, std::string body) {
+    result.settle = [self = state_](call_identity identity, call_outcome outcome, unsigned status,
+                                    std::string content_type, std::string body) {
         return self->settle(std::move(identity), outcome, status, std::move(content_type),
                             std::move(body));
     };
-    return made;
+    return result;
 }
 
-std::size_t order_calls::background_settlements() const
+std::size_t order_client::background_settlements() const
 {
-    return state_->background;
+    return state_->background_settlement_count;
 }
 
 } // namespace chervildyke
--- /dev/null
+++ b/src/entry/service_proxy.cpp
@@ -0,0 +1,402 @@
+/** \file
+ * Implements service_proxy.
+ */
+#include "entry/service_proxy.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "base/hash.h"
+#include "base/scope_guard.h"
+#include "entry/api_error.h"
+#include "entry/order_client.h"
+#include "external/json_message.h"
+#include "platform.pb.h"
+#include "routing/retry_policy.h"
+
+namespace chervildyke {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::string_view services_prefix = "/v1/services/";
+constexpr std::size_t max_key_bytes = 255;
+constexpr std::uint32_t max_in_flight_per_backend = 256;
+constexpr duration min_attempt_timeout = 5ms;
+constexpr duration retry_after = 1s;
+
+/** A parsed and validated call. */
+struct service_request {
+    schema::service_view service;
+    schema::service_operation operation;
+    http_request request;
+    call_identity identity;
+};
+
+/** How a call or one of its attempts ended. */
+struct service_result {
+    call_outcome outcome = call_outcome::not_run;
+    http_reply reply; // If complete.
+    std::string reason;
+    unsigned status = 503;
+};
+
+service_result failed_result(call_outcome outcome, unsigned status, std::string reason)
+{
+    service_result result;
+    result.outcome = outcome;
+    result.status = status;
+    result.reason = std::move(reason);
+    return result;
+}
+
+api_error not_found(const std::string& message)
+{
+    api_error error = invalid_request(message, "not_found");
+    error.status = 404;
+    return error;
+}
+
+api_error to_error(const service_result& result)
+{
+    api_error error = unavailable(result.reason, "service_unavailable", retry_after);
+    error.status = result.status;
+    error.outcome = result.outcome;
+    if (result.outcome == call_outcome::unknown) {
+        error.code = "outcome_unknown";
+        error.retry_after.reset();
+    }
+    return error;
+}
+
+/** Determines the outcome from a reply of a backend server. */
+service_result classify_reply(http_reply reply)
+{
+    schema::refusal refusal;
+    const bool is_refusal = reply.status >= 400 && from_json(reply.body, refusal);
+    if (is_refusal && refusal.not_run()) {
+        return failed_result(call_outcome::not_run, reply.status, refusal.reason());
+    }
+    if (reply.status >= 500) {
+        return failed_result(call_outcome::unknown, 502,
+                             "the backend server replied with HTTP status " +
+                                 std::to_string(reply.status));
+    }
+    service_result result;
+    result.outcome = call_outcome::complete;
+    result.status = reply.status;
+    result.reply.status = reply.status;
+    result.reply.content_type = std::move(reply.content_type);
+    result.reply.body = std::move(reply.body);
+    return result;
+}
+
+/** Determines the outcome of an attempt without a reply. */
+service_result classify_failure(const http_failure& failure)
+{
+    if (failure.code == http_error::not_sent) {
+        return failed_result(call_outcome::not_run, 503, failure.reason);
+    }
+    const unsigned status = failure.code == http_error::timed_out ? 504 : 502;
+    return failed_result(call_outcome::unknown, status, failure.reason);
+}
+
+std::vector<backend_candidate> healthy_backends(const schema::service_view& service)
+{
+    std::vector<backend_candidate> healthy;
+    for (const schema::backend_view& backend : service.backends()) {
+        if (backend.healthy()) {
+            healthy.push_back({backend.address(), backend.failure_domain()});
+        }
+    }
+    return healthy;
+}
+
+} // namespace
+
+struct service_proxy::state : std::enable_shared_from_this<service_proxy::state> {
+    state(service_proxy_context shared, service_proxy_settings options)
+        : context(std::move(shared)), settings(std::move(options)),
+          backends(settings.failure_domain, context.random)
+    {
+    }
+
+    service_proxy_context context;
+    service_proxy_settings settings;
+    backend_balancer backends;
+    retry_budget retries;
+    std::map<std::string, std::uint32_t> in_flight_by_tenant;
+    std::map<std::string, std::uint32_t> in_flight_by_service;
+
+    /** Finds the operation that is called, and parses the headers. */
+    api_result<service_request> parse_request(const http_request& request,
+                                              const caller_info& caller,
+                                              const schema::routing_view& view) const
+    {
+        const std::string path(request.path().substr(services_prefix.size()));
+        const std::size_t slash = path.find('/');
+        const std::string service = path.substr(0, slash);
+        const std::string operation = slash == std::string::npos ? "" : path.substr(slash + 1);
+        service_request call;
+        for (const schema::service_view& candidate : view.services()) {
+            if (candidate.name() == service) {
+                call.service = candidate;
+            }
+        }
+        for (const schema::service_operation& candidate : call.service.operations()) {
+            if (candidate.name() == operation) {
+                call.operation = candidate;
+            }
+        }
+        if (call.operation.name().empty()) {
+            return not_found("there is no service operation '" + path + "'");
+        }
+        call.identity.tenant = caller.tenant;
+        return fill_request(std::move(call), request);
+    }
+
+    /** Sets the identity of the call and the request to the backend server. */
+    api_result<service_request> fill_request(service_request call,
+                                             const http_request& request) const
+    {
+        const std::uint32_t stated_ms = call.operation.timeout_ms();
+        const duration fallback = stated_ms > 0 ? duration(std::chrono::milliseconds(stated_ms))
+                                                : settings.default_timeout;
+        const auto timeout = read_call_timeout(request, fallback);
+        if (!timeout) {
+            return invalid_request("X-Chervil-Deadline-Ms must be 1 to 3600000",
+                                   "invalid_deadline");
+        }
+        call_identity& identity = call.identity;
+        identity.attempt_id = random_id(context.random);
+        identity.key = request.header("Idempotency-Key");
+        if (identity.key.size() > max_key_bytes) {
+            return invalid_request("Idempotency-Key must have at most 255 bytes", "invalid_key");
+        }
+        if (identity.key.empty()) {
+            identity.key = identity.attempt_id;
+        }
+        const auto created = read_key_creation_time_ms(request);
+        if (!created) {
+            return invalid_request("X-Chervil-Key-Created-Ms must be milliseconds since 1970",
+                                   "invalid_key_time");
+        }
+        identity.key_created_ms = *created;
+        identity.body_digest = sha256_hex(request.target + "\n" + request.body);
+        identity.deadline = monotonic_clock::now() + *timeout;
+        call.request = make_backend_request(call, request);
+        return call;
+    }
+
+    static http_request make_backend_request(const service_request& call,
+                                             const http_request& request)
+    {
+        http_request result;
+        result.method = "POST";
+        result.target = "/operations/" + call.operation.name();
+        result.headers = {{"Content-Type", "application/json"},
+                          {"X-Attempt-Id", call.identity.attempt_id},
+                          {"Idempotency-Key", call.identity.key},
+                          {"X-Chervil-Tenant", call.identity.tenant}};
+        result.body = request.body;
+        return result;
+    }
+
+    /** Makes one attempt at one backend server. */
+    asio::awaitable<service_result> call_backend(std::string address, service_request call,
+                                                 duration timeout)
+    {
+        backends.note_start(address);
+        http_call_options options;
+        options.timeout = timeout;
+        // A reused connection may be closed already, which would leave the outcome unknown.
+        options.fresh_connection = !call.operation.repeatable();
+        auto reply = co_await context.http->call(address, std::move(call.request), options);
+        service_result result =
+            reply ? classify_reply(std::move(*reply)) : classify_failure(reply.last_reason());
+        const bool answered =
+            result.outcome == call_outcome::complete || (reply && reply->status < 500);
+        backends.note_end(address, answered ? backend_result::answered : backend_result::failed,
+                          monotonic_clock::now());
+        co_return result;
+    }
+
+    duration attempt_timeout(const service_request& call, duration time_left) const
+    {
+        if (!call.operation.repeatable()) {
+            return time_left;
+        }
+        const std::uint32_t stated_ms = call.operation.timeout_ms();
+        return stated_ms > 0 ? std::min<duration>(time_left, std::chrono::milliseconds(stated_ms))
+                             : std::max<duration>(time_left / 2, min_attempt_timeout);
+    }
+
+    /** Makes attempts at different backend servers until one completes or no retry is allowed.
+     * \return how the last attempt ended; its outcome is unknown if no attempt completed and one
+     * may have run.
+     */
+    asio::awaitable<service_result> run_attempts(service_request call)
+    {
+        std::set<std::string> tried;
+        const std::vector<backend_candidate> candidates = healthy_backends(call.service);
+        service_result result =
+            failed_result(call_outcome::not_run, 503, "the service has no healthy backend server");
+        retries.note_call();
+        for (std::uint32_t attempt = 1;; ++attempt) {
+            const duration time_left = call.identity.deadline - monotonic_clock::now();
+            const auto address = backends.choose(candidates, tried, monotonic_clock::now());
+            if (time_left <= duration::zero()) {
+                result = failed_result(result.outcome, 504, "the deadline passed");
+                break;
+            }
+            if (!address) {
+                break;
+            }
+            tried.insert(*address);
+            const service_request sent = call;
+            const bool may_have_run = result.outcome == call_outcome::unknown;
+            result = co_await call_backend(*address, sent, attempt_timeout(call, time_left));
+            if (may_have_run && result.outcome == call_outcome::not_run) {
+                result.outcome = call_outcome::unknown; // An earlier attempt may have run.
+            }
+            if (result.outcome == call_outcome::complete || !take_retry(call, result, attempt)) {
+                break;
+            }
+            context.metrics->counter("chervil_service_retries_total") += 1;
+        }
+        co_return result;
+    }
+
+    bool take_retry(const service_request& call, const service_result& result,
+                    std::uint32_t attempts)
+    {
+        const bool is_final_refusal =
+            result.status >= 400 && result.status < 500 && result.status != 429;
+        if (is_final_refusal || attempts >= settings.max_attempts) {
+            return false;
+        }
+        const bool may_have_run = result.outcome == call_outcome::unknown;
+        if (may_have_run && !call.operation.repeatable()) {
+            return false;
+        }
+        return retries.take();
+    }
+
+    asio::awaitable<http_reply> run_at_most_once(service_request call)
+    {
+        const call_identity identity = call.identity;
+        claim_decision decision = co_await context.at_most_once.claim(identity);
+        if (decision.result == schema::claim_settled && decision.settlement) {
+            co_return replay_reply(*decision.settlement);
+        }
+        if (decision.result != schema::claim_won) {
+            co_return to_reply(not_claimed_error(decision));
+        }
+        service_result result = co_await run_attempts(std::move(call));
+        co_await context.at_most_once.settle(identity, result.outcome, result.status,
+                                             result.reply.content_type, result.reply.body);
+        co_return make_reply(std::move(result));
+    }
+
+    asio::awaitable<http_reply> run_idempotent(service_request call)
+    {
+        // Nothing is claimed or settled: a repeated run of an idempotent call does no harm.
+        service_result result = co_await run_attempts(std::move(call));
+        co_return make_reply(std::move(result));
+    }
+
+    static http_reply make_reply(service_result result)
+    {
+        if (result.outcome != call_outcome::complete) {
+            return to_reply(to_error(result));
+        }
+        result.reply.headers.push_back({"X-Chervil-Outcome", to_text(result.outcome)});
+        return std::move(result.reply);
+    }
+
+    /** Checks the concurrency limits of the tenant and of the service.
+     * \return the error with which the call is refused, if any.
+     */
+    std::optional<api_error> check_limits(const service_request& call, const caller_info& caller,
+                                          const schema::routing_view& view)
+    {
+        const auto entries = static_cast<std::uint32_t>(std::max(1, view.entries_size()));
+        const std::uint32_t tenant_limit = (caller.max_concurrent_calls + entries - 1) / entries;
+        if (tenant_limit > 0 && in_flight_by_tenant[caller.tenant] >= tenant_limit) {
+            api_error error = unavailable("the tenant has reached its limit of concurrent calls",
+                                          "rate_limit_exceeded", retry_after);
+            error.status = 429;
+            error.type = "rate_limit_error";
+            return error;
+        }
+        const auto servers = static_cast<std::uint32_t>(call.service.backends_size());
+        if (in_flight_by_service[call.service.name()] >= servers * max_in_flight_per_backend) {
+            return unavailable("the service has reached its limit of concurrent calls",
+                               "overloaded", retry_after);
+        }
+        return std::nullopt;
+    }
+
+    asio::awaitable<void> handle(http_exchange& exchange, caller_info caller,
+                                 const schema::routing_view& view)
+    {
+        const auto self = shared_from_this();
+        auto call = parse_request(exchange.request(), caller, view);
+        if (!call) {
+            http_reply refusal = to_reply(call.error());
+            co_await exchange.respond(std::move(refusal));
+            co_return;
+        }
+        if (const auto error = check_limits(*call, caller, view)) {
+            http_reply refusal = to_reply(*error);
+            co_await exchange.respond(std::move(refusal));
+            co_return;
+        }
+        const std::string service = call->service.name();
+        ++in_flight_by_tenant[caller.tenant];
+        ++in_flight_by_service[service];
+        const scope_guard release([this, &caller, &service] {
+            --in_flight_by_tenant[caller.tenant];
+            --in_flight_by_service[service];
+        });
+        const time_point started_at = monotonic_clock::now();
+        const bool idempotent = call->operation.repeatable();
+        http_reply reply;
+        if (idempotent) {
+            reply = co_await run_idempotent(std::move(*call));
+        }
+        else {
+            reply = co_await run_at_most_once(std::move(*call));
+        }
+        record_metrics(caller, service, reply, monotonic_clock::now() - started_at);
+        co_await exchange.respond(std::move(reply));
+    }
+
+    void record_metrics(const caller_info& caller, const std::string& service,
+                        const http_reply& reply, duration span)
+    {
+        const std::string outcome(reply.header("X-Chervil-Outcome"));
+        metric_labels labels{{"tenant", caller.tenant}, {"service", service}};
+        context.metrics->distribution("chervil_service_seconds", labels).note(span);
+        labels.emplace_back("outcome", outcome);
+        context.metrics->counter("chervil_service_calls_total", labels) += 1;
+    }
+};
+
+service_proxy::service_proxy(service_proxy_context context, service_proxy_settings settings)
+    : state_(std::make_shared<state>(std::move(context), std::move(settings)))
+{
+}
+
+service_call_handler service_proxy::handler() const
+{
+    return [self = state_](http_exchange& exchange, const caller_info& caller,
+                           const schema::routing_view& view) {
+        return self->handle(exchange, caller, view);
+    };
+}
+
+} // namespace chervildyke
--- a/src/entry/sse_parser.cpp
+++ b/src/entry/sse_parser.cpp
@@ -11,8 +11,8 @@
 
 bool sse_parser::feed(std::string_view bytes)
 {
-    buffer_.erase(0, read_);
-    read_ = 0;
+    buffer_.erase(0, read_position_);
+    read_position_ = 0;
     if (buffer_.size() + data_.size() + bytes.size() > 2 * max_event_bytes_) {
         return false;
     }
@@ -22,30 +22,30 @@
 
 std::optional<std::string_view> sse_parser::next_line()
 {
-    const std::size_t end = buffer_.find('\n', read_);
+    const std::size_t end = buffer_.find('\n', read_position_);
     if (end == std::string::npos) {
         return std::nullopt;
     }
-    std::string_view line = std::string_view(buffer_).substr(read_, end - read_);
-    read_ = end + 1;
+    std::string_view line = std::string_view(buffer_).substr(read_position_, end - read_position_);
+    read_position_ = end + 1;
     if (line.ends_with('\r')) {
         line.remove_suffix(1);
     }
     return line;
 }
 
-std::optional<std::string> sse_parser::next()
+std::optional<std::string> sse_parser::next_event()
 {
-    constexpr std::string_view field = "data:";
+    constexpr std::string_view data_field = "data:";
     while (const auto line = next_line()) {
         if (line->empty() && has_data_) {
             has_data_ = false;
             return std::exchange(data_, std::string());
         }
-        if (!line->starts_with(field)) {
+        if (!line->starts_with(data_field)) {
             continue;
         }
-        std::string_view value = line->substr(field.size());
+        std::string_view value = line->substr(data_field.size());
         if (value.starts_with(' ')) {
             value.remove_prefix(1);
         }
--- a/src/entry/sse_parser.h
+++ b/src/entry/sse_parser.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines sse_parser, which cuts a stream of server-sent events into their data.
+ * Defines sse_parser, which parses a stream of server-sent events.
  */
 #pragma once
 
@@ -10,28 +10,29 @@
 
 namespace chervildyke {
 
-/** Collects bytes and gives the data of each event that has ended. Fields other than data are
- * ignored, as are comments.
+/** Buffers the bytes of a stream and returns the data of each complete event. Ignores comments and
+ * fields other than data.
  */
 class sse_parser {
   public:
-    /** \param max_event_bytes the longest event that is accepted. */
+    /** \param max_event_bytes half of the most bytes that may be buffered. */
     explicit sse_parser(std::size_t max_event_bytes = 1U << 20U);
 
     /** Adds bytes of the stream.
-     * \return false once an event is longer than allowed; the stream is then of no use.
+     * \return false if more than twice max_event_bytes would be buffered; the stream can't be
+     * parsed further.
      */
     bool feed(std::string_view bytes);
 
-    /** \return the data of the next event that has ended, if there is one. */
-    std::optional<std::string> next();
+    /** \return the data of the next complete event, or nothing if more bytes are needed. */
+    std::optional<std::string> next_event();
 
   private:
     std::optional<std::string_view> next_line();
 
     std::size_t max_event_bytes_;
     std::string buffer_;
-    std::size_t read_ = 0; // Up to here the buffer's lines have been taken.
+    std::size_t read_position_ = 0; // The start of the next line in the buffer.
     std::string data_;
     bool has_data_ = false;
 };
--- a/test/correctness/entry_calls.cpp
+++ b/test/correctness/entry_calls.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Tests that callers get whole answers to their own calls, whatever engines do to streams.
+ * Tests that callers receive complete and correct responses when the streams of engines fail.
  */
 #include <doctest/doctest.h>
 
@@ -16,37 +16,37 @@
 std::string content_of(const http_reply& reply)
 {
     const auto document = nlohmann::json::parse(reply.body, nullptr, false);
-    const auto where = nlohmann::json::json_pointer("/choices/0/message/content");
-    return document.is_object() && document.contains(where) ? document[where].get<std::string>()
-                                                            : reply.body;
+    const auto pointer = nlohmann::json::json_pointer("/choices/0/message/content");
+    return document.is_object() && document.contains(pointer) ? document[pointer].get<std::string>()
+                                                              : reply.body;
 }
 
-/** Joins the text of a streamed answer and notes how it ended. */
-struct streamed {
+/** The text and the end of a streamed response. */
+struct streamed_response {
     std::string text;
     std::string outcome;
     bool done = false;
 
-    explicit streamed(const http_reply& reply)
+    explicit streamed_response(const http_reply& reply)
     {
         sse_parser parser;
         parser.feed(reply.body);
-        while (const auto data = parser.next()) {
+        while (const auto data = parser.next_event()) {
             if (*data == "[DONE]") {
                 done = true;
                 continue;
             }
             const auto event = nlohmann::json::parse(*data);
             outcome = event.value("chervil_outcome", outcome);
-            const auto where = nlohmann::json::json_pointer("/choices/0/delta/content");
-            text += event.contains(where) ? event[where].get<std::string>() : std::string();
+            const auto pointer = nlohmann::json::json_pointer("/choices/0/delta/content");
+            text += event.contains(pointer) ? event[pointer].get<std::string>() : std::string();
         }
     }
 };
 
 } // namespace
 
-TEST_CASE("a whole answer and a streamed one carry the same text and the outcome")
+TEST_CASE("streamed and other responses carry the same text and outcome")
 {
     asio::io_context context;
     fake_engine engine(context);
@@ -59,7 +59,7 @@
     CHECK(whole.status == 200);
     CHECK(content_of(whole) == words_up_to(5));
     CHECK(whole.header("X-Chervil-Outcome") == "complete");
-    const streamed parts(entry.call(entry_under_test::chat(true)));
+    const streamed_response parts(entry.call(entry_under_test::chat(true)));
     CHECK(parts.text == words_up_to(5));
     CHECK(parts.outcome == "complete");
     CHECK(parts.done);
@@ -76,7 +76,7 @@
     };
     entry_under_test entry(context);
     REQUIRE(entry.start(view_of({engine.address()})));
-    const streamed parts(entry.call(entry_under_test::chat(true)));
+    const streamed_response parts(entry.call(entry_under_test::chat(true)));
     CHECK(parts.text == words_up_to(6));
     CHECK(parts.outcome == "complete");
     REQUIRE(engine.calls.size() == 2);
@@ -84,7 +84,7 @@
     CHECK(engine.calls[1].resume_from() == 3);
 }
 
-TEST_CASE("a repeatable call goes on at another replica when its first one is lost")
+TEST_CASE("an idempotent call continues on another replica when its first one fails")
 {
     asio::io_context context;
     fake_engine first(context);
@@ -98,15 +98,14 @@
     second.answer = answer;
     entry_under_test entry(context);
     REQUIRE(entry.start(view_of({first.address(), second.address()})));
-    const streamed parts(entry.call(entry_under_test::chat(true)));
+    const streamed_response parts(entry.call(entry_under_test::chat(true)));
     CHECK(parts.text == words_up_to(8));
     CHECK(parts.outcome == "complete");
     const bool both = !first.calls.empty() && !second.calls.empty();
     CHECK(both);
 }
 
-TEST_CASE(
-    "a begun call outlasts the time in which its only replica refuses because it is incomplete")
+TEST_CASE("a call in progress waits while its only replica is incomplete and refuses calls")
 {
     asio::io_context context;
     fake_engine engine(context);
@@ -121,12 +120,13 @@
     };
     entry_under_test entry(context);
     REQUIRE(entry.start(view_of({engine.address()})));
-    const streamed parts(entry.call(entry_under_test::chat(true)));
+    const streamed_response parts(entry.call(entry_under_test::chat(true)));
     CHECK(parts.text == words_up_to(8));
     CHECK(parts.outcome == "complete");
 }
 
-TEST_CASE("foreign and repeated chunks are dropped, and a gap is never passed on")
+TEST_CASE(
+    "chunks of other attempts and repeated chunks are dropped, and a gap never reaches the caller")
 {
     asio::io_context context;
     fake_engine engine(context);
@@ -147,12 +147,13 @@
     };
     entry_under_test entry(context);
     REQUIRE(entry.start(view_of({engine.address()})));
-    const streamed parts(entry.call(entry_under_test::chat(true)));
+    const streamed_response parts(entry.call(entry_under_test::chat(true)));
     CHECK(parts.text == words_up_to(4));
     CHECK(parts.outcome == "complete");
 }
 
-TEST_CASE("a call that no replica ran is not_run, one that may have run is unknown")
+TEST_CASE(
+    "the outcome is not_run for a call that no replica ran, and unknown for one that may have run")
 {
     asio::io_context context;
     fake_engine engine(context);
@@ -171,7 +172,7 @@
     CHECK(lost.header("X-Chervil-Outcome") == "unknown");
 }
 
-TEST_CASE("the engine is told when the caller leaves")
+TEST_CASE("the attempt is cancelled at the engine when the caller disconnects")
 {
     asio::io_context context;
     fake_engine engine(context);
@@ -200,7 +201,7 @@
     CHECK(engine.cancelled.front() == engine.calls.front().attempt_id());
 }
 
-TEST_CASE("a call that must not be repeated is claimed, sent once and settled")
+TEST_CASE("a call that runs at most once is claimed, sent once and settled")
 {
     asio::io_context context;
     fake_engine engine(context);
@@ -213,7 +214,7 @@
     REQUIRE(entry.start(view));
     CHECK(entry.call(entry_under_test::chat(false)).header("X-Chervil-Outcome") == "not_run");
     schema::order_settlement kept;
-    entry.node->guard().claim = [&](call_identity) -> asio::awaitable<claim_decision> {
+    entry.node->at_most_once().claim = [&](call_identity) -> asio::awaitable<claim_decision> {
         claim_decision decision;
         decision.result = schema::claim_won;
         if (kept.outcome() == schema::order_complete) {
@@ -222,9 +223,9 @@
         }
         co_return decision;
     };
-    entry.node->guard().settle = [&](call_identity, call_outcome outcome, unsigned status,
-                                     std::string content_type,
-                                     std::string body) -> asio::awaitable<void> {
+    entry.node->at_most_once().settle = [&](call_identity, call_outcome outcome, unsigned status,
+                                            std::string content_type,
+                                            std::string body) -> asio::awaitable<void> {
         kept.set_outcome(outcome == call_outcome::complete ? schema::order_complete
                                                            : schema::order_unknown);
         kept.set_http_status(status);
@@ -234,14 +235,14 @@
     };
     const http_reply first = entry.call(entry_under_test::chat(false));
     const http_reply second = entry.call(entry_under_test::chat(false));
-    const streamed third(entry.call(entry_under_test::chat(true)));
+    const streamed_response third(entry.call(entry_under_test::chat(true)));
     CHECK(content_of(first) == words_up_to(3));
     CHECK(second.body == first.body);
     CHECK(third.text == words_up_to(3));
     CHECK(engine.calls.size() == 1);
 }
 
-TEST_CASE("a draining entry is not offered to callers and cuts off nothing")
+TEST_CASE("a draining entry leaves the list of entries and completes its calls")
 {
     asio::io_context context;
     fake_engine engine(context);
--- a/test/correctness/entry_views.cpp
+++ b/test/correctness/entry_views.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Tests the following of views, the offered addresses, callers' keys and own checks of members.
+ * Tests the watch of routing views, the list of entries, tenant authentication and health checks.
  */
 #include <doctest/doctest.h>
 
@@ -8,10 +8,10 @@
 #include <nlohmann/json.hpp>
 
 #include "base/hash.h"
-#include "entry/addresses.h"
-#include "entry/member_check.h"
-#include "entry/tenant_keys.h"
-#include "entry/view_follower.h"
+#include "entry/entry_list.h"
+#include "entry/health_checker.h"
+#include "entry/tenant_authenticator.h"
+#include "entry/view_watcher.h"
 
 using namespace chervildyke;
 namespace asio = boost::asio;
@@ -28,61 +28,62 @@
 
 } // namespace
 
-TEST_CASE("a view older than the one in use is never taken")
+TEST_CASE("a view older than the current one is never accepted")
 {
-    view_follower follower(watch_hook(), 1, seeded_random(1));
-    CHECK(follower.offer(version(5, 9)));
-    CHECK(!follower.offer(version(5, 8)));
-    CHECK(!follower.offer(version(4, 99)));
-    CHECK(follower.offer(version(5, 9)));
-    CHECK(follower.offer(version(6, 1)));
-    CHECK(follower.held().view->configuration_version() == 6);
+    view_watcher watcher(watch_hook(), 1, seeded_random(1));
+    CHECK(watcher.offer(version(5, 9)));
+    CHECK(!watcher.offer(version(5, 8)));
+    CHECK(!watcher.offer(version(4, 99)));
+    CHECK(watcher.offer(version(5, 9)));
+    CHECK(watcher.offer(version(6, 1)));
+    CHECK(watcher.current().view->configuration_version() == 6);
 }
 
-TEST_CASE("a control that has just started does not replace the view of one that knows the fleet")
+// A control that has just started sends views that are not ready.
+TEST_CASE("a view that is not ready does not replace a ready one")
 {
-    view_follower follower(watch_hook(), 1, seeded_random(1));
-    CHECK(follower.offer(version(5, 9)));
-    const auto informed = std::make_shared<schema::routing_view>(*version(5, 10));
-    informed->set_ready(true);
-    CHECK(follower.offer(informed));
-    CHECK(!follower.offer(version(5, 11)));
-    CHECK(follower.held().view->journal_offset() == 10);
+    view_watcher watcher(watch_hook(), 1, seeded_random(1));
+    CHECK(watcher.offer(version(5, 9)));
+    const auto ready_view = std::make_shared<schema::routing_view>(*version(5, 10));
+    ready_view->set_ready(true);
+    CHECK(watcher.offer(ready_view));
+    CHECK(!watcher.offer(version(5, 11)));
+    CHECK(watcher.current().view->journal_offset() == 10);
 }
 
-TEST_CASE("an entry goes on at other controls and back to its own, and keeps the last view")
+TEST_CASE("an entry fails over to other controls, returns to its own, and keeps the last view")
 {
     asio::io_context context;
     manual_clock clock(context);
-    std::vector<bool> up{true, true, true};
-    std::size_t followed = 99;
+    std::vector<bool> available{true, true, true};
+    std::size_t watched = 99;
     const watch_hook watch = [&](std::size_t control, std::function<void(routing_view_ptr)> on_view,
                                  duration) -> asio::awaitable<std::string> {
-        while (up[control]) {
-            followed = control;
+        while (available[control]) {
+            watched = control;
             on_view(version(1, 1));
             co_await sleep_for(500ms);
         }
         co_return "gone";
     };
-    view_follower follower(watch, up.size(), seeded_random(1));
-    asio::co_spawn(context, follower.run(), asio::detached);
+    view_watcher watcher(watch, available.size(), seeded_random(1));
+    asio::co_spawn(context, watcher.run(), asio::detached);
     clock.advance(2s);
-    CHECK(followed == 0);
-    up[0] = false;
+    CHECK(watched == 0);
+    available[0] = false;
     clock.advance(3s);
-    CHECK(followed != 0);
-    CHECK(follower.age() < 1s);
-    up[0] = true;
+    CHECK(watched != 0);
+    CHECK(watcher.age() < 1s);
+    available[0] = true;
     clock.advance(40s, 10ms);
-    CHECK(followed == 0);
-    up = {false, false, false};
+    CHECK(watched == 0);
+    available = {false, false, false};
     clock.advance(60s, 10ms);
-    CHECK(follower.held().view != nullptr);
-    CHECK(follower.age() > 50s);
+    CHECK(watcher.current().view != nullptr);
+    CHECK(watcher.age() > 50s);
 }
 
-TEST_CASE("a control whose views stay old is left for another")
+TEST_CASE("the watch moves to another control if the views of one stay outdated")
 {
     asio::io_context context;
     manual_clock clock(context);
@@ -93,14 +94,14 @@
             co_await sleep_for(500ms);
         }
     };
-    view_follower follower(watch, 2, seeded_random(1));
-    follower.offer(version(2, 1));
-    asio::co_spawn(context, follower.run(), asio::detached);
+    view_watcher watcher(watch, 2, seeded_random(1));
+    watcher.offer(version(2, 1));
+    asio::co_spawn(context, watcher.run(), asio::detached);
     clock.advance(5s);
-    CHECK(follower.age() < 1s);
+    CHECK(watcher.age() < 1s);
 }
 
-TEST_CASE("callers are offered entries that do not drain, and never a draining one's own address")
+TEST_CASE("the list of entries contains no draining entry")
 {
     schema::routing_view view;
     for (int i = 1; i <= 8; ++i) {
@@ -112,8 +113,7 @@
     schema::entry_load own;
     own.set_address("127.0.0.1:8080");
     own.set_draining(true);
-    const auto document =
-        nlohmann::json::parse(entries_document(&view, own, 30s, seeded_random(2)));
+    const auto document = nlohmann::json::parse(entry_list_json(&view, own, 30s, seeded_random(2)));
     CHECK(document["valid_for_ms"] == 30000);
     CHECK(document["entries"].size() == 6);
     for (const auto& entry : document["entries"]) {
@@ -122,11 +122,11 @@
     }
 }
 
-TEST_CASE("a key names its own tenant only, and unknown keys name none")
+TEST_CASE("a key authenticates only its own tenant, and an unknown key none")
 {
     auto view = std::make_shared<schema::routing_view>();
-    tenant_keys keys(seeded_random(3));
-    CHECK(keys.identify(view, "")->tenant == "public");
+    tenant_authenticator authenticator(seeded_random(3));
+    CHECK(authenticator.authenticate(view, "")->tenant == "public");
     for (const std::string name : {"mill", "joiner"}) {
         schema::tenant& tenant = *view->add_tenants();
         tenant.set_name(name);
@@ -136,20 +136,20 @@
         key.set_sha256(sha256_hex("salt-" + name + "key-of-" + name));
     }
     view->set_configuration_version(1);
-    for (int round = 0; round < 2; ++round) { // The second time from memory.
-        CHECK(keys.identify(view, "Bearer key-of-mill")->tenant == "mill");
-        CHECK(keys.identify(view, "Bearer key-of-joiner")->tenant == "joiner");
-        CHECK(!keys.identify(view, "Bearer key-of-nobody"));
-        CHECK(!keys.identify(view, "key-of-mill"));
+    for (int round = 0; round < 2; ++round) { // The second round uses the cache.
+        CHECK(authenticator.authenticate(view, "Bearer key-of-mill")->tenant == "mill");
+        CHECK(authenticator.authenticate(view, "Bearer key-of-joiner")->tenant == "joiner");
+        CHECK(!authenticator.authenticate(view, "Bearer key-of-nobody"));
+        CHECK(!authenticator.authenticate(view, "key-of-mill"));
     }
-    CHECK(!keys.identify(view, "Bearer key-of-mill")->may_call("joiner-team"));
-    auto without = std::make_shared<schema::routing_view>(*view);
-    without->mutable_tenants()->DeleteSubrange(0, 1);
-    without->set_configuration_version(2);
-    CHECK(!keys.identify(without, "Bearer key-of-mill"));
+    CHECK(!authenticator.authenticate(view, "Bearer key-of-mill")->may_call("joiner-team"));
+    auto reduced = std::make_shared<schema::routing_view>(*view);
+    reduced->mutable_tenants()->DeleteSubrange(0, 1);
+    reduced->set_configuration_version(2);
+    CHECK(!authenticator.authenticate(reduced, "Bearer key-of-mill"));
 }
 
-TEST_CASE("without controls a replica serves on only while every member says that it holds it")
+TEST_CASE("with a stale view a replica stays usable only while all its members report it")
 {
     asio::io_context context;
     manual_clock clock(context);
@@ -173,9 +173,9 @@
     };
     const auto router = std::make_shared<replica_router>("gent-a", 3s, seeded_random(1));
     router->use_view(view, monotonic_clock::now());
-    member_check checks(router, engines, [] { return true; });
-    checks.view = [&]() -> routing_view_ptr { return view; };
-    asio::co_spawn(context, checks.run(), asio::detached);
+    health_checker checker(router, engines, [] { return true; });
+    checker.current_view = [&]() -> routing_view_ptr { return view; };
+    asio::co_spawn(context, checker.run(), asio::detached);
     clock.advance(20s);
     CHECK(router->usable(7, monotonic_clock::now()));
     holds["b"] = 8;
--- a/test/error/entry_bad_input.cpp
+++ b/test/error/entry_bad_input.cpp
@@ -1,5 +1,6 @@
 /** \file
- * Tests that bad input gets a 4xx in the OpenAI shape and leaves other calls alone.
+ * Tests that bad input is answered by a 4xx error in the OpenAI format and does not affect other
+ * calls.
  */
 #include <doctest/doctest.h>
 
@@ -14,12 +15,12 @@
 
 namespace {
 
-struct bench {
+struct entry_fixture {
     asio::io_context context;
     fake_engine engine{context};
     entry_under_test entry{context, 4096};
 
-    bench()
+    entry_fixture()
     {
         engine.answer = [](http_exchange& exchange, schema::engine_call call) {
             return stream_words(exchange, std::move(call), 3);
@@ -29,7 +30,7 @@
         REQUIRE(entry.start(view));
     }
 
-    /** Sends raw bytes and reads until the entry closes or the answer's headers and body came. */
+    /** Sends raw bytes and reads until the entry closes the connection. */
     std::string send_raw(const std::string& bytes)
     {
         std::string answer;
@@ -44,10 +45,10 @@
         return answer;
     }
 
-    bool still_answers() { return entry.call(entry_under_test::chat(false)).status == 200; }
+    bool is_serving() { return entry.call(entry_under_test::chat(false)).status == 200; }
 };
 
-void check_shape(const http_reply& reply, unsigned status)
+void check_error(const http_reply& reply, unsigned status)
 {
     CAPTURE(reply.body);
     CHECK(reply.status == status);
@@ -59,7 +60,7 @@
     CHECK(document["error"]["code"].is_string());
 }
 
-void check_raw(const std::string& answer, const std::string& status)
+void check_raw_error(const std::string& answer, const std::string& status)
 {
     CAPTURE(answer);
     CHECK(answer.starts_with("HTTP/1.1 " + status));
@@ -71,9 +72,9 @@
 
 } // namespace
 
-TEST_CASE("bodies with bad JSON, bad types, unknown teams or limits passed are refused")
+TEST_CASE("bodies with bad JSON, wrong types, unknown teams or exceeded limits are refused")
 {
-    bench on;
+    entry_fixture fixture;
     const std::vector<std::pair<std::string, unsigned>> bodies{
         {"", 400},
         {"{", 400},
@@ -96,72 +97,73 @@
     for (const auto& [body, status] : bodies) {
         http_request request = entry_under_test::chat(false);
         request.body = body;
-        check_shape(on.entry.call(request), status);
+        check_error(fixture.entry.call(request), status);
     }
-    CHECK(on.engine.calls.empty());
-    CHECK(on.still_answers());
+    CHECK(fixture.engine.calls.empty());
+    CHECK(fixture.is_serving());
 }
 
 TEST_CASE("bad paths, methods, deadlines and keys are refused")
 {
-    bench on;
+    entry_fixture fixture;
     http_request request = entry_under_test::chat(false);
     request.headers.push_back({"X-Chervil-Deadline-Ms", "soon"});
-    check_shape(on.entry.call(request), 400);
+    check_error(fixture.entry.call(request), 400);
     request = entry_under_test::chat(false);
     request.headers.push_back({"Idempotency-Key", std::string(300, 'k')});
-    check_shape(on.entry.call(request), 400);
+    check_error(fixture.entry.call(request), 400);
     request.target = "/v1/nothing";
-    check_shape(on.entry.call(request), 404);
+    check_error(fixture.entry.call(request), 404);
     request.method = "DELETE";
-    check_shape(on.entry.call(request), 405);
-    CHECK(on.engine.calls.empty());
-    CHECK(on.still_answers());
+    check_error(fixture.entry.call(request), 405);
+    CHECK(fixture.engine.calls.empty());
+    CHECK(fixture.is_serving());
 }
 
-TEST_CASE("header floods, half-sent requests and bytes that are no HTTP are answered and closed")
+TEST_CASE(
+    "oversized headers, incomplete requests and bytes that are no HTTP get an error and are closed")
 {
-    bench on;
+    entry_fixture fixture;
     std::string flood = "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n";
     for (int i = 0; i < 1000; ++i) {
         flood += "X-Flood-" + std::to_string(i) + ": aaaaaaaaaaaaaaaa\r\n";
     }
-    check_raw(on.send_raw(flood + "\r\n"), "431");
-    check_raw(on.send_raw("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n"
-                          "Content-Length: 50\r\n\r\n{\"model\""),
-              "408");
-    check_raw(on.send_raw("\x16\x03\x01 not http at all\r\n\r\n"), "400");
-    CHECK(on.engine.calls.empty());
-    CHECK(on.still_answers());
+    check_raw_error(fixture.send_raw(flood + "\r\n"), "431");
+    check_raw_error(fixture.send_raw("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n"
+                                     "Content-Length: 50\r\n\r\n{\"model\""),
+                    "408");
+    check_raw_error(fixture.send_raw("\x16\x03\x01 not http at all\r\n\r\n"), "400");
+    CHECK(fixture.engine.calls.empty());
+    CHECK(fixture.is_serving());
 }
 
-TEST_CASE("a call in progress is untouched by bad ones beside it")
+TEST_CASE("a call in progress is not affected by bad requests")
 {
-    bench on;
-    on.engine.answer = [](http_exchange& exchange,
-                          schema::engine_call call) -> asio::awaitable<void> {
+    entry_fixture fixture;
+    fixture.engine.answer = [](http_exchange& exchange,
+                               schema::engine_call call) -> asio::awaitable<void> {
         co_await sleep_for(400ms);
         co_await stream_words(exchange, call, 3);
     };
-    std::string good;
+    std::string response;
     asio::co_spawn(
-        on.context,
+        fixture.context,
         [&]() -> asio::awaitable<void> {
             const http_request request = entry_under_test::chat(false);
-            const auto reply = co_await on.entry.client.call(on.entry.address(), request);
-            good = reply ? reply->body : reply.last_reason().reason;
+            const auto reply = co_await fixture.entry.client.call(fixture.entry.address(), request);
+            response = reply ? reply->body : reply.last_reason().reason;
         },
         asio::detached);
-    on.entry.run([&]() -> asio::awaitable<void> {
+    fixture.entry.run([&]() -> asio::awaitable<void> {
         for (int i = 0; i < 50; ++i) {
             http_request bad = entry_under_test::chat(false);
             bad.body = "{";
-            const auto refused = co_await on.entry.client.call(on.entry.address(), bad);
+            const auto refused = co_await fixture.entry.client.call(fixture.entry.address(), bad);
             CHECK(refused.has_value());
         }
-        for (int i = 0; i < 200 && good.empty(); ++i) {
+        for (int i = 0; i < 200 && response.empty(); ++i) {
             co_await sleep_for(10ms);
         }
     });
-    CHECK(good.find("t0 t1 t2 ") != std::string::npos);
+    CHECK(response.find("t0 t1 t2 ") != std::string::npos);
 }
--- a/test/error/entry_services.cpp
+++ b/test/error/entry_services.cpp
@@ -1,9 +1,9 @@
 /** \file
- * Tests plain services: backend servers that die, refuse and drop replies.
+ * Tests calls of plain services whose backend servers fail, refuse calls or drop replies.
  */
 #include <doctest/doctest.h>
 
-#include "entry/service_call.h"
+#include "entry/service_proxy.h"
 #include "support/run_task.h"
 
 using namespace chervildyke;
@@ -12,9 +12,9 @@
 
 namespace {
 
-/** A backend server that answers as it is told. */
+/** A backend server with selectable behavior. */
 struct fake_backend {
-    enum class mood { answers, refuses, drops_reply };
+    enum class behavior { answers, refuses, drops_reply };
 
     explicit fake_backend(asio::io_context& context)
         : server(context.get_executor(),
@@ -29,11 +29,11 @@
         http_reply reply;
         reply.body = R"({"confirmation":")" +
                      std::string(exchange.request().header("X-Attempt-Id")) + R"("})";
-        if (now == mood::refuses) {
+        if (current_behavior == behavior::refuses) {
             reply.status = 503;
             reply.body = R"({"code":"busy","reason":"busy","not_run":true})";
         }
-        if (now == mood::drops_reply) {
+        if (current_behavior == behavior::drops_reply) {
             exchange.abort();
             co_return;
         }
@@ -42,14 +42,14 @@
 
     std::string address() const { return "127.0.0.1:" + std::to_string(server.port()); }
 
-    mood now = mood::answers;
+    behavior current_behavior = behavior::answers;
     int requests = 0;
     http_server server;
 };
 
-/** An entry's service route behind a server, with two backend servers. */
-struct service_bench {
-    service_bench()
+/** The service handler of an entry behind an HTTP server, with two backend servers. */
+struct service_fixture {
+    service_fixture()
         : first(context), second(context),
           http(std::make_shared<http_client>(context.get_executor()))
     {
@@ -64,26 +64,28 @@
             listed.set_address(backend->address());
             listed.set_healthy(true);
         }
-        service_call_context shared;
-        shared.executor = context.get_executor();
-        shared.random = seeded_random(1);
-        shared.http = http;
-        shared.metrics = std::make_shared<metrics_registry>();
-        shared.guard.claim = [this](call_identity) -> asio::awaitable<claim_decision> {
+        service_proxy_context proxy_context;
+        proxy_context.executor = context.get_executor();
+        proxy_context.random = seeded_random(1);
+        proxy_context.http = http;
+        proxy_context.metrics = std::make_shared<metrics_registry>();
+        proxy_context.at_most_once.claim =
+            [this](call_identity) -> asio::awaitable<claim_decision> {
             claim_decision decision;
-            decision.result = verdict;
+            decision.result = claim_result;
             co_return decision;
         };
-        shared.guard.settle = [this](call_identity, call_outcome outcome, unsigned, std::string,
-                                     std::string body) -> asio::awaitable<void> {
+        proxy_context.at_most_once.settle = [this](call_identity, call_outcome outcome, unsigned,
+                                                   std::string,
+                                                   std::string body) -> asio::awaitable<void> {
             settled = to_text(outcome);
             settled_body = body;
             co_return;
         };
-        route = service_calls(std::move(shared), service_call_settings()).route();
+        handler = service_proxy(std::move(proxy_context), service_proxy_settings()).handler();
         entry =
             std::make_unique<http_server>(context.get_executor(), [this](http_exchange& exchange) {
-                return route(exchange, who, view);
+                return handler(exchange, caller, view);
             });
         REQUIRE(entry->listen("127.0.0.1", 0));
     }
@@ -105,10 +107,10 @@
         return answer;
     }
 
-    void set_mood(fake_backend::mood mood)
+    void set_behavior(fake_backend::behavior behavior)
     {
-        first.now = mood;
-        second.now = mood;
+        first.current_behavior = behavior;
+        second.current_behavior = behavior;
     }
     int requests() const { return first.requests + second.requests; }
 
@@ -117,112 +119,117 @@
     fake_backend second;
     std::shared_ptr<http_client> http;
     schema::routing_view view;
-    caller who;
-    schema::claim_result verdict = schema::claim_won;
+    caller_info caller;
+    schema::claim_result claim_result = schema::claim_won;
     std::string settled;
     std::string settled_body;
-    service_route route;
+    service_call_handler handler;
     std::unique_ptr<http_server> entry;
 };
 
 } // namespace
 
-TEST_CASE("an order whose reply is lost is sent once and unknown")
+TEST_CASE("an order whose reply is lost is sent once and has the outcome unknown")
 {
-    service_bench bench;
-    bench.set_mood(fake_backend::mood::drops_reply);
-    const http_reply reply = bench.call("order");
+    service_fixture fixture;
+    fixture.set_behavior(fake_backend::behavior::drops_reply);
+    const http_reply reply = fixture.call("order");
     CHECK(reply.header("X-Chervil-Outcome") == "unknown");
-    CHECK(bench.settled == "unknown");
-    CHECK(bench.requests() == 1);
+    CHECK(fixture.settled == "unknown");
+    CHECK(fixture.requests() == 1);
 }
 
-TEST_CASE("an order that a backend server refused is tried at the next, then not run")
+TEST_CASE("an order that a backend server refused is retried on the next one, and is not_run if "
+          "all refuse")
 {
-    service_bench bench;
-    bench.set_mood(fake_backend::mood::refuses);
-    const http_reply reply = bench.call("order");
+    service_fixture fixture;
+    fixture.set_behavior(fake_backend::behavior::refuses);
+    const http_reply reply = fixture.call("order");
     CHECK(reply.header("X-Chervil-Outcome") == "not_run");
-    CHECK(bench.settled == "not_run");
-    CHECK(bench.requests() == 2);
-    bench.second.now = fake_backend::mood::answers;
-    bench.first.now = fake_backend::mood::answers;
-    const http_reply complete = bench.call("order");
+    CHECK(fixture.settled == "not_run");
+    CHECK(fixture.requests() == 2);
+    fixture.second.current_behavior = fake_backend::behavior::answers;
+    fixture.first.current_behavior = fake_backend::behavior::answers;
+    const http_reply complete = fixture.call("order");
     CHECK(complete.header("X-Chervil-Outcome") == "complete");
-    CHECK(bench.settled_body == complete.body);
+    CHECK(fixture.settled_body == complete.body);
 }
 
 TEST_CASE("an order that was not claimed is not sent")
 {
-    service_bench bench;
-    for (const auto verdict : {schema::claim_held, schema::claim_other_body, schema::claim_refused,
-                               schema::claim_undecided}) {
-        bench.verdict = verdict;
-        const http_reply reply = bench.call("order");
+    service_fixture fixture;
+    for (const auto claim_result : {schema::claim_held, schema::claim_other_body,
+                                    schema::claim_refused, schema::claim_undecided}) {
+        fixture.claim_result = claim_result;
+        const http_reply reply = fixture.call("order");
         CHECK(reply.header("X-Chervil-Outcome") != "complete");
     }
-    CHECK(bench.requests() == 0);
-    CHECK(bench.settled.empty());
+    CHECK(fixture.requests() == 0);
+    CHECK(fixture.settled.empty());
 }
 
-TEST_CASE("a repeatable operation goes to the next backend server after a lost reply")
+TEST_CASE("an idempotent operation is retried on the next backend server after a lost reply")
 {
-    service_bench bench;
-    bench.first.now = fake_backend::mood::drops_reply;
+    service_fixture fixture;
+    fixture.first.current_behavior = fake_backend::behavior::drops_reply;
     for (int i = 0; i < 10; ++i) {
-        CHECK(bench.call("look_up").header("X-Chervil-Outcome") == "complete");
+        CHECK(fixture.call("look_up").header("X-Chervil-Outcome") == "complete");
     }
-    CHECK(bench.settled.empty());
+    CHECK(fixture.settled.empty());
 }
 
-TEST_CASE("a call that may have run once is never not_run, though a later attempt was refused")
+TEST_CASE("the outcome of a call that may have run is unknown, even if a later attempt was refused")
 {
-    service_bench bench;
-    bench.first.now = fake_backend::mood::drops_reply;
-    bench.second.now = fake_backend::mood::refuses;
+    service_fixture fixture;
+    fixture.first.current_behavior = fake_backend::behavior::drops_reply;
+    fixture.second.current_behavior = fake_backend::behavior::refuses;
     int unknown = 0;
     for (int i = 0; i < 10; ++i) {
-        const int dropped = bench.first.requests;
-        const std::string outcome(bench.call("look_up").header("X-Chervil-Outcome"));
-        const bool reached_first = bench.first.requests > dropped;
+        const int requests_before = fixture.first.requests;
+        const std::string outcome(fixture.call("look_up").header("X-Chervil-Outcome"));
+        const bool reached_first = fixture.first.requests > requests_before;
         CHECK(outcome == (reached_first ? "unknown" : "not_run"));
         unknown += outcome == "unknown" ? 1 : 0;
     }
     CHECK(unknown > 0);
 }
 
-TEST_CASE("unknown operations and services without a healthy backend server are not run")
+TEST_CASE(
+    "calls of unknown operations, or of a service without healthy backend servers, are not_run")
 {
-    service_bench bench;
-    CHECK(bench.call("nothing").status == 404);
-    bench.view.mutable_services(0)->mutable_backends(0)->set_healthy(false);
-    bench.view.mutable_services(0)->mutable_backends(1)->set_healthy(false);
-    const http_reply reply = bench.call("look_up");
+    service_fixture fixture;
+    CHECK(fixture.call("nothing").status == 404);
+    fixture.view.mutable_services(0)->mutable_backends(0)->set_healthy(false);
+    fixture.view.mutable_services(0)->mutable_backends(1)->set_healthy(false);
+    const http_reply reply = fixture.call("look_up");
     CHECK(reply.status == 503);
     CHECK(reply.header("X-Chervil-Outcome") == "not_run");
 }
 
-TEST_CASE("a backend server that fails is left out, tried once after a while, and taken back")
+TEST_CASE("a failing backend server is ejected, gets one trial call after its ejection time, and "
+          "is used again")
 {
     asio::io_context context;
     manual_clock clock(context);
     const std::vector<backend_candidate> candidates = {{"near:1", "nea"}, {"far:1", "far"}};
-    backend_balancer book("nea", seeded_random(1));
-    const auto choose = [&] { return book.choose(candidates, {}, monotonic_clock::now()).value(); };
+    backend_balancer balancer("nea", seeded_random(1));
+    const auto choose = [&] {
+        return balancer.choose(candidates, {}, monotonic_clock::now()).value();
+    };
     CHECK(choose() == "near:1");
     for (int i = 0; i < 3; ++i) {
-        book.note_start("near:1");
-        book.note_end("near:1", backend_result::failed, monotonic_clock::now());
+        balancer.note_start("near:1");
+        balancer.note_end("near:1", backend_result::failed, monotonic_clock::now());
     }
     CHECK(choose() == "far:1");
     clock.advance(1100ms);
     CHECK(choose() == "near:1");
-    book.note_start("near:1");
-    CHECK(choose() == "far:1"); // The trial call is under way.
-    book.note_end("near:1", backend_result::answered, monotonic_clock::now());
+    balancer.note_start("near:1");
+    CHECK(choose() == "far:1"); // The trial call is in flight.
+    balancer.note_end("near:1", backend_result::answered, monotonic_clock::now());
     CHECK(choose() == "near:1");
     for (int i = 0; i < 6; ++i) {
-        book.note_start("near:1");
+        balancer.note_start("near:1");
     }
-    CHECK(choose() == "far:1"); // Much less busy.
+    CHECK(choose() == "far:1"); // It has far fewer calls in flight.
 }
--- a/test/fuzz/entry_orders.cpp
+++ b/test/fuzz/entry_orders.cpp
@@ -1,13 +1,13 @@
 /** \file
- * Fuzzes whole orders: entries that die and pause, controls that die, a log that loses replies,
- * goes down and slows. Judged by what the backend server ran.
+ * Fuzzes orders from claim to settlement while entries crash and pause, controls crash, and the log
+ * loses replies, is unavailable or slow. Compares the responses with what the backend server ran.
  */
 #include <cstdlib>
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
-#include "entry/order_call.h"
+#include "entry/order_client.h"
 #include "support/order_fixture.h"
 
 using namespace chervildyke;
@@ -17,86 +17,86 @@
 namespace {
 
 constexpr std::size_t entry_count = 3;
-constexpr std::size_t desk_count = 3;
+constexpr std::size_t coordinator_count = 3;
 constexpr duration call_time = 4s;
 
-enum class backend_mood { answers, loses_reply, refuses };
+enum class backend_behavior { answers, loses_reply, refuses };
 
-/** What callers were told and what ran. */
-struct order_truth {
-    std::map<std::string, int> runs;                        // By key.
-    std::map<std::string, std::string> run_of_attempt;      // By attempt: its key.
-    std::map<std::string, std::set<std::string>> confirmed; // By key: confirmations told.
+/** The responses that callers received and the runs at the backend server. */
+struct order_observations {
+    std::map<std::string, int> runs;                            // By key.
+    std::map<std::string, std::string> key_of_executed_attempt; // By attempt id.
+    std::map<std::string, std::set<std::string>> confirmed;     // Confirmations received, by key.
     std::vector<std::string> not_run_attempts;
     std::size_t answers = 0;
     std::size_t complete = 0;
 };
 
-/** One entry process; a dead one never comes back, its successor is another. */
+/** One entry process. After a crash, another one replaces it. */
 struct fuzzed_entry {
     bool alive = true;
     bool paused = false;
-    std::unique_ptr<order_calls> calls;
-    call_guard guard;
+    std::unique_ptr<order_client> client;
+    at_most_once_hooks at_most_once;
 };
 
-class order_world {
+class order_simulation {
   public:
-    order_world() : bench(desk_count)
+    order_simulation() : fixture(coordinator_count)
     {
         for (std::size_t i = 0; i < entry_count; ++i) {
             entries.push_back(make_entry(i));
         }
     }
 
-    ~order_world()
+    ~order_simulation()
     {
         for (const auto& entry : entries) {
             entry->alive = false;
             entry->paused = false;
         }
-        bench.clock.advance(90s, 20ms);
+        fixture.clock.advance(90s, 20ms);
     }
 
-    std::shared_ptr<fuzzed_entry> make_entry(std::size_t desk)
+    std::shared_ptr<fuzzed_entry> make_entry(std::size_t coordinator)
     {
-        const auto made = std::make_shared<fuzzed_entry>();
-        order_call_hooks hooks;
-        hooks.claim = [this, desk,
-                       made = std::weak_ptr(made)](schema::claim_request request,
-                                                   duration) -> rpc_awaitable<schema::claim_reply> {
-            const auto entry = made.lock();
+        const auto result = std::make_shared<fuzzed_entry>();
+        order_client_hooks hooks;
+        hooks.claim = [this, coordinator, result = std::weak_ptr(result)](
+                          schema::claim_request request,
+                          duration) -> rpc_awaitable<schema::claim_reply> {
+            const auto entry = result.lock();
             if (!entry || !entry->alive) {
                 co_return rpc_failure{rpc_error::unreachable, "this entry is dead"};
             }
             schema::claim_reply reply =
-                co_await bench.coordinators[live_desk(desk)]->claim(request);
+                co_await fixture.coordinators[reachable_coordinator(coordinator)]->claim(request);
             co_await wait_while_paused(entry);
             co_return reply;
         };
-        hooks.settle = [this, desk, made = std::weak_ptr(made)](
+        hooks.settle = [this, coordinator, result = std::weak_ptr(result)](
                            schema::settle_request request,
                            duration) -> rpc_awaitable<schema::settle_reply> {
-            const auto entry = made.lock();
+            const auto entry = result.lock();
             if (!entry || !entry->alive) {
                 co_return rpc_failure{rpc_error::unreachable, "this entry is dead"};
             }
             schema::settle_reply reply =
-                co_await bench.coordinators[live_desk(desk)]->settle(request);
+                co_await fixture.coordinators[reachable_coordinator(coordinator)]->settle(request);
             co_return reply;
         };
-        order_call_settings settings;
+        order_client_settings settings;
         settings.incarnation = "entry";
-        made->calls =
-            std::make_unique<order_calls>(bench.context.get_executor(), settings, std::move(hooks));
-        made->guard = made->calls->guard();
-        return made;
+        result->client = std::make_unique<order_client>(fixture.context.get_executor(), settings,
+                                                        std::move(hooks));
+        result->at_most_once = result->client->at_most_once();
+        return result;
     }
 
-    std::size_t live_desk(std::size_t first) const
+    std::size_t reachable_coordinator(std::size_t first) const
     {
-        while (bench.unreachable.count("c" + std::to_string(first)) > 0) {
-            first = (first + 1) % desk_count;
+        while (fixture.unreachable.count("c" + std::to_string(first)) > 0) {
+            first = (first + 1) % coordinator_count;
         }
         return first;
     }
@@ -108,15 +108,15 @@
         }
     }
 
-    void order(std::size_t entry, const std::string& key, const std::string& body)
+    void start_call(std::size_t entry, const std::string& key, const std::string& body)
     {
         keys.insert(key);
-        asio::co_spawn(bench.context, place_order(entries[entry], key, body), asio::detached);
+        asio::co_spawn(fixture.context, make_call(entries[entry], key, body), asio::detached);
     }
 
-    /** What an entry does with one call that runs at most once. */
-    asio::awaitable<void> place_order(std::shared_ptr<fuzzed_entry> entry, std::string key,
-                                      std::string body)
+    /** Handles one call that runs at most once as an entry does. */
+    asio::awaitable<void> make_call(std::shared_ptr<fuzzed_entry> entry, std::string key,
+                                    std::string body)
     {
         call_identity identity;
         identity.tenant = "tenant";
@@ -124,17 +124,17 @@
         identity.attempt_id = "attempt-" + std::to_string(++attempts);
         identity.body_digest = body;
         identity.deadline = monotonic_clock::now() + call_time;
-        const claim_decision decision = co_await entry->guard.claim(identity);
+        const claim_decision decision = co_await entry->at_most_once.claim(identity);
         if (!entry->alive) {
             co_return;
         }
         if (decision.result == schema::claim_settled) {
-            tell_settled(identity, *decision.settlement);
+            record_replay(identity, *decision.settlement);
             co_return;
         }
         if (decision.result != schema::claim_won) {
-            const bool not_run = not_claimed(decision).outcome == call_outcome::not_run;
-            tell(identity, not_run ? call_outcome::not_run : call_outcome::unknown, "");
+            const bool not_run = not_claimed_error(decision).outcome == call_outcome::not_run;
+            record_response(identity, not_run ? call_outcome::not_run : call_outcome::unknown, "");
             co_return;
         }
         const std::string confirmation = "confirmed " + identity.attempt_id;
@@ -144,49 +144,65 @@
         if (!entry->alive) {
             co_return;
         }
-        co_await entry->guard.settle(identity, outcome, 200, "text/plain",
-                                     outcome == call_outcome::complete ? confirmation : kept_empty);
+        co_await entry->at_most_once.settle(identity, outcome, 200, "text/plain",
+                                            outcome == call_outcome::complete ? confirmation
+                                                                              : no_confirmation);
         if (entry->alive) {
-            tell(identity, outcome, confirmation);
+            record_response(identity, outcome, confirmation);
         }
     }
 
     call_outcome run_at_backend(const call_identity& identity)
     {
-        if (mood == backend_mood::refuses) {
+        if (behavior == backend_behavior::refuses) {
             return call_outcome::not_run;
         }
-        ++truth.runs[identity.key];
-        truth.run_of_attempt[identity.attempt_id] = identity.key;
-        return mood == backend_mood::answers ? call_outcome::complete : call_outcome::unknown;
+        ++observed.runs[identity.key];
+        observed.key_of_executed_attempt[identity.attempt_id] = identity.key;
+        return behavior == backend_behavior::answers ? call_outcome::complete
+                                                     : call_outcome::unknown;
     }
 
-    void tell_settled(const call_identity& identity, const schema::order_settlement& settlement)
+    void record_replay(const call_identity& identity, const schema::order_settlement& settlement)
     {
         const bool complete = settlement.outcome() == schema::order_complete;
-        tell(identity, complete ? call_outcome::complete : call_outcome::unknown,
-             settlement.confirmation());
+        record_response(identity, complete ? call_outcome::complete : call_outcome::unknown,
+                        settlement.confirmation());
     }
 
-    void tell(const call_identity& identity, call_outcome outcome, const std::string& confirmation)
+    void record_response(const call_identity& identity, call_outcome outcome,
+                         const std::string& confirmation)
     {
-        ++truth.answers;
+        ++observed.answers;
         if (outcome == call_outcome::complete) {
-            ++truth.complete;
-            truth.confirmed[identity.key].insert(confirmation);
+            ++observed.complete;
+            observed.confirmed[identity.key].insert(confirmation);
         }
         else if (outcome == call_outcome::not_run) {
-            truth.not_run_attempts.push_back(identity.attempt_id);
+            observed.not_run_attempts.push_back(identity.attempt_id);
         }
     }
 
-    order_fixture bench;
+    order_fixture fixture;
     std::vector<std::shared_ptr<fuzzed_entry>> entries;
-    order_truth truth;
-    backend_mood mood = backend_mood::answers;
+    order_observations observed;
+    backend_behavior behavior = backend_behavior::answers;
     std::size_t attempts = 0;
-    std::set<std::string> keys; // Asked for so far.
-    const std::string kept_empty;
+    std::set<std::string> keys; // Of all calls so far.
+    const std::string no_confirmation;
+};
+
+/** Other kinds make a call with the body "body". */
+enum step_kind {
+    crash_entry,
+    toggle_pause_of_entry,
+    lose_log_replies,
+    set_log_outage,
+    set_log_latency,
+    cut_off_log,
+    set_backend_behavior,
+    crash_coordinator,
+    make_call_with_other_body,
 };
 
 struct fuzz_step {
@@ -200,87 +216,90 @@
     return out << "{" << step.kind << "," << step.target << "," << step.number << "}";
 }
 
-void take_step(order_world& world, const fuzz_step& step)
+void run_step(order_simulation& simulation, const fuzz_step& step)
 {
     const auto amount = static_cast<unsigned>(step.number);
-    const std::string desk = "c" + std::to_string(step.target);
+    const std::string coordinator = "c" + std::to_string(step.target);
     switch (step.kind) {
-    case 0:
-        world.entries[step.target]->alive = false;
-        world.entries[step.target] = world.make_entry(step.target);
+    case crash_entry:
+        simulation.entries[step.target]->alive = false;
+        simulation.entries[step.target] = simulation.make_entry(step.target);
         break;
-    case 1:
-        world.entries[step.target]->paused = !world.entries[step.target]->paused;
+    case toggle_pause_of_entry:
+        simulation.entries[step.target]->paused = !simulation.entries[step.target]->paused;
         break;
-    case 2:
-        world.bench.log.lose_replies(amount);
+    case lose_log_replies:
+        simulation.fixture.log.lose_replies(amount);
         break;
-    case 3:
-        world.bench.log.set_outage(amount > 2);
+    case set_log_outage:
+        simulation.fixture.log.set_outage(amount > 2);
         break;
-    case 4:
-        world.bench.log.set_latency(amount * amount * 20ms);
+    case set_log_latency:
+        simulation.fixture.log.set_latency(amount * amount * 20ms);
         break;
-    case 5:
-        world.bench.log.cut_off(desk, amount > 2);
+    case cut_off_log:
+        simulation.fixture.log.cut_off(coordinator, amount > 2);
         break;
-    case 6:
-        world.mood = amount < 3 ? static_cast<backend_mood>(amount) : backend_mood::answers;
+    case set_backend_behavior:
+        simulation.behavior =
+            amount < 3 ? static_cast<backend_behavior>(amount) : backend_behavior::answers;
         break;
-    case 7:
-        if (world.bench.unreachable.empty()) {
-            world.bench.unreachable.insert(desk);
-            world.bench.coordinators[step.target]->stop();
+    case crash_coordinator:
+        if (simulation.fixture.unreachable.empty()) {
+            simulation.fixture.unreachable.insert(coordinator);
+            simulation.fixture.coordinators[step.target]->stop();
         }
         break;
     default:
-        world.order(step.target, "k" + std::to_string(world.attempts / 8 + amount % 3),
-                    step.kind == 8 ? "other" : "body");
+        simulation.start_call(step.target,
+                              "k" + std::to_string(simulation.attempts / 8 + amount % 3),
+                              step.kind == make_call_with_other_body ? "other" : "body");
         break;
     }
-    world.bench.clock.advance(std::chrono::milliseconds(7 << (step.number + step.kind % 3)), 10ms);
+    simulation.fixture.clock.advance(std::chrono::milliseconds(7 << (step.number + step.kind % 3)),
+                                     10ms);
 }
 
-void judge(const order_truth& truth)
+void check_invariants(const order_observations& observed)
 {
-    for (const auto& [key, runs] : truth.runs) {
+    for (const auto& [key, runs] : observed.runs) {
         RC_ASSERT(runs <= 1);
     }
-    for (const std::string& attempt : truth.not_run_attempts) {
-        RC_ASSERT(truth.run_of_attempt.count(attempt) == 0);
+    for (const std::string& attempt : observed.not_run_attempts) {
+        RC_ASSERT(observed.key_of_executed_attempt.count(attempt) == 0);
     }
-    for (const auto& [key, confirmations] : truth.confirmed) {
+    for (const auto& [key, confirmations] : observed.confirmed) {
         RC_ASSERT(confirmations.size() <= 1);
     }
 }
 
-/** Heals all, then asks for each key again at each entry. */
-void ask_again(order_world& world)
+/** Ends all faults except crashes, then repeats the call of each key at each entry. */
+void repeat_all_orders(order_simulation& simulation)
 {
-    world.bench.log.set_outage(false);
-    world.bench.log.set_latency(duration::zero());
-    world.bench.log.lose_replies(0);
-    for (std::size_t i = 0; i < desk_count; ++i) {
-        world.bench.log.cut_off("c" + std::to_string(i), false);
+    simulation.fixture.log.set_outage(false);
+    simulation.fixture.log.set_latency(duration::zero());
+    simulation.fixture.log.lose_replies(0);
+    for (std::size_t i = 0; i < coordinator_count; ++i) {
+        simulation.fixture.log.cut_off("c" + std::to_string(i), false);
     }
-    world.mood = backend_mood::answers;
-    for (const auto& entry : world.entries) {
+    simulation.behavior = backend_behavior::answers;
+    for (const auto& entry : simulation.entries) {
         entry->paused = false;
     }
-    world.bench.clock.advance(70s, 20ms);
-    const std::set<std::string> keys = world.keys;
+    simulation.fixture.clock.advance(70s, 20ms);
+    const std::set<std::string> keys = simulation.keys;
     for (std::size_t i = 0; i < entry_count; ++i) {
         for (const std::string& key : keys) {
-            world.order(i, key, "body");
-            world.bench.clock.advance(100ms, 10ms);
+            simulation.start_call(i, key, "body");
+            simulation.fixture.clock.advance(100ms, 10ms);
         }
     }
-    world.bench.clock.advance(5s, 20ms);
+    simulation.fixture.clock.advance(5s, 20ms);
 }
 
 } // namespace
 
-TEST_CASE("through all faults no order runs twice and no answer is false")
+TEST_CASE("under faults no order runs twice and no caller receives a wrong outcome")
 {
     setenv("RC_PARAMS", "seed=20261204 max_success=60 max_size=200", 0);
     std::size_t answers = 0;
@@ -291,15 +310,15 @@
             rc::gen::set(&fuzz_step::kind, rc::gen::inRange(0, 40)),
             rc::gen::set(&fuzz_step::target, rc::gen::inRange<std::size_t>(0, 3)),
             rc::gen::set(&fuzz_step::number, rc::gen::inRange(0, 6))));
-        order_world world;
+        order_simulation simulation;
         for (const fuzz_step& step : script) {
-            take_step(world, step);
+            run_step(simulation, step);
         }
-        ask_again(world);
-        judge(world.truth);
-        answers += world.truth.answers;
-        complete += world.truth.complete;
-        runs += world.truth.runs.size();
+        repeat_all_orders(simulation);
+        check_invariants(simulation.observed);
+        answers += simulation.observed.answers;
+        complete += simulation.observed.complete;
+        runs += simulation.observed.runs.size();
     }));
     MESSAGE(answers << " answers, " << complete << " of them complete, over " << runs << " runs");
 }
--- a/test/fuzz/entry_parsers.cpp
+++ b/test/fuzz/entry_parsers.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Fuzzes the parsers that meet foreign bytes: server-sent events and callers' requests.
+ * Fuzzes the parsers of untrusted input: server-sent events and completions requests.
  */
 #include <doctest/doctest.h>
 
@@ -17,7 +17,7 @@
 
 [[maybe_unused]] const int fixed_seed = setenv("RC_PARAMS", "seed=20261204 max_success=500", 0);
 
-std::vector<std::string> read_in_parts(const std::string& bytes, std::size_t part)
+std::vector<std::string> parse_in_parts(const std::string& bytes, std::size_t part)
 {
     sse_parser parser;
     std::vector<std::string> events;
@@ -25,7 +25,7 @@
         if (!parser.feed(std::string_view(bytes).substr(at, part))) {
             break;
         }
-        while (auto event = parser.next()) {
+        while (auto event = parser.next_event()) {
             events.push_back(std::move(*event));
         }
     }
@@ -34,16 +34,16 @@
 
 } // namespace
 
-TEST_CASE("events come out the same however the stream is cut")
+TEST_CASE("the parsed events do not depend on how the stream is divided")
 {
     const bool held = rc::check([](const std::string& bytes) {
         const std::size_t part = 1 + *rc::gen::inRange<std::size_t>(0, 7);
-        RC_ASSERT(read_in_parts(bytes, part) == read_in_parts(bytes, bytes.size() + 1));
+        RC_ASSERT(parse_in_parts(bytes, part) == parse_in_parts(bytes, bytes.size() + 1));
     });
     CHECK(held);
 }
 
-TEST_CASE("written events are read back")
+TEST_CASE("encoded events are parsed back")
 {
     const bool held = rc::check([](const std::vector<std::string>& texts) {
         std::string bytes;
@@ -53,12 +53,12 @@
                 nlohmann::json(text).dump(-1, ' ', true, nlohmann::json::error_handler_t::replace));
             bytes += ": comment\r\ndata: " + written.back() + "\r\n\r\n";
         }
-        RC_ASSERT(read_in_parts(bytes, 3) == written);
+        RC_ASSERT(parse_in_parts(bytes, 3) == written);
     });
     CHECK(held);
 }
 
-TEST_CASE("an event that never ends is given up")
+TEST_CASE("an event that does not end is refused")
 {
     sse_parser parser(1024);
     bool accepted = true;
@@ -68,17 +68,17 @@
     CHECK(!accepted);
 }
 
-TEST_CASE("any body is read or refused with a 400, never more")
+TEST_CASE("any body is parsed or refused with status 400")
 {
-    const bool held = rc::check([](const std::string& noise) {
+    const bool held = rc::check([](const std::string& inserted) {
         const std::string whole =
             R"({"model":"desk","messages":[{"role":"user","content":"hello"}],"max_tokens":7})";
         const std::size_t at = *rc::gen::inRange<std::size_t>(0, whole.size());
         const std::size_t cut = *rc::gen::inRange<std::size_t>(0, whole.size() - at);
         http_request request;
-        request.body = whole.substr(0, at) + noise + whole.substr(at + cut);
-        for (const call_kind kind : {call_kind::chat, call_kind::text}) {
-            auto read = read_completion(kind, request);
+        request.body = whole.substr(0, at) + inserted + whole.substr(at + cut);
+        for (const completion_kind kind : {completion_kind::chat, completion_kind::text}) {
+            auto read = parse_completion_request(kind, request);
             RC_ASSERT(read || read.error().status == 400U);
             RC_ASSERT(read || read.error().outcome == call_outcome::not_run);
         }
