Reword the last comments and one error text of src/entry

The failover client reported that no control was known also when the timeout had passed before the first call; the text now covers both. A parameter in the health checker's header has the name of its definition.

--- a/src/entry/at_most_once.h
+++ b/src/entry/at_most_once.h
@@ -17,7 +17,7 @@
 
 namespace chervildyke {
 
-/** How a call ended, as far as this entry can tell. */
+/** The outcome of a call; each call has exactly one. */
 enum class call_outcome {
     complete,
     not_run, // Nothing was sent, or the server refused the call before it ran any of it.
--- a/src/entry/failover_control_client.cpp
+++ b/src/entry/failover_control_client.cpp
@@ -39,7 +39,7 @@
     duration timeout)
 {
     const time_point deadline = monotonic_clock::now() + timeout;
-    rpc_failure last_failure{rpc_error::unreachable, "no control address is configured"};
+    rpc_failure last_failure{rpc_error::unreachable, "no control was called before the timeout"};
     for (const auto& client : clients_) {
         const duration time_left = deadline - monotonic_clock::now();
         if (time_left <= duration::zero()) {
--- a/src/entry/health_checker.h
+++ b/src/entry/health_checker.h
@@ -30,7 +30,7 @@
     boost::asio::awaitable<void> run();
 
     /** Starts one check of each serving replica of the view, and does not wait for the results. */
-    boost::asio::awaitable<void> check_replicas(routing_view_ptr current_view);
+    boost::asio::awaitable<void> check_replicas(routing_view_ptr view);
 
     /** Returns the current view; null if there is none. Checks start once it is set. */
     std::function<routing_view_ptr()> current_view;
