Mend what still puzzled a reader in src/control and src/ctl

view_publisher called the entries that watch the view "watchers", the word for the control nodes that watch a VM; its comments now say entries. Comments of control_components say what a report's arrival means instead of who was heard, and why nearly all engine reports must be there: control nodes whose reports differ make conflicting plans.

chervilctl's usage errors state what was found: the unknown command, or the number of arguments. No identifier is renamed.

--- a/src/control/control_client_cache.h
+++ b/src/control/control_client_cache.h
@@ -15,7 +15,7 @@
 namespace chervildyke {
 
 /** Caches clients by the IP address of their control node, so that calls to one node share a
- * connection. All control nodes serve gRPC on the same port.
+ * connection. All control nodes serve gRPC on the same port. The caller chooses which node to call.
  */
 class control_client_cache {
   public:
--- a/src/control/control_components.cpp
+++ b/src/control/control_components.cpp
@@ -88,7 +88,7 @@
     if (seeds.empty()) {
         return nullptr;
     }
-    // No member was heard yet, as in a new process: use a random seed.
+    // No state of another member has arrived yet, as in a new process: use a random seed.
     const auto pick = random_below(random, static_cast<std::uint64_t>(seeds.size()));
     return control_clients.get_or_create(seeds[static_cast<int>(pick)]);
 }
@@ -372,7 +372,7 @@
     const time_point now = monotonic_clock::now();
     inputs_known_since = inputs_known_since.value_or(now);
     if (now - *inputs_known_since > options.bounds.detection_bound) {
-        return true; // VMs that were not heard by now count as lost.
+        return true; // VMs without a report by now count as lost.
     }
     for (const auto& [id, subject] : journal.state()->replicas()) {
         for (const replica_vm& member : subject.members) {
--- a/src/control/control_components.h
+++ b/src/control/control_components.h
@@ -61,7 +61,7 @@
     std::string last_reason;
     bool stopping = false;
 
-    /** When too many engine reports began to be missing; empty while enough are there. */
+    /** Since when too many engine reports are missing; empty while enough have arrived. */
     std::optional<time_point> reports_missing_since;
 
     /** When the VM list and the journal state were first both known. */
@@ -85,8 +85,8 @@
     bool can_act();
 
     /** Whether reports of nearly all listed engines have arrived, or the detection bound has passed
-     * while they were missing. Control nodes that plan with different reports assign VMs that the
-     * plans of other nodes use.
+     * while too many were missing. Control nodes whose reports differ make conflicting plans: one
+     * assigns VMs that the plan of another one uses.
      */
     bool has_most_engine_reports();
 
@@ -110,8 +110,8 @@
     /** Builds the routing view that entries receive. */
     schema::routing_view make_view();
 
-    /** \return the client of the member with the highest journal offset; before any member was
-     * heard, that of a random seed; null when there is no seed either.
+    /** \return the client of the member with the highest journal offset; the client of a random
+     * seed while no state of another member has arrived; null when there is no seed either.
      */
     std::shared_ptr<control_client> most_advanced_peer();
 
--- a/src/control/node_status.cpp
+++ b/src/control/node_status.cpp
@@ -84,11 +84,12 @@
                 static_cast<double>(state.configuration_version()));
     write_gauge(out, "chervil_control_replicas_forming", "Replicas that are being formed.",
                 count_replicas_in_phase(state, schema::forming));
-    write_gauge(out, "chervil_control_replicas_serving", "Replicas that serve by the journal.",
+    write_gauge(out, "chervil_control_replicas_serving",
+                "Replicas that serve according to the journal.",
                 count_replicas_in_phase(state, schema::serving));
-    write_gauge(out, "chervil_control_replicas_retiring", "Replicas that are let go.",
+    write_gauge(out, "chervil_control_replicas_retiring", "Replicas that are being retired.",
                 count_replicas_in_phase(state, schema::retiring));
-    write_gauge(out, "chervil_control_known_vms", "VMs that the VM list showed.",
+    write_gauge(out, "chervil_control_known_vms", "VMs known from the VM list.",
                 static_cast<double>(sources.reports->knowledge().vms.size()));
     return out.str();
 }
--- a/src/control/view_publisher.h
+++ b/src/control/view_publisher.h
@@ -13,22 +13,22 @@
 
 namespace chervildyke {
 
-/** Sends the view to each watcher when it connects, after each change, and at each heartbeat. The
- * source hook builds the view.
+/** Sends the view to each entry that watches it: when the entry connects, after each change, and at
+ * each heartbeat. The source hook builds the view.
  */
 class view_publisher {
   public:
     using view_source = std::function<schema::routing_view()>;
 
     /** \param source builds the current view.
-     * \param heartbeat the longest time between two views to one watcher.
+     * \param heartbeat the longest time between two views to one entry.
      */
     view_publisher(view_source source, duration heartbeat);
 
-    /** Streams views to one watcher until it disconnects or stop() is called. */
+    /** Streams views to one entry until it disconnects or stop() is called. */
     boost::asio::awaitable<void> serve(view_writer write);
 
-    /** Triggers a new view for every watcher. Changes in quick succession share one view. */
+    /** Triggers a new view for every entry. Changes in quick succession share one view. */
     void notify_changed();
 
     /** Ends all streams. */
@@ -42,7 +42,7 @@
     duration heartbeat_;
     std::uint64_t change_count_ = 0;
     bool stopped_ = false;
-    std::set<timer*> waiting_; // The heartbeat timers of all watchers that wait for a change.
+    std::set<timer*> waiting_; // The heartbeat timers of the streams that wait for a change.
 };
 
 } // namespace chervildyke
--- a/src/ctl/command_line.cpp
+++ b/src/ctl/command_line.cpp
@@ -77,12 +77,15 @@
                                 : std::vector<std::string>();
     const verb_syntax* syntax = positional.empty() ? nullptr : find_verb_syntax(positional[0]);
     if (syntax == nullptr) {
-        std::cerr << "chervilctl: expected a command; --help lists all commands\n";
+        std::cerr << "chervilctl: expected a command, found "
+                  << (positional.empty() ? std::string("none") : positional[0])
+                  << "; --help lists all commands\n";
         return std::nullopt;
     }
     if (positional.size() - 1 < syntax->min_arguments ||
         positional.size() - 1 > syntax->max_arguments) {
-        std::cerr << "chervilctl: expected " << syntax->usage << "\n";
+        std::cerr << "chervilctl: found " << positional.size() - 1
+                  << " arguments, expected: " << syntax->usage << "\n";
         return std::nullopt;
     }
     if (parsed.count("settings") == 0 && syntax->verb != ctl_verb::validate) {
--- a/src/ctl/command_line.h
+++ b/src/ctl/command_line.h
@@ -12,6 +12,7 @@
 
 namespace chervildyke {
 
+/** What a command does. */
 enum class ctl_verb { validate, diff, publish, status, history, rollback, explain, drain, undrain };
 
 /** One command of an operator with its options. */
--- a/src/ctl/publish_commands.h
+++ b/src/ctl/publish_commands.h
@@ -24,8 +24,9 @@
 int show_diff(const schema::fleet_configuration& next, const fleet_state& state);
 
 /** Publishes the configuration that the command states: a file, an older version, or the one in
- * force with different drained VMs. Prints the outcome; if it is rejected, the version in force; if
- * it is accepted, how many control nodes and entries have it in force.
+ * force with different drained VMs. Prints the outcome. If it is rejected, for instance because
+ * another version was published first, prints the version in force; if it is accepted, how many
+ * control nodes and entries have it in force.
  * \return the exit code; success only when the version is in force on every control node that
  * replied, and on the entry of each.
  */
