Name the bare numbers that were left in the soak

New constants, with the values that stood there: max_version_step 5, initial_address_validity_s 2, max_wait_divisor 3, caller_failure_domain "a", seal_length 12, link_kind_count 3. Comments say which networks the seeds use and which calls call_counts leaves out. The head of soak_invariant_checker.cpp says which failures it guards against; its cases are unchanged. No identifier is renamed and no text is changed.

--- a/soak/backend_server.cpp
+++ b/soak/backend_server.cpp
@@ -21,6 +21,7 @@
 constexpr duration drain_timeout = 10s;        // For how long running calls may delay the end.
 constexpr duration drain_poll_interval = 5ms;  // Between two checks of a leaving server for calls.
 constexpr duration publish_retry_interval = 200ms; // While the store is down.
+constexpr std::size_t seal_length = 12;            // Characters.
 
 } // namespace
 
@@ -127,7 +128,7 @@
 
 std::string backend_server::make_seal() const
 {
-    return random_id(environment_.random).substr(0, 12);
+    return random_id(environment_.random).substr(0, seal_length);
 }
 
 void backend_server::record_refusal(const http_request& request)
--- a/soak/caller_pool.cpp
+++ b/soak/caller_pool.cpp
@@ -28,7 +28,9 @@
 constexpr std::size_t cancel_after_bytes = 200;
 // A younger call may have met a normal close of its connection.
 constexpr duration min_lost_call_age = 200ms;
-constexpr duration max_retry_wait = 1s; // A caller does not retry after a longer wait.
+constexpr duration max_retry_wait = 1s;            // A caller does not retry after a longer wait.
+constexpr int max_wait_divisor = 3;                // A wait may take a third of the time left.
+constexpr const char* caller_failure_domain = "a"; // No node is in it.
 
 /** \return true for the statuses with which nodes refuse calls that were not executed. */
 bool is_refusal(unsigned status)
@@ -79,7 +81,7 @@
             network_
                 .directory_addresses[random_below(random_, network_.directory_addresses.size())];
         http_request request;
-        request.target = resolve_target(deployment_.host, "a");
+        request.target = resolve_target(deployment_.host, caller_failure_domain);
         http_call_options options;
         options.timeout = directory_timeout;
         auto reply = co_await caller->http->call(node, std::move(request), options);
@@ -232,7 +234,7 @@
     }
     const duration wait =
         std::chrono::duration_cast<duration>(std::chrono::duration<double>(std::stod(retry_after)));
-    if (wait > max_retry_wait || wait > time_left / 3) {
+    if (wait > max_retry_wait || wait > time_left / max_wait_divisor) {
         co_return std::nullopt;
     }
     co_return wait;
--- a/soak/caller_pool.h
+++ b/soak/caller_pool.h
@@ -26,7 +26,9 @@
     std::map<std::string, std::string> proxies_by_address;
 };
 
-/** Counts of calls by result, without cancelled streams and answered calls with a revoked key. */
+/** Counts of calls by result. Cancelled streams, and answered calls with a revoked key, are not
+ * counted.
+ */
 struct call_counts {
     std::uint64_t sent = 0;
     std::uint64_t served = 0;
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -38,7 +38,9 @@
 constexpr std::size_t caller_count = 24;
 constexpr duration callers_stop_timeout = 8s; // For the callers' last calls.
 constexpr std::size_t servers_per_fabric_domain = 7;
-constexpr double same_id_probability = 0.25; // That a restarted server keeps its id.
+constexpr double same_id_probability = 0.25;  // That a restarted server keeps its id.
+constexpr std::uint64_t max_version_step = 5; // Configuration versions need not be consecutive.
+constexpr double initial_address_validity_s = 2;
 
 deployment make_deployment()
 {
@@ -130,7 +132,7 @@
         }
         node->caller_link->set_target(node->ip + ":" + std::to_string(call_port));
         node->store_link->set_target(store_ip + ":" + std::to_string(store_port));
-        write_settings(*node, 2);
+        write_settings(*node, initial_address_validity_s);
         const auto settings = options_.folder / (node->name + ".json");
         const auto log = options_.folder / (node->name + ".log");
         node->process = std::make_unique<node_process>(options_.node_program, settings, log);
@@ -287,7 +289,7 @@
 
 void soak_fleet::change_configuration()
 {
-    deployment_.version += 1 + random_below(environment_.random, 5);
+    deployment_.version += 1 + random_below(environment_.random, max_version_step);
     const std::string name = "added-" + std::to_string(deployment_.version);
     deployment_.routes.push_back(
         {name, "/" + name + "/", order_service, false, true, 1s, 100ms, 3});
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -114,7 +114,8 @@
             std::cout << parser.help();
             return exit_success;
         }
-        constexpr std::uint64_t network_count = 100; // For seeds that run together.
+        // Seeds that run at the same time need different networks: 100 to 199.
+        constexpr std::uint64_t network_count = 100;
         fleet_options options;
         options.seed = arguments["seed"].as<std::uint64_t>();
         options.node_count = arguments["nodes"].as<std::size_t>();
--- a/soak/schedule.cpp
+++ b/soak/schedule.cpp
@@ -49,6 +49,7 @@
     {fault_kind::key_revoked, "key_revoked", 2, false, true},
 }};
 
+constexpr std::size_t link_kind_count = 3;
 constexpr std::uint64_t min_faults = 6;
 constexpr std::uint64_t fault_limit = 18; // A schedule has fewer faults.
 constexpr std::uint64_t min_length_ms = 300;
@@ -92,7 +93,8 @@
 
 std::string scheduled_fault::to_string() const
 {
-    const std::array<const char*, 3> link_names = {"callers to node", "node to store", "to server"};
+    const std::array<const char*, link_kind_count> link_names = {"callers to node", "node to store",
+                                                                 "to server"};
     std::string text = info_of(kind).name;
     if (text.starts_with("link")) {
         text += std::string(" (") + link_names[static_cast<std::size_t>(link)] + ")";
@@ -121,7 +123,7 @@
         fault.kind = info.kind;
         fault.length =
             info.has_length ? draw_ms(random, min_length_ms, length_limit_ms) : duration::zero();
-        fault.link = static_cast<link_kind>(random_below(random, 3));
+        fault.link = static_cast<link_kind>(random_below(random, link_kind_count));
         fault.target = random();
         faults.push_back(fault);
     }
--- a/test/correctness/soak_invariant_checker.cpp
+++ b/test/correctness/soak_invariant_checker.cpp
@@ -1,6 +1,7 @@
 /** \file
- * Tests that the invariant checker finds each kind of violation, and that a schedule follows from
- * its seed.
+ * Tests that the invariant checker finds each kind of violation and that a schedule follows from
+ * its seed. Guards against a soak that passes because its checker misses a violation, that fails
+ * because its checker reports what nodes may do, or whose faults can't be drawn again.
  */
 #include <doctest/doctest.h>
 
