Name one thing once in the load generator

A replica's members were "group" in one place and "members" in another, its first VM "first member" and "head", a replica's index "rank" (in the soak the position of a VM in its replica), and a control node "control". is_complete() had a parameter "head" but is also asked about other members.

engine_state::group -> members, find_member(rank, head) -> (replica_index, wants_head), is_complete(head) -> (vm), order_results::complete, not_run, unclear -> complete_attempts, not_run_attempts, unclear_attempts; locals of direct_caller::discover_heads follow. The replay's poll of 20 ms has a name (open_calls_poll_interval). JSON keys, figures and counters stay.

--- a/load/direct_caller.cpp
+++ b/load/direct_caller.cpp
@@ -74,13 +74,13 @@
         http_request request;
         request.target = "/truth";
         auto reply = co_await http_->call(fault_address, request);
-        const auto members =
+        const auto engines =
             reply ? nlohmann::json::parse(reply->body, nullptr, false) : nlohmann::json::array();
-        for (const auto& member : members) {
-            const std::string vm = member.at("vm");
-            const auto& group = member.at("group");
-            if (!group.empty() && group.at(0) == vm && fleet_.find(vm) != nullptr) {
-                found.push_back({fleet_.find(vm)->address, member.at("replica")});
+        for (const auto& engine : engines) {
+            const std::string vm = engine.at("vm");
+            const auto& members = engine.at("group");
+            if (!members.empty() && members.at(0) == vm && fleet_.find(vm) != nullptr) {
+                found.push_back({fleet_.find(vm)->address, engine.at("replica")});
             }
         }
     }
--- a/load/experiment.cpp
+++ b/load/experiment.cpp
@@ -63,9 +63,10 @@
     if (at == std::string::npos) {
         return;
     }
-    const std::size_t rank =
+    const std::size_t replica_index =
         static_cast<std::size_t>(std::atoi(target.c_str() + at + replica_prefix.size()));
-    fault.set_target(target.substr(0, at) + monitor.find_member(rank, target.ends_with(":first")));
+    fault.set_target(target.substr(0, at) +
+                     monitor.find_member(replica_index, target.ends_with(":first")));
 }
 
 /** Sends the fault to the stand-in of its target. */
--- a/load/fleet_description.h
+++ b/load/fleet_description.h
@@ -37,7 +37,8 @@
     std::string log_address;
     std::string vm_list_address;
     std::string weight_store_address;
-    std::vector<std::string> ground_truth_addresses; // Tell how often the services ran each order.
+    /** Where the services report how often they ran each order. */
+    std::vector<std::string> ground_truth_addresses;
     std::vector<fleet_vm> vms;
     std::vector<fleet_tenant> tenants;
 
--- a/load/fleet_monitor.cpp
+++ b/load/fleet_monitor.cpp
@@ -1,6 +1,6 @@
 /** \file
  * Implements fleet_monitor over the HTTP calls of the engine stand-ins and the status calls of the
- * controls.
+ * control nodes.
  */
 #include "load/fleet_monitor.h"
 
@@ -47,7 +47,7 @@
             engine.ready = vm.at("ready");
             engine.leaving = vm.at("leaving");
             engine.replica_id = vm.at("replica");
-            engine.group = vm.at("group").get<std::vector<std::string>>();
+            engine.members = vm.at("group").get<std::vector<std::string>>();
             engine.started_calls = vm.at("started");
             engine.stale_commands_obeyed = vm.at("stale_orders_obeyed");
             engine.refused_incomplete = vm.at("refused_incomplete");
@@ -57,15 +57,15 @@
     co_return true;
 }
 
-bool fleet_monitor::is_complete(const std::string& head) const
+bool fleet_monitor::is_complete(const std::string& vm) const
 {
-    const engine_state& head_engine = engines_.at(head);
-    return !head_engine.group.empty() &&
+    const engine_state& engine = engines_.at(vm);
+    return !engine.members.empty() &&
            std::all_of(
-               head_engine.group.begin(), head_engine.group.end(), [&](const std::string& vm) {
-                   const auto found = engines_.find(vm);
+               engine.members.begin(), engine.members.end(), [&](const std::string& member) {
+                   const auto found = engines_.find(member);
                    return found != engines_.end() && found->second.alive && !found->second.paused &&
-                          found->second.ready && found->second.replica_id == head_engine.replica_id;
+                          found->second.ready && found->second.replica_id == engine.replica_id;
                });
 }
 
@@ -74,25 +74,25 @@
     return static_cast<std::size_t>(
         std::count_if(engines_.begin(), engines_.end(), [&](const auto& each) {
             const auto& [vm, engine] = each;
-            return !engine.group.empty() && engine.group.front() == vm && is_complete(vm);
+            return !engine.members.empty() && engine.members.front() == vm && is_complete(vm);
         }));
 }
 
-std::string fleet_monitor::find_member(std::size_t rank, bool head) const
+std::string fleet_monitor::find_member(std::size_t replica_index, bool wants_head) const
 {
-    std::vector<std::vector<std::string>> groups;
+    std::vector<std::vector<std::string>> replicas;
     for (const auto& [vm, engine] : engines_) {
-        if (!engine.group.empty() && engine.group.front() == vm && is_complete(vm)) {
-            groups.push_back(engine.group);
+        if (!engine.members.empty() && engine.members.front() == vm && is_complete(vm)) {
+            replicas.push_back(engine.members);
         }
     }
-    std::stable_sort(groups.begin(), groups.end(), [](const auto& left, const auto& right) {
+    std::stable_sort(replicas.begin(), replicas.end(), [](const auto& left, const auto& right) {
         return left.size() > right.size();
     });
-    if (rank >= groups.size()) {
+    if (replica_index >= replicas.size()) {
         return "";
     }
-    return head ? groups[rank].front() : groups[rank].back();
+    return wants_head ? replicas[replica_index].front() : replicas[replica_index].back();
 }
 
 asio::awaitable<bool> fleet_monitor::wait_for_replicas(duration timeout)
@@ -230,7 +230,7 @@
 void fleet_monitor::record_version(const std::string& source, std::uint64_t version)
 {
     if (version == 0) {
-        return; // The control or entry is not ready.
+        return; // The control node or entry is not ready.
     }
     std::uint64_t& known_version = versions_[source];
     if (version < known_version) {
--- a/load/fleet_monitor.h
+++ b/load/fleet_monitor.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines fleet_monitor, which polls the engines and the controls of a fleet during a run.
+ * Defines fleet_monitor, which polls the engines and the control nodes of a fleet during a run.
  */
 #pragma once
 
@@ -15,9 +15,10 @@
 
 namespace chervildyke::load {
 
-/** Polls the state of the engine stand-ins and the status of each control. It adds up the downtime
- * of replicas and the stranded accelerator time, measures how long a configuration version takes to
- * reach all controls and entries, and counts invariant violations.
+/** Polls the state of the engine stand-ins and the status of each control node. It adds up the
+ * downtime of replicas and the stranded accelerator time: that of healthy VMs whose replica is not
+ * complete. It also measures how long a configuration version takes to reach all control nodes and
+ * entries, and counts invariant violations.
  */
 class fleet_monitor {
   public:
@@ -34,11 +35,11 @@
     void stop() { stopping_ = true; }
 
     /** Finds a member of a complete replica.
-     * \param rank index of the replica by size, the largest first, from zero.
-     * \param head true for the replica's first member, false for its last.
+     * \param replica_index index of the replica by size, the largest first, from zero.
+     * \param wants_head true for the replica's head, false for its last member.
      * \return the VM's name, or an empty text if there are not so many complete replicas.
      */
-    std::string find_member(std::size_t rank, bool head) const;
+    std::string find_member(std::size_t replica_index, bool wants_head) const;
 
     /** Writes the totals into the run's counters. */
     void write_totals();
@@ -51,7 +52,7 @@
         bool ready = false;
         bool leaving = false;
         std::uint64_t replica_id = 0;
-        std::vector<std::string> group; // The members of its replica, the head first; if known.
+        std::vector<std::string> members; // Of its replica, the head first; empty if it is in none.
         std::uint64_t started_calls = 0;
         std::uint64_t stale_commands_obeyed = 0;
         std::uint64_t refused_incomplete = 0;
@@ -62,7 +63,7 @@
         std::uint64_t started_calls = 0; // At the last poll after the grace period.
         bool has_baseline = false;       // started_calls is set.
     };
-    /** A configuration version that has not reached all reachable controls and entries. */
+    /** A configuration version that has not reached all reachable control nodes and entries. */
     struct version_rollout {
         time_point first_seen{};
     };
@@ -71,7 +72,9 @@
     boost::asio::awaitable<void> poll_controls();
     void record_status(const std::string& address, const schema::status_reply& status);
     void record_version(const std::string& source, std::uint64_t version);
-    bool is_complete(const std::string& head) const;
+
+    /** Whether all members of the VM's replica are alive, not paused and ready in that replica. */
+    bool is_complete(const std::string& vm) const;
     std::size_t count_complete_replicas() const;
     void add_downtime(double seconds);
     void check_leaving_vms();
@@ -82,7 +85,7 @@
     std::map<std::string, leaving_vm> leaving_;
     std::map<std::string, std::unique_ptr<control_client>> controls_;
     std::set<std::string> reachable_controls_;
-    std::map<std::string, std::uint64_t> versions_;       // By control or entry.
+    std::map<std::string, std::uint64_t> versions_;       // By control node or entry.
     std::map<std::uint64_t, version_rollout> rollouts_;   // By version.
     std::map<std::uint64_t, std::string> replica_states_; // By journal offset, as first seen.
     std::size_t expected_replicas_ = 0;
--- a/load/invariant_checker.cpp
+++ b/load/invariant_checker.cpp
@@ -63,17 +63,17 @@
     }
     order_results& order = orders_[spec.idempotency_key];
     if (result.outcome == call_outcome::complete) {
-        ++order.complete;
+        ++order.complete_attempts;
         order.confirmations.insert(result.text);
         if (order.confirmations.size() > 1) {
             violations_.add("other_confirmation", describe(spec, result));
         }
     }
     else if (result.outcome == call_outcome::not_run) {
-        ++order.not_run;
+        ++order.not_run_attempts;
     }
     else {
-        ++order.unclear;
+        ++order.unclear_attempts;
     }
 }
 
@@ -108,10 +108,11 @@
         if (times > 1) {
             violations_.add("order_run_twice", key + " ran " + std::to_string(times) + " times");
         }
-        if (order.complete > 0 && times == 0) {
+        if (order.complete_attempts > 0 && times == 0) {
             violations_.add("complete_but_not_run", key);
         }
-        if (order.complete == 0 && order.unclear == 0 && order.not_run > 0 && times > 0) {
+        if (order.complete_attempts == 0 && order.unclear_attempts == 0 &&
+            order.not_run_attempts > 0 && times > 0) {
             violations_.add("false_not_run", key);
         }
     }
@@ -121,7 +122,7 @@
 {
     std::size_t count = 0;
     for (const auto& [key, order] : orders_) {
-        count += order.complete == 0 && order.unclear > 0 ? 1 : 0;
+        count += order.complete_attempts == 0 && order.unclear_attempts > 0 ? 1 : 0;
     }
     return count;
 }
--- a/load/invariant_checker.h
+++ b/load/invariant_checker.h
@@ -45,9 +45,9 @@
     /** The results of an order's attempts. */
     struct order_results {
         std::set<std::string> confirmations; // Distinct ones.
-        std::uint32_t complete = 0;          // Attempts, as are the next two.
-        std::uint32_t not_run = 0;
-        std::uint32_t unclear = 0; // With the outcome unknown or none.
+        std::uint32_t complete_attempts = 0;
+        std::uint32_t not_run_attempts = 0;
+        std::uint32_t unclear_attempts = 0; // With the outcome unknown or none.
         bool repeatable = false;
     };
     void check_answer(const call_spec& spec, const attempt_result& result);
--- a/load/main.cpp
+++ b/load/main.cpp
@@ -268,14 +268,17 @@
         cxxopts::value<std::string>()->default_value("/dev/null"))(
         "o,out", "the file for the HTML page",
         cxxopts::value<std::string>()->default_value("report.html"))(
-        "tenant", "", cxxopts::value<std::string>()->default_value(""))(
-        "team", "", cxxopts::value<std::string>()->default_value(""))(
+        "tenant", "the tenant that calls; default: the first of the fleet",
+        cxxopts::value<std::string>()->default_value(""))(
+        "team", "the team whose model is called", cxxopts::value<std::string>()->default_value(""))(
         "operation", "service/operation", cxxopts::value<std::string>()->default_value(""))(
         "key", "idempotency key", cxxopts::value<std::string>()->default_value(""))(
         "prompt", "the prompt, or the operation's body",
         cxxopts::value<std::string>()->default_value("{}"))(
-        "tokens", "", cxxopts::value<std::uint32_t>()->default_value("24"))(
-        "tries", "", cxxopts::value<std::uint32_t>()->default_value("4"))(
+        "tokens", "the maximum number of tokens of an answer",
+        cxxopts::value<std::uint32_t>()->default_value("24"))(
+        "tries", "the maximum number of attempts of a call",
+        cxxopts::value<std::uint32_t>()->default_value("4"))(
         "version", "print the version and end")("help", "print this and end");
     options.parse_positional({"what"});
     try {
--- a/load/trace.cpp
+++ b/load/trace.cpp
@@ -22,6 +22,7 @@
 namespace {
 
 constexpr duration open_calls_timeout = 60s; // After the trace's last call began.
+constexpr duration open_calls_poll_interval = 20ms;
 constexpr std::uint64_t caller_seed = 1;
 
 /** The state that the calls of a replay share. */
@@ -30,7 +31,7 @@
     fleet_description fleet;
     invariant_checker checker;
     std::vector<std::string> differences;
-    std::map<std::string, std::string> answers; // First one, by idempotency key.
+    std::map<std::string, std::string> answers; // The first answer, by idempotency key.
     std::size_t open_calls = 0;
 };
 
@@ -142,7 +143,7 @@
     }
     const time_point deadline = monotonic_clock::now() + open_calls_timeout;
     while (replay.open_calls > 0 && monotonic_clock::now() < deadline) {
-        co_await sleep_for(20ms);
+        co_await sleep_for(open_calls_poll_interval);
     }
     if (!replay.checker.violations().first.empty()) {
         replay.differences.push_back(replay.checker.violations().first);
--- a/load/trace.h
+++ b/load/trace.h
@@ -29,8 +29,8 @@
     std::uint32_t deadline_ms = 0;
     std::string expected_outcome; // complete, not_run or unknown; empty: any.
     unsigned expected_status = 0; // HTTP status; zero: any.
-    std::string same_as;          // The answer must equal that to the call with this key.
-    bool wait = true;             // The next call starts only when this one has ended.
+    std::string same_as; // The answer must equal that to the call with this idempotency key.
+    bool wait = true;    // The next call starts only when this one has ended.
 
     bool operator==(const trace_call&) const = default;
 };
--- a/load/workload.cpp
+++ b/load/workload.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 constexpr std::uint32_t default_max_attempts = 4;
-// Callers of a closed loop start in slots, so that they don't call in step.
+// Callers of a closed loop start at staggered times, so that they don't call in step.
 constexpr std::uint64_t stagger_slots = 100;
 constexpr double stagger_step_s = 0.002;
 constexpr std::size_t max_reason_bytes = 60; // Of a failure's reason in the name of its counter.
@@ -104,6 +104,7 @@
 
 asio::awaitable<void> workload::run_open_loop()
 {
+    // The callers take turns. Each caches entry addresses and fails over by itself.
     constexpr std::size_t caller_count = 64;
     std::vector<std::shared_ptr<entry_caller>> callers;
     for (std::size_t i = 0; i < caller_count; ++i) {
--- a/load/workload.h
+++ b/load/workload.h
@@ -50,8 +50,14 @@
     boost::asio::awaitable<void> run_open_loop();
     boost::asio::awaitable<void> make_call(std::shared_ptr<entry_caller> caller, call_spec spec,
                                            double repeat_probability);
+
+    /** Sends an order again through another entry, with the same idempotency key. */
     boost::asio::awaitable<void> repeat_order(std::shared_ptr<entry_caller> caller, call_spec spec);
     boost::asio::awaitable<std::vector<attempt_result>> call_directly(call_spec spec);
+
+    /** Draws the next call from the load's mix.
+     * \param repeat_probability set to the probability with which the order is sent again.
+     */
     call_spec next_call(double& repeat_probability);
     std::shared_ptr<entry_caller> make_caller();
     void record(const call_spec& spec, const std::vector<attempt_result>& attempts);
