--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -166,7 +166,7 @@
         stream_.socket().close(ignored);
     }
 
-    asio::awaitable<void> peer_gone() override
+    asio::awaitable<void> wait_for_peer_close() override
     {
         while (true) {
             const auto [error] =
--- a/src/base/http_server.h
+++ b/src/base/http_server.h
@@ -46,7 +46,7 @@
     virtual void abort() = 0;
 
     /** Completes when the peer has closed the connection; for use beside other waits. */
-    virtual boost::asio::awaitable<void> peer_gone() = 0;
+    virtual boost::asio::awaitable<void> wait_for_peer_close() = 0;
 
     /** True when the peer's close has arrived, also while this process is too busy to notice. */
     virtual bool peer_has_closed() const = 0;
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements part_log over Boost.Log.
+ * Implements logger over Boost.Log.
  */
 #include "base/log.h"
 
@@ -58,12 +58,12 @@
                              boost::log::keywords::format = line_format());
 }
 
-bool part_log::enabled(log_level level)
+bool logger::enabled(log_level level)
 {
     return level >= lowest_level.load(std::memory_order_relaxed);
 }
 
-void part_log::put(log_level level, const std::string& text) const
+void logger::put(log_level level, const std::string& text) const
 {
     switch (level) {
     case log_level::trace:
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines part_log, through which each part writes short log lines under its fixed prefix.
+ * Defines logger, through which each part writes short log lines under its fixed prefix.
  */
 #pragma once
 
@@ -17,9 +17,9 @@
 void start_log(const std::string& level, const std::string& file);
 
 /** Writes lines with one part's prefix. Cheap to copy. */
-class part_log {
+class logger {
   public:
-    explicit part_log(const char* prefix) : prefix_(prefix) {}
+    explicit logger(const char* prefix) : prefix_(prefix) {}
 
     template <typename... Parts>
     void debug(const Parts&... parts) const
--- a/src/base/program.cpp
+++ b/src/base/program.cpp
@@ -72,7 +72,7 @@
     }
 }
 
-boost::asio::awaitable<void> stop_requested()
+boost::asio::awaitable<void> wait_for_stop_signal()
 {
     boost::asio::signal_set signals(co_await boost::asio::this_coro::executor, SIGTERM, SIGINT);
     co_await signals.async_wait(boost::asio::use_awaitable);
--- a/src/base/program.h
+++ b/src/base/program.h
@@ -33,7 +33,7 @@
                        std::string* settings_file = nullptr);
 
 /** Completes when the process is asked to stop by SIGTERM or SIGINT. */
-boost::asio::awaitable<void> stop_requested();
+boost::asio::awaitable<void> wait_for_stop_signal();
 
 /** Calls the hook when the process is told to reload by SIGHUP, and in each interval, since a file
  * may also change without a signal.
--- a/src/base/task.cpp
+++ b/src/base/task.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-const part_log task_log("task");
+const logger task_log("task");
 
 void end_task(const std::string& name, const std::exception_ptr& thrown)
 {
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-const part_log control_log("control");
+const logger control_log("control");
 
 constexpr duration rpc_stop_grace_period = 2s;
 constexpr duration stop_poll_interval = 5ms;
--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -14,10 +14,10 @@
 boost::asio::awaitable<int> run_until_stopped(control_node& node)
 {
     if (!node.start()) {
-        part_log("control").error(node.last_reason());
+        logger("control").error(node.last_reason());
         co_return exit_failure;
     }
-    co_await stop_requested();
+    co_await wait_for_stop_signal();
     co_await node.stop();
     co_return exit_success;
 }
--- a/src/entry/completion_call.cpp
+++ b/src/entry/completion_call.cpp
@@ -310,7 +310,7 @@
         co_return;
     }
     auto answering = run_admitted();
-    auto leaving = exchange_.peer_gone();
+    auto leaving = exchange_.wait_for_peer_close();
     auto either = std::move(answering) || std::move(leaving);
     co_await std::move(either);
     if (!counted_) {
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -29,7 +29,7 @@
 constexpr duration leave_list_span = 500ms; // In which callers learn that this entry leaves.
 constexpr duration drain_poll = 20ms;
 constexpr std::size_t kept_connections = 64; // For each engine.
-const part_log log("entry");
+const logger log("entry");
 
 schema::entry_settings with_defaults(schema::entry_settings settings)
 {
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -15,10 +15,10 @@
 boost::asio::awaitable<int> serve_until_stopped(entry_node& node)
 {
     if (!node.start()) {
-        part_log("entry").error(node.last_reason());
+        logger("entry").error(node.last_reason());
         co_return exit_failure;
     }
-    co_await stop_requested();
+    co_await wait_for_stop_signal();
     const bool drained = co_await node.drain();
     co_return drained ? exit_success : exit_failure;
 }
--- a/src/entry/order_call.cpp
+++ b/src/entry/order_call.cpp
@@ -20,7 +20,7 @@
 
 namespace {
 
-const part_log log("orders");
+const logger log("orders");
 
 constexpr duration settle_call_timeout = 2s;
 constexpr duration shortest_settle_pause = 50ms;
--- a/src/entry/view_follower.cpp
+++ b/src/entry/view_follower.cpp
@@ -20,7 +20,7 @@
 constexpr duration outdated_limit = 3s;      // Without a usable view from the followed control.
 constexpr duration other_control_span = 30s; // Then the VM's own control is tried again.
 constexpr duration pause_between_tries = 200ms;
-const part_log log("entry/view");
+const logger log("entry/view");
 
 } // namespace
 
--- a/src/external/engine_client.h
+++ b/src/external/engine_client.h
@@ -20,7 +20,8 @@
         std::string address, duration timeout)>
         report;
 
-    /** Sends an order. After external_error::unclear the engine may obey it, now or later. */
+    /** Sends an order. After external_error::unknown_outcome the engine may obey it, now or later.
+     */
     std::function<boost::asio::awaitable<external_result<schema::engine_order_reply>>(
         std::string address, schema::engine_order order, duration timeout)>
         order;
--- a/src/external/http_external.cpp
+++ b/src/external/http_external.cpp
@@ -20,7 +20,8 @@
 external_failure from_http(const http_failure& below)
 {
     const bool had_no_effect = below.code == http_error::not_sent;
-    return {had_no_effect ? external_error::not_sent : external_error::unclear, below.reason};
+    return {had_no_effect ? external_error::not_sent : external_error::unknown_outcome,
+            below.reason};
 }
 
 external_failure from_status(const http_reply& reply)
@@ -29,7 +30,7 @@
         return {external_error::overloaded, "HTTP " + std::to_string(reply.status)};
     }
     const bool said_no = reply.status >= 400 && reply.status < 500;
-    return {said_no ? external_error::refused : external_error::unclear,
+    return {said_no ? external_error::refused : external_error::unknown_outcome,
             "HTTP " + std::to_string(reply.status) + " " + reply.body.substr(0, 200)};
 }
 
@@ -50,7 +51,7 @@
     }
     Reply reply;
     if (!from_json(answer->body, reply)) {
-        co_return external_failure{external_error::unclear, "an answer that can't be read"};
+        co_return external_failure{external_error::unknown_outcome, "an answer that can't be read"};
     }
     co_return reply;
 }
@@ -142,7 +143,7 @@
     }
     schema::vm_list_reply list;
     if (!from_json(answer->body, list)) {
-        co_return external_failure{external_error::unclear, "a VM list that can't be read"};
+        co_return external_failure{external_error::unknown_outcome, "a VM list that can't be read"};
     }
     known->tag = std::string(answer->header("etag"));
     known->list = list;
--- a/src/external/log_client.h
+++ b/src/external/log_client.h
@@ -37,7 +37,7 @@
 
 /** The calls on the log service. A bench of another make is another pair of hooks. */
 struct log_client {
-    /** Appends one record to a stream and returns its offset. After external_error::unclear
+    /** Appends one record to a stream and returns its offset. After external_error::unknown_outcome
      * the record may stand in the stream.
      */
     std::function<boost::asio::awaitable<external_result<log_offset>>(std::string stream,
--- a/src/journal/journal_append.cpp
+++ b/src/journal/journal_append.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-const part_log journal_log("journal");
+const logger journal_log("journal");
 
 constexpr duration checkpoint_check_interval = 1s;
 constexpr int max_append_attempts = 20; // For each checkpoint chunk.
@@ -95,7 +95,7 @@
             co_return journal_failure{};
         }
         const external_failure& error = appended.last_reason();
-        if (error.code == external_error::unclear) {
+        if (error.code == external_error::unknown_outcome) {
             co_return journal_failure{journal_error::unknown_outcome, error.reason};
         }
         const duration jittered = scaled(delay, 0.5 + random_fraction(hooks_.random));
--- a/src/journal/journal_node.cpp
+++ b/src/journal/journal_node.cpp
@@ -17,7 +17,7 @@
 
 namespace {
 
-const part_log journal_log("journal");
+const logger journal_log("journal");
 
 /** How long the log may lag behind a member before records are fetched from the member. */
 constexpr duration max_log_lag = 500ms;
--- a/src/members/prober.cpp
+++ b/src/members/prober.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-const part_log member_log("members");
+const logger member_log("members");
 
 // Every so many probes one asks for the peer's whole table.
 constexpr std::uint64_t probes_per_full_sync = 512;
--- a/src/orders/order_stream.cpp
+++ b/src/orders/order_stream.cpp
@@ -19,7 +19,7 @@
 
 namespace {
 
-const part_log order_log("orders");
+const logger order_log("orders");
 
 constexpr std::uint32_t read_limit = 1024; // Records in one read.
 constexpr duration min_retry_delay = 20ms;
@@ -286,7 +286,7 @@
         return true;
     }
     const external_error code = result.last_reason().code;
-    if (code == external_error::unclear) {
+    if (code == external_error::unknown_outcome) {
         sent.retry_delay = std::max(sent.retry_delay, unclear_append_retry_delay);
         sent.any_append_unclear = true;
         return false;
--- a/src/relay/serve_call.cpp
+++ b/src/relay/serve_call.cpp
@@ -100,7 +100,7 @@
  */
 asio::awaitable<void> cancel_on_disconnect(relayed_call& call)
 {
-    co_await call.exchange.peer_gone();
+    co_await call.exchange.wait_for_peer_close();
     call.cancel->cancel();
     timer forever(co_await asio::this_coro::executor);
     forever.expires_at(time_point::max());
--- a/src/replicas/engine_orders.cpp
+++ b/src/replicas/engine_orders.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-const part_log order_log("engine-orders");
+const logger order_log("engine-orders");
 
 schema::engine_order to_message(const due_order& due, const std::string& order_id,
                                 const std::string& holder)
@@ -176,7 +176,7 @@
         found->second.in_flight = false;
     }
     if (!reply) {
-        if (reply.last_reason().code != external_error::unclear) {
+        if (reply.last_reason().code != external_error::unknown_outcome) {
             unclear.erase(due.vm);
         }
         co_return;
--- a/src/replicas/replica_keeper.cpp
+++ b/src/replicas/replica_keeper.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-const part_log keeper_log("replicas");
+const logger keeper_log("replicas");
 
 /** The shortest time between two plans, so that a burst of news makes one. */
 constexpr duration shortest_tick = 20ms;
--- a/standin/http_replies.cpp
+++ b/standin/http_replies.cpp
@@ -13,7 +13,7 @@
 namespace chervildyke::standin {
 
 namespace {
-const part_log log_to("standin");
+const logger log_to("standin");
 } // namespace
 
 http_reply json_reply(const google::protobuf::Message& message)
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -59,7 +59,7 @@
         return exit_failure;
     }
     return run_main_task(context, []() -> boost::asio::awaitable<int> {
-        co_await stop_requested();
+        co_await wait_for_stop_signal();
         co_return exit_success;
     });
 }
--- a/test/correctness/entry_calls.cpp
+++ b/test/correctness/entry_calls.cpp
@@ -180,7 +180,7 @@
         co_await exchange.start_stream(head);
         const std::string event = chunk_event(call.attempt_id(), 0, "t0 ", false);
         co_await exchange.write_chunk(event);
-        co_await exchange.peer_gone();
+        co_await exchange.wait_for_peer_close();
     };
     entry_under_test entry(context);
     REQUIRE(entry.start(view_of({engine.address()})));
--- a/test/correctness/standin_log.cpp
+++ b/test/correctness/standin_log.cpp
@@ -57,7 +57,7 @@
         co_await bench.fault(R"({"fault":"drop_reply","count":1})");
         auto lost = co_await bench.client.append("s", "first");
         CHECK(!lost);
-        CHECK(lost.last_reason().code == external_error::unclear);
+        CHECK(lost.last_reason().code == external_error::unknown_outcome);
         auto second = co_await bench.client.append("s", "second");
         CHECK(*second == 2);
         auto read = co_await bench.client.read("s", 1, 10, 0ms);
--- a/test/support/fake_engines.cpp
+++ b/test/support/fake_engines.cpp
@@ -203,7 +203,7 @@
     const auto found = engines_.find(vm);
     if (found == engines_.end() || silent(found->second)) {
         co_await sleep_for(timeout);
-        co_return external_failure{external_error::unclear, "no answer"};
+        co_return external_failure{external_error::unknown_outcome, "no answer"};
     }
     co_await sleep_for(1ms);
     settle();
@@ -219,7 +219,7 @@
     co_await sleep_for(std::max(delay, duration(1ms)));
     if (silent(engine) || delay > timeout) {
         deliver(vm, order);
-        co_return external_failure{external_error::unclear, "no answer"};
+        co_return external_failure{external_error::unknown_outcome, "no answer"};
     }
     settle();
     co_return obey(engine, order);
--- a/test/support/memory_log.cpp
+++ b/test/support/memory_log.cpp
@@ -114,7 +114,7 @@
             --log->lost_replies;
         }
         if (lost || !log->reachable(reader)) {
-            co_return external_failure{external_error::unclear, "the reply was lost"};
+            co_return external_failure{external_error::unknown_outcome, "the reply was lost"};
         }
         co_return offset;
     };
