--- a/src/external/engine_client.h
+++ b/src/external/engine_client.h
@@ -1,5 +1,6 @@
 /** \file
- * Defines engine_client, the calls of the control plane on a model engine.
+ * Defines engine_client and weight_store_client, the calls of the control plane to model engines
+ * and to the weight store.
  */
 #pragma once
 
@@ -14,20 +15,24 @@
 
 namespace chervildyke {
 
-/** The control plane's calls on one engine, by ip:port. Calls for callers are made by the entry. */
+/** The calls of the control plane to engines, addressed by ip:port. The entry makes the calls that
+ * serve callers.
+ */
 struct engine_client {
+    /** Requests the state of the engine. */
     std::function<boost::asio::awaitable<external_result<schema::engine_report>>(
         std::string address, duration timeout)>
         report;
 
-    /** Sends an order. After external_error::unknown_outcome the engine may obey it, now or later.
+    /** Sends an order. After external_error::unknown_outcome the engine may still execute it, at
+     * once or later.
      */
     std::function<boost::asio::awaitable<external_result<schema::engine_order_reply>>(
         std::string address, schema::engine_order order, duration timeout)>
         order;
 };
 
-/** The calls on the weight store. */
+/** The call to the weight store. */
 struct weight_store_client {
     std::function<boost::asio::awaitable<external_result<schema::weight_store_status>>()> status;
 };
--- a/src/external/external_error.h
+++ b/src/external/external_error.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines how calls on the platform and on backend servers fail.
+ * Defines external_error, the codes with which calls to the platform and to backend servers fail.
  */
 #pragma once
 
@@ -9,11 +9,11 @@
 
 enum class external_error {
     none,
-    not_sent,        // The call did not reach its target and had no effect.
-    unknown_outcome, // The call may have taken effect; nobody can tell yet.
-    refused,         // The target said no and did nothing.
-    overloaded,      // The target said no for now; try again later.
-    out_of_range,    // The log no longer keeps, or never had, the offset.
+    not_sent,        // The call did not reach the server and had no effect.
+    unknown_outcome, // The call may have taken effect.
+    refused,         // The server rejected the call, which had no effect.
+    overloaded,      // The server is overloaded and rejected the call; it may be retried later.
+    out_of_range,    // The log does not hold the offset: it is trimmed or was never written.
 };
 
 using external_failure = failure<external_error>;
--- a/src/external/http_external.cpp
+++ b/src/external/http_external.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements the platform clients over http_client.
+ * Implements the clients of the platform and of engines with http_client.
  */
 #include "external/http_external.h"
 
@@ -12,29 +12,34 @@
 namespace asio = boost::asio;
 
 constexpr duration append_timeout = 2s;
-constexpr duration read_margin = 2s;
+constexpr duration read_timeout_beyond_wait = 2s;
 constexpr duration list_timeout = 2s;
 constexpr unsigned status_not_modified = 304;
+constexpr unsigned status_too_many_requests = 429;
+constexpr unsigned status_unavailable = 503;
+constexpr std::size_t max_quoted_body_bytes = 200; // Of an error reply, in the text of a failure.
 
-/** Turns a failed HTTP call into the platform's words. */
-external_failure from_http(const http_failure& below)
+/** Converts the failure of an HTTP call. */
+external_failure from_http(const http_failure& cause)
 {
-    const bool had_no_effect = below.code == http_error::not_sent;
-    return {had_no_effect ? external_error::not_sent : external_error::unknown_outcome,
-            below.reason};
+    const bool was_not_sent = cause.code == http_error::not_sent;
+    return {was_not_sent ? external_error::not_sent : external_error::unknown_outcome,
+            cause.reason};
 }
 
+/** \return the failure for a reply whose status is not 200. */
 external_failure from_status(const http_reply& reply)
 {
-    if (reply.status == 429 || reply.status == 503) {
+    if (reply.status == status_too_many_requests || reply.status == status_unavailable) {
         return {external_error::overloaded, "HTTP " + std::to_string(reply.status)};
     }
-    const bool said_no = reply.status >= 400 && reply.status < 500;
-    return {said_no ? external_error::refused : external_error::unknown_outcome,
-            "HTTP " + std::to_string(reply.status) + " " + reply.body.substr(0, 200)};
+    const bool rejected = reply.status >= 400 && reply.status < 500;
+    return {rejected ? external_error::refused : external_error::unknown_outcome,
+            "HTTP " + std::to_string(reply.status) + " " +
+                reply.body.substr(0, max_quoted_body_bytes)};
 }
 
-/** Makes a call whose answer is one message in JSON. */
+/** Makes a call to which the reply is a message in JSON. */
 template <typename Reply>
 asio::awaitable<external_result<Reply>> json_call(std::shared_ptr<http_client> http,
                                                   std::string address, http_request request,
@@ -51,7 +56,8 @@
     }
     Reply reply;
     if (!from_json(answer->body, reply)) {
-        co_return external_failure{external_error::unknown_outcome, "an answer that can't be read"};
+        co_return external_failure{external_error::unknown_outcome,
+                                   "the reply is not the expected JSON message"};
     }
     co_return reply;
 }
@@ -105,7 +111,7 @@
             http, address,
             get("/streams/" + stream + "/records?from=" + std::to_string(from) +
                 "&limit=" + std::to_string(limit) + "&wait_ms=" + std::to_string(to_ms(wait))),
-            wait + read_margin);
+            wait + read_timeout_beyond_wait);
         if (!reply) {
             co_return reply.last_reason();
         }
@@ -116,18 +122,18 @@
 
 namespace {
 
-/** The last list and its entity tag, so that an unchanged list is not sent again. */
-struct known_list {
-    std::string tag;
+/** The last list and its entity tag, with which an unchanged list is not sent again. */
+struct cached_list {
+    std::string entity_tag;
     schema::vm_list_reply list;
 };
 
 asio::awaitable<external_result<schema::vm_list_reply>>
-list_vms(std::shared_ptr<http_client> http, std::string address, std::shared_ptr<known_list> known)
+list_vms(std::shared_ptr<http_client> http, std::string address, std::shared_ptr<cached_list> last)
 {
     http_request request = get("/vms");
-    if (!known->tag.empty()) {
-        request.headers.push_back({"If-None-Match", known->tag});
+    if (!last->entity_tag.empty()) {
+        request.headers.push_back({"If-None-Match", last->entity_tag});
     }
     http_call_options options;
     options.timeout = list_timeout;
@@ -136,17 +142,18 @@
         co_return from_http(answer.last_reason());
     }
     if (answer->status == status_not_modified) {
-        co_return known->list;
+        co_return last->list;
     }
     if (answer->status != 200) {
         co_return from_status(*answer);
     }
     schema::vm_list_reply list;
     if (!from_json(answer->body, list)) {
-        co_return external_failure{external_error::unknown_outcome, "a VM list that can't be read"};
+        co_return external_failure{external_error::unknown_outcome,
+                                   "the reply is not a VM list in JSON"};
     }
-    known->tag = std::string(answer->header("etag"));
-    known->list = list;
+    last->entity_tag = std::string(answer->header("etag"));
+    last->list = list;
     co_return list;
 }
 
@@ -155,8 +162,8 @@
 vm_list_client http_vm_list_client(std::shared_ptr<http_client> http, std::string address)
 {
     vm_list_client client;
-    const auto known = std::make_shared<known_list>();
-    client.list = [http, address, known] { return list_vms(http, address, known); };
+    const auto last = std::make_shared<cached_list>();
+    client.list = [http, address, last] { return list_vms(http, address, last); };
     return client;
 }
 
--- a/src/external/http_external.h
+++ b/src/external/http_external.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines the platform clients that speak the published HTTP calls.
+ * Defines the clients that call the platform and engines over HTTP.
  */
 #pragma once
 
@@ -16,7 +16,10 @@
 /** \param address ip:port of the log service. */
 log_client http_log_client(std::shared_ptr<http_client> http, std::string address);
 
-/** \param address ip:port of the VM list. */
+/** Makes a client that sends the entity tag of the last list, so that an unchanged list is not sent
+ * again.
+ * \param address ip:port of the VM list.
+ */
 vm_list_client http_vm_list_client(std::shared_ptr<http_client> http, std::string address);
 
 engine_client http_engine_client(std::shared_ptr<http_client> http);
--- a/src/external/json_message.cpp
+++ b/src/external/json_message.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements the JSON form with protobuf's own codec.
+ * Implements the conversion with protobuf's JSON functions.
  */
 #include "external/json_message.h"
 
--- a/src/external/json_message.h
+++ b/src/external/json_message.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines the JSON form of schema messages, as the platform's HTTP calls carry it.
+ * Defines functions that convert schema messages to and from JSON, for the platform's HTTP calls.
  */
 #pragma once
 
@@ -11,15 +11,15 @@
 
 namespace chervildyke {
 
-/** \return the message as one line of JSON with the schema's field names. */
+/** \return the message as one line of JSON with the field names of the schema. */
 std::string to_json(const google::protobuf::Message& message);
 
-/** Reads a message from JSON, ignoring fields it does not know, as a peer may be newer.
- * \return false when the text is not such a message.
+/** Parses a message from JSON. Unknown fields are ignored, since the peer may be a newer version.
+ * \return false if the text is not such a message.
  */
 bool from_json(const std::string& text, google::protobuf::Message& into);
 
-/** \return a POST request whose body is the message in JSON. */
+/** \return a POST request with the message in JSON as its body. */
 http_request json_post(std::string target, const google::protobuf::Message& body);
 
 } // namespace chervildyke
--- a/src/external/vm_list_client.h
+++ b/src/external/vm_list_client.h
@@ -13,7 +13,7 @@
 
 namespace chervildyke {
 
-/** The call on the VM list. The list lags behind reality. */
+/** The call to the VM list, which lags behind the actual state of the VMs. */
 struct vm_list_client {
     std::function<boost::asio::awaitable<external_result<schema::vm_list_reply>>()> list;
 };
