Word src/rpc in the usual terms of gRPC

"Control" alone meant a control node, control_hooks did not say that they serve gRPC only, and the gate and the heard views were figures of speech.

control_hooks control_rpc_hooks watch_view's parameter silence_limit view_timeout post_gate (internal) closable_executor kept_channel (internal) permanent_channel

The text "no view in time" is now "no view arrived within the timeout".

--- a/src/control/control_components.cpp
+++ b/src/control/control_components.cpp
@@ -255,9 +255,9 @@
     return hooks;
 }
 
-control_hooks control_node::components::make_rpc_hooks()
+control_rpc_hooks control_node::components::make_rpc_hooks()
 {
-    control_hooks hooks;
+    control_rpc_hooks hooks;
     hooks.watch_view = [this](schema::view_request, view_writer write) {
         return publisher.serve(std::move(write));
     };
--- a/src/control/control_components.h
+++ b/src/control/control_components.h
@@ -73,7 +73,7 @@
     vm_watcher_hooks make_watcher_hooks();
     replica_keeper_hooks make_reconciler_hooks();
     order_coordinator_hooks make_coordinator_hooks();
-    control_hooks make_rpc_hooks();
+    control_rpc_hooks make_rpc_hooks();
     control_http_hooks make_http_hooks();
 
     /** \return what runs on the VMs of a pool, according to the current configuration. */
--- a/src/rpc/callback_queue.cpp
+++ b/src/rpc/callback_queue.cpp
@@ -14,33 +14,33 @@
 
 namespace {
 
-/** A channel that has used the callback queue once. */
-struct kept_channel {
+/** A channel that has used the callback queue once and is never destroyed. */
+struct permanent_channel {
     std::unique_ptr<schema::control::Stub> stub;
     grpc::ClientContext context;
     schema::probe_request request;
     schema::probe_reply reply;
 };
 
-kept_channel* make_kept_channel()
+permanent_channel* make_permanent_channel()
 {
-    auto* kept = new kept_channel;
-    // The call has expired before it starts, so nothing is ever sent to this address.
-    kept->stub = schema::control::NewStub(
+    auto* channel = new permanent_channel;
+    // The deadline has passed before the call starts, so nothing is sent to this address.
+    channel->stub = schema::control::NewStub(
         grpc::CreateChannel("127.0.0.1:9", grpc::InsecureChannelCredentials()));
-    kept->context.set_deadline(std::chrono::system_clock::now() - std::chrono::seconds(1));
+    channel->context.set_deadline(std::chrono::system_clock::now() - std::chrono::seconds(1));
     std::promise<void> ended;
-    kept->stub->async()->probe(&kept->context, &kept->request, &kept->reply,
-                               [&ended](const grpc::Status&) { ended.set_value(); });
+    channel->stub->async()->probe(&channel->context, &channel->request, &channel->reply,
+                                  [&ended](const grpc::Status&) { ended.set_value(); });
     ended.get_future().wait();
-    return kept;
+    return channel;
 }
 
 } // namespace
 
 void keep_callback_queue()
 {
-    [[maybe_unused]] static const kept_channel* const kept = make_kept_channel();
+    [[maybe_unused]] static const permanent_channel* const channel = make_permanent_channel();
 }
 
 } // namespace chervildyke::internal
--- a/src/rpc/callback_queue.h
+++ b/src/rpc/callback_queue.h
@@ -5,10 +5,10 @@
 
 namespace chervildyke::internal {
 
-/** Keeps gRPC's callback queue for the life of the process. gRPC 1.51 destroys that queue with the
- * last channel or server that used it, while its threads may still be leaving it; the process then
- * aborts in grpc_cq_internal_unref. One channel that is never destroyed avoids this. To be called
- * before the first use of the callback interface; further calls do nothing.
+/** Keeps gRPC's callback completion queue alive until the process exits. gRPC 1.51 destroys the
+ * queue with the last channel or server that used it, possibly while its own threads still use the
+ * queue; the process then aborts in grpc_cq_internal_unref. A channel that is never destroyed
+ * prevents this. Must be called before the first use of the callback API; further calls do nothing.
  */
 void keep_callback_queue();
 
--- a/src/rpc/control_client.cpp
+++ b/src/rpc/control_client.cpp
@@ -40,12 +40,12 @@
            std::chrono::duration_cast<std::chrono::system_clock::duration>(timeout);
 }
 
-/** Lets gRPC's threads post to the executor until the client is gone. What they would post later is
- * kept unrun, since the executor's context may be gone too.
+/** Lets gRPC's threads post tasks to the executor until the client is destroyed. Tasks posted later
+ * are not run, since the context of the executor may be destroyed too.
  */
-class post_gate {
+class closable_executor {
   public:
-    explicit post_gate(asio::any_io_executor executor) : executor_(std::move(executor)) {}
+    explicit closable_executor(asio::any_io_executor executor) : executor_(std::move(executor)) {}
 
     template <typename Task>
     void post(Task task)
@@ -55,7 +55,8 @@
             asio::post(executor_, std::move(task));
         }
         else {
-            static_cast<void>(new Task(std::move(task))); // Must not be destroyed on this thread.
+            // Leaked, because the task must not be destroyed on this thread.
+            static_cast<void>(new Task(std::move(task)));
         }
     }
 
@@ -65,7 +66,7 @@
         open_ = false;
     }
 
-    const asio::any_io_executor& executor() const { return executor_; }
+    const asio::any_io_executor& get() const { return executor_; }
 
   private:
     asio::any_io_executor executor_;
@@ -73,9 +74,9 @@
     bool open_ = true;
 };
 
-using post_gate_ptr = std::shared_ptr<post_gate>;
+using closable_executor_ptr = std::shared_ptr<closable_executor>;
 
-/** What one unary call needs until it has ended. */
+/** The objects that gRPC uses until a unary call has ended. */
 template <typename Request, typename Reply>
 struct unary_call {
     grpc::ClientContext context;
@@ -84,7 +85,7 @@
 };
 
 template <typename Request, typename Reply, typename Start>
-rpc_awaitable<Reply> run_call(post_gate_ptr gate, std::string address, Request request,
+rpc_awaitable<Reply> run_call(closable_executor_ptr executor, std::string address, Request request,
                               duration timeout, Start start)
 {
     auto call = std::make_shared<unary_call<Request, Reply>>();
@@ -93,8 +94,8 @@
     const auto begin = [&](auto handler) {
         auto shared = std::make_shared<decltype(handler)>(std::move(handler));
         start(&call->context, &call->request, &call->reply,
-              [call, gate, shared](const grpc::Status& status) {
-                  gate->post([shared, status] { std::move (*shared)(status); });
+              [call, executor, shared](const grpc::Status& status) {
+                  executor->post([shared, status] { std::move (*shared)(status); });
               });
     };
     const grpc::Status status =
@@ -106,17 +107,18 @@
     co_return std::move(call->reply);
 }
 
-/** Reads one stream of views; its callbacks post to the executor. */
+/** Reads one stream of views. Its callbacks run on gRPC's threads and post to the executor. */
 class view_reader : public grpc::ClientReadReactor<schema::routing_view>,
                     public std::enable_shared_from_this<view_reader> {
   public:
     using view_hook = std::function<void(std::shared_ptr<const schema::routing_view>)>;
 
-    view_reader(post_gate_ptr gate, schema::view_request request, view_hook on_view)
-        : gate_(std::move(gate)), request_(std::move(request)), on_view_(std::move(on_view)),
-          ended_(gate_->executor()), heard_at_(monotonic_clock::now())
+    view_reader(closable_executor_ptr executor, schema::view_request request, view_hook on_view)
+        : executor_(std::move(executor)), request_(std::move(request)),
+          on_view_(std::move(on_view)), wakeup_(executor_->get()),
+          last_view_at_(monotonic_clock::now())
     {
-        ended_.expires_at(timer::time_point::max());
+        wakeup_.expires_at(timer::time_point::max());
     }
 
     void begin(callback_stub* stub)
@@ -129,16 +131,16 @@
 
     void cancel()
     {
-        abandoned_ = true;
+        cancelled_ = true;
         context_.TryCancel();
     }
 
-    /** Completes when the stream has ended or was silent for too long. */
-    asio::awaitable<void> wait(duration silence_limit)
+    /** Completes when the stream has ended or no view has arrived within the timeout. */
+    asio::awaitable<void> wait(duration view_timeout)
     {
-        while (!finished_ && monotonic_clock::now() - heard_at_ < silence_limit) {
-            ended_.expires_at(heard_at_ + silence_limit);
-            co_await ended_.async_wait(asio::as_tuple(asio::use_awaitable));
+        while (!finished_ && monotonic_clock::now() - last_view_at_ < view_timeout) {
+            wakeup_.expires_at(last_view_at_ + view_timeout);
+            co_await wakeup_.async_wait(asio::as_tuple(asio::use_awaitable));
         }
     }
 
@@ -151,9 +153,9 @@
         }
         auto view = std::make_shared<schema::routing_view>(std::move(incoming_));
         incoming_.Clear();
-        gate_->post([self = shared_from_this(), view] {
-            self->heard_at_ = monotonic_clock::now();
-            if (!self->abandoned_) {
+        executor_->post([self = shared_from_this(), view] {
+            self->last_view_at_ = monotonic_clock::now();
+            if (!self->cancelled_) {
                 self->on_view_(view);
             }
         });
@@ -162,31 +164,31 @@
 
     void OnDone(const grpc::Status& status) override
     {
-        gate_->post([self = std::move(self_), status] {
+        executor_->post([self = std::move(self_), status] {
             self->status_ = status;
             self->finished_ = true;
-            self->ended_.cancel();
+            self->wakeup_.cancel();
         });
     }
 
   private:
-    post_gate_ptr gate_;
+    closable_executor_ptr executor_;
     grpc::ClientContext context_;
     schema::view_request request_;
     schema::routing_view incoming_;
     view_hook on_view_;
-    timer ended_;
-    time_point heard_at_;
+    timer wakeup_;
+    time_point last_view_at_;
     grpc::Status status_;
     bool finished_ = false;
-    bool abandoned_ = false;
+    bool cancelled_ = false;
     std::shared_ptr<view_reader> self_; // Keeps the reactor alive until OnDone.
 };
 
 } // namespace
 
 struct control_client::state {
-    post_gate_ptr gate;
+    closable_executor_ptr executor;
     std::string address;
     std::unique_ptr<schema::control::Stub> stub;
 };
@@ -201,7 +203,7 @@
     arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, reconnect_backoff_max_ms);
     arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
     arguments.SetMaxReceiveMessageSize(max_message_bytes);
-    state_->gate = std::make_shared<post_gate>(std::move(executor));
+    state_->executor = std::make_shared<closable_executor>(std::move(executor));
     state_->address = address;
     state_->stub = schema::control::NewStub(
         grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments));
@@ -209,7 +211,7 @@
 
 control_client::~control_client()
 {
-    state_->gate->close();
+    state_->executor->close();
 }
 
 const std::string& control_client::address() const
@@ -217,7 +219,7 @@
     return state_->address;
 }
 
-// The calls differ only in their types; the stub's overloads need a lambda to name them.
+// Defines a unary call. The lambda is needed because the methods of the stub are overloaded.
 #define CHERVIL_UNARY_CALL(method, request_type, reply_type)                                       \
     rpc_awaitable<schema::reply_type> control_client::method(schema::request_type request,         \
                                                              duration timeout)                     \
@@ -227,7 +229,7 @@
             self->stub->async()->method(context, sent, reply, std::move(on_done));                 \
         };                                                                                         \
         co_return co_await run_call<schema::request_type, schema::reply_type>(                     \
-            self->gate, self->address, std::move(request), timeout, start);                        \
+            self->executor, self->address, std::move(request), timeout, start);                    \
     }
 
 CHERVIL_UNARY_CALL(probe, probe_request, probe_reply)
@@ -243,17 +245,18 @@
 asio::awaitable<rpc_failure>
 control_client::watch_view(schema::view_request request,
                            std::function<void(std::shared_ptr<const schema::routing_view>)> on_view,
-                           duration silence_limit)
+                           duration view_timeout)
 {
     const auto self = state_;
     const auto reader =
-        std::make_shared<view_reader>(self->gate, std::move(request), std::move(on_view));
+        std::make_shared<view_reader>(self->executor, std::move(request), std::move(on_view));
     reader->begin(self->stub->async());
     const scope_guard end_stream(
-        [reader] { reader->cancel(); }); // Also when this task is cancelled.
-    co_await reader->wait(silence_limit);
+        [reader] { reader->cancel(); }); // Runs also when this task is cancelled.
+    co_await reader->wait(view_timeout);
     if (reader->status().ok()) {
-        co_return rpc_failure{rpc_error::timed_out, self->address + ": no view in time"};
+        co_return rpc_failure{rpc_error::timed_out,
+                              self->address + ": no view arrived within the timeout"};
     }
     co_return to_failure(reader->status(), self->address);
 }
--- a/src/rpc/control_client.h
+++ b/src/rpc/control_client.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines control_client, which calls one control over gRPC.
+ * Defines control_client, which calls the control API of one control node over gRPC.
  */
 #pragma once
 
@@ -16,7 +16,12 @@
 
 namespace chervildyke {
 
-enum class rpc_error { none, unreachable, timed_out, refused };
+enum class rpc_error {
+    none,
+    unreachable, // The connection failed; the call may have taken effect.
+    timed_out,   // No reply within the timeout; the call may have taken effect.
+    refused,     // The call ended with any other gRPC status.
+};
 
 using rpc_failure = failure<rpc_error>;
 
@@ -26,11 +31,11 @@
 template <typename Reply>
 using rpc_awaitable = boost::asio::awaitable<rpc_result<Reply>>;
 
-/** Calls one control. Retries nothing; choosing another control is left to the caller. */
+/** Calls one control node. It does not retry; the caller may call another control node. */
 class control_client {
   public:
-    /** \param executor where tasks resume.
-     * \param address ip:port of the control.
+    /** \param executor runs the continuations of the calls.
+     * \param address ip:port of the control node.
      */
     control_client(boost::asio::any_io_executor executor, const std::string& address);
     ~control_client();
@@ -52,15 +57,16 @@
                                                     duration timeout);
     rpc_awaitable<schema::explain_reply> explain(schema::explain_request request, duration timeout);
 
-    /** Follows the control's view until the stream breaks or the task is cancelled.
+    /** Subscribes to the routing views of the control node until the stream ends or the task is
+     * cancelled.
      * \param on_view called for each view.
-     * \param silence_limit the stream counts as broken when no view came for so long.
-     * \return why it ended.
+     * \param view_timeout the maximum time between two views, after which the stream is cancelled.
+     * \return why the stream ended.
      */
     boost::asio::awaitable<rpc_failure>
     watch_view(schema::view_request request,
                std::function<void(std::shared_ptr<const schema::routing_view>)> on_view,
-               duration silence_limit);
+               duration view_timeout);
 
   private:
     struct state;
--- a/src/rpc/control_server.cpp
+++ b/src/rpc/control_server.cpp
@@ -42,13 +42,13 @@
     return reactor;
 }
 
-/** Writes one stream of views; the task that feeds it runs on the executor. */
+/** Writes one stream of views. The hook that supplies the views runs on the executor. */
 class view_stream : public grpc::ServerWriteReactor<schema::routing_view>,
                     public std::enable_shared_from_this<view_stream> {
   public:
     explicit view_stream(asio::any_io_executor executor) : executor_(std::move(executor)) {}
 
-    void hold() { self_ = shared_from_this(); }
+    void keep_alive_until_done() { self_ = shared_from_this(); }
 
     asio::awaitable<bool> write(schema::routing_view view)
     {
@@ -89,13 +89,13 @@
 } // namespace
 
 struct control_server::state : public schema::control::CallbackService {
-    state(asio::any_io_executor executor_in, control_hooks hooks_in)
+    state(asio::any_io_executor executor_in, control_rpc_hooks hooks_in)
         : executor(std::move(executor_in)), hooks(std::move(hooks_in))
     {
     }
 
     asio::any_io_executor executor;
-    control_hooks hooks;
+    control_rpc_hooks hooks;
     std::unique_ptr<grpc::Server> server;
     int bound_port = 0;
 
@@ -103,7 +103,7 @@
     watch_view(grpc::CallbackServerContext*, const schema::view_request* request) override
     {
         auto stream = std::make_shared<view_stream>(executor);
-        stream->hold();
+        stream->keep_alive_until_done();
         if (!hooks.watch_view) {
             stream->Finish({grpc::StatusCode::UNIMPLEMENTED, "not served here"});
             return stream.get();
@@ -136,7 +136,7 @@
 #undef CHERVIL_UNARY_HOOK
 };
 
-control_server::control_server(asio::any_io_executor executor, control_hooks hooks)
+control_server::control_server(asio::any_io_executor executor, control_rpc_hooks hooks)
     : state_(std::make_shared<state>(std::move(executor), std::move(hooks)))
 {
 }
--- a/src/rpc/control_server.h
+++ b/src/rpc/control_server.h
@@ -16,14 +16,16 @@
 
 namespace chervildyke {
 
-/** Writes views to one entry; returns false once the entry is gone. */
+/** Writes a view to one entry; returns false once the stream is cancelled. */
 using view_writer = std::function<boost::asio::awaitable<bool>(schema::routing_view)>;
 
 template <typename Request, typename Reply>
 using rpc_hook = std::function<boost::asio::awaitable<Reply>(Request)>;
 
-/** The hooks behind the control API. A call whose hook is empty is refused. */
-struct control_hooks {
+/** The handlers of the gRPC calls of the control API. A call whose hook is empty ends with the
+ * status UNIMPLEMENTED.
+ */
+struct control_rpc_hooks {
     std::function<boost::asio::awaitable<void>(schema::view_request, view_writer)> watch_view;
     rpc_hook<schema::probe_request, schema::probe_reply> probe;
     rpc_hook<schema::record_request, schema::record_batch> read_records;
@@ -35,22 +37,27 @@
     rpc_hook<schema::explain_request, schema::explain_reply> explain;
 };
 
-/** Owns the gRPC server. Calls arrive on its threads and run as tasks on the executor. */
+/** Owns the gRPC server. Calls arrive on its threads; the hooks run as tasks on the executor. */
 class control_server {
   public:
-    control_server(boost::asio::any_io_executor executor, control_hooks hooks);
+    control_server(boost::asio::any_io_executor executor, control_rpc_hooks hooks);
     ~control_server();
     control_server(const control_server&) = delete;
     control_server& operator=(const control_server&) = delete;
 
-    /** \return false when the address can't be had. */
+    /** Starts to serve.
+     * \param address the IP address to listen on.
+     * \param port zero for any free port.
+     * \return false if the server can't listen on the address.
+     */
     bool listen(const std::string& address, std::uint16_t port);
 
-    /** The port listened on; useful after listen() with port zero, which takes a free one. */
+    /** \return the port that the server listens on. */
     std::uint16_t port() const;
 
-    /** Ends all calls and waits for gRPC's threads to let go.
-     * The executor must still run, or calls in progress can't end.
+    /** Stops the server and waits until all calls have ended. The executor must still run, or calls
+     * in progress can't end.
+     * \param grace the time after which calls in progress are cancelled.
      */
     void stop(duration grace);
 
--- a/test/correctness/rpc_calls.cpp
+++ b/test/correctness/rpc_calls.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Tests unary calls and the view stream between processes.
+ * Tests unary calls and the view stream between control_client and control_server.
  */
 #include <doctest/doctest.h>
 
@@ -17,7 +17,7 @@
 TEST_CASE("a probe is answered and views arrive until the server ends the stream")
 {
     asio::io_context context;
-    control_hooks hooks;
+    control_rpc_hooks hooks;
     hooks.probe = [](schema::probe_request request) -> asio::awaitable<schema::probe_reply> {
         schema::probe_reply reply;
         reply.set_vm("answer to " + request.from());
