--- a/src/base/byte_budget.h
+++ b/src/base/byte_budget.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines byte_budget, a bound on memory that many tasks share.
+ * Defines byte_budget, a limit on the memory that a group of tasks reserves in total.
  */
 #pragma once
 
@@ -7,40 +7,44 @@
 
 namespace chervildyke {
 
+/** Tracks the bytes that are available to a group of tasks. Not thread-safe. */
 class byte_budget {
   public:
-    explicit byte_budget(std::size_t most) : left_(most) {}
+    /** \param max_bytes the limit on all reservations together. */
+    explicit byte_budget(std::size_t max_bytes) : available_bytes_(max_bytes) {}
 
-    /** Bytes of one task; given back when it is destroyed. */
-    class share {
+    /** The bytes reserved by one task; released when the reservation is destroyed. */
+    class reservation {
       public:
-        explicit share(byte_budget& budget) : budget_(budget) {}
-        ~share() { budget_.left_ += held_; }
-        share(const share&) = delete;
-        share& operator=(const share&) = delete;
-
-        /** \return false, with nothing taken, when so much is not left. */
-        bool take(std::size_t bytes)
+        explicit reservation(byte_budget& budget) : budget_(budget) {}
+        ~reservation() { budget_.available_bytes_ += reserved_bytes_; }
+        reservation(const reservation&) = delete;
+        reservation& operator=(const reservation&) = delete;
+
+        /** Reserves further bytes.
+         * \return false, with nothing reserved, if fewer bytes are available.
+         */
+        bool try_reserve(std::size_t bytes)
         {
-            if (bytes > budget_.left_) {
+            if (bytes > budget_.available_bytes_) {
                 return false;
             }
-            budget_.left_ -= bytes;
-            held_ += bytes;
+            budget_.available_bytes_ -= bytes;
+            reserved_bytes_ += bytes;
             return true;
         }
 
-        std::size_t held() const { return held_; }
+        std::size_t reserved_bytes() const { return reserved_bytes_; }
 
       private:
         byte_budget& budget_;
-        std::size_t held_ = 0;
+        std::size_t reserved_bytes_ = 0;
     };
 
-    std::size_t left() const { return left_; }
+    std::size_t available_bytes() const { return available_bytes_; }
 
   private:
-    std::size_t left_;
+    std::size_t available_bytes_;
 };
 
 } // namespace chervildyke
--- a/src/base/clock.cpp
+++ b/src/base/clock.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements the system's clock over std::chrono, and the manual clock.
+ * Implements the clocks over std::chrono, and the manual clock.
  */
 #include "base/clock.h"
 
@@ -13,12 +13,13 @@
 
 namespace {
 
+// Unix time at which the manual clock is zero.
 constexpr std::uint64_t manual_epoch_ms = 1'800'000'000'000;
 
 struct manual_state {
     bool installed = false;
     time_point now{1h};
-    time_point earliest{}; // The earliest timer, as the reactor last asked for it.
+    time_point next_expiry{}; // Of the earliest timer, when the reactor last asked for it.
 };
 
 manual_state& manual()
@@ -48,7 +49,7 @@
     if (!monotonic_clock::is_manual()) {
         return until;
     }
-    manual().earliest = manual().now + until;
+    manual().next_expiry = manual().now + until;
     return duration::zero();
 }
 
@@ -57,7 +58,7 @@
     return to_wait_duration(until - monotonic_clock::now());
 }
 
-duration awake_or_suspended_time()
+duration time_since_boot()
 {
     if (manual().installed) {
         return manual().now.time_since_epoch();
@@ -81,16 +82,16 @@
 
 boost::asio::awaitable<void> sleep_for(duration span)
 {
-    timer pause(co_await boost::asio::this_coro::executor);
-    pause.expires_after(span);
-    co_await pause.async_wait(boost::asio::use_awaitable);
+    timer sleep_timer(co_await boost::asio::this_coro::executor);
+    sleep_timer.expires_after(span);
+    co_await sleep_timer.async_wait(boost::asio::use_awaitable);
 }
 
 manual_clock::manual_clock(boost::asio::io_context& context) : context_(context)
 {
     manual().installed = true;
     manual().now = time_point(1h);
-    manual().earliest = time_point();
+    manual().next_expiry = time_point();
 }
 
 manual_clock::~manual_clock()
@@ -104,8 +105,8 @@
     context_.restart();
     context_.poll();
     while (manual().now < end) {
-        // Steps at whose end no timer is due are taken at once.
-        const duration idle = std::max(manual().earliest - manual().now - 1ns, duration::zero());
+        // Steps after which no timer has expired are combined into one.
+        const duration idle = std::max(manual().next_expiry - manual().now - 1ns, duration::zero());
         manual().now += std::min((idle / step + 1) * step, end - manual().now);
         context_.restart();
         context_.poll();
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines the clock that every timer of the system runs on, and its manual form for tests.
+ * Defines monotonic_clock, the clock of every timer, and manual_clock, which replaces it in tests.
  */
 #pragma once
 
@@ -15,7 +15,7 @@
 
 using namespace std::chrono_literals;
 
-/** A monotonic clock with a hook, so that tests can put a manual clock in its place. */
+/** The steady clock of the standard library, unless a manual_clock is installed. */
 struct monotonic_clock {
     using duration = std::chrono::nanoseconds;
     using rep = duration::rep;
@@ -32,30 +32,32 @@
 using time_point = monotonic_clock::time_point;
 using duration = monotonic_clock::duration;
 
-/** Lets asio's reactor look at every timer on each poll while a manual clock is installed. */
+/** Makes asio's reactor check every timer on each poll while a manual clock is installed. */
 struct monotonic_wait_traits {
     static duration to_wait_duration(const duration& until);
     static duration to_wait_duration(const time_point& until);
 };
 
-/** The timer of every task: cancellable, usable with awaitable operators. */
+/** The timer that tasks wait on; cancellable and usable with awaitable operators. */
 using timer = boost::asio::basic_waitable_timer<monotonic_clock, monotonic_wait_traits>;
 
-/** Milliseconds since the Unix epoch; follows the manual clock while one is installed. */
+/** \return the milliseconds since the Unix epoch; follows the manual clock while one is installed.
+ */
 std::uint64_t wall_clock_ms();
 
-/** Time since the machine started, counting the time for which it was suspended; follows the manual
- * clock while one is installed. Ages of beliefs are measured with it.
+/** Measures the age of data, which keeps growing while the machine is suspended.
+ * \return the time since the machine booted, including the time for which it was suspended; follows
+ * the manual clock while one is installed.
  */
-duration awake_or_suspended_time();
+duration time_since_boot();
 
 /** Suspends the calling task.
- * \param span how long.
+ * \param span the duration of the suspension.
  */
 boost::asio::awaitable<void> sleep_for(duration span);
 
-/** Replaces the clock of the whole process for its lifetime, so that a test decides when time
- * passes. All tasks run on one io_context and only inside advance().
+/** Replaces the clock of the whole process for its lifetime, so that a test controls the time. All
+ * tasks run on one io_context and only during advance().
  */
 class manual_clock {
   public:
@@ -64,9 +66,9 @@
     manual_clock(const manual_clock&) = delete;
     manual_clock& operator=(const manual_clock&) = delete;
 
-    /** Runs ready tasks, then moves time on in steps until the span has passed.
-     * \param span how far time moves in all.
-     * \param step how far it moves between two polls.
+    /** Runs the ready tasks, then advances the time in steps and runs the tasks that become ready.
+     * \param span the total time to advance.
+     * \param step the time between two polls of the io_context.
      */
     void advance(duration span, duration step = 1ms);
 
--- a/src/base/event_log.cpp
+++ b/src/base/event_log.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements event_log over a non-blocking standard output.
+ * Implements event_log over a non-blocking standard output, with a token bucket as rate limit.
  */
 #include "base/event_log.h"
 
@@ -14,11 +14,11 @@
 
 struct event_output {
     std::string node;
-    double lines_per_s = 0; // Zero: not started, nothing is written.
-    double allowance = 0;
+    double lines_per_s = 0; // Zero until start_event_log(); no lines are written.
+    double tokens = 0;      // Lines that may be written at once; at most lines_per_s.
     time_point refilled_at{};
     std::uint64_t dropped = 0;
-    std::uint64_t dropped_told = 0;
+    std::uint64_t dropped_reported = 0; // Of these, those that a written line has reported.
 };
 
 event_output& output()
@@ -27,19 +27,21 @@
     return shared;
 }
 
-bool take_allowance(event_output& out)
+/** \return false if the rate limit is exceeded. */
+bool take_token(event_output& out)
 {
     const time_point now = monotonic_clock::now();
     const double passed = std::chrono::duration<double>(now - out.refilled_at).count();
-    out.allowance = std::min(out.lines_per_s, out.allowance + passed * out.lines_per_s);
+    out.tokens = std::min(out.lines_per_s, out.tokens + passed * out.lines_per_s);
     out.refilled_at = now;
-    if (out.allowance < 1) {
+    if (out.tokens < 1) {
         return false;
     }
-    out.allowance -= 1;
+    out.tokens -= 1;
     return true;
 }
 
+/** Appends a value, in quotes if it contains a separator. */
 void append_value(std::string& line, std::string_view value)
 {
     const bool plain =
@@ -65,7 +67,7 @@
     event_output& out = output();
     out.node = std::move(node);
     out.lines_per_s = lines_per_s;
-    out.allowance = lines_per_s;
+    out.tokens = lines_per_s;
     out.refilled_at = monotonic_clock::now();
     const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
     if (flags >= 0) {
@@ -79,7 +81,7 @@
     if (out.lines_per_s <= 0) {
         return;
     }
-    if (!take_allowance(out)) {
+    if (!take_token(out)) {
         ++out.dropped;
         return;
     }
@@ -91,8 +93,8 @@
         line += '=';
         append_value(line, value);
     }
-    if (out.dropped > out.dropped_told) {
-        line += " lines_dropped=" + std::to_string(out.dropped - out.dropped_told);
+    if (out.dropped > out.dropped_reported) {
+        line += " lines_dropped=" + std::to_string(out.dropped - out.dropped_reported);
     }
     line += '\n';
     const ::ssize_t written = ::write(STDOUT_FILENO, line.data(), line.size());
@@ -100,7 +102,7 @@
         ++out.dropped;
         return;
     }
-    out.dropped_told = out.dropped;
+    out.dropped_reported = out.dropped;
 }
 
 std::uint64_t dropped_event_lines()
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines event_log, which writes one structured line for each decision or change of belief.
+ * Defines event_log, which writes one structured line for each decision or change of state.
  */
 #pragma once
 
@@ -12,17 +12,21 @@
 
 namespace chervildyke {
 
+/** The key and the value of one field. */
 using event_field = std::pair<std::string_view, std::string>;
 
-/** Writes lines of key=value pairs to standard output. Lines beyond the rate are dropped and
- * counted, and a reader that is too slow loses lines instead of holding up the process.
+/** Writes lines of key=value pairs to standard output. Lines beyond the rate limit are dropped and
+ * counted, and so are lines that standard output can't take at once, since a slow reader must not
+ * block the process.
  */
 class event_log {
   public:
+    /** \param part the component that the lines name. */
     explicit event_log(const char* part) : part_(part) {}
 
-    /** \param event what happened, as one word.
-     * \param fields what decided it, with its age or version, and the outcome.
+    /** Writes one line, if start_event_log() was called.
+     * \param event what happened, as one word.
+     * \param fields the inputs of the decision with their age or version, and the outcome.
      */
     void write(std::string_view event, std::initializer_list<event_field> fields) const;
 
@@ -30,15 +34,16 @@
     const char* part_;
 };
 
-/** Sets standard output up for event_log. Lines carry the node's name.
- * \param lines_per_s how many lines the process writes a second at most.
+/** Makes standard output non-blocking and enables event_log.
+ * \param node the node that the lines name.
+ * \param lines_per_s the maximum rate of lines of this process; bursts of one second's lines pass.
  */
 void start_event_log(std::string node, double lines_per_s = 400);
 
-/** \return how many lines were dropped since the start. */
+/** \return the number of lines dropped since the process started. */
 std::uint64_t dropped_event_lines();
 
-/** Milliseconds as log lines show them. */
+/** \return the span in whole milliseconds, without a unit, for a field of a log line. */
 std::string to_ms_text(duration span);
 
 } // namespace chervildyke
--- a/src/base/hash.cpp
+++ b/src/base/hash.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements the hashes over xxHash and OpenSSL.
+ * Implements the hashes with xxHash and OpenSSL.
  */
 #include "base/hash.h"
 
--- a/src/base/hash.h
+++ b/src/base/hash.h
@@ -1,5 +1,6 @@
 /** \file
- * Defines the hashes used for placement (xxHash) and for keys and bodies (SHA-256).
+ * Defines the hashes for placement (xxHash) and for keys and bodies (SHA-256), and rendezvous
+ * hashing.
  */
 #pragma once
 
@@ -16,12 +17,12 @@
 /** \return the SHA-256 of the text in hexadecimal. */
 std::string sha256_hex(std::string_view text);
 
-/** Orders candidates for a subject by rendezvous hashing: all processes get the same order,
- * and one candidate more or less moves only its own share of subjects.
- * \param subject what is to be placed.
- * \param candidates the names to choose from.
- * \param count how many to return at most.
- * \return the first count names, the best first.
+/** Ranks candidates for a key by rendezvous hashing. All processes compute the same ranking, and
+ * adding or removing a candidate moves only the keys that rank it first.
+ * \param subject the key to place.
+ * \param candidates the names to rank.
+ * \param count the maximum number of names to return.
+ * \return the highest-ranked names, the best first.
  */
 std::vector<std::string> rendezvous_order(std::string_view subject,
                                           const std::vector<std::string>& candidates,
--- a/src/base/http_client.cpp
+++ b/src/base/http_client.cpp
@@ -23,17 +23,23 @@
 using boost::system::error_code;
 
 constexpr auto as_tuple = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t body_part_bytes = 16U << 10U;
+constexpr std::size_t read_chunk_bytes = 16U << 10U;
+constexpr std::size_t max_buffer_bytes = 64U << 10U;
 constexpr std::uint64_t max_body_bytes = 256U << 20U;
-constexpr std::uint32_t max_head_bytes = 32U << 10U; // As much as is taken from callers.
-constexpr std::size_t max_foreign_bytes = 1U << 20U; // Of answers to other calls, before one's own.
+// The limit that http_server has for the header of a request.
+constexpr std::uint32_t max_header_bytes = 32U << 10U;
+// Of the replies to other calls that are discarded before the reply to this one.
+constexpr std::size_t max_discarded_bytes = 1U << 20U;
+// Deducted from the keep-alive timeout of the peer, so that a request does not cross its close.
+constexpr duration keep_alive_margin = 500ms;
+constexpr unsigned http_1_1 = 11;
 
 struct connection {
     explicit connection(const asio::any_io_executor& executor) : stream(executor) {}
     beast::tcp_stream stream;
-    beast::flat_buffer buffer{64U << 10U};
-    time_point unusable_at = time_point::max(); // The peer closes it then.
-    time_point kept_at{};
+    beast::flat_buffer buffer{max_buffer_bytes};
+    time_point expires_at = time_point::max(); // When the peer closes it.
+    time_point idle_since{};
 };
 
 using connection_ptr = std::unique_ptr<connection>;
@@ -41,7 +47,7 @@
 http::request<http::string_body> to_message(const std::string& address, http_request&& request)
 {
     http::request<http::string_body> message;
-    message.version(11);
+    message.version(http_1_1);
     message.method_string(request.method);
     message.target(request.target);
     for (const http_header& header : request.headers) {
@@ -55,7 +61,7 @@
     return message;
 }
 
-http_failure failed(const error_code& error, http_error otherwise, const std::string& address)
+http_failure to_failure(const error_code& error, http_error otherwise, const std::string& address)
 {
     const bool timed_out = error == beast::error::timeout;
     const http_error code =
@@ -73,7 +79,7 @@
     }
 }
 
-void http_cancel::set_close(std::function<void()> close)
+void http_cancel::set_close_hook(std::function<void()> close)
 {
     close_ = std::move(close);
     if (cancelled_ && close_) {
@@ -95,31 +101,33 @@
 
 struct http_client::state : std::enable_shared_from_this<http_client::state> {
     asio::any_io_executor executor;
-    std::size_t kept_per_address = 0;
-    std::unordered_map<std::string, std::vector<connection_ptr>> kept;
+    std::size_t max_idle_per_address = 0;
+    std::unordered_map<std::string, std::vector<connection_ptr>> idle_connections;
 
-    connection_ptr take(const std::string& address, duration max_idle);
-    void keep(const std::string& address, connection_ptr used);
+    connection_ptr take_idle(const std::string& address, duration max_idle_time);
+    void return_to_pool(const std::string& address, connection_ptr used);
     asio::awaitable<http_result<connection_ptr>> connect(std::string address,
                                                          http_call_options options);
 
-    /** After a timeout the other connections kept to the address may be silent too. */
-    void forget_if_silent(const std::string& address, const error_code& error)
+    /** Closes the idle connections to the address after a timeout, since their server may have
+     * stopped responding too.
+     */
+    void close_idle_after_timeout(const std::string& address, const error_code& error)
     {
         if (error == beast::error::timeout) {
-            kept.erase(address);
+            idle_connections.erase(address);
         }
     }
 };
 
-connection_ptr http_client::state::take(const std::string& address, duration max_idle)
+connection_ptr http_client::state::take_idle(const std::string& address, duration max_idle_time)
 {
-    auto& pool = kept[address];
+    auto& pool = idle_connections[address];
     const time_point now = monotonic_clock::now();
     while (!pool.empty()) {
         connection_ptr candidate = std::move(pool.back());
         pool.pop_back();
-        if (now - candidate->kept_at > max_idle || now >= candidate->unusable_at) {
+        if (now - candidate->idle_since > max_idle_time || now >= candidate->expires_at) {
             continue;
         }
         error_code error;
@@ -128,18 +136,18 @@
         char byte = 0;
         socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
         if (error == asio::error::would_block) {
-            return candidate; // Still open and silent.
+            return candidate; // It is open and holds no unexpected bytes.
         }
     }
     return nullptr;
 }
 
-void http_client::state::keep(const std::string& address, connection_ptr used)
+void http_client::state::return_to_pool(const std::string& address, connection_ptr used)
 {
-    auto& pool = kept[address];
-    if (pool.size() < kept_per_address) {
+    auto& pool = idle_connections[address];
+    if (pool.size() < max_idle_per_address) {
         used->stream.expires_never();
-        used->kept_at = monotonic_clock::now();
+        used->idle_since = monotonic_clock::now();
         pool.push_back(std::move(used));
     }
 }
@@ -148,7 +156,7 @@
                                                                          http_call_options options)
 {
     if (!options.fresh_connection) {
-        if (connection_ptr reused = take(address, options.max_idle)) {
+        if (connection_ptr reused = take_idle(address, options.max_idle_time)) {
             reused->stream.expires_after(options.timeout);
             co_return reused;
         }
@@ -157,11 +165,14 @@
     std::uint16_t port = 0;
     error_code error;
     if (!split_address(address, ip, port)) {
-        co_return http_failure{http_error::not_sent, "not ip:port: " + address};
+        co_return http_failure{http_error::not_sent,
+                               "expected an address of the form ip:port, found \"" + address +
+                                   "\""};
     }
     const auto number = asio::ip::make_address(ip, error);
     if (error) {
-        co_return http_failure{http_error::not_sent, "not an IP number: " + address};
+        co_return http_failure{http_error::not_sent,
+                               "expected an IP address before the port, found \"" + address + "\""};
     }
     auto made = std::make_unique<connection>(executor);
     if (!options.from_address.empty()) {
@@ -172,17 +183,17 @@
         }
     }
     if (options.cancel) {
-        options.cancel->set_close([opening = made.get()] { opening->stream.close(); });
+        options.cancel->set_close_hook([opening = made.get()] { opening->stream.close(); });
     }
     made->stream.expires_after(std::min(options.timeout, options.connect_timeout));
     const auto [failed_to_connect] =
         co_await made->stream.async_connect(tcp::endpoint(number, port), as_tuple);
     if (options.cancel) {
-        options.cancel->set_close(nullptr);
+        options.cancel->set_close_hook(nullptr);
     }
     if (failed_to_connect) {
-        kept.erase(address);
-        co_return failed(failed_to_connect, http_error::not_sent, address);
+        idle_connections.erase(address);
+        co_return to_failure(failed_to_connect, http_error::not_sent, address);
     }
     made->stream.socket().set_option(tcp::no_delay(true), error);
     made->stream.expires_after(options.timeout);
@@ -191,8 +202,11 @@
 
 namespace {
 
-/** \return the seconds for which the peer keeps an idle connection, less a margin. */
-duration keep_alive_time(std::string_view value)
+/** \param value the value of a Keep-Alive header.
+ * \return the time for which an idle connection may be reused, or the maximum if the header has no
+ * timeout.
+ */
+duration keep_alive_timeout(std::string_view value)
 {
     constexpr std::string_view name = "timeout=";
     const std::size_t found = value.find(name);
@@ -205,52 +219,53 @@
     if (parsed.ec != std::errc()) {
         return duration::max();
     }
-    return std::max<duration>(std::chrono::seconds(seconds) - 500ms, duration::zero());
+    return std::max<duration>(std::chrono::seconds(seconds) - keep_alive_margin, duration::zero());
 }
 
 class beast_stream : public http_stream {
   public:
     beast_stream(std::string address, connection_ptr used, std::shared_ptr<http_cancel> cancel,
-                 std::function<void(connection_ptr)> keep)
+                 std::function<void(connection_ptr)> return_to_pool)
         : address_(std::move(address)), connection_(std::move(used)), cancel_(std::move(cancel)),
-          keep_(std::move(keep))
+          return_to_pool_(std::move(return_to_pool))
     {
         if (cancel_) {
-            cancel_->set_close([open = connection_.get()] { open->stream.close(); });
+            cancel_->set_close_hook([open = connection_.get()] { open->stream.close(); });
         }
-        begin_answer();
+        reset_parser();
     }
     ~beast_stream() override { release_cancel(); }
     beast_stream(const beast_stream&) = delete;
     beast_stream& operator=(const beast_stream&) = delete;
 
-    void begin_answer()
+    void reset_parser()
     {
         parser_.emplace();
         parser_->body_limit(max_body_bytes);
-        parser_->header_limit(max_head_bytes);
+        parser_->header_limit(max_header_bytes);
     }
 
-    asio::awaitable<error_code> read_head()
+    asio::awaitable<error_code> read_header()
     {
         const auto [error, bytes] = co_await http::async_read_header(
             connection_->stream, connection_->buffer, *parser_, as_tuple);
         co_return error;
     }
 
-    /** Reads the rest of an answer that is not wanted.
-     * \param until when it must have ended.
+    /** Reads the rest of a reply to another call.
+     * \param deadline the time by which the reply must have ended.
+     * \return true if the connection can deliver another reply.
      */
-    asio::awaitable<bool> skip_answer(time_point until)
+    asio::awaitable<bool> discard_reply(time_point deadline)
     {
         while (!parser_->is_done()) {
-            const duration left = until - monotonic_clock::now();
-            auto part = co_await read_part(std::max<duration>(left, 1ms));
+            const duration left = deadline - monotonic_clock::now();
+            auto part = co_await read_chunk(std::max<duration>(left, 1ms));
             if (!part) {
                 co_return false;
             }
-            skipped_bytes_ += part->size();
-            if (skipped_bytes_ > max_foreign_bytes) {
+            discarded_bytes_ += part->size();
+            if (discarded_bytes_ > max_discarded_bytes) {
                 co_return false;
             }
         }
@@ -276,26 +291,26 @@
 
     asio::awaitable<http_result<std::string>> read_some(duration timeout) override
     {
-        auto part = co_await read_part(timeout);
+        auto part = co_await read_chunk(timeout);
         const bool ended = part && parser_->is_done() && connection_;
-        // Bytes behind the answer belong to no call; the next one must not read them.
+        // Bytes after the reply belong to no call, so the next call must not read them.
         if (ended && parser_->keep_alive() && connection_->buffer.size() == 0) {
             release_cancel();
-            const duration usable = keep_alive_time(header("keep-alive"));
+            const duration usable = keep_alive_timeout(header("keep-alive"));
             if (usable != duration::max()) {
-                connection_->unusable_at = monotonic_clock::now() + usable;
+                connection_->expires_at = monotonic_clock::now() + usable;
             }
-            keep_(std::move(connection_));
+            return_to_pool_(std::move(connection_));
         }
         co_return part;
     }
 
   private:
-    asio::awaitable<http_result<std::string>> read_part(duration timeout)
+    asio::awaitable<http_result<std::string>> read_chunk(duration timeout)
     {
         std::string part;
         while (part.empty() && !parser_->is_done()) {
-            part.resize(body_part_bytes);
+            part.resize(read_chunk_bytes);
             parser_->get().body().data = part.data();
             parser_->get().body().size = part.size();
             parser_->get().body().more = true;
@@ -303,7 +318,7 @@
             auto [error, bytes] = co_await http::async_read_some(
                 connection_->stream, connection_->buffer, *parser_, as_tuple);
             if (error && error != http::error::need_buffer) {
-                co_return failed(error, http_error::broken, address_);
+                co_return to_failure(error, http_error::broken, address_);
             }
             part.resize(part.size() - parser_->get().body().size);
         }
@@ -313,7 +328,7 @@
     void release_cancel()
     {
         if (cancel_) {
-            cancel_->set_close(nullptr);
+            cancel_->set_close_hook(nullptr);
             cancel_ = nullptr;
         }
     }
@@ -321,74 +336,78 @@
     std::string address_;
     connection_ptr connection_;
     std::shared_ptr<http_cancel> cancel_;
-    std::function<void(connection_ptr)> keep_;
-    std::size_t skipped_bytes_ = 0;
+    std::function<void(connection_ptr)> return_to_pool_;
+    std::size_t discarded_bytes_ = 0;
     std::optional<http::response_parser<http::buffer_body>> parser_;
 };
 
 } // namespace
 
-http_client::http_client(asio::any_io_executor executor, std::size_t kept_per_address)
+http_client::http_client(asio::any_io_executor executor, std::size_t max_idle_per_address)
     : state_(std::make_shared<state>())
 {
     state_->executor = std::move(executor);
-    state_->kept_per_address = kept_per_address;
+    state_->max_idle_per_address = max_idle_per_address;
 }
 
 http_client::~http_client() = default;
 
-void http_client::forget(const std::string& address)
+void http_client::close_idle_connections(const std::string& address)
 {
-    state_->kept.erase(address);
+    state_->idle_connections.erase(address);
 }
 
 asio::awaitable<http_result<std::shared_ptr<http_stream>>>
 http_client::open(std::string address, http_request request, http_call_options options)
 {
     const auto self = state_;
-    const time_point until = monotonic_clock::now() + options.timeout;
+    const time_point deadline = monotonic_clock::now() + options.timeout;
     auto connected = co_await self->connect(address, options);
     if (!connected) {
         co_return connected.last_reason();
     }
     connection_ptr used = std::move(*connected);
     if (options.cancel && options.cancel->cancelled()) {
-        co_return http_failure{http_error::not_sent, "the call was broken off"};
+        co_return http_failure{http_error::not_sent,
+                               address + ": the call was cancelled before the request was sent"};
     }
-    if (options.still_wanted && !options.still_wanted()) {
-        self->keep(address, std::move(used));
-        co_return http_failure{http_error::not_sent, "the caller has left"};
+    if (options.should_send && !options.should_send()) {
+        self->return_to_pool(address, std::move(used));
+        co_return http_failure{http_error::not_sent,
+                               address + ": the request was withdrawn before it was sent"};
     }
     const auto message = to_message(address, std::move(request));
     if (options.cancel) {
-        options.cancel->set_close([open = used.get()] { open->stream.close(); });
+        options.cancel->set_close_hook([open = used.get()] { open->stream.close(); });
     }
     const auto [error, bytes] = co_await http::async_write(used->stream, message, as_tuple);
     if (options.cancel) {
-        options.cancel->set_close(nullptr);
+        options.cancel->set_close_hook(nullptr);
     }
     if (error) {
-        self->forget_if_silent(address, error);
-        co_return failed(error, bytes == 0 ? http_error::not_sent : http_error::unanswered,
-                         address);
+        self->close_idle_after_timeout(address, error);
+        co_return to_failure(error, bytes == 0 ? http_error::not_sent : http_error::unanswered,
+                             address);
     }
-    const auto keep = [self, address](connection_ptr done) {
-        self->keep(address, std::move(done));
+    const auto return_to_pool = [self, address](connection_ptr done) {
+        self->return_to_pool(address, std::move(done));
     };
-    auto answer = std::make_shared<beast_stream>(address, std::move(used), options.cancel, keep);
+    auto stream =
+        std::make_shared<beast_stream>(address, std::move(used), options.cancel, return_to_pool);
     while (true) {
-        if (const error_code unread = co_await answer->read_head()) {
-            self->forget_if_silent(address, unread);
-            co_return failed(unread, http_error::unanswered, address);
+        if (const error_code unread = co_await stream->read_header()) {
+            self->close_idle_after_timeout(address, unread);
+            co_return to_failure(unread, http_error::unanswered, address);
         }
-        if (!options.belongs || options.belongs(answer->headers())) {
-            co_return std::shared_ptr<http_stream>(std::move(answer));
+        if (!options.matches_request || options.matches_request(stream->headers())) {
+            co_return std::shared_ptr<http_stream>(std::move(stream));
         }
-        if (!co_await answer->skip_answer(until)) {
-            co_return http_failure{http_error::unanswered,
-                                   address + ": only an answer to another call came"};
+        if (!co_await stream->discard_reply(deadline)) {
+            co_return http_failure{
+                http_error::unanswered,
+                address + ": received no reply to this request, only a reply to another one"};
         }
-        answer->begin_answer();
+        stream->reset_parser();
     }
 }
 
@@ -396,19 +415,19 @@
 http_client::call(std::string address, http_request request, http_call_options options)
 {
     const time_point end = monotonic_clock::now() + options.timeout;
-    const std::size_t most = options.max_body_bytes;
+    const std::size_t max_bytes = options.max_body_bytes;
     auto opened = co_await open(std::move(address), std::move(request), options);
     if (!opened) {
         co_return opened.last_reason();
     }
-    http_stream& answer = **opened;
+    http_stream& stream = **opened;
     http_reply reply;
-    reply.status = answer.status();
-    reply.content_type = answer.header("content-type");
-    reply.headers = answer.headers();
+    reply.status = stream.status();
+    reply.content_type = stream.header("content-type");
+    reply.headers = stream.headers();
     while (true) {
         const duration left = std::max<duration>(end - monotonic_clock::now(), 1ms);
-        auto part = co_await answer.read_some(left);
+        auto part = co_await stream.read_some(left);
         if (!part) {
             co_return part.last_reason();
         }
@@ -416,9 +435,9 @@
             co_return reply;
         }
         reply.body += *part;
-        if (reply.body.size() > most) {
-            co_return http_failure{http_error::broken,
-                                   "the answer is longer than " + std::to_string(most) + " bytes"};
+        if (reply.body.size() > max_bytes) {
+            co_return http_failure{http_error::broken, "the body of the reply is longer than " +
+                                                           std::to_string(max_bytes) + " bytes"};
         }
     }
 }
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -1,6 +1,6 @@
 /** \file
- * Defines http_client, which makes calls over kept connections and says what a failed call may have
- * done.
+ * Defines http_client, which makes HTTP/1.1 calls over pooled connections and reports whether a
+ * failed call may have taken effect.
  */
 #pragma once
 
@@ -21,10 +21,10 @@
 
 enum class http_error {
     none,
-    not_sent,   // No byte of the request left this process; the peer can't have seen it.
-    unanswered, // Sent in part or whole; the peer may have acted on it.
-    broken,     // The answer began and did not end properly.
-    timed_out,  // Sent; no answer within the timeout. The peer may have acted on it.
+    not_sent,   // No byte of the request was sent, so the peer can't have acted on it.
+    unanswered, // The request was sent in part or whole; the peer may have acted on it.
+    broken,     // The reply began but is incomplete or too long.
+    timed_out,  // No reply to the sent request within the timeout; the peer may have acted on it.
 };
 
 using http_failure = failure<http_error>;
@@ -32,7 +32,7 @@
 template <typename Value>
 using http_result = result<Value, http_error>;
 
-/** The body of an answer while it arrives. Dropping it closes the connection unless the body
+/** A reply whose body is read while it arrives. Destroying it closes the connection unless the body
  * was read to its end.
  */
 class http_stream {
@@ -43,20 +43,24 @@
     virtual std::vector<http_header> headers() const = 0;
 
     /** Reads the next part of the body.
-     * \return an empty text once the body ended properly.
+     * \param timeout the maximum wait for the part.
+     * \return the part, or an empty string once the body is complete; http_error::broken when the
+     * connection fails, http_error::timed_out after the timeout.
      */
     virtual boost::asio::awaitable<http_result<std::string>> read_some(duration timeout) = 0;
 };
 
-/** Lets another task break a call off. */
+/** Lets another task cancel a call. */
 class http_cancel {
   public:
-    /** Closes the call's connection now, or as soon as it has one. */
+    /** Closes the call's connection, at once or as soon as the call has one. */
     void cancel();
     bool cancelled() const { return cancelled_; }
 
-    /** For the client: how to close the connection in use; empty: none is. */
-    void set_close(std::function<void()> close);
+    /** Called by the client of the call.
+     * \param close closes the connection in use; empty while there is none.
+     */
+    void set_close_hook(std::function<void()> close);
 
   private:
     bool cancelled_ = false;
@@ -64,37 +68,43 @@
 };
 
 struct http_call_options {
-    duration timeout = 5s; // For the whole call, or for the head of a streamed answer.
-    duration connect_timeout = duration::max(); // Within the timeout.
-    bool fresh_connection = false; // Never reuse a kept connection, which may have died unnoticed.
-    duration max_idle = 30s;       // A connection kept for longer is not reused.
-    std::size_t max_body_bytes = 16U << 20U; // Of an answer that call() gathers.
-    std::string from_address;                // The local address to call from; empty: any.
+    duration timeout = 5s; // Of the whole call, or until the header of a streamed reply.
+    duration connect_timeout = duration::max(); // Limited by the timeout too.
+    bool fresh_connection = false; // Don't reuse a pooled connection: the peer may be gone.
+    duration max_idle_time = 30s;  // A pooled connection that was idle for longer is not reused.
+    std::size_t max_body_bytes = 16U << 20U; // Of a reply that call() returns.
+    std::string from_address;                // The local address to bind to; empty for any.
     std::shared_ptr<http_cancel> cancel;
 
-    /** Asked last before the request is written; it is not sent when false. Empty: it is. */
-    std::function<bool()> still_wanted;
+    /** Called just before the request is written; the call fails with http_error::not_sent if it
+     * returns false. Empty: every request is sent.
+     */
+    std::function<bool()> should_send;
 
-    /** Tells whether an answer belongs to this call; one that does not is read and dropped, and
-     * the next one is awaited. Empty: every answer does.
+    /** Returns whether a reply with these headers is the reply to this request; any other reply is
+     * read and discarded, and the next one is awaited. Empty: every reply matches.
      */
-    std::function<bool(const std::vector<http_header>&)> belongs;
+    std::function<bool(const std::vector<http_header>&)> matches_request;
 };
 
-/** Makes HTTP/1.1 calls to ip:port addresses. Retries nothing; what a failure means for the call
- * is left to the caller of this class.
+/** Makes HTTP/1.1 calls to addresses of the form ip:port. It does not retry; the caller decides
+ * that from the http_error.
  */
 class http_client {
   public:
-    explicit http_client(boost::asio::any_io_executor executor, std::size_t kept_per_address = 32);
+    /** \param max_idle_per_address the maximum number of idle connections pooled for an address. */
+    explicit http_client(boost::asio::any_io_executor executor,
+                         std::size_t max_idle_per_address = 32);
     ~http_client();
 
+    /** Sends a request and reads the whole reply. */
     boost::asio::awaitable<http_result<http_reply>> call(std::string address, http_request request,
                                                          http_call_options options);
 
     /** As above with the default options. */
     boost::asio::awaitable<http_result<http_reply>> call(std::string address, http_request request);
 
+    /** Sends a request and returns once the header of its reply has arrived. */
     boost::asio::awaitable<http_result<std::shared_ptr<http_stream>>>
     open(std::string address, http_request request, http_call_options options);
 
@@ -102,16 +112,16 @@
     boost::asio::awaitable<http_result<std::shared_ptr<http_stream>>> open(std::string address,
                                                                            http_request request);
 
-    /** Closes the connections kept to an address, which may have gone silent. */
-    void forget(const std::string& address);
+    /** Closes the pooled connections to an address whose server may have stopped responding. */
+    void close_idle_connections(const std::string& address);
 
   private:
     struct state;
     std::shared_ptr<state> state_;
 };
 
-/** Splits ip:port.
- * \return false when the text is neither.
+/** Splits an address of the form ip:port.
+ * \return false if the address has another form; ip and port may have changed then.
  */
 bool split_address(const std::string& address, std::string& ip, std::uint16_t& port);
 
--- a/src/base/http_message.cpp
+++ b/src/base/http_message.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements the look-ups on HTTP messages.
+ * Implements the functions of HTTP requests and replies.
  */
 #include "base/http_message.h"
 
--- a/src/base/http_message.h
+++ b/src/base/http_message.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines the plain request and reply types of HTTP calls, free of the library underneath.
+ * Defines the request and reply types of HTTP calls, independent of the HTTP library.
  */
 #pragma once
 
@@ -16,8 +16,8 @@
     bool operator==(const http_header&) const = default;
 };
 
-/** Finds a header by name, whatever its case.
- * \return its value, or an empty text.
+/** Finds a header by its name; case is ignored.
+ * \return the value of the first such header, or an empty string.
  */
 std::string_view find_header(const std::vector<http_header>& headers, std::string_view name);
 
@@ -27,10 +27,10 @@
     std::vector<http_header> headers;
     std::string body;
 
-    /** The target up to the query. */
+    /** \return the target without the query. */
     std::string_view path() const;
 
-    /** The value of one query parameter, or an empty text. */
+    /** \return the decoded value of a query parameter, or an empty string. */
     std::string query(std::string_view name) const;
 
     std::string_view header(std::string_view name) const { return find_header(headers, name); }
@@ -40,12 +40,12 @@
     unsigned status = 200;
     std::vector<http_header> headers;
     std::string body;
-    std::string content_type = "application/json"; // Empty: as the headers say.
+    std::string content_type = "application/json"; // Empty: taken from the headers.
 
     std::string_view header(std::string_view name) const { return find_header(headers, name); }
 };
 
-/** A reply with text for people or for a collector of metrics. */
+/** \return a reply with a plain-text body, such as metrics. */
 http_reply text_reply(unsigned status, std::string text,
                       std::string content_type = "text/plain; charset=utf-8");
 
--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -10,7 +10,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
-#include "base/read_limit.h"
+#include "base/read_timer.h"
 #include "base/scope_guard.h"
 
 namespace chervildyke {
@@ -25,22 +25,29 @@
 
 constexpr auto as_tuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t read_buffer_bytes = 16U << 10U;
-constexpr duration last_request_wait =
-    300ms; // For the request on a connection that was accepted
-           // as the server stopped; a round trip of most callers.
+// For the first request of a connection that was accepted while the server stopped. Covers the
+// round trip of most callers.
+constexpr duration first_request_timeout = 300ms;
+constexpr duration accept_retry_delay = 10ms;
+constexpr duration idle_poll_interval = 10ms;
+constexpr duration peer_close_poll_interval = 250ms;
+constexpr duration discard_timeout = 500ms; // Of all reads of discarded bytes together.
+constexpr std::size_t max_discarded_bytes = 1U << 20U;
+constexpr std::size_t discard_buffer_bytes = 4096;
+constexpr int max_pending_connections = 4096; // Not accepted yet.
 constexpr unsigned http_1_0 = 10;
 constexpr unsigned http_1_1 = 11;
 
-http_request to_plain(http::request<http::string_body>&& message)
+http_request to_http_request(http::request<http::string_body>&& message)
 {
-    http_request plain;
-    plain.method = std::string(message.method_string());
-    plain.target = std::string(message.target());
+    http_request converted;
+    converted.method = std::string(message.method_string());
+    converted.target = std::string(message.target());
     for (const auto& field : message) {
-        plain.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+        converted.headers.push_back({std::string(field.name_string()), std::string(field.value())});
     }
-    plain.body = std::move(message.body());
-    return plain;
+    converted.body = std::move(message.body());
+    return converted;
 }
 
 template <typename Message>
@@ -57,7 +64,7 @@
     }
 }
 
-http_reply plain_bad_request(bad_request kind)
+http_reply default_bad_request_reply(bad_request kind)
 {
     http_reply reply;
     reply.status = kind == bad_request::body_too_large     ? 413
@@ -68,7 +75,7 @@
     return reply;
 }
 
-bad_request classify(const error_code& error)
+bad_request to_bad_request(const error_code& error)
 {
     if (error == http::error::body_limit) {
         return bad_request::body_too_large;
@@ -79,7 +86,7 @@
     return bad_request::malformed;
 }
 
-bool peer_closed(const error_code& error)
+bool is_peer_close(const error_code& error)
 {
     return error == http::error::end_of_stream || error == asio::error::connection_reset ||
            error == asio::error::operation_aborted || error == asio::error::broken_pipe;
@@ -105,7 +112,8 @@
 
     asio::awaitable<bool> respond(http_reply reply) override
     {
-        http::response<http::string_body> message(static_cast<http::status>(reply.status), 11);
+        http::response<http::string_body> message(static_cast<http::status>(reply.status),
+                                                  http_1_1);
         set_fields(message, reply);
         message.keep_alive(keep_alive_);
         message.body() = std::move(reply.body);
@@ -113,14 +121,14 @@
         answered_ = true;
         stream_.expires_after(write_timeout_);
         const auto [error, bytes] = co_await http::async_write(stream_, message, as_tuple);
-        co_return note(error);
+        co_return update_connection(error);
     }
 
     asio::awaitable<bool> start_stream(http_reply head) override
     {
-        http::response<http::empty_body> message(static_cast<http::status>(head.status), 11);
+        http::response<http::empty_body> message(static_cast<http::status>(head.status), http_1_1);
         set_fields(message, head);
-        // Callers of HTTP/1.0 read no chunks: the end of the connection ends the answer.
+        // HTTP/1.0 has no chunks: the end of the connection ends the reply.
         keep_alive_ = keep_alive_ && chunked_;
         message.keep_alive(keep_alive_);
         message.chunked(chunked_);
@@ -130,7 +138,7 @@
         stream_.expires_after(write_timeout_);
         const auto [error, bytes] =
             co_await http::async_write_header(stream_, serializer, as_tuple);
-        co_return note(error);
+        co_return update_connection(error);
     }
 
     asio::awaitable<bool> write_chunk(std::string_view bytes) override
@@ -139,11 +147,11 @@
         if (!chunked_) {
             const auto [error, written] = co_await asio::async_write(
                 stream_, asio::const_buffer(bytes.data(), bytes.size()), as_tuple);
-            co_return note(error);
+            co_return update_connection(error);
         }
         const auto chunk = http::make_chunk(asio::const_buffer(bytes.data(), bytes.size()));
         const auto [error, written] = co_await asio::async_write(stream_, chunk, as_tuple);
-        co_return note(error);
+        co_return update_connection(error);
     }
 
     asio::awaitable<bool> end_stream() override
@@ -155,12 +163,12 @@
         stream_.expires_after(write_timeout_);
         const auto [error, written] =
             co_await asio::async_write(stream_, http::make_chunk_last(), as_tuple);
-        co_return note(error);
+        co_return update_connection(error);
     }
 
     void abort() override
     {
-        broken_ = true;
+        connection_failed_ = true;
         error_code ignored;
         stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
         stream_.socket().close(ignored);
@@ -175,7 +183,7 @@
             if (error || stream_.socket().available(unused) == 0) {
                 co_return;
             }
-            co_await sleep_for(250ms); // The peer sent its next request already.
+            co_await sleep_for(peer_close_poll_interval); // The peer has sent its next request.
         }
     }
 
@@ -194,14 +202,14 @@
         return error && error != asio::error::would_block;
     }
 
-    /** True when the connection can carry another request. */
-    bool reusable() const { return answered_ && !streaming_ && !broken_ && keep_alive_; }
+    /** \return true if the connection can carry another request. */
+    bool reusable() const { return answered_ && !streaming_ && !connection_failed_ && keep_alive_; }
     bool answered() const { return answered_; }
 
   private:
-    bool note(const error_code& error)
+    bool update_connection(const error_code& error)
     {
-        broken_ = broken_ || error;
+        connection_failed_ = connection_failed_ || error;
         return !error;
     }
 
@@ -212,7 +220,7 @@
     bool chunked_;
     bool answered_ = false;
     bool streaming_ = false;
-    bool broken_ = false;
+    bool connection_failed_ = false;
 };
 
 } // namespace
@@ -221,7 +229,7 @@
     state(asio::any_io_executor executor_in, http_handler handler_in, http_limits limits_in,
           bad_request_hook hook)
         : executor(std::move(executor_in)), handler(std::move(handler_in)), limits(limits_in),
-          on_bad_request(hook ? std::move(hook) : bad_request_hook(plain_bad_request)),
+          on_bad_request(hook ? std::move(hook) : bad_request_hook(default_bad_request_reply)),
           acceptor(executor)
     {
     }
@@ -232,18 +240,18 @@
     bad_request_hook on_bad_request;
     tcp::acceptor acceptor;
     std::string last_reason;
-    std::unordered_set<beast::tcp_stream*> idle;
-    std::size_t open = 0;
-    std::size_t busy = 0; // Requests whose first byte was read and that are not answered.
+    std::unordered_set<beast::tcp_stream*> idle_streams;
+    std::size_t open_connections = 0;
+    std::size_t active_requests = 0; // The first byte was read and the reply is not complete.
     bool stopping = false;
-    bool closing = false; // Answers end their connections.
+    bool keep_alive_disabled = false; // Each connection closes after its next reply.
 
     asio::awaitable<void> accept_connections();
     asio::awaitable<void> serve(tcp::socket socket);
-    void accept_waiting();
-    static bool has_bytes(beast::tcp_stream& stream, const beast::flat_buffer& buffer);
-    asio::awaitable<bool> serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer);
-    asio::awaitable<void> refuse(beast::tcp_stream& stream, bad_request kind);
+    void accept_pending();
+    static bool has_pending_bytes(beast::tcp_stream& stream, const beast::flat_buffer& buffer);
+    asio::awaitable<bool> serve_request(beast::tcp_stream& stream, beast::flat_buffer& buffer);
+    asio::awaitable<void> reject(beast::tcp_stream& stream, bad_request kind);
 };
 
 asio::awaitable<void> http_server::state::accept_connections()
@@ -255,10 +263,10 @@
             co_return;
         }
         if (error) {
-            co_await sleep_for(10ms); // Out of descriptors, most likely.
+            co_await sleep_for(accept_retry_delay); // Most likely no file descriptor is free.
             continue;
         }
-        if (open >= limits.max_connections) {
+        if (open_connections >= limits.max_connections) {
             continue;
         }
         asio::co_spawn(executor, serve(std::move(socket)), asio::detached);
@@ -268,34 +276,34 @@
 asio::awaitable<void> http_server::state::serve(tcp::socket socket)
 {
     const auto self = shared_from_this();
-    ++open;
+    ++open_connections;
     error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer(read_buffer_bytes + limits.max_header_bytes);
-    bool accepted_now = true;
-    while ((accepted_now || !stopping || has_bytes(stream, buffer)) &&
-           co_await serve_one(stream, buffer)) {
-        accepted_now = false;
+    bool is_first = true;
+    while ((is_first || !stopping || has_pending_bytes(stream, buffer)) &&
+           co_await serve_request(stream, buffer)) {
+        is_first = false;
     }
     stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
-    --open;
+    --open_connections;
 }
 
-/** True when a request, or a part of one, has arrived. */
-bool http_server::state::has_bytes(beast::tcp_stream& stream, const beast::flat_buffer& buffer)
+/** \return true if a request or a part of one has arrived. */
+bool http_server::state::has_pending_bytes(beast::tcp_stream& stream,
+                                           const beast::flat_buffer& buffer)
 {
     error_code error;
     return buffer.size() > 0 || (stream.socket().available(error) > 0 && !error);
 }
 
-/** Accepts the connections that callers have opened already; the acceptor's end would reset them.
- */
-void http_server::state::accept_waiting()
+/** Accepts the connections in the backlog, which closing the acceptor would reset. */
+void http_server::state::accept_pending()
 {
     error_code error;
     acceptor.non_blocking(true, error);
-    while (!error && open < limits.max_connections) {
+    while (!error && open_connections < limits.max_connections) {
         tcp::socket socket(executor);
         acceptor.accept(socket, error);
         if (!error) {
@@ -304,43 +312,44 @@
     }
 }
 
-asio::awaitable<bool> http_server::state::serve_one(beast::tcp_stream& stream,
-                                                    beast::flat_buffer& buffer)
+asio::awaitable<bool> http_server::state::serve_request(beast::tcp_stream& stream,
+                                                        beast::flat_buffer& buffer)
 {
     if (buffer.size() == 0) {
-        idle.insert(&stream);
-        stream.expires_after(stopping ? last_request_wait : limits.idle_timeout);
+        idle_streams.insert(&stream);
+        stream.expires_after(stopping ? first_request_timeout : limits.idle_timeout);
         const auto [error, bytes] =
             co_await stream.async_read_some(buffer.prepare(read_buffer_bytes), as_tuple);
-        idle.erase(&stream);
+        idle_streams.erase(&stream);
         if (error) {
             co_return false;
         }
         buffer.commit(bytes);
     }
-    ++busy;
-    const scope_guard ended([this] { --busy; });
+    ++active_requests;
+    const scope_guard ended([this] { --active_requests; });
     http::request_parser<http::string_body> parser;
     parser.body_limit(limits.max_body_bytes);
     parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
     stream.expires_never();
-    std::optional<read_limit> limit(std::in_place, stream, limits.request_read_timeout);
+    std::optional<read_timer> read(std::in_place, stream, limits.request_read_timeout);
     const auto [error, bytes] = co_await http::async_read(stream, buffer, parser, as_tuple);
-    const bool too_slow = limit->passed();
-    limit.reset();
+    const bool too_slow = read->expired();
+    read.reset();
     if (error) {
         if (too_slow) {
-            co_await refuse(stream, bad_request::too_slow);
+            co_await reject(stream, bad_request::too_slow);
         }
-        else if (!peer_closed(error)) {
-            co_await refuse(stream, classify(error));
+        else if (!is_peer_close(error)) {
+            co_await reject(stream, to_bad_request(error));
         }
         co_return false;
     }
     const bool keep_alive = parser.get().keep_alive();
     const unsigned version = parser.get().version();
-    beast_exchange exchange(stream, to_plain(parser.release()), keep_alive && !stopping && !closing,
-                            limits.write_timeout, version);
+    beast_exchange exchange(stream, to_http_request(parser.release()),
+                            keep_alive && !stopping && !keep_alive_disabled, limits.write_timeout,
+                            version);
     co_await handler(exchange);
     if (!exchange.answered()) {
         http_reply missing;
@@ -351,16 +360,17 @@
     co_return exchange.reusable();
 }
 
-asio::awaitable<void> http_server::state::refuse(beast::tcp_stream& stream, bad_request kind)
+asio::awaitable<void> http_server::state::reject(beast::tcp_stream& stream, bad_request kind)
 {
     beast_exchange exchange(stream, {}, false, limits.write_timeout);
     co_await exchange.respond(on_bad_request(kind));
-    // Lets the answer reach a peer that is still sending, instead of a reset.
+    // Closing a socket with unread bytes resets the connection, and a peer that is still sending
+    // might not receive the reply. Therefore the rest of the request is read and discarded.
     error_code ignored;
     stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    stream.expires_after(500ms);
-    char discarded[4096];
-    std::size_t left = 1U << 20U;
+    stream.expires_after(discard_timeout);
+    char discarded[discard_buffer_bytes];
+    std::size_t left = max_discarded_bytes;
     while (left > 0) {
         const auto [failed, bytes] =
             co_await stream.async_read_some(asio::buffer(discarded), as_tuple);
@@ -388,7 +398,7 @@
     error_code error;
     const auto ip = asio::ip::make_address(address, error);
     if (error) {
-        state_->last_reason = "not an IP number: " + address;
+        state_->last_reason = "expected an IP address to listen on, found \"" + address + "\"";
         return false;
     }
     const tcp::endpoint endpoint(ip, port);
@@ -401,7 +411,7 @@
         acceptor.bind(endpoint, error);
     }
     if (!error) {
-        acceptor.listen(4096, error);
+        acceptor.listen(max_pending_connections, error);
     }
     if (error) {
         state_->last_reason =
@@ -429,9 +439,9 @@
     state_->limits = limits;
 }
 
-void http_server::close_after_answers()
+void http_server::disable_keep_alive()
 {
-    state_->closing = true;
+    state_->keep_alive_disabled = true;
 }
 
 void http_server::stop_accepting()
@@ -442,32 +452,32 @@
     state_->stopping = true;
     error_code ignored;
     if (state_->acceptor.is_open()) {
-        state_->accept_waiting();
+        state_->accept_pending();
     }
     state_->acceptor.close(ignored);
-    for (beast::tcp_stream* stream : state_->idle) {
-        // A request that has arrived is read and answered.
+    for (beast::tcp_stream* stream : state_->idle_streams) {
+        // A request that has arrived is still read and answered.
         if (stream->socket().available(ignored) == 0) {
             stream->cancel();
         }
     }
 }
 
-asio::awaitable<void> http_server::wait_until_quiet()
+asio::awaitable<void> http_server::wait_until_drained()
 {
-    while (state_->busy > 0) {
-        co_await sleep_for(10ms);
+    while (state_->active_requests > 0) {
+        co_await sleep_for(idle_poll_interval);
     }
 }
 
 std::size_t http_server::connections() const
 {
-    return state_->open;
+    return state_->open_connections;
 }
 
 std::size_t http_server::requests_in_progress() const
 {
-    return state_->busy;
+    return state_->active_requests;
 }
 
 } // namespace chervildyke
--- a/src/base/http_server.h
+++ b/src/base/http_server.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines http_server, which runs one task for each connection and hands requests to a hook.
+ * Defines http_server, which runs one task for each connection and passes requests to a handler.
  */
 #pragma once
 
@@ -17,20 +17,22 @@
 
 namespace chervildyke {
 
+/** Limits on what a server reads, writes and keeps open. */
 struct http_limits {
     std::size_t max_body_bytes = 8U << 20U;
     std::size_t max_header_bytes = 32U << 10U;
-    duration request_read_timeout = 30s; // From a request's first byte to its last.
-    duration idle_timeout = 75s;
-    duration write_timeout = 30s; // A reader slower than this loses its connection.
+    duration request_read_timeout = 30s; // From the first byte of a request to its last.
+    duration idle_timeout = 75s;         // Between two requests on a connection.
+    duration write_timeout = 30s;        // Of one write; the connection is closed after it.
     std::size_t max_connections = 20'000;
 };
 
 /** Why a request could not be read. */
 enum class bad_request { malformed, header_too_large, body_too_large, too_slow };
 
-/** One request and the way to answer it. Exactly one answer is sent: respond(), or start_stream(),
- * any number of write_chunk() and end_stream(). Each returns false once the peer is gone.
+/** A request and the functions that reply to it. A handler sends exactly one reply: respond(), or
+ * start_stream(), any number of write_chunk() and end_stream(). Each of them returns false once the
+ * connection has failed.
  */
 class http_exchange {
   public:
@@ -42,20 +44,23 @@
     virtual boost::asio::awaitable<bool> write_chunk(std::string_view bytes) = 0;
     virtual boost::asio::awaitable<bool> end_stream() = 0;
 
-    /** Breaks the connection without finishing the answer. */
+    /** Resets the connection without completing the reply. */
     virtual void abort() = 0;
 
-    /** Completes when the peer has closed the connection; for use beside other waits. */
+    /** Completes when the peer has closed the connection; run it in parallel with other waits. */
     virtual boost::asio::awaitable<void> wait_for_peer_close() = 0;
 
-    /** True when the peer's close has arrived, also while this process is too busy to notice. */
+    /** \return true if the peer has closed the connection. It asks the socket, so the result is
+     * current even if the event loop has not processed the close yet.
+     */
     virtual bool peer_has_closed() const = 0;
 };
 
 using http_handler = std::function<boost::asio::awaitable<void>(http_exchange&)>;
+/** Makes the reply to a request that could not be read. */
 using bad_request_hook = std::function<http_reply(bad_request)>;
 
-/** Accepts connections and reads requests within limits. Routing by path is left to the handler. */
+/** Accepts connections and reads requests within limits. The handler routes them by path. */
 class http_server {
   public:
     http_server(boost::asio::any_io_executor executor, http_handler handler,
@@ -64,28 +69,37 @@
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
 
-    /** Starts to accept.
-     * \return false with last_reason() set when the address can't be had.
+    /** Starts to accept connections.
+     * \param address the IP address to listen on.
+     * \param port zero for any free port.
+     * \return false if the server can't listen on the address; last_reason() states why.
      */
     bool listen(const std::string& address, std::uint16_t port);
+
+    /** \return why listen() failed. */
     const std::string& last_reason() const;
 
-    /** The port listened on; useful after listen() with port zero, which takes a free one. */
+    /** \return the port that the server listens on, or zero if it does not listen. */
     std::uint16_t port() const;
 
-    /** Replaces the limits for requests that are not yet begun. */
+    /** Replaces the limits of the requests that are read from now on. */
     void set_limits(http_limits limits);
 
-    /** From now on each answer ends its connection; new ones are still accepted. */
-    void close_after_answers();
+    /** Closes each connection after its next reply. New connections are still accepted. */
+    void disable_keep_alive();
 
-    /** Stops accepting; connections close after the answer in progress. */
+    /** Stops accepting connections. Requests that have arrived are still answered, and each
+     * connection is closed after its last reply.
+     */
     void stop_accepting();
 
-    /** Completes once no request is in progress. */
-    boost::asio::awaitable<void> wait_until_quiet();
+    /** Completes when no request is in progress. */
+    boost::asio::awaitable<void> wait_until_drained();
 
+    /** \return the number of open connections. */
     std::size_t connections() const;
+
+    /** \return the number of requests of which the first byte was read and that are unanswered. */
     std::size_t requests_in_progress() const;
 
   private:
--- a/src/base/json_lines.cpp
+++ b/src/base/located_json.cpp
@@ -1,7 +1,7 @@
 /** \file
- * Implements located_json with nlohmann-json's event interface over an iterator that counts lines.
+ * Implements located_json with the SAX parser of nlohmann-json and an iterator that counts lines.
  */
-#include "base/json_lines.h"
+#include "base/located_json.h"
 
 #include <iterator>
 #include <set>
@@ -14,7 +14,7 @@
 
 using nlohmann::json;
 
-/** Reads characters and counts the line of the last one that was taken. */
+/** Iterates over a text and counts the line of the character that was read last. */
 class line_counting_iterator {
   public:
     using iterator_category = std::input_iterator_tag;
@@ -23,16 +23,16 @@
     using pointer = const char*;
     using reference = const char&;
 
-    line_counting_iterator(const char* at, std::size_t* line) : at_(at), line_(line) {}
-    reference operator*() const { return *at_; }
+    line_counting_iterator(const char* at, std::size_t* line) : position_(at), line_(line) {}
+    reference operator*() const { return *position_; }
     line_counting_iterator& operator++()
     {
-        // A line break counts once the character after it is taken.
+        // A line begins with the character after the line break.
         if (pending_break_) {
             ++*line_;
         }
-        pending_break_ = *at_ == '\n';
-        ++at_;
+        pending_break_ = *position_ == '\n';
+        ++position_;
         return *this;
     }
     line_counting_iterator operator++(int)
@@ -41,19 +41,25 @@
         ++*this;
         return before;
     }
-    bool operator==(const line_counting_iterator& other) const { return at_ == other.at_; }
-    bool operator!=(const line_counting_iterator& other) const { return at_ != other.at_; }
+    bool operator==(const line_counting_iterator& other) const
+    {
+        return position_ == other.position_;
+    }
+    bool operator!=(const line_counting_iterator& other) const
+    {
+        return position_ != other.position_;
+    }
 
   private:
-    const char* at_;
+    const char* position_;
     std::size_t* line_;
     bool pending_break_ = false;
 };
 
-/** Follows the parser's events and notes the line of every pointer. */
+/** Handles the events of the SAX parser and records the line of every value. */
 class line_recorder : public nlohmann::json_sax<json> {
   public:
-    line_recorder(const std::size_t& line, located_json& into) : line_(line), into_(into) {}
+    line_recorder(const std::size_t& line, located_json& into) : line_(line), located_(into) {}
 
     bool null() override { return value(); }
     bool boolean(bool) override { return value(); }
@@ -64,7 +70,7 @@
     bool binary(binary_t&) override { return value(); }
     bool start_object(std::size_t) override
     {
-        begin_value();
+        enter_value();
         push_level(false);
         return true;
     }
@@ -74,15 +80,15 @@
         top.step = name;
         const std::string pointer = child_pointer(top.pointer, name);
         if (!top.keys.insert(name).second) {
-            into_.repeated_keys.push_back(pointer);
+            located_.repeated_keys.push_back(pointer);
         }
-        into_.lines[pointer] = line_;
+        located_.lines[pointer] = line_;
         return true;
     }
     bool end_object() override { return end_level(); }
     bool start_array(std::size_t) override
     {
-        begin_value();
+        enter_value();
         push_level(true);
         return true;
     }
@@ -104,32 +110,32 @@
         bool is_array = false;
     };
 
-    void begin_value()
+    void enter_value()
     {
         if (levels_.empty()) {
-            current_.clear();
-            into_.lines[current_] = line_;
+            current_pointer_.clear();
+            located_.lines[current_pointer_] = line_;
             return;
         }
         level& top = levels_.back();
         if (top.is_array) {
-            current_ = child_pointer(top.pointer, std::to_string(top.next_index++));
-            into_.lines[current_] = line_;
+            current_pointer_ = child_pointer(top.pointer, std::to_string(top.next_index++));
+            located_.lines[current_pointer_] = line_;
         }
         else {
-            current_ = child_pointer(top.pointer, top.step);
+            current_pointer_ = child_pointer(top.pointer, top.step);
         }
     }
     void push_level(bool is_array)
     {
         level next;
-        next.pointer = current_;
+        next.pointer = current_pointer_;
         next.is_array = is_array;
         levels_.push_back(std::move(next));
     }
     bool value()
     {
-        begin_value();
+        enter_value();
         return true;
     }
     bool end_level()
@@ -139,9 +145,9 @@
     }
 
     const std::size_t& line_;
-    located_json& into_;
+    located_json& located_;
     std::vector<level> levels_;
-    std::string current_;
+    std::string current_pointer_;
     std::string reason_;
 };
 
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements logger over Boost.Log.
+ * Implements logger with Boost.Log.
  */
 #include "base/log.h"
 
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines logger, through which each part writes short log lines under its fixed prefix.
+ * Defines logger, which writes log lines with the prefix of one component.
  */
 #pragma once
 
@@ -10,13 +10,13 @@
 
 enum class log_level { trace, debug, info, warning, error };
 
-/** Sets up Boost.Log for the process.
- * \param level the lowest level written: trace, debug, info, warning or error; empty means info.
- * \param file the file to write to; empty means standard error.
+/** Configures Boost.Log for the process.
+ * \param level the lowest level to write: trace, debug, info, warning or error; else info is used.
+ * \param file the file to write to; standard error if empty.
  */
 void start_log(const std::string& level, const std::string& file);
 
-/** Writes lines with one part's prefix. Cheap to copy. */
+/** Writes log lines that begin with a fixed prefix. Cheap to copy. */
 class logger {
   public:
     explicit logger(const char* prefix) : prefix_(prefix) {}
--- a/src/base/loop_lag.cpp
+++ b/src/base/loop_lag.cpp
@@ -9,24 +9,26 @@
 
 namespace {
 
-constexpr duration measure_interval = 50ms; // Twenty wake-ups a second cost 0.1% of a core.
+// 20 wake-ups per second use 0.1% of a core.
+constexpr duration measure_interval = 50ms;
 
 } // namespace
 
 boost::asio::awaitable<void> loop_lag::measure()
 {
     while (true) {
-        due_ = monotonic_clock::now() + measure_interval;
+        next_wakeup_ = monotonic_clock::now() + measure_interval;
         co_await sleep_for(measure_interval);
-        last_ = monotonic_clock::now() - due_;
+        last_lag_ = monotonic_clock::now() - next_wakeup_;
     }
 }
 
 duration loop_lag::now() const
 {
-    // The measure itself may be overdue.
-    return std::max(
-        {last_, monotonic_clock::now() - std::min(due_, monotonic_clock::now()), duration::zero()});
+    // The next measurement may itself be overdue.
+    return std::max({last_lag_,
+                     monotonic_clock::now() - std::min(next_wakeup_, monotonic_clock::now()),
+                     duration::zero()});
 }
 
 } // namespace chervildyke
--- a/src/base/loop_lag.h
+++ b/src/base/loop_lag.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines loop_lag, which knows how far behind a process's event loop is.
+ * Defines loop_lag, which measures by how much an event loop runs its tasks late.
  */
 #pragma once
 
@@ -9,18 +9,18 @@
 
 namespace chervildyke {
 
-/** What arrives while the loop is behind has waited for as long already. */
+/** Measures the lag of the event loop: the time that new work waits before the loop runs it. */
 class loop_lag {
   public:
-    /** Measures until the task is cancelled. */
+    /** Measures continuously until the task is cancelled. */
     boost::asio::awaitable<void> measure();
 
-    /** \return how late the loop runs what is due now. */
+    /** \return the present lag. */
     duration now() const;
 
   private:
-    duration last_{};
-    time_point due_ = time_point::max();
+    duration last_lag_{};
+    time_point next_wakeup_ = time_point::max();
 };
 
 } // namespace chervildyke
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements the metrics; sums, counts and quantiles come from Boost.Accumulators.
+ * Implements the metrics. Boost.Accumulators computes sums, counts and quantiles.
  */
 #include "base/metrics.h"
 
@@ -46,7 +46,7 @@
     return text;
 }
 
-std::string braced(const std::string& labels, const std::string& more = {})
+std::string in_braces(const std::string& labels, const std::string& more = {})
 {
     const std::string comma = labels.empty() || more.empty() ? "" : ",";
     return labels.empty() && more.empty() ? std::string() : "{" + labels + comma + more + "}";
@@ -59,11 +59,12 @@
     for (std::size_t i = 0; i < bounds.size(); ++i) {
         std::ostringstream bound;
         bound << "le=\"" << bounds[i] << "\"";
-        out << name << "_bucket" << braced(labels, bound.str()) << " " << values.at_most(i) << "\n";
+        out << name << "_bucket" << in_braces(labels, bound.str()) << " "
+            << values.cumulative_count(i) << "\n";
     }
-    out << name << "_bucket" << braced(labels, "le=\"+Inf\"") << " " << values.count() << "\n";
-    out << name << "_sum" << braced(labels) << " " << values.sum() << "\n";
-    out << name << "_count" << braced(labels) << " " << values.count() << "\n";
+    out << name << "_bucket" << in_braces(labels, "le=\"+Inf\"") << " " << values.count() << "\n";
+    out << name << "_sum" << in_braces(labels) << " " << values.sum() << "\n";
+    out << name << "_count" << in_braces(labels) << " " << values.count() << "\n";
 }
 
 void write_quantiles(std::ostream& out, const std::string& name, const std::string& labels,
@@ -72,7 +73,7 @@
     for (const double which : quantiles) {
         std::ostringstream quantile;
         quantile << "quantile=\"" << which << "\"";
-        out << name << "_quantiles" << braced(labels, quantile.str()) << " "
+        out << name << "_quantiles" << in_braces(labels, quantile.str()) << " "
             << values.quantile(which) << "\n";
     }
 }
@@ -88,8 +89,8 @@
     }
 
     total all;
-    std::vector<quantile_estimate> estimates; // One for each of quantiles.
-    std::vector<std::uint64_t> buckets;       // Not cumulative.
+    std::vector<quantile_estimate> estimates; // In the order of quantiles.
+    std::vector<std::uint64_t> buckets;       // Counts of the single buckets, not cumulative.
 };
 
 histogram::histogram() : values_(std::make_unique<values>()) {}
@@ -140,7 +141,7 @@
         values_->estimates[static_cast<std::size_t>(found - quantiles.begin())]);
 }
 
-std::uint64_t histogram::at_most(std::size_t bound) const
+std::uint64_t histogram::cumulative_count(std::size_t bound) const
 {
     std::uint64_t sum = 0;
     for (std::size_t i = 0; i <= bound; ++i) {
@@ -157,13 +158,13 @@
 Value& metrics_registry::find(std::map<std::string, family<Value>>& families,
                               const std::string& name, const metric_labels& labels)
 {
-    family<Value>& members = families[name];
+    family<Value>& label_sets = families[name];
     const std::string text = label_text(labels);
-    if (const auto found = members.find(text); found != members.end()) {
+    if (const auto found = label_sets.find(text); found != label_sets.end()) {
         return found->second;
     }
-    const bool room = members.size() < max_label_sets_;
-    return members[room ? text : label_text(labels, "other")];
+    const bool may_add = label_sets.size() < max_label_sets_;
+    return label_sets[may_add ? text : label_text(labels, "other")];
 }
 
 std::uint64_t& metrics_registry::counter(const std::string& name, const metric_labels& labels)
@@ -184,22 +185,22 @@
 std::string metrics_registry::to_text() const
 {
     std::ostringstream out;
-    for (const auto& [name, members] : counters_) {
+    for (const auto& [name, label_sets] : counters_) {
         out << "# TYPE " << name << " counter\n";
-        for (const auto& [labels, value] : members) {
-            out << name << braced(labels) << " " << value << "\n";
+        for (const auto& [labels, value] : label_sets) {
+            out << name << in_braces(labels) << " " << value << "\n";
         }
     }
     for (const auto& [name, read] : gauges_) {
         out << "# TYPE " << name << " gauge\n" << name << " " << read() << "\n";
     }
-    for (const auto& [name, members] : histograms_) {
+    for (const auto& [name, label_sets] : histograms_) {
         out << "# TYPE " << name << " histogram\n";
-        for (const auto& [labels, values] : members) {
+        for (const auto& [labels, values] : label_sets) {
             write_histogram(out, name, labels, values);
         }
         out << "# TYPE " << name << "_quantiles gauge\n";
-        for (const auto& [labels, values] : members) {
+        for (const auto& [labels, values] : label_sets) {
             write_quantiles(out, name, labels, values);
         }
     }
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines the metrics of a process: counters, gauges and histograms, written as Prometheus text.
+ * Defines the metrics of a process: counters, gauges and histograms in the Prometheus text format.
  */
 #pragma once
 
@@ -19,7 +19,7 @@
 /** Label names and values, in the order in which they are written. */
 using metric_labels = std::vector<std::pair<std::string, std::string>>;
 
-/** A distribution of values over Boost.Accumulators. */
+/** Counts values in buckets and estimates quantiles. */
 class histogram {
   public:
     histogram();
@@ -27,19 +27,24 @@
     histogram(const histogram&) = delete;
     histogram& operator=(const histogram&) = delete;
 
+    /** Adds a value. */
     void note(double value);
-    void note(duration span); // In seconds.
+    void note(duration span); // Adds the span in seconds.
 
     std::uint64_t count() const;
     double sum() const;
 
-    /** \return an estimate of the 0.5, 0.95 or 0.99 quantile; 0 without values. */
+    /** \param which 0.5, 0.95 or 0.99.
+     * \return an estimate of the quantile; 0 without values or for another quantile.
+     */
     double quantile(double which) const;
 
-    /** \return how many values were at most the bound with this index. */
-    std::uint64_t at_most(std::size_t bound) const;
+    /** \param bound an index into bounds().
+     * \return the number of values that are at most this bound.
+     */
+    std::uint64_t cumulative_count(std::size_t bound) const;
 
-    /** \return the upper bounds of the buckets, in seconds. */
+    /** \return the upper bounds of the buckets; for times in seconds. */
     static const std::vector<double>& bounds();
 
   private:
@@ -47,8 +52,9 @@
     std::unique_ptr<values> values_;
 };
 
-/** Holds a process's metrics. Each metric keeps a bounded number of label sets; further ones are
- * counted together under the value "other".
+/** Holds the metrics of a process. The number of label sets of each metric is limited, so that
+ * labels with many values can't exhaust memory; all further label sets share one whose values are
+ * "other".
  */
 class metrics_registry {
   public:
@@ -57,20 +63,25 @@
     metrics_registry(const metrics_registry&) = delete;
     metrics_registry& operator=(const metrics_registry&) = delete;
 
-    /** \return the counter; raise it by adding to it. It lives as long as the registry. */
+    /** \return the counter, which callers increment. The reference is valid as long as the
+     * registry.
+     */
     std::uint64_t& counter(const std::string& name, const metric_labels& labels = {});
 
+    /** \return the histogram. The reference is valid as long as the registry. */
     histogram& distribution(const std::string& name, const metric_labels& labels = {});
 
-    /** Adds a value that is read when the metrics are written. */
+    /** Adds a gauge.
+     * \param read returns the value; called whenever the metrics are written.
+     */
     void gauge(const std::string& name, std::function<double()> read);
 
-    /** \return all metrics in Prometheus' text form. */
+    /** \return all metrics in the Prometheus text format. */
     std::string to_text() const;
 
   private:
     template <typename Value>
-    using family = std::map<std::string, Value>; // By label text.
+    using family = std::map<std::string, Value>; // By the text of the label set.
 
     template <typename Value>
     Value& find(std::map<std::string, family<Value>>& families, const std::string& name,
--- a/src/base/precompiled.h
+++ b/src/base/precompiled.h
@@ -1,5 +1,5 @@
 /** \file
- * Collects the headers that are slow to parse, for the build's precompiled header only.
+ * Includes the headers that are slow to parse. Only the build uses it, as its precompiled header.
  */
 #pragma once
 
--- a/src/base/program.cpp
+++ b/src/base/program.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements the daemons' shell over cxxopts and asio's signals.
+ * Implements the command line with cxxopts and the signals with asio.
  */
 #include "base/program.h"
 
@@ -20,7 +20,10 @@
 
 namespace {
 
-int report(const std::vector<settings_fault>& faults)
+/** Prints the faults.
+ * \return the exit code.
+ */
+int report_faults(const std::vector<settings_fault>& faults)
 {
     for (const settings_fault& fault : faults) {
         std::cerr << fault.to_string() << "\n";
@@ -50,7 +53,8 @@
             return false;
         }
         if (given.count("check-settings") != 0) {
-            exit_code = report(load_document(given["check-settings"].as<std::string>(), settings));
+            exit_code =
+                report_faults(load_document(given["check-settings"].as<std::string>(), settings));
             return false;
         }
         if (given.count("settings") == 0) {
@@ -62,7 +66,7 @@
         if (settings_file != nullptr) {
             *settings_file = file;
         }
-        exit_code = report(load_document(file, settings));
+        exit_code = report_faults(load_document(file, settings));
         return exit_code == exit_success;
     }
     catch (const cxxopts::exceptions::exception& error) {
@@ -81,7 +85,7 @@
 boost::asio::awaitable<void> follow_reloads(std::function<void(bool)> reload)
 {
     using namespace boost::asio::experimental::awaitable_operators;
-    constexpr duration interval = 5s; // Settings change seldom, and none of them is urgent.
+    constexpr duration interval = 5s; // Settings change rarely and are not urgent.
     boost::asio::signal_set signals(co_await boost::asio::this_coro::executor, SIGHUP);
     timer next(co_await boost::asio::this_coro::executor);
     while (true) {
--- a/src/base/program.h
+++ b/src/base/program.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines the shell that every daemon shares: command line, settings check, signals and exit codes.
+ * Defines what every daemon needs: command line, settings check, signals and exit codes.
  */
 #pragma once
 
@@ -14,35 +14,38 @@
 
 constexpr int exit_success = 0;
 constexpr int exit_failure = 1;
-constexpr int exit_bad_settings = 2; // Also a bad command line.
+constexpr int exit_bad_settings = 2; // Also for an invalid command line.
 
+/** The texts that --help and --version print. */
 struct program_description {
     std::string name;
     std::string version;
     std::string purpose;
 };
 
-/** Reads --help, --version, --check-settings FILE and --settings FILE.
- * \param settings filled from the file.
- * \param exit_code set when the program should end.
- * \param settings_file set to the name of the settings file, unless null.
- * \return true when the program should run.
+/** Handles --help, --version, --check-settings FILE and --settings FILE, and prints errors to
+ * standard error.
+ * \param settings set from the settings file.
+ * \param exit_code the exit code to use if the result is false.
+ * \param settings_file set to the path of the settings file, unless null.
+ * \return true if the program should run, false if it should exit.
  */
 bool read_command_line(int argc, char** argv, const program_description& description,
                        google::protobuf::Message& settings, int& exit_code,
                        std::string* settings_file = nullptr);
 
-/** Completes when the process is asked to stop by SIGTERM or SIGINT. */
+/** Completes when the process receives SIGTERM or SIGINT. */
 boost::asio::awaitable<void> wait_for_stop_signal();
 
-/** Calls the hook when the process is told to reload by SIGHUP, and in each interval, since a file
- * may also change without a signal.
- * \param reload gets true for a signal.
+/** Calls the hook whenever the process receives SIGHUP, and every few seconds, since a file may
+ * also change without a signal.
+ * \param reload gets true for a signal, false for the interval.
  */
 boost::asio::awaitable<void> follow_reloads(std::function<void(bool)> reload);
 
-/** Runs the main task until it completes.
- * \param context the process's only context.
+/** Runs the io_context until the main task completes. SIGPIPE is ignored. An exception of the main
+ * task is rethrown.
+ * \param context the only io_context of the process.
  * \param main_task returns the exit code.
  * \return the exit code.
  */
--- a/src/base/random.cpp
+++ b/src/base/random.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements the random hooks over the standard library's generators.
+ * Implements the random sources with the generators of the standard library.
  */
 #include "base/random.h"
 
@@ -34,7 +34,7 @@
 
 std::string random_id(const random_source& random)
 {
-    char text[33];
+    char text[33]; // 32 digits and the terminating null.
     std::snprintf(text, sizeof text, "%016llx%016llx", static_cast<unsigned long long>(random()),
                   static_cast<unsigned long long>(random()));
     return text;
--- a/src/base/random.h
+++ b/src/base/random.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines the hook for random numbers, and identifiers made from it.
+ * Defines random_source, the hook for random numbers, and functions that draw from it.
  */
 #pragma once
 
@@ -9,19 +9,19 @@
 
 namespace chervildyke {
 
-/** Gives the next 64 random bits. */
+/** Returns the next 64 random bits. */
 using random_source = std::function<std::uint64_t()>;
 
-/** \return a source that repeats the same numbers for the same seed. */
+/** \return a source that gives the same numbers for the same seed. */
 random_source seeded_random(std::uint64_t seed);
 
-/** \return a source seeded by the system. */
+/** \return a source with a random seed from the operating system. */
 random_source system_random();
 
-/** \return a number below limit; limit must be above zero. */
+/** \return a random number below the limit, which must be above zero. */
 std::uint64_t random_below(const random_source& random, std::uint64_t limit);
 
-/** \return a number from 0 up to, but not including, 1. */
+/** \return a random number from 0 up to, but not including, 1. */
 double random_fraction(const random_source& random);
 
 /** \return 128 random bits in hexadecimal. */
--- a/src/base/result.h
+++ b/src/base/result.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines result, an optional value that keeps the last reason why there is none.
+ * Defines result, which holds either a value or the failure that prevented it.
  */
 #pragma once
 
@@ -9,8 +9,8 @@
 
 namespace chervildyke {
 
-/** What a layer says when it fails: its own code, and a text for people.
- * Each layer has its own code enum and turns the failures of the layer below into its own.
+/** An error code and a text for operators. Each layer has its own enum of codes and converts the
+ * failures of the layer below into them.
  */
 template <typename Code>
 struct failure {
@@ -20,8 +20,8 @@
     bool operator==(const failure&) const = default;
 };
 
-/** An optional value beside the last reason; kept in one object, so that concurrent tasks
- * can't overwrite each other's reason.
+/** Either a value or a failure. The failure is returned rather than stored in the called object, so
+ * that concurrent tasks can't overwrite each other's failures.
  */
 template <typename Value, typename Code>
 class [[nodiscard]] result {
@@ -41,7 +41,7 @@
     const Value* operator->() const { return &*value_; }
     const std::optional<Value>& value() const { return value_; }
 
-    /** Why there is no value; only meaningful when there is none. */
+    /** \return the failure; meaningful only if there is no value. */
     const failure_type& last_reason() const { return reason_; }
 
   private:
@@ -49,7 +49,7 @@
     failure_type reason_;
 };
 
-/** The value of a call that has nothing to return. */
+/** The value of a successful call that has nothing to return. */
 struct done {
     bool operator==(const done&) const = default;
 };
--- a/src/base/schema_check.cpp
+++ b/src/base/schema_check.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements the schema check by walking the document beside protobuf's descriptors.
+ * Implements the schema check, which compares the document with protobuf's descriptors.
  */
 #include "base/schema_check.h"
 
@@ -48,6 +48,7 @@
     }
 }
 
+/** \return what the field should contain, for a fault. */
 std::string expectation(const FieldDescriptor& field)
 {
     const schema::field_rule& rule = rule_of(field);
@@ -73,7 +74,7 @@
            field.cpp_type() == FieldDescriptor::CPPTYPE_INT32;
 }
 
-bool whole_number_fits(const FieldDescriptor& field, const json& value)
+bool fits_integer_type(const FieldDescriptor& field, const json& value)
 {
     if (is_unsigned(field) && !value.is_number_unsigned()) {
         return false;
@@ -87,7 +88,7 @@
                                     number <= std::numeric_limits<std::int32_t>::max();
 }
 
-bool type_fits(const FieldDescriptor& field, const json& value)
+bool has_type(const FieldDescriptor& field, const json& value)
 {
     switch (field.cpp_type()) {
     case FieldDescriptor::CPPTYPE_BOOL:
@@ -103,11 +104,11 @@
     case FieldDescriptor::CPPTYPE_DOUBLE:
         return value.is_number();
     default:
-        return value.is_number_integer() && whole_number_fits(field, value);
+        return value.is_number_integer() && fits_integer_type(field, value);
     }
 }
 
-bool bounds_hold(const FieldDescriptor& field, const json& value)
+bool is_within_bounds(const FieldDescriptor& field, const json& value)
 {
     const schema::field_rule& rule = rule_of(field);
     if (!value.is_number()) {
@@ -117,7 +118,7 @@
     return number >= rule.at_least() && (rule.at_most() <= 0 || number <= rule.at_most());
 }
 
-/** Walks one document and collects its faults. */
+/** Checks one document recursively and collects its faults. */
 class checker {
   public:
     checker(const located_json& located, const std::string& file) : located_(located), file_(file)
@@ -127,17 +128,17 @@
     void check_object(const json& object, const Descriptor& type, const std::string& pointer)
     {
         for (const auto& [name, value] : object.items()) {
-            const std::string below = child_pointer(pointer, name);
+            const std::string child = child_pointer(pointer, name);
             const FieldDescriptor* field = find_field(type, name);
             if (field == nullptr) {
-                add(below, "a known key: one of " + known_keys(type));
+                add(child, "a known key: one of " + known_keys(type));
                 continue;
             }
-            check_field(value, *field, below);
+            check_field(value, *field, child);
         }
         for (int i = 0; i < type.field_count(); ++i) {
             const FieldDescriptor& field = *type.field(i);
-            if (rule_of(field).required() && !holds(object, field)) {
+            if (rule_of(field).required() && !has_value(object, field)) {
                 add(child_pointer(pointer, field.name()), expectation(field) + " (missing)");
             }
         }
@@ -148,7 +149,7 @@
         faults_.push_back({file_, located_.line_of(pointer), pointer, std::move(expected)});
     }
 
-    std::vector<settings_fault> take() { return std::move(faults_); }
+    std::vector<settings_fault> take_faults() { return std::move(faults_); }
 
   private:
     static const FieldDescriptor* find_field(const Descriptor& type, const std::string& name)
@@ -157,7 +158,7 @@
         return field != nullptr ? field : type.FindFieldByCamelcaseName(name);
     }
 
-    static bool holds(const json& object, const FieldDescriptor& field)
+    static bool has_value(const json& object, const FieldDescriptor& field)
     {
         const auto by_name = object.find(field.name());
         const auto found = by_name != object.end() ? by_name : object.find(field.camelcase_name());
@@ -193,7 +194,7 @@
 
     void check_value(const json& value, const FieldDescriptor& field, const std::string& pointer)
     {
-        if (!type_fits(field, value) || !bounds_hold(field, value)) {
+        if (!has_type(field, value) || !is_within_bounds(field, value)) {
             add(pointer, expectation(field));
             return;
         }
@@ -215,13 +216,13 @@
     checker check(located, file);
     if (!located.document.is_object()) {
         check.add("", "an object");
-        return check.take();
+        return check.take_faults();
     }
     for (const std::string& pointer : located.repeated_keys) {
         check.add(pointer, "each key once in an object");
     }
     check.check_object(located.document, type, "");
-    return check.take();
+    return check.take_faults();
 }
 
 } // namespace chervildyke
--- a/src/base/schema_check.h
+++ b/src/base/schema_check.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines the check of a JSON document against a message of the schema and its field rules.
+ * Defines check_against_schema, which checks a JSON document against a message of the schema.
  */
 #pragma once
 
@@ -8,15 +8,16 @@
 
 #include <google/protobuf/descriptor.h>
 
-#include "base/json_lines.h"
+#include "base/located_json.h"
 #include "base/settings.h"
 
 namespace chervildyke {
 
-/** Checks keys, types, required fields and bounds; everything that is wrong is listed.
+/** Checks keys, types, required fields and bounds.
  * \param located the document.
- * \param type the message that the document should hold.
- * \param file the name that faults carry.
+ * \param type the message that the document should contain, with the rules of its fields.
+ * \param file the file name to put into the faults.
+ * \return all faults found.
  */
 std::vector<settings_fault> check_against_schema(const located_json& located,
                                                  const google::protobuf::Descriptor& type,
--- a/src/base/scope_guard.h
+++ b/src/base/scope_guard.h
@@ -7,7 +7,7 @@
 
 namespace chervildyke {
 
-/** Runs its action on destruction unless dismissed. */
+/** Runs its action on destruction unless dismissed before. */
 template <typename Action>
 class [[nodiscard]] scope_guard {
   public:
@@ -21,7 +21,7 @@
     scope_guard(const scope_guard&) = delete;
     scope_guard& operator=(const scope_guard&) = delete;
 
-    /** Leaves the action undone. */
+    /** Prevents the action from running. */
     void dismiss() { armed_ = false; }
 
   private:
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements the reading of documents with nlohmann-json and protobuf's JSON form.
+ * Implements the reading of documents with nlohmann-json and protobuf's JSON parser.
  */
 #include "base/settings.h"
 
@@ -8,7 +8,7 @@
 
 #include <google/protobuf/util/json_util.h>
 
-#include "base/json_lines.h"
+#include "base/located_json.h"
 #include "base/schema_check.h"
 
 namespace chervildyke {
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines how settings and published documents are read: JSON with comments, checked against the
+ * Defines parse_document and load_document, which read JSON with comments and check it against the
  * schema.
  */
 #pragma once
@@ -15,28 +15,28 @@
 
 enum class settings_error { none, unreadable, not_json, not_valid };
 
-/** One thing that is wrong with a document. */
+/** An error in a document. */
 struct settings_fault {
     std::string file;
-    std::size_t line = 0; // From one; zero when unknown.
-    std::string path;     // Such as /node/address.
-    std::string expected;
+    std::size_t line = 0; // From one; zero if unknown.
+    std::string path;     // JSON pointer, such as /node/address.
+    std::string expected; // What the document should contain there.
 
-    /** \return file:line: path: expected ... */
+    /** \return the fault in the form "file:line: path: expected ...". */
     std::string to_string() const;
     bool operator==(const settings_fault&) const = default;
 };
 
-/** Parses JSON with comments into a message of the schema and checks each field's rule.
+/** Parses JSON with comments into a message of the schema and checks the rule of each field.
  * \param text the document.
- * \param file the name that faults carry.
- * \param into filled only when there is no fault.
- * \return every fault found; empty when the document is good.
+ * \param file the file name to put into the faults.
+ * \param into set only if there is no fault.
+ * \return all faults found; empty if the document is valid.
  */
 std::vector<settings_fault> parse_document(const std::string& text, const std::string& file,
                                            google::protobuf::Message& into);
 
-/** Reads a file and parses it as parse_document does. */
+/** Reads a file and parses it with parse_document(). */
 std::vector<settings_fault> load_document(const std::string& file, google::protobuf::Message& into);
 
 } // namespace chervildyke
--- a/src/base/task.cpp
+++ b/src/base/task.cpp
@@ -18,6 +18,7 @@
 
 const logger task_log("task");
 
+/** Handles the end of a task: returns if it completed or was cancelled, else aborts the process. */
 void end_task(const std::string& name, const std::exception_ptr& thrown)
 {
     if (!thrown) {
--- a/src/base/task.h
+++ b/src/base/task.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines how long-lived tasks are started, so that none can end by an exception unseen.
+ * Defines spawn_task, which starts long-lived tasks and aborts the process if one of them throws.
  */
 #pragma once
 
@@ -10,10 +10,11 @@
 
 namespace chervildyke {
 
-/** Starts a task that lives as long as the process. An exception from it is our own bug: it is
- * logged and the process aborts, since a daemon with a dead task would look alive.
- * Cancellation (operation_aborted) ends the task quietly.
- * \param name what the log calls it.
+/** Starts a task that runs as long as the process. An exception of the task is a bug: it is logged
+ * and the process aborts, since a daemon that lacks one of its tasks would still appear healthy.
+ * Cancellation (operation_aborted) ends the task without a log line.
+ * \param executor runs the task.
+ * \param name the name of the task in the log.
  */
 void spawn_task(const boost::asio::any_io_executor& executor, std::string name,
                 boost::asio::awaitable<void> task);
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -80,7 +80,7 @@
     http_endpoints.stop_accepting();
     publisher.stop();
     members.leave();
-    co_await http_endpoints.wait_until_quiet();
+    co_await http_endpoints.wait_until_drained();
     // control_server::stop() blocks until its calls have ended. They end on this executor, so
     // stop() runs on a thread of its own.
     bool stopped = false;
--- a/src/fleet/topic_follower.cpp
+++ b/src/fleet/topic_follower.cpp
@@ -26,12 +26,12 @@
     if (!confirmed_at_) {
         return std::nullopt;
     }
-    return awake_or_suspended_time() - *confirmed_at_;
+    return time_since_boot() - *confirmed_at_;
 }
 
 boost::asio::awaitable<bool> topic_follower::load()
 {
-    const duration requested_at = awake_or_suspended_time();
+    const duration requested_at = time_since_boot();
     auto newest = co_await log_.read_latest(topic_);
     if (!newest) {
         follower_log.write(
@@ -85,7 +85,7 @@
     if (!loaded_ || next_offset_ < end) {
         return;
     }
-    const duration read_at = awake_or_suspended_time() - age;
+    const duration read_at = time_since_boot() - age;
     confirmed_at_ = confirmed_at_ ? std::max(*confirmed_at_, read_at) : read_at;
 }
 
@@ -94,7 +94,7 @@
     if (!loaded_) {
         co_return co_await load();
     }
-    const duration requested_at = awake_or_suspended_time();
+    const duration requested_at = time_since_boot();
     auto read = co_await log_.read(topic_, next_offset_, wait);
     if (!read) {
         const shared_log_failure& failed = read.last_reason();
@@ -116,7 +116,7 @@
         last_read_failed_ = false;
     }
     // The log returns no record only if none was appended during the whole wait.
-    const bool waited = read->records.empty() && awake_or_suspended_time() - requested_at >= wait;
+    const bool waited = read->records.empty() && time_since_boot() - requested_at >= wait;
     confirmed_at_ = waited ? requested_at + wait : requested_at;
     co_return apply_records(*read); // Records from peers may have been applied during the read.
 }
--- a/src/relay/plain_relay.cpp
+++ b/src/relay/plain_relay.cpp
@@ -96,7 +96,7 @@
     http_request request = call.attempt(target.id, call.parameters.last_event);
     http_call_options options = call.options(timeout, incarnation_of(target));
     if (call.route->retry == retry_rule::never) {
-        options.max_idle = max_idle_for_single_runs;
+        options.max_idle_time = max_idle_for_single_runs;
     }
     auto opened = co_await call.context.http->open(target.address, std::move(request), options);
     if (!opened) {
@@ -106,7 +106,7 @@
     const std::vector<http_header> headers = answer.headers();
     const answer_metadata metadata = call.context.codec.read_metadata(answer.status(), headers);
     call.record_notice(incarnation_of(target), metadata);
-    byte_budget::share held(call.context.buffered);
+    byte_budget::reservation held(call.context.buffered);
     const time_point end_of_answer = std::min<time_point>(call.deadline, until);
     auto body =
         co_await read_whole_body(answer, call.context.limits.max_answer_bytes, held, end_of_answer);
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -469,7 +469,7 @@
     const time_point end =
         monotonic_clock::now() + from_ms(1000 * settings_.stop_grace_s()) - grace_reserve;
     context_.leaving = true;
-    calls_.close_after_answers();
+    calls_.disable_keep_alive();
     peers_->broadcast();
     node_log.write("stopping",
                    {{"calls_in_progress", std::to_string(calls_.requests_in_progress())}});
--- a/src/relay/relayed_call.cpp
+++ b/src/relay/relayed_call.cpp
@@ -49,14 +49,14 @@
     options.timeout = std::max<duration>(std::min(timeout, time_left()), 1ms);
     options.connect_timeout = connect_timeout;
     options.cancel = cancel;
-    options.still_wanted = [this, target] {
+    options.should_send = [this, target] {
         if (exchange.peer_has_closed()) {
             cancel->cancel();
         }
         return !cancel->cancelled() && context.notices->may_call(target, monotonic_clock::now());
     };
-    options.belongs = [read_metadata = context.codec.read_metadata,
-                       id = parameters.id](const std::vector<http_header>& headers) {
+    options.matches_request = [read_metadata = context.codec.read_metadata,
+                               id = parameters.id](const std::vector<http_header>& headers) {
         const answer_metadata metadata = read_metadata(200, headers);
         return metadata.call_id == id;
     };
--- a/src/relay/shared_reading.cpp
+++ b/src/relay/shared_reading.cpp
@@ -127,7 +127,7 @@
 void shared_reading::send_question(const schema::known_peer& peer)
 {
     schema::peer_word message;
-    message.mutable_question()->set_nonce(questions_.add(awake_or_suspended_time()));
+    message.mutable_question()->set_nonce(questions_.add(time_since_boot()));
     peers_.send_message(std::move(message), peer.address(),
                         static_cast<std::uint16_t>(peer.port()));
 }
@@ -147,7 +147,7 @@
         const schema::freshness_answer& answer = message.answer();
         const auto age = questions_.resolve(
             answer.nonce(), std::chrono::milliseconds(answer.configuration_age_ms()),
-            awake_or_suspended_time());
+            time_since_boot());
         if (age) {
             view_.confirm_configuration(answer.configuration_end(), *age);
         }
--- a/src/relay/stream_relay.cpp
+++ b/src/relay/stream_relay.cpp
@@ -352,7 +352,7 @@
 {
     attempt_end end;
     end.result = attempt_result::broken;
-    byte_budget::share held(call_.context.buffered);
+    byte_budget::reservation held(call_.context.buffered);
     auto body =
         co_await read_whole_body(answer, max_error_body, held, call_.deadline - deadline_margin);
     if (!body) {
@@ -369,8 +369,8 @@
                                                      replica_balancer::call& slot)
 {
     const auto cancel = std::make_shared<http_cancel>();
-    call_.cancel->set_close([cancel] { cancel->cancel(); });
-    const scope_guard unlink([this] { call_.cancel->set_close(nullptr); });
+    call_.cancel->set_close_hook([cancel] { cancel->cancel(); });
+    const scope_guard unlink([this] { call_.cancel->set_close_hook(nullptr); });
     stall_detector::hooks hooks;
     hooks.should_end = [this, &selected](const silent_attempt& seen) {
         return should_end(selected, seen);
@@ -400,7 +400,7 @@
     }
     if (detector.has_ended_attempt()) {
         // Other connections to the head may have stalled too.
-        call_.context.http->forget(selected.replica.head_address);
+        call_.context.http->close_idle_connections(selected.replica.head_address);
         end.reason = std::string("stalled; a slot at another replica is ") +
                      (reserved_slot_ ? "taken" : "not taken yet");
     }
--- a/src/relay/whole_body.cpp
+++ b/src/relay/whole_body.cpp
@@ -9,7 +9,7 @@
 
 boost::asio::awaitable<http_result<std::string>> read_whole_body(http_stream& answer,
                                                                  std::size_t max_bytes,
-                                                                 byte_budget::share& budget,
+                                                                 byte_budget::reservation& budget,
                                                                  time_point deadline)
 {
     std::string body;
@@ -23,7 +23,7 @@
             co_return body;
         }
         body += *part;
-        if (body.size() > max_bytes || !budget.take(part->size())) {
+        if (body.size() > max_bytes || !budget.try_reserve(part->size())) {
             co_return http_failure{http_error::broken,
                                    "the answer is longer than " + std::to_string(body.size() - 1) +
                                        " bytes, the limit of a buffered answer"};
--- a/src/relay/whole_body.h
+++ b/src/relay/whole_body.h
@@ -23,7 +23,7 @@
  */
 boost::asio::awaitable<http_result<std::string>> read_whole_body(http_stream& answer,
                                                                  std::size_t max_bytes,
-                                                                 byte_budget::share& budget,
+                                                                 byte_budget::reservation& budget,
                                                                  time_point deadline);
 
 } // namespace chervildyke
--- a/test/correctness/base_clock.cpp
+++ b/test/correctness/base_clock.cpp
@@ -10,7 +10,7 @@
 
 using namespace chervildyke;
 
-TEST_CASE("a timer fires when the manual clock reaches it, and hours take no time")
+TEST_CASE("a timer expires when the manual clock reaches its time, and advancing by hours is fast")
 {
     boost::asio::io_context context;
     manual_clock clock(context);
--- a/test/correctness/base_http.cpp
+++ b/test/correctness/base_http.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Tests that requests and streamed answers cross a connection whole.
+ * Tests that requests, replies and streamed replies are transferred completely.
  */
 #include <doctest/doctest.h>
 
@@ -33,7 +33,7 @@
 
 } // namespace
 
-TEST_CASE("a call and a stream give back what the server wrote")
+TEST_CASE("a call and a stream return what the server wrote")
 {
     asio::io_context context;
     http_server server(context.get_executor(), echo);
@@ -68,7 +68,7 @@
     CHECK(streamed == "part0;part1;part2;");
 }
 
-TEST_CASE("a call to an address where nobody listens was not sent")
+TEST_CASE("a call to an address on which no server listens fails as not sent")
 {
     asio::io_context context;
     http_client client(context.get_executor());
--- a/test/error/base_planned_stop.cpp
+++ b/test/error/base_planned_stop.cpp
@@ -1,6 +1,6 @@
 /** \file
- * Tests that a server which stops answers every request that callers had sent by then, and callers
- * of HTTP/1.0, who can't read chunks.
+ * Tests that a server answers every request that clients sent before it stopped accepting, and that
+ * it replies without chunks to HTTP/1.0 clients, which can't read them.
  */
 #include <doctest/doctest.h>
 
@@ -16,12 +16,12 @@
 
 const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
 
-struct stopping_bench {
-    stopping_bench() { REQUIRE(server.listen("127.0.0.1", 0)); }
+struct server_fixture {
+    server_fixture() { REQUIRE(server.listen("127.0.0.1", 0)); }
 
     tcp::socket connect()
     {
-        tcp::socket socket(callers);
+        tcp::socket socket(client_context);
         socket.connect({asio::ip::make_address("127.0.0.1"), server.port()});
         return socket;
     }
@@ -32,8 +32,8 @@
         context.run_for(span);
     }
 
-    /** Reads to the end of the connection.
-     * \return what came; with "(reset)" at the end when it broke off.
+    /** Reads until the connection ends.
+     * \return the bytes read, followed by "(reset)" if the connection was reset.
      */
     static std::string read_all(tcp::socket& socket)
     {
@@ -43,14 +43,14 @@
         return error == asio::error::eof ? text : text + "(reset)";
     }
 
-    asio::io_context callers;
+    asio::io_context client_context;
     asio::io_context context;
-    bool breaks_off = false;
+    bool aborts = false;
     http_server server{context.get_executor(), [this](http_exchange& exchange) {
-                           return breaks_off ? break_off(exchange) : answer(exchange);
+                           return aborts ? abort_reply(exchange) : complete_reply(exchange);
                        }};
 
-    static asio::awaitable<void> answer(http_exchange& exchange)
+    static asio::awaitable<void> complete_reply(http_exchange& exchange)
     {
         http_reply reply;
         reply.status = 200;
@@ -59,7 +59,7 @@
         co_await exchange.end_stream();
     }
 
-    static asio::awaitable<void> break_off(http_exchange& exchange)
+    static asio::awaitable<void> abort_reply(http_exchange& exchange)
     {
         http_reply reply;
         reply.status = 200;
@@ -71,78 +71,78 @@
 
 } // namespace
 
-TEST_CASE("a request on a connection that was not accepted yet is answered")
+TEST_CASE("a request on a connection that is not accepted yet is answered")
 {
-    stopping_bench bench;
-    tcp::socket caller = bench.connect();
+    server_fixture fixture;
+    tcp::socket caller = fixture.connect();
     asio::write(caller, asio::buffer(request));
-    bench.server.stop_accepting();
-    bench.run(200ms);
-    CHECK(stopping_bench::read_all(caller).find("whole") != std::string::npos);
+    fixture.server.stop_accepting();
+    fixture.run(200ms);
+    CHECK(server_fixture::read_all(caller).find("whole") != std::string::npos);
 }
 
-TEST_CASE("a request that follows on a connection accepted in the same instant is answered")
+TEST_CASE("the first request of a connection that is accepted while the server stops is answered")
 {
-    stopping_bench bench;
-    tcp::socket caller = bench.connect();
-    bench.server.stop_accepting();
-    bench.run(50ms);
+    server_fixture fixture;
+    tcp::socket caller = fixture.connect();
+    fixture.server.stop_accepting();
+    fixture.run(50ms);
     asio::write(caller, asio::buffer(request));
-    bench.run(200ms);
-    CHECK(stopping_bench::read_all(caller).find("whole") != std::string::npos);
+    fixture.run(200ms);
+    CHECK(server_fixture::read_all(caller).find("whole") != std::string::npos);
 }
 
-TEST_CASE("a request that waits in a kept connection is answered")
+TEST_CASE("a request that has arrived on an idle connection is answered")
 {
-    stopping_bench bench;
-    tcp::socket caller = bench.connect();
+    server_fixture fixture;
+    tcp::socket caller = fixture.connect();
     asio::write(caller, asio::buffer(request));
-    bench.run(50ms);
+    fixture.run(50ms);
     asio::write(caller, asio::buffer(request));
-    bench.server.stop_accepting();
-    bench.server.stop_accepting(); // A second signal changes nothing.
-    bench.run(200ms);
-    const std::string text = stopping_bench::read_all(caller);
+    fixture.server.stop_accepting();
+    fixture.server.stop_accepting(); // A second call has no effect.
+    fixture.run(200ms);
+    const std::string text = server_fixture::read_all(caller);
     CHECK(text.find("whole") != text.rfind("whole"));
 }
 
-TEST_CASE("a request that is half read counts as in progress and is answered")
+TEST_CASE("a partly read request counts as in progress and is answered")
 {
-    stopping_bench bench;
-    tcp::socket caller = bench.connect();
+    server_fixture fixture;
+    tcp::socket caller = fixture.connect();
     asio::write(caller, asio::buffer(request.substr(0, 8)));
-    bench.run(50ms);
-    bench.server.stop_accepting();
-    CHECK(bench.server.requests_in_progress() == 1);
-    bench.run(50ms);
+    fixture.run(50ms);
+    fixture.server.stop_accepting();
+    CHECK(fixture.server.requests_in_progress() == 1);
+    fixture.run(50ms);
     asio::write(caller, asio::buffer(request.substr(8)));
-    bench.run(200ms);
-    CHECK(stopping_bench::read_all(caller).find("whole") != std::string::npos);
-    CHECK(bench.server.requests_in_progress() == 0);
+    fixture.run(200ms);
+    CHECK(server_fixture::read_all(caller).find("whole") != std::string::npos);
+    CHECK(fixture.server.requests_in_progress() == 0);
 }
 
-TEST_CASE("an idle connection is closed")
+TEST_CASE("an idle connection is closed without a reset")
 {
-    stopping_bench bench;
-    tcp::socket caller = bench.connect();
+    server_fixture fixture;
+    tcp::socket caller = fixture.connect();
     asio::write(caller, asio::buffer(request));
-    bench.run(50ms);
-    bench.server.stop_accepting();
-    bench.run(100ms);
-    CHECK_FALSE(stopping_bench::read_all(caller).ends_with("(reset)"));
-    CHECK(bench.server.connections() == 0);
+    fixture.run(50ms);
+    fixture.server.stop_accepting();
+    fixture.run(100ms);
+    CHECK_FALSE(server_fixture::read_all(caller).ends_with("(reset)"));
+    CHECK(fixture.server.connections() == 0);
 }
 
-TEST_CASE("a caller of HTTP/1.0 gets the bytes without chunks, and a reset when they break off")
+TEST_CASE("an HTTP/1.0 client gets a reply without chunks, and a reset if the reply is aborted")
 {
-    stopping_bench bench;
-    tcp::socket first = bench.connect();
+    server_fixture fixture;
+    tcp::socket first = fixture.connect();
     asio::write(first, asio::buffer(std::string("GET / HTTP/1.0\r\nHost: a\r\n\r\n")));
-    bench.run(100ms);
-    CHECK(stopping_bench::read_all(first).ends_with("\r\n\r\nwhole"));
-    bench.breaks_off = true;
-    tcp::socket second = bench.connect();
+    fixture.run(100ms);
+    CHECK(server_fixture::read_all(first).ends_with("\r\n\r\nwhole"));
+    fixture.aborts = true;
+    tcp::socket second = fixture.connect();
     asio::write(second, asio::buffer(std::string("GET / HTTP/1.0\r\nHost: a\r\n\r\n")));
-    bench.run(100ms);
-    CHECK(stopping_bench::read_all(second).ends_with("(reset)"));
+    fixture.run(100ms);
+    CHECK(server_fixture::read_all(second).ends_with("(reset)"));
 }
--- a/test/error/base_settings.cpp
+++ b/test/error/base_settings.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Tests that settings that break the schema are refused with line, path and expectation.
+ * Tests that settings that violate the schema are rejected with line, path and expected value.
  */
 #include <doctest/doctest.h>
 
@@ -10,7 +10,7 @@
 
 namespace {
 
-const std::string good = R"(// An entry.
+const std::string valid_document = R"(// An entry.
 {
   "node": {"vm": "entry-1", "address": "127.0.1.1", "failure_domain": "gent-a"},
   "http_port": 8080, /* for callers */
@@ -27,50 +27,50 @@
 
 } // namespace
 
-TEST_CASE("a good file is read, comments and all")
+TEST_CASE("a valid file with comments is accepted")
 {
     schema::entry_settings settings;
-    CHECK(parse_document(good, "entry.json", settings).empty());
+    CHECK(parse_document(valid_document, "entry.json", settings).empty());
     CHECK(settings.http_port() == 8080);
     CHECK(settings.node().failure_domain() == "gent-a");
 }
 
-TEST_CASE("an unknown key is refused with its line and path")
+TEST_CASE("an unknown key is rejected with its line and path")
 {
     const auto faults =
-        faults_of(good, "\"control_port\": 8090", "\"control_port\": 8090, \"x\": 1");
+        faults_of(valid_document, "\"control_port\": 8090", "\"control_port\": 8090, \"x\": 1");
     REQUIRE(faults.size() == 1);
     CHECK(faults[0].line == 5);
     CHECK(faults[0].path == "/x");
     CHECK(faults[0].to_string().find("entry.json:5: /x: expected a known key") == 0);
 }
 
-TEST_CASE("a wrong type, a missing value and one out of range are all listed")
+TEST_CASE("a wrong type, a missing value and a value out of range are rejected")
 {
-    auto faults = faults_of(good, "\"http_port\": 8080", "\"http_port\": \"8080\"");
+    auto faults = faults_of(valid_document, "\"http_port\": 8080", "\"http_port\": \"8080\"");
     REQUIRE(faults.size() == 1);
     CHECK(faults[0].path == "/http_port");
     CHECK(faults[0].line == 4);
     CHECK(faults[0].expected.find("a whole number from 1 to 65535") == 0);
-    faults = faults_of(good, "\"http_port\": 8080", "\"http_port\": 70000");
+    faults = faults_of(valid_document, "\"http_port\": 8080", "\"http_port\": 70000");
     REQUIRE(faults.size() == 1);
-    faults = faults_of(good, "\"vm\": \"entry-1\", ", "");
+    faults = faults_of(valid_document, "\"vm\": \"entry-1\", ", "");
     REQUIRE(faults.size() == 1);
     CHECK(faults[0].path == "/node/vm");
     CHECK(faults[0].line == 3);
-    faults = faults_of(good, "\"http_port\": 8080, ", "");
+    faults = faults_of(valid_document, "\"http_port\": 8080, ", "");
     CHECK(faults.size() == 1);
-    faults = faults_of(good, "8080", "-1");
+    faults = faults_of(valid_document, "8080", "-1");
     CHECK(faults.size() == 1);
 }
 
-TEST_CASE("a repeated key and a text that is not JSON are refused")
+TEST_CASE("a repeated key and a text that is not JSON are rejected")
 {
-    auto faults =
-        faults_of(good, "\"control_port\": 8090", "\"control_port\": 1, \"control_port\": 2");
+    auto faults = faults_of(valid_document, "\"control_port\": 8090",
+                            "\"control_port\": 1, \"control_port\": 2");
     REQUIRE(faults.size() == 1);
     CHECK(faults[0].path == "/control_port");
-    faults = faults_of(good, "8080,", "8080");
+    faults = faults_of(valid_document, "8080,", "8080");
     REQUIRE(faults.size() == 1);
     CHECK(faults[0].line == 5);
 }
--- a/test/error/relay_endless_answers.cpp
+++ b/test/error/relay_endless_answers.cpp
@@ -82,7 +82,7 @@
         http_call_options options;
         options.timeout = timeout;
         options.max_body_bytes = 1U << 20U;
-        options.belongs = [](const std::vector<http_header>& headers) {
+        options.matches_request = [](const std::vector<http_header>& headers) {
             return find_header(headers, "X-Attempt-Id") == "call1";
         };
         got = co_await client.call(server.address(), request, options);
@@ -189,7 +189,7 @@
     endless_fixture fixture("HTTP/1.1 200 OK\r\nX-Attempt-Id: call1\r\nX-Response-Seal: s\r\n"
                             "Transfer-Encoding: chunked\r\n\r\n",
                             "4000\r\n" + std::string(0x4000, 'x') + "\r\n");
-    std::size_t least_left = fixture.node.buffered.left();
+    std::size_t least_left = fixture.node.buffered.available_bytes();
     int failed = 0;
     int ended = 0;
     constexpr int calls = 50;
@@ -220,7 +220,7 @@
         fixture.context,
         [&]() -> asio::awaitable<void> {
             while (true) {
-                least_left = std::min(least_left, fixture.node.buffered.left());
+                least_left = std::min(least_left, fixture.node.buffered.available_bytes());
                 co_await sleep_for(1ms);
             }
         },
@@ -228,6 +228,6 @@
     fixture.context.run_for(std::chrono::seconds(30));
     CHECK(failed == calls);
     CHECK(least_left < 32U << 20U);
-    CHECK(fixture.node.buffered.left() == 32U << 20U);
+    CHECK(fixture.node.buffered.available_bytes() == 32U << 20U);
     CHECK(fixture.server.requests == calls); // Each ran once.
 }
--- a/test/error/relay_foreign_answers.cpp
+++ b/test/error/relay_foreign_answers.cpp
@@ -45,7 +45,7 @@
         http_request request;
         http_call_options options;
         options.timeout = 500ms;
-        options.belongs = [](const std::vector<http_header>& headers) {
+        options.matches_request = [](const std::vector<http_header>& headers) {
             return find_header(headers, "X-Attempt-Id") == "mine";
         };
         auto reply = co_await client.call(address, request, options);
