--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-const part_log control_log("control");
+const logger control_log("control");
 
 constexpr duration rpc_stop_grace_period = 2s;
 constexpr duration stop_poll_interval = 5ms;
@@ -80,7 +80,7 @@
     http_endpoints.stop_accepting();
     publisher.stop();
     members.leave();
-    co_await http_endpoints.wait_until_quiet();
+    co_await http_endpoints.wait_until_drained();
     // control_server::stop() blocks until its calls have ended. They end on this executor, so
     // stop() runs on a thread of its own.
     bool stopped = false;
--- a/src/entry/completion_call.cpp
+++ b/src/entry/completion_call.cpp
@@ -322,7 +322,7 @@
         co_return;
     }
     auto response = admit_and_run();
-    auto disconnect = exchange_.peer_gone();
+    auto disconnect = exchange_.wait_for_peer_close();
     auto first_to_end = std::move(response) || std::move(disconnect);
     co_await std::move(first_to_end);
     if (!outcome_counted_) {
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -30,7 +30,7 @@
 constexpr duration drain_notice_period = 500ms;
 constexpr duration drain_poll_interval = 20ms;
 constexpr std::size_t max_idle_connections_per_engine = 64;
-const part_log log("entry");
+const logger log("entry");
 
 schema::entry_settings with_defaults(schema::entry_settings settings)
 {
--- a/src/entry/order_client.cpp
+++ b/src/entry/order_client.cpp
@@ -20,7 +20,7 @@
 
 namespace {
 
-const part_log log("orders");
+const logger log("orders");
 
 constexpr duration settle_rpc_timeout = 2s;
 constexpr duration min_settle_backoff = 50ms;
--- a/src/entry/view_watcher.cpp
+++ b/src/entry/view_watcher.cpp
@@ -21,7 +21,7 @@
 constexpr duration max_time_on_other_control = 30s; // Then the own control is tried again.
 constexpr duration watch_check_interval = 500ms;
 constexpr duration reconnect_delay = 200ms;
-const part_log log("entry/view");
+const logger log("entry/view");
 
 } // namespace
 
--- a/src/replicas/command_sender.cpp
+++ b/src/replicas/command_sender.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-const part_log sender_log("engine-orders");
+const logger sender_log("engine-orders");
 
 /** A command that is no longer due is forgotten so long after it could have been sent again.
  */
@@ -184,7 +184,7 @@
         found->second.in_flight = false;
     }
     if (!reply) {
-        if (reply.last_reason().code != external_error::unclear) {
+        if (reply.last_reason().code != external_error::unknown_outcome) {
             unresolved.erase(due.vm);
         }
         co_return;
--- a/src/replicas/replica_reconciler.cpp
+++ b/src/replicas/replica_reconciler.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-const part_log reconciler_log("replicas");
+const logger reconciler_log("replicas");
 
 /** The shortest time between two plans, so that a burst of changes leads to one plan. */
 constexpr duration min_plan_interval = 20ms;
--- a/test/correctness/entry_calls.cpp
+++ b/test/correctness/entry_calls.cpp
@@ -181,7 +181,7 @@
         co_await exchange.start_stream(head);
         const std::string event = chunk_event(call.attempt_id(), 0, "t0 ", false);
         co_await exchange.write_chunk(event);
-        co_await exchange.peer_gone();
+        co_await exchange.wait_for_peer_close();
     };
     entry_under_test entry(context);
     REQUIRE(entry.start(view_of({engine.address()})));
--- a/test/support/fake_engines.cpp
+++ b/test/support/fake_engines.cpp
@@ -203,7 +203,7 @@
     const auto found = engines_.find(vm);
     if (found == engines_.end() || is_silent(found->second)) {
         co_await sleep_for(timeout);
-        co_return external_failure{external_error::unclear, "no answer"};
+        co_return external_failure{external_error::unknown_outcome, "no answer"};
     }
     co_await sleep_for(1ms);
     advance_loads();
@@ -219,7 +219,7 @@
     co_await sleep_for(std::max(delay, duration(1ms)));
     if (is_silent(engine) || delay > timeout) {
         deliver(vm, command);
-        co_return external_failure{external_error::unclear, "no answer"};
+        co_return external_failure{external_error::unknown_outcome, "no answer"};
     }
     advance_loads();
     co_return execute(engine, command);
