Review the wording of src/replicas

What read badly: the Doxygen command of repair_costs::team_value was a literal carriage return and "eturn". "overdue" meant two ages in vm_watcher, "unsettled" VMs in replica_reconciler sounded like settlements of orders, and one test for a fresh report was is_heard in one file and reports_freshly in another. Maps, timeouts and default weights stated no key or unit. An operator was told that a VM "has not reported yet" also when its last report was only too old.

Renamed: is_heard and reports_freshly -> has_fresh_report; overdue_vms_of -> silent_vms_watched_by; overdue_request -> second_request; prioritize_unsettled_vms -> prioritize_vms_in_transition; command_sender::state::begin -> start_send. In tests: misled -> commanded_vm; settled -> repaired; 20ms -> freshness_slack. The invariant violations of replica_fleet name the VM and both replicas.

Texts that become the reason of a record are untouched.

--- a/src/replicas/command_sender.cpp
+++ b/src/replicas/command_sender.cpp
@@ -18,8 +18,7 @@
 
 const part_log sender_log("engine-orders");
 
-/** A command that is no longer due is forgotten so long after it could have been sent again.
- */
+/** How long a command that is no longer due is kept after it could have been sent again. */
 constexpr duration sent_command_retention = 600s;
 
 schema::engine_order to_message(const due_command& due, const std::string& command_id,
@@ -45,6 +44,7 @@
     return message;
 }
 
+/** \return the key by which sent commands are kept; equal for a command that is due repeatedly. */
 std::string command_key(const due_command& due)
 {
     return std::to_string(due.kind) + "-" + std::to_string(due.replica) + "-" + due.vm + "-" +
@@ -81,7 +81,7 @@
 
     bool may_send(const due_command& due, const std::vector<std::string>& alive, time_point now);
     void update_responsibility(const std::vector<std::string>& alive, time_point now);
-    void begin(const due_command& due, time_point now);
+    void start_send(const due_command& due, time_point now);
     boost::asio::awaitable<void> send(due_command due, std::string key, std::string command_id);
 
     boost::asio::any_io_executor executor;
@@ -89,10 +89,12 @@
     report_table& table;
     engine_client engine;
     command_sender_options options;
-    std::map<std::string, sent_command> sent_commands;
-    std::map<std::string, time_point>
-        responsible_since; // VMs that this control is responsible for.
-    std::map<std::string, unresolved_command> unresolved;
+    std::map<std::string, sent_command> sent_commands; // By command_key().
+
+    /** By VM: since when this control has been responsible for it. */
+    std::map<std::string, time_point> responsible_since;
+
+    std::map<std::string, unresolved_command> unresolved; // By VM.
     std::vector<std::string> assigned_members;
     std::size_t assigned_vm_count = 0;
     std::optional<time_point> last_call_at;
@@ -100,7 +102,9 @@
     bool stopped = false;
 };
 
-/** Updates since when this control has been responsible for each VM. */
+/** Updates since when this control has been responsible for each VM, for engines that don't check
+ * fencing.
+ */
 void command_sender::state::update_responsibility(const std::vector<std::string>& alive,
                                                   time_point now)
 {
@@ -140,7 +144,7 @@
            now >= earlier->second.until;
 }
 
-void command_sender::state::begin(const due_command& due, time_point now)
+void command_sender::state::start_send(const due_command& due, time_point now)
 {
     const std::string key = command_key(due);
     sent_command& command = sent_commands[key];
@@ -229,7 +233,7 @@
     for (const due_command& command : due) {
         const auto known = state_->sent_commands.find(command_key(command));
         if (state_->may_send(command, alive, now)) {
-            state_->begin(command, now);
+            state_->start_send(command, now);
         }
         else if (known != state_->sent_commands.end()) {
             known->second.still_due = true;
--- a/src/replicas/command_sender.h
+++ b/src/replicas/command_sender.h
@@ -47,9 +47,9 @@
 struct command_sender_options {
     bool engines_check_fencing = true;
     duration command_quarantine = 3s; // The longest time that a command can be in flight.
-    duration timeout = 1s;
-    duration resend_interval = 1s;
-    std::function<void()> on_report; // After a reply with a report. May be empty.
+    duration timeout = 1s;            // Of one send.
+    duration resend_interval = 1s;    // Between two sends of a command that stays due.
+    std::function<void()> on_report;  // After a reply with a report. May be empty.
 };
 
 /** Sends due commands to the VMs that this control is responsible for, as the first alive control
--- a/src/replicas/due_commands.cpp
+++ b/src/replicas/due_commands.cpp
@@ -124,9 +124,9 @@
 
 void due_command_finder::add_leave_command(const observed_vm& vm)
 {
-    const bool reports_freshly = vm.role == vm_role::engine && vm.report && !vm.lost_since &&
-                                 vm.answered_within(options_.bounds.report_freshness, now_);
-    if (!reports_freshly || vm.report->replica_id() == 0 || is_newer_than_state(vm)) {
+    const bool has_fresh_report = vm.role == vm_role::engine && vm.report && !vm.lost_since &&
+                                  vm.answered_within(options_.bounds.report_freshness, now_);
+    if (!has_fresh_report || vm.report->replica_id() == 0 || is_newer_than_state(vm)) {
         return;
     }
     const auto holder = state_.holder_of(vm.vm);
--- a/src/replicas/repair_costs.cpp
+++ b/src/replicas/repair_costs.cpp
@@ -14,6 +14,10 @@
 
 /** New loads start at once behind a queue that takes no longer than this. */
 constexpr double max_short_queue_seconds = 2.0;
+
+/** The weights of a configuration that sets none: the cost of one second of downtime, and of one
+ * second of one stranded accelerator.
+ */
 constexpr double default_downtime_weight = 1.0;
 constexpr double default_stranded_weight = 0.1;
 
--- a/src/replicas/repair_costs.h
+++ b/src/replicas/repair_costs.h
@@ -24,7 +24,7 @@
     repair_costs(const fleet_state& state, const observed_fleet& fleet,
                  const repair_options& options, time_point now);
 
-    /** eturn the value of one second in which a replica of the team serves: one plus its
+    /** \return the value of one second in which a replica of the team serves: one plus its
      * priority.
      */
     static double team_value(const schema::team_parameters& parameters);
--- a/src/replicas/repair_plan.h
+++ b/src/replicas/repair_plan.h
@@ -85,8 +85,8 @@
      */
     duration preemption_delay = 3s;
 
-    duration straggler_grace_period =
-        10s; // A replica with a VM that is slow for longer is outdated.
+    /** A replica with a VM that is slow for longer is outdated. */
+    duration straggler_grace_period = 10s;
 
     /** All losses in an unreachable domain are detected within this time. */
     duration domain_outage_settle_time = 600ms;
--- a/src/replicas/repair_planner.cpp
+++ b/src/replicas/repair_planner.cpp
@@ -153,14 +153,14 @@
         next.vms = {member.vm};
         const observed_vm* vm = fleet_.find(member.vm);
         const bool is_gone = vm == nullptr || vm->presence == vm_presence::gone;
-        const bool is_heard = vm != nullptr && vm->report && !vm->lost_since &&
-                              vm->answered_within(options_.bounds.report_freshness, now_);
+        const bool has_fresh_report = vm != nullptr && vm->report && !vm->lost_since &&
+                                      vm->answered_within(options_.bounds.report_freshness, now_);
         // At engines that don't check fencing, a command sent just before the retirement may still
         // arrive.
         const bool commands_expired =
             options_.engines_check_fencing || since >= options_.command_quarantine;
         const time_point retiring_since = now_ - since;
-        if (is_heard) {
+        if (has_fresh_report) {
             const bool is_confirmed = *vm->last_answer_at >= retiring_since;
             if (vm->report->replica_id() == retiring.id || !is_confirmed || !commands_expired) {
                 continue;
--- a/src/replicas/replica_health.h
+++ b/src/replicas/replica_health.h
@@ -19,7 +19,7 @@
     not_joined, // Reports another replica or none, so it has to be commanded to join.
     stale,      // Its last report is too old to rely on, but it is not lost yet.
     broken,     // Its engine reports a failure that it can't recover from.
-    leaving,    // The VM list or its engine says that it is leaving.
+    leaving,    // The VM list or its engine reports that it is leaving.
     lost,       // It answered no watcher within the detection bound.
     gone,       // No longer in the VM list.
 };
@@ -35,8 +35,9 @@
     std::vector<member_state> members; // In the order of the replica's members.
     bool complete = false;             // All members are ready.
     bool broken = false;               // A member is lost, gone, leaving or broken.
-    bool recoverable =
-        true; // It can become complete with its present members: none is gone, leaving or broken.
+
+    /** It can become complete with its present members: none is gone, leaving or broken. */
+    bool recoverable = true;
 
     bool operator==(const replica_health&) const = default;
 };
--- a/src/replicas/replica_reconciler.cpp
+++ b/src/replicas/replica_reconciler.cpp
@@ -114,8 +114,8 @@
     void start_proposal(const decision& subject, const fleet_state& journal, time_point now);
 
     /** Prioritizes the VMs of forming and retiring replicas whose commands this control sends. */
-    void prioritize_unsettled_vms(const fleet_state& journal,
-                                  const std::vector<std::string>& alive) const;
+    void prioritize_vms_in_transition(const fleet_state& journal,
+                                      const std::vector<std::string>& alive) const;
     boost::asio::awaitable<void> propose(std::string key, schema::journal_record record);
 
     boost::asio::any_io_executor executor;
@@ -179,10 +179,10 @@
     }
     commands.send_due(find_due_commands(*journal, table.fleet(), history, options.repair, now),
                       alive, now);
-    prioritize_unsettled_vms(*journal, alive);
+    prioritize_vms_in_transition(*journal, alive);
 }
 
-void replica_reconciler::state::prioritize_unsettled_vms(
+void replica_reconciler::state::prioritize_vms_in_transition(
     const fleet_state& journal, const std::vector<std::string>& alive) const
 {
     if (!hooks.prioritize_vms) {
--- a/src/replicas/vm_allocator.cpp
+++ b/src/replicas/vm_allocator.cpp
@@ -58,7 +58,7 @@
     case unfit_reason::lost:
         return "it answers none of its watchers";
     case unfit_reason::stale:
-        return "it has not reported yet";
+        return "it has no fresh report";
     case unfit_reason::broken:
         return "its engine reports that it is broken";
     case unfit_reason::flapping:
--- a/src/replicas/vm_watcher.cpp
+++ b/src/replicas/vm_watcher.cpp
@@ -43,7 +43,7 @@
     bool is_first_watcher_of(const std::string& vm) const;
     duration poll_timeout() const;
     duration report_overdue_after() const;
-    std::vector<std::string> overdue_vms_of(const std::string& peer, time_point now) const;
+    std::vector<std::string> silent_vms_watched_by(const std::string& peer, time_point now) const;
     void notify_answer();
     void notify_change();
 
@@ -220,20 +220,23 @@
     notify_answer();
 }
 
-std::vector<std::string> vm_watcher::state::overdue_vms_of(const std::string& peer,
-                                                           time_point now) const
+/** \return the VMs that the peer watches, first or not, and that have been silent for half the
+ * detection bound. The peer may have polled them while their first watcher could not reach them.
+ */
+std::vector<std::string> vm_watcher::state::silent_vms_watched_by(const std::string& peer,
+                                                                  time_point now) const
 {
     const duration max_age = table.bounds().detection_bound / 2;
-    std::vector<std::string> overdue;
+    std::vector<std::string> silent;
     for (const auto& [name, assigned] : assignments) {
         const observed_vm* vm = table.fleet().find(name);
         const auto& watchers = assigned.watchers;
         const bool is_watcher = std::find(watchers.begin(), watchers.end(), peer) != watchers.end();
         if (is_watcher && vm != nullptr && !vm->lost_since && !vm->answered_within(max_age, now)) {
-            overdue.push_back(name);
+            silent.push_back(name);
         }
     }
-    return overdue;
+    return silent;
 }
 
 void vm_watcher::state::pull_from_peers(time_point now)
@@ -272,12 +275,12 @@
             break;
         }
     }
-    const std::vector<std::string> overdue = overdue_vms_of(peer, monotonic_clock::now());
-    if (!overdue.empty() && answered) {
+    const std::vector<std::string> silent = silent_vms_watched_by(peer, monotonic_clock::now());
+    if (!silent.empty() && answered) {
         const time_point second_request_at = monotonic_clock::now();
-        schema::report_request overdue_request;
-        overdue_request.mutable_vms()->Add(overdue.begin(), overdue.end());
-        const auto more = co_await hooks.pull_reports(peer, overdue_request, poll_timeout());
+        schema::report_request second_request;
+        second_request.mutable_vms()->Add(silent.begin(), silent.end());
+        const auto more = co_await hooks.pull_reports(peer, second_request, poll_timeout());
         if (more && !stopped) {
             table.merge(*more, second_request_at);
             notify_answer();
--- a/test/error/replicas_commands.cpp
+++ b/test/error/replicas_commands.cpp
@@ -146,23 +146,23 @@
     fleet.advance(30s);
     REQUIRE(fleet.serving("oak") == 1);
     const replica formed = fleet.journal().replicas().begin()->second;
-    const std::string misled = formed.members[1].vm;
+    const std::string commanded_vm = formed.members[1].vm;
     schema::engine_order late_join;
     late_join.set_order_id("late");
     late_join.set_kind(schema::order_join);
     late_join.set_replica_id(formed.id - 1);
     late_join.set_fencing(formed.id - 1);
     late_join.set_model("oak-large");
-    fleet.engines.at(misled).command_delay = 5s; // The correcting command is slow too.
-    fleet.engines.deliver(misled, late_join);
-    CHECK(fleet.engines.at(misled).replica_id == formed.id - 1);
+    fleet.engines.at(commanded_vm).command_delay = 5s; // The correcting command is slow too.
+    fleet.engines.deliver(commanded_vm, late_join);
+    CHECK(fleet.engines.at(commanded_vm).replica_id == formed.id - 1);
     fleet.advance(1200ms);
     for (std::size_t control = 0; control < 3; ++control) {
         CHECK(fleet.serving("oak", control) == 0);
     }
     fleet.advance(10s);
     CHECK(fleet.serving("oak") == 1);
-    CHECK(fleet.engines.at(misled).replica_id == formed.id);
+    CHECK(fleet.engines.at(commanded_vm).replica_id == formed.id);
     for (const std::string& violation : fleet.invariant_violations()) {
         FAIL_CHECK(violation);
     }
--- a/test/error/replicas_faults.cpp
+++ b/test/error/replicas_faults.cpp
@@ -163,8 +163,8 @@
         fleet.advance(12s);
     }
     CHECK_FALSE(has_member(only_replica(fleet, "oak"), flapping));
-    const replica settled = only_replica(fleet, "oak");
-    fleet.engines.crash(settled.members[0].vm);
+    const replica repaired = only_replica(fleet, "oak");
+    fleet.engines.crash(repaired.members[0].vm);
     fleet.advance(20s);
     CHECK_FALSE(has_member(only_replica(fleet, "oak"), flapping));
     const auto lines = fleet.reconciler(0).explain(flapping);
--- a/test/support/replica_fleet.cpp
+++ b/test/support/replica_fleet.cpp
@@ -12,6 +12,7 @@
 
 constexpr double accelerators_per_vm = 2; // The default of fake_engines::add().
 constexpr duration propagation_slack = 300ms;
+constexpr duration freshness_slack = 20ms;
 constexpr std::size_t max_violations = 20;
 
 vm_role role_of(const std::string& pool)
@@ -182,7 +183,7 @@
 void replica_fleet::check_views()
 {
     const time_point now = monotonic_clock::now();
-    const duration freshness = options_.reconciler.repair.bounds.report_freshness + 20ms;
+    const duration freshness = options_.reconciler.repair.bounds.report_freshness + freshness_slack;
     // All controls know an engine's answer after one poll, one pull and the steps between them.
     const duration propagation_time =
         options_.watcher.watch_interval + options_.watcher.pull_interval + propagation_slack;
@@ -198,9 +199,10 @@
                 const bool answers = now - last_silent_at_[member.vm()] > propagation_time;
                 const duration allowed = answers ? propagation_time : freshness;
                 if (membership == memberships.end() || now - membership->second > allowed) {
-                    violations_.push_back("control " + std::to_string(i) + " serves replica " +
-                                          std::to_string(shown.replica_id()) + " without " +
-                                          member.vm());
+                    violations_.push_back("control " + std::to_string(i) + " shows replica " +
+                                          std::to_string(shown.replica_id()) +
+                                          " as serving, but VM " + member.vm() +
+                                          " is not a ready member of it");
                 }
             }
         }
@@ -213,7 +215,9 @@
     for (const auto& [id, subject] : state_->replicas()) {
         for (const replica_vm& member : subject.members) {
             if (!member.released && !holders.emplace(member.vm, id).second) {
-                violations_.push_back(member.vm + " belongs to two replicas");
+                violations_.push_back("VM " + member.vm + " is held by replica " +
+                                      std::to_string(holders.at(member.vm)) + " and by replica " +
+                                      std::to_string(id));
             }
         }
     }
