Review the wording of src/entry

What read badly: the end of a call that ran out of time was out_of_time in the runner and deadline_exceeded in the reply; an operation "stated" its timeout; the limit of sse_parser was explained as the half of another number; take_retry, resume and note_failure did not say what they take, send or report. Some errors named neither the expected nor the found thing. The heads of the tests listed topics, not the failures that they guard against.

Renamed: engine_call_end::out_of_time -> deadline_exceeded; stated_ms -> configured_timeout_ms.

Texts, none matched by a test or script: "this key may not call the team" names the team; "chunk N is missing" -> "expected chunk N, received chunk M"; "an event is too long" -> "an event of the stream is longer than the parser's buffer"; the log line on a dropped settlement names the attempt and the limit.

--- a/src/entry/completion_call.cpp
+++ b/src/entry/completion_call.cpp
@@ -52,7 +52,7 @@
     api_error error =
         unavailable(result.reason, "no_replica", result.retry_after.value_or(duration(1s)));
     error.outcome = result.outcome;
-    if (result.end == engine_call_end::out_of_time) {
+    if (result.end == engine_call_end::deadline_exceeded) {
         error.status = 504;
         error.code = "deadline_exceeded";
     }
@@ -91,7 +91,8 @@
         return model_not_found(request_.team);
     }
     if (!caller_.may_call(request_.team)) {
-        api_error error = invalid_request("this key may not call the team", "team_not_allowed");
+        api_error error = invalid_request("this key may not call the team '" + request_.team + "'",
+                                          "team_not_allowed");
         error.status = 403;
         error.type = "permission_error";
         return error;
--- a/src/entry/engine_attempt.cpp
+++ b/src/entry/engine_attempt.cpp
@@ -129,7 +129,8 @@
     }
     if (chunk.sequence() > next_sequence_) {
         progress.state = engine_attempt_state::broken;
-        progress.reason = "chunk " + std::to_string(next_sequence_) + " is missing";
+        progress.reason = "expected chunk " + std::to_string(next_sequence_) + ", received chunk " +
+                          std::to_string(chunk.sequence());
         return false;
     }
     ++next_sequence_;
@@ -157,7 +158,8 @@
                                       "the stream ended before its last chunk");
         }
         if (!parser_.feed(*part)) {
-            co_return failed_progress(engine_attempt_state::broken, "an event is too long");
+            co_return failed_progress(engine_attempt_state::broken,
+                                      "an event of the stream is longer than the parser's buffer");
         }
         while (const auto data = parser_.next_event()) {
             if (!process_event(*data, progress)) {
--- a/src/entry/engine_call_runner.cpp
+++ b/src/entry/engine_call_runner.cpp
@@ -271,7 +271,7 @@
         cancel_current_attempt();
         note_failure(progress, chosen->replica);
         if (time_left() <= duration::zero()) {
-            co_return make_result(engine_call_end::out_of_time, "the deadline passed");
+            co_return make_result(engine_call_end::deadline_exceeded, "the deadline passed");
         }
         if (!take_retry(progress)) {
             engine_call_result result = make_result(
--- a/src/entry/engine_call_runner.h
+++ b/src/entry/engine_call_runner.h
@@ -30,10 +30,10 @@
 enum class engine_call_end {
     complete,
     caller_left,
-    no_replica,  // No replica had capacity for the call.
-    refused,     // The last attempt did not run, and no retry was allowed.
-    broken,      // The last attempt may have run, and no retry was allowed.
-    out_of_time, // The deadline passed.
+    no_replica,        // No replica had capacity for the call.
+    refused,           // The last attempt did not run, and no retry was allowed.
+    broken,            // The last attempt may have run, and no retry was allowed.
+    deadline_exceeded, // The deadline passed.
 };
 
 /** How a call ended. */
@@ -68,11 +68,28 @@
     boost::asio::awaitable<std::optional<chosen_replica>> choose_replica();
     boost::asio::awaitable<attempt_progress> run_attempt(chosen_replica chosen);
     boost::asio::awaitable<attempt_progress> read_stream(engine_attempt& attempt);
+
+    /** Resumes a broken attempt at its engine, which then sends only chunks not received yet. The
+     * attempt is not started again if the engine does not know it any more.
+     */
     boost::asio::awaitable<attempt_progress> resume(const engine_attempt& broken);
+
     schema::engine_call make_attempt_call(const chosen_replica& chosen) const;
+
+    /** Takes a retry from the retry budget, if the retry policy allows one.
+     * \return true if the call may be retried.
+     */
     bool take_retry(const attempt_progress& failed);
+
+    /** Appends the chunks to the call's text, and records the time to the first token or between
+     * tokens.
+     */
     void note_chunks(const std::vector<schema::engine_chunk>& chunks, std::uint64_t replica);
+
+    /** Reports the failure to the router, and lets later attempts avoid the replica. */
     void note_failure(const attempt_progress& failed, std::uint64_t replica);
+
+    /** Cancels the current attempt at its engine in the background, if one may be running. */
     void cancel_current_attempt();
     engine_call_result make_result(engine_call_end end, std::string reason) const;
     duration time_left() const;
--- a/src/entry/order_client.cpp
+++ b/src/entry/order_client.cpp
@@ -36,7 +36,7 @@
     return count > 0 ? static_cast<std::uint64_t>(count) : 0;
 }
 
-/** Measures the time since a claim was made. The monotonic clock may stop while the VM is paused,
+/** Measures the time since a claim was sent. The monotonic clock may stop while the VM is paused,
  * and the wall clock may be adjusted, so the longer of the two times is used.
  */
 class claim_age {
@@ -255,7 +255,9 @@
     {
         const auto self = shared_from_this();
         if (background_settlement_count >= settings.max_background_settlements) {
-            log.warning("settlement dropped: too many settlements are being retried");
+            log.warning("settlement of attempt ", settlement.attempt_id(),
+                        " dropped: ", background_settlement_count,
+                        " settlements are being retried, which is the limit");
             co_return;
         }
         ++background_settlement_count;
--- a/src/entry/order_client.h
+++ b/src/entry/order_client.h
@@ -29,9 +29,10 @@
 };
 
 struct order_client_settings {
-    std::string incarnation;              // Of this entry.
-    duration claim_timeout = 3s;          // At most; it is also limited to half of the time left.
-    duration max_settlement_wait = 250ms; // Delay of a reply until its settlement is kept.
+    std::string incarnation;     // Of this entry.
+    duration claim_timeout = 3s; // At most; it is also limited to half of the time left.
+    duration max_settlement_wait =
+        250ms; // The longest delay of a reply for its settlement to be kept.
     duration settlement_retry_timeout = 60s;    // After which a settlement is not retried.
     duration settlement_margin = 5s;            // From a call's deadline to the end of its claim.
     std::size_t max_confirmation_bytes = 32768; // A longer body is not kept.
@@ -41,12 +42,12 @@
 /** Claims and settles calls that run at most once.
  *
  * A call with a caller's key is claimed in the log. It is sent only if claim_won arrives before its
- * deadline, measured by the elapsed time of this entry. A call without a key uses its attempt id as
- * the key. No other process knows that id, so the call needs no claim: this incarnation of the
- * entry sends it at most once, also while the log is unavailable.
+ * deadline; this entry measures the time since it sent the claim with its own clocks. A call
+ * without a key uses its attempt id as the key. No other process knows that id, so the call needs
+ * no claim: this incarnation of the entry sends it at most once, also while the log is unavailable.
  *
- * An attempt without a verdict is never sent. It is settled as not run, which releases the key in
- * case the claim was recorded.
+ * An attempt whose claim was not decided is never sent. It is settled as not run, which releases
+ * the key in case the claim was recorded.
  */
 class order_client {
   public:
--- a/src/entry/service_proxy.cpp
+++ b/src/entry/service_proxy.cpp
@@ -162,9 +162,10 @@
     api_result<service_request> fill_request(service_request call,
                                              const http_request& request) const
     {
-        const std::uint32_t stated_ms = call.operation.timeout_ms();
-        const duration fallback = stated_ms > 0 ? duration(std::chrono::milliseconds(stated_ms))
-                                                : settings.default_timeout;
+        const std::uint32_t configured_timeout_ms = call.operation.timeout_ms();
+        const duration fallback = configured_timeout_ms > 0
+                                      ? duration(std::chrono::milliseconds(configured_timeout_ms))
+                                      : settings.default_timeout;
         const auto timeout = read_call_timeout(request, fallback);
         if (!timeout) {
             return invalid_request("X-Chervil-Deadline-Ms must be 1 to 3600000",
@@ -229,9 +230,10 @@
         if (!call.operation.repeatable()) {
             return time_left;
         }
-        const std::uint32_t stated_ms = call.operation.timeout_ms();
-        return stated_ms > 0 ? std::min<duration>(time_left, std::chrono::milliseconds(stated_ms))
-                             : std::max<duration>(time_left / 2, min_attempt_timeout);
+        const std::uint32_t configured_timeout_ms = call.operation.timeout_ms();
+        return configured_timeout_ms > 0
+                   ? std::min<duration>(time_left, std::chrono::milliseconds(configured_timeout_ms))
+                   : std::max<duration>(time_left / 2, min_attempt_timeout);
     }
 
     /** Makes attempts at different backend servers until one completes or no retry is allowed.
@@ -270,6 +272,9 @@
         co_return result;
     }
 
+    /** Takes a retry from the retry budget, if the call may be retried.
+     * \return true if the call may be retried.
+     */
     bool take_retry(const service_request& call, const service_result& result,
                     std::uint32_t attempts)
     {
--- a/src/entry/service_proxy.h
+++ b/src/entry/service_proxy.h
@@ -18,7 +18,7 @@
 
 struct service_proxy_settings {
     std::string failure_domain;     // Of this entry.
-    duration default_timeout = 10s; // Of an operation that states none.
+    duration default_timeout = 10s; // Of an operation without a configured timeout.
     duration connect_timeout = 2s;  // Of one attempt of an idempotent operation.
     std::uint32_t max_attempts = 4;
 };
--- a/src/entry/sse_parser.h
+++ b/src/entry/sse_parser.h
@@ -15,7 +15,9 @@
  */
 class sse_parser {
   public:
-    /** \param max_event_bytes half of the most bytes that may be buffered. */
+    /** \param max_event_bytes at most twice as many bytes are buffered: unread input and the data
+     * of an incomplete event together.
+     */
     explicit sse_parser(std::size_t max_event_bytes = 1U << 20U);
 
     /** Adds bytes of the stream.
--- a/test/correctness/entry_calls.cpp
+++ b/test/correctness/entry_calls.cpp
@@ -1,5 +1,7 @@
 /** \file
- * Tests that callers receive complete and correct responses when the streams of engines fail.
+ * Guards against responses with missing, repeated or foreign text, and with a wrong outcome. They
+ * come about when the stream of an engine breaks, an engine sends chunks of another attempt, or a
+ * replica refuses calls, and when a caller disconnects or the entry drains during a call.
  */
 #include <doctest/doctest.h>
 
--- a/test/correctness/entry_views.cpp
+++ b/test/correctness/entry_views.cpp
@@ -1,5 +1,7 @@
 /** \file
- * Tests the watch of routing views, the list of entries, tenant authentication and health checks.
+ * Guards against entries that route by an outdated view, which comes about when the control that
+ * they watch fails, starts anew or falls behind. Also guards against a list that offers a draining
+ * entry, and against a key that a cached result authenticates for another or a removed tenant.
  */
 #include <doctest/doctest.h>
 
--- a/test/error/entry_bad_input.cpp
+++ b/test/error/entry_bad_input.cpp
@@ -1,6 +1,7 @@
 /** \file
- * Tests that bad input is answered by a 4xx error in the OpenAI format and does not affect other
- * calls.
+ * Guards against bad input that reaches an engine, affects other calls, or is answered by anything
+ * but a 4xx error in the OpenAI format. It comes from callers that send malformed, oversized or
+ * incomplete requests.
  */
 #include <doctest/doctest.h>
 
--- a/test/error/entry_orders.cpp
+++ b/test/error/entry_orders.cpp
@@ -1,6 +1,8 @@
 /** \file
- * Tests the claims and settlements of entries: pauses past the deadline, lost settlements, log
- * outages and the keys of tenants.
+ * Guards against orders that are sent twice or too late, and against repeated calls that get
+ * another reply than the first one. It comes about when an entry pauses after its claim was won,
+ * crashes while it holds a key, or loses settlements, when the log is down, and when a key is
+ * reused.
  */
 #include <doctest/doctest.h>
 
@@ -46,7 +48,8 @@
         return result;
     }
 
-    duration claim_delay = duration::zero(); // Simulates a pause of the process after the verdict.
+    duration claim_delay =
+        duration::zero(); // Simulates a pause of the process after the claim was won.
     int lost_settlements = 0;
     order_client client;
     at_most_once_hooks at_most_once;
--- a/test/fuzz/entry_orders.cpp
+++ b/test/fuzz/entry_orders.cpp
@@ -1,6 +1,8 @@
 /** \file
- * Fuzzes orders from claim to settlement while entries crash and pause, controls crash, and the log
- * loses replies, is unavailable or slow. Compares the responses with what the backend server ran.
+ * Fuzzes orders from claim to settlement. Guards against an order that runs twice, the outcome
+ * not_run for an attempt that ran, and two confirmations for one key. They come about when entries
+ * crash or pause, controls crash, the log loses replies, is unavailable or slow, and backend
+ * servers lose replies. Compares the responses with what the backend server ran.
  */
 #include <cstdlib>
 
--- a/test/fuzz/entry_parsers.cpp
+++ b/test/fuzz/entry_parsers.cpp
@@ -1,5 +1,7 @@
 /** \file
- * Fuzzes the parsers of untrusted input: server-sent events and completions requests.
+ * Fuzzes the parsers of untrusted input: server-sent events and completions requests. Guards
+ * against a result that depends on how the network divided a stream, a buffer that grows without
+ * bound, and a body that is neither parsed nor refused.
  */
 #include <doctest/doctest.h>
 
