Call the commands to simulated engines commands

In standin/ an order was both a customer's order (plain_service) and a command to an engine (simulated_engines); src/replicas, src/assembly and load/ call the latter a command. Schema types, paths, and keys of /truth keep their names.

Renamed: serve_order -> serve_command; apply_order -> apply_command; accepted_order_ids -> accepted_command_ids; stale_orders_obeyed -> stale_commands_obeyed, as in load/fleet_monitor (the key in /truth stays); parameters order -> command.

Texts, none matched by a test or script: the reasons of rejected commands state what was expected and found. The title of one test says command instead of order; its assertions are the same. The head of standin_log.cpp says what it guards against. One comment of the tutorial is a whole sentence.

--- a/standin/simulated_engine_groups.cpp
+++ b/standin/simulated_engine_groups.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements the orders to simulated engines, and how an engine observes the members of its
+ * Implements the commands to simulated engines, and how an engine observes the members of its
  * replica.
  */
 #include <algorithm>
@@ -25,17 +25,17 @@
 constexpr double max_unfinished_progress = 0.99; // 1 means that the load has ended.
 } // namespace
 
-asio::awaitable<void> simulated_engines::serve_order(vm_engine& engine, http_exchange& exchange)
+asio::awaitable<void> simulated_engines::serve_command(vm_engine& engine, http_exchange& exchange)
 {
-    schema::engine_order order;
-    if (!from_json(exchange.request().body, order) || order.order_id().empty()) {
+    schema::engine_order command;
+    if (!from_json(exchange.request().body, command) || command.order_id().empty()) {
         http_reply bad = status_reply(400);
         co_await exchange.respond(std::move(bad));
         co_return;
     }
     schema::engine_order_reply answer;
-    if (!engine.accepted_order_ids.contains(order.order_id())) {
-        answer.set_reason(apply_order(engine, order));
+    if (!engine.accepted_command_ids.contains(command.order_id())) {
+        answer.set_reason(apply_command(engine, command));
     }
     answer.set_accepted(answer.reason().empty());
     *answer.mutable_report() = lagged_report(engine);
@@ -47,15 +47,16 @@
     co_await exchange.respond(std::move(reply));
 }
 
-std::string simulated_engines::apply_order(vm_engine& engine, const schema::engine_order& order)
+std::string simulated_engines::apply_command(vm_engine& engine, const schema::engine_order& command)
 {
-    if (settings_.check_fencing() && order.fencing() < engine.highest_fencing) {
-        return "an old fencing number";
+    if (settings_.check_fencing() && command.fencing() < engine.highest_fencing) {
+        return "expected fencing number " + std::to_string(engine.highest_fencing) +
+               " or higher, found " + std::to_string(command.fencing());
     }
-    const bool own_replica = order.replica_id() == engine.current_report.replica_id();
-    switch (order.kind()) {
+    const bool own_replica = command.replica_id() == engine.current_report.replica_id();
+    switch (command.kind()) {
     case schema::order_join:
-        join_replica(engine, order);
+        join_replica(engine, command);
         break;
     case schema::order_leave:
         if (own_replica && engine.current_report.replica_id() != 0) {
@@ -66,44 +67,46 @@
         break;
     case schema::order_load_adapter:
         if (!own_replica) {
-            return "another replica";
+            return "expected a command for replica " +
+                   std::to_string(engine.current_report.replica_id()) + ", found replica " +
+                   std::to_string(command.replica_id());
         }
-        asio::co_spawn(executor_, load_adapter(engine, order.adapter(), engine.task_generation),
+        asio::co_spawn(executor_, load_adapter(engine, command.adapter(), engine.task_generation),
                        asio::detached);
         break;
     case schema::order_change_role:
-        engine.current_report.set_role(order.role());
+        engine.current_report.set_role(command.role());
         break;
     default:
-        return "an unknown order";
+        return "the kind of command " + std::to_string(command.kind()) + " is unknown";
     }
-    engine.stale_orders_obeyed += order.fencing() < engine.highest_fencing ? 1 : 0;
-    engine.highest_fencing = std::max(engine.highest_fencing, order.fencing());
-    engine.accepted_order_ids.insert(order.order_id());
-    engine.current_report.set_order_id(order.order_id());
+    engine.stale_commands_obeyed += command.fencing() < engine.highest_fencing ? 1 : 0;
+    engine.highest_fencing = std::max(engine.highest_fencing, command.fencing());
+    engine.accepted_command_ids.insert(command.order_id());
+    engine.current_report.set_order_id(command.order_id());
     return "";
 }
 
-void simulated_engines::join_replica(vm_engine& engine, const schema::engine_order& order)
+void simulated_engines::join_replica(vm_engine& engine, const schema::engine_order& command)
 {
     replace_batch(engine);
     ++engine.task_generation;
     engine.is_leaving_replica = false;
-    engine.group.assign(order.group().begin(), order.group().end());
-    engine.current_report.set_replica_id(order.replica_id());
-    engine.current_report.set_fencing(order.fencing());
-    *engine.current_report.mutable_adapters() = order.adapters();
-    const bool has_weights = engine.current_report.model() == order.model() &&
+    engine.group.assign(command.group().begin(), command.group().end());
+    engine.current_report.set_replica_id(command.replica_id());
+    engine.current_report.set_fencing(command.fencing());
+    *engine.current_report.mutable_adapters() = command.adapters();
+    const bool has_weights = engine.current_report.model() == command.model() &&
                              engine.current_report.load_progress() >= 1;
-    engine.current_report.set_model(order.model());
-    if (has_weights || order.bytes() == 0) {
+    engine.current_report.set_model(command.model());
+    if (has_weights || command.bytes() == 0) {
         engine.current_report.set_load_progress(1);
         engine.current_report.set_condition(schema::engine_ready);
         return;
     }
     engine.current_report.set_load_progress(0);
     engine.current_report.set_condition(schema::engine_loading);
-    asio::co_spawn(executor_, load_weights(engine, engine.task_generation, order.bytes()),
+    asio::co_spawn(executor_, load_weights(engine, engine.task_generation, command.bytes()),
                    asio::detached);
 }
 
--- a/standin/simulated_engines.cpp
+++ b/standin/simulated_engines.cpp
@@ -65,7 +65,7 @@
     engine.current_report.set_checks_fencing(settings_.check_fencing());
     engine.highest_fencing = 0;
     engine.group.clear();
-    engine.accepted_order_ids.clear();
+    engine.accepted_command_ids.clear();
     ++engine.task_generation;
     engine.is_leaving_replica = false;
     engine.load_samples.clear();
@@ -153,7 +153,7 @@
         json += "],\"started\":" + std::to_string(engine->batch->started_attempts()) +
                 ",\"running\":" + std::to_string(engine->batch->running_attempts()) +
                 ",\"tokens\":" + std::to_string(engine->batch->emitted_tokens()) +
-                ",\"stale_orders_obeyed\":" + std::to_string(engine->stale_orders_obeyed) +
+                ",\"stale_orders_obeyed\":" + std::to_string(engine->stale_commands_obeyed) +
                 ",\"refused_incomplete\":" + std::to_string(engine->refused_incomplete) + "}";
     }
     return json + "]";
@@ -175,7 +175,7 @@
         co_return;
     }
     if (path == "/order") {
-        co_await serve_order(engine, exchange);
+        co_await serve_command(engine, exchange);
         co_return;
     }
     if (path == "/kv") {
--- a/standin/simulated_engines.h
+++ b/standin/simulated_engines.h
@@ -63,15 +63,15 @@
         schema::engine_report current_report; // Without lag and without the load, which batch has.
         std::uint64_t highest_fencing = 0;
         std::vector<schema::engine_peer> group; // The replica's members, the head first.
-        std::set<std::string> accepted_order_ids;
+        std::set<std::string> accepted_command_ids;
         /** Incremented to invalidate running tasks: a load that ends late must not change the state
          * of a newer one.
          */
         std::uint64_t task_generation = 0;
-        bool is_leaving_replica = false;        // Ordered to leave; waits for calls in progress.
-        std::uint32_t pending_stray_chunks = 0; // Chunks of a foreign attempt to be sent.
-        std::uint32_t stale_orders_obeyed = 0;  // Accepted with an old fencing number.
-        std::uint32_t refused_incomplete = 0;   // Calls refused because a member was not ready.
+        bool is_leaving_replica = false;         // Commanded to leave; waits for calls in progress.
+        std::uint32_t pending_stray_chunks = 0;  // Chunks of a foreign attempt to be sent.
+        std::uint32_t stale_commands_obeyed = 0; // Accepted with an old fencing number.
+        std::uint32_t refused_incomplete = 0;    // Calls refused because a member was not ready.
         std::shared_ptr<continuous_batch> batch;
         std::shared_ptr<prefix_cache> cache;
         std::deque<load_sample> load_samples;
@@ -101,12 +101,12 @@
     boost::asio::awaitable<void> stream_attempt(vm_engine& engine, http_exchange& exchange,
                                                 std::shared_ptr<attempt> source,
                                                 std::uint32_t next_sequence);
-    boost::asio::awaitable<void> serve_order(vm_engine& engine, http_exchange& exchange);
+    boost::asio::awaitable<void> serve_command(vm_engine& engine, http_exchange& exchange);
     /** Exports the hashes of cached prefixes (GET) or imports those of the body (POST). */
     boost::asio::awaitable<void> serve_kv_blocks(vm_engine& engine, http_exchange& exchange);
-    /** \return the reason why the order is rejected; empty when it is accepted. */
-    std::string apply_order(vm_engine& engine, const schema::engine_order& order);
-    void join_replica(vm_engine& engine, const schema::engine_order& order);
+    /** \return the reason why the command is rejected; empty when it is accepted. */
+    std::string apply_command(vm_engine& engine, const schema::engine_order& command);
+    void join_replica(vm_engine& engine, const schema::engine_order& command);
     boost::asio::awaitable<void> load_weights(vm_engine& engine, std::uint64_t generation,
                                               std::uint64_t bytes);
     boost::asio::awaitable<void> leave_replica(vm_engine& engine, std::uint64_t generation);
--- a/test/correctness/standin_engine.cpp
+++ b/test/correctness/standin_engine.cpp
@@ -1,6 +1,6 @@
 /** \file
- * Tests that the simulated engines and services check orders and calls as strictly as real ones,
- * and show the same faults. Less strict stand-ins would hide faults of the system.
+ * Tests that the simulated engines and services check commands and calls as strictly as real
+ * ones, and show the same faults. Less strict stand-ins would hide faults of the system.
  */
 #include <doctest/doctest.h>
 
@@ -47,18 +47,18 @@
 
     asio::awaitable<bool> send_join(std::string vm, std::uint64_t replica)
     {
-        schema::engine_order order;
-        order.set_kind(schema::order_join);
-        order.set_order_id(vm + "-" + std::to_string(replica));
-        order.set_replica_id(replica);
-        order.set_fencing(replica);
-        order.set_model("m");
+        schema::engine_order command;
+        command.set_kind(schema::order_join);
+        command.set_order_id(vm + "-" + std::to_string(replica));
+        command.set_replica_id(replica);
+        command.set_fencing(replica);
+        command.set_model("m");
         for (const char* name : {"w1", "w2"}) {
-            schema::engine_peer& peer = *order.add_group();
+            schema::engine_peer& peer = *command.add_group();
             peer.set_vm(name);
             peer.set_address(address(name));
         }
-        auto reply = co_await client.order(address(vm), order, 1s);
+        auto reply = co_await client.order(address(vm), command, 1s);
         co_return reply && reply->accepted();
     }
 
@@ -177,7 +177,7 @@
     });
 }
 
-TEST_CASE("an order with an old fencing number is refused only by engines that check fencing")
+TEST_CASE("a command with an old fencing number is refused only by engines that check fencing")
 {
     for (const bool checks_fencing : {true, false}) {
         engine_fixture fixture(checks_fencing);
--- a/test/correctness/standin_log.cpp
+++ b/test/correctness/standin_log.cpp
@@ -1,5 +1,7 @@
 /** \file
- * Tests the log stand-in and its faults through the client of the log service.
+ * Guards against a log stand-in that behaves better than the platform's log, and so hides faults of
+ * the system: one that loses appends whose replies are dropped, keeps records beyond the retention,
+ * exceeds its append rate, or answers a partitioned caller. Uses the client of the log service.
  */
 #include <doctest/doctest.h>
 
--- a/tutorial/apply_records.cpp
+++ b/tutorial/apply_records.cpp
@@ -19,7 +19,7 @@
     record.set_id("configuration-1");
     record.set_format(1);
     schema::configuration_change& change = *record.mutable_configuration();
-    change.set_base_version(0); // The empty configuration, to which this is the change.
+    change.set_base_version(0); // The version of the empty configuration, which this one replaces.
     schema::fleet_configuration& fleet = *change.mutable_configuration();
     fleet.set_deployment("tutorial");
     fleet.add_backend_pools("pool");
