State precisely what three comments of src/entry and the tests mean

The delay of a reply by its settlement fits one line again. The log stand-in of a test is wrong when it differs from the platform's log, not when it behaves better. An order may go to two backend servers after a refusal; what the test guards against is a second send after it may have run.

Comments only.

--- a/src/entry/order_client.h
+++ b/src/entry/order_client.h
@@ -29,10 +29,9 @@
 };
 
 struct order_client_settings {
-    std::string incarnation;     // Of this entry.
-    duration claim_timeout = 3s; // At most; it is also limited to half of the time left.
-    duration max_settlement_wait =
-        250ms; // The longest delay of a reply for its settlement to be kept.
+    std::string incarnation;              // Of this entry.
+    duration claim_timeout = 3s;          // At most; it is also limited to half of the time left.
+    duration max_settlement_wait = 250ms; // The longest delay of a reply by its settlement.
     duration settlement_retry_timeout = 60s;    // After which a settlement is not retried.
     duration settlement_margin = 5s;            // From a call's deadline to the end of its claim.
     std::size_t max_confirmation_bytes = 32768; // A longer body is not kept.
--- a/test/correctness/standin_log.cpp
+++ b/test/correctness/standin_log.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Guards against a log stand-in that behaves better than the platform's log, and so hides faults of
+ * Guards against a log stand-in that behaves other than the platform's log, and so hides faults of
  * the system: one that loses appends whose replies are dropped, keeps records beyond the retention,
  * exceeds its append rate, or answers a partitioned caller. Uses the client of the log service.
  */
--- a/test/error/entry_services.cpp
+++ b/test/error/entry_services.cpp
@@ -1,6 +1,6 @@
 /** \file
- * Guards against an order that is sent to two backend servers, and against the outcome not_run for
- * a call that may have run. It comes about when a backend server runs a call and its reply is lost,
+ * Guards against an order that is sent again after it may have run, and the outcome not_run for a
+ * call that may have run. It comes about when a backend server runs a call and its reply is lost,
  * and when the retry on the next backend server is refused.
  */
 #include <doctest/doctest.h>
