Name the relay's bare numbers and mend what still puzzled a reader

A read-through of src/relay. Bare numbers now have names (failover_urgency, max_priority, max_failed_admissions, attempt_timeout_per_target, min_attempt_timeout, log_retry_interval, drain_check_interval), and the size limit of an error body has its unit. One thing had two names (caller_gone and caller_left), and stall_detector's state had two kinds of "ended". Comments that were riddles (route_call, the outage hook, the waits of follow_peers) are whole sentences; a \param that was wrapped into the text stands on its own line; decode_error and event_splitter have doc comments.

attempt_result::caller_gone -> caller_left max_error_body -> max_error_body_bytes state::ended -> detector_destroyed read_failure -> attempt_end_of hooks (fleet_view.cpp) -> make_topic_hooks apply_backends(all) -> apply_backends(is_whole_list) without_room -> without_slot held -> availability, current; asked -> queued, time_limit

Behaviour is as before.

--- a/src/relay/call_codec.h
+++ b/src/relay/call_codec.h
@@ -43,7 +43,7 @@
 /** What the headers of a backend server's answer state about the call and the server. */
 struct answer_metadata {
     bool not_run = false; // The call was certainly not executed.
-    bool sealed = false;  // The answer carries the seal of a backend server.
+    bool sealed = false;  // It carries the seal by which a backend server certifies its answer.
     std::string call_id;  // The call that it answers; empty if not stated.
     std::string at_fault; // The backend server that caused a refusal.
     backend_notice notice;
--- a/src/relay/event_splitter.h
+++ b/src/relay/event_splitter.h
@@ -19,6 +19,7 @@
     bool operator==(const raw_event&) const = default;
 };
 
+/** Buffers the bytes of one stream until they form whole events. */
 class event_splitter {
   public:
     /** Appends bytes of the stream. */
--- a/src/relay/fleet_codec.h
+++ b/src/relay/fleet_codec.h
@@ -17,7 +17,11 @@
 
 namespace chervildyke {
 
-enum class decode_error { none, not_readable, not_valid };
+enum class decode_error {
+    none,
+    not_readable, // The value can't be parsed.
+    not_valid,    // It was parsed, but a field is missing or has a wrong type or value.
+};
 
 template <typename Value>
 using decoded = result<Value, decode_error>;
--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -19,8 +19,9 @@
 
 const event_log view_log("view");
 
-topic_hooks hooks(std::function<void(const keyed_records&)> replace,
-                  std::function<void(const keyed_records&)> apply, std::function<void()> outage)
+topic_hooks make_topic_hooks(std::function<void(const keyed_records&)> replace,
+                             std::function<void(const keyed_records&)> apply,
+                             std::function<void()> outage)
 {
     topic_hooks made;
     made.replace = std::move(replace);
@@ -37,23 +38,25 @@
       settings_(settings), backends_(return_time),
       configuration_follower_(
           log, codec_.configuration_topic,
-          hooks([this](const keyed_records& read) { apply_configuration(read); },
-                [this](const keyed_records& read) {
-                    on_read(schema::shared_topic_configuration, read);
-                    apply_configuration(read);
-                },
-                // The list is stored in the same log and is not read all the time.
-                [this] { backends_.note_outage(monotonic_clock::now()); })),
-      backend_follower_(log, codec_.backend_topic,
-                        hooks([this](const keyed_records& read) { apply_backends(read, true); },
-                              [this](const keyed_records& read) {
-                                  recent_backends_.add(read, monotonic_clock::now());
-                                  on_read(schema::shared_topic_backends, read);
-                                  apply_backends(read, false);
-                              },
-                              [this] { backends_.note_outage(monotonic_clock::now()); })),
+          make_topic_hooks([this](const keyed_records& read) { apply_configuration(read); },
+                           [this](const keyed_records& read) {
+                               on_read(schema::shared_topic_configuration, read);
+                               apply_configuration(read);
+                           },
+                           // The list is stored in the same log but is not read all the time, so an
+                           // outage that the configuration reveals counts for the list too.
+                           [this] { backends_.note_outage(monotonic_clock::now()); })),
+      backend_follower_(
+          log, codec_.backend_topic,
+          make_topic_hooks([this](const keyed_records& read) { apply_backends(read, true); },
+                           [this](const keyed_records& read) {
+                               recent_backends_.add(read, monotonic_clock::now());
+                               on_read(schema::shared_topic_backends, read);
+                               apply_backends(read, false);
+                           },
+                           [this] { backends_.note_outage(monotonic_clock::now()); })),
       replica_follower_(log, replica_topic,
-                        hooks(
+                        make_topic_hooks(
                             [this](const keyed_records& read) {
                                 ledger_.replace(read);
                                 on_change();
@@ -94,7 +97,8 @@
     }
 }
 
-void fleet_view::apply_backends(const keyed_records& records, bool all)
+/** \param is_whole_list true to remove the servers that the records don't contain. */
+void fleet_view::apply_backends(const keyed_records& records, bool is_whole_list)
 {
     const time_point now = monotonic_clock::now();
     const std::uint64_t before = backends_.version();
@@ -128,7 +132,7 @@
         }
         backends_.apply(*read, now);
     }
-    if (all) {
+    if (is_whole_list) {
         backends_.retain(listed, now);
     }
     remove_expired_backends();
--- a/src/relay/fleet_view.h
+++ b/src/relay/fleet_view.h
@@ -163,7 +163,7 @@
 
   private:
     void apply_configuration(const keyed_records& records);
-    void apply_backends(const keyed_records& records, bool all);
+    void apply_backends(const keyed_records& records, bool is_whole_list);
     void add_replica_records(const keyed_records& records);
     bool has_forming_replicas() const;
     bool must_read_configuration() const;
--- a/src/relay/message_values.cpp
+++ b/src/relay/message_values.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements how records and times travel in the messages between nodes.
+ * Implements the conversion of records and durations to and from the messages between nodes.
  */
 #include "relay/message_values.h"
 
--- a/src/relay/plain_relay.cpp
+++ b/src/relay/plain_relay.cpp
@@ -23,6 +23,10 @@
 constexpr duration min_retry_after = 200ms; // Longer than the queue of a backend server lasts.
 constexpr duration deadline_margin = 3ms;   // Reserved for sending the answer before the deadline.
 
+// Time limit of an attempt after which another may follow, as a multiple of the latency target.
+constexpr int attempt_timeout_per_target = 2;
+constexpr duration min_attempt_timeout = 50ms;
+
 // A connection that has been idle for longer may have been closed without notice. A call that must
 // not run twice would then fail with an unknown outcome.
 constexpr duration max_idle_for_single_runs = 2s;
@@ -61,10 +65,10 @@
         if (listed.server.service != call.service || listed.server.leaving) {
             continue;
         }
-        const backend_availability held =
+        const backend_availability current =
             call.context.notices->availability(incarnation_of(listed.server), now);
-        const time_point until = held.paused_until.value_or(now);
-        if (!held.leaving && (!soonest || until < *soonest)) {
+        const time_point until = current.paused_until.value_or(now);
+        if (!current.leaving && (!soonest || until < *soonest)) {
             soonest = until;
         }
     }
@@ -81,7 +85,7 @@
     return nullptr;
 }
 
-attempt_end read_failure(const http_failure& failure)
+attempt_end attempt_end_of(const http_failure& failure)
 {
     attempt_end end;
     end.result = failure.code == http_error::not_sent ? attempt_result::not_run
@@ -100,7 +104,7 @@
     }
     auto opened = co_await call.context.http->open(target.address, std::move(request), options);
     if (!opened) {
-        co_return read_failure(opened.last_reason());
+        co_return attempt_end_of(opened.last_reason());
     }
     http_stream& answer = **opened;
     const std::vector<http_header> headers = answer.headers();
@@ -111,7 +115,7 @@
     auto body =
         co_await read_whole_body(answer, call.context.limits.max_answer_bytes, held, end_of_answer);
     if (!body) {
-        co_return read_failure(body.last_reason());
+        co_return attempt_end_of(body.last_reason());
     }
     attempt_end end;
     const unsigned status = answer.status();
@@ -139,7 +143,7 @@
         return call.time_left();
     }
     const duration target = call.route->latency_target;
-    return std::max<duration>(target * 2, 50ms);
+    return std::max<duration>(target * attempt_timeout_per_target, min_attempt_timeout);
 }
 
 bool may_send_again(relayed_call& call, const attempt_end& ended)
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -44,6 +44,8 @@
 constexpr duration accept_while_leaving = 2500ms; // Callers use a cached address for that long.
 constexpr duration fleet_check_interval = 200ms;  // Between two runs of the periodic checks.
 constexpr duration never_read_age = 24h;          // Reported for a topic that was not read yet.
+constexpr duration log_retry_interval = 1s;       // After a failed call on the topic of nodes.
+constexpr duration drain_check_interval = 20ms; // Between two checks whether all calls have ended.
 constexpr const char* plain_text = "text/plain";
 
 } // namespace
@@ -80,8 +82,8 @@
     context_.queue = std::make_shared<replica_queue>(executor_, *context_.replica_lb);
     context_.notices = hooks_.notices;
     context_.notices->on_change = [this](const backend_incarnation& server,
-                                         const backend_availability& held) {
-        record_availability(server, held);
+                                         const backend_availability& availability) {
+        record_availability(server, availability);
     };
     context_.replica_lb->head_availability = [this](const serving_replica& replica,
                                                     time_point now) {
@@ -135,17 +137,18 @@
 }
 
 void relay_node::record_availability(const backend_incarnation& server,
-                                     const backend_availability& held)
+                                     const backend_availability& availability)
 {
-    const duration pause = held.paused_until.value_or(time_point{}) - monotonic_clock::now();
+    const duration pause =
+        availability.paused_until.value_or(time_point{}) - monotonic_clock::now();
     const duration left = std::max<duration>(pause, duration::zero());
     node_log.write("backend_standing", {{"backend", server.id},
                                         {"started_ms", std::to_string(server.started_ms)},
-                                        {"leaving", held.leaving ? "yes" : "no"},
+                                        {"leaving", availability.leaving ? "yes" : "no"},
                                         {"pause_ms", to_ms_text(left)},
                                         {"cause", "its own answer"}});
     context_.metrics->counter("chervil_backend_notices_total",
-                              {{"leaving", held.leaving ? "yes" : "no"}}) += 1;
+                              {{"leaving", availability.leaving ? "yes" : "no"}}) += 1;
 }
 
 void relay_node::apply_limits()
@@ -232,7 +235,7 @@
             co_return;
         }
         node_log.write("address_not_published", {{"reason", put.last_reason().reason}});
-        co_await sleep_for(1s);
+        co_await sleep_for(log_retry_interval);
     }
 }
 
@@ -250,11 +253,13 @@
     hooks.apply = hooks.replace;
     hooks.outage = [] {};
     topic_follower follower(hooks_.log, node_topic, hooks);
-    constexpr duration wait = 25s;    // A new node also sends its state to the seeds.
-    constexpr duration interval = 4s; // When all nodes start, each publishes an address.
+    // The long-poll time. It may be long because a new node also sends its state to the seeds.
+    constexpr duration wait = 25s;
+    // One read returns many addresses when all nodes start and each publishes its own.
+    constexpr duration interval = 4s;
     while (true) {
         const bool read = co_await follower.read_once(wait);
-        co_await sleep_for(read ? interval : 1s);
+        co_await sleep_for(read ? interval : log_retry_interval);
     }
 }
 
@@ -477,7 +482,7 @@
     calls_.stop_accepting();
     co_await sleep_for(last_request_wait); // For requests on connections accepted just before.
     while (calls_.requests_in_progress() > 0 && monotonic_clock::now() < end) {
-        co_await sleep_for(20ms);
+        co_await sleep_for(drain_check_interval);
     }
     node_log.write("stopped", {{"calls_cut_off", std::to_string(calls_.requests_in_progress())}});
 }
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -67,7 +67,8 @@
     std::map<std::string, double> demand() const;
     bool listen(http_server& server, const std::string& address);
     void apply_limits();
-    void record_availability(const backend_incarnation& server, const backend_availability& held);
+    void record_availability(const backend_incarnation& server,
+                             const backend_availability& availability);
     void add_seed_addresses();
     bool ready() const;
     bool is_leader() const;
--- a/src/relay/relayed_call.h
+++ b/src/relay/relayed_call.h
@@ -45,7 +45,7 @@
     const call_route* route = nullptr;
     std::string service;
     std::string team;
-    std::uint32_t priority = 0;
+    std::uint32_t priority = 0; // Of the team or the route; zero is the highest.
     time_point arrived_at{};
     time_point deadline{}; // The caller's or the route's, whichever is earlier.
     std::shared_ptr<http_cancel> cancel = std::make_shared<http_cancel>();
--- a/src/relay/replica_queue.cpp
+++ b/src/relay/replica_queue.cpp
@@ -15,6 +15,10 @@
 
 namespace {
 
+// Calls of one model that are tried without success before the others are left waiting. Those
+// differ at most in the replicas they have tried.
+constexpr std::size_t max_failed_admissions = 4;
+
 std::string to_text(const replica_selection& found)
 {
     return std::to_string(found.serving) + " replicas, " + std::to_string(found.full) + " full, " +
@@ -25,8 +29,8 @@
 } // namespace
 
 struct replica_queue::waiter {
-    waiter(const asio::any_io_executor& executor, replica_queue_request asked)
-        : wake(executor), request(std::move(asked))
+    waiter(const asio::any_io_executor& executor, replica_queue_request queued)
+        : wake(executor), request(std::move(queued))
     {
     }
 
@@ -154,7 +158,7 @@
     }
     admitting_ = true;
     for (auto& [name, queue] : model_queues_) {
-        std::vector<queued_call> without_room;
+        std::vector<queued_call> without_slot;
         while (const auto next = queue.order.pop()) {
             const auto found = queue.waiters.find(next->id);
             if (found == queue.waiters.end()) {
@@ -162,9 +166,9 @@
             }
             auto result = try_admit(found->second->request);
             if (!result) {
-                without_room.push_back(*next);
-                if (without_room.size() >= 4) {
-                    break; // The others differ at most in the replicas they have tried.
+                without_slot.push_back(*next);
+                if (without_slot.size() >= max_failed_admissions) {
+                    break;
                 }
                 continue;
             }
@@ -172,7 +176,7 @@
             found->second->result = std::move(result);
             found->second->wake.cancel();
         }
-        for (const queued_call& call : without_room) {
+        for (const queued_call& call : without_slot) {
             queue.order.push(call);
         }
     }
--- a/src/relay/replica_queue.h
+++ b/src/relay/replica_queue.h
@@ -22,7 +22,7 @@
 struct replica_queue_request {
     replica_request wanted;
     std::string team;
-    std::uint32_t urgency = 0; // A higher one goes first.
+    std::uint32_t urgency = 0; // Higher values go first, unlike the priority of call_route.
     time_point wait_until{};   // Refused afterwards.
     double fill_limit = 1;     // Fraction of a replica's slots that may be used before the call.
     bool is_failover = false;  // It was sent before; it is not refused before wait_until.
--- a/src/relay/serve_call.cpp
+++ b/src/relay/serve_call.cpp
@@ -32,7 +32,8 @@
 };
 
 /** Sets the call's configuration, route, team and priority.
- * \return the refusal if it has none or this node can't tell.
+ * \return the refusal if no route matches or the key is unknown, or if this node can't decide that
+ * because its event loop lags or its configuration is missing or too old.
  */
 std::optional<early_refusal> route_call(relayed_call& call)
 {
--- a/src/relay/shared_reading.h
+++ b/src/relay/shared_reading.h
@@ -30,7 +30,8 @@
                    random_source random);
 
     /** Chooses the reader again and sends it a question when one is due. Must be called a few times
-     * a second. \param leaving true if this node is about to stop.
+     * a second.
+     * \param leaving true if this node is about to stop.
      */
     void update(bool leaving);
 
--- a/src/relay/stall_detector.cpp
+++ b/src/relay/stall_detector.cpp
@@ -30,7 +30,7 @@
         silence_timer.async_wait(
             [watching = weak_from_this()](const boost::system::error_code& error) {
                 const auto self = watching.lock();
-                if (self && !error && !self->ended) {
+                if (self && !error && !self->detector_destroyed) {
                     self->check();
                 }
             });
@@ -57,7 +57,8 @@
     time_point last_event_at;
     silent_attempt attempt;
     bool has_ended_attempt = false;
-    bool ended = false; // The handler of a timer that has already expired still runs afterwards.
+    // The handler of a timer that has already expired still runs after the detector's end.
+    bool detector_destroyed = false;
 };
 
 stall_detector::stall_detector(const boost::asio::any_io_executor& executor, hooks callbacks,
@@ -69,7 +70,7 @@
 
 stall_detector::~stall_detector()
 {
-    state_->ended = true;
+    state_->detector_destroyed = true;
     state_->silence_timer.cancel();
 }
 
--- a/src/relay/stream_relay.cpp
+++ b/src/relay/stream_relay.cpp
@@ -34,15 +34,21 @@
 constexpr double max_wait_share = 0.6;
 constexpr double min_wait_share = 0.05;
 
-// Wait for a slot at another replica; callers abandon a stream after a gap of 2 s.
+// How long a call that fails over waits for a slot at another replica; callers abandon a stream
+// after a gap of 2 s.
 constexpr duration failover_wait = 1200ms;
 
+// The urgency of a new call is failover_urgency minus its priority, of which zero is the highest.
+// That of a call that fails over is greater by failover_urgency, so it goes before all new calls.
+constexpr std::uint32_t failover_urgency = 100;
+constexpr std::uint32_t max_priority = 99; // Greater numbers count as this one.
+
 // A call that misses its target anyway takes no slot of a replica that is fuller than this
 // fraction, which leaves the rest to calls that can meet theirs.
 constexpr double late_fill_limit = 0.75;
 
-constexpr std::size_t max_error_body = 1U << 20U;  // Bytes of an answer that is not a stream.
-constexpr std::size_t max_event_bytes = 1U << 20U; // Of one event; a token takes a few bytes.
+constexpr std::size_t max_error_body_bytes = 1U << 20U; // Bytes of an answer that is not a stream.
+constexpr std::size_t max_event_bytes = 1U << 20U;      // Of one event; a token takes a few bytes.
 
 // The Retry-After of refusals is drawn at random, so that the calls of a burst return spread out.
 constexpr duration min_retry_after = 800ms;
@@ -53,7 +59,7 @@
 // up to a third of their time before they return.
 constexpr double returning_time_share = 0.84;
 
-enum class attempt_result { complete, answered, not_run, broken, caller_gone };
+enum class attempt_result { complete, answered, not_run, broken, caller_left };
 
 struct attempt_end {
     attempt_result result = attempt_result::not_run;
@@ -113,8 +119,8 @@
 
 bool streaming_call::is_returning() const
 {
-    const duration asked = call_.parameters.time_left.value_or(call_.route->timeout);
-    return asked < call_.route->timeout * returning_time_share;
+    const duration time_limit = call_.parameters.time_left.value_or(call_.route->timeout);
+    return time_limit < call_.route->timeout * returning_time_share;
 }
 
 /** Adds the replica time that a new call needs to the demand. A returning call was counted before.
@@ -162,14 +168,14 @@
     request.wanted.prompt_tokens = call_.parameters.prompt_tokens;
     request.wanted.tried = tried_;
     request.team = call_.team;
-    request.urgency = 100 - std::min(call_.priority, 99U);
+    request.urgency = failover_urgency - std::min(call_.priority, max_priority);
     const time_point now = monotonic_clock::now();
     request.wait_until = call_.arrived_at + max_wait(request.wanted);
     if (call_.end.sends > 0) {
         // The caller has already waited for a replica that failed, or has received part of an
         // answer.
         request.is_failover = true;
-        request.urgency += 100;
+        request.urgency += failover_urgency;
         request.wait_until = now + failover_wait;
     }
     else if (is_late()) {
@@ -273,7 +279,7 @@
     while (true) {
         auto part = co_await answer.read_some(usable_time_left());
         if (call_.cancel->cancelled()) {
-            end.result = attempt_result::caller_gone;
+            end.result = attempt_result::caller_left;
             co_return end;
         }
         if (!part) {
@@ -302,7 +308,7 @@
                 co_return end;
             }
             if (!co_await forward_event(*event, headers)) {
-                end.result = attempt_result::caller_gone;
+                end.result = attempt_result::caller_left;
                 co_return end;
             }
             if (event->id) {
@@ -353,8 +359,8 @@
     attempt_end end;
     end.result = attempt_result::broken;
     byte_budget::share held(call_.context.buffered);
-    auto body =
-        co_await read_whole_body(answer, max_error_body, held, call_.deadline - deadline_margin);
+    auto body = co_await read_whole_body(answer, max_error_body_bytes, held,
+                                         call_.deadline - deadline_margin);
     if (!body) {
         end.reason = body.last_reason().reason;
         co_return end;
@@ -395,7 +401,7 @@
         end.reason = failed.reason;
     }
     if (call_.cancel->cancelled()) {
-        end.result = attempt_result::caller_gone;
+        end.result = attempt_result::caller_left;
         co_return end;
     }
     if (detector.has_ended_attempt()) {
@@ -433,7 +439,7 @@
 
 asio::awaitable<void> streaming_call::finish(attempt_end last)
 {
-    if (last.result == attempt_result::caller_gone || call_.cancel->cancelled()) {
+    if (last.result == attempt_result::caller_left || call_.cancel->cancelled()) {
         call_.end.outcome = "caller_left";
         call_.exchange.abort();
         co_return;
@@ -495,7 +501,7 @@
         call_.context.queue->admit_waiting();
         call_.end.runs += last.result == attempt_result::not_run ? 0 : 1;
         const bool over = last.result == attempt_result::complete ||
-                          last.result == attempt_result::caller_gone ||
+                          last.result == attempt_result::caller_left ||
                           (last.result == attempt_result::answered && started_);
         if (over) {
             break;
