--- a/test/error/platform_decoding.cpp
+++ b/test/error/platform_decoding.cpp
@@ -1,6 +1,6 @@
 /** \file
- * Tests how the adapter decodes and encodes documents, records and headers, with malformed input
- * among them.
+ * Tests how the platform's documents, records, headers and commands are decoded and encoded, and
+ * that malformed documents and records are rejected.
  */
 #include <doctest/doctest.h>
 
@@ -66,7 +66,8 @@
     const auto unknown_kind = platform::read_configuration(
         R"({"version":1,"services":[],"routes":[{"name":"r","host":"h","path-prefix":"/","kind":"odd"}]})");
     REQUIRE_FALSE(unknown_kind);
-    CHECK(unknown_kind.last_reason().reason == "route r has an unknown kind 'odd'");
+    CHECK(unknown_kind.last_reason().reason ==
+          "route r: expected kind 'idempotent', 'non_idempotent' or 'streaming', found 'odd'");
 }
 
 TEST_CASE("a backend server's entry is decoded, and a malformed one is rejected")
@@ -130,10 +131,10 @@
                        {"X-Deadline-Ms", "8000"},       {"X-Model", "m0"},
                        {"X-Token-Usage", "1460,80"},    {"Connection", "keep-alive"},
                        {"X-Target-Instance", "forged"}, {"X-Other", "kept"}};
-    const call_parameters terms = platform::read_call(request);
-    CHECK(terms.key == "k1");
-    CHECK(terms.prompt_tokens == 1460);
-    CHECK(terms.time_left == 8000ms);
+    const call_parameters call = platform::read_call(request);
+    CHECK(call.key == "k1");
+    CHECK(call.prompt_tokens == 1460);
+    CHECK(call.time_left == 8000ms);
     attempt_parameters added;
     added.backend_id = "i-9";
     added.team = "counter";
