Say what the test fixtures hold and check

Heads of the relay's tests say which answer arrives where, and trailing comments that broke their statements stand above them. No assertion changed.

relay_fixture: services -> configuration, age -> configuration_age, whole -> is_complete fake_head: breaks -> last_whole_event, 5 -> events_per_answer memory_log: reader -> client_name, take -> read_from fake_engines: is_copy -> is_duplicate assembly_fixture: 700ms -> step_interval; replica_fleet: 20ms -> freshness_slack plain_fixture: ask -> send_call, asked -> calls_sent; endless_server: between -> interval order_fixture: the reason "dead" -> "MEMBER is unreachable"

--- a/test/correctness/relay_streams.cpp
+++ b/test/correctness/relay_streams.cpp
@@ -14,7 +14,7 @@
     fixture.call("k1");
     CHECK(fixture.status == 200);
     CHECK(fixture.body == event(1) + event(2) + event(3) + event(4) + event(5));
-    CHECK(fixture.whole);
+    CHECK(fixture.is_complete);
     CHECK(fixture.seal == "first"); // The caller keeps the head of the first answer.
     CHECK(fixture.second.calls == 1);
 }
@@ -22,13 +22,13 @@
 TEST_CASE("no failover from a slow head that answers other calls, although another has a free slot")
 {
     relay_fixture fixture(retry_rule::resumable);
-    fixture.first.breaks = 99;
+    fixture.first.last_whole_event = 99;
     fixture.first.delay = 900ms;
     fixture.second.delay = 900ms;
     fixture.report_first_replica_active();
     fixture.join_second_after(100ms);
     fixture.call("k1");
-    CHECK(fixture.whole);
+    CHECK(fixture.is_complete);
     CHECK(fixture.first.calls == 1);
     CHECK(fixture.second.calls == 0);
 }
@@ -39,7 +39,7 @@
     fixture.first.delay = 4s;
     fixture.join_second_after(100ms);
     fixture.call("k1");
-    CHECK(fixture.whole);
+    CHECK(fixture.is_complete);
     CHECK(fixture.seal == "second");
 }
 
@@ -48,7 +48,7 @@
     relay_fixture fixture(retry_rule::never);
     fixture.call("k1");
     CHECK(fixture.body == event(1) + event(2));
-    CHECK_FALSE(fixture.whole);
+    CHECK_FALSE(fixture.is_complete);
     CHECK(fixture.second.calls == 0);
 }
 
@@ -75,7 +75,7 @@
     fresh.call("k9");
     CHECK(fresh.status == 401);
     relay_fixture stale(retry_rule::resumable);
-    stale.age = 6s;
+    stale.configuration_age = 6s;
     stale.call("k1");
     CHECK(stale.status == 503);
     CHECK_FALSE(stale.retry_after.empty());
--- a/test/error/relay_abandoned_calls.cpp
+++ b/test/error/relay_abandoned_calls.cpp
@@ -30,9 +30,9 @@
 TEST_CASE("a call whose caller disconnected before it was read is not forwarded")
 {
     relay_fixture fixture(retry_rule::resumable);
-    fixture.first.breaks = 99;
-    fixture.call(
-        "k1"); // Leaves an idle connection to the head, on which a request would be sent at once.
+    fixture.first.last_whole_event = 99;
+    // Leaves an idle connection to the head, on which a request would be sent at once.
+    fixture.call("k1");
     REQUIRE(fixture.first.calls == 1);
     fixture.serve_at({&fixture.first});
     send_and_leave(fixture);
@@ -46,8 +46,8 @@
     relay_fixture fixture(retry_rule::resumable);
     asio::co_spawn(fixture.context, fixture.node.lag.measure(), asio::detached);
     fixture.context.run_for(std::chrono::milliseconds(20));
-    std::this_thread::sleep_for(
-        std::chrono::milliseconds(600)); // The event loop does not run meanwhile.
+    // The event loop does not run meanwhile.
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
     fixture.context.restart();
     fixture.call("k1");
     CHECK(fixture.status == 503);
--- a/test/error/relay_backend_notices.cpp
+++ b/test/error/relay_backend_notices.cpp
@@ -61,7 +61,7 @@
 
     void list(const backend& server) { backends.apply(server, monotonic_clock::now()); }
 
-    http_reply ask()
+    http_reply send_call()
     {
         http_reply answer;
         const std::string address = "127.0.0.1:" + std::to_string(front.port());
@@ -69,7 +69,7 @@
             http_request request;
             request.target = "/p/x";
             request.headers = {{"Host", "desk.example"},
-                               {"X-Attempt-Id", "a" + std::to_string(++asked)},
+                               {"X-Attempt-Id", "a" + std::to_string(++calls_sent)},
                                {"Authorization", "Token k1"},
                                {"X-Deadline-Ms", "2000"}};
             http_client client(context.get_executor());
@@ -80,7 +80,7 @@
         return answer;
     }
 
-    int asked = 0;
+    int calls_sent = 0;
 };
 
 } // namespace
@@ -90,14 +90,14 @@
     plain_fixture fixture;
     plain_server leaving_server(fixture.context, 200, {{"Server-Leaving", "1"}});
     fixture.list(leaving_server.listed("i-1"));
-    CHECK(fixture.ask().status == 200);
-    const http_reply refused = fixture.ask();
+    CHECK(fixture.send_call().status == 200);
+    const http_reply refused = fixture.send_call();
     CHECK(refused.status == 503);
     CHECK(leaving_server.calls == 1);
     SUBCASE("it is listed again as ready")
     {
         fixture.list(leaving_server.listed("i-1"));
-        CHECK(fixture.ask().status == 503);
+        CHECK(fixture.send_call().status == 503);
         CHECK(leaving_server.calls == 1);
     }
     SUBCASE("a new incarnation of it may be called")
@@ -105,7 +105,7 @@
         backend restarted = leaving_server.listed("i-1");
         restarted.started_ms = 2;
         fixture.list(restarted);
-        CHECK(fixture.ask().status == 200);
+        CHECK(fixture.send_call().status == 200);
     }
 }
 
@@ -115,8 +115,8 @@
     plain_server leaving_server(fixture.context, 503,
                                 {{"Server-Leaving", "1"}, {"X-Not-Executed", "1"}});
     fixture.list(leaving_server.listed("i-1"));
-    CHECK(fixture.ask().status == 503);
-    CHECK(fixture.ask().status == 503);
+    CHECK(fixture.send_call().status == 503);
+    CHECK(fixture.send_call().status == 503);
     CHECK(leaving_server.calls == 1);
 }
 
@@ -126,21 +126,21 @@
     plain_server busy(fixture.context, 503, {{"Retry-After", "0.6"}, {"X-Not-Executed", "1"}});
     plain_server free(fixture.context, 200, {});
     fixture.list(busy.listed("i-1"));
-    CHECK(fixture.ask().status == 503);
-    const http_reply refused = fixture.ask();
+    CHECK(fixture.send_call().status == 503);
+    const http_reply refused = fixture.send_call();
     CHECK(refused.status == 503);
-    // The caller is told when the pause ends.
+    // The Retry-After lasts until the end of the pause.
     CHECK(std::stod(std::string(find_header(refused.headers, "Retry-After"))) > 0.4);
     CHECK(busy.calls == 1);
     fixture.list(free.listed("i-2"));
-    CHECK(fixture.ask().status == 200);
+    CHECK(fixture.send_call().status == 200);
     CHECK(busy.calls == 1);
     SUBCASE("it is called again afterwards")
     {
         fixture.backends.remove("i-2", monotonic_clock::now());
         test::run_task(fixture.context,
                        []() -> asio::awaitable<void> { co_await sleep_for(650ms); });
-        fixture.ask();
+        fixture.send_call();
         CHECK(busy.calls == 2);
     }
 }
@@ -152,8 +152,8 @@
         plain_fixture fixture;
         plain_server odd(fixture.context, 503, {{"Retry-After", value}, {"X-Not-Executed", "1"}});
         fixture.list(odd.listed("i-1"));
-        fixture.ask();
-        fixture.ask();
+        fixture.send_call();
+        fixture.send_call();
         CHECK(odd.calls == 2);
     }
 }
@@ -163,19 +163,19 @@
     plain_fixture fixture;
     plain_server odd(fixture.context, 429, {{"Retry-After", "30"}, {"X-Not-Executed", "1"}});
     fixture.list(odd.listed("i-1"));
-    fixture.ask();
-    fixture.ask();
+    fixture.send_call();
+    fixture.send_call();
     CHECK(odd.calls == 2);
 }
 
 TEST_CASE("a replica whose head states that it is leaving gets no new stream")
 {
     relay_fixture fixture(retry_rule::resumable);
-    fixture.first.breaks = 99;
+    fixture.first.last_whole_event = 99;
     fixture.first.leaving = true;
     fixture.call("k1");
     CHECK(fixture.status == 200);
-    CHECK(fixture.whole);
+    CHECK(fixture.is_complete);
     fixture.serve_at({&fixture.first});
     fixture.call("k1");
     CHECK(fixture.status == 503);
--- a/test/error/relay_endless_answers.cpp
+++ b/test/error/relay_endless_answers.cpp
@@ -12,12 +12,13 @@
 
 namespace {
 
-/** Answers each request with `beginning`, then repeats `piece` until the peer closes the
- * connection. */
+/** Answers each request with `beginning`, then repeats `piece`, after each a pause of `interval`,
+ * until the peer closes the connection.
+ */
 struct endless_server {
     endless_server(asio::io_context& context, std::string begins, std::string repeats,
                    duration pause = {})
-        : beginning(std::move(begins)), piece(std::move(repeats)), between(pause),
+        : beginning(std::move(begins)), piece(std::move(repeats)), interval(pause),
           acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
     {
         asio::co_spawn(context, accept(), asio::detached);
@@ -52,15 +53,15 @@
                 co_return;
             }
             sent += bytes;
-            if (between > duration::zero()) {
-                co_await sleep_for(between);
+            if (interval > duration::zero()) {
+                co_await sleep_for(interval);
             }
         }
     }
 
     std::string beginning;
     std::string piece;
-    duration between;
+    duration interval;
     int open = 0;
     int requests = 0;
     std::size_t sent = 0;
@@ -158,7 +159,7 @@
     endless_fixture fixture(sealed_head + "Transfer-Encoding: chunked\r\n\r\n",
                             "4000\r\n" + std::string(0x4000, 'x') + "\r\n");
     fixture.call("k1");
-    CHECK_FALSE((fixture.status == 200 && fixture.whole));
+    CHECK_FALSE((fixture.status == 200 && fixture.is_complete));
     fixture.context.restart();
     fixture.context.run_for(std::chrono::milliseconds(100));
     CHECK(fixture.server.open == 0);
@@ -179,9 +180,9 @@
 {
     endless_fixture fixture(sealed_head + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", 50ms);
     fixture.call("k1");
-    CHECK_FALSE((fixture.status == 200 && fixture.whole));
-    CHECK(fixture.node.replica_lb->silence_of(9, monotonic_clock::now()) ==
-          duration::zero()); // Ended.
+    CHECK_FALSE((fixture.status == 200 && fixture.is_complete));
+    // Zero: the replica has no calls, so the attempt has ended.
+    CHECK(fixture.node.replica_lb->silence_of(9, monotonic_clock::now()) == duration::zero());
 }
 
 TEST_CASE("fifty endless plain answers: each fails, and memory stays bounded")
--- a/test/error/relay_foreign_answers.cpp
+++ b/test/error/relay_foreign_answers.cpp
@@ -1,5 +1,6 @@
 /** \file
- * Tests that an answer to another call is dropped when it arrives in place of the expected one.
+ * Tests that an answer to another call, which arrives on a call's connection before the call's own
+ * answer or instead of it, is dropped and not taken for the call's own.
  */
 #include <doctest/doctest.h>
 
--- a/test/support/assembly_fixture.h
+++ b/test/support/assembly_fixture.h
@@ -12,11 +12,13 @@
 
 namespace chervildyke::test {
 
-/** Applies plans like a log and VMs that execute every command at once. Time advances only in
- * step() and when a test changes now.
+/** Applies the records of plans to a ledger, and their commands to VMs that execute each at once.
+ * Time advances only in step() and when a test changes now.
  */
 class assembly_fixture {
   public:
+    static constexpr duration step_interval = 700ms;
+
     assembly_fixture()
     {
         model_profile large;
@@ -84,7 +86,7 @@
                 history.note_outcome(planned.vm, planned.command, command_outcome::begun);
             }
         }
-        now += 700ms;
+        now += step_interval;
         return made;
     }
 
--- a/test/support/fake_engines.cpp
+++ b/test/support/fake_engines.cpp
@@ -143,12 +143,12 @@
 {
     schema::engine_order_reply reply;
     reply.set_accepted(true);
-    const bool is_copy = command.order_id() == engine.command_id;
+    const bool is_duplicate = command.order_id() == engine.command_id;
     if (engine.checks_fencing && command.fencing() < engine.highest_fencing) {
         reply.set_accepted(false);
         reply.set_reason("an old fencing number");
     }
-    else if (!is_copy) {
+    else if (!is_duplicate) {
         engine.command_id = command.order_id();
         engine.highest_fencing = std::max(engine.highest_fencing, command.fencing());
         ++engine.executed_commands;
--- a/test/support/journal_group.h
+++ b/test/support/journal_group.h
@@ -30,7 +30,9 @@
      */
     std::size_t start(journal_options options = {});
 
-    /** Cancels a node's tasks. Other nodes can no longer reach it. */
+    /** Cancels a node's tasks. Other nodes can no longer reach it, so the state that it holds in
+     * memory is lost to them.
+     */
     void stop(std::size_t index);
 
     /** Disconnects a node from all members, or reconnects it. */
--- a/test/support/journal_records.cpp
+++ b/test/support/journal_records.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Implements the functions that build test records.
+ * Implements the functions that build configurations and journal records for tests.
  */
 #include "support/journal_records.h"
 
--- a/test/support/member_group.h
+++ b/test/support/member_group.h
@@ -46,7 +46,7 @@
 
     /** Probe requests that were sent and replies that were received. */
     std::uint64_t messages() const { return messages_; }
-    /** Their size. */
+    /** The size of these messages. */
     std::uint64_t bytes() const { return bytes_; }
     void reset_counts() { messages_ = bytes_ = 0; }
 
--- a/test/support/memory_log.cpp
+++ b/test/support/memory_log.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr duration poll_interval = 5ms;
-constexpr std::uint64_t retention_without_limit_ms = 86'400'000;
+constexpr std::uint64_t retention_without_limit_ms = 86'400'000; // A day; reported, not applied.
 
 struct stream_state {
     std::deque<log_record> records;
@@ -39,7 +39,10 @@
     std::set<std::string> cut;
     std::map<std::string, stream_state> streams;
 
-    bool reachable(const std::string& reader) const { return !outage && !cut.contains(reader); }
+    bool reachable(const std::string& client_name) const
+    {
+        return !outage && !cut.contains(client_name);
+    }
 
     stream_state& trimmed(const std::string& name)
     {
@@ -60,7 +63,7 @@
         return stream.next_offset++;
     }
 
-    log_read take(const std::string& name, log_offset from, std::uint32_t limit)
+    log_read read_from(const std::string& name, log_offset from, std::uint32_t limit)
     {
         const stream_state& stream = trimmed(name);
         log_read read;
@@ -92,14 +95,14 @@
     state_->retention = retention;
 }
 
-log_client memory_log::client(const std::string& reader)
+log_client memory_log::client(const std::string& client_name)
 {
     log_client made;
-    made.append = [log = state_,
-                   reader](std::string stream,
-                           std::string payload) -> asio::awaitable<external_result<log_offset>> {
+    made.append = [log = state_, client_name](
+                      std::string stream,
+                      std::string payload) -> asio::awaitable<external_result<log_offset>> {
         co_await sleep_for(log->latency / 2);
-        if (!log->reachable(reader)) {
+        if (!log->reachable(client_name)) {
             co_return unreachable();
         }
         if (log->overloads > 0) {
@@ -113,25 +116,25 @@
         if (lost) {
             --log->lost_replies;
         }
-        if (lost || !log->reachable(reader)) {
+        if (lost || !log->reachable(client_name)) {
             co_return external_failure{external_error::unclear, "the reply was lost"};
         }
         co_return offset;
     };
     made.read = [log = state_,
-                 reader](std::string stream, log_offset from, std::uint32_t limit,
-                         duration wait) -> asio::awaitable<external_result<log_read>> {
+                 client_name](std::string stream, log_offset from, std::uint32_t limit,
+                              duration wait) -> asio::awaitable<external_result<log_read>> {
         co_await sleep_for(log->latency);
         const time_point until = monotonic_clock::now() + wait;
         ++log->reads;
-        while (log->reachable(reader) && monotonic_clock::now() < until &&
+        while (log->reachable(client_name) && monotonic_clock::now() < until &&
                log->trimmed(stream).next_offset == from) {
             co_await sleep_for(poll_interval);
         }
-        if (!log->reachable(reader)) {
+        if (!log->reachable(client_name)) {
             co_return unreachable();
         }
-        co_return log->take(stream, from, limit);
+        co_return log->read_from(stream, from, limit);
     };
     return made;
 }
@@ -146,13 +149,13 @@
     state_->latency = latency;
 }
 
-void memory_log::cut_off(const std::string& reader, bool cut)
+void memory_log::cut_off(const std::string& client_name, bool cut)
 {
     if (cut) {
-        state_->cut.insert(reader);
+        state_->cut.insert(client_name);
     }
     else {
-        state_->cut.erase(reader);
+        state_->cut.erase(client_name);
     }
 }
 
--- a/test/support/memory_log.h
+++ b/test/support/memory_log.h
@@ -24,8 +24,8 @@
     /** \param retention how long records are kept; zero keeps all. */
     explicit memory_log(duration retention = duration::zero());
 
-    /** \param reader the client's name, for cut_off(). */
-    log_client client(const std::string& reader);
+    /** \param client_name by which cut_off() finds the client. */
+    log_client client(const std::string& client_name);
 
     /** While set, all calls fail. */
     void set_outage(bool down);
@@ -34,7 +34,7 @@
     void set_latency(duration latency);
 
     /** Disconnects one client from the log, or reconnects it. */
-    void cut_off(const std::string& reader, bool cut);
+    void cut_off(const std::string& client_name, bool cut);
 
     /** Stores the next appends but drops their replies.
      * \param count the number of appends.
--- a/test/support/order_fixture.h
+++ b/test/support/order_fixture.h
@@ -84,7 +84,7 @@
         return start(context, coordinators[coordinator]->claim(request));
     }
 
-    /** Claims and waits for the verdict. */
+    /** Claims and waits for the result. */
     schema::claim_verdict claim_now(std::size_t coordinator, const schema::order_claim& claimed,
                                     duration timeout = 1s)
     {
@@ -132,7 +132,7 @@
                                       duration) -> rpc_awaitable<schema::claim_reply> {
             order_coordinator* coordinator = find(member);
             if (coordinator == nullptr) {
-                co_return rpc_failure{rpc_error::unreachable, "dead"};
+                co_return rpc_failure{rpc_error::unreachable, member + " is unreachable"};
             }
             schema::claim_reply reply = co_await coordinator->claim(std::move(request));
             co_return reply;
@@ -141,7 +141,7 @@
                                        duration) -> rpc_awaitable<schema::settle_reply> {
             order_coordinator* coordinator = find(member);
             if (coordinator == nullptr) {
-                co_return rpc_failure{rpc_error::unreachable, "dead"};
+                co_return rpc_failure{rpc_error::unreachable, member + " is unreachable"};
             }
             schema::settle_reply reply = co_await coordinator->settle(std::move(request));
             co_return reply;
--- a/test/support/relay_fixture.h
+++ b/test/support/relay_fixture.h
@@ -23,9 +23,12 @@
 
 /** The head of a replica: streams five events, starting after the request's Last-Event-Id. */
 struct fake_head {
+    static constexpr std::uint64_t events_per_answer = 5;
+
     fake_head(asio::io_context& context, std::uint64_t last_event)
-        : breaks(last_event), server(context.get_executor(),
-                                     [this](http_exchange& exchange) { return serve(exchange); })
+        : last_whole_event(last_event),
+          server(context.get_executor(),
+                 [this](http_exchange& exchange) { return serve(exchange); })
     {
         REQUIRE(server.listen("127.0.0.1", 0));
     }
@@ -45,9 +48,9 @@
         std::uint64_t id = from.empty() ? 0 : std::stoull(from);
         co_await sleep_for(delay);
         co_await exchange.start_stream(head);
-        while (id < 5) {
+        while (id < events_per_answer) {
             ++id;
-            if (id > breaks) {
+            if (id > last_whole_event) {
                 co_await exchange.write_chunk("id: 9\nda"); // Within an event.
                 exchange.abort();
                 co_return;
@@ -58,14 +61,17 @@
         co_await exchange.end_stream();
     }
 
-    std::uint64_t breaks; // The stream breaks within the event after this one.
-    duration delay{};     // Before the first event.
-    bool leaving = false; // Its answers state that it is leaving.
+    std::uint64_t last_whole_event; // The stream breaks within the next one, if there is one.
+    duration delay{};               // Before the first event.
+    bool leaving = false;           // Its answers state that it is leaving.
     std::string seal = "first";
     int calls = 0;
     http_server server;
 };
 
+/** A node with a streaming route to the service "pool" and a plain route to the service "desk". The
+ * first head serves "pool" from the start; the second joins later.
+ */
 struct relay_fixture {
     explicit relay_fixture(retry_rule retry)
     {
@@ -99,7 +105,8 @@
         team.name = "counter";
         team.keys = {"k1"};
         published_configuration::builder builder;
-        services = builder.route(route).route(plain).service(pool).service(desk).team(team).build();
+        configuration =
+            builder.route(route).route(plain).service(pool).service(desk).team(team).build();
         node.executor = context.get_executor();
         node.random = seeded_random(1);
         node.codec = platform::make_call_codec();
@@ -114,8 +121,8 @@
                                                     time_point now) {
             return node.notices->availability(head_incarnation(replica), now);
         };
-        node.configuration = [this] { return services; };
-        node.configuration_age = [this] { return age; };
+        node.configuration = [this] { return configuration; };
+        node.configuration_age = [this] { return configuration_age; };
         node.replica_lb->set_profile("pool", engine);
         REQUIRE(front.listen("127.0.0.1", 0));
         serve_at({&first});
@@ -136,7 +143,9 @@
         node.replica_lb->set_serving(replicas);
     }
 
-    /** Calls the node; the second head joins once the first part of the answer has arrived. */
+    /** Calls the node and stores the answer in the fields below. The second head joins once the
+     * first part of the answer has arrived.
+     */
     void call(const std::string& key)
     {
         const std::string address = "127.0.0.1:" + std::to_string(front.port());
@@ -155,7 +164,7 @@
             retry_after = (*opened)->header("Retry-After");
             while (true) {
                 auto part = co_await (*opened)->read_some(3s);
-                whole = part.has_value();
+                is_complete = part.has_value();
                 if (!part || part->empty()) {
                     break;
                 }
@@ -181,12 +190,12 @@
             asio::detached);
     }
 
-    void join_second_after(duration pause)
+    void join_second_after(duration delay)
     {
         asio::co_spawn(
             context,
-            [this, pause]() -> asio::awaitable<void> {
-                co_await sleep_for(pause);
+            [this, delay]() -> asio::awaitable<void> {
+                co_await sleep_for(delay);
                 serve_at({&first, &second});
             },
             asio::detached);
@@ -196,8 +205,8 @@
     fake_head first{context, 2};
     fake_head second{context, 99};
     backend_table backends{2s};
-    published_configuration_ptr services;
-    std::optional<duration> age = 0s;
+    published_configuration_ptr configuration;
+    std::optional<duration> configuration_age = 0s;
     relay_context node;
     http_server front{context.get_executor(),
                       [this](http_exchange& exchange) { return serve_call(node, exchange); }};
@@ -205,7 +214,7 @@
     std::string seal;
     std::string retry_after;
     std::string body;
-    bool whole = false;
+    bool is_complete = false; // The body ended properly.
 };
 
 } // namespace chervildyke::test
--- a/test/support/replica_fleet.cpp
+++ b/test/support/replica_fleet.cpp
@@ -10,8 +10,9 @@
 
 namespace {
 
-constexpr double accelerators_per_vm = 2; // The default of fake_engines::add().
-constexpr duration propagation_slack = 300ms;
+constexpr double accelerators_per_vm = 2;     // The default of fake_engines::add().
+constexpr duration propagation_slack = 300ms; // For the steps between a poll and a pull.
+constexpr duration freshness_slack = 20ms;
 constexpr std::size_t max_violations = 20;
 
 vm_role role_of(const std::string& pool)
@@ -182,7 +183,7 @@
 void replica_fleet::check_views()
 {
     const time_point now = monotonic_clock::now();
-    const duration freshness = options_.reconciler.repair.bounds.report_freshness + 20ms;
+    const duration freshness = options_.reconciler.repair.bounds.report_freshness + freshness_slack;
     // All controls know an engine's answer after one poll, one pull and the steps between them.
     const duration propagation_time =
         options_.watcher.watch_interval + options_.watcher.pull_interval + propagation_slack;
--- a/test/support/replica_fleet.h
+++ b/test/support/replica_fleet.h
@@ -26,7 +26,8 @@
     std::string model = "oak-large";
 };
 
-/** \param bytes_per_vm the size of each model that the teams name.
+/** \param bytes_per_vm the size of each model that the teams name, per VM of a replica.
+ * \param store_bytes_per_second the rate of the weight store.
  * \return a configuration with these teams and their models.
  */
 schema::fleet_configuration make_configuration(const std::vector<team_setup>& teams,
@@ -109,13 +110,15 @@
     void add_control(const std::string& name);
     record_outcome append(schema::journal_record record);
     std::vector<std::string> members_seen_by(const control& viewer) const;
+    /** Records which engines are ready members of their replicas, and which do not answer. */
     void record_membership();
-    /** A replica must not be serving in a view when a member is no longer ready in it. The time
-     * that reports need is allowed for.
+    /** Checks that no view shows a replica as serving when a member is no longer ready in it.
+     * Allows for the time that reports take to reach the controls.
      */
     void check_views();
-    /** A VM must not be held by two replicas. */
+    /** Checks that no VM belongs to two replicas. */
     void check_journal();
+    /** Adds a span to the downtimes and accelerator-seconds, by the current view of control 0. */
     void measure(double seconds);
 
     replica_fleet_options options_;
