--- a/test/support/memory_log.cpp
+++ b/test/support/memory_log.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr duration poll_interval = 5ms;
-constexpr std::uint64_t retention_without_limit_ms = 86'400'000;
+constexpr std::uint64_t retention_without_limit_ms = 86'400'000; // A day; reported, not applied.
 
 struct stream_state {
     std::deque<log_record> records;
@@ -63,7 +63,7 @@
         return stream.next_offset++;
     }
 
-    log_read take(const std::string& name, log_offset from, std::uint32_t limit)
+    log_read read_from(const std::string& name, log_offset from, std::uint32_t limit)
     {
         const stream_state& stream = trimmed(name);
         log_read read;
@@ -134,7 +134,7 @@
         if (!log->reachable(client_name)) {
             co_return unreachable();
         }
-        co_return log->take(stream, from, limit);
+        co_return log->read_from(stream, from, limit);
     };
     return made;
 }
--- a/test/support/replica_fleet.cpp
+++ b/test/support/replica_fleet.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-constexpr double accelerators_per_vm = 2; // The default of fake_engines::add().
-constexpr duration propagation_slack = 300ms;
+constexpr double accelerators_per_vm = 2;     // The default of fake_engines::add().
+constexpr duration propagation_slack = 300ms; // For the steps between a poll and a pull.
 constexpr duration freshness_slack = 20ms;
 constexpr std::size_t max_violations = 20;
 
