--- a/src/relay/serve_call.cpp
+++ b/src/relay/serve_call.cpp
@@ -32,7 +32,8 @@
 };
 
 /** Sets the call's configuration, route, team and priority.
- * \return the refusal if it has none or this node can't tell.
+ * \return the refusal if no route matches or the key is unknown, or if this node can't decide that
+ * because its event loop lags or its configuration is missing or too old.
  */
 std::optional<early_refusal> route_call(relayed_call& call)
 {
@@ -100,7 +101,7 @@
  */
 asio::awaitable<void> cancel_on_disconnect(relayed_call& call)
 {
-    co_await call.exchange.peer_gone();
+    co_await call.exchange.wait_for_peer_close();
     call.cancel->cancel();
     timer forever(co_await asio::this_coro::executor);
     forever.expires_at(time_point::max());
--- a/test/error/relay_foreign_answers.cpp
+++ b/test/error/relay_foreign_answers.cpp
@@ -1,5 +1,6 @@
 /** \file
- * Tests that an answer to another call is dropped when it arrives in place of the expected one.
+ * Tests that an answer to another call, which arrives on a call's connection before the call's own
+ * answer or instead of it, is dropped and not taken for the call's own.
  */
 #include <doctest/doctest.h>
 
@@ -45,7 +46,7 @@
         http_request request;
         http_call_options options;
         options.timeout = 500ms;
-        options.belongs = [](const std::vector<http_header>& headers) {
+        options.matches_request = [](const std::vector<http_header>& headers) {
             return find_header(headers, "X-Attempt-Id") == "mine";
         };
         auto reply = co_await client.call(address, request, options);
