--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -2,8 +2,9 @@
 
 set(chervil_warnings -Wall -Wextra -Wpedantic -Wshadow -Wconversion -Werror)
 
-# Enables the warnings, and the precompiled header of chervil_base, which holds the headers that are
-# slow to parse.
+# chervil_share_headers(TARGET) enables the warnings, and the precompiled header of chervil_base, which
+# holds the headers that are slow to parse. ccache needs -fpch-preprocess to cache compilations that
+# use a precompiled header.
 function(chervil_share_headers target)
   target_compile_options(${target} PRIVATE ${chervil_warnings} -fpch-preprocess)
   if(NOT target STREQUAL chervil_base)
@@ -12,7 +13,7 @@
 endfunction()
 
 # chervil_library(NAME LINK ...) defines the library chervil_NAME, with the alias chervildyke::NAME,
-# from all sources of the current folder except main.cpp.
+# from all sources of the current folder except main.cpp, and links it with the given targets.
 function(chervil_library name)
   cmake_parse_arguments(arg "" "" "LINK" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS *.cpp)
