Word src/rpc for newcomers: rpc_error::other_status and what ends a stream of views

Cause: rpc_error::refused stands for any other gRPC status, also INTERNAL after the call took effect, and reads like a refused connection, which is unreachable. "no view arrived within the timeout" was also reported when the control node had ended the stream. Comments did not say why reuse of the port and the HTTP proxy are off. Change: rpc_error::refused -> other_status. The failure reads "the stream ended, or no view arrived within N ms"; the gRPC messages read "this server has no handler for the call" and "the handler of the call threw an exception". Doxygen for the hooks, the writer of views and the port.

--- a/src/rpc/control_client.cpp
+++ b/src/rpc/control_client.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <grpcpp/grpcpp.h>
 
+#include "base/event_log.h"
 #include "base/scope_guard.h"
 #include "control_api.grpc.pb.h"
 #include "rpc/callback_queue.h"
@@ -30,7 +31,7 @@
     const rpc_error code =
         status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED ? rpc_error::timed_out
         : status.error_code() == grpc::StatusCode::UNAVAILABLE     ? rpc_error::unreachable
-                                                                   : rpc_error::refused;
+                                                                   : rpc_error::other_status;
     return {code, address + ": " + status.error_message()};
 }
 
@@ -107,7 +108,9 @@
     co_return std::move(call->reply);
 }
 
-/** Reads one stream of views. Its callbacks run on gRPC's threads and post to the executor. */
+/** Reads one stream of views. Its callbacks (OnReadDone, OnDone) run on gRPC's threads and post
+ * tasks to the executor.
+ */
 class view_reader : public grpc::ClientReadReactor<schema::routing_view>,
                     public std::enable_shared_from_this<view_reader> {
   public:
@@ -201,6 +204,7 @@
     arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, reconnect_backoff_min_ms);
     arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, reconnect_backoff_min_ms);
     arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, reconnect_backoff_max_ms);
+    // By default gRPC follows the proxy settings of the environment.
     arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
     arguments.SetMaxReceiveMessageSize(max_message_bytes);
     state_->executor = std::make_shared<closable_executor>(std::move(executor));
@@ -256,7 +260,8 @@
     co_await reader->wait(view_timeout);
     if (reader->status().ok()) {
         co_return rpc_failure{rpc_error::timed_out,
-                              self->address + ": no view arrived within the timeout"};
+                              self->address + ": the stream ended, or no view arrived within " +
+                                  to_ms_text(view_timeout) + " ms"};
     }
     co_return to_failure(reader->status(), self->address);
 }
--- a/src/rpc/control_client.h
+++ b/src/rpc/control_client.h
@@ -18,9 +18,9 @@
 
 enum class rpc_error {
     none,
-    unreachable, // The connection failed; the call may have taken effect.
-    timed_out,   // No reply within the timeout; the call may have taken effect.
-    refused,     // The call ended with any other gRPC status.
+    unreachable,  // The connection failed; the call may have taken effect.
+    timed_out,    // No reply within the timeout; the call may have taken effect.
+    other_status, // The call ended with any other gRPC status; it may have taken effect.
 };
 
 using rpc_failure = failure<rpc_error>;
@@ -44,6 +44,7 @@
 
     const std::string& address() const;
 
+    // Each of these calls returns the reply or a failure, after the timeout at the latest.
     rpc_awaitable<schema::probe_reply> probe(schema::probe_request request, duration timeout);
     rpc_awaitable<schema::record_batch> read_records(schema::record_request request,
                                                      duration timeout);
@@ -61,7 +62,8 @@
      * cancelled.
      * \param on_view called for each view.
      * \param view_timeout the maximum time between two views, after which the stream is cancelled.
-     * \return why the stream ended.
+     * \return why the stream ended; rpc_error::timed_out also if the control node ended it without
+     * an error.
      */
     boost::asio::awaitable<rpc_failure>
     watch_view(schema::view_request request,
--- a/src/rpc/control_server.cpp
+++ b/src/rpc/control_server.cpp
@@ -26,14 +26,16 @@
 {
     grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
     if (!hook) {
-        reactor->Finish({grpc::StatusCode::UNIMPLEMENTED, "not served here"});
+        reactor->Finish(
+            {grpc::StatusCode::UNIMPLEMENTED, "this server has no handler for the call"});
         return reactor;
     }
     asio::co_spawn(
         executor, [&hook, copy = *request]() { return hook(copy); },
         [reactor, reply](const std::exception_ptr& thrown, Reply made) {
             if (thrown) {
-                reactor->Finish({grpc::StatusCode::INTERNAL, "the call failed"});
+                reactor->Finish(
+                    {grpc::StatusCode::INTERNAL, "the handler of the call threw an exception"});
                 return;
             }
             *reply = std::move(made);
@@ -105,7 +107,8 @@
         auto stream = std::make_shared<view_stream>(executor);
         stream->keep_alive_until_done();
         if (!hooks.watch_view) {
-            stream->Finish({grpc::StatusCode::UNIMPLEMENTED, "not served here"});
+            stream->Finish(
+                {grpc::StatusCode::UNIMPLEMENTED, "this server has no handler for the call"});
             return stream.get();
         }
         const view_writer writer = [stream](schema::routing_view view) {
@@ -150,6 +153,7 @@
 {
     internal::keep_callback_queue();
     grpc::ServerBuilder builder;
+    // By default gRPC lets several processes listen on the same port.
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
     builder.SetMaxReceiveMessageSize(max_message_bytes);
     builder.AddListeningPort(address + ":" + std::to_string(port),
--- a/src/rpc/control_server.h
+++ b/src/rpc/control_server.h
@@ -16,9 +16,12 @@
 
 namespace chervildyke {
 
-/** Writes a view to one entry; returns false once the stream is cancelled. */
+/** Writes a view to the stream of one subscriber, an entry. Returns false if the write failed or
+ * the stream is cancelled.
+ */
 using view_writer = std::function<boost::asio::awaitable<bool>(schema::routing_view)>;
 
+/** Handles one unary call. If it throws, the call ends with the status INTERNAL. */
 template <typename Request, typename Reply>
 using rpc_hook = std::function<boost::asio::awaitable<Reply>(Request)>;
 
@@ -26,7 +29,9 @@
  * status UNIMPLEMENTED.
  */
 struct control_rpc_hooks {
+    /** Writes views until the task completes, which ends the stream with the status OK. */
     std::function<boost::asio::awaitable<void>(schema::view_request, view_writer)> watch_view;
+
     rpc_hook<schema::probe_request, schema::probe_reply> probe;
     rpc_hook<schema::record_request, schema::record_batch> read_records;
     rpc_hook<schema::snapshot_request, schema::state_snapshot> fetch_snapshot;
@@ -52,7 +57,7 @@
      */
     bool listen(const std::string& address, std::uint16_t port);
 
-    /** \return the port that the server listens on. */
+    /** \return the port that the server listens on, or zero if it does not listen. */
     std::uint16_t port() const;
 
     /** Stops the server and waits until all calls have ended. The executor must still run, or calls
--- a/test/correctness/rpc_calls.cpp
+++ b/test/correctness/rpc_calls.cpp
@@ -35,7 +35,7 @@
     control_client client(context.get_executor(), "127.0.0.1:" + std::to_string(server.port()));
     std::string answer;
     std::uint64_t last_version = 0;
-    rpc_error refused = rpc_error::none;
+    rpc_error unserved_code = rpc_error::none;
     asio::co_spawn(
         context,
         [&]() -> asio::awaitable<void> {
@@ -44,7 +44,7 @@
             auto reply = co_await client.probe(request, 5s);
             answer = reply ? reply->vm() : reply.failure().reason;
             auto unserved = co_await client.claim(schema::claim_request(), 5s);
-            refused = unserved.failure().code;
+            unserved_code = unserved.failure().code;
             const auto on_view = [&](const auto& view) {
                 last_version = view->configuration_version();
             };
@@ -55,6 +55,6 @@
     const auto guard = asio::make_work_guard(context);
     context.run_for(20s);
     CHECK(answer == "answer to test");
-    CHECK(refused == rpc_error::refused);
+    CHECK(unserved_code == rpc_error::other_status);
     CHECK(last_version == 3);
 }
