Word src/external for newcomers: errors say which message was expected and what was found

Cause: "the reply is not the expected JSON message" named neither; the timeout of the weight store's status was called list_timeout; "answer" and "reply" meant the same HTTP reply. Change: the failure reads 'expected the message TYPE in JSON, found "BODY"', with at most 200 bytes of the body. list_timeout of the weight store -> status_timeout and 200 -> status_ok, with the same values. Doxygen for the calls. These folders have no tests of their own.

--- a/src/external/engine_client.h
+++ b/src/external/engine_client.h
@@ -15,8 +15,8 @@
 
 namespace chervildyke {
 
-/** The calls of the control plane to engines, addressed by ip:port. The entry makes the calls that
- * serve callers.
+/** The calls of the control plane to engines, addressed by ip:port. The inference requests of
+ * callers are sent by the entry, not through this client.
  */
 struct engine_client {
     /** Requests the state of the engine. */
@@ -34,6 +34,7 @@
 
 /** The call to the weight store. */
 struct weight_store_client {
+    /** Requests the state of the weight store. */
     std::function<boost::asio::awaitable<external_result<schema::weight_store_status>>()> status;
 };
 
--- a/src/external/http_external.cpp
+++ b/src/external/http_external.cpp
@@ -14,10 +14,13 @@
 constexpr duration append_timeout = 2s;
 constexpr duration read_timeout_beyond_wait = 2s;
 constexpr duration list_timeout = 2s;
+constexpr duration status_timeout = 2s;
+constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_modified = 304;
 constexpr unsigned status_too_many_requests = 429;
 constexpr unsigned status_unavailable = 503;
-constexpr std::size_t max_quoted_body_bytes = 200; // Of an error reply, in the text of a failure.
+constexpr std::size_t max_quoted_body_bytes =
+    200; // Of an unexpected reply, in the text of a failure.
 
 /** Converts the failure of an HTTP call. */
 external_failure from_http(const http_failure& cause)
@@ -39,6 +42,14 @@
                 reply.body.substr(0, max_quoted_body_bytes)};
 }
 
+/** \return the failure for a reply whose body is not the expected message in JSON. */
+external_failure unexpected_body(const http_reply& reply, const std::string& expected_message)
+{
+    return {external_error::unknown_outcome,
+            "expected the message " + expected_message + " in JSON, found \"" +
+                reply.body.substr(0, max_quoted_body_bytes) + "\""};
+}
+
 /** Makes a call to which the reply is a message in JSON. */
 template <typename Reply>
 asio::awaitable<external_result<Reply>> json_call(std::shared_ptr<http_client> http,
@@ -47,19 +58,18 @@
 {
     http_call_options options;
     options.timeout = timeout;
-    auto answer = co_await http->call(std::move(address), std::move(request), options);
-    if (!answer) {
-        co_return from_http(answer.failure());
+    auto reply = co_await http->call(std::move(address), std::move(request), options);
+    if (!reply) {
+        co_return from_http(reply.failure());
     }
-    if (answer->status != 200) {
-        co_return from_status(*answer);
+    if (reply->status != status_ok) {
+        co_return from_status(*reply);
     }
-    Reply reply;
-    if (!from_json(answer->body, reply)) {
-        co_return external_failure{external_error::unknown_outcome,
-                                   "the reply is not the expected JSON message"};
+    Reply message;
+    if (!from_json(reply->body, message)) {
+        co_return unexpected_body(*reply, Reply::descriptor()->name());
     }
-    co_return reply;
+    co_return message;
 }
 
 http_request get(std::string target)
@@ -137,22 +147,21 @@
     }
     http_call_options options;
     options.timeout = list_timeout;
-    auto answer = co_await http->call(std::move(address), std::move(request), options);
-    if (!answer) {
-        co_return from_http(answer.failure());
+    auto reply = co_await http->call(std::move(address), std::move(request), options);
+    if (!reply) {
+        co_return from_http(reply.failure());
     }
-    if (answer->status == status_not_modified) {
+    if (reply->status == status_not_modified) {
         co_return last->list;
     }
-    if (answer->status != 200) {
-        co_return from_status(*answer);
+    if (reply->status != status_ok) {
+        co_return from_status(*reply);
     }
     schema::vm_list_reply list;
-    if (!from_json(answer->body, list)) {
-        co_return external_failure{external_error::unknown_outcome,
-                                   "the reply is not a VM list in JSON"};
+    if (!from_json(reply->body, list)) {
+        co_return unexpected_body(*reply, schema::vm_list_reply::descriptor()->name());
     }
-    last->entity_tag = std::string(answer->header("etag"));
+    last->entity_tag = std::string(reply->header("etag"));
     last->list = list;
     co_return list;
 }
@@ -184,7 +193,8 @@
 {
     weight_store_client client;
     client.status = [http, address]() {
-        return json_call<schema::weight_store_status>(http, address, get("/status"), list_timeout);
+        return json_call<schema::weight_store_status>(http, address, get("/status"),
+                                                      status_timeout);
     };
     return client;
 }
--- a/src/external/http_external.h
+++ b/src/external/http_external.h
@@ -13,7 +13,9 @@
 
 namespace chervildyke {
 
-/** \param address ip:port of the log service. */
+/** \param http the client that makes the calls.
+ * \param address ip:port of the log service.
+ */
 log_client http_log_client(std::shared_ptr<http_client> http, std::string address);
 
 /** Makes a client that sends the entity tag of the last list, so that an unchanged list is not sent
--- a/src/external/log_client.h
+++ b/src/external/log_client.h
@@ -27,9 +27,9 @@
 
 /** The result of one read. */
 struct log_read {
-    log_offset first_offset = 0; // Of the oldest record that is retained.
-    log_offset next_offset = 0;  // Of the next append.
-    std::uint64_t retention_ms = 0;
+    log_offset first_offset = 0;     // Of the oldest record that is retained.
+    log_offset next_offset = 0;      // Of the next append.
+    std::uint64_t retention_ms = 0;  // How long the log retains a record after its append.
     std::vector<log_record> records; // Empty if none was appended during the wait.
 
     bool operator==(const log_read&) const = default;
--- a/src/external/vm_list_client.h
+++ b/src/external/vm_list_client.h
@@ -15,6 +15,7 @@
 
 /** The call to the VM list, which lags behind the actual state of the VMs. */
 struct vm_list_client {
+    /** Requests the whole list. */
     std::function<boost::asio::awaitable<external_result<schema::vm_list_reply>>()> list;
 };
 
