Cut a long value in a fault of a document to 60 bytes

Cause: ", found VALUE" printed a string value in full, so that one fault could be as long as the document. The fault of a repeated key read "expected each key once in an object, found it repeatedly", in which "it" refers to no one key. Change: found_text prints at most max_found_bytes (60) of the value as JSON, and " ..." if it was cut; the cut is before a UTF-8 character, not within it. The fault of a repeated key reads "expected this key only once in its object, found it more than once". Test: error/base_settings has a case for a value that is cut, one cut before a character of two bytes, and one of just 60 bytes (38 -> 44 assertions).

--- a/src/base/schema_check.cpp
+++ b/src/base/schema_check.cpp
@@ -16,6 +16,8 @@
 using google::protobuf::FieldDescriptor;
 using nlohmann::json;
 
+constexpr std::size_t max_found_bytes = 60; // Of a found value, in the text of a fault.
+
 const schema::field_rule& rule_of(const FieldDescriptor& field)
 {
     return field.options().GetExtension(schema::rule);
@@ -62,13 +64,33 @@
     return rule.expected().empty() ? text : text + ": " + rule.expected();
 }
 
+/** \return whether the byte is one of a UTF-8 character, but not its first. */
+bool is_continuation_byte(char byte)
+{
+    return (static_cast<unsigned char>(byte) & 0xC0U) == 0x80U;
+}
+
+/** Cuts a long text to max_found_bytes and marks the cut. The text must be UTF-8. */
+std::string shortened(std::string text)
+{
+    if (text.size() <= max_found_bytes) {
+        return text;
+    }
+    std::size_t end = max_found_bytes;
+    while (is_continuation_byte(text[end])) {
+        --end;
+    }
+    text.resize(end);
+    return text + " ...";
+}
+
 /** \return what the document contains instead, for a fault: the value, or the type of an array or
- * object, which may be long.
+ * object. A long value is cut, so that the fault is one readable line.
  */
 std::string found_text(const json& value)
 {
-    return ", found " +
-           (value.is_structured() ? "an " + std::string(value.type_name()) : value.dump());
+    return ", found " + (value.is_structured() ? "an " + std::string(value.type_name())
+                                               : shortened(value.dump()));
 }
 
 bool is_unsigned(const FieldDescriptor& field)
@@ -228,7 +250,7 @@
         return check.take_faults();
     }
     for (const std::string& pointer : located.repeated_keys) {
-        check.add(pointer, "each key once in an object, found it repeatedly");
+        check.add(pointer, "this key only once in its object, found it more than once");
     }
     check.check_object(located.document, type, "");
     return check.take_faults();
--- a/test/error/base_settings.cpp
+++ b/test/error/base_settings.cpp
@@ -65,6 +65,22 @@
     CHECK(faults.size() == 1);
 }
 
+TEST_CASE("a long string value in a fault is cut, but not within a character")
+{
+    // The quote and 58 letters are 59 bytes; the two bytes of the next character don't fit into 60.
+    const std::string start = "\"" + std::string(58, 'a');
+    auto faults =
+        faults_of(valid_document, "8080", start + "\u00e9" + std::string(1000, 'b') + "\"");
+    REQUIRE(faults.size() == 1);
+    CHECK(faults[0].expected.ends_with(", found " + start + " ..."));
+    faults = faults_of(valid_document, "8080", start + std::string(1000, 'b') + "\"");
+    REQUIRE(faults.size() == 1);
+    CHECK(faults[0].expected.ends_with(", found " + start + "b ..."));
+    faults = faults_of(valid_document, "8080", start + "\"");
+    REQUIRE(faults.size() == 1);
+    CHECK(faults[0].expected.ends_with(", found " + start + "\""));
+}
+
 TEST_CASE("a repeated key and a text that is not JSON are rejected")
 {
     auto faults = faults_of(valid_document, "\"control_port\": 8090",
