--- a/src/base/schema_check.cpp
+++ b/src/base/schema_check.cpp
@@ -16,6 +16,8 @@
 using google::protobuf::FieldDescriptor;
 using nlohmann::json;
 
+constexpr std::size_t max_found_bytes = 60; // Of a found value, in the text of a fault.
+
 const schema::field_rule& rule_of(const FieldDescriptor& field)
 {
     return field.options().GetExtension(schema::rule);
@@ -35,7 +37,7 @@
     case FieldDescriptor::CPPTYPE_BOOL:
         return "true or false";
     case FieldDescriptor::CPPTYPE_STRING:
-        return "a text";
+        return "a string";
     case FieldDescriptor::CPPTYPE_MESSAGE:
         return "an object";
     case FieldDescriptor::CPPTYPE_ENUM:
@@ -44,7 +46,7 @@
     case FieldDescriptor::CPPTYPE_DOUBLE:
         return "a number";
     default:
-        return "a whole number";
+        return "an integer";
     }
 }
 
@@ -62,6 +64,35 @@
     return rule.expected().empty() ? text : text + ": " + rule.expected();
 }
 
+/** \return whether the byte is one of a UTF-8 character, but not its first. */
+bool is_continuation_byte(char byte)
+{
+    return (static_cast<unsigned char>(byte) & 0xC0U) == 0x80U;
+}
+
+/** Cuts a long text to max_found_bytes and marks the cut. The text must be UTF-8. */
+std::string shortened(std::string text)
+{
+    if (text.size() <= max_found_bytes) {
+        return text;
+    }
+    std::size_t end = max_found_bytes;
+    while (is_continuation_byte(text[end])) {
+        --end;
+    }
+    text.resize(end);
+    return text + " ...";
+}
+
+/** \return what the document contains instead, for a fault: the value, or the type of an array or
+ * object. A long value is cut, so that the fault is one readable line.
+ */
+std::string found_text(const json& value)
+{
+    return ", found " + (value.is_structured() ? "an " + std::string(value.type_name())
+                                               : shortened(value.dump()));
+}
+
 bool is_unsigned(const FieldDescriptor& field)
 {
     return field.cpp_type() == FieldDescriptor::CPPTYPE_UINT32 ||
@@ -184,7 +215,7 @@
             return;
         }
         if (!value.is_array()) {
-            add(pointer, "a list, each " + expectation(field));
+            add(pointer, "an array, each item " + expectation(field) + found_text(value));
             return;
         }
         for (std::size_t i = 0; i < value.size(); ++i) {
@@ -195,7 +226,7 @@
     void check_value(const json& value, const FieldDescriptor& field, const std::string& pointer)
     {
         if (!has_type(field, value) || !is_within_bounds(field, value)) {
-            add(pointer, expectation(field));
+            add(pointer, expectation(field) + found_text(value));
             return;
         }
         if (field.cpp_type() == FieldDescriptor::CPPTYPE_MESSAGE) {
@@ -215,11 +246,11 @@
 {
     checker check(located, file);
     if (!located.document.is_object()) {
-        check.add("", "an object");
+        check.add("", "an object" + found_text(located.document));
         return check.take_faults();
     }
     for (const std::string& pointer : located.repeated_keys) {
-        check.add(pointer, "each key once in an object");
+        check.add(pointer, "this key only once in its object, found it more than once");
     }
     check.check_object(located.document, type, "");
     return check.take_faults();
