Split what a call needs from its replicas out of stream_relay.cpp

Change: call_demand.h and call_demand.cpp are new and hold, as free functions on a relayed_call, what a call to a model needs from its replicas. From streaming_call moved, old -> new: note_demand() -> note_demand(call) make_request() -> make_slot_request(call, tried, started) max_wait, is_returning, is_late -> functions of the same names, internal to call_demand.cpp with their comments and constants (max_wait_share, min_wait_share, failover_wait, failover_urgency, max_priority, late_fill_limit, returning_time_share). The glob in src/relay/CMakeLists.txt (chervil_library) finds the new source.

--- a/src/relay/stream_relay.cpp
+++ b/src/relay/stream_relay.cpp
@@ -8,10 +8,10 @@
 
 #include "base/event_log.h"
 #include "base/scope_guard.h"
+#include "relay/call_demand.h"
 #include "relay/event_splitter.h"
 #include "relay/stall_detector.h"
 #include "relay/whole_body.h"
-#include "routing/replica_latency_model.h"
 
 namespace chervildyke {
 
@@ -28,25 +28,6 @@
 // time.
 constexpr duration exclusion_after_failure = 1500ms;
 
-// Limits of the wait for a slot, as fractions of the target for the first event. The rest of the
-// target is for the prompt. The lower limit applies where a call on a full replica can't meet the
-// target; slots become free more often than that.
-constexpr double max_wait_share = 0.6;
-constexpr double min_wait_share = 0.05;
-
-// How long a call that fails over waits for a slot at another replica; callers abandon a stream
-// after a gap of 2 s.
-constexpr duration failover_wait = 1200ms;
-
-// The urgency of a new call is failover_urgency minus its priority, of which zero is the highest.
-// That of a call that fails over is greater by failover_urgency, so it goes before all new calls.
-constexpr std::uint32_t failover_urgency = 100;
-constexpr std::uint32_t max_priority = 99; // Greater numbers count as this one.
-
-// A call that misses its target anyway takes no slot of a replica that is fuller than this
-// fraction, which leaves the rest to calls that can meet theirs.
-constexpr double late_fill_limit = 0.75;
-
 constexpr std::size_t max_error_body_bytes = 1U << 20U; // Bytes of an answer that is not a stream.
 constexpr std::size_t max_event_bytes = 1U << 20U;      // Of one event; a token takes a few bytes.
 
@@ -54,11 +35,6 @@
 constexpr duration min_retry_after = 800ms;
 constexpr duration retry_after_spread = 1200ms;
 
-// A call whose deadline is shorter than this fraction of the route's timeout counts as returning
-// after a refusal. Callers set the deadline of a new call up to 15% below the timeout, and wait for
-// up to a third of their time before they return.
-constexpr double returning_time_share = 0.84;
-
 enum class attempt_result { complete, answered, not_run, broken, caller_left };
 
 struct attempt_end {
@@ -86,9 +62,6 @@
         time_point sent_at{};
     };
 
-    void note_demand();
-    replica_queue_request make_request() const;
-    duration max_wait(const replica_request& wanted) const;
     asio::awaitable<replica_queue_result> wait_for_slot();
     asio::awaitable<attempt_end> attempt(const selected_replica& selected,
                                          replica_balancer::call& slot);
@@ -104,8 +77,6 @@
     bool should_end(const selected_replica& selected, silent_attempt attempt);
     duration usable_time_left() const;
     duration retry_after() const;
-    bool is_returning() const;
-    bool is_late() const;
 
     relayed_call& call_;
     std::optional<std::uint64_t> last_event_; // Id of the last event forwarded to the caller.
@@ -117,74 +88,6 @@
     std::optional<time_point> paused_until_; // All replicas have asked for no calls until then.
 };
 
-bool streaming_call::is_returning() const
-{
-    const duration time_limit = call_.parameters.time_left.value_or(call_.route->timeout);
-    return time_limit < call_.route->timeout * returning_time_share;
-}
-
-/** Adds the replica time that a new call needs to the demand. A returning call was counted before.
- */
-void streaming_call::note_demand()
-{
-    const backend_service* service = call_.configuration->find_service(call_.service);
-    const model_profile* model = service->engine->find(call_.parameters.model);
-    if (model == nullptr || is_returning()) {
-        return;
-    }
-    const double usual = service->engine->usual_answer_tokens;
-    const double most =
-        call_.parameters.max_answer_tokens > 0 ? call_.parameters.max_answer_tokens : usual;
-    const double answer = std::min(
-        most, call_.parameters.answer_hint.value_or(static_cast<std::uint32_t>(usual)) * 1.0);
-    const replica_latency_model latency(*service->engine, *model);
-    call_.context.demand.note(call_.parameters.model,
-                              latency.replica_time_of_call(call_.parameters.prompt_tokens, answer),
-                              call_.arrived_at);
-}
-
-bool streaming_call::is_late() const
-{
-    const duration spent = monotonic_clock::now() - call_.arrived_at;
-    return is_returning() || started_ || spent > call_.route->latency_target;
-}
-
-/** \return how long a new call may wait for a slot and still meet its latency target. */
-duration streaming_call::max_wait(const replica_request& wanted) const
-{
-    const duration target = call_.route->latency_target;
-    const auto share = [target](double part) {
-        return std::chrono::duration_cast<duration>(target * part);
-    };
-    const duration spare = target - call_.context.replica_lb->first_event_of_full_batch(wanted);
-    return std::clamp(spare, share(min_wait_share), share(max_wait_share));
-}
-
-replica_queue_request streaming_call::make_request() const
-{
-    replica_queue_request request;
-    request.wanted.service = call_.service;
-    request.wanted.model = call_.parameters.model;
-    request.wanted.prompt_tokens = call_.parameters.prompt_tokens;
-    request.wanted.tried = tried_;
-    request.team = call_.team;
-    request.urgency = failover_urgency - std::min(call_.priority, max_priority);
-    const time_point now = monotonic_clock::now();
-    request.wait_until = call_.arrived_at + max_wait(request.wanted);
-    if (call_.end.sends > 0) {
-        // The caller has already waited for a replica that failed, or has received part of an
-        // answer.
-        request.is_failover = true;
-        request.urgency += failover_urgency;
-        request.wait_until = now + failover_wait;
-    }
-    else if (is_late()) {
-        request.fill_limit = late_fill_limit;
-    }
-    request.wait_until = std::min(request.wait_until, call_.deadline);
-    return request;
-}
-
 asio::awaitable<replica_queue_result> streaming_call::wait_for_slot()
 {
     if (reserved_slot_) {
@@ -192,7 +95,7 @@
         reserved_slot_.reset();
         co_return granted;
     }
-    replica_queue_request request = make_request();
+    replica_queue_request request = make_slot_request(call_, tried_, started_);
     co_return co_await call_.context.queue->admit(std::move(request));
 }
 
@@ -224,7 +127,7 @@
     if (choose_stall_action(attempt, replacement, call_.time_left()) == stall_action::wait) {
         return false; // Even if another replica could answer at once.
     }
-    replica_queue_request request = make_request();
+    replica_queue_request request = make_slot_request(call_, tried_, started_);
     request.wanted.tried.insert(selected.replica.epoch);
     const replica_selection found = balancer.choose(request.wanted, request.fill_limit, now);
     replacement.first_event =
@@ -473,7 +376,7 @@
 asio::awaitable<void> streaming_call::run()
 {
     call_.context.budget_of(call_.service).note_call();
-    note_demand();
+    note_demand(call_);
     attempt_end last;
     while (true) {
         replica_queue_result granted = co_await wait_for_slot();
