Rename a test's variable that clashes with raise() on arm64

On arm64 doctest's assertion macros call raise(), which the local variable named raise hid: test/correctness/journal_fleet_state.cpp did not compile, so no test program built there.

The variable is renamed; the test checks the same.

--- a/test/correctness/journal_fleet_state.cpp
+++ b/test/correctness/journal_fleet_state.cpp
@@ -124,11 +124,11 @@
     auto newer = formation_record("c", "t", 1, {"2"});
     newer.set_format(2);
     CHECK(journal.add(newer).code == rejection_reason::newer_format);
-    schema::journal_record raise;
-    raise.set_id("d");
-    raise.mutable_format_raise()->set_from(1);
-    raise.mutable_format_raise()->set_to(2);
-    CHECK(journal.add(raise).accepted());
+    schema::journal_record raised;
+    raised.set_id("d");
+    raised.mutable_format_raise()->set_from(1);
+    raised.mutable_format_raise()->set_to(2);
+    CHECK(journal.add(raised).accepted());
     CHECK_FALSE(journal.state->supports_format());
     CHECK(journal.add(formation_record("e", "t", 1, {"3"})).code == rejection_reason::newer_format);
 }
