Log why a silent attempt is given up and what showed that a caller left

The logs could not tell the hypotheses on the lost call apart: attempt_failed said "stalled" without what the decision knew, and caller_left did not say what had noticed the end of the connection.

attempt_silent states the silence of the call and of its replica, whether the replica serves, whether the answer had begun and whether a slot elsewhere was free. The reason of call_ended with outcome=caller_left names the check that saw the connection's end. No decision changes.

--- a/src/relay/relayed_call.cpp
+++ b/src/relay/relayed_call.cpp
@@ -43,7 +43,7 @@
     context.notices->note(server, metadata.notice, monotonic_clock::now());
 }
 
-http_call_options relayed_call::options(duration timeout, const backend_incarnation& target) const
+http_call_options relayed_call::options(duration timeout, const backend_incarnation& target)
 {
     http_call_options options;
     options.timeout = std::max<duration>(std::min(timeout, time_left()), 1ms);
@@ -51,6 +51,7 @@
     options.cancel = cancel;
     options.should_send = [this, target] {
         if (exchange.peer_has_closed()) {
+            end.reason = "its connection had ended before an attempt was sent";
             cancel->cancel();
         }
         return !cancel->cancelled() && context.notices->may_call(target, monotonic_clock::now());
--- a/src/relay/serve_call.cpp
+++ b/src/relay/serve_call.cpp
@@ -102,6 +102,9 @@
 asio::awaitable<void> cancel_on_disconnect(relayed_call& call)
 {
     co_await call.exchange.wait_for_peer_close();
+    if (call.end.outcome.empty()) { // The wait also ends when the call does.
+        call.end.reason = "its connection ended while the call was in progress";
+    }
     call.cancel->cancel();
     timer forever(co_await asio::this_coro::executor);
     forever.expires_at(time_point::max());
@@ -174,6 +177,7 @@
     call.deadline = call.arrived_at + call.parameters.time_left.value_or(default_time_left);
     if (exchange.peer_has_closed()) {
         call.end.outcome = "caller_left";
+        call.end.reason = "its connection had ended before the call was handled";
         exchange.abort();
         log_call_end(call);
         co_return;
--- a/src/relay/stream_relay.cpp
+++ b/src/relay/stream_relay.cpp
@@ -75,6 +75,8 @@
     bool may_retry(const attempt_end& ended);
     bool may_fail_over() const;
     bool should_end(const selected_replica& selected, silent_attempt attempt);
+    void log_silence(const selected_replica& selected, const silent_attempt& attempt,
+                     std::string_view decision) const;
     duration usable_time_left() const;
     duration retry_after() const;
 
@@ -137,9 +139,28 @@
         reserved_slot_ = call_.context.queue->admit_now(request);
         retry_paid_ = call_.take_retry();
     }
+    if (action != stall_action::wait) {
+        log_silence(selected, attempt, action == stall_action::fail ? "fail" : "failover");
+    }
     return action != stall_action::wait;
 }
 
+void streaming_call::log_silence(const selected_replica& selected, const silent_attempt& attempt,
+                                 std::string_view decision) const
+{
+    call_log.write("attempt_silent",
+                   {{"request", call_.parameters.id},
+                    {"replica", selected.replica.name},
+                    {"head", selected.replica.head_id},
+                    {"silent_ms", to_ms_text(attempt.own_silence)},
+                    {"replica_silent_ms", to_ms_text(attempt.replica_silence)},
+                    {"expected_ms", to_ms_text(attempt.expected)},
+                    {"replica_serves", attempt.replica_is_serving ? "yes" : "no"},
+                    {"answer_began", started_ ? "yes" : "no"},
+                    {"slot_elsewhere", reserved_slot_ ? "yes" : "no"},
+                    {"decision", std::string(decision)}});
+}
+
 void streaming_call::note_event_time()
 {
     const time_point now = monotonic_clock::now();
