--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -39,3 +39,14 @@
   set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
   chervil_share_headers(${name})
 endfunction()
+
+# chervil_expect_known_failure(TEST) makes ctest expect the test to fail, and report it as an error if it passes, when an
+# entry of KNOWN-RED.txt names the test as a whole. Single cases of a test program are named as TEST: CASE; the programs
+# themselves pass over them.
+set_property(DIRECTORY ${PROJECT_SOURCE_DIR} APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/KNOWN-RED.txt)
+function(chervil_expect_known_failure test)
+  file(STRINGS ${PROJECT_SOURCE_DIR}/KNOWN-RED.txt entries REGEX "^${test} *\\|")
+  if(entries)
+    set_tests_properties(${test} PROPERTIES WILL_FAIL TRUE)
+  endif()
+endfunction()
