Show that a stream is lost when its server is silent for a second

Callers saw (LOST): a call that a node had read and sent ended without its answer.

A server sends two events of five, pauses for 1 s and goes on. The node cancels the attempt there after 0.45 s, before any other replica has accepted the call. If that one refuses, fails or breaks off, the caller's connection is reset after two events; if that one is silent too, the stream stands still although its server goes on; if the answer had not begun, the call fails with 502 although its server would have answered.

--- a/test/support/relay_fixture.h
+++ b/test/support/relay_fixture.h
@@ -47,6 +47,13 @@
         const std::string from(request.header("Last-Event-Id"));
         std::uint64_t id = from.empty() ? 0 : std::stoull(from);
         co_await sleep_for(delay);
+        if (refusal) {
+            http_reply refused = *refusal;
+            refused.headers.push_back(
+                {"X-Attempt-Id", std::string(request.header("X-Attempt-Id"))});
+            co_await exchange.respond(std::move(refused));
+            co_return;
+        }
         co_await exchange.start_stream(head);
         while (id < events_per_answer) {
             ++id;
@@ -56,14 +63,22 @@
                 co_return;
             }
             const std::string bytes = event(id);
-            co_await exchange.write_chunk(bytes);
+            if (!co_await exchange.write_chunk(bytes)) {
+                co_return;
+            }
+            if (id == silent_after_event) {
+                co_await sleep_for(silence);
+            }
         }
         co_await exchange.end_stream();
     }
 
-    std::uint64_t last_whole_event; // The stream breaks within the next one, if there is one.
-    duration delay{};               // Before the first event.
-    bool leaving = false;           // Its answers state that it is leaving.
+    std::uint64_t last_whole_event;       // The stream breaks within the next one, if there is one.
+    duration delay{};                     // Before the first event.
+    std::uint64_t silent_after_event = 0; // It pauses for `silence` after this event.
+    duration silence{};
+    std::optional<http_reply> refusal; // Answers with this instead of a stream.
+    bool leaving = false;              // Its answers state that it is leaving.
     std::string seal = "first";
     int calls = 0;
     http_server server;
