--- a/src/relay/relayed_call.h
+++ b/src/relay/relayed_call.h
@@ -19,7 +19,7 @@
     unsigned status = 0; // Sent to the caller; zero if the connection was closed without one.
     // One of complete, refused, failed, backend_failed, broken_off, caller_left.
     std::string outcome;
-    std::string reason; // Of caller_left: what showed that the caller had disconnected.
+    std::string reason;      // Of caller_left: what showed that the caller had disconnected.
     std::string backend;     // The last one that the call was sent to.
     std::uint32_t runs = 0;  // Attempts that may have been executed.
     std::uint32_t sends = 0; // All attempts.
--- a/src/routing/stall_policy.cpp
+++ b/src/routing/stall_policy.cpp
@@ -22,6 +22,10 @@
 // longer is stalled.
 constexpr duration stall_limit = 400ms;
 
+// A replica that no longer serves and is silent for longer is lost. A working server may be silent
+// for a second.
+constexpr duration lost_replica_silence = 1500ms;
+
 // A connection silent for longer while other calls get events is taken as lost; callers leave after
 // 2 s.
 constexpr duration connection_silence_limit = 1300ms;
@@ -41,7 +45,7 @@
         return stall_action::wait;
     }
     const bool stalled = attempt.replica_silence > stall_limit;
-    if (stalled && !attempt.replica_is_serving) {
+    if (!attempt.replica_is_serving && attempt.replica_silence > lost_replica_silence) {
         return replacement.allowed ? stall_action::failover : stall_action::fail;
     }
     const bool suspicious = stalled || attempt.own_silence > connection_silence_limit;
--- a/src/routing/stall_policy.h
+++ b/src/routing/stall_policy.h
@@ -16,7 +16,7 @@
     duration replica_silence{}; // Since any node received an event of any call from the replica.
     duration expected{};        // Predicted time until the event.
     bool starting = true;       // True while it waits for its first event.
-    bool replica_is_serving = true; // False if the replica is retiring, as after losing a member.
+    bool replica_is_serving = true; // False if it is retiring: it lost a member, or is leaving.
 
     bool operator==(const silent_attempt&) const = default;
 };
@@ -30,15 +30,17 @@
     bool operator==(const replacement_attempt&) const = default;
 };
 
-/** What to do with a silent attempt: keep waiting, retry at another replica, or fail the call. */
+/** What to do with a silent attempt: keep waiting, try another replica beside it, or fail the call.
+ */
 enum class stall_action { wait, failover, fail };
 
 /** \return the silence up to which an attempt is never given up. */
 duration tolerated_silence(const silent_attempt& attempt);
 
-/** Decides on a silent attempt. Giving up an attempt discards its prefill and adds load to another
- * replica, so a call fails over only if the other replica is expected to answer before the
- * deadline. A replica that sends events to other calls is healthy, however long one call is silent.
+/** Decides on a silent attempt. Another attempt adds load to another replica, so a call fails over
+ * only if that replica is expected to answer before the deadline. A replica that sends events to
+ * other calls is healthy, however long one call is silent. Any working replica may be silent for a
+ * second, so silence alone ends an attempt only at a replica that no longer serves, and later.
  * \param time_left until the call's deadline.
  */
 stall_action choose_stall_action(const silent_attempt& attempt,
