Show that a second of silence makes the leader abort a replica's calls

A member that works but answers nothing for a second fails two probes 0.8 s and 1.0 s after the replica's last event. The leader then retires the replica and commands its head to abort all calls, those of other nodes too.

--- a/test/correctness/assembly_plans.cpp
+++ b/test/correctness/assembly_plans.cpp
@@ -235,6 +235,49 @@
     CHECK(fixture.replica(name).abort_calls());
 }
 
+// Guards against aborting the calls of a replica whose member works but answers nothing for a
+// second.
+TEST_CASE("a replica stays in use while a member is silent for a second, and retires when it lasts")
+{
+    assembly_fixture fixture;
+    fixture.add_domain("d0-", 10);
+    fixture.steps(4);
+    const std::string name = fixture.serving("small").front();
+    const schema::shared_replica replica = fixture.replica(name);
+    const std::string silent = replica.members(0).id();
+    const time_point silent_since = fixture.now;
+    // Two probes, 0.2 s apart, are sent after 0.45 s and fail 0.35 s later.
+    for (const duration failed_after : {800ms, 1000ms}) {
+        fixture.now = silent_since + failed_after;
+        fixture.uses[replica.epoch()] = {3, 0, failed_after};
+        fixture.history.note_probe_sent(silent, fixture.now - 350ms);
+        fixture.history.note_probe_outcome(silent, probe_outcome::silent, fixture.now);
+    }
+    fixture.now = silent_since + 1200ms;
+    fixture.uses[replica.epoch()] = {3, 0, 1200ms};
+    CHECK(fixture.plan().records.empty());
+    CHECK(fixture.plan().commands.empty());
+    fixture.now = silent_since + 2s;
+    fixture.uses[replica.epoch()] = {3, 0, 2s};
+    fixture.step();
+    CHECK(fixture.replica(name).phase() == schema::shared_phase_retiring);
+}
+
+TEST_CASE("a replica retires at once when a member refuses connections: its process has ended")
+{
+    assembly_fixture fixture;
+    fixture.add_domain("d0-", 10);
+    fixture.steps(4);
+    const std::string name = fixture.serving("small").front();
+    const schema::shared_replica replica = fixture.replica(name);
+    fixture.uses[replica.epoch()] = {3, 0, 900ms};
+    const std::string ended = replica.members(1).id();
+    fixture.history.note_probe_outcome(ended, probe_outcome::refused, fixture.now);
+    fixture.history.note_probe_outcome(ended, probe_outcome::refused, fixture.now);
+    fixture.step();
+    CHECK(fixture.replica(name).phase() == schema::shared_phase_retiring);
+}
+
 TEST_CASE("a head that is leaving lets its running calls finish")
 {
     assembly_fixture fixture;
