Take a member that only stays silent as lost after 1.8 s instead of 1.0 s

Callers saw (LOST): all calls at a replica were aborted after one of its members had been silent for a second, although it worked: the leader retired the replica after two failed probes, 1.0 s after its last event, and commanded its head to abort.

Change: a member that refuses connections has ended and counts as lost after two probes, as before. One that is only silent counts as lost 1 s after its first failed probe, that is after 1.8 s.

Evidence: correctness/assembly, "a replica stays in use while a member is silent for a second, and retires when it lasts", failed before.

--- a/src/assembly/assembly_plan.cpp
+++ b/src/assembly/assembly_plan.cpp
@@ -90,7 +90,11 @@
     bool is_unresponsive(const std::string& vm) const
     {
         const probe_state* probe = in_.history->find_probe(vm);
-        return probe != nullptr && probe->failures >= settings_.probe_failure_limit;
+        if (probe == nullptr || probe->failures < settings_.probe_failure_limit) {
+            return false;
+        }
+        return probe->refused ||
+               in_.now - probe->first_failure_at >= settings_.probe_silence_limit;
     }
 
     void add_probe(const std::string& vm)
--- a/src/assembly/assembly_plan.h
+++ b/src/assembly/assembly_plan.h
@@ -43,9 +43,14 @@
     /** A VM that answered a probe is not probed again for so long. */
     duration probe_validity = 1s;
 
-    /** Consecutive failed probes after which a VM counts as lost. */
+    /** Consecutive failed probes after which a VM counts as lost, if it refuses connections. */
     std::uint32_t probe_failure_limit = 2;
 
+    /** A VM that only stays silent counts as lost so long after its first failed probe. A working
+     * VM may be silent for a second, and its calls have been silent for 0.8 s by then.
+     */
+    duration probe_silence_limit = 1s;
+
     /** Longer than any load that is under way. Plans do not use it. */
     duration forming_limit = 40s;
 
--- a/test/correctness/assembly_plans.cpp
+++ b/test/correctness/assembly_plans.cpp
@@ -229,6 +229,7 @@
     const std::string silent = replica.members(1).id();
     fixture.history.note_probe_sent(silent, fixture.now);
     fixture.history.note_probe_outcome(silent, probe_outcome::silent, fixture.now);
+    fixture.now += fixture.settings.probe_silence_limit;
     fixture.history.note_probe_outcome(silent, probe_outcome::silent, fixture.now);
     fixture.step();
     CHECK(fixture.replica(name).phase() == schema::shared_phase_retiring);
