Bound the wait of a queued call from above

What callers saw: under overload, calls were queued and refused at their deadlines instead of on arrival, and with varying service times calls were answered late.

Cause: admission compared the deadline with the mean wait. It took calls of other tenants into account only while these had calls in the queue, but later calls of a tenant with a shorter queue leave before those of a longer one, as do all later calls of a higher priority. One correction factor, learnt from the waits of all tenants, stood for this and for everything else, and the variance of service times was not taken into account.

Change: wait_estimate bounds the wait from above, at four standard deviations: the calls that leave the fair queue before the new one, those that may overtake it until the latest time at which it can begin (by the measured rate of each tenant and priority, and no more than the tags of the queue allow), the variance of service times and of their measured mean, and the phases of the slots. The deadline is compared with this wait and a service time two standard deviations above the mean. Since the queue keeps the slots busy at a shorter length too, goodput remains. The first service times replace the assumed one; the correction factor is gone.

Why it works: a call is queued only if it can begin in time although later calls overtake it.

--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "base/scope_guard.h"
+#include "routing/wait_estimate.h"
 
 namespace chervildyke {
 
@@ -18,12 +19,7 @@
 namespace asio = boost::asio;
 
 constexpr std::size_t default_max_queued_calls = 256;
-constexpr duration default_service_time = 500ms; // Assumed until calls have ended.
-constexpr double service_time_smoothing = 0.05;
 constexpr duration min_retry_after = 1s;
-// Factor on the estimated wait, so that admitted calls meet their deadlines.
-constexpr double wait_estimate_margin = 1.1;
-constexpr double wait_ratio_smoothing = 0.05;
 constexpr double rate_burst_seconds = 1.0; // Size of a burst, in seconds of the rate.
 
 struct waiter {
@@ -35,19 +31,19 @@
 struct team_queue_state {
     fair_queue queue;
     std::uint32_t in_use = 0;
-    double mean_service_time_ns = static_cast<double>(default_service_time.count());
-    double wait_ratio = 1.0; // Moving mean of measured over estimated waits.
-
-    void note_wait(double ratio)
-    {
-        wait_ratio += wait_ratio_smoothing * (std::clamp(ratio, 0.5, 4.0) - wait_ratio);
-    }
-    duration service_time() const
-    {
-        return duration(static_cast<std::int64_t>(mean_service_time_ns));
-    }
+    wait_estimate wait;
 };
 
+queued_call make_queued_call(const admission_request& request)
+{
+    queued_call call;
+    call.tenant = request.tenant;
+    call.share = request.share;
+    call.priority = request.priority;
+    call.deadline = request.deadline;
+    return call;
+}
+
 struct tenant_usage {
     std::uint32_t in_use = 0; // Calls admitted or queued.
     double rate_tokens = 0;
@@ -117,17 +113,18 @@
 {
     const std::size_t max_queued =
         request.max_queued_calls > 0 ? request.max_queued_calls : default_max_queued_calls;
-    const double calls_ahead = team.queue.expected_calls_ahead(request.tenant, request.share) + 1.0;
-    const double wait_ns = calls_ahead * team.mean_service_time_ns / capacity_now *
-                           team.wait_ratio * wait_estimate_margin;
-    const duration wait(static_cast<std::int64_t>(wait_ns));
-    const duration retry_after = std::max(min_retry_after, wait);
+    const queued_call call = make_queued_call(request);
+    const wait_estimate::capacity available{capacity_now, team.in_use};
+    const duration retry_after =
+        std::max(min_retry_after, team.wait.mean_wait(team.queue, call, available));
     if (team.queue.size_of(request.tenant) >=
         team.queue.max_queued_of(request.tenant, request.share, max_queued)) {
         return admission_refusal{admission_error::queue_full,
                                  "the tenant's share of the team's queue is full", retry_after};
     }
-    if (monotonic_clock::now() + wait + team.service_time() > request.deadline) {
+    const time_point now = monotonic_clock::now();
+    const duration longest = request.deadline - now - team.wait.max_service_time();
+    if (team.wait.max_wait(team.queue, call, available, longest, now) > longest) {
         return admission_refusal{admission_error::deadline_unreachable,
                                  "the team is not expected to answer the call by its deadline",
                                  retry_after};
@@ -149,8 +146,7 @@
     team_queue_state& team = teams[name];
     --team.in_use;
     --admitted;
-    team.mean_service_time_ns +=
-        service_time_smoothing * (static_cast<double>(held.count()) - team.mean_service_time_ns);
+    team.wait.note_service_time(held);
     release_tenant(tenant);
     admit_waiting(name, team);
 }
@@ -173,7 +169,7 @@
             return;
         }
         waiter& waiting = *waiters.at(next->id);
-        const bool in_time = monotonic_clock::now() + team.service_time() <= next->deadline;
+        const bool in_time = monotonic_clock::now() + team.wait.service_time() <= next->deadline;
         waiting.result = in_time ? waiter::outcome::admitted : waiter::outcome::refused;
         if (in_time) {
             ++team.in_use;
@@ -187,12 +183,8 @@
                                                       team_queue_state& team)
 {
     waiter waiting(executor);
-    queued_call call;
+    queued_call call = make_queued_call(request);
     call.id = ++next_id;
-    call.tenant = request.tenant;
-    call.share = request.share;
-    call.priority = request.priority;
-    call.deadline = request.deadline;
     team.queue.push(call);
     waiters.emplace(call.id, &waiting);
     const scope_guard remove_waiter([&] {
@@ -208,7 +200,7 @@
     });
     // The call is refused as soon as it can no longer be answered by its deadline.
     waiting.wake.expires_at(
-        std::max(request.deadline - team.service_time(), monotonic_clock::now()));
+        std::max(request.deadline - team.wait.service_time(), monotonic_clock::now()));
     admit_waiting(request.team, team);
     if (waiting.result == waiter::outcome::waiting) {
         co_await waiting.wake.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -244,6 +236,7 @@
     ++self->tenants[request.tenant].in_use;
     scope_guard release_on_refusal([&] { self->release_tenant(request.tenant); });
     if (team.in_use < capacity_now && team.queue.size() == 0) {
+        team.wait.note_arrival(request.tenant, request.priority, monotonic_clock::now());
         decision.ticket = self->issue_ticket(request, team);
         release_on_refusal.dismiss();
         co_return decision;
@@ -254,11 +247,9 @@
     }
     decision.within_share = team.queue.size_of(request.tenant) == 0;
     const time_point queued_at = monotonic_clock::now();
-    const double calls_ahead = team.queue.expected_calls_ahead(request.tenant, request.share) + 1.0;
-    const double estimate_ns = calls_ahead * team.mean_service_time_ns / capacity_now;
+    team.wait.note_arrival(request.tenant, request.priority, queued_at);
     const bool was_admitted = co_await self->wait_in_queue(request, team);
     decision.waited = monotonic_clock::now() - queued_at;
-    team.note_wait(static_cast<double>(decision.waited.count()) / estimate_ns);
     if (was_admitted) {
         decision.ticket = std::make_unique<admission_ticket>(self, request.team, request.tenant);
         release_on_refusal.dismiss();
@@ -289,9 +280,8 @@
 duration admission::mean_service_time(const std::string& team) const
 {
     const auto found = state_->teams.find(team);
-    return found == state_->teams.end()
-               ? default_service_time
-               : duration(static_cast<std::int64_t>(found->second.mean_service_time_ns));
+    return found == state_->teams.end() ? wait_estimate().service_time()
+                                        : found->second.wait.service_time();
 }
 
 admission_ticket::admission_ticket(std::shared_ptr<admission::state> owner, std::string team,
--- a/src/routing/fair_queue.cpp
+++ b/src/routing/fair_queue.cpp
@@ -4,6 +4,8 @@
 #include "routing/fair_queue.h"
 
 #include <algorithm>
+#include <cmath>
+#include <iterator>
 
 namespace chervildyke {
 
@@ -90,6 +92,28 @@
     return own + std::min(others, by_share);
 }
 
+double fair_queue::next_start_tag(const std::string& tenant) const
+{
+    const auto found = tenants_.find(tenant);
+    return found == tenants_.end() ? virtual_time_
+                                   : std::max(virtual_time_, found->second.finish_tag);
+}
+
+std::size_t fair_queue::calls_ahead(const queued_call& call) const
+{
+    const order_key key{-static_cast<std::int64_t>(call.priority), next_start_tag(call.tenant),
+                        arrivals_ + 1};
+    return static_cast<std::size_t>(std::distance(order_.begin(), order_.lower_bound(key)));
+}
+
+double fair_queue::max_overtaking(const queued_call& call, const std::string& other) const
+{
+    const auto found = tenants_.find(other);
+    const std::uint32_t share = found == tenants_.end() ? 1 : found->second.share;
+    const double tags_before = next_start_tag(call.tenant) - next_start_tag(other);
+    return std::max(0.0, std::ceil(tags_before * share));
+}
+
 std::size_t fair_queue::max_queued_of(const std::string& tenant, std::uint32_t share,
                                       std::size_t max_queued) const
 {
--- a/src/routing/fair_queue.h
+++ b/src/routing/fair_queue.h
@@ -48,6 +48,13 @@
      * tenant. */
     double expected_calls_ahead(const std::string& tenant, std::uint32_t share) const;
 
+    /** \return how many queued calls would leave before a new one. */
+    std::size_t calls_ahead(const queued_call& call) const;
+
+    /** \return at most how many later calls of another tenant, with the priority of a new call,
+     * would leave before it. */
+    double max_overtaking(const queued_call& call, const std::string& other) const;
+
     /** \return how many calls the tenant may have in the queue; at least one.
      * \param max_queued the capacity of the whole queue.
      */
@@ -63,6 +70,7 @@
     // The negated priority, the start tag and the order of arrival.
     using order_key = std::tuple<std::int64_t, double, std::uint64_t>;
 
+    double next_start_tag(const std::string& tenant) const;
     double active_shares(const std::string& except) const;
     void forget_idle();
     void drop_one(const std::string& tenant);
