Ignore datagrams and addresses of peers that no node can have

What callers would see: a node that loses touch with its peers. A list of host names fills the 1,024 places for addresses, and a port over 65535 in a peer's list was taken for another port.

Cause: only an empty address and the sender's own port were checked; ports of listed peers were cut to 16 bits, and addresses were checked only when a datagram was sent to them.

Change: an address of a peer is one IPv4 host and a port from 1 to 65535, whether it comes from a datagram, from a list in it or from the shared log.

Measured: the three cases of test/error/members_odd_datagrams.cpp failed and pass now; the other cases of error_members and correctness_members pass.

--- a/src/members/peer_gossip.cpp
+++ b/src/members/peer_gossip.cpp
@@ -4,6 +4,7 @@
 #include "members/peer_gossip.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include <boost/asio.hpp>
@@ -28,6 +29,16 @@
 constexpr int min_rounds_per_timeout = 4;
 constexpr auto as_tuple = asio::as_tuple(asio::use_awaitable);
 
+/** \return whether a node can be reached there over the IPv4 socket. */
+bool is_node_address(const std::string& address, std::uint32_t port)
+{
+    error_code error;
+    const auto ip = asio::ip::make_address_v4(address, error);
+    const bool is_host = !error && !ip.is_unspecified() && !ip.is_multicast() &&
+                         ip != asio::ip::address_v4::broadcast();
+    return is_host && port > 0 && port <= std::numeric_limits<std::uint16_t>::max();
+}
+
 std::uint32_t address_hash(const std::string& address, std::uint16_t port)
 {
     return static_cast<std::uint32_t>(placement_hash(address + ":" + std::to_string(port)));
@@ -66,9 +77,12 @@
     return true;
 }
 
-void peer_gossip::add_address(const std::string& address, std::uint16_t port)
+void peer_gossip::add_address(const std::string& address, std::uint32_t port)
 {
-    const node_key node{address, port};
+    if (!is_node_address(address, port)) {
+        return;
+    }
+    const node_key node{address, static_cast<std::uint16_t>(port)};
     if (node != self_ && addresses_.size() < max_addresses) {
         addresses_.emplace(node, monotonic_clock::now());
     }
@@ -237,7 +251,7 @@
 void peer_gossip::handle_datagram(const std::string& bytes)
 {
     schema::peer_word received;
-    if (!received.ParseFromString(bytes) || received.address().empty() || received.port() > 65535) {
+    if (!received.ParseFromString(bytes) || !is_node_address(received.address(), received.port())) {
         peer_log.write("datagram_rejected", {{"bytes", std::to_string(bytes.size())}});
         return;
     }
@@ -253,7 +267,7 @@
     }
     const time_point now = monotonic_clock::now();
     for (const schema::known_peer& peer : received.peers()) {
-        add_address(peer.address(), static_cast<std::uint16_t>(peer.port()));
+        add_address(peer.address(), peer.port());
     }
     known_node& node = nodes_[key];
     if (received.incarnation() < node.state.incarnation()) {
--- a/src/members/peer_gossip.h
+++ b/src/members/peer_gossip.h
@@ -85,8 +85,10 @@
     bool listen(const std::string& address, std::uint16_t port);
     const std::string& last_reason() const { return last_reason_; }
 
-    /** Adds an address to send to, which may belong to a node. */
-    void add_address(const std::string& address, std::uint16_t port);
+    /** Adds an address to send to, which may belong to a node. One to which no datagram can be sent
+     * is ignored.
+     */
+    void add_address(const std::string& address, std::uint32_t port);
 
     /** Sends the state to all known addresses now. */
     void broadcast();
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -246,7 +246,7 @@
         for (const keyed_record& record : records.records) {
             schema::known_peer node;
             if (record.value && node.ParseFromString(*record.value)) {
-                peers_->add_address(node.address(), static_cast<std::uint16_t>(node.port()));
+                peers_->add_address(node.address(), node.port());
             }
         }
     };
