Limit time spans that no duration can hold

What callers would see: a call with X-Deadline-Ms: 1e300, or a route with such a time-out, ends at once as too late.

Cause: from_ms() converted any double. Out of range this is undefined behaviour, and where it gives the largest duration, its sum with a point in time overflows into the past.

Change: from_ms() limits spans to 30 years in either direction, and NaN to zero.

--- a/src/base/milliseconds.h
+++ b/src/base/milliseconds.h
@@ -3,13 +3,23 @@
  */
 #pragma once
 
+#include <algorithm>
+#include <cmath>
+
 #include "base/clock.h"
 
 namespace chervildyke {
 
-/** \return the duration of a number of milliseconds, which may have a fraction. */
+/** \return the duration of a number of milliseconds, which may have a fraction; at most 30 years in
+ * either direction, so that its sum with a point in time does not overflow. Zero for NaN.
+ */
 inline duration from_ms(double ms)
 {
+    constexpr double max_ms = 30.0 * 365 * 24 * 3600 * 1000;
+    if (std::isnan(ms)) {
+        return duration::zero();
+    }
+    ms = std::clamp(ms, -max_ms, max_ms);
     return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(ms));
 }
 
