Send each call to a service on a connection of its own

What callers saw: the answer of another caller, or "not run" for a call that the server ran, after a faulty server had written an earlier answer once more on a kept connection.

Cause: the reply of a backend server does not name its call, and calls of repeatable operations went over kept connections. Those that run once at most already had a connection of their own.

Change: all calls to services do. Nothing that a server wrote for another call can then stand before the reply. The cost is one connection for each call; it was not measured.

Measured: error_entry "a repeated answer of a service does not answer the next call" and "a repeated refusal of a service does not answer the next call" failed and pass now.

--- a/src/entry/service_proxy.cpp
+++ b/src/entry/service_proxy.cpp
@@ -213,8 +213,9 @@
         backends.note_start(address);
         http_call_options options;
         options.timeout = timeout;
-        // A reused connection may be closed already, which would leave the outcome unknown.
-        options.fresh_connection = !call.operation.repeatable();
+        // A reply does not name its call. On a reused connection, a reply to an earlier call that is
+        // sent again would be taken for it.
+        options.fresh_connection = true;
         auto reply = co_await context.http->call(address, std::move(call.request), options);
         service_result result =
             reply ? classify_reply(std::move(*reply)) : classify_failure(reply.failure());
