Count an engine's refusal as not run only for the attempt that it names

What callers saw: the outcome not_run for a call that an engine ran, after a faulty engine had written an earlier refusal once more on a kept connection.

Cause: chunks name their attempt, refusals did not, and calls that may be repeated share kept connections. Any refusal that came next was taken for the answer to the attempt in progress.

Change: a refusal carries attempt_id. One that names another attempt, or none on a connection that carried an earlier request, shows nothing: the attempt may have run. The stand-in's engines and the scripted engine of the tests name the attempt.

Measured: error_entry "a repeated refusal of an engine does not show that the next attempt has not run" failed and passes now, with the other 21 cases.

--- a/src/base/http_client.cpp
+++ b/src/base/http_client.cpp
@@ -42,6 +42,7 @@
     beast::flat_buffer buffer{max_buffer_bytes};
     time_point expires_at = time_point::max(); // Not reused after this time: the peer closes it.
     time_point idle_since{};
+    bool reused = false; // It was taken from the pool.
 };
 
 using connection_ptr = std::unique_ptr<connection>;
@@ -160,6 +161,7 @@
     if (!options.fresh_connection) {
         if (connection_ptr reused = take_idle(address, options.max_idle_time)) {
             reused->stream.expires_after(options.timeout);
+            reused->reused = true;
             co_return reused;
         }
     }
@@ -229,7 +231,7 @@
     beast_stream(std::string address, connection_ptr used, std::shared_ptr<http_cancel> cancel,
                  std::function<void(connection_ptr)> return_to_pool)
         : address_(std::move(address)), connection_(std::move(used)), cancel_(std::move(cancel)),
-          return_to_pool_(std::move(return_to_pool))
+          return_to_pool_(std::move(return_to_pool)), is_on_reused_connection_(connection_->reused)
     {
         if (cancel_) {
             cancel_->set_close_hook([open = connection_.get()] { open->stream.close(); });
@@ -291,6 +293,8 @@
         return all;
     }
 
+    bool is_on_reused_connection() const override { return is_on_reused_connection_; }
+
     asio::awaitable<http_result<std::string>> read_some(duration timeout) override
     {
         auto part = co_await read_chunk(timeout);
@@ -339,6 +343,7 @@
     connection_ptr connection_;
     std::shared_ptr<http_cancel> cancel_;
     std::function<void(connection_ptr)> return_to_pool_;
+    bool is_on_reused_connection_;
     std::size_t discarded_bytes_ = 0;
     std::optional<http::response_parser<http::buffer_body>> parser_;
 };
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -44,6 +44,11 @@
     virtual std::string header(std::string_view name) const = 0;
     virtual std::vector<http_header> headers() const = 0;
 
+    /** \return whether the connection carried an earlier request, so that this reply, unless it
+     * names its request, may be a late one to that.
+     */
+    virtual bool is_on_reused_connection() const = 0;
+
     /** Reads the next part of the body.
      * \param timeout the maximum wait for the part.
      * \return the part, or an empty string once the body is complete; http_error::broken when the
--- a/src/entry/engine_attempt.cpp
+++ b/src/entry/engine_attempt.cpp
@@ -107,7 +107,10 @@
         body += *part;
     }
     schema::refusal refusal;
-    const bool not_run = from_json(body, refusal) && refusal.not_run();
+    const bool is_read = from_json(body, refusal);
+    const bool is_own = refusal.attempt_id().empty() ? !stream_->is_on_reused_connection()
+                                                     : refusal.attempt_id() == call_.attempt_id();
+    const bool not_run = is_read && is_own && refusal.not_run();
     attempt_progress progress = failed_progress(
         not_run ? engine_attempt_state::refused : engine_attempt_state::broken,
         "HTTP " + std::to_string(status) + " " + refusal.code() + " " + refusal.reason());
--- a/standin/http_replies.cpp
+++ b/standin/http_replies.cpp
@@ -30,12 +30,13 @@
 }
 
 http_reply refusal_reply(unsigned status, const std::string& code, const std::string& reason,
-                         bool not_run)
+                         bool not_run, const std::string& attempt_id)
 {
     schema::refusal refusal;
     refusal.set_code(code);
     refusal.set_reason(reason);
     refusal.set_not_run(not_run);
+    refusal.set_attempt_id(attempt_id);
     return status_reply(status, to_json(refusal));
 }
 
--- a/standin/http_replies.h
+++ b/standin/http_replies.h
@@ -21,9 +21,10 @@
  * \param code the machine-readable reason.
  * \param reason the reason for humans.
  * \param not_run whether it is certain that nothing of the call was run.
+ * \param attempt_id the refused attempt, of an engine.
  */
 http_reply refusal_reply(unsigned status, const std::string& code, const std::string& reason,
-                         bool not_run);
+                         bool not_run, const std::string& attempt_id = "");
 
 /** \return the query parameter as a number; zero when it is missing or is not a number. */
 std::uint64_t query_number(const http_request& request, std::string_view name);
--- a/standin/simulated_engines.cpp
+++ b/standin/simulated_engines.cpp
@@ -248,7 +248,8 @@
         engine.refused_incomplete += code == "group_incomplete" ? 1 : 0;
         if (!found) {
             const unsigned status = code == "queue_full" ? 429 : 503;
-            http_reply refused = refusal_reply(status, code, engine.vm.vm() + ": " + code, true);
+            http_reply refused =
+                refusal_reply(status, code, engine.vm.vm() + ": " + code, true, call.attempt_id());
             co_await exchange.respond(std::move(refused));
             co_return;
         }
--- a/test/support/scripted_engine.h
+++ b/test/support/scripted_engine.h
@@ -107,7 +107,10 @@
 /** Refuses a call as busy, marked as not run. */
 inline asio::awaitable<void> refuse(http_exchange& exchange)
 {
+    schema::engine_call call;
+    from_json(exchange.request().body, call);
     schema::refusal refusal;
+    refusal.set_attempt_id(call.attempt_id());
     refusal.set_code("busy");
     refusal.set_not_run(true);
     http_reply reply;
