--- a/src/entry/service_proxy.cpp
+++ b/src/entry/service_proxy.cpp
@@ -213,8 +213,8 @@
         backends.note_start(address);
         http_call_options options;
         options.timeout = timeout;
-        // A reply does not name its call. On a reused connection, a reply to an earlier call that is
-        // sent again would be taken for it.
+        // A reply does not name its call. On a reused connection, a reply to an earlier call that
+        // is sent again would be taken for it.
         options.fresh_connection = true;
         auto reply = co_await context.http->call(address, std::move(call.request), options);
         service_result result =
