Log the shared parts of a call's prompt

The logs could not tell whether the calls under which servers crashed had anything in common: call_ended did not say what was in the prompt. It now lists the ids of the parts that other calls may share (X-Prompt-Prefix without the last one), at most 16 of at most 64 bytes. No decision changes.

--- a/src/relay/call_codec.h
+++ b/src/relay/call_codec.h
@@ -21,6 +21,7 @@
     std::string host;
     std::string key;
     std::string model;
+    std::vector<std::string> shared_parts; // Ids of the prompt's parts that other calls may share.
     std::uint32_t prompt_tokens = 0;
     std::uint32_t max_answer_tokens = 0;
     std::optional<std::uint32_t> answer_hint; // In tokens, as estimated by the caller.
--- /dev/null
+++ b/test/correctness/platform_prompt_parts.cpp
@@ -0,0 +1,54 @@
+/** \file
+ * Tests which parts of a prompt count as shared with other calls.
+ */
+#include <doctest/doctest.h>
+
+#include "platform/call_headers.h"
+
+using namespace chervildyke;
+
+namespace {
+
+std::vector<std::string> shared_parts(const std::string& header)
+{
+    http_request request;
+    request.headers = {{"X-Prompt-Prefix", header}};
+    return platform::read_call(request).shared_parts;
+}
+
+using texts = std::vector<std::string>;
+
+std::string long_id(int letters)
+{
+    std::string id;
+    for (int i = 0; i < letters; ++i) {
+        id += 'x';
+    }
+    return id;
+}
+
+} // namespace
+
+TEST_CASE("all parts of a prompt but the last one are shared")
+{
+    CHECK(shared_parts("5c1e07a2:800,91bd3f06:410,e4402b7d:250") == texts{"5c1e07a2", "91bd3f06"});
+    CHECK(shared_parts("5c1e07a2:800, 91bd3f06:410, e4402b7d:250") ==
+          texts{"5c1e07a2", "91bd3f06"});
+    CHECK(shared_parts("e4402b7d:250").empty());
+    CHECK(shared_parts("").empty());
+}
+
+TEST_CASE("a header that does not list parts names none, and its size is bounded")
+{
+    CHECK(shared_parts(",,:5,").empty());
+    CHECK(shared_parts("a,b") == texts{"a"});
+    std::string many;
+    for (int i = 0; i < 1000; ++i) {
+        many += std::to_string(i) + ":1,";
+    }
+    CHECK(shared_parts(many).size() == 16);
+    const texts hashed = shared_parts(long_id(5000) + ":1,y:1");
+    REQUIRE(hashed.size() == 1);
+    CHECK(hashed.front().size() < 64);
+    CHECK(hashed != shared_parts(long_id(5001) + ":1,y:1"));
+}
