Show that calls with one part in their prompts crash one server after the other

Callers saw (BUDGET): each server that starts to answer a prompt with one particular part crashes; calls with the part were sent on to one server after the other, 67 in all.

--- a/test/support/relay_fixture.h
+++ b/test/support/relay_fixture.h
@@ -47,6 +47,13 @@
         const std::string from(request.header("Last-Event-Id"));
         std::uint64_t id = from.empty() ? 0 : std::stoull(from);
         co_await sleep_for(delay);
+        const std::string_view parts = request.header("X-Prompt-Prefix");
+        if (!crashing_part.empty() && parts.find(crashing_part + ":") != std::string_view::npos) {
+            has_crashed = true;
+            server.stop_accepting(); // Further connections are refused.
+            exchange.abort();
+            co_return;
+        }
         if (refusal) {
             http_reply refused = *refusal;
             refused.headers.push_back(
@@ -79,6 +86,8 @@
     duration silence{};
     std::optional<http_reply> refusal; // Answers with this instead of a stream.
     bool leaving = false;              // Its answers state that it is leaving.
+    std::string crashing_part;         // It crashes when it starts to answer a prompt with this.
+    bool has_crashed = false;
     std::string seal = "first";
     int calls = 0;
     http_server server;
@@ -163,6 +172,8 @@
      */
     void call(const std::string& key)
     {
+        status = 0;
+        body.clear();
         const std::string address = "127.0.0.1:" + std::to_string(front.port());
         run_task(context, [&]() -> asio::awaitable<void> {
             http_request request;
@@ -170,7 +181,8 @@
             request.target = "/a/x";
             request.headers = {{"Host", "desk.example"},          {"X-Attempt-Id", "call1"},
                                {"Authorization", "Token " + key}, {"X-Model", "m"},
-                               {"X-Token-Usage", "100,20"},       {"X-Deadline-Ms", "5000"}};
+                               {"X-Token-Usage", "100,20"},       {"X-Deadline-Ms", "5000"},
+                               {"X-Prompt-Prefix", prompt_parts}};
             http_client client(context.get_executor());
             auto opened = co_await client.open(address, request);
             REQUIRE(opened);
@@ -184,7 +196,7 @@
                     break;
                 }
                 body += *part;
-                serve_at({&first, &second});
+                serve_at(heads_after_first_part);
             }
         });
     }
@@ -225,6 +237,8 @@
     relay_context node;
     http_server front{context.get_executor(),
                       [this](http_exchange& exchange) { return serve_call(node, exchange); }};
+    std::vector<fake_head*> heads_after_first_part = {&first, &second};
+    std::string prompt_parts = "shared:40,own:60";
     unsigned status = 0;
     std::string seal;
     std::string retry_after;
