Refuse prompts with a part that crashes the servers that answer it

Cause: nothing connected the crashes. A node forgot an attempt that broke with its call, failover repeated the crash at a second server, and nodes shared nothing. The class: evidence about a content that outlives a call and belongs to the fleet was kept in the call.

Change: an attempt that its server breaks off after at most one event is checked by one connection: if the server accepts none, it has ended. crash_evidence then counts the crash for each shared part of the prompt. A part that was starting at three crashed servers and has not been answered since is blocked and refused at once with 503, which is true, since nothing is sent; a call that may be the next crash is not retried. A sound part that was there by chance is answered elsewhere, which clears it at all nodes; one that was answered before needs six crashes. crash_evidence_exchange adds the evidence to the nodes' states (a crash counts once, by the server's incarnation, so merging is idempotent) and writes one record of each blocked part to the shared log for nodes that start when no other is there.

--- a/src/assembly/assembly_plan.cpp
+++ b/src/assembly/assembly_plan.cpp
@@ -93,8 +93,7 @@
         if (probe == nullptr || probe->failures < settings_.probe_failure_limit) {
             return false;
         }
-        return probe->refused ||
-               in_.now - probe->first_failure_at >= settings_.probe_silence_limit;
+        return probe->refused || in_.now - probe->first_failure_at >= settings_.probe_silence_limit;
     }
 
     void add_probe(const std::string& vm)
--- a/src/base/http_client.cpp
+++ b/src/base/http_client.cpp
@@ -359,6 +359,16 @@
     state_->idle_connections.erase(address);
 }
 
+asio::awaitable<bool> http_client::accepts_connections(std::string address, duration timeout)
+{
+    const auto self = state_;
+    http_call_options options;
+    options.fresh_connection = true;
+    options.timeout = timeout;
+    const auto connected = co_await self->connect(std::move(address), options);
+    co_return connected.has_value();
+}
+
 asio::awaitable<http_result<std::shared_ptr<http_stream>>>
 http_client::open(std::string address, http_request request, http_call_options options)
 {
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -122,6 +122,11 @@
     boost::asio::awaitable<http_result<std::shared_ptr<http_stream>>> open(std::string address,
                                                                            http_request request);
 
+    /** \return true if the address accepts a connection within the timeout. The connection is
+     * closed.
+     */
+    boost::asio::awaitable<bool> accepts_connections(std::string address, duration timeout);
+
     /** Closes the pooled connections to an address whose server may have stopped responding. */
     void close_idle_connections(const std::string& address);
 
--- a/src/relay/attempt_log.h
+++ b/src/relay/attempt_log.h
@@ -21,4 +21,9 @@
 void log_failed_attempt(const relayed_call& call, const selected_replica& selected,
                         time_point sent_at, std::string_view reason);
 
+/** Logs that a server ended while it started to answer.
+ * \param events the events of the answer that had arrived.
+ */
+void log_crash(const relayed_call& call, const selected_replica& selected, std::uint32_t events);
+
 } // namespace chervildyke
--- /dev/null
+++ b/src/relay/crash_evidence_exchange.cpp
@@ -0,0 +1,220 @@
+/** \file
+ * Implements crash_evidence_exchange.
+ */
+#include "relay/crash_evidence_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/clock.h"
+#include "base/event_log.h"
+#include "base/task.h"
+#include "relay/message_values.h"
+
+namespace chervildyke {
+
+namespace asio = boost::asio;
+
+namespace {
+
+const event_log evidence_log("crashes");
+
+constexpr std::size_t max_reports_sent = 12; // Parts in one datagram, about 3 KB.
+constexpr int max_reports_read = 64;         // Parts of one datagram.
+constexpr int max_crashes_read = 16;         // Crashes of one part.
+constexpr std::size_t max_text_bytes = 128;  // Of a service, model, part or server.
+constexpr duration log_retry_interval = 1s;  // After a failed call on the shared log.
+constexpr duration max_record_delay = 400ms; // Another node's record is known by then.
+
+std::string key_of(const prompt_part& part)
+{
+    return part.service + "/" + part.model + "/" + part.id;
+}
+
+bool is_readable(const schema::part_evidence& message)
+{
+    return !message.part().empty() && message.part().size() <= max_text_bytes &&
+           message.service().size() <= max_text_bytes && message.model().size() <= max_text_bytes;
+}
+
+} // namespace
+
+schema::part_evidence to_message(const part_report& report)
+{
+    schema::part_evidence message;
+    message.set_service(report.part.service);
+    message.set_model(report.part.model);
+    message.set_part(report.part.id);
+    for (const auto& [server, age] : report.crashes) {
+        schema::server_crash& crash = *message.add_crashes();
+        crash.set_server(server.id);
+        crash.set_started_ms(server.started_ms);
+        crash.set_age_ms(to_whole_ms(age));
+    }
+    message.set_answered(report.answered.has_value());
+    message.set_answered_age_ms(to_whole_ms(report.answered.value_or(duration::zero())));
+    message.set_recorded(report.recorded);
+    return message;
+}
+
+part_report from_message(const schema::part_evidence& message)
+{
+    part_report report;
+    report.part = {message.service(), message.model(), message.part()};
+    for (int i = 0; i < std::min(message.crashes_size(), max_crashes_read); ++i) {
+        const schema::server_crash& crash = message.crashes(i);
+        if (crash.server().size() <= max_text_bytes) {
+            report.crashes[{crash.server(), crash.started_ms()}] =
+                std::chrono::milliseconds(crash.age_ms());
+        }
+    }
+    if (message.answered()) {
+        report.answered = std::chrono::milliseconds(message.answered_age_ms());
+    }
+    report.recorded = message.recorded();
+    return report;
+}
+
+crash_evidence_exchange::crash_evidence_exchange(asio::any_io_executor executor, shared_log log,
+                                                 crash_evidence& evidence, random_source random)
+    : executor_(std::move(executor)), log_(std::move(log)), evidence_(evidence),
+      random_(std::move(random))
+{
+}
+
+void crash_evidence_exchange::start()
+{
+    evidence_.on_blocked = [weak = weak_from_this()](const part_report& report) {
+        const auto self = weak.lock();
+        if (!self) {
+            return;
+        }
+        evidence_log.write(
+            "part_blocked",
+            {{"service", report.part.service},
+             {"model", report.part.model},
+             {"part", report.part.id},
+             {"crashes", std::to_string(report.crashes.size())},
+             {"answered_ms", report.answered ? to_ms_text(*report.answered) : "never"},
+             {"recorded", report.recorded ? "yes" : "no"}});
+        if (!report.recorded) {
+            spawn_task(self->executor_, "crash evidence", self->record(report.part));
+        }
+    };
+}
+
+/** Writes a record of a blocked part, unless another node does so first. */
+asio::awaitable<void> crash_evidence_exchange::record(prompt_part part)
+{
+    const auto self = shared_from_this();
+    const double share = random_fraction(random_);
+    co_await sleep_for(std::chrono::duration_cast<duration>(max_record_delay * share));
+    while (true) {
+        const time_point now = monotonic_clock::now();
+        const auto report = evidence_.report_of(part, now);
+        if (!report || report->recorded || !evidence_.find_blocked({part}, now)) {
+            co_return;
+        }
+        schema::part_evidence message = to_message(*report);
+        message.set_recorded_at_ms(wall_clock_ms());
+        keyed_record written;
+        written.key = key_of(part);
+        written.value = message.SerializeAsString();
+        auto put = co_await log_.put(crash_evidence_topic, written);
+        if (put) {
+            evidence_.mark_recorded(part);
+            co_return;
+        }
+        evidence_log.write("record_failed", {{"part", part.id}, {"reason", put.failure().reason}});
+        co_await sleep_for(log_retry_interval);
+    }
+}
+
+/** \param expired set to the keys of records that say nothing any more. */
+void crash_evidence_exchange::apply_records(const keyed_records& records,
+                                            std::vector<std::string>& expired)
+{
+    const std::uint64_t wall_now = wall_clock_ms();
+    const time_point now = monotonic_clock::now();
+    std::vector<part_report> reports;
+    for (const keyed_record& record : records.records) {
+        schema::part_evidence message;
+        if (!record.value) {
+            continue;
+        }
+        if (!message.ParseFromString(*record.value) || !is_readable(message)) {
+            evidence_log.write("record_rejected", {{"key", record.key}});
+            continue;
+        }
+        const std::uint64_t written = message.recorded_at_ms();
+        const auto age = std::chrono::milliseconds(wall_now > written ? wall_now - written : 0);
+        part_report report = from_message(message);
+        for (auto& [server, crash_age] : report.crashes) {
+            crash_age += age;
+        }
+        if (report.answered) {
+            *report.answered += age;
+        }
+        report.recorded = true;
+        const bool is_old =
+            std::all_of(report.crashes.begin(), report.crashes.end(), [this](const auto& crash) {
+                return crash.second >= evidence_.settings().retention;
+            });
+        if (is_old) {
+            expired.push_back(record.key);
+        }
+        reports.push_back(std::move(report));
+    }
+    evidence_.merge(reports, now);
+    evidence_log.write("records_loaded",
+                       {{"records", std::to_string(reports.size())},
+                        {"expired", std::to_string(expired.size())},
+                        {"blocked", std::to_string(evidence_.blocked_parts(now))}});
+}
+
+asio::awaitable<void> crash_evidence_exchange::load()
+{
+    const auto self = shared_from_this();
+    while (true) {
+        auto records = co_await log_.read_latest(crash_evidence_topic);
+        if (!records) {
+            evidence_log.write("read_failed", {{"reason", records.failure().reason}});
+            co_await sleep_for(log_retry_interval);
+            continue;
+        }
+        std::vector<std::string> expired;
+        apply_records(*records, expired);
+        for (const std::string& key : expired) {
+            keyed_record removed;
+            removed.key = key;
+            auto put = co_await log_.put(crash_evidence_topic, removed);
+            if (!put) {
+                break; // The next node that starts removes it.
+            }
+        }
+        co_return;
+    }
+}
+
+void crash_evidence_exchange::fill_state(schema::peer_word& state)
+{
+    for (const part_report& report :
+         evidence_.next_reports(max_reports_sent, monotonic_clock::now())) {
+        *state.add_crash_evidence() = to_message(report);
+    }
+}
+
+void crash_evidence_exchange::apply_state(const schema::peer_word& state)
+{
+    std::vector<part_report> reports;
+    for (int i = 0; i < std::min(state.crash_evidence_size(), max_reports_read); ++i) {
+        if (is_readable(state.crash_evidence(i))) {
+            reports.push_back(from_message(state.crash_evidence(i)));
+        }
+    }
+    if (!reports.empty()) {
+        evidence_.merge(reports, monotonic_clock::now());
+    }
+}
+
+} // namespace chervildyke
--- a/src/relay/message_values.cpp
+++ b/src/relay/message_values.cpp
@@ -33,6 +33,28 @@
     }
 }
 
+std::map<std::uint64_t, replica_usage> from_messages(const count_messages& messages)
+{
+    std::map<std::uint64_t, replica_usage> usage;
+    for (const schema::replica_count& count : messages) {
+        usage[count.epoch()] = {count.running(), count.prompt_tokens(),
+                                std::chrono::milliseconds(count.silent_ms()), count.refuses()};
+    }
+    return usage;
+}
+
+void to_messages(const std::map<std::uint64_t, replica_usage>& usage, count_messages& messages)
+{
+    for (const auto& [epoch, use] : usage) {
+        schema::replica_count& count = *messages.Add();
+        count.set_epoch(epoch);
+        count.set_running(use.running);
+        count.set_prompt_tokens(use.prompt_tokens);
+        count.set_silent_ms(to_whole_ms(use.silent));
+        count.set_refuses(use.refuses);
+    }
+}
+
 std::uint32_t to_whole_ms(duration span)
 {
     return static_cast<std::uint32_t>(
--- a/src/relay/message_values.h
+++ b/src/relay/message_values.h
@@ -4,21 +4,30 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <vector>
 
 #include "base/clock.h"
 #include "fleet/shared_log.h"
 #include "node.pb.h"
+#include "routing/replica_balancer.h"
 
 namespace chervildyke {
 
 using ledger_messages = google::protobuf::RepeatedPtrField<schema::ledger_record>;
+using count_messages = google::protobuf::RepeatedPtrField<schema::replica_count>;
 
 std::vector<keyed_record> from_messages(const ledger_messages& messages);
 
 /** Appends the records to the messages. */
 void to_messages(const std::vector<keyed_record>& records, ledger_messages& messages);
 
+/** \return what the counts of a node say of its calls, by replica. */
+std::map<std::uint64_t, replica_usage> from_messages(const count_messages& messages);
+
+/** Appends the usage to the messages. */
+void to_messages(const std::map<std::uint64_t, replica_usage>& usage, count_messages& messages);
+
 /** \return the span in whole milliseconds, rounded towards zero. */
 std::uint32_t to_whole_ms(duration span);
 
--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -21,6 +21,7 @@
 #include "relay/replica_queue.h"
 #include "routing/backend_balancer.h"
 #include "routing/backend_notices.h"
+#include "routing/crash_evidence.h"
 #include "routing/demand_meter.h"
 #include "routing/replica_balancer.h"
 #include "routing/retry_policy.h"
@@ -48,6 +49,7 @@
     std::shared_ptr<replica_queue> queue;
     std::shared_ptr<backend_balancer> backend_lb;
     std::shared_ptr<backend_notices> notices;
+    std::shared_ptr<crash_evidence> crashes = std::make_shared<crash_evidence>();
     demand_meter demand;
     const backend_table* backends = nullptr;
     std::map<std::string, retry_budget> budgets; // By service.
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -89,6 +89,11 @@
                                                     time_point now) {
         return context_.notices->availability(head_incarnation(replica), now);
     };
+    context_.metrics->add_gauge("chervil_blocked_prompt_parts", [this] {
+        return static_cast<double>(context_.crashes->blocked_parts(monotonic_clock::now()));
+    });
+    crash_exchange_ = std::make_shared<crash_evidence_exchange>(executor_, hooks_.log,
+                                                                *context_.crashes, random_);
     context_.backend_lb = std::make_shared<backend_balancer>(settings_.failure_domain(), random_);
     context_.backends = &view_->backends();
     context_.configuration = [this] { return view_->configuration(); };
@@ -211,6 +216,8 @@
     spawn_task(executor_, "peer sender", peers_->run_sender());
     spawn_task(executor_, "peer receiver", peers_->run_receiver());
     spawn_task(executor_, "assembly", assembler_->run());
+    crash_exchange_->start();
+    spawn_task(executor_, "crash evidence", crash_exchange_->load());
     spawn_task(executor_, "address", publish_address());
     spawn_task(executor_, "node list", follow_peers());
     spawn_task(executor_, "fleet", run_fleet_checks());
@@ -291,15 +298,11 @@
 
 void relay_node::apply_peer_state(const schema::peer_word& state)
 {
-    std::map<std::uint64_t, replica_usage> usage;
-    for (const schema::replica_count& count : state.counts()) {
-        usage[count.epoch()] = {count.running(), count.prompt_tokens(),
-                                std::chrono::milliseconds(count.silent_ms()), count.refuses()};
-    }
     const bool is_remote =
         peers_->fleet_exceeds_fanout() && state.failure_domain() != settings_.failure_domain();
-    context_.replica_lb->note_peer_usage(state.name(), std::move(usage), monotonic_clock::now(),
-                                         is_remote);
+    context_.replica_lb->note_peer_usage(state.name(), from_messages(state.counts()),
+                                         monotonic_clock::now(), is_remote);
+    crash_exchange_->apply_state(state);
     context_.queue->admit_waiting();
     calls_began_ = calls_began_ || state.calls_began();
     for (const schema::running_load& load : state.loads()) {
@@ -353,14 +356,8 @@
             *state.add_loads() = std::move(load);
         }
     }
-    for (const auto& [epoch, usage] : context_.replica_lb->own_usage(now)) {
-        schema::replica_count& count = *state.add_counts();
-        count.set_epoch(epoch);
-        count.set_running(usage.running);
-        count.set_prompt_tokens(usage.prompt_tokens);
-        count.set_silent_ms(to_whole_ms(usage.silent));
-        count.set_refuses(usage.refuses);
-    }
+    to_messages(context_.replica_lb->own_usage(now), *state.mutable_counts());
+    crash_exchange_->fill_state(state);
 }
 
 /** Periodically chooses the node that reads the log, drops the usage reported by nodes that are no
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -15,6 +15,7 @@
 #include "members/peer_gossip.h"
 #include "node.pb.h"
 #include "relay/call_codec.h"
+#include "relay/crash_evidence_exchange.h"
 #include "relay/fleet_codec.h"
 #include "relay/fleet_view.h"
 #include "relay/relay_context.h"
@@ -84,6 +85,7 @@
     std::shared_ptr<peer_gossip> peers_;
     std::unique_ptr<shared_reading> reading_;
     std::shared_ptr<assembler> assembler_;
+    std::shared_ptr<crash_evidence_exchange> crash_exchange_;
     http_server calls_;
     http_server ready_;
     http_server directory_;
--- /dev/null
+++ b/test/correctness/relay_crash_evidence_exchange.cpp
@@ -0,0 +1,193 @@
+/** \file
+ * Tests how nodes share crash evidence: by their states, and through the shared log for nodes that
+ * start when no other node is there.
+ */
+#include <doctest/doctest.h>
+
+#include <boost/asio.hpp>
+
+#include "relay/crash_evidence_exchange.h"
+
+using namespace chervildyke;
+namespace asio = boost::asio;
+
+namespace {
+
+const prompt_part bad{"pool", "m", "bad"};
+
+/** A shared log with one topic, which may be down. */
+struct fake_log {
+    std::map<std::string, std::string> records;
+    int puts = 0;
+    bool down = false;
+
+    shared_log calls()
+    {
+        shared_log log;
+        log.read_latest =
+            [this](const std::string& topic) -> asio::awaitable<shared_log_result<keyed_records>> {
+            CHECK(topic == crash_evidence_topic);
+            if (down) {
+                co_return shared_log_failure{shared_log_error::refused, "the log is down"};
+            }
+            keyed_records read;
+            for (const auto& [key, value] : records) {
+                read.records.push_back({read.next_offset++, key, value});
+            }
+            co_return read;
+        };
+        log.put = [this](const std::string& topic,
+                         keyed_record record) -> asio::awaitable<shared_log_result<std::uint64_t>> {
+            CHECK(topic == crash_evidence_topic);
+            if (down) {
+                co_return shared_log_failure{shared_log_error::refused, "the log is down"};
+            }
+            ++puts;
+            if (record.value) {
+                records[record.key] = *record.value;
+            }
+            else {
+                records.erase(record.key);
+            }
+            const std::uint64_t next = 1;
+            co_return next;
+        };
+        return log;
+    }
+};
+
+struct test_node {
+    test_node(asio::io_context& context, fake_log& log)
+        : exchange(std::make_shared<crash_evidence_exchange>(context.get_executor(), log.calls(),
+                                                             evidence, seeded_random(1)))
+    {
+        exchange->start();
+        asio::co_spawn(context, exchange->load(), asio::detached);
+    }
+
+    bool blocks() const { return evidence.find_blocked({bad}, monotonic_clock::now()).has_value(); }
+
+    void crash(int servers)
+    {
+        for (int i = 0; i < servers; ++i) {
+            evidence.note_crash({"i" + std::to_string(i), 1}, {bad}, monotonic_clock::now());
+        }
+    }
+
+    void send_state_to(test_node& peer)
+    {
+        schema::peer_word state;
+        exchange->fill_state(state);
+        schema::peer_word received;
+        REQUIRE(received.ParseFromString(state.SerializeAsString()));
+        peer.exchange->apply_state(received);
+    }
+
+    crash_evidence evidence;
+    std::shared_ptr<crash_evidence_exchange> exchange;
+};
+
+void run_for(asio::io_context& context, std::chrono::milliseconds span)
+{
+    context.restart();
+    context.run_for(span);
+}
+
+constexpr std::chrono::milliseconds record_time{600}; // Longer than the delay of a record.
+
+} // namespace
+
+TEST_CASE("a node that starts after all others have ended learns of a blocked part from the log")
+{
+    asio::io_context context;
+    fake_log log;
+    {
+        test_node first(context, log);
+        run_for(context, std::chrono::milliseconds(50));
+        first.crash(3);
+        CHECK(first.blocks());
+        run_for(context, record_time);
+    }
+    CHECK(log.records.size() == 1);
+    test_node later(context, log);
+    run_for(context, std::chrono::milliseconds(50));
+    CHECK(later.blocks());
+}
+
+TEST_CASE("of all nodes that learn of a blocked part, one writes the record")
+{
+    asio::io_context context;
+    fake_log log;
+    test_node first(context, log);
+    test_node second(context, log);
+    run_for(context, std::chrono::milliseconds(50));
+    first.crash(3);
+    run_for(context, record_time);
+    first.send_state_to(second);
+    CHECK(second.blocks());
+    run_for(context, record_time);
+    CHECK(log.puts == 1);
+}
+
+TEST_CASE("while the log is down a restarted node learns from a peer, and the record comes later")
+{
+    asio::io_context context;
+    fake_log log;
+    log.down = true;
+    test_node first(context, log);
+    first.crash(3);
+    run_for(context, record_time);
+    test_node restarted(context, log);
+    run_for(context, std::chrono::milliseconds(50));
+    CHECK_FALSE(restarted.blocks());
+    first.send_state_to(restarted);
+    CHECK(restarted.blocks());
+    CHECK(log.records.empty());
+    log.down = false;
+    run_for(context, std::chrono::milliseconds(1500)); // The next attempt comes after 1 s.
+    CHECK(log.records.size() == 1);
+}
+
+TEST_CASE("records and states that can't be read are ignored, and the others hold")
+{
+    asio::io_context context;
+    fake_log log;
+    {
+        test_node first(context, log);
+        run_for(context, std::chrono::milliseconds(50));
+        first.crash(3);
+        run_for(context, record_time);
+    }
+    log.records["garbage"] = "\xff\xfe not a record";
+    log.records["empty"] = "";
+    test_node later(context, log);
+    run_for(context, std::chrono::milliseconds(50));
+    CHECK(later.blocks());
+    schema::peer_word odd;
+    odd.add_crash_evidence(); // Without a part.
+    schema::part_evidence& huge = *odd.add_crash_evidence();
+    huge.set_part(std::string(100'000, 'p'));
+    schema::part_evidence& many = *odd.add_crash_evidence();
+    many.set_part("many");
+    for (int i = 0; i < 10'000; ++i) {
+        many.add_crashes()->set_server(std::to_string(i));
+    }
+    later.exchange->apply_state(odd);
+    CHECK(later.blocks());
+    CHECK(later.evidence.next_reports(100, monotonic_clock::now()).size() == 2);
+}
+
+TEST_CASE("a record whose evidence has expired is removed from the log")
+{
+    asio::io_context context;
+    fake_log log;
+    schema::part_evidence old;
+    old.set_part("old");
+    old.add_crashes()->set_server("i1");
+    old.set_recorded_at_ms(wall_clock_ms() - 40 * 60 * 1000);
+    log.records["pool/m/old"] = old.SerializeAsString();
+    test_node node(context, log);
+    run_for(context, std::chrono::milliseconds(50));
+    CHECK(log.records.empty());
+    CHECK(node.evidence.next_reports(100, monotonic_clock::now()).empty());
+}
