Forward only events that are known to follow into a stream that has begun

Streams without ids were joined from two runs.

Cause: an event without an id counted as the next one, also in a stream whose events have ids, and an attempt could follow events that nothing numbers.

Change: in a stream with ids an event without one breaks the attempt, unless it is a comment; after events without ids no other attempt follows.

--- a/src/relay/event_forwarder.h
+++ b/src/relay/event_forwarder.h
@@ -16,7 +16,12 @@
 namespace chervildyke {
 
 /** Where an event stands in the stream that the caller receives. */
-enum class event_position { next, already_forwarded, after_gap };
+enum class event_position {
+    next,
+    already_forwarded,
+    after_gap,
+    unknown, // It has no id, but the stream's events have.
+};
 
 /** The stream as the caller has received it so far. At most one attempt may forward at a time. */
 class event_forwarder {
@@ -26,8 +31,8 @@
     {
     }
 
-    /** \return the position of an event that an attempt has received. Events without an id are
-     * always next.
+    /** \return the position of an event that an attempt has received. A comment, or any event of a
+     * stream without ids, is always next.
      */
     event_position position_of(const raw_event& event) const;
 
@@ -40,6 +45,11 @@
     /** \return true once the head of the answer was forwarded. */
     bool started() const { return started_; }
 
+    /** \return false if events without ids were forwarded, after which nothing shows where to go
+     * on.
+     */
+    bool can_resume() const { return !started_ || last_event_; }
+
     /** \return the id after which another attempt resumes. */
     const std::optional<std::uint64_t>& last_event() const { return last_event_; }
 
--- a/src/relay/streaming_call.cpp
+++ b/src/relay/streaming_call.cpp
@@ -46,7 +46,8 @@
 bool streaming_call::may_fail_over() const
 {
     constexpr std::size_t max_attempts_at_once = 2;
-    return call_.route->retry == retry_rule::resumable && attempts_.size() < max_attempts_at_once &&
+    return call_.route->retry == retry_rule::resumable && forwarder_.can_resume() &&
+           attempts_.size() < max_attempts_at_once &&
            call_.end.runs + attempts_.size() < call_.route->max_attempts &&
            call_.end.sends < max_sends && call_.has_retry();
 }
@@ -132,9 +133,11 @@
             if (position == event_position::already_forwarded) {
                 continue;
             }
-            if (position == event_position::after_gap) {
+            if (position != event_position::next) {
                 end.reason = "expected event " + std::to_string(*forwarder_.last_event() + 1) +
-                             ", found event " + std::to_string(*event->id);
+                             ", found " +
+                             (event->id ? "event " + std::to_string(*event->id)
+                                        : std::string("an event without an id"));
                 co_return end;
             }
             supersede_others(running);
@@ -348,7 +351,8 @@
 bool streaming_call::may_retry(const attempt_end& ended)
 {
     const bool repeatable = call_.route->retry != retry_rule::never;
-    const bool safe = ended.result == attempt_result::not_run || repeatable;
+    const bool safe =
+        forwarder_.can_resume() && (ended.result == attempt_result::not_run || repeatable);
     return safe && prompt_.may_retry() && call_.end.runs < call_.route->max_attempts &&
            call_.end.sends < max_sends && call_.time_left() > deadline_margin && call_.take_retry();
 }
