Let servers fall silent for about a second in the soak

What callers would see: streams and answers that end early because a sound server was silent for 0.7 to 1.5 s. The soak had no such server, and its other faults excused most losses beside planned operations.

A silent server accepts, answers and sends nothing and then goes on with everything; the silence of a member holds up its replica. server_silent excuses no lost answer.

--- a/soak/backend_server.cpp
+++ b/soak/backend_server.cpp
@@ -3,6 +3,7 @@
  */
 #include "soak/backend_server.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -37,6 +38,7 @@
                 exchange.abort();
                 co_return;
             }
+            co_await self->wait_while_silent();
             co_await self->serve(exchange);
         });
     if (!server_->listen(ip, 0)) {
@@ -56,7 +58,7 @@
     if (!alive_ || !publishes_entry_) {
         return;
     }
-    if (!environment_.store.faults().down) {
+    if (!environment_.store.faults().down && !silent()) {
         environment_.store.put(server_topic, entry_.id, write_server(entry_));
         return;
     }
@@ -92,6 +94,29 @@
     }
 }
 
+void backend_server::fall_silent(duration span)
+{
+    silent_until_ = std::max(silent_until_, monotonic_clock::now() + span);
+}
+
+asio::awaitable<void> backend_server::wait_while_silent() const
+{
+    while (alive_ && silent()) {
+        const duration span = silent_until_ - monotonic_clock::now();
+        co_await sleep_for(span);
+    }
+}
+
+asio::awaitable<void> backend_server::send(http_exchange& exchange, http_reply reply)
+{
+    co_await wait_while_silent();
+    if (!alive_) {
+        exchange.abort();
+        co_return;
+    }
+    co_await exchange.respond(std::move(reply));
+}
+
 void backend_server::disconnect_from_store()
 {
     if (publishes_entry_ && alive_) {
@@ -139,7 +164,7 @@
 asio::awaitable<void> backend_server::refuse(http_exchange& exchange, unsigned status)
 {
     http_reply reply = write_not_executed(read_arrival(exchange.request()).id, status);
-    co_await exchange.respond(std::move(reply));
+    co_await send(exchange, std::move(reply));
 }
 
 asio::awaitable<void> backend_server::serve_command(http_exchange& exchange)
@@ -162,13 +187,13 @@
     switch (kind) {
     case request_kind::report: {
         http_reply reply = write_report(entry_, running_calls_);
-        co_await exchange.respond(std::move(reply));
+        co_await send(exchange, std::move(reply));
         break;
     }
     case request_kind::health: {
         http_reply reply;
         reply.status = entry_.leaving ? 503 : 200;
-        co_await exchange.respond(std::move(reply));
+        co_await send(exchange, std::move(reply));
         break;
     }
     case request_kind::command:
@@ -195,6 +220,7 @@
     const duration processing_time =
         std::chrono::duration_cast<duration>(order_processing_time * faults_.slowdown_factor);
     co_await sleep_for(processing_time);
+    co_await wait_while_silent();
     --running_calls_;
     server_answer answer{200, make_seal(), "done " + arrival.id + " by " + entry_.id};
     if (draw_with_probability(faults_.failure_probability)) {
@@ -207,7 +233,7 @@
         co_return;
     }
     http_reply reply = write_server_answer(arrival.id, answer);
-    co_await exchange.respond(std::move(reply));
+    co_await send(exchange, std::move(reply));
 }
 
 } // namespace chervildyke::soak
--- a/soak/backend_server.h
+++ b/soak/backend_server.h
@@ -70,6 +70,11 @@
     /** Publishes that the server is leaving. It still serves for the drain period, then ends. */
     void leave();
 
+    /** Makes the server accept, answer and send nothing for the span; then it goes on where it was.
+     */
+    void fall_silent(duration span);
+    bool silent() const { return monotonic_clock::now() < silent_until_; }
+
     /** Stops updates of the server's entry, which expires later. The server still serves. */
     void disconnect_from_store();
 
@@ -88,6 +93,12 @@
     /** Writes the server's entry to the store, and retries while the store is down. */
     void publish();
 
+    /** Waits while the server is silent. */
+    boost::asio::awaitable<void> wait_while_silent() const;
+
+    /** Sends a reply once the server is not silent. */
+    boost::asio::awaitable<void> send(http_exchange& exchange, http_reply reply);
+
     /** Answers that the call or command was not executed. */
     boost::asio::awaitable<void> refuse(http_exchange& exchange, unsigned status);
 
@@ -119,6 +130,7 @@
     std::string ip_;
     bool alive_ = true;
     bool publishes_entry_ = true;
+    time_point silent_until_{};
 };
 
 /** A stand-in for a server of orders, which answers calls without streaming. */
--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -134,6 +134,10 @@
         co_await sleep_for(server_restart_delay);
         server->crash();
         break;
+    case fault_kind::server_silent:
+        server->fall_silent(fault.length);
+        co_await sleep_for(fault.length);
+        break;
     case fault_kind::server_slow:
         co_await set_for(faults.slowdown_factor, slow_server_factor, 1.0, fault.length);
         break;
@@ -205,9 +209,9 @@
 
 asio::awaitable<void> fault_injector::inject(scheduled_fault fault)
 {
-    const bool planned_operation = is_planned_operation(fault.kind);
+    const bool excuses_lost_answers = !excuses_nothing(fault.kind);
     ++active_fault_count_;
-    if (!planned_operation) {
+    if (excuses_lost_answers) {
         fleet_.tracker().begin_fault();
     }
     switch (fault.kind) {
@@ -248,7 +252,7 @@
         co_await inject_server_fault(fault);
         break;
     }
-    if (!planned_operation) {
+    if (excuses_lost_answers) {
         fleet_.tracker().end_fault();
     }
     --active_fault_count_;
--- a/soak/fault_tracker.h
+++ b/soak/fault_tracker.h
@@ -1,6 +1,5 @@
 /** \file
- * Defines fault_tracker, which knows whether faults other than planned operations were active
- * lately.
+ * Defines fault_tracker, which knows whether faults that excuse lost answers were active lately.
  */
 #pragma once
 
@@ -9,7 +8,7 @@
 
 namespace chervildyke::soak {
 
-/** Counts the active faults, without planned operations, which callers must not notice. */
+/** Counts the active faults that excuse lost answers; see excuses_nothing(). */
 class fault_tracker {
   public:
     void begin_fault() { ++active_faults_; }
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -46,7 +46,8 @@
               << counts.refused << ", failed " << counts.failed << '\n';
 }
 
-asio::awaitable<int> run(soak_fleet& fleet, const fleet_options& options, duration span)
+asio::awaitable<int> run(soak_fleet& fleet, const fleet_options& options, duration span,
+                         fault_selection selection)
 {
     if (!fleet.start()) {
         std::cerr << "chervil-soak: " << fleet.last_reason() << '\n';
@@ -56,7 +57,7 @@
     print("formed", fleet.callers().counts());
     fault_injector faults(co_await asio::this_coro::executor, fleet);
     const time_point schedule_start = monotonic_clock::now();
-    for (const scheduled_fault& fault : draw_schedule(options.seed, span)) {
+    for (const scheduled_fault& fault : draw_schedule(options.seed, span, selection)) {
         const duration wait = schedule_start + fault.start - monotonic_clock::now();
         co_await sleep_for(wait);
         std::cout << in_seconds(monotonic_clock::now() - schedule_start) << "  "
@@ -106,6 +107,7 @@
         cxxopts::value<std::string>()->default_value("build/bin/chervil-node"))(
         "folder", "the folder for the settings and logs of the nodes",
         cxxopts::value<std::string>()->default_value("run/soak"))(
+        "excusing-nothing-only", "draw only faults that excuse no lost answer")(
         "net", "second byte of all addresses, 127.NET.x.y; 0: derived from the seed",
         cxxopts::value<std::uint32_t>()->default_value("0"))("help", "prints this text");
     try {
@@ -129,9 +131,12 @@
         }
         std::filesystem::create_directories(options.folder);
         const std::chrono::seconds span(arguments["seconds"].as<unsigned>());
+        const fault_selection selection = arguments.count("excusing-nothing-only") > 0
+                                              ? fault_selection::excusing_nothing_only
+                                              : fault_selection::all;
         asio::io_context context(1);
         soak_fleet fleet(context.get_executor(), options);
-        return run_main_task(context, [&] { return run(fleet, options, span); });
+        return run_main_task(context, [&] { return run(fleet, options, span, selection); });
     }
     catch (const std::exception& error) {
         std::cerr << "chervil-soak: " << error.what() << '\n';
--- a/soak/model_server.cpp
+++ b/soak/model_server.cpp
@@ -48,16 +48,28 @@
     return is_member(replica, epoch) && entry_.rank == 0 && accepts_or_drains;
 }
 
+std::shared_ptr<model_server> model_server::find_server(const std::string& id) const
+{
+    const auto found = environment_.model_servers_by_id.find(id);
+    return found == environment_.model_servers_by_id.end() ? nullptr : found->second.lock();
+}
+
 bool model_server::all_members_present() const
 {
     return std::all_of(members_.begin(), members_.end(), [this](const std::string& id) {
-        const auto found = environment_.model_servers_by_id.find(id);
-        const auto member =
-            found == environment_.model_servers_by_id.end() ? nullptr : found->second.lock();
+        const auto member = find_server(id);
         return member && member->is_member(entry_.replica, entry_.epoch);
     });
 }
 
+bool model_server::any_member_silent() const
+{
+    return silent() || std::any_of(members_.begin(), members_.end(), [this](const std::string& id) {
+               const auto member = find_server(id);
+               return member && member->silent();
+           });
+}
+
 bool model_server::is_staged(const std::string& model) const
 {
     return std::find(entry_.staged_models.begin(), entry_.staged_models.end(), model) !=
@@ -102,9 +114,7 @@
         return conflicting;
     }
     if (!members_.empty()) {
-        const auto found = environment_.model_servers_by_id.find(members_.front());
-        const auto head =
-            found == environment_.model_servers_by_id.end() ? nullptr : found->second.lock();
+        const auto head = find_server(members_.front());
         if (head && head->is_open_head(entry_.replica, entry_.epoch)) {
             environment_.checker.report_member_taken(entry_.id, entry_.replica);
         }
@@ -138,6 +148,7 @@
 {
     const auto self = shared_from_this();
     co_await sleep_for(join_time);
+    co_await wait_while_silent();
     if (membership_version != membership_version_) {
         co_return;
     }
@@ -156,6 +167,7 @@
 {
     const auto self = shared_from_this();
     co_await sleep_for(open_delay);
+    co_await wait_while_silent();
     if (membership_version == membership_version_ && entry_.phase == membership_phase::ready) {
         set_phase(membership_phase::open);
     }
@@ -242,7 +254,7 @@
     }
     http_reply reply;
     reply.status = execute(*command);
-    co_await exchange.respond(std::move(reply));
+    co_await send(exchange, std::move(reply));
 }
 
 bool model_server::has_running_calls() const
@@ -250,9 +262,7 @@
     if (members_.empty()) {
         return false;
     }
-    const auto found = environment_.model_servers_by_id.find(members_.front());
-    const auto head =
-        found == environment_.model_servers_by_id.end() ? nullptr : found->second.lock();
+    const auto head = find_server(members_.front());
     return head && head->is_member(entry_.replica, entry_.epoch) && head->running_calls_ > 0;
 }
 
@@ -262,6 +272,10 @@
     const duration scaled =
         std::chrono::duration_cast<duration>(step_time * faults_.slowdown_factor);
     co_await sleep_for(scaled);
+    // Each step of a replica needs all its members, so the silence of one holds up the whole.
+    while (alive() && membership_version == membership_version_ && any_member_silent()) {
+        co_await sleep_for(stall_poll_interval);
+    }
     time_point stalled_since = monotonic_clock::now();
     while (alive() && membership_version == membership_version_ && !all_members_present()) {
         if (entry_.phase != membership_phase::broken &&
@@ -336,7 +350,7 @@
         const server_answer failed{500, make_seal(), "failed " + arrival.id};
         environment_.checker.record_server_answer(arrival.id, failed);
         http_reply reply = write_server_answer(arrival.id, failed);
-        co_await exchange.respond(std::move(reply));
+        co_await send(exchange, std::move(reply));
         co_return;
     }
     const server_answer answer{200, make_seal(), ""};
--- a/soak/model_server.h
+++ b/soak/model_server.h
@@ -59,6 +59,10 @@
      */
     boost::asio::awaitable<bool> run_step(duration step_time);
     bool all_members_present() const;
+    bool any_member_silent() const;
+
+    /** \return the model server that has this id and has not ended, or null. */
+    std::shared_ptr<model_server> find_server(const std::string& id) const;
     void set_phase(membership_phase phase);
     bool is_staged(const std::string& model) const;
 
--- a/soak/schedule.cpp
+++ b/soak/schedule.cpp
@@ -18,10 +18,11 @@
     const char* name;
     std::uint32_t weight; // How often it is drawn relative to the others.
     bool has_length;      // False for faults that take effect at one moment.
-    bool planned_operation;
+    bool excuses_nothing;
 };
 
-constexpr std::array<fault_kind_info, 25> fault_kinds = {{
+// Silences are drawn on their own, so that the other faults of a seed stay the same.
+constexpr std::array<fault_kind_info, 26> fault_kinds = {{
     {fault_kind::node_killed, "node_killed", 4, false, false},
     {fault_kind::node_stopped, "node_stopped", 4, false, true},
     {fault_kind::node_frozen, "node_frozen", 3, true, false},
@@ -47,6 +48,7 @@
     {fault_kind::store_forgets, "store_forgets", 2, false, false},
     {fault_kind::configuration_changed, "configuration_changed", 4, false, true},
     {fault_kind::key_revoked, "key_revoked", 2, false, true},
+    {fault_kind::server_silent, "server_silent", 0, true, true},
 }};
 
 constexpr std::size_t link_kind_count = 3;
@@ -56,6 +58,12 @@
 constexpr std::uint64_t length_limit_ms = 6'000;      // Faults are shorter.
 constexpr double follow_up_probability = 0.3;         // That a fault starts soon after another.
 constexpr std::uint64_t follow_up_gap_limit_ms = 400; // It starts earlier.
+constexpr std::uint64_t silence_seed_offset = 0x5117'0000'0000'0000;
+constexpr std::uint64_t min_silence_ms = 700;
+constexpr std::uint64_t silence_limit_ms = 1'501;    // Silences are shorter.
+constexpr double silence_beside_probability = 0.6;   // That one starts near a planned operation.
+constexpr std::uint64_t silence_lead_limit_ms = 800; // It starts less than this before it.
+constexpr std::uint64_t silences_limit = 5;          // Fewer start at other times.
 
 const fault_kind_info& info_of(fault_kind kind)
 {
@@ -63,18 +71,21 @@
                          [kind](const fault_kind_info& info) { return info.kind == kind; });
 }
 
-const fault_kind_info& draw_kind(const random_source& random)
+const fault_kind_info& draw_kind(const random_source& random, fault_selection selection)
 {
+    const auto weight_of = [selection](const fault_kind_info& info) {
+        return selection == fault_selection::all || info.excuses_nothing ? info.weight : 0;
+    };
     std::uint32_t total = 0;
     for (const fault_kind_info& info : fault_kinds) {
-        total += info.weight;
+        total += weight_of(info);
     }
     std::uint64_t remaining = random_below(random, total);
     for (const fault_kind_info& info : fault_kinds) {
-        if (remaining < info.weight) {
+        if (remaining < weight_of(info)) {
             return info;
         }
-        remaining -= info.weight;
+        remaining -= weight_of(info);
     }
     return fault_kinds.back();
 }
@@ -84,11 +95,44 @@
     return std::chrono::milliseconds(from + random_below(random, to - from));
 }
 
+scheduled_fault draw_silence(const random_source& random, duration start)
+{
+    scheduled_fault silence;
+    silence.kind = fault_kind::server_silent;
+    silence.start = start;
+    silence.length = draw_ms(random, min_silence_ms, silence_limit_ms);
+    silence.target = random();
+    return silence;
+}
+
+/** Adds silences of servers around the planned operations of a schedule and at other times. */
+void add_silences(std::vector<scheduled_fault>& faults, std::uint64_t seed, duration span)
+{
+    const random_source random = seeded_random(seed ^ silence_seed_offset);
+    std::vector<scheduled_fault> silences;
+    for (const scheduled_fault& fault : faults) {
+        if (excuses_nothing(fault.kind) && random_fraction(random) < silence_beside_probability) {
+            const duration earliest =
+                fault.start - std::chrono::milliseconds(silence_lead_limit_ms);
+            const duration start =
+                earliest + draw_ms(random, 0, silence_lead_limit_ms + follow_up_gap_limit_ms);
+            silences.push_back(
+                draw_silence(random, std::clamp<duration>(start, duration::zero(), span)));
+        }
+    }
+    const std::uint64_t count = random_below(random, silences_limit);
+    for (std::uint64_t i = 0; i < count; ++i) {
+        const duration start = draw_ms(random, 0, static_cast<std::uint64_t>(span / 1ms));
+        silences.push_back(draw_silence(random, start));
+    }
+    faults.insert(faults.end(), silences.begin(), silences.end());
+}
+
 } // namespace
 
-bool is_planned_operation(fault_kind kind)
+bool excuses_nothing(fault_kind kind)
 {
-    return info_of(kind).planned_operation;
+    return info_of(kind).excuses_nothing;
 }
 
 std::string scheduled_fault::to_string() const
@@ -103,7 +147,8 @@
            std::to_string(length / 1ms) + " ms";
 }
 
-std::vector<scheduled_fault> draw_schedule(std::uint64_t seed, duration span)
+std::vector<scheduled_fault> draw_schedule(std::uint64_t seed, duration span,
+                                           fault_selection selection)
 {
     const random_source random = seeded_random(seed);
     const std::uint64_t count = min_faults + random_below(random, fault_limit - min_faults);
@@ -119,7 +164,7 @@
             const duration gap = draw_ms(random, 0, follow_up_gap_limit_ms);
             fault.start = std::min<duration>(faults[earlier].start + gap, span);
         }
-        const fault_kind_info& info = draw_kind(random);
+        const fault_kind_info& info = draw_kind(random, selection);
         fault.kind = info.kind;
         fault.length =
             info.has_length ? draw_ms(random, min_length_ms, length_limit_ms) : duration::zero();
@@ -127,6 +172,7 @@
         fault.target = random();
         faults.push_back(fault);
     }
+    add_silences(faults, seed, span);
     std::sort(faults.begin(), faults.end(),
               [](const scheduled_fault& a, const scheduled_fault& b) { return a.start < b.start; });
     return faults;
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -38,6 +38,7 @@
     store_forgets, // Only the newest record of each key is kept.
     configuration_changed,
     key_revoked,
+    server_silent, // Accepts, answers and sends nothing for about a second, then goes on.
 };
 
 /** The links that a fault may affect. */
@@ -55,13 +56,22 @@
     std::string to_string() const;
 };
 
-/** \return true for the routine operations of a deployment, which callers must not notice. */
-bool is_planned_operation(fault_kind kind);
+/** \return true for the kinds that excuse no lost answer: the routine operations of a deployment
+ * and the silence of a sound server.
+ */
+bool excuses_nothing(fault_kind kind);
+
+/** Which kinds of faults a schedule has. */
+enum class fault_selection {
+    all,
+    excusing_nothing_only, // All other kinds would excuse lost answers near their time.
+};
 
 /** Draws a schedule, which is the same for the same seed. Faults may overlap.
  * \param span the time within which faults start.
  * \return the faults in the order of their start.
  */
-std::vector<scheduled_fault> draw_schedule(std::uint64_t seed, duration span);
+std::vector<scheduled_fault> draw_schedule(std::uint64_t seed, duration span,
+                                           fault_selection selection = fault_selection::all);
 
 } // namespace chervildyke::soak
--- a/test/correctness/soak_invariant_checker.cpp
+++ b/test/correctness/soak_invariant_checker.cpp
@@ -3,6 +3,8 @@
  * its seed. Guards against a soak that passes because its checker misses a violation, that fails
  * because its checker reports what nodes may do, or whose faults can't be drawn again.
  */
+#include <algorithm>
+
 #include <doctest/doctest.h>
 
 #include "soak/invariant_checker.h"
@@ -222,5 +224,43 @@
             ++drawn[fault.kind];
         }
     }
-    CHECK(drawn.size() == 25);
+    CHECK(drawn.size() == 26);
+}
+
+// Guards against a soak that can't find answers lost beside planned operations, since other faults
+// of the schedule excuse them or no server is silent near them.
+TEST_CASE("a schedule that excuses nothing has silences of servers beside planned operations")
+{
+    int silences_near_operations = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        const auto schedule = draw_schedule(seed, 20s, fault_selection::excusing_nothing_only);
+        for (const scheduled_fault& fault : schedule) {
+            CHECK(excuses_nothing(fault.kind));
+            if (fault.kind != fault_kind::server_silent) {
+                continue;
+            }
+            CHECK(fault.length >= 700ms);
+            CHECK(fault.length <= 1500ms);
+            silences_near_operations +=
+                std::any_of(schedule.begin(), schedule.end(), [&fault](const auto& other) {
+                    return other.kind != fault_kind::server_silent &&
+                           std::chrono::abs(other.start - fault.start) < 1s;
+                });
+        }
+    }
+    CHECK(silences_near_operations > 40);
+}
+
+// Guards against regression seeds (soak/seeds.txt) that no longer play the faults that failed.
+TEST_CASE("silences of servers don't change which other faults a seed draws")
+{
+    std::vector<std::string> others;
+    for (const scheduled_fault& fault : draw_schedule(31, 20s)) {
+        if (fault.kind != fault_kind::server_silent) {
+            others.push_back(fault.to_string());
+        }
+    }
+    CHECK(others.size() == 13);
+    CHECK(others.front() == "store_rejects_node target 910 for 2850 ms");
+    CHECK(others.back() == "server_crashed target 41 for 0 ms");
 }
