Let callers of the soak keep their connections while nodes stop

Callers chose a node at random for each call and resolved addresses anew every 2 s, so few calls came over an open connection to a stopping node. Half of the callers now keep to one connection until its answer says close or it fails, and a third use resolved addresses for three times as long. A lost call that a server got counts at any age; before, calls under 200 ms were left out, though only a call that crosses the close of its connection may be lost.

--- a/soak/caller_pool.cpp
+++ b/soak/caller_pool.cpp
@@ -15,7 +15,10 @@
 
 namespace {
 
-constexpr duration address_ttl = 2s;          // For how long resolved addresses are used.
+constexpr duration address_ttl = 2s;          // For how long most callers use resolved addresses.
+constexpr int long_ttl_factor = 3;            // Some callers use them for this many times as long.
+constexpr std::size_t long_ttl_stride = 3;    // Every third caller does so.
+constexpr std::size_t keeping_stride = 2;     // Every second caller keeps to its connection.
 constexpr duration directory_timeout = 1s;    // For each attempt to resolve addresses.
 constexpr int max_directory_attempts = 3;     // Then the old addresses are used again.
 constexpr duration connect_timeout = 1s;      // For a new connection to a node.
@@ -26,7 +29,7 @@
 constexpr double stream_probability = 0.7;  // That a call is a stream.
 constexpr double cancel_probability = 0.05; // That a caller cancels a stream.
 constexpr std::size_t cancel_after_bytes = 200;
-// A younger call may have met a normal close of its connection.
+// A younger call that no server got may have met a normal close of its connection.
 constexpr duration min_lost_call_age = 200ms;
 constexpr duration max_retry_wait = 1s;            // A caller does not retry after a longer wait.
 constexpr int max_wait_divisor = 3;                // A wait may take a third of the time left.
@@ -54,6 +57,8 @@
         const auto caller = std::make_shared<caller_state>();
         caller->http = std::make_shared<http_client>(executor_, 1);
         caller->name = std::to_string(i);
+        caller->address_ttl = address_ttl * (i % long_ttl_stride == 0 ? long_ttl_factor : 1);
+        caller->keeps_to_node = i % keeping_stride == 0;
         ++active_count_;
         asio::co_spawn(executor_, run_caller(caller), asio::detached);
     }
@@ -89,13 +94,20 @@
             const auto resolved = read_addresses(reply->body);
             if (!resolved.empty()) {
                 caller->addresses = resolved;
-                caller->addresses_until = monotonic_clock::now() + address_ttl;
+                caller->addresses_until = monotonic_clock::now() + caller->address_ttl;
                 co_return;
             }
         }
     }
 }
 
+std::string caller_pool::choose_address(const caller_state& caller) const
+{
+    return caller.kept_address.empty()
+               ? caller.addresses[random_below(random_, caller.addresses.size())]
+               : caller.kept_address;
+}
+
 sent_call caller_pool::make_call(caller_state& caller, const deployed_route& route)
 {
     sent_call call;
@@ -146,7 +158,8 @@
 {
     const bool cut = failure.code == http_error::unanswered || failure.code == http_error::broken;
     const duration age = monotonic_clock::now() - call.sent_at;
-    if (cut && age > min_lost_call_age && fault_tracker_.fault_free_since(call.sent_at)) {
+    const bool accepted = age > min_lost_call_age || checker_.has_arrived(call.id);
+    if (cut && accepted && fault_tracker_.fault_free_since(call.sent_at)) {
         checker_.report_lost_connection(call.id, failure.reason);
     }
 }
@@ -194,8 +207,8 @@
 caller_pool::send_call(std::shared_ptr<caller_state> caller, const deployed_route& route,
                        std::string model, duration time_left)
 {
-    const auto& addresses = caller->addresses;
-    const std::string address = addresses[random_below(random_, addresses.size())];
+    const std::string address = choose_address(*caller);
+    caller->kept_address.clear();
     const auto proxy = network_.proxies_by_address.find(address);
     if (proxy == network_.proxies_by_address.end()) {
         checker_.add_finding("addresses", "a directory returned " + address +
@@ -228,6 +241,10 @@
         report_if_lost(call,
                        {http_error::broken, "the connection ended before the answer was complete"});
     }
+    const bool stays_open = answer.complete && (*stream)->header("Connection") != "close";
+    if (caller->keeps_to_node && stays_open) {
+        caller->kept_address = address;
+    }
     const std::string retry_after((*stream)->header("Retry-After"));
     if (!is_refusal(answer.status) || retry_after.empty()) {
         co_return std::nullopt;
--- a/soak/caller_pool.h
+++ b/soak/caller_pool.h
@@ -38,8 +38,10 @@
     bool operator==(const call_counts&) const = default;
 };
 
-/** Sends calls to random routes, models and nodes with random API keys. Each caller waits for the
- * answer to one call before it sends the next.
+/** Sends calls to random routes and models with random API keys. Each caller waits for the answer
+ * to one call before it sends the next. Half of the callers choose a node at random for each call;
+ * the others use a connection until it is closed, also while its node stops. Some use resolved
+ * addresses for longer than they are valid.
  */
 class caller_pool {
   public:
@@ -72,6 +74,9 @@
         std::shared_ptr<http_client> http;
         std::vector<std::string> addresses;
         time_point addresses_until{};
+        duration address_ttl{};     // For how long resolved addresses are used.
+        bool keeps_to_node = false; // Uses its open connection as long as it can.
+        std::string kept_address;   // Of that connection; empty if there is none.
         std::uint64_t call_count = 0;
         std::string name;
     };
@@ -96,6 +101,9 @@
 
     /** Reports a connection that was lost although no fault was active. */
     void report_if_lost(const sent_call& call, const http_failure& failure);
+
+    /** \return the address of the caller's kept connection, or else a random one. */
+    std::string choose_address(const caller_state& caller) const;
     sent_call make_call(caller_state& caller, const deployed_route& route);
     void count_result(const std::string& workload, const received_answer& answer);
 
--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -161,6 +161,12 @@
     check_answer(call, answer);
 }
 
+bool invariant_checker::has_arrived(const std::string& id) const
+{
+    const auto found = calls_.find(id);
+    return found != calls_.end() && found->second.arrival_count > 0;
+}
+
 void invariant_checker::report_lost_connection(const std::string& id, const std::string& reason)
 {
     add_finding("lost", "call " + id + " lost its connection while no fault was active: " + reason);
--- a/soak/invariant_checker.h
+++ b/soak/invariant_checker.h
@@ -88,6 +88,9 @@
     /** Checks an answer against what backend servers sent for the call, which must be known. */
     void record_received_answer(const std::string& id, const received_answer& answer);
 
+    /** \return true if the call has arrived at a backend server. */
+    bool has_arrived(const std::string& id) const;
+
     /** Adds a finding: a connection ended before the whole answer though no fault was active. */
     void report_lost_connection(const std::string& id, const std::string& reason);
 
