Play answers that end with their connection in the soak

A tenth of the answers of sound servers, plain and streams, have neither a length nor chunks and end with their connection. Under server_breaks_off, such a stream ends inside an event as a complete one ends, so that only the partial event shows that it is broken off, and a plain answer is reset halfway. The caller must see neither as complete; the checks of bodies and streams find one that is. http_reply gets ends_with_connection for this.

--- a/soak/backend_server.cpp
+++ b/soak/backend_server.cpp
@@ -21,8 +21,9 @@
 constexpr std::uint32_t order_queue_limit = 4; // Calls that wait for a slot on a server of orders.
 constexpr duration drain_timeout = 10s;        // For how long running calls may delay the end.
 constexpr duration drain_poll_interval = 5ms;  // Between two checks of a leaving server for calls.
-constexpr duration publish_retry_interval = 200ms; // While the store is down.
-constexpr std::size_t seal_length = 12;            // Characters.
+constexpr duration publish_retry_interval = 200ms;       // While the store is down.
+constexpr std::size_t seal_length = 12;                  // Characters.
+constexpr double ends_with_connection_probability = 0.1; // Of each answer.
 
 } // namespace
 
@@ -114,7 +115,14 @@
         exchange.abort();
         co_return;
     }
-    co_await exchange.respond(std::move(reply));
+    if (!reply.ends_with_connection) {
+        co_await exchange.respond(std::move(reply));
+        co_return;
+    }
+    const std::string body = std::move(reply.body);
+    co_await exchange.start_stream(std::move(reply));
+    co_await exchange.write_chunk(body);
+    co_await exchange.end_stream();
 }
 
 void backend_server::disconnect_from_store()
@@ -151,6 +159,11 @@
     asio::co_spawn(environment_.executor, stop_after_drain(), asio::detached);
 }
 
+bool backend_server::draw_ends_with_connection() const
+{
+    return draw_with_probability(ends_with_connection_probability);
+}
+
 std::string backend_server::make_seal() const
 {
     return random_id(environment_.random).substr(0, seal_length);
@@ -233,6 +246,16 @@
         co_return;
     }
     http_reply reply = write_server_answer(arrival.id, answer);
+    if (draw_with_probability(faults_.truncation_probability)) {
+        // Without a length, only the reset shows that the answer is not complete.
+        reply.ends_with_connection = true;
+        const std::string part = answer.body.substr(0, answer.body.size() / 2);
+        co_await exchange.start_stream(std::move(reply));
+        co_await exchange.write_chunk(part);
+        exchange.abort();
+        co_return;
+    }
+    reply.ends_with_connection = draw_ends_with_connection();
     co_await send(exchange, std::move(reply));
 }
 
--- a/soak/backend_server.h
+++ b/soak/backend_server.h
@@ -24,7 +24,7 @@
 struct server_faults {
     double failure_probability = 0;     // A call runs and is answered with status 500.
     double answer_loss_probability = 0; // A call runs and is not answered.
-    double truncation_probability = 0;  // A stream ends before its last event.
+    double truncation_probability = 0;  // An answer ends before the end of its body.
     duration command_delay{};           // If not zero: commands run after it and are not answered.
     double slowdown_factor = 1;         // Multiplies the time that calls take.
 };
@@ -96,7 +96,9 @@
     /** Waits while the server is silent. */
     boost::asio::awaitable<void> wait_while_silent() const;
 
-    /** Sends a reply once the server is not silent. */
+    /** Sends a reply once the server is not silent.
+     * \param reply may end with the connection.
+     */
     boost::asio::awaitable<void> send(http_exchange& exchange, http_reply reply);
 
     /** Answers that the call or command was not executed. */
@@ -105,6 +107,9 @@
     /** Records the arrival of a call that is refused. */
     void record_refusal(const http_request& request);
 
+    /** Draws whether an answer has neither a length nor chunks and ends with its connection. */
+    bool draw_ends_with_connection() const;
+
     /** Draws one random number. */
     bool draw_with_probability(double probability) const
     {
--- a/soak/model_server.cpp
+++ b/soak/model_server.cpp
@@ -293,7 +293,8 @@
 
 asio::awaitable<void> model_server::write_events(http_exchange& exchange, std::string call_id,
                                                  std::uint64_t after_event,
-                                                 std::uint64_t last_event)
+                                                 std::uint64_t last_event,
+                                                 bool ends_with_connection)
 {
     const std::uint64_t last_written = draw_with_probability(faults_.truncation_probability)
                                            ? after_event + (last_event - after_event) / 2
@@ -311,9 +312,17 @@
         }
     }
     if (last_written < last_event) {
-        co_await exchange.write_chunk("id: 9"); // A partial event.
-        exchange.abort();
-        co_return;
+        if (!ends_with_connection) {
+            co_await exchange.write_chunk("id: 9"); // A partial event.
+            exchange.abort();
+            co_return;
+        }
+        // The connection ends as it does after a complete stream; only the partial event shows that
+        // this one is not.
+        const std::string next = encode_event(call_id, last_written + 1);
+        const std::string part =
+            next.substr(0, 1 + random_below(environment_.random, next.size() - 1));
+        co_await exchange.write_chunk(part);
     }
     co_await exchange.end_stream();
 }
@@ -350,6 +359,7 @@
         const server_answer failed{500, make_seal(), "failed " + arrival.id};
         environment_.checker.record_server_answer(arrival.id, failed);
         http_reply reply = write_server_answer(arrival.id, failed);
+        reply.ends_with_connection = draw_ends_with_connection();
         co_await send(exchange, std::move(reply));
         co_return;
     }
@@ -357,9 +367,12 @@
     environment_.checker.record_server_answer(arrival.id, answer);
     http_reply start = write_server_answer(arrival.id, answer);
     start.content_type = "text/event-stream";
+    const bool ends_with_connection = draw_ends_with_connection();
+    start.ends_with_connection = ends_with_connection;
     co_await exchange.start_stream(std::move(start));
     const std::uint64_t event_count = std::stoull(arrival.body);
-    co_await write_events(exchange, arrival.id, arrival.after_event, event_count);
+    co_await write_events(exchange, arrival.id, arrival.after_event, event_count,
+                          ends_with_connection);
     --running_calls_;
 }
 
--- a/soak/model_server.h
+++ b/soak/model_server.h
@@ -47,11 +47,13 @@
     /** Loads a model into the memory of the host. */
     boost::asio::awaitable<void> stage_model(std::string model);
 
-    /** Streams the events behind after_event up to last_event. Aborts the connection early if a
-     * fault truncates the stream or the replica breaks.
+    /** Streams the events behind after_event up to last_event. Ends the connection early, within an
+     * event, if a fault truncates the stream, and aborts it if the replica breaks.
+     * \param ends_with_connection whether the stream has no chunks.
      */
     boost::asio::awaitable<void> write_events(http_exchange& exchange, std::string call_id,
-                                              std::uint64_t after_event, std::uint64_t last_event);
+                                              std::uint64_t after_event, std::uint64_t last_event,
+                                              bool ends_with_connection);
 
     /** Waits for the time of one step, and longer while a member is lost.
      * \return false if the call must end: the replica broke or was closed with its calls aborted,
--- a/src/base/http_message.h
+++ b/src/base/http_message.h
@@ -41,6 +41,7 @@
     std::vector<http_header> headers;
     std::string body;
     std::string content_type = "application/json"; // Empty: taken from the headers.
+    bool ends_with_connection = false; // A streamed reply without chunks; see start_stream().
 
     std::string_view header(std::string_view name) const { return find_header(headers, name); }
 };
--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -130,6 +130,7 @@
         http::response<http::empty_body> message(static_cast<http::status>(head.status), http_1_1);
         set_fields(message, head);
         // HTTP/1.0 has no chunks: the end of the connection ends the reply.
+        chunked_ = chunked_ && !head.ends_with_connection;
         keep_alive_ = keep_alive_ && chunked_;
         message.keep_alive(keep_alive_);
         message.chunked(chunked_);
--- a/src/base/http_server.h
+++ b/src/base/http_server.h
@@ -40,6 +40,10 @@
     virtual const http_request& request() const = 0;
     virtual std::string peer_address() const = 0;
     virtual boost::asio::awaitable<bool> respond(http_reply reply) = 0;
+
+    /** Sends the header of a reply. Its body is sent in chunks or, if the reply says so or the peer
+     * speaks HTTP/1.0, ends with the connection.
+     */
     virtual boost::asio::awaitable<bool> start_stream(http_reply head) = 0;
     virtual boost::asio::awaitable<bool> write_chunk(std::string_view bytes) = 0;
     virtual boost::asio::awaitable<bool> end_stream() = 0;
