Play calls that crash servers in the soak

What callers would see: calls with one part in their prompts crash one server after another, and sound calls that share their key or first part are refused with them (BUDGET, LOST).

Each model server that begins to answer one crashes, before its first event or after it, and its address refuses connections until it is back. poison_check compares what reaches servers after the fifth crash, and how many sound calls begin, with what nodes must keep to while they are undisturbed; fault_tracker now knows which nodes a fault disturbs. Prompts have parts that calls share, and must arrive unchanged. The option is off by default until nodes block such a part.

--- a/soak/backend_server.cpp
+++ b/soak/backend_server.cpp
@@ -169,9 +169,11 @@
     return random_id(environment_.random).substr(0, seal_length);
 }
 
-void backend_server::record_refusal(const http_request& request)
+void backend_server::record_arrival(const call_arrival& arrival)
 {
-    environment_.checker.record_arrival(read_arrival(request), monotonic_clock::now());
+    const time_point now = monotonic_clock::now();
+    environment_.checker.record_arrival(arrival, now);
+    environment_.poison.record_arrival(arrival.id, now);
 }
 
 asio::awaitable<void> backend_server::refuse(http_exchange& exchange, unsigned status)
@@ -192,7 +194,7 @@
     const request_kind kind = read_request_kind(request);
     if (!target_id.empty() && target_id != entry_.id) {
         if (kind == request_kind::call) {
-            record_refusal(request);
+            record_arrival(read_arrival(request));
         }
         co_await refuse(exchange, 421);
         co_return;
@@ -223,12 +225,12 @@
 {
     call_arrival arrival = read_arrival(exchange.request());
     if (running_calls_ >= slots_per_order_server + order_queue_limit) {
-        environment_.checker.record_arrival(arrival, monotonic_clock::now());
+        record_arrival(arrival);
         co_await refuse(exchange, 503);
         co_return;
     }
     arrival.started = true;
-    environment_.checker.record_arrival(arrival, monotonic_clock::now());
+    record_arrival(arrival);
     ++running_calls_;
     const duration processing_time =
         std::chrono::duration_cast<duration>(order_processing_time * faults_.slowdown_factor);
--- a/soak/backend_server.h
+++ b/soak/backend_server.h
@@ -16,6 +16,7 @@
 #include "soak/deployment.h"
 #include "soak/invariant_checker.h"
 #include "soak/metadata_store.h"
+#include "soak/poison_check.h"
 #include "soak/wire_format.h"
 
 namespace chervildyke::soak {
@@ -36,6 +37,7 @@
     boost::asio::any_io_executor executor;
     metadata_store& store;
     invariant_checker& checker;
+    poison_check& poison;
     random_source random;
     /** The model servers that have not ended. */
     std::map<std::string, std::weak_ptr<model_server>> model_servers_by_id;
@@ -79,6 +81,11 @@
     void disconnect_from_store();
 
     bool alive() const { return alive_; }
+
+    /** \return true if the server has crashed and its address must refuse connections. Otherwise
+     * the address of an ended server resets them.
+     */
+    bool refuses_connections() const { return refuses_connections_; }
     bool leaving() const { return entry_.leaving; }
     const server_entry& entry() const { return entry_; }
     server_faults& faults() { return faults_; }
@@ -104,8 +111,8 @@
     /** Answers that the call or command was not executed. */
     boost::asio::awaitable<void> refuse(http_exchange& exchange, unsigned status);
 
-    /** Records the arrival of a call that is refused. */
-    void record_refusal(const http_request& request);
+    /** Records the arrival of a call at the checks. */
+    void record_arrival(const call_arrival& arrival);
 
     /** Draws whether an answer has neither a length nor chunks and ends with its connection. */
     bool draw_ends_with_connection() const;
@@ -123,6 +130,7 @@
     server_entry entry_;
     server_faults faults_;
     std::uint32_t running_calls_ = 0;
+    bool refuses_connections_ = false;
 
   private:
     boost::asio::awaitable<void> serve(http_exchange& exchange);
--- a/soak/caller_pool.cpp
+++ b/soak/caller_pool.cpp
@@ -24,6 +24,12 @@
 constexpr duration connect_timeout = 1s;      // For a new connection to a node.
 constexpr duration read_timeout = 4s;         // For each part of an answer.
 constexpr std::uint64_t pause_limit_ms = 120; // A caller waits for less than this before each call.
+constexpr std::size_t poison_callers = 4;
+constexpr std::uint64_t poison_pause_limit_ms = 1'200; // As above, for callers that crash servers.
+constexpr std::uint64_t first_parts = 3;               // Parts with which prompts begin.
+constexpr std::uint64_t second_parts = 12;             // Parts that follow.
+constexpr std::size_t own_part_length = 8;             // Characters of its id.
+constexpr double poison_second_probability = 0.5;      // That the poison part is the second one.
 constexpr std::uint64_t min_events = 10;
 constexpr std::uint64_t event_limit = 60;   // A stream has fewer events.
 constexpr double stream_probability = 0.7;  // That a call is a stream.
@@ -45,9 +51,9 @@
 
 caller_pool::caller_pool(asio::any_io_executor executor, caller_network network,
                          const deployment& deployed, invariant_checker& checker,
-                         const fault_tracker& tracker, random_source random)
+                         const fault_tracker& tracker, poison_check& poison, random_source random)
     : executor_(std::move(executor)), network_(std::move(network)), deployment_(deployed),
-      checker_(checker), fault_tracker_(tracker), random_(std::move(random))
+      checker_(checker), fault_tracker_(tracker), poison_check_(poison), random_(std::move(random))
 {
 }
 
@@ -64,10 +70,32 @@
     }
 }
 
+void caller_pool::start_poison()
+{
+    sends_poison_ = true;
+    poison_check_.begin();
+    for (std::size_t i = 0; i < poison_callers; ++i) {
+        const auto caller = std::make_shared<caller_state>();
+        caller->http = std::make_shared<http_client>(executor_, 1);
+        caller->name = "poison" + std::to_string(poison_caller_count_++);
+        caller->address_ttl = address_ttl;
+        caller->sends_poison = true;
+        ++active_count_;
+        asio::co_spawn(executor_, run_caller(caller), asio::detached);
+    }
+}
+
+void caller_pool::stop_poison()
+{
+    sends_poison_ = false;
+    poison_check_.end();
+}
+
 asio::awaitable<void> caller_pool::run_caller(std::shared_ptr<caller_state> caller)
 {
-    while (running_) {
-        const auto pause = std::chrono::milliseconds(random_below(random_, pause_limit_ms));
+    const std::uint64_t limit_ms = caller->sends_poison ? poison_pause_limit_ms : pause_limit_ms;
+    while (running_ && (sends_poison_ || !caller->sends_poison)) {
+        const auto pause = std::chrono::milliseconds(random_below(random_, limit_ms));
         co_await sleep_for(pause);
         if (monotonic_clock::now() > caller->addresses_until) {
             co_await resolve_addresses(caller);
@@ -119,9 +147,15 @@
     const auto& team = deployment_.teams[random_below(random_, deployment_.teams.size())];
     call.team = team.name;
     call.key = team.keys[random_below(random_, team.keys.size())];
+    if (caller.sends_poison) {
+        call.poisoned = true;
+        call.team = deployment_.teams.back().name;
+        call.key = deployment_.teams.back().keys.front();
+    }
     if (route.streaming) {
         call.event_count = min_events + random_below(random_, event_limit - min_events);
         call.body = std::to_string(call.event_count);
+        call.prompt = draw_prompt(call);
     }
     else {
         call.body = "for " + call.id;
@@ -130,9 +164,35 @@
     return call;
 }
 
+std::string caller_pool::draw_prompt(const sent_call& call) const
+{
+    const std::string first =
+        call.poisoned ? poisoned_first_part
+                      : "5c1e07a" + std::to_string(2 + random_below(random_, first_parts));
+    const std::string second = "91bd3f" + std::to_string(10 + random_below(random_, second_parts));
+    const std::string own = random_id(random_).substr(0, own_part_length);
+    if (!call.poisoned) {
+        return first + ":250," + second + ":150," + own + ":100";
+    }
+    const std::string poison = std::string(poison_part) + ":50";
+    // The part comes before or behind the other shared part.
+    return random_fraction(random_) < poison_second_probability
+               ? first + ":250," + poison + "," + second + ":150," + own + ":50"
+               : first + ":250," + second + ":150," + poison + "," + own + ":50";
+}
+
+void caller_pool::record_if_sound(const sent_call& call, std::size_t node, unsigned status)
+{
+    const bool related = call.key == deployment_.teams.back().keys.front() ||
+                         has_part(call.prompt, poisoned_first_part);
+    if (!call.poisoned && !call.prompt.empty() && related) {
+        poison_check_.record_sound_call(node, call.sent_at, status >= 200 && status < 300);
+    }
+}
+
 asio::awaitable<void> caller_pool::call_random_route(std::shared_ptr<caller_state> caller)
 {
-    const bool streaming = random_fraction(random_) < stream_probability;
+    const bool streaming = caller->sends_poison || random_fraction(random_) < stream_probability;
     std::vector<const deployed_route*> routes;
     for (const deployed_route& route : deployment_.routes) {
         if (route.streaming == streaming) {
@@ -145,12 +205,12 @@
         model = deployment_.models[random_below(random_, deployment_.models.size())].name;
     }
     const time_point deadline = monotonic_clock::now() + route.timeout;
-    const auto retry_after = co_await send_call(caller, route, model, route.timeout);
+    const auto retry_after = co_await send_call(caller, route, model, route.timeout, true);
     if (retry_after) {
         const duration wait = *retry_after;
         co_await sleep_for(wait);
         const duration time_left = deadline - monotonic_clock::now();
-        co_await send_call(caller, route, model, time_left);
+        co_await send_call(caller, route, model, time_left, false);
     }
 }
 
@@ -205,27 +265,35 @@
 
 asio::awaitable<std::optional<duration>>
 caller_pool::send_call(std::shared_ptr<caller_state> caller, const deployed_route& route,
-                       std::string model, duration time_left)
+                       std::string model, duration time_left, bool is_first_attempt)
 {
     const std::string address = choose_address(*caller);
     caller->kept_address.clear();
-    const auto proxy = network_.proxies_by_address.find(address);
-    if (proxy == network_.proxies_by_address.end()) {
+    const auto node = network_.nodes_by_address.find(address);
+    if (node == network_.nodes_by_address.end()) {
         checker_.add_finding("addresses", "a directory returned " + address +
                                               ", which is not the call address of a node");
         co_return std::nullopt;
     }
     const sent_call call = make_call(*caller, route);
     checker_.record_sent(call);
+    if (call.poisoned) {
+        poison_check_.record_sent(call.id, node->second.index);
+    }
     const std::string workload = model.empty() ? route.name : model;
     http_request request = write_call(call, deployment_.host, model, time_left);
     http_call_options options;
     options.timeout = time_left;
     options.connect_timeout = connect_timeout;
-    const std::string proxy_address = proxy->second;
+    const std::string proxy_address = node->second.proxy_address;
     auto stream = co_await caller->http->open(proxy_address, std::move(request), options);
+    if (is_first_attempt) {
+        record_if_sound(call, node->second.index, stream ? (*stream)->status() : 0);
+    }
     if (!stream) {
-        count_result(workload, {});
+        if (!call.poisoned) {
+            count_result(workload, {});
+        }
         report_if_lost(call, stream.failure());
         co_return std::nullopt;
     }
@@ -234,7 +302,7 @@
         cancels ? cancel_after_bytes : std::numeric_limits<std::size_t>::max();
     const received_answer answer = co_await read_answer(*stream, call.id, cancel_after);
     checker_.record_received_answer(call.id, answer);
-    if (!cancels && !checker_.is_revoked(call.key)) {
+    if (!cancels && !call.poisoned && !checker_.is_revoked(call.key)) {
         count_result(workload, answer);
     }
     if (!cancels && !answer.complete) {
--- a/soak/caller_pool.h
+++ b/soak/caller_pool.h
@@ -15,19 +15,25 @@
 #include "base/random.h"
 #include "soak/fault_tracker.h"
 #include "soak/invariant_checker.h"
+#include "soak/poison_check.h"
 #include "soak/wire_format.h"
 
 namespace chervildyke::soak {
 
+/** A node as callers reach it. */
+struct node_access {
+    std::size_t index = 0;
+    std::string proxy_address; // ip:port
+};
+
 /** How callers reach the nodes. */
 struct caller_network {
-    std::vector<std::string> directory_addresses; // ip:port of each node's directory.
-    /** The proxy (ip:port) for each node's call address. */
-    std::map<std::string, std::string> proxies_by_address;
+    std::vector<std::string> directory_addresses;        // ip:port of each node's directory.
+    std::map<std::string, node_access> nodes_by_address; // By call address.
 };
 
-/** Counts of calls by result. Cancelled streams, and answered calls with a revoked key, are not
- * counted.
+/** Counts of calls by result. Cancelled streams, answered calls with a revoked key and calls that
+ * crash servers are not counted.
  */
 struct call_counts {
     std::uint64_t sent = 0;
@@ -50,11 +56,15 @@
      */
     caller_pool(boost::asio::any_io_executor executor, caller_network network,
                 const deployment& deployed, invariant_checker& checker,
-                const fault_tracker& tracker, random_source random);
+                const fault_tracker& tracker, poison_check& poison, random_source random);
 
     /** Starts callers that send calls until stop(). */
     void start(std::size_t count);
 
+    /** Starts callers whose prompts crash servers. They send calls until stop_poison(). */
+    void start_poison();
+    void stop_poison();
+
     /** Makes each caller end after its current call. */
     void stop() { running_ = false; }
 
@@ -77,6 +87,7 @@
         duration address_ttl{};     // For how long resolved addresses are used.
         bool keeps_to_node = false; // Uses its open connection as long as it can.
         std::string kept_address;   // Of that connection; empty if there is none.
+        bool sends_poison = false;  // All its prompts crash servers.
         std::uint64_t call_count = 0;
         std::string name;
     };
@@ -90,8 +101,17 @@
     /** \return the time after which to retry; nothing: don't retry. */
     boost::asio::awaitable<std::optional<duration>> send_call(std::shared_ptr<caller_state> caller,
                                                               const deployed_route& route,
-                                                              std::string model,
-                                                              duration time_left);
+                                                              std::string model, duration time_left,
+                                                              bool is_first_attempt);
+
+    /** Draws the parts of a prompt: one that many calls have, one that some have, and the call's
+     * own.
+     */
+    std::string draw_prompt(const sent_call& call) const;
+
+    /** Records the end of a call that shares its key or first part with calls that crash servers.
+     */
+    void record_if_sound(const sent_call& call, std::size_t node, unsigned status);
 
     /** Reads the body of an answer.
      * \param cancel_after the number of bytes after which the caller stops reading.
@@ -112,8 +132,11 @@
     const deployment& deployment_;
     invariant_checker& checker_;
     const fault_tracker& fault_tracker_;
+    poison_check& poison_check_;
     random_source random_;
     bool running_ = true;
+    bool sends_poison_ = false;
+    std::uint64_t poison_caller_count_ = 0; // Started so far.
     std::size_t active_count_ = 0;
     call_counts counts_;
     std::map<std::string, call_counts> counts_by_workload_;
--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -4,6 +4,7 @@
 #include "soak/fault_injector.h"
 
 #include <csignal>
+#include <numeric>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -207,8 +208,38 @@
     }
 }
 
+std::vector<std::size_t> fault_injector::nodes_disturbed_by(const scheduled_fault& fault) const
+{
+    const std::size_t count = fleet_.nodes().size();
+    std::vector<std::size_t> all(count);
+    std::iota(all.begin(), all.end(), std::size_t{0});
+    switch (fault.kind) {
+    case fault_kind::node_killed:
+    case fault_kind::node_stopped:
+    case fault_kind::node_frozen:
+        return {fault.target % count};
+    case fault_kind::link_slow:
+    case fault_kind::link_reset:
+    case fault_kind::link_cut_forward:
+    case fault_kind::link_cut_backward:
+    case fault_kind::link_silent:
+        return fault.link == link_kind::to_server ? all : std::vector{fault.target % count};
+    case fault_kind::all_nodes_killed:
+    case fault_kind::store_down:
+    case fault_kind::store_slow:
+    case fault_kind::store_loses_answers:
+    case fault_kind::store_rejects_node:
+    case fault_kind::store_forgets:
+        return all;
+    default:
+        return {};
+    }
+}
+
 asio::awaitable<void> fault_injector::inject(scheduled_fault fault)
 {
+    const std::vector<std::size_t> disturbed_nodes = nodes_disturbed_by(fault);
+    fleet_.tracker().begin_disturbance(disturbed_nodes);
     const bool excuses_lost_answers = !excuses_nothing(fault.kind);
     ++active_fault_count_;
     if (excuses_lost_answers) {
@@ -221,6 +252,11 @@
     case fault_kind::key_revoked:
         fleet_.revoke_key();
         break;
+    case fault_kind::poison_prompts:
+        fleet_.callers().start_poison();
+        co_await sleep_for(fault.length);
+        fleet_.callers().stop_poison();
+        break;
     case fault_kind::all_nodes_killed:
         for (const auto& node : fleet_.nodes()) {
             node->exit_expected = true;
@@ -255,6 +291,7 @@
     if (excuses_lost_answers) {
         fleet_.tracker().end_fault();
     }
+    fleet_.tracker().end_disturbance(disturbed_nodes);
     --active_fault_count_;
 }
 
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -39,6 +39,9 @@
 
     /** Makes every third server execute its commands late and leave them unanswered. */
     boost::asio::awaitable<void> delay_commands(scheduled_fault fault);
+
+    /** \return the nodes whose process, links or store a fault disturbs. */
+    std::vector<std::size_t> nodes_disturbed_by(const scheduled_fault& fault) const;
     server_endpoint& endpoint_of(const scheduled_fault& fault);
     link_proxy& link_of(const scheduled_fault& fault);
 
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -59,8 +59,9 @@
 
 soak_fleet::soak_fleet(asio::any_io_executor executor, fleet_options options)
     : executor_(std::move(executor)), options_(std::move(options)), checker_(max_attempts_per_call),
-      store_(executor_), environment_{executor_, store_, checker_, seeded_random(options_.seed),
-                                      {},        {},     {}},
+      poison_check_(fault_tracker_), store_(executor_),
+      environment_{executor_, store_, checker_, poison_check_, seeded_random(options_.seed),
+                   {},        {},     {}},
       deployment_(make_deployment()), initial_deployment_(deployment_)
 {
     for (const deployed_model& model : deployment_.models) {
@@ -175,6 +176,11 @@
         last_reason_ = "can't listen on a free port of " + endpoint.ip;
         return false;
     }
+    if (!endpoint.link->listening() &&
+        !endpoint.link->listen(ip_of(server_link_subnet, endpoint.index), server_port)) {
+        last_reason_ = "can't listen again on " + entry.address;
+        return false;
+    }
     endpoint.link->set_target(endpoint.server->listening_address());
     endpoint.link->faults().resets_new_connections = false;
     return true;
@@ -212,12 +218,12 @@
     caller_network network;
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
         network.directory_addresses.push_back(nodes_[i]->ip + ":" + std::to_string(directory_port));
-        network.proxies_by_address[nodes_[i]->ip + ":" + std::to_string(call_port)] =
-            ip_of(caller_link_subnet, i) + ":" + std::to_string(call_port);
+        network.nodes_by_address[nodes_[i]->ip + ":" + std::to_string(call_port)] = {
+            i, ip_of(caller_link_subnet, i) + ":" + std::to_string(call_port)};
     }
-    caller_pool_ =
-        std::make_unique<caller_pool>(executor_, std::move(network), initial_deployment_, checker_,
-                                      fault_tracker_, seeded_random(options_.seed + 1));
+    caller_pool_ = std::make_unique<caller_pool>(executor_, std::move(network), initial_deployment_,
+                                                 checker_, fault_tracker_, poison_check_,
+                                                 seeded_random(options_.seed + 1));
     caller_pool_->start(caller_count);
 }
 
@@ -271,6 +277,9 @@
             }
             // The server has ended. Its address accepts no connections until the next one starts.
             endpoint->link->faults().resets_new_connections = true;
+            if (endpoint->server->refuses_connections()) {
+                endpoint->link->stop_listening();
+            }
             endpoint->link->reset_open_connections();
             server_endpoint* const down_endpoint = endpoint.get();
             asio::co_spawn(
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -80,6 +80,7 @@
     caller_pool& callers() { return *caller_pool_; }
     invariant_checker& checker() { return checker_; }
     fault_tracker& tracker() { return fault_tracker_; }
+    poison_check& poison() { return poison_check_; }
     metadata_store& store() { return store_; }
     bool stopping() const { return stopping_; }
 
@@ -125,6 +126,7 @@
     fleet_options options_;
     invariant_checker checker_;
     fault_tracker fault_tracker_;
+    poison_check poison_check_;
     metadata_store store_;
     server_environment environment_;
     deployment deployment_;         // As last published.
--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -55,6 +55,10 @@
                                    " arrived with another target or body: target " +
                                    arrival.target);
     }
+    if (arrival.prompt != call.sent.prompt) {
+        add_finding("unasked", "call " + arrival.id + " arrived with the prompt '" +
+                                   arrival.prompt + "' instead of '" + call.sent.prompt + "'");
+    }
     if (arrival.team != call.sent.team || arrival.has_key) {
         add_finding("unasked", "call " + arrival.id + " arrived for team '" + arrival.team + "', " +
                                    (arrival.has_key ? "with its API key" : "without an API key"));
@@ -238,7 +242,8 @@
 {
     for (const auto& [id, call] : calls_) {
         const bool refused = call.received && means_not_executed(call.received->status);
-        if (refused && call.execution_count > 0 && call.sent.retry == retry_rule::never) {
+        const bool must_not_have_run = call.sent.retry == retry_rule::never || call.sent.poisoned;
+        if (refused && call.execution_count > 0 && must_not_have_run) {
             add_finding("refused", "call " + id + " was refused with status " +
                                        std::to_string(call.received->status) + " and ran " +
                                        std::to_string(call.execution_count) + " times");
--- a/soak/invariant_checker.h
+++ b/soak/invariant_checker.h
@@ -31,6 +31,8 @@
     std::string team;
     std::string key;
     std::string body;
+    std::string prompt;            // Its parts, ID:TOKENS separated by commas; empty: none.
+    bool poisoned = false;         // The prompt crashes each server that begins to answer it.
     std::uint64_t event_count = 0; // Of a complete stream.
     time_point sent_at{};
 };
@@ -41,6 +43,7 @@
     std::string target;
     std::string team;
     std::string body;
+    std::string prompt;
     bool has_key = false;          // The caller's API key was forwarded.
     bool started = false;          // False if the server refused the call.
     std::uint64_t after_event = 0; // The event after which a stream resumes; zero: it begins.
--- a/soak/link_proxy.cpp
+++ b/soak/link_proxy.cpp
@@ -161,8 +161,7 @@
 
 link_proxy::~link_proxy()
 {
-    error_code ignored; // Closing the acceptor ends the accepting task.
-    state_->acceptor.close(ignored);
+    stop_listening();
     reset_open_connections();
 }
 
@@ -181,6 +180,17 @@
     return !error;
 }
 
+void link_proxy::stop_listening()
+{
+    error_code ignored; // Closing the acceptor ends the accepting task.
+    state_->acceptor.close(ignored);
+}
+
+bool link_proxy::listening() const
+{
+    return state_->acceptor.is_open();
+}
+
 void link_proxy::set_target(const std::string& address)
 {
     state_->target = address;
--- a/soak/link_proxy.h
+++ b/soak/link_proxy.h
@@ -34,6 +34,10 @@
     /** \return false if the proxy can't listen on the address. */
     bool listen(const std::string& ip, std::uint16_t port);
 
+    /** Refuses new connections until listen() is called again. */
+    void stop_listening();
+    bool listening() const;
+
     /** Sets the target of new connections.
      * \param address ip:port
      */
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -23,6 +23,8 @@
 constexpr duration formation_time = 4s;   // Until the first replicas serve.
 constexpr duration recovery_time = 12s;   // From the last fault to full service.
 constexpr duration measurement_time = 4s; // For which calls are counted after recovery.
+constexpr std::size_t default_model_server_count = 14;
+constexpr std::size_t poison_model_server_count = 28; // Enough replicas serve after five crashes.
 constexpr double min_served_share = 0.25; // Of the calls of each model or route, after recovery.
 
 std::string in_seconds(duration span)
@@ -47,7 +49,7 @@
 }
 
 asio::awaitable<int> run(soak_fleet& fleet, const fleet_options& options, duration span,
-                         fault_selection selection)
+                         schedule_options schedule)
 {
     if (!fleet.start()) {
         std::cerr << "chervil-soak: " << fleet.last_reason() << '\n';
@@ -55,9 +57,10 @@
     }
     co_await sleep_for(formation_time);
     print("formed", fleet.callers().counts());
+    fleet.poison().start_baseline();
     fault_injector faults(co_await asio::this_coro::executor, fleet);
     const time_point schedule_start = monotonic_clock::now();
-    for (const scheduled_fault& fault : draw_schedule(options.seed, span, selection)) {
+    for (const scheduled_fault& fault : draw_schedule(options.seed, span, schedule)) {
         const duration wait = schedule_start + fault.start - monotonic_clock::now();
         co_await sleep_for(wait);
         std::cout << in_seconds(monotonic_clock::now() - schedule_start) << "  "
@@ -82,6 +85,10 @@
     }
     co_await fleet.stop();
     fleet.checker().check_final_state();
+    fleet.poison().check_final_state(fleet.checker());
+    if (fleet.poison().crash_count() > 0) {
+        std::cout << fleet.poison().crash_count() << " servers crashed by prompts\n";
+    }
     print("ended", fleet.callers().counts());
     for (const std::string& finding : fleet.checker().findings()) {
         std::cout << "BROKEN " << finding << '\n';
@@ -101,12 +108,13 @@
         "seconds", "the time within which faults start, in seconds",
         cxxopts::value<unsigned>()->default_value("20"))(
         "nodes", "the number of nodes", cxxopts::value<std::size_t>()->default_value("4"))(
-        "model-servers", "the number of VMs that run models",
-        cxxopts::value<std::size_t>()->default_value("14"))(
+        "model-servers", "the number of VMs that run models; by default 14, and 28 with --poison",
+        cxxopts::value<std::size_t>())(
         "node-program", "the program of a node",
         cxxopts::value<std::string>()->default_value("build/bin/chervil-node"))(
         "folder", "the folder for the settings and logs of the nodes",
         cxxopts::value<std::string>()->default_value("run/soak"))(
+        "poison", "add calls whose prompts crash servers")(
         "excusing-nothing-only", "draw only faults that excuse no lost answer")(
         "net", "second byte of all addresses, 127.NET.x.y; 0: derived from the seed",
         cxxopts::value<std::uint32_t>()->default_value("0"))("help", "prints this text");
@@ -121,7 +129,12 @@
         fleet_options options;
         options.seed = arguments["seed"].as<std::uint64_t>();
         options.node_count = arguments["nodes"].as<std::size_t>();
-        options.model_server_count = arguments["model-servers"].as<std::size_t>();
+        const bool sets_model_servers = arguments.count("model-servers") > 0;
+        const bool poison = arguments.count("poison") > 0;
+        options.model_server_count = sets_model_servers
+                                         ? arguments["model-servers"].as<std::size_t>()
+                                     : poison ? poison_model_server_count
+                                              : default_model_server_count;
         options.node_program = arguments["node-program"].as<std::string>();
         options.folder = arguments["folder"].as<std::string>();
         options.network_number = arguments["net"].as<std::uint32_t>();
@@ -131,12 +144,12 @@
         }
         std::filesystem::create_directories(options.folder);
         const std::chrono::seconds span(arguments["seconds"].as<unsigned>());
-        const fault_selection selection = arguments.count("excusing-nothing-only") > 0
-                                              ? fault_selection::excusing_nothing_only
-                                              : fault_selection::all;
+        schedule_options schedule;
+        schedule.excusing_nothing_only = arguments.count("excusing-nothing-only") > 0;
+        schedule.poison = poison;
         asio::io_context context(1);
         soak_fleet fleet(context.get_executor(), options);
-        return run_main_task(context, [&] { return run(fleet, options, span, selection); });
+        return run_main_task(context, [&] { return run(fleet, options, span, schedule); });
     }
     catch (const std::exception& error) {
         std::cerr << "chervil-soak: " << error.what() << '\n';
--- a/soak/model_server.cpp
+++ b/soak/model_server.cpp
@@ -20,6 +20,7 @@
 constexpr duration close_poll_interval = 5ms;  // For the end of running calls.
 constexpr int initial_load_speedup = 10;     // Factor on the speed of loads before the first call.
 constexpr std::size_t max_staged_models = 1; // In the memory of a host.
+constexpr double crash_after_begin_probability = 0.5; // That an event precedes the crash.
 
 // HTTP statuses that answer commands.
 constexpr unsigned accepted = 202;
@@ -327,13 +328,33 @@
     co_await exchange.end_stream();
 }
 
+asio::awaitable<void> model_server::crash_by_prompt(http_exchange& exchange, std::string call_id)
+{
+    const server_answer answer{200, make_seal(), ""};
+    if (draw_with_probability(crash_after_begin_probability)) {
+        environment_.checker.record_server_answer(call_id, answer);
+        http_reply start = write_server_answer(call_id, answer);
+        start.content_type = "text/event-stream";
+        co_await exchange.start_stream(std::move(start));
+        const std::string event = encode_event(call_id, 1);
+        co_await exchange.write_chunk(event);
+    }
+    --running_calls_;
+    if (alive()) {
+        environment_.poison.record_crash(monotonic_clock::now());
+        refuses_connections_ = true;
+        crash();
+    }
+    exchange.abort();
+}
+
 asio::awaitable<void> model_server::serve_call(http_exchange& exchange)
 {
     call_arrival arrival = read_arrival(exchange.request());
     const bool is_head = !entry_.replica.empty() && entry_.rank == 0;
     const bool is_open = is_head && entry_.phase == membership_phase::open;
     if (!is_open || running_calls_ >= slots_per_replica) {
-        environment_.checker.record_arrival(arrival, monotonic_clock::now());
+        record_arrival(arrival);
         co_await refuse(exchange, is_head ? 503 : 421);
         co_return;
     }
@@ -341,7 +362,7 @@
     const bool started = co_await run_step(time_to_first_token);
     if (!started) {
         --running_calls_;
-        environment_.checker.record_arrival(arrival, monotonic_clock::now());
+        record_arrival(arrival);
         if (alive()) {
             co_await refuse(exchange, 503);
         }
@@ -351,9 +372,13 @@
         co_return;
     }
     arrival.started = true;
-    environment_.checker.record_arrival(arrival, monotonic_clock::now());
+    record_arrival(arrival);
     environment_.checker.check_replica({entry_.replica, entry_.epoch, members_,
                                         environment_.models_by_name.at(model_).replica_size});
+    if (has_part(arrival.prompt, poison_part)) {
+        co_await crash_by_prompt(exchange, arrival.id);
+        co_return;
+    }
     if (draw_with_probability(faults_.failure_probability)) {
         --running_calls_;
         const server_answer failed{500, make_seal(), "failed " + arrival.id};
--- a/soak/model_server.h
+++ b/soak/model_server.h
@@ -55,6 +55,9 @@
                                               std::uint64_t after_event, std::uint64_t last_event,
                                               bool ends_with_connection);
 
+    /** Crashes because of the prompt of a call, before or after its first event. */
+    boost::asio::awaitable<void> crash_by_prompt(http_exchange& exchange, std::string call_id);
+
     /** Waits for the time of one step, and longer while a member is lost.
      * \return false if the call must end: the replica broke or was closed with its calls aborted,
      * the membership changed, or the server ended.
--- a/soak/schedule.cpp
+++ b/soak/schedule.cpp
@@ -21,8 +21,8 @@
     bool excuses_nothing;
 };
 
-// Silences are drawn on their own, so that the other faults of a seed stay the same.
-constexpr std::array<fault_kind_info, 26> fault_kinds = {{
+// Kinds without a weight are drawn on their own, so that the other faults of a seed stay the same.
+constexpr std::array<fault_kind_info, 27> fault_kinds = {{
     {fault_kind::node_killed, "node_killed", 4, false, false},
     {fault_kind::node_stopped, "node_stopped", 4, false, true},
     {fault_kind::node_frozen, "node_frozen", 3, true, false},
@@ -49,6 +49,7 @@
     {fault_kind::configuration_changed, "configuration_changed", 4, false, true},
     {fault_kind::key_revoked, "key_revoked", 2, false, true},
     {fault_kind::server_silent, "server_silent", 0, true, true},
+    {fault_kind::poison_prompts, "poison_prompts", 0, true, false},
 }};
 
 constexpr std::size_t link_kind_count = 3;
@@ -59,6 +60,7 @@
 constexpr double follow_up_probability = 0.3;         // That a fault starts soon after another.
 constexpr std::uint64_t follow_up_gap_limit_ms = 400; // It starts earlier.
 constexpr std::uint64_t silence_seed_offset = 0x5117'0000'0000'0000;
+constexpr std::uint64_t poison_seed_offset = 0x9015'0000'0000'0000;
 constexpr std::uint64_t min_silence_ms = 700;
 constexpr std::uint64_t silence_limit_ms = 1'501;    // Silences are shorter.
 constexpr double silence_beside_probability = 0.6;   // That one starts near a planned operation.
@@ -71,10 +73,10 @@
                          [kind](const fault_kind_info& info) { return info.kind == kind; });
 }
 
-const fault_kind_info& draw_kind(const random_source& random, fault_selection selection)
+const fault_kind_info& draw_kind(const random_source& random, const schedule_options& options)
 {
-    const auto weight_of = [selection](const fault_kind_info& info) {
-        return selection == fault_selection::all || info.excuses_nothing ? info.weight : 0;
+    const auto weight_of = [&options](const fault_kind_info& info) {
+        return !options.excusing_nothing_only || info.excuses_nothing ? info.weight : 0;
     };
     std::uint32_t total = 0;
     for (const fault_kind_info& info : fault_kinds) {
@@ -105,6 +107,18 @@
     return silence;
 }
 
+/** Adds a time of calls with poison prompts, from the first quarter of the span to the last one. */
+void add_poison(std::vector<scheduled_fault>& faults, std::uint64_t seed, duration span)
+{
+    const random_source random = seeded_random(seed ^ poison_seed_offset);
+    const auto quarter_ms = static_cast<std::uint64_t>(span / 1ms) / 4;
+    scheduled_fault poison;
+    poison.kind = fault_kind::poison_prompts;
+    poison.start = draw_ms(random, 0, quarter_ms);
+    poison.length = draw_ms(random, 3 * quarter_ms, 4 * quarter_ms) - poison.start;
+    faults.push_back(poison);
+}
+
 /** Adds silences of servers around the planned operations of a schedule and at other times. */
 void add_silences(std::vector<scheduled_fault>& faults, std::uint64_t seed, duration span)
 {
@@ -148,7 +162,7 @@
 }
 
 std::vector<scheduled_fault> draw_schedule(std::uint64_t seed, duration span,
-                                           fault_selection selection)
+                                           const schedule_options& options)
 {
     const random_source random = seeded_random(seed);
     const std::uint64_t count = min_faults + random_below(random, fault_limit - min_faults);
@@ -164,7 +178,7 @@
             const duration gap = draw_ms(random, 0, follow_up_gap_limit_ms);
             fault.start = std::min<duration>(faults[earlier].start + gap, span);
         }
-        const fault_kind_info& info = draw_kind(random, selection);
+        const fault_kind_info& info = draw_kind(random, options);
         fault.kind = info.kind;
         fault.length =
             info.has_length ? draw_ms(random, min_length_ms, length_limit_ms) : duration::zero();
@@ -173,6 +187,9 @@
         faults.push_back(fault);
     }
     add_silences(faults, seed, span);
+    if (options.poison) {
+        add_poison(faults, seed, span);
+    }
     std::sort(faults.begin(), faults.end(),
               [](const scheduled_fault& a, const scheduled_fault& b) { return a.start < b.start; });
     return faults;
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -38,7 +38,8 @@
     store_forgets, // Only the newest record of each key is kept.
     configuration_changed,
     key_revoked,
-    server_silent, // Accepts, answers and sends nothing for about a second, then goes on.
+    server_silent,  // Accepts, answers and sends nothing for about a second, then goes on.
+    poison_prompts, // Some calls crash each server that begins to answer them.
 };
 
 /** The links that a fault may affect. */
@@ -62,9 +63,9 @@
 bool excuses_nothing(fault_kind kind);
 
 /** Which kinds of faults a schedule has. */
-enum class fault_selection {
-    all,
-    excusing_nothing_only, // All other kinds would excuse lost answers near their time.
+struct schedule_options {
+    bool excusing_nothing_only = false; // Other kinds would excuse lost answers near their time.
+    bool poison = false;                // Adds poison_prompts for at least half of the time.
 };
 
 /** Draws a schedule, which is the same for the same seed. Faults may overlap.
@@ -72,6 +73,6 @@
  * \return the faults in the order of their start.
  */
 std::vector<scheduled_fault> draw_schedule(std::uint64_t seed, duration span,
-                                           fault_selection selection = fault_selection::all);
+                                           const schedule_options& options = {});
 
 } // namespace chervildyke::soak
--- a/soak/wire_format.cpp
+++ b/soak/wire_format.cpp
@@ -316,6 +316,7 @@
     arrival.target = request.target;
     arrival.team = request.header("X-Tenant");
     arrival.body = request.body;
+    arrival.prompt = request.header("X-Prompt-Prefix");
     arrival.has_key = !request.header("Authorization").empty();
     arrival.after_event = read_number(std::string(request.header("Last-Event-Id")));
     return arrival;
@@ -364,7 +365,7 @@
     if (!model.empty()) {
         request.headers.push_back({"X-Model", model});
         request.headers.push_back({"X-Token-Usage", "500," + std::to_string(call.event_count)});
-        request.headers.push_back({"X-Prompt-Prefix", "5c1e07a2:500"});
+        request.headers.push_back({"X-Prompt-Prefix", call.prompt});
     }
     return request;
 }
--- a/test/correctness/soak_invariant_checker.cpp
+++ b/test/correctness/soak_invariant_checker.cpp
@@ -219,12 +219,13 @@
     CHECK(draw_schedule(5, 20s).front().to_string() == draw_schedule(5, 20s).front().to_string());
     std::map<fault_kind, int> drawn;
     for (std::uint64_t seed = 1; seed <= 100; ++seed) {
-        for (const scheduled_fault& fault : draw_schedule(seed, 20s)) {
+        for (const scheduled_fault& fault : draw_schedule(seed, 20s, {.poison = true})) {
             CHECK(fault.start <= 20s);
             ++drawn[fault.kind];
         }
     }
-    CHECK(drawn.size() == 26);
+    CHECK(drawn.size() == 27);
+    CHECK(drawn[fault_kind::poison_prompts] == 100);
 }
 
 // Guards against a soak that can't find answers lost beside planned operations, since other faults
@@ -233,7 +234,7 @@
 {
     int silences_near_operations = 0;
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-        const auto schedule = draw_schedule(seed, 20s, fault_selection::excusing_nothing_only);
+        const auto schedule = draw_schedule(seed, 20s, {.excusing_nothing_only = true});
         for (const scheduled_fault& fault : schedule) {
             CHECK(excuses_nothing(fault.kind));
             if (fault.kind != fault_kind::server_silent) {
