--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -35,7 +35,6 @@
 constexpr std::uint32_t server_link_subnet = 5;
 constexpr std::uint32_t server_subnet = 6;
 
-constexpr std::size_t caller_count = 24;
 constexpr duration callers_stop_timeout = 8s; // For the callers' last calls.
 constexpr std::size_t servers_per_fabric_domain = 7;
 constexpr double same_id_probability = 0.25;  // That a restarted server keeps its id.
@@ -224,11 +223,21 @@
     caller_pool_ = std::make_unique<caller_pool>(executor_, std::move(network), initial_deployment_,
                                                  checker_, fault_tracker_, poison_check_,
                                                  seeded_random(options_.seed + 1));
-    caller_pool_->start(caller_count);
+    caller_pool_->start(options_.caller_count);
 }
 
 bool soak_fleet::start()
 {
+    const std::size_t server_count = options_.model_server_count + options_.order_server_count;
+    if (options_.node_count == 0 || options_.node_count > max_addresses ||
+        options_.order_server_count == 0 || server_count > max_addresses) {
+        last_reason_ = "expected 1 to " + std::to_string(max_addresses) +
+                       " nodes, and as many backend servers with at least one of orders, found " +
+                       std::to_string(options_.node_count) + " nodes and " +
+                       std::to_string(server_count) + " servers, " +
+                       std::to_string(options_.order_server_count) + " of orders";
+        return false;
+    }
     publish_configuration();
     if (!start_servers() || !start_nodes()) {
         return false;
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -28,9 +28,13 @@
     std::size_t node_count = 4;
     std::size_t model_server_count = 14;
     std::size_t order_server_count = 2;
+    std::size_t caller_count = 24;
     std::uint32_t network_number = 100; // Second byte of the fleet's addresses, 127.NET.x.y.
 };
 
+/** Nodes, or backend servers of both kinds together. Each has an address in a network of its own.
+ */
+constexpr std::size_t max_addresses = 250;
 constexpr duration restart_delay = 400ms;         // From a node's end to its restart.
 constexpr duration node_poll_interval = 10ms;     // Between two checks for ended processes.
 constexpr duration server_restart_delay = 2500ms; // From a server's end to the next start.
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -23,6 +23,7 @@
 constexpr duration formation_time = 4s;   // Until the first replicas serve.
 constexpr duration recovery_time = 12s;   // From the last fault to full service.
 constexpr duration measurement_time = 4s; // For which calls are counted after recovery.
+constexpr std::size_t callers_per_node = 6;
 constexpr std::size_t default_model_server_count = 14;
 constexpr std::size_t poison_model_server_count = 28; // Enough replicas serve after five crashes.
 constexpr double min_served_share = 0.25; // Of the calls of each model or route, after recovery.
@@ -109,6 +110,9 @@
         cxxopts::value<unsigned>()->default_value("20"))(
         "nodes", "the number of nodes", cxxopts::value<std::size_t>()->default_value("4"))(
         "model-servers", "the number of VMs that run models; by default 14, and 28 with --poison",
+        cxxopts::value<std::size_t>())("order-servers", "the number of servers of orders",
+                                       cxxopts::value<std::size_t>()->default_value("2"))(
+        "callers", "the number of callers; by default 6 for each node",
         cxxopts::value<std::size_t>())(
         "node-program", "the program of a node",
         cxxopts::value<std::string>()->default_value("build/bin/chervil-node"))(
@@ -135,6 +139,10 @@
                                          ? arguments["model-servers"].as<std::size_t>()
                                      : poison ? poison_model_server_count
                                               : default_model_server_count;
+        options.order_server_count = arguments["order-servers"].as<std::size_t>();
+        options.caller_count = arguments.count("callers") > 0
+                                   ? arguments["callers"].as<std::size_t>()
+                                   : callers_per_node * options.node_count;
         options.node_program = arguments["node-program"].as<std::string>();
         options.folder = arguments["folder"].as<std::string>();
         options.network_number = arguments["net"].as<std::uint32_t>();
