Ignore a further SIGTERM while a process stops

What callers saw: calls in progress at a stopping node got no answer when the node got SIGTERM once more.

Cause: the signal_set of wait_for_stop_signal() was destroyed after the first signal, which restores the default action, so that the next SIGTERM ended the process.

The set now lives on and takes further signals until the process has completed its calls. A SIGINT, which a user types, ends a stopping process as before.

--- a/src/base/program.cpp
+++ b/src/base/program.cpp
@@ -5,8 +5,10 @@
 
 #include <csignal>
 #include <iostream>
+#include <memory>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -33,6 +35,14 @@
     return faults.empty() ? exit_success : exit_bad_settings;
 }
 
+/** Ignores further signals of the set, whose default action would end the process at once. */
+boost::asio::awaitable<void> ignore_signals(std::shared_ptr<boost::asio::signal_set> signals)
+{
+    while (true) {
+        co_await signals->async_wait(boost::asio::use_awaitable);
+    }
+}
+
 } // namespace
 
 bool read_command_line(int argc, char** argv, const program_description& description,
@@ -80,8 +90,11 @@
 
 boost::asio::awaitable<void> wait_for_stop_signal()
 {
-    boost::asio::signal_set signals(co_await boost::asio::this_coro::executor, SIGTERM, SIGINT);
-    co_await signals.async_wait(boost::asio::use_awaitable);
+    const auto executor = co_await boost::asio::this_coro::executor;
+    const auto signals = std::make_shared<boost::asio::signal_set>(executor, SIGTERM, SIGINT);
+    co_await signals->async_wait(boost::asio::use_awaitable);
+    signals->remove(SIGINT);
+    boost::asio::co_spawn(executor, ignore_signals(signals), boost::asio::detached);
 }
 
 boost::asio::awaitable<void> run_reload_loop(std::function<void(bool)> reload)
--- a/src/base/program.h
+++ b/src/base/program.h
@@ -34,7 +34,9 @@
                        google::protobuf::Message& settings, int& exit_code,
                        std::string* settings_file = nullptr);
 
-/** Completes when the process receives SIGTERM or SIGINT. */
+/** Completes when the process receives SIGTERM or SIGINT. From then on a further SIGTERM is
+ * ignored, so that the process can complete its calls, and a SIGINT ends the process.
+ */
 boost::asio::awaitable<void> wait_for_stop_signal();
 
 /** Calls the hook whenever the process receives SIGHUP, and also every 5 s, since a file may change
