--- a/soak/backend_server.cpp
+++ b/soak/backend_server.cpp
@@ -3,6 +3,7 @@
  */
 #include "soak/backend_server.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -21,7 +22,10 @@
 constexpr duration drain_timeout = 10s;        // For how long running calls may delay the end.
 constexpr duration drain_poll_interval = 5ms;  // Between two checks of a leaving server for calls.
 constexpr duration publish_retry_interval = 200ms; // While the store is down.
-constexpr std::size_t seal_length = 12;            // Characters.
+// Callers bear one silence of a call's servers, but not several in a row.
+constexpr duration min_silence_gap = 1s;
+constexpr std::size_t seal_length = 12;                  // Characters.
+constexpr double ends_with_connection_probability = 0.1; // Of each answer.
 
 } // namespace
 
@@ -37,6 +41,7 @@
                 exchange.abort();
                 co_return;
             }
+            co_await self->wait_while_silent();
             co_await self->serve(exchange);
         });
     if (!server_->listen(ip, 0)) {
@@ -56,7 +61,7 @@
     if (!alive_ || !publishes_entry_) {
         return;
     }
-    if (!environment_.store.faults().down) {
+    if (!environment_.store.faults().down && !silent()) {
         environment_.store.put(server_topic, entry_.id, write_server(entry_));
         return;
     }
@@ -92,6 +97,39 @@
     }
 }
 
+void backend_server::fall_silent(duration span)
+{
+    const time_point now = monotonic_clock::now();
+    if (now - last_silence_end() > min_silence_gap) {
+        silent_until_ = now + span;
+    }
+}
+
+asio::awaitable<void> backend_server::wait_while_silent() const
+{
+    while (alive_ && silent()) {
+        const duration span = silent_until_ - monotonic_clock::now();
+        co_await sleep_for(span);
+    }
+}
+
+asio::awaitable<void> backend_server::send(http_exchange& exchange, http_reply reply)
+{
+    co_await wait_while_silent();
+    if (!alive_) {
+        exchange.abort();
+        co_return;
+    }
+    if (!reply.ends_with_connection) {
+        co_await exchange.respond(std::move(reply));
+        co_return;
+    }
+    const std::string body = std::move(reply.body);
+    co_await exchange.start_stream(std::move(reply));
+    co_await exchange.write_chunk(body);
+    co_await exchange.end_stream();
+}
+
 void backend_server::disconnect_from_store()
 {
     if (publishes_entry_ && alive_) {
@@ -126,20 +164,27 @@
     asio::co_spawn(environment_.executor, stop_after_drain(), asio::detached);
 }
 
+bool backend_server::draw_ends_with_connection() const
+{
+    return draw_with_probability(ends_with_connection_probability);
+}
+
 std::string backend_server::make_seal() const
 {
     return random_id(environment_.random).substr(0, seal_length);
 }
 
-void backend_server::record_refusal(const http_request& request)
+void backend_server::record_arrival(const call_arrival& arrival)
 {
-    environment_.checker.record_arrival(read_arrival(request), monotonic_clock::now());
+    const time_point now = monotonic_clock::now();
+    environment_.checker.record_arrival(arrival, now);
+    environment_.poison.record_arrival(arrival.id, now);
 }
 
 asio::awaitable<void> backend_server::refuse(http_exchange& exchange, unsigned status)
 {
     http_reply reply = write_not_executed(read_arrival(exchange.request()).id, status);
-    co_await exchange.respond(std::move(reply));
+    co_await send(exchange, std::move(reply));
 }
 
 asio::awaitable<void> backend_server::serve_command(http_exchange& exchange)
@@ -154,7 +199,7 @@
     const request_kind kind = read_request_kind(request);
     if (!target_id.empty() && target_id != entry_.id) {
         if (kind == request_kind::call) {
-            record_refusal(request);
+            record_arrival(read_arrival(request));
         }
         co_await refuse(exchange, 421);
         co_return;
@@ -162,13 +207,13 @@
     switch (kind) {
     case request_kind::report: {
         http_reply reply = write_report(entry_, running_calls_);
-        co_await exchange.respond(std::move(reply));
+        co_await send(exchange, std::move(reply));
         break;
     }
     case request_kind::health: {
         http_reply reply;
         reply.status = entry_.leaving ? 503 : 200;
-        co_await exchange.respond(std::move(reply));
+        co_await send(exchange, std::move(reply));
         break;
     }
     case request_kind::command:
@@ -185,16 +230,17 @@
 {
     call_arrival arrival = read_arrival(exchange.request());
     if (running_calls_ >= slots_per_order_server + order_queue_limit) {
-        environment_.checker.record_arrival(arrival, monotonic_clock::now());
+        record_arrival(arrival);
         co_await refuse(exchange, 503);
         co_return;
     }
     arrival.started = true;
-    environment_.checker.record_arrival(arrival, monotonic_clock::now());
+    record_arrival(arrival);
     ++running_calls_;
     const duration processing_time =
         std::chrono::duration_cast<duration>(order_processing_time * faults_.slowdown_factor);
     co_await sleep_for(processing_time);
+    co_await wait_while_silent();
     --running_calls_;
     server_answer answer{200, make_seal(), "done " + arrival.id + " by " + entry_.id};
     if (draw_with_probability(faults_.failure_probability)) {
@@ -207,7 +253,17 @@
         co_return;
     }
     http_reply reply = write_server_answer(arrival.id, answer);
-    co_await exchange.respond(std::move(reply));
+    if (draw_with_probability(faults_.truncation_probability)) {
+        // Without a length, only the reset shows that the answer is not complete.
+        reply.ends_with_connection = true;
+        const std::string part = answer.body.substr(0, answer.body.size() / 2);
+        co_await exchange.start_stream(std::move(reply));
+        co_await exchange.write_chunk(part);
+        exchange.abort();
+        co_return;
+    }
+    reply.ends_with_connection = draw_ends_with_connection();
+    co_await send(exchange, std::move(reply));
 }
 
 } // namespace chervildyke::soak
--- a/soak/backend_server.h
+++ b/soak/backend_server.h
@@ -16,6 +16,7 @@
 #include "soak/deployment.h"
 #include "soak/invariant_checker.h"
 #include "soak/metadata_store.h"
+#include "soak/poison_check.h"
 #include "soak/wire_format.h"
 
 namespace chervildyke::soak {
@@ -24,7 +25,7 @@
 struct server_faults {
     double failure_probability = 0;     // A call runs and is answered with status 500.
     double answer_loss_probability = 0; // A call runs and is not answered.
-    double truncation_probability = 0;  // A stream ends before its last event.
+    double truncation_probability = 0;  // An answer ends before the end of its body.
     duration command_delay{};           // If not zero: commands run after it and are not answered.
     double slowdown_factor = 1;         // Multiplies the time that calls take.
 };
@@ -36,6 +37,7 @@
     boost::asio::any_io_executor executor;
     metadata_store& store;
     invariant_checker& checker;
+    poison_check& poison;
     random_source random;
     /** The model servers that have not ended. */
     std::map<std::string, std::weak_ptr<model_server>> model_servers_by_id;
@@ -70,15 +72,28 @@
     /** Publishes that the server is leaving. It still serves for the drain period, then ends. */
     void leave();
 
+    /** Makes the server accept, answer and send nothing for the span; then it goes on where it was.
+     * Does nothing soon after another silence that its calls have met.
+     */
+    void fall_silent(duration span);
+    bool silent() const { return monotonic_clock::now() < silent_until_; }
+
     /** Stops updates of the server's entry, which expires later. The server still serves. */
     void disconnect_from_store();
 
     bool alive() const { return alive_; }
+
+    /** \return true if the server has crashed and its address must refuse connections. Otherwise
+     * the address of an ended server resets them.
+     */
+    bool refuses_connections() const { return refuses_connections_; }
     bool leaving() const { return entry_.leaving; }
     const server_entry& entry() const { return entry_; }
     server_faults& faults() { return faults_; }
 
   protected:
+    /** \return the end of the latest silence that the server's calls have met or will meet. */
+    virtual time_point last_silence_end() const { return silent_until_; }
     virtual boost::asio::awaitable<void> serve_call(http_exchange& exchange) = 0;
     virtual boost::asio::awaitable<void> serve_command(http_exchange& exchange);
 
@@ -88,11 +103,22 @@
     /** Writes the server's entry to the store, and retries while the store is down. */
     void publish();
 
+    /** Waits while the server is silent. */
+    boost::asio::awaitable<void> wait_while_silent() const;
+
+    /** Sends a reply once the server is not silent.
+     * \param reply may end with the connection.
+     */
+    boost::asio::awaitable<void> send(http_exchange& exchange, http_reply reply);
+
     /** Answers that the call or command was not executed. */
     boost::asio::awaitable<void> refuse(http_exchange& exchange, unsigned status);
 
-    /** Records the arrival of a call that is refused. */
-    void record_refusal(const http_request& request);
+    /** Records the arrival of a call at the checks. */
+    void record_arrival(const call_arrival& arrival);
+
+    /** Draws whether an answer has neither a length nor chunks and ends with its connection. */
+    bool draw_ends_with_connection() const;
 
     /** Draws one random number. */
     bool draw_with_probability(double probability) const
@@ -107,6 +133,7 @@
     server_entry entry_;
     server_faults faults_;
     std::uint32_t running_calls_ = 0;
+    bool refuses_connections_ = false;
 
   private:
     boost::asio::awaitable<void> serve(http_exchange& exchange);
@@ -119,6 +146,7 @@
     std::string ip_;
     bool alive_ = true;
     bool publishes_entry_ = true;
+    time_point silent_until_{};
 };
 
 /** A stand-in for a server of orders, which answers calls without streaming. */
--- a/soak/caller_pool.cpp
+++ b/soak/caller_pool.cpp
@@ -15,18 +15,27 @@
 
 namespace {
 
-constexpr duration address_ttl = 2s;          // For how long resolved addresses are used.
+constexpr duration address_ttl = 2s;          // For how long most callers use resolved addresses.
+constexpr int long_ttl_factor = 3;            // Some callers use them for this many times as long.
+constexpr std::size_t long_ttl_stride = 3;    // Every third caller does so.
+constexpr std::size_t keeping_stride = 2;     // Every second caller keeps to its connection.
 constexpr duration directory_timeout = 1s;    // For each attempt to resolve addresses.
 constexpr int max_directory_attempts = 3;     // Then the old addresses are used again.
 constexpr duration connect_timeout = 1s;      // For a new connection to a node.
 constexpr duration read_timeout = 4s;         // For each part of an answer.
 constexpr std::uint64_t pause_limit_ms = 120; // A caller waits for less than this before each call.
+constexpr std::size_t poison_callers = 4;
+constexpr std::uint64_t poison_pause_limit_ms = 1'200; // As above, for callers that crash servers.
+constexpr std::uint64_t first_parts = 3;               // Parts with which prompts begin.
+constexpr std::uint64_t second_parts = 12;             // Parts that follow.
+constexpr std::size_t own_part_length = 8;             // Characters of its id.
+constexpr double poison_second_probability = 0.5;      // That the poison part is the second one.
 constexpr std::uint64_t min_events = 10;
 constexpr std::uint64_t event_limit = 60;   // A stream has fewer events.
 constexpr double stream_probability = 0.7;  // That a call is a stream.
 constexpr double cancel_probability = 0.05; // That a caller cancels a stream.
 constexpr std::size_t cancel_after_bytes = 200;
-// A younger call may have met a normal close of its connection.
+// A younger call that no server got may have met a normal close of its connection.
 constexpr duration min_lost_call_age = 200ms;
 constexpr duration max_retry_wait = 1s;            // A caller does not retry after a longer wait.
 constexpr int max_wait_divisor = 3;                // A wait may take a third of the time left.
@@ -42,9 +51,9 @@
 
 caller_pool::caller_pool(asio::any_io_executor executor, caller_network network,
                          const deployment& deployed, invariant_checker& checker,
-                         const fault_tracker& tracker, random_source random)
+                         const fault_tracker& tracker, poison_check& poison, random_source random)
     : executor_(std::move(executor)), network_(std::move(network)), deployment_(deployed),
-      checker_(checker), fault_tracker_(tracker), random_(std::move(random))
+      checker_(checker), fault_tracker_(tracker), poison_check_(poison), random_(std::move(random))
 {
 }
 
@@ -54,15 +63,39 @@
         const auto caller = std::make_shared<caller_state>();
         caller->http = std::make_shared<http_client>(executor_, 1);
         caller->name = std::to_string(i);
+        caller->address_ttl = address_ttl * (i % long_ttl_stride == 0 ? long_ttl_factor : 1);
+        caller->keeps_to_node = i % keeping_stride == 0;
         ++active_count_;
         asio::co_spawn(executor_, run_caller(caller), asio::detached);
     }
 }
 
+void caller_pool::start_poison()
+{
+    sends_poison_ = true;
+    poison_check_.begin();
+    for (std::size_t i = 0; i < poison_callers; ++i) {
+        const auto caller = std::make_shared<caller_state>();
+        caller->http = std::make_shared<http_client>(executor_, 1);
+        caller->name = "poison" + std::to_string(poison_caller_count_++);
+        caller->address_ttl = address_ttl;
+        caller->sends_poison = true;
+        ++active_count_;
+        asio::co_spawn(executor_, run_caller(caller), asio::detached);
+    }
+}
+
+void caller_pool::stop_poison()
+{
+    sends_poison_ = false;
+    poison_check_.end();
+}
+
 asio::awaitable<void> caller_pool::run_caller(std::shared_ptr<caller_state> caller)
 {
-    while (running_) {
-        const auto pause = std::chrono::milliseconds(random_below(random_, pause_limit_ms));
+    const std::uint64_t limit_ms = caller->sends_poison ? poison_pause_limit_ms : pause_limit_ms;
+    while (running_ && (sends_poison_ || !caller->sends_poison)) {
+        const auto pause = std::chrono::milliseconds(random_below(random_, limit_ms));
         co_await sleep_for(pause);
         if (monotonic_clock::now() > caller->addresses_until) {
             co_await resolve_addresses(caller);
@@ -89,13 +122,20 @@
             const auto resolved = read_addresses(reply->body);
             if (!resolved.empty()) {
                 caller->addresses = resolved;
-                caller->addresses_until = monotonic_clock::now() + address_ttl;
+                caller->addresses_until = monotonic_clock::now() + caller->address_ttl;
                 co_return;
             }
         }
     }
 }
 
+std::string caller_pool::choose_address(const caller_state& caller) const
+{
+    return caller.kept_address.empty()
+               ? caller.addresses[random_below(random_, caller.addresses.size())]
+               : caller.kept_address;
+}
+
 sent_call caller_pool::make_call(caller_state& caller, const deployed_route& route)
 {
     sent_call call;
@@ -107,9 +147,15 @@
     const auto& team = deployment_.teams[random_below(random_, deployment_.teams.size())];
     call.team = team.name;
     call.key = team.keys[random_below(random_, team.keys.size())];
+    if (caller.sends_poison) {
+        call.poisoned = true;
+        call.team = deployment_.teams.back().name;
+        call.key = deployment_.teams.back().keys.front();
+    }
     if (route.streaming) {
         call.event_count = min_events + random_below(random_, event_limit - min_events);
         call.body = std::to_string(call.event_count);
+        call.prompt = draw_prompt(call);
     }
     else {
         call.body = "for " + call.id;
@@ -118,9 +164,35 @@
     return call;
 }
 
+std::string caller_pool::draw_prompt(const sent_call& call) const
+{
+    const std::string first =
+        call.poisoned ? poisoned_first_part
+                      : "5c1e07a" + std::to_string(2 + random_below(random_, first_parts));
+    const std::string second = "91bd3f" + std::to_string(10 + random_below(random_, second_parts));
+    const std::string own = random_id(random_).substr(0, own_part_length);
+    if (!call.poisoned) {
+        return first + ":250," + second + ":150," + own + ":100";
+    }
+    const std::string poison = std::string(poison_part) + ":50";
+    // The part comes before or behind the other shared part.
+    return random_fraction(random_) < poison_second_probability
+               ? first + ":250," + poison + "," + second + ":150," + own + ":50"
+               : first + ":250," + second + ":150," + poison + "," + own + ":50";
+}
+
+void caller_pool::record_if_sound(const sent_call& call, std::size_t node, unsigned status)
+{
+    const bool related = call.key == deployment_.teams.back().keys.front() ||
+                         has_part(call.prompt, poisoned_first_part);
+    if (!call.poisoned && !call.prompt.empty() && related) {
+        poison_check_.record_sound_call(node, call.sent_at, status >= 200 && status < 300);
+    }
+}
+
 asio::awaitable<void> caller_pool::call_random_route(std::shared_ptr<caller_state> caller)
 {
-    const bool streaming = random_fraction(random_) < stream_probability;
+    const bool streaming = caller->sends_poison || random_fraction(random_) < stream_probability;
     std::vector<const deployed_route*> routes;
     for (const deployed_route& route : deployment_.routes) {
         if (route.streaming == streaming) {
@@ -133,12 +205,12 @@
         model = deployment_.models[random_below(random_, deployment_.models.size())].name;
     }
     const time_point deadline = monotonic_clock::now() + route.timeout;
-    const auto retry_after = co_await send_call(caller, route, model, route.timeout);
+    const auto retry_after = co_await send_call(caller, route, model, route.timeout, true);
     if (retry_after) {
         const duration wait = *retry_after;
         co_await sleep_for(wait);
         const duration time_left = deadline - monotonic_clock::now();
-        co_await send_call(caller, route, model, time_left);
+        co_await send_call(caller, route, model, time_left, false);
     }
 }
 
@@ -146,7 +218,8 @@
 {
     const bool cut = failure.code == http_error::unanswered || failure.code == http_error::broken;
     const duration age = monotonic_clock::now() - call.sent_at;
-    if (cut && age > min_lost_call_age && fault_tracker_.fault_free_since(call.sent_at)) {
+    const bool accepted = age > min_lost_call_age || checker_.has_arrived(call.id);
+    if (cut && accepted && fault_tracker_.fault_free_since(call.sent_at)) {
         checker_.report_lost_connection(call.id, failure.reason);
     }
 }
@@ -192,27 +265,35 @@
 
 asio::awaitable<std::optional<duration>>
 caller_pool::send_call(std::shared_ptr<caller_state> caller, const deployed_route& route,
-                       std::string model, duration time_left)
+                       std::string model, duration time_left, bool is_first_attempt)
 {
-    const auto& addresses = caller->addresses;
-    const std::string address = addresses[random_below(random_, addresses.size())];
-    const auto proxy = network_.proxies_by_address.find(address);
-    if (proxy == network_.proxies_by_address.end()) {
+    const std::string address = choose_address(*caller);
+    caller->kept_address.clear();
+    const auto node = network_.nodes_by_address.find(address);
+    if (node == network_.nodes_by_address.end()) {
         checker_.add_finding("addresses", "a directory returned " + address +
                                               ", which is not the call address of a node");
         co_return std::nullopt;
     }
     const sent_call call = make_call(*caller, route);
     checker_.record_sent(call);
+    if (call.poisoned) {
+        poison_check_.record_sent(call.id, node->second.index);
+    }
     const std::string workload = model.empty() ? route.name : model;
     http_request request = write_call(call, deployment_.host, model, time_left);
     http_call_options options;
     options.timeout = time_left;
     options.connect_timeout = connect_timeout;
-    const std::string proxy_address = proxy->second;
+    const std::string proxy_address = node->second.proxy_address;
     auto stream = co_await caller->http->open(proxy_address, std::move(request), options);
+    if (is_first_attempt) {
+        record_if_sound(call, node->second.index, stream ? (*stream)->status() : 0);
+    }
     if (!stream) {
-        count_result(workload, {});
+        if (!call.poisoned) {
+            count_result(workload, {});
+        }
         report_if_lost(call, stream.failure());
         co_return std::nullopt;
     }
@@ -221,13 +302,17 @@
         cancels ? cancel_after_bytes : std::numeric_limits<std::size_t>::max();
     const received_answer answer = co_await read_answer(*stream, call.id, cancel_after);
     checker_.record_received_answer(call.id, answer);
-    if (!cancels && !checker_.is_revoked(call.key)) {
+    if (!cancels && !call.poisoned && !checker_.is_revoked(call.key)) {
         count_result(workload, answer);
     }
     if (!cancels && !answer.complete) {
         report_if_lost(call,
                        {http_error::broken, "the connection ended before the answer was complete"});
     }
+    const bool stays_open = answer.complete && (*stream)->header("Connection") != "close";
+    if (caller->keeps_to_node && stays_open) {
+        caller->kept_address = address;
+    }
     const std::string retry_after((*stream)->header("Retry-After"));
     if (!is_refusal(answer.status) || retry_after.empty()) {
         co_return std::nullopt;
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -35,7 +35,6 @@
 constexpr std::uint32_t server_link_subnet = 5;
 constexpr std::uint32_t server_subnet = 6;
 
-constexpr std::size_t caller_count = 24;
 constexpr duration callers_stop_timeout = 8s; // For the callers' last calls.
 constexpr std::size_t servers_per_fabric_domain = 7;
 constexpr double same_id_probability = 0.25;  // That a restarted server keeps its id.
@@ -59,8 +58,9 @@
 
 soak_fleet::soak_fleet(asio::any_io_executor executor, fleet_options options)
     : executor_(std::move(executor)), options_(std::move(options)), checker_(max_attempts_per_call),
-      store_(executor_), environment_{executor_, store_, checker_, seeded_random(options_.seed),
-                                      {},        {},     {}},
+      poison_check_(fault_tracker_), store_(executor_),
+      environment_{executor_, store_, checker_, poison_check_, seeded_random(options_.seed),
+                   {},        {},     {}},
       deployment_(make_deployment()), initial_deployment_(deployment_)
 {
     for (const deployed_model& model : deployment_.models) {
@@ -175,6 +175,11 @@
         last_reason_ = "can't listen on a free port of " + endpoint.ip;
         return false;
     }
+    if (!endpoint.link->listening() &&
+        !endpoint.link->listen(ip_of(server_link_subnet, endpoint.index), server_port)) {
+        last_reason_ = "can't listen again on " + entry.address;
+        return false;
+    }
     endpoint.link->set_target(endpoint.server->listening_address());
     endpoint.link->faults().resets_new_connections = false;
     return true;
@@ -212,17 +217,27 @@
     caller_network network;
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
         network.directory_addresses.push_back(nodes_[i]->ip + ":" + std::to_string(directory_port));
-        network.proxies_by_address[nodes_[i]->ip + ":" + std::to_string(call_port)] =
-            ip_of(caller_link_subnet, i) + ":" + std::to_string(call_port);
+        network.nodes_by_address[nodes_[i]->ip + ":" + std::to_string(call_port)] = {
+            i, ip_of(caller_link_subnet, i) + ":" + std::to_string(call_port)};
     }
-    caller_pool_ =
-        std::make_unique<caller_pool>(executor_, std::move(network), initial_deployment_, checker_,
-                                      fault_tracker_, seeded_random(options_.seed + 1));
-    caller_pool_->start(caller_count);
+    caller_pool_ = std::make_unique<caller_pool>(executor_, std::move(network), initial_deployment_,
+                                                 checker_, fault_tracker_, poison_check_,
+                                                 seeded_random(options_.seed + 1));
+    caller_pool_->start(options_.caller_count);
 }
 
 bool soak_fleet::start()
 {
+    const std::size_t server_count = options_.model_server_count + options_.order_server_count;
+    if (options_.node_count == 0 || options_.node_count > max_addresses ||
+        options_.order_server_count == 0 || server_count > max_addresses) {
+        last_reason_ = "expected 1 to " + std::to_string(max_addresses) +
+                       " nodes, and as many backend servers with at least one of orders, found " +
+                       std::to_string(options_.node_count) + " nodes and " +
+                       std::to_string(server_count) + " servers, " +
+                       std::to_string(options_.order_server_count) + " of orders";
+        return false;
+    }
     publish_configuration();
     if (!start_servers() || !start_nodes()) {
         return false;
@@ -271,6 +286,9 @@
             }
             // The server has ended. Its address accepts no connections until the next one starts.
             endpoint->link->faults().resets_new_connections = true;
+            if (endpoint->server->refuses_connections()) {
+                endpoint->link->stop_listening();
+            }
             endpoint->link->reset_open_connections();
             server_endpoint* const down_endpoint = endpoint.get();
             asio::co_spawn(
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -28,9 +28,13 @@
     std::size_t node_count = 4;
     std::size_t model_server_count = 14;
     std::size_t order_server_count = 2;
+    std::size_t caller_count = 24;
     std::uint32_t network_number = 100; // Second byte of the fleet's addresses, 127.NET.x.y.
 };
 
+/** Nodes, or backend servers of both kinds together. Each has an address in a network of its own.
+ */
+constexpr std::size_t max_addresses = 250;
 constexpr duration restart_delay = 400ms;         // From a node's end to its restart.
 constexpr duration node_poll_interval = 10ms;     // Between two checks for ended processes.
 constexpr duration server_restart_delay = 2500ms; // From a server's end to the next start.
@@ -80,6 +84,7 @@
     caller_pool& callers() { return *caller_pool_; }
     invariant_checker& checker() { return checker_; }
     fault_tracker& tracker() { return fault_tracker_; }
+    poison_check& poison() { return poison_check_; }
     metadata_store& store() { return store_; }
     bool stopping() const { return stopping_; }
 
@@ -125,6 +130,7 @@
     fleet_options options_;
     invariant_checker checker_;
     fault_tracker fault_tracker_;
+    poison_check poison_check_;
     metadata_store store_;
     server_environment environment_;
     deployment deployment_;         // As last published.
--- a/soak/model_server.cpp
+++ b/soak/model_server.cpp
@@ -20,6 +20,7 @@
 constexpr duration close_poll_interval = 5ms;  // For the end of running calls.
 constexpr int initial_load_speedup = 10;     // Factor on the speed of loads before the first call.
 constexpr std::size_t max_staged_models = 1; // In the memory of a host.
+constexpr double crash_after_begin_probability = 0.5; // That an event precedes the crash.
 
 // HTTP statuses that answer commands.
 constexpr unsigned accepted = 202;
@@ -48,16 +49,39 @@
     return is_member(replica, epoch) && entry_.rank == 0 && accepts_or_drains;
 }
 
+std::shared_ptr<model_server> model_server::find_server(const std::string& id) const
+{
+    const auto found = environment_.model_servers_by_id.find(id);
+    return found == environment_.model_servers_by_id.end() ? nullptr : found->second.lock();
+}
+
 bool model_server::all_members_present() const
 {
     return std::all_of(members_.begin(), members_.end(), [this](const std::string& id) {
-        const auto found = environment_.model_servers_by_id.find(id);
-        const auto member =
-            found == environment_.model_servers_by_id.end() ? nullptr : found->second.lock();
+        const auto member = find_server(id);
         return member && member->is_member(entry_.replica, entry_.epoch);
     });
 }
 
+time_point model_server::last_silence_end() const
+{
+    time_point end = backend_server::last_silence_end();
+    for (const std::string& id : members_) {
+        if (const auto member = find_server(id)) {
+            end = std::max(end, member->backend_server::last_silence_end());
+        }
+    }
+    return end;
+}
+
+bool model_server::any_member_silent() const
+{
+    return silent() || std::any_of(members_.begin(), members_.end(), [this](const std::string& id) {
+               const auto member = find_server(id);
+               return member && member->silent();
+           });
+}
+
 bool model_server::is_staged(const std::string& model) const
 {
     return std::find(entry_.staged_models.begin(), entry_.staged_models.end(), model) !=
@@ -102,9 +126,7 @@
         return conflicting;
     }
     if (!members_.empty()) {
-        const auto found = environment_.model_servers_by_id.find(members_.front());
-        const auto head =
-            found == environment_.model_servers_by_id.end() ? nullptr : found->second.lock();
+        const auto head = find_server(members_.front());
         if (head && head->is_open_head(entry_.replica, entry_.epoch)) {
             environment_.checker.report_member_taken(entry_.id, entry_.replica);
         }
@@ -138,6 +160,7 @@
 {
     const auto self = shared_from_this();
     co_await sleep_for(join_time);
+    co_await wait_while_silent();
     if (membership_version != membership_version_) {
         co_return;
     }
@@ -156,6 +179,7 @@
 {
     const auto self = shared_from_this();
     co_await sleep_for(open_delay);
+    co_await wait_while_silent();
     if (membership_version == membership_version_ && entry_.phase == membership_phase::ready) {
         set_phase(membership_phase::open);
     }
@@ -242,7 +266,7 @@
     }
     http_reply reply;
     reply.status = execute(*command);
-    co_await exchange.respond(std::move(reply));
+    co_await send(exchange, std::move(reply));
 }
 
 bool model_server::has_running_calls() const
@@ -250,9 +274,7 @@
     if (members_.empty()) {
         return false;
     }
-    const auto found = environment_.model_servers_by_id.find(members_.front());
-    const auto head =
-        found == environment_.model_servers_by_id.end() ? nullptr : found->second.lock();
+    const auto head = find_server(members_.front());
     return head && head->is_member(entry_.replica, entry_.epoch) && head->running_calls_ > 0;
 }
 
@@ -262,6 +284,10 @@
     const duration scaled =
         std::chrono::duration_cast<duration>(step_time * faults_.slowdown_factor);
     co_await sleep_for(scaled);
+    // Each step of a replica needs all its members, so the silence of one holds up the whole.
+    while (alive() && membership_version == membership_version_ && any_member_silent()) {
+        co_await sleep_for(stall_poll_interval);
+    }
     time_point stalled_since = monotonic_clock::now();
     while (alive() && membership_version == membership_version_ && !all_members_present()) {
         if (entry_.phase != membership_phase::broken &&
@@ -279,7 +305,8 @@
 
 asio::awaitable<void> model_server::write_events(http_exchange& exchange, std::string call_id,
                                                  std::uint64_t after_event,
-                                                 std::uint64_t last_event)
+                                                 std::uint64_t last_event,
+                                                 bool ends_with_connection)
 {
     const std::uint64_t last_written = draw_with_probability(faults_.truncation_probability)
                                            ? after_event + (last_event - after_event) / 2
@@ -297,20 +324,48 @@
         }
     }
     if (last_written < last_event) {
-        co_await exchange.write_chunk("id: 9"); // A partial event.
-        exchange.abort();
-        co_return;
+        if (!ends_with_connection) {
+            co_await exchange.write_chunk("id: 9"); // A partial event.
+            exchange.abort();
+            co_return;
+        }
+        // The connection ends as it does after a complete stream; only the partial event shows that
+        // this one is not.
+        const std::string next = encode_event(call_id, last_written + 1);
+        const std::string part =
+            next.substr(0, 1 + random_below(environment_.random, next.size() - 1));
+        co_await exchange.write_chunk(part);
     }
     co_await exchange.end_stream();
 }
 
+asio::awaitable<void> model_server::crash_by_prompt(http_exchange& exchange, std::string call_id)
+{
+    const server_answer answer{200, make_seal(), ""};
+    if (draw_with_probability(crash_after_begin_probability)) {
+        environment_.checker.record_server_answer(call_id, answer);
+        http_reply start = write_server_answer(call_id, answer);
+        start.content_type = "text/event-stream";
+        co_await exchange.start_stream(std::move(start));
+        const std::string event = encode_event(call_id, 1);
+        co_await exchange.write_chunk(event);
+    }
+    --running_calls_;
+    if (alive()) {
+        environment_.poison.record_crash(monotonic_clock::now());
+        refuses_connections_ = true;
+        crash();
+    }
+    exchange.abort();
+}
+
 asio::awaitable<void> model_server::serve_call(http_exchange& exchange)
 {
     call_arrival arrival = read_arrival(exchange.request());
     const bool is_head = !entry_.replica.empty() && entry_.rank == 0;
     const bool is_open = is_head && entry_.phase == membership_phase::open;
     if (!is_open || running_calls_ >= slots_per_replica) {
-        environment_.checker.record_arrival(arrival, monotonic_clock::now());
+        record_arrival(arrival);
         co_await refuse(exchange, is_head ? 503 : 421);
         co_return;
     }
@@ -318,7 +373,7 @@
     const bool started = co_await run_step(time_to_first_token);
     if (!started) {
         --running_calls_;
-        environment_.checker.record_arrival(arrival, monotonic_clock::now());
+        record_arrival(arrival);
         if (alive()) {
             co_await refuse(exchange, 503);
         }
@@ -328,24 +383,32 @@
         co_return;
     }
     arrival.started = true;
-    environment_.checker.record_arrival(arrival, monotonic_clock::now());
+    record_arrival(arrival);
     environment_.checker.check_replica({entry_.replica, entry_.epoch, members_,
                                         environment_.models_by_name.at(model_).replica_size});
+    if (has_part(arrival.prompt, poison_part)) {
+        co_await crash_by_prompt(exchange, arrival.id);
+        co_return;
+    }
     if (draw_with_probability(faults_.failure_probability)) {
         --running_calls_;
         const server_answer failed{500, make_seal(), "failed " + arrival.id};
         environment_.checker.record_server_answer(arrival.id, failed);
         http_reply reply = write_server_answer(arrival.id, failed);
-        co_await exchange.respond(std::move(reply));
+        reply.ends_with_connection = draw_ends_with_connection();
+        co_await send(exchange, std::move(reply));
         co_return;
     }
     const server_answer answer{200, make_seal(), ""};
     environment_.checker.record_server_answer(arrival.id, answer);
     http_reply start = write_server_answer(arrival.id, answer);
     start.content_type = "text/event-stream";
+    const bool ends_with_connection = draw_ends_with_connection();
+    start.ends_with_connection = ends_with_connection;
     co_await exchange.start_stream(std::move(start));
     const std::uint64_t event_count = std::stoull(arrival.body);
-    co_await write_events(exchange, arrival.id, arrival.after_event, event_count);
+    co_await write_events(exchange, arrival.id, arrival.after_event, event_count,
+                          ends_with_connection);
     --running_calls_;
 }
 
--- a/soak/model_server.h
+++ b/soak/model_server.h
@@ -26,6 +26,7 @@
     bool is_open_head(const std::string& replica, std::uint64_t epoch) const;
 
   protected:
+    time_point last_silence_end() const override;
     bool has_running_calls() const override;
     boost::asio::awaitable<void> serve_call(http_exchange& exchange) override;
     boost::asio::awaitable<void> serve_command(http_exchange& exchange) override;
@@ -47,11 +48,16 @@
     /** Loads a model into the memory of the host. */
     boost::asio::awaitable<void> stage_model(std::string model);
 
-    /** Streams the events behind after_event up to last_event. Aborts the connection early if a
-     * fault truncates the stream or the replica breaks.
+    /** Streams the events behind after_event up to last_event. Ends the connection early, within an
+     * event, if a fault truncates the stream, and aborts it if the replica breaks.
+     * \param ends_with_connection whether the stream has no chunks.
      */
     boost::asio::awaitable<void> write_events(http_exchange& exchange, std::string call_id,
-                                              std::uint64_t after_event, std::uint64_t last_event);
+                                              std::uint64_t after_event, std::uint64_t last_event,
+                                              bool ends_with_connection);
+
+    /** Crashes because of the prompt of a call, before or after its first event. */
+    boost::asio::awaitable<void> crash_by_prompt(http_exchange& exchange, std::string call_id);
 
     /** Waits for the time of one step, and longer while a member is lost.
      * \return false if the call must end: the replica broke or was closed with its calls aborted,
@@ -59,6 +65,10 @@
      */
     boost::asio::awaitable<bool> run_step(duration step_time);
     bool all_members_present() const;
+    bool any_member_silent() const;
+
+    /** \return the model server that has this id and has not ended, or null. */
+    std::shared_ptr<model_server> find_server(const std::string& id) const;
     void set_phase(membership_phase phase);
     bool is_staged(const std::string& model) const;
 
