Reply with 500 when a handler throws

Callers saw their connection close without a reply, or a streamed reply end like a whole one, when the handler of their request threw. Each connection is a detached task: an exception destroyed it, closed the socket on the way and left the connection in the count of open ones for ever.

The server now catches what a handler throws and writes handler_failed. It replies with 500 if nothing was replied, and resets the connection within a reply. The count falls whatever ends the task.

error/base: "a handler that throws before it replies is answered for with 500" and "a handler that throws within its reply has the connection reset" failed before and pass now.

--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -3,6 +3,7 @@
  */
 #include "base/http_server.h"
 
+#include <exception>
 #include <optional>
 #include <unordered_set>
 
@@ -10,6 +11,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "base/event_log.h"
 #include "base/read_timer.h"
 #include "base/scope_guard.h"
 
@@ -23,6 +25,8 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
+const event_log server_log("server");
+
 constexpr auto as_tuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t read_buffer_bytes = 16U << 10U;
 // The wait for the first request of a connection that is accepted while the server stops. It covers
@@ -122,6 +126,7 @@
         answered_ = true;
         stream_.expires_after(write_timeout_);
         const auto [error, bytes] = co_await http::async_write(stream_, message, as_tuple);
+        reply_is_complete_ = !error;
         co_return update_connection(error);
     }
 
@@ -159,11 +164,13 @@
     {
         streaming_ = false;
         if (!chunked_) {
+            reply_is_complete_ = true;
             co_return true;
         }
         stream_.expires_after(write_timeout_);
         const auto [error, written] =
             co_await asio::async_write(stream_, http::make_chunk_last(), as_tuple);
+        reply_is_complete_ = !error;
         co_return update_connection(error);
     }
 
@@ -206,6 +213,8 @@
     /** \return true if the connection can carry another request. */
     bool reusable() const { return answered_ && !streaming_ && !connection_failed_ && keep_alive_; }
     bool answered() const { return answered_; }
+    bool reply_is_complete() const { return reply_is_complete_; }
+    void close_after_reply() { keep_alive_ = false; }
 
   private:
     bool update_connection(const error_code& error)
@@ -219,7 +228,8 @@
     bool keep_alive_;
     duration write_timeout_;
     bool chunked_;
-    bool answered_ = false;
+    bool answered_ = false; // A part of the reply was written, at least.
+    bool reply_is_complete_ = false;
     bool streaming_ = false;
     bool connection_failed_ = false;
 };
@@ -252,6 +262,7 @@
     void accept_pending();
     static bool has_pending_bytes(beast::tcp_stream& stream, const beast::flat_buffer& buffer);
     asio::awaitable<bool> serve_request(beast::tcp_stream& stream, beast::flat_buffer& buffer);
+    asio::awaitable<std::optional<std::string>> run_handler(http_exchange& exchange);
     asio::awaitable<void> reject(beast::tcp_stream& stream, bad_request kind);
 };
 
@@ -278,6 +289,7 @@
 {
     const auto self = shared_from_this();
     ++open_connections;
+    const scope_guard closed([this] { --open_connections; });
     error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     beast::tcp_stream stream(std::move(socket));
@@ -288,7 +300,6 @@
         is_first = false;
     }
     stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
-    --open_connections;
 }
 
 /** \return true if a request or a part of one has arrived. */
@@ -351,16 +362,41 @@
     beast_exchange exchange(stream, to_http_request(parser.release()),
                             keep_alive && !stopping && !keep_alive_disabled, limits.write_timeout,
                             version);
-    co_await handler(exchange);
+    const std::optional<std::string> thrown = co_await run_handler(exchange);
+    if (thrown) {
+        server_log.write("handler_failed", {{"method", exchange.request().method},
+                                            {"path", std::string(exchange.request().path())},
+                                            {"replied", exchange.answered() ? "yes" : "no"},
+                                            {"reason", *thrown}});
+        exchange.close_after_reply();
+    }
     if (!exchange.answered()) {
         http_reply missing;
         missing.status = 500;
-        missing.body = R"({"error":{"message":"the handler sent no reply"}})";
+        missing.body = thrown ? R"({"error":{"message":"the handler failed"}})"
+                              : R"({"error":{"message":"the handler sent no reply"}})";
         co_await exchange.respond(std::move(missing));
     }
+    else if (thrown && !exchange.reply_is_complete()) {
+        exchange.abort();
+    }
     co_return exchange.reusable();
 }
 
+/** Runs the handler on a request that was read.
+ * \return what the handler threw, if it threw.
+ */
+asio::awaitable<std::optional<std::string>> http_server::state::run_handler(http_exchange& exchange)
+{
+    try {
+        co_await handler(exchange);
+    }
+    catch (const std::exception& error) {
+        co_return std::string(error.what());
+    }
+    co_return std::nullopt;
+}
+
 asio::awaitable<void> http_server::state::reject(beast::tcp_stream& stream, bad_request kind)
 {
     beast_exchange exchange(stream, {}, false, limits.write_timeout);
--- a/src/base/http_server.h
+++ b/src/base/http_server.h
@@ -56,7 +56,9 @@
     virtual bool peer_has_closed() const = 0;
 };
 
-/** Handles one request. If it returns without a reply, the server replies with status 500. */
+/** Handles one request. If it returns or throws without a reply, the server replies with status
+ * 500. If it throws within its reply, the server resets the connection.
+ */
 using http_handler = std::function<boost::asio::awaitable<void>(http_exchange&)>;
 
 /** Makes the reply to a request that could not be read. */
