Answer a call whose forwarding throws

A caller waited until it gave up, without answer or refusal, when an exception ended the forwarding of its call. serve_call runs the forwarding in parallel with the wait for the caller's disconnect, joined by the operator || of awaitables. That operator takes an exception for no result and waits for the other operation, which completes only when the call does. The call stayed in progress for ever and held up the node's stop until the end of the grace time.

The exception is now kept, so that the forwarding completes, and rethrown to the server once the wait has ended; the server replies with 500 or resets. call_ended says outcome=failed.

--- a/src/relay/serve_call.cpp
+++ b/src/relay/serve_call.cpp
@@ -4,6 +4,7 @@
 #include "relay/serve_call.h"
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 #include <boost/asio.hpp>
@@ -108,7 +109,7 @@
     co_await forever.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
-asio::awaitable<void> forward_call(relayed_call& call)
+asio::awaitable<void> forward_by_service(relayed_call& call)
 {
     const backend_service* service = call.configuration->find_service(call.service);
     if (service != nullptr && service->engine) {
@@ -119,6 +120,19 @@
     }
 }
 
+/** Forwards the call and answers it. What it throws is kept in `thrown`: the operator || would
+ * otherwise wait for the other operation, which never completes.
+ */
+asio::awaitable<void> forward_call(relayed_call& call, std::exception_ptr& thrown)
+{
+    try {
+        co_await forward_by_service(call);
+    }
+    catch (...) {
+        thrown = std::current_exception();
+    }
+}
+
 std::string to_text(const std::optional<duration>& span)
 {
     return span ? to_ms_text(*span) : "none";
@@ -190,8 +204,16 @@
     }
     call.deadline = std::min(call.deadline, call.arrived_at + call.route->timeout);
     call.service = choose_service(*call.route, context.random);
-    co_await (forward_call(call) || cancel_on_disconnect(call));
+    std::exception_ptr thrown;
+    co_await (forward_call(call, thrown) || cancel_on_disconnect(call));
+    if (thrown) {
+        call.end.outcome = "failed";
+        call.end.reason = "an exception ended the call";
+    }
     log_call_end(call);
+    if (thrown) {
+        std::rethrow_exception(thrown); // The server replies.
+    }
 }
 
 } // namespace chervildyke
