Keep a slow plain attempt until another can follow it

Callers of idempotent routes got 502 when the only server of their call was silent for a second, though it answered then. An attempt that may be repeated ended at twice the latency target whether or not another server, run or retry of the budget was left, so that nothing followed it.

The attempt now keeps all the time left. From twice the latency target on, a watch checks every 50 ms whether another attempt can follow, takes its retry from the budget and only then ends the first one.

error/relay: "a plain call that may run again waits for its server if there is no other" and "... if no retry is left" got 502 before and 200 now; "a plain call that may run again is answered by another server", where that server is listed after the attempt began, passes before and after.

--- a/src/relay/plain_relay.cpp
+++ b/src/relay/plain_relay.cpp
@@ -23,9 +23,10 @@
 constexpr duration min_retry_after = 200ms; // Longer than the queue of a backend server lasts.
 constexpr duration deadline_margin = 3ms;   // Reserved for sending the answer before the deadline.
 
-// Time limit of an attempt after which another may follow, as a multiple of the latency target.
+// Time of an attempt after which another may follow, as a multiple of the latency target.
 constexpr int attempt_timeout_per_target = 2;
 constexpr duration min_attempt_timeout = 50ms;
+constexpr duration slow_attempt_interval = 50ms; // Between two checks whether another may follow.
 
 // A connection that has been idle for longer may have been closed without notice. A call that must
 // not run twice would then fail with an unknown outcome.
@@ -94,11 +95,15 @@
     return end;
 }
 
-asio::awaitable<attempt_end> send_once(relayed_call& call, backend target, duration timeout)
+/** \param cancel ends the attempt; the end of the call does so too. */
+asio::awaitable<attempt_end> send_once(relayed_call& call, backend target,
+                                       std::shared_ptr<http_cancel> cancel)
 {
-    const time_point until = monotonic_clock::now() + timeout;
+    call.cancel->set_close_hook([cancel] { cancel->cancel(); });
+    const scope_guard unlink([&call] { call.cancel->set_close_hook(nullptr); });
     http_request request = call.attempt(target.id, call.parameters.last_event);
-    http_call_options options = call.options(timeout, incarnation_of(target));
+    http_call_options options = call.options(call.time_left(), incarnation_of(target));
+    options.cancel = std::move(cancel);
     if (call.route->retry == retry_rule::never) {
         options.max_idle_time = max_idle_for_single_runs;
     }
@@ -111,9 +116,8 @@
     const answer_metadata metadata = call.context.codec.read_metadata(answer.status(), headers);
     call.record_notice(incarnation_of(target), metadata);
     byte_budget::reservation held(call.context.buffered);
-    const time_point end_of_answer = std::min<time_point>(call.deadline, until);
     auto body =
-        co_await read_whole_body(answer, call.context.limits.max_answer_bytes, held, end_of_answer);
+        co_await read_whole_body(answer, call.context.limits.max_answer_bytes, held, call.deadline);
     if (!body) {
         co_return attempt_end_of(body.failure());
     }
@@ -134,26 +138,80 @@
     co_return end;
 }
 
-/** \return the time limit of one attempt. A call that may be retried gets a shorter one than its
- * deadline, so that time is left for another server; its last attempt gets all the time left.
+/** \return true if another attempt could follow the one in progress, apart from the retry budget.
  */
-duration attempt_timeout(const relayed_call& call, bool last_attempt)
+bool may_fail_over(const relayed_call& call, const std::set<std::string>& tried)
 {
-    if (call.route->retry == retry_rule::never || last_attempt) {
-        return call.time_left();
-    }
-    const duration target = call.route->latency_target;
-    return std::max<duration>(target * attempt_timeout_per_target, min_attempt_timeout);
+    const time_point now = monotonic_clock::now();
+    return call.route->retry == retry_rule::idempotent &&
+           call.end.runs + 1 < call.route->max_attempts && call.end.sends < max_sends &&
+           call.context.backend_lb->choose(candidates_of(call, now), tried, now).has_value();
 }
 
-bool may_send_again(relayed_call& call, const attempt_end& ended)
+/** Ends an attempt that takes long, once another attempt may follow; until then the server may
+ * still answer. Takes the retry of the other attempt from the budget.
+ */
+class slow_attempt_watch {
+  public:
+    /** \param tried the servers to which the call was sent; it outlives the watch. */
+    slow_attempt_watch(relayed_call& call, const std::set<std::string>& tried)
+        : state_(std::make_shared<watch_state>(call, tried))
+    {
+        const duration target = call.route->latency_target;
+        wait(state_, std::max<duration>(target * attempt_timeout_per_target, min_attempt_timeout));
+    }
+    ~slow_attempt_watch() { state_->wake.cancel(); }
+    slow_attempt_watch(const slow_attempt_watch&) = delete;
+    slow_attempt_watch& operator=(const slow_attempt_watch&) = delete;
+
+    const std::shared_ptr<http_cancel>& cancel() const { return state_->cancel; }
+
+    /** \return true if the attempt was ended and its retry was taken from the budget. */
+    bool has_ended_attempt() const { return state_->ended; }
+
+  private:
+    struct watch_state {
+        watch_state(relayed_call& watched, const std::set<std::string>& servers)
+            : call(watched), tried(servers), wake(watched.context.executor)
+        {
+        }
+
+        relayed_call& call;
+        const std::set<std::string>& tried;
+        timer wake;
+        std::shared_ptr<http_cancel> cancel = std::make_shared<http_cancel>();
+        bool ended = false;
+    };
+
+    static void wait(const std::shared_ptr<watch_state>& state, duration span)
+    {
+        state->wake.expires_after(span);
+        state->wake.async_wait(
+            [watching = std::weak_ptr<watch_state>(state)](const boost::system::error_code& error) {
+                const auto current = watching.lock();
+                if (error || !current) {
+                    return;
+                }
+                if (may_fail_over(current->call, current->tried) && current->call.take_retry()) {
+                    current->ended = true;
+                    current->cancel->cancel();
+                    return;
+                }
+                wait(current, slow_attempt_interval);
+            });
+    }
+
+    std::shared_ptr<watch_state> state_;
+};
+
+bool may_send_again(relayed_call& call, const attempt_end& ended, bool retry_paid)
 {
     const bool safe =
         ended.result == attempt_result::not_run || call.route->retry == retry_rule::idempotent;
     const bool runs_left = call.end.runs < call.route->max_attempts;
     const bool time_left = call.time_left() > deadline_margin;
     return safe && runs_left && time_left && call.end.sends < max_sends &&
-           !call.cancel->cancelled() && call.take_retry();
+           !call.cancel->cancelled() && (retry_paid || call.take_retry());
 }
 
 } // namespace
@@ -176,9 +234,9 @@
         tried.insert(*address);
         ++call.end.sends;
         call.end.backend = target.id;
-        const bool final_attempt = call.end.runs + 1 >= call.route->max_attempts;
         call.context.backend_lb->note_start(target.address);
-        last = co_await send_once(call, target, attempt_timeout(call, final_attempt));
+        const slow_attempt_watch watch(call, tried);
+        last = co_await send_once(call, target, watch.cancel());
         const bool healthy = last.result == attempt_result::answered && !last.backend_failed;
         call.context.backend_lb->note_end(target.address,
                                           healthy || call.cancel->cancelled() || last.backend_failed
@@ -199,7 +257,7 @@
              {"may_have_run", last.result == attempt_result::not_run ? "no" : "yes"},
              {"reason", last.backend_failed ? "the backend server answered with a 5xx status"
                                             : last.reason}});
-        if (!may_send_again(call, last)) {
+        if (!may_send_again(call, last, watch.has_ended_attempt())) {
             break;
         }
     }
