--- a/test/error/relay_call_ends.cpp
+++ b/test/error/relay_call_ends.cpp
@@ -402,7 +402,7 @@
     replica.head_address = "127.0.0.1:" + std::to_string(refusing.server.port());
     fixture.node.replica_lb->set_serving({replica});
     tcp::socket caller = fixture.begin_call("/a/x");
-    fixture.run(600ms);
+    fixture.run(2s); // It waits for another replica first.
     CHECK(received(caller).status() == 503);
     CHECK(refusing.calls >= 1);
 }
