--- a/src/relay/serve_call.cpp
+++ b/src/relay/serve_call.cpp
@@ -203,6 +203,11 @@
         co_return;
     }
     call.deadline = std::min(call.deadline, call.arrived_at + call.route->timeout);
+    if (call.time_left() <= duration::zero()) {
+        co_await refuse(call, 503, "the call arrived without time left", retry_elsewhere_delay);
+        log_call_end(call);
+        co_return;
+    }
     call.service = choose_service(*call.route, context.random);
     std::exception_ptr thrown;
     co_await (forward_call(call, thrown) || cancel_on_disconnect(call));
