Take only the end of the input for a caller's disconnect

A caller that still listened could be taken for one that left: its call was cancelled at the backend server and its connection reset. wait_for_peer_close took a socket that is ready to read with no bytes available for a closed one, and peer_has_closed took an interrupted peek for an error of the connection. Readiness without bytes is not the end of the input: an urgent byte before others makes Linux report both.

The wait now asks with a peek, as peer_has_closed does, and waits on if the input has not ended.

--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -187,8 +187,8 @@
         while (true) {
             const auto [error] =
                 co_await stream_.socket().async_wait(tcp::socket::wait_read, as_tuple);
-            error_code unused;
-            if (error || stream_.socket().available(unused) == 0) {
+            // A socket may be ready to read although nothing has arrived.
+            if (error || peer_has_closed()) {
                 co_return;
             }
             co_await sleep_for(peer_close_poll_interval); // The peer has sent its next request.
@@ -207,7 +207,7 @@
             socket.non_blocking(true, error);
         }
         socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-        return error && error != asio::error::would_block;
+        return error && error != asio::error::would_block && error != asio::error::interrupted;
     }
 
     /** \return true if the connection can carry another request. */
