Close a connection after its last reply while the server stops

A caller whose reply ended after the server had stopped accepting kept an open connection for 300 ms more, the wait meant for connections without any request, and could send requests on it that the end of the process cuts off. g++ 12 evaluates the loop's condition `(a || b || c) && co_await d` wrongly: the loop went on although all three were false, as a trace of the values showed.

A search found no other condition of this form in src/ and platform/.

error/relay: "a call in progress is answered when the node stops" failed before (the connection stayed open) and passes now.

--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -294,10 +294,10 @@
     socket.set_option(tcp::no_delay(true), ignored);
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer(read_buffer_bytes + limits.max_header_bytes);
-    bool is_first = true;
-    while ((is_first || !stopping || has_pending_bytes(stream, buffer)) &&
-           co_await serve_request(stream, buffer)) {
-        is_first = false;
+    bool reusable = true;
+    while (reusable) {
+        reusable = co_await serve_request(stream, buffer);
+        reusable = reusable && (!stopping || has_pending_bytes(stream, buffer));
     }
     stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
 }
