Announce the close of a connection by the state when its reply begins

A caller whose request came before the node's stop and whose reply ended after it was not told that the connection closes, and could send its next request while the node closed it. Whether the connection is kept was decided when the request had been read.

It is decided when the reply begins, also for streams.

error/base: "a reply written while the server stops announces that its connection closes" failed before and passes now.

--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -99,9 +99,11 @@
 
 class beast_exchange : public http_exchange {
   public:
-    beast_exchange(beast::tcp_stream& stream, http_request request, bool keep_alive,
-                   duration write_timeout, unsigned version = http_1_1)
-        : stream_(stream), request_(std::move(request)), keep_alive_(keep_alive),
+    /** \param keep_alive asked when the reply begins whether the connection stays open after it. */
+    beast_exchange(beast::tcp_stream& stream, http_request request,
+                   std::function<bool()> keep_alive, duration write_timeout,
+                   unsigned version = http_1_1)
+        : stream_(stream), request_(std::move(request)), may_keep_alive_(std::move(keep_alive)),
           write_timeout_(write_timeout), chunked_(version != http_1_0)
     {
     }
@@ -120,6 +122,7 @@
         http::response<http::string_body> message(static_cast<http::status>(reply.status),
                                                   http_1_1);
         set_fields(message, reply);
+        keep_alive_ = keep_alive_ && may_keep_alive_();
         message.keep_alive(keep_alive_);
         message.body() = std::move(reply.body);
         message.prepare_payload();
@@ -135,7 +138,7 @@
         http::response<http::empty_body> message(static_cast<http::status>(head.status), http_1_1);
         set_fields(message, head);
         // HTTP/1.0 has no chunks: the end of the connection ends the reply.
-        keep_alive_ = keep_alive_ && chunked_;
+        keep_alive_ = keep_alive_ && chunked_ && may_keep_alive_();
         message.keep_alive(keep_alive_);
         message.chunked(chunked_);
         http::response_serializer<http::empty_body> serializer(message);
@@ -225,7 +228,8 @@
 
     beast::tcp_stream& stream_;
     http_request request_;
-    bool keep_alive_;
+    std::function<bool()> may_keep_alive_;
+    bool keep_alive_ = true;
     duration write_timeout_;
     bool chunked_;
     bool answered_ = false; // A part of the reply was written, at least.
@@ -264,6 +268,7 @@
     asio::awaitable<bool> serve_request(beast::tcp_stream& stream, beast::flat_buffer& buffer);
     asio::awaitable<std::optional<std::string>> run_handler(http_exchange& exchange);
     asio::awaitable<void> reject(beast::tcp_stream& stream, bad_request kind);
+    static asio::awaitable<void> close_gracefully(beast::tcp_stream& stream);
 };
 
 asio::awaitable<void> http_server::state::accept_connections()
@@ -359,9 +364,10 @@
     }
     const bool keep_alive = parser.get().keep_alive();
     const unsigned version = parser.get().version();
-    beast_exchange exchange(stream, to_http_request(parser.release()),
-                            keep_alive && !stopping && !keep_alive_disabled, limits.write_timeout,
-                            version);
+    beast_exchange exchange(
+        stream, to_http_request(parser.release()),
+        [this, keep_alive] { return keep_alive && !stopping && !keep_alive_disabled; },
+        limits.write_timeout, version);
     const std::optional<std::string> thrown = co_await run_handler(exchange);
     if (thrown) {
         server_log.write("handler_failed", {{"method", exchange.request().method},
@@ -399,8 +405,15 @@
 
 asio::awaitable<void> http_server::state::reject(beast::tcp_stream& stream, bad_request kind)
 {
-    beast_exchange exchange(stream, {}, false, limits.write_timeout);
+    beast_exchange exchange(
+        stream, {}, [] { return false; }, limits.write_timeout);
     co_await exchange.respond(on_bad_request(kind));
+    co_await close_gracefully(stream);
+}
+
+/** Closes the connection so that the peer can read the last reply. */
+asio::awaitable<void> http_server::state::close_gracefully(beast::tcp_stream& stream)
+{
     // Closing a socket with unread bytes resets the connection, and a peer that is still sending
     // might not receive the reply. Therefore the rest of the request is read and discarded.
     error_code ignored;
