Let a caller read a reply after which its connection closes

A caller that had sent more bytes after a request with `Connection: close` could lose the end of its reply: closing a socket with unread bytes resets it and discards what is not sent yet. Only replies to requests that could not be read were followed by reading and discarding the rest.

This now also holds after a complete reply if unread bytes have arrived, for 500 ms and 1 MB at most. A connection that closes while idle is left as it is: a request that crosses the close stays unread, and the caller may send it again.

error/base: "bytes behind a request that closes its connection do not reset the reply" was reset within the reply before and gets all of it now.

--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -386,6 +386,9 @@
     else if (thrown && !exchange.reply_is_complete()) {
         exchange.abort();
     }
+    if (!exchange.reusable() && exchange.reply_is_complete() && has_pending_bytes(stream, buffer)) {
+        co_await close_gracefully(stream);
+    }
     co_return exchange.reusable();
 }
 
