Let idle connections follow a raised idle timeout

Callers go by the newest idle timeout of the configuration. A connection that was idle when a version raised it was still closed after the old one, and a request that the caller sent on it got no answer. Each connection had set its timer when it became idle.

set_limits now prolongs the wait of each idle connection; a lowered timeout holds from the next wait on. When a wait ends, bytes that have arrived are still read, since a late event loop may run the timer first.

error/base: "an idle connection follows a raised idle limit" failed before and passes now; "... keeps the limit that held when it became idle if that is lowered" passes before and after.

--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -3,9 +3,10 @@
  */
 #include "base/http_server.h"
 
+#include <algorithm>
 #include <exception>
 #include <optional>
-#include <unordered_set>
+#include <unordered_map>
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -238,6 +239,12 @@
     bool connection_failed_ = false;
 };
 
+/** The wait of a connection for its next request. */
+struct idle_period {
+    time_point since{};
+    time_point until{}; // Closed then.
+};
+
 } // namespace
 
 struct http_server::state : std::enable_shared_from_this<http_server::state> {
@@ -255,7 +262,7 @@
     bad_request_hook on_bad_request;
     tcp::acceptor acceptor;
     std::string last_reason;
-    std::unordered_set<beast::tcp_stream*> idle_streams;
+    std::unordered_map<beast::tcp_stream*, idle_period*> idle_connections;
     std::size_t open_connections = 0;
     std::size_t active_requests = 0; // The first byte was read and the reply is not complete.
     bool stopping = false;
@@ -265,6 +272,7 @@
     asio::awaitable<void> serve(tcp::socket socket);
     void accept_pending();
     static bool has_pending_bytes(beast::tcp_stream& stream, const beast::flat_buffer& buffer);
+    asio::awaitable<bool> wait_for_request(beast::tcp_stream& stream, beast::flat_buffer& buffer);
     asio::awaitable<bool> serve_request(beast::tcp_stream& stream, beast::flat_buffer& buffer);
     asio::awaitable<std::optional<std::string>> run_handler(http_exchange& exchange);
     asio::awaitable<void> reject(beast::tcp_stream& stream, bad_request kind);
@@ -329,19 +337,47 @@
     }
 }
 
+/** Reads the first bytes of the next request.
+ * \return false if none arrived in time, or if the peer or the server closes the connection.
+ */
+asio::awaitable<bool> http_server::state::wait_for_request(beast::tcp_stream& stream,
+                                                           beast::flat_buffer& buffer)
+{
+    const time_point since = monotonic_clock::now();
+    idle_period period{since, since + (stopping ? first_request_timeout : limits.idle_timeout)};
+    idle_connections[&stream] = &period;
+    const scope_guard ended([this, &stream] { idle_connections.erase(&stream); });
+    stream.expires_never();
+    while (true) {
+        const duration left = period.until - monotonic_clock::now();
+        std::optional<read_timer> wait(std::in_place, stream, left);
+        const auto [error, bytes] =
+            co_await stream.async_read_some(buffer.prepare(read_buffer_bytes), as_tuple);
+        const bool expired = wait->expired();
+        wait.reset();
+        if (!error) {
+            buffer.commit(bytes);
+            co_return true;
+        }
+        if (error != asio::error::operation_aborted) {
+            co_return false;
+        }
+        // Bytes may have arrived before the event loop ran the timer.
+        const bool prolonged = expired && monotonic_clock::now() < period.until;
+        if (!prolonged && !has_pending_bytes(stream, buffer)) {
+            co_return false;
+        }
+    }
+}
+
 asio::awaitable<bool> http_server::state::serve_request(beast::tcp_stream& stream,
                                                         beast::flat_buffer& buffer)
 {
     if (buffer.size() == 0) {
-        idle_streams.insert(&stream);
-        stream.expires_after(stopping ? first_request_timeout : limits.idle_timeout);
-        const auto [error, bytes] =
-            co_await stream.async_read_some(buffer.prepare(read_buffer_bytes), as_tuple);
-        idle_streams.erase(&stream);
-        if (error) {
+        const bool begins = co_await wait_for_request(stream, buffer);
+        if (!begins) {
             co_return false;
         }
-        buffer.commit(bytes);
     }
     ++active_requests;
     const scope_guard ended([this] { --active_requests; });
@@ -490,6 +526,12 @@
 void http_server::set_limits(http_limits limits)
 {
     state_->limits = limits;
+    if (state_->stopping) {
+        return;
+    }
+    for (const auto& [stream, period] : state_->idle_connections) {
+        period->until = std::max(period->until, period->since + limits.idle_timeout);
+    }
 }
 
 void http_server::disable_keep_alive()
@@ -508,7 +550,7 @@
         state_->accept_pending();
     }
     state_->acceptor.close(ignored);
-    for (beast::tcp_stream* stream : state_->idle_streams) {
+    for (const auto& [stream, period] : state_->idle_connections) {
         // A request that has arrived is still read and answered.
         if (stream->socket().available(ignored) == 0) {
             stream->cancel();
--- a/src/base/http_server.h
+++ b/src/base/http_server.h
@@ -86,7 +86,9 @@
     /** \return the port that the server listens on, or zero if it does not listen. */
     std::uint16_t port() const;
 
-    /** Replaces the limits of the requests that are read from now on. */
+    /** Replaces the limits of the requests that are read from now on. An idle connection stays open
+     * for the longest idle timeout in force since it became idle.
+     */
     void set_limits(http_limits limits);
 
     /** Closes each connection after the reply to the next request that is read from it. New
