Bound the time of a request's body separately from its head

A caller whose body arrived slowly but steadily got 408, since header-timeout-ms of the users' limits bounded the whole request. That limit is on the head.

http_limits has header_read_timeout and body_read_timeout; the node sets the former from the limit and keeps 30 s for the body. The entry uses its one setting for each of the two, so that a request may now take up to twice as long there in all.

--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -385,10 +385,18 @@
     parser.body_limit(limits.max_body_bytes);
     parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
     stream.expires_never();
-    std::optional<read_timer> read(std::in_place, stream, limits.request_read_timeout);
-    const auto [error, bytes] = co_await http::async_read(stream, buffer, parser, as_tuple);
-    const bool too_slow = read->expired();
+    std::optional<read_timer> read(std::in_place, stream, limits.header_read_timeout);
+    auto [error, header_bytes] = co_await http::async_read_header(stream, buffer, parser, as_tuple);
+    bool too_slow = read->expired();
     read.reset();
+    if (!error && !parser.is_done()) {
+        read.emplace(stream, limits.body_read_timeout);
+        const auto [body_error, body_bytes] =
+            co_await http::async_read(stream, buffer, parser, as_tuple);
+        error = body_error;
+        too_slow = read->expired();
+        read.reset();
+    }
     if (error) {
         if (too_slow) {
             co_await reject(stream, bad_request::too_slow);
--- a/src/base/http_server.h
+++ b/src/base/http_server.h
@@ -21,9 +21,10 @@
 struct http_limits {
     std::size_t max_body_bytes = 8U << 20U;
     std::size_t max_header_bytes = 32U << 10U;
-    duration request_read_timeout = 30s;  // From the first byte of a request to its last.
-    duration idle_timeout = 75s;          // Until the first byte of the next request arrives.
-    duration write_timeout = 30s;         // Of one write; the connection is closed after it.
+    duration header_read_timeout = 30s; // From the first byte of a request to the end of its head.
+    duration body_read_timeout = 30s;   // From there to the last byte of its body.
+    duration idle_timeout = 75s;        // Until the first byte of the next request arrives.
+    duration write_timeout = 30s;       // Of one write; the connection is closed after it.
     std::size_t max_connections = 20'000; // Further connections are closed at once.
 };
 
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -59,7 +59,8 @@
     http_limits limits;
     limits.max_body_bytes = settings.max_body_bytes();
     limits.max_header_bytes = settings.max_header_bytes();
-    limits.request_read_timeout = ms(settings.request_read_timeout_ms());
+    limits.header_read_timeout = ms(settings.request_read_timeout_ms());
+    limits.body_read_timeout = limits.header_read_timeout;
     return limits;
 }
 
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -274,7 +274,7 @@
     http_limits limits;
     limits.max_body_bytes = given.max_body_bytes;
     limits.max_header_bytes = given.max_header_bytes;
-    limits.request_read_timeout = given.header_timeout;
+    limits.header_read_timeout = given.header_timeout;
     limits.idle_timeout = given.idle_timeout + 1s; // A request may be sent just before the timeout.
     calls_.set_limits(limits);
     apply_fleet_change();
