--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "base/beast_exchange.h"
 #include "base/event_log.h"
 #include "base/read_timer.h"
 #include "base/scope_guard.h"
@@ -35,13 +36,10 @@
 constexpr duration first_request_timeout = 300ms;
 constexpr duration accept_retry_delay = 10ms;
 constexpr duration drain_poll_interval = 10ms;
-constexpr duration peer_close_poll_interval = 250ms;
 constexpr duration discard_timeout = 500ms; // Of all reads of discarded bytes together.
 constexpr std::size_t max_discarded_bytes = 1U << 20U;
 constexpr std::size_t discard_buffer_bytes = 4096;
 constexpr int listen_backlog = 4096; // Connections that are not accepted yet.
-constexpr unsigned http_1_0 = 10;
-constexpr unsigned http_1_1 = 11;
 
 http_request to_http_request(http::request<http::string_body>&& message)
 {
@@ -55,20 +53,6 @@
     return converted;
 }
 
-template <typename Message>
-void set_fields(Message& message, const http_reply& reply)
-{
-    for (const http_header& header : reply.headers) {
-        message.insert(header.name, header.value);
-    }
-    if (!reply.content_type.empty()) {
-        message.set(http::field::content_type, reply.content_type);
-    }
-    if (message.find(http::field::server) == message.end()) {
-        message.set(http::field::server, "chervildyke");
-    }
-}
-
 http_reply default_bad_request_reply(bad_request kind)
 {
     http_reply reply;
@@ -98,147 +82,6 @@
            error == asio::error::operation_aborted || error == asio::error::broken_pipe;
 }
 
-class beast_exchange : public http_exchange {
-  public:
-    /** \param keep_alive asked when the reply begins whether the connection stays open after it. */
-    beast_exchange(beast::tcp_stream& stream, http_request request,
-                   std::function<bool()> keep_alive, duration write_timeout,
-                   unsigned version = http_1_1)
-        : stream_(stream), request_(std::move(request)), may_keep_alive_(std::move(keep_alive)),
-          write_timeout_(write_timeout), chunked_(version != http_1_0)
-    {
-    }
-
-    const http_request& request() const override { return request_; }
-
-    std::string peer_address() const override
-    {
-        error_code error;
-        const auto peer = stream_.socket().remote_endpoint(error);
-        return error ? std::string() : peer.address().to_string();
-    }
-
-    asio::awaitable<bool> respond(http_reply reply) override
-    {
-        http::response<http::string_body> message(static_cast<http::status>(reply.status),
-                                                  http_1_1);
-        set_fields(message, reply);
-        keep_alive_ = keep_alive_ && may_keep_alive_();
-        message.keep_alive(keep_alive_);
-        message.body() = std::move(reply.body);
-        message.prepare_payload();
-        answered_ = true;
-        stream_.expires_after(write_timeout_);
-        const auto [error, bytes] = co_await http::async_write(stream_, message, as_tuple);
-        reply_is_complete_ = !error;
-        co_return update_connection(error);
-    }
-
-    asio::awaitable<bool> start_stream(http_reply head) override
-    {
-        http::response<http::empty_body> message(static_cast<http::status>(head.status), http_1_1);
-        set_fields(message, head);
-        // HTTP/1.0 has no chunks: the end of the connection ends the reply.
-        keep_alive_ = keep_alive_ && chunked_ && may_keep_alive_();
-        message.keep_alive(keep_alive_);
-        message.chunked(chunked_);
-        http::response_serializer<http::empty_body> serializer(message);
-        answered_ = true;
-        streaming_ = true;
-        stream_.expires_after(write_timeout_);
-        const auto [error, bytes] =
-            co_await http::async_write_header(stream_, serializer, as_tuple);
-        co_return update_connection(error);
-    }
-
-    asio::awaitable<bool> write_chunk(std::string_view bytes) override
-    {
-        stream_.expires_after(write_timeout_);
-        if (!chunked_) {
-            const auto [error, written] = co_await asio::async_write(
-                stream_, asio::const_buffer(bytes.data(), bytes.size()), as_tuple);
-            co_return update_connection(error);
-        }
-        const auto chunk = http::make_chunk(asio::const_buffer(bytes.data(), bytes.size()));
-        const auto [error, written] = co_await asio::async_write(stream_, chunk, as_tuple);
-        co_return update_connection(error);
-    }
-
-    asio::awaitable<bool> end_stream() override
-    {
-        streaming_ = false;
-        if (!chunked_) {
-            reply_is_complete_ = true;
-            co_return true;
-        }
-        stream_.expires_after(write_timeout_);
-        const auto [error, written] =
-            co_await asio::async_write(stream_, http::make_chunk_last(), as_tuple);
-        reply_is_complete_ = !error;
-        co_return update_connection(error);
-    }
-
-    void abort() override
-    {
-        connection_failed_ = true;
-        error_code ignored;
-        stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
-        stream_.socket().close(ignored);
-    }
-
-    asio::awaitable<void> wait_for_peer_close() override
-    {
-        while (true) {
-            const auto [error] =
-                co_await stream_.socket().async_wait(tcp::socket::wait_read, as_tuple);
-            // A socket may be ready to read although nothing has arrived.
-            if (error || peer_has_closed()) {
-                co_return;
-            }
-            co_await sleep_for(peer_close_poll_interval); // The peer has sent its next request.
-        }
-    }
-
-    bool peer_has_closed() const override
-    {
-        char byte = 0;
-        error_code error;
-        tcp::socket& socket = stream_.socket();
-        if (!socket.is_open()) {
-            return true;
-        }
-        if (!socket.non_blocking()) {
-            socket.non_blocking(true, error);
-        }
-        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-        return error && error != asio::error::would_block && error != asio::error::interrupted;
-    }
-
-    /** \return true if the connection can carry another request. */
-    bool reusable() const { return answered_ && !streaming_ && !connection_failed_ && keep_alive_; }
-    bool answered() const { return answered_; }
-    bool reply_is_complete() const { return reply_is_complete_; }
-    void close_after_reply() { keep_alive_ = false; }
-
-  private:
-    bool update_connection(const error_code& error)
-    {
-        connection_failed_ = connection_failed_ || error;
-        return !error;
-    }
-
-    beast::tcp_stream& stream_;
-    http_request request_;
-    std::function<bool()> may_keep_alive_;
-    bool keep_alive_ = true;
-    duration write_timeout_;
-    bool chunked_;
-    bool answered_ = false; // A part of the reply was written, at least.
-    bool reply_is_complete_ = false;
-    bool streaming_ = false;
-    bool connection_failed_ = false;
-};
-
 /** The wait of a connection for its next request. */
 struct idle_period {
     time_point since{};
