Refuse requests on connections over the limit with 503

A caller over the limit on connections had its socket closed without a reply, which promises nothing.

The node's reply has a Retry-After. The node's limit is three quarters of RLIMIT_NOFILE, if that is below 20,000, so that callers leave descriptors for backend servers; no test shows this figure, nor which RLIMIT_NOFILE the platform sets.

--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -39,7 +39,8 @@
 constexpr duration discard_timeout = 500ms; // Of all reads of discarded bytes together.
 constexpr std::size_t max_discarded_bytes = 1U << 20U;
 constexpr std::size_t discard_buffer_bytes = 4096;
-constexpr int listen_backlog = 4096; // Connections that are not accepted yet.
+constexpr std::size_t max_refused_connections = 64; // At once; further ones are closed at once.
+constexpr int listen_backlog = 4096;                // Connections that are not accepted yet.
 
 http_request to_http_request(http::request<http::string_body>&& message)
 {
@@ -53,17 +54,6 @@
     return converted;
 }
 
-http_reply default_bad_request_reply(bad_request kind)
-{
-    http_reply reply;
-    reply.status = kind == bad_request::body_too_large     ? 413
-                   : kind == bad_request::header_too_large ? 431
-                   : kind == bad_request::too_slow         ? 408
-                                                           : 400;
-    reply.body = R"({"error":{"message":"the request could not be read"}})";
-    return reply;
-}
-
 bad_request to_bad_request(const error_code& error)
 {
     if (error == http::error::body_limit) {
@@ -90,6 +80,18 @@
 
 } // namespace
 
+http_reply default_bad_request_reply(bad_request kind)
+{
+    http_reply reply;
+    reply.status = kind == bad_request::body_too_large         ? 413
+                   : kind == bad_request::header_too_large     ? 431
+                   : kind == bad_request::too_slow             ? 408
+                   : kind == bad_request::too_many_connections ? 503
+                                                               : 400;
+    reply.body = R"({"error":{"message":"the request could not be read"}})";
+    return reply;
+}
+
 struct http_server::state : std::enable_shared_from_this<http_server::state> {
     state(asio::any_io_executor executor_in, http_handler handler_in, http_limits limits_in,
           bad_request_hook hook)
@@ -107,12 +109,14 @@
     std::string last_reason;
     std::unordered_map<beast::tcp_stream*, idle_period*> idle_connections;
     std::size_t open_connections = 0;
-    std::size_t active_requests = 0; // The first byte was read and the reply is not complete.
+    std::size_t refused_connections = 0; // Open beyond the limit, for their refusal.
+    std::size_t active_requests = 0;     // The first byte was read and the reply is not complete.
     bool stopping = false;
     bool keep_alive_disabled = false; // Each connection closes after its next reply.
 
     asio::awaitable<void> accept_connections();
     asio::awaitable<void> serve(tcp::socket socket);
+    asio::awaitable<void> refuse(tcp::socket socket);
     void accept_pending();
     static bool has_pending_bytes(beast::tcp_stream& stream, const beast::flat_buffer& buffer);
     asio::awaitable<bool> wait_for_request(beast::tcp_stream& stream, beast::flat_buffer& buffer);
@@ -135,7 +139,10 @@
             continue;
         }
         if (open_connections >= limits.max_connections) {
-            continue; // The socket is closed on destruction.
+            if (refused_connections < max_refused_connections) {
+                asio::co_spawn(executor, refuse(std::move(socket)), asio::detached);
+            }
+            continue; // Else the socket is closed on destruction.
         }
         asio::co_spawn(executor, serve(std::move(socket)), asio::detached);
     }
@@ -158,6 +165,22 @@
     stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
 }
 
+/** Refuses the first request of a connection over the limit. */
+asio::awaitable<void> http_server::state::refuse(tcp::socket socket)
+{
+    const auto self = shared_from_this();
+    ++refused_connections;
+    const scope_guard closed([this] { --refused_connections; });
+    beast::tcp_stream stream(std::move(socket));
+    char begin[discard_buffer_bytes];
+    // A reply without a request would belong to none.
+    stream.expires_after(first_request_timeout);
+    const auto [error, bytes] = co_await stream.async_read_some(asio::buffer(begin), as_tuple);
+    if (!error) {
+        co_await reject(stream, bad_request::too_many_connections);
+    }
+}
+
 /** \return true if a request or a part of one has arrived. */
 bool http_server::state::has_pending_bytes(beast::tcp_stream& stream,
                                            const beast::flat_buffer& buffer)
--- a/src/base/http_server.h
+++ b/src/base/http_server.h
@@ -25,11 +25,17 @@
     duration body_read_timeout = 30s;   // From there to the last byte of its body.
     duration idle_timeout = 75s;        // Until the first byte of the next request arrives.
     duration write_timeout = 30s;       // Of one write; the connection is closed after it.
-    std::size_t max_connections = 20'000; // Further connections are closed at once.
+    std::size_t max_connections = 20'000; // Requests on further connections are refused.
 };
 
-/** Why a request could not be read. */
-enum class bad_request { malformed, header_too_large, body_too_large, too_slow };
+/** Why a request was not read. */
+enum class bad_request {
+    malformed,
+    header_too_large,
+    body_too_large,
+    too_slow,
+    too_many_connections, // The server is at its limit; the request was not run.
+};
 
 /** A request and the functions that reply to it. A handler sends exactly one reply: respond(), or
  * start_stream(), any number of write_chunk() and end_stream(). Each of them returns false once the
@@ -62,9 +68,12 @@
  */
 using http_handler = std::function<boost::asio::awaitable<void>(http_exchange&)>;
 
-/** Makes the reply to a request that could not be read. */
+/** Makes the reply to a request that was not read. */
 using bad_request_hook = std::function<http_reply(bad_request)>;
 
+/** \return the reply that is used without a hook. */
+http_reply default_bad_request_reply(bad_request kind);
+
 /** Accepts connections and reads requests within limits. The handler routes them by path. */
 class http_server {
   public:
--- a/src/entry/api_error.cpp
+++ b/src/entry/api_error.cpp
@@ -89,6 +89,10 @@
         error = invalid_request("the request did not arrive in time", "request_timeout");
         error.status = 408;
     }
+    else if (kind == bad_request::too_many_connections) {
+        error = invalid_request("too many connections are open", "too_many_connections");
+        error.status = 503;
+    }
     return to_reply(error);
 }
 
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <sys/resource.h>
+
 #include "base/event_log.h"
 #include "base/milliseconds.h"
 #include "base/task.h"
@@ -48,6 +50,19 @@
 constexpr duration drain_check_interval = 20ms; // Between two checks whether all calls have ended.
 constexpr const char* plain_text = "text/plain";
 
+/** \return how many connections callers may hold: three quarters of the process's descriptors. The
+ * rest is for backend servers, the store, peers and files.
+ */
+std::size_t max_caller_connections()
+{
+    rlimit descriptors{};
+    const std::size_t most = http_limits().max_connections;
+    if (::getrlimit(RLIMIT_NOFILE, &descriptors) != 0) {
+        return most;
+    }
+    return std::min<std::size_t>(most, descriptors.rlim_cur / 4 * 3);
+}
+
 } // namespace
 
 relay_node::relay_node(asio::any_io_executor executor, schema::relay_settings settings,
@@ -55,7 +70,10 @@
     : executor_(std::move(executor)), settings_(std::move(settings)), hooks_(std::move(hooks)),
       random_(std::move(random)), incarnation_(wall_clock_ms()),
       started_at_(monotonic_clock::now()),
-      calls_(executor_, [this](http_exchange& exchange) { return serve(exchange); }),
+      calls_(
+          executor_, [this](http_exchange& exchange) { return serve(exchange); },
+          {.max_connections = max_caller_connections()},
+          [this](bad_request kind) { return refuse_unread(context_, kind); }),
       ready_(executor_, [this](http_exchange& exchange) { return serve_ready(exchange); }),
       directory_(executor_, [this](http_exchange& exchange) { return serve_directory(exchange); }),
       metrics_(executor_, [this](http_exchange& exchange) { return serve_metrics(exchange); })
@@ -272,6 +290,7 @@
     }
     const caller_limits& given = configuration->limits();
     http_limits limits;
+    limits.max_connections = max_caller_connections();
     limits.max_body_bytes = given.max_body_bytes;
     limits.max_header_bytes = given.max_header_bytes;
     limits.header_read_timeout = given.header_timeout;
--- a/src/relay/serve_call.h
+++ b/src/relay/serve_call.h
@@ -15,4 +15,7 @@
  */
 boost::asio::awaitable<void> serve_call(relay_context& context, http_exchange& exchange);
 
+/** \return the reply to a call that was not read; a 503 if the node has too many connections. */
+http_reply refuse_unread(const relay_context& context, bad_request kind);
+
 } // namespace chervildyke
--- a/test/error/relay_call_ends.cpp
+++ b/test/error/relay_call_ends.cpp
@@ -89,10 +89,11 @@
     }
 
     /** Sends a call without waiting for its answer. */
-    tcp::socket begin_call(const std::string& path = "/p/x", const std::string& time_left = "4500")
+    tcp::socket begin_call(const std::string& path = "/p/x", const std::string& time_left = "4500",
+                           std::uint16_t port = 0)
     {
         tcp::socket socket(callers);
-        socket.connect({asio::ip::make_address("127.0.0.1"), front.port()});
+        socket.connect({asio::ip::make_address("127.0.0.1"), port == 0 ? front.port() : port});
         const std::string request = "POST " + path +
                                     " HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: call1\r\n"
                                     "Authorization: Token k1\r\nX-Model: m\r\n"
@@ -436,3 +437,20 @@
         CHECK(server.calls == 0);
     }
 }
+
+TEST_CASE("a call on a connection over the limit is refused with a Retry-After")
+{
+    call_fixture fixture(retry_rule::never);
+    http_limits limits;
+    limits.max_connections = 0;
+    http_server full(
+        fixture.context.get_executor(),
+        [&fixture](http_exchange& exchange) { return serve_call(fixture.node, exchange); }, limits,
+        [&fixture](bad_request kind) { return refuse_unread(fixture.node, kind); });
+    REQUIRE(full.listen("127.0.0.1", 0));
+    tcp::socket caller = fixture.begin_call("/p/x", "4500", full.port());
+    fixture.run(100ms);
+    const received refused(caller);
+    CHECK(refused.status() == 503);
+    CHECK(refused.text.find("Retry-After") != std::string::npos);
+}
