--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -3,13 +3,17 @@
  */
 #include "base/http_server.h"
 
+#include <algorithm>
+#include <exception>
 #include <optional>
-#include <unordered_set>
+#include <unordered_map>
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "base/beast_exchange.h"
+#include "base/event_log.h"
 #include "base/read_timer.h"
 #include "base/scope_guard.h"
 
@@ -23,6 +27,8 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
+const event_log server_log("server");
+
 constexpr auto as_tuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t read_buffer_bytes = 16U << 10U;
 // The wait for the first request of a connection that is accepted while the server stops. It covers
@@ -30,13 +36,11 @@
 constexpr duration first_request_timeout = 300ms;
 constexpr duration accept_retry_delay = 10ms;
 constexpr duration drain_poll_interval = 10ms;
-constexpr duration peer_close_poll_interval = 250ms;
 constexpr duration discard_timeout = 500ms; // Of all reads of discarded bytes together.
 constexpr std::size_t max_discarded_bytes = 1U << 20U;
 constexpr std::size_t discard_buffer_bytes = 4096;
-constexpr int listen_backlog = 4096; // Connections that are not accepted yet.
-constexpr unsigned http_1_0 = 10;
-constexpr unsigned http_1_1 = 11;
+constexpr std::size_t max_refused_connections = 64; // At once; further ones are closed at once.
+constexpr int listen_backlog = 4096;                // Connections that are not accepted yet.
 
 http_request to_http_request(http::request<http::string_body>&& message)
 {
@@ -50,31 +54,6 @@
     return converted;
 }
 
-template <typename Message>
-void set_fields(Message& message, const http_reply& reply)
-{
-    for (const http_header& header : reply.headers) {
-        message.insert(header.name, header.value);
-    }
-    if (!reply.content_type.empty()) {
-        message.set(http::field::content_type, reply.content_type);
-    }
-    if (message.find(http::field::server) == message.end()) {
-        message.set(http::field::server, "chervildyke");
-    }
-}
-
-http_reply default_bad_request_reply(bad_request kind)
-{
-    http_reply reply;
-    reply.status = kind == bad_request::body_too_large     ? 413
-                   : kind == bad_request::header_too_large ? 431
-                   : kind == bad_request::too_slow         ? 408
-                                                           : 400;
-    reply.body = R"({"error":{"message":"the request could not be read"}})";
-    return reply;
-}
-
 bad_request to_bad_request(const error_code& error)
 {
     if (error == http::error::body_limit) {
@@ -93,140 +72,26 @@
            error == asio::error::operation_aborted || error == asio::error::broken_pipe;
 }
 
-class beast_exchange : public http_exchange {
-  public:
-    beast_exchange(beast::tcp_stream& stream, http_request request, bool keep_alive,
-                   duration write_timeout, unsigned version = http_1_1)
-        : stream_(stream), request_(std::move(request)), keep_alive_(keep_alive),
-          write_timeout_(write_timeout), chunked_(version != http_1_0)
-    {
-    }
-
-    const http_request& request() const override { return request_; }
-
-    std::string peer_address() const override
-    {
-        error_code error;
-        const auto peer = stream_.socket().remote_endpoint(error);
-        return error ? std::string() : peer.address().to_string();
-    }
-
-    asio::awaitable<bool> respond(http_reply reply) override
-    {
-        http::response<http::string_body> message(static_cast<http::status>(reply.status),
-                                                  http_1_1);
-        set_fields(message, reply);
-        message.keep_alive(keep_alive_);
-        message.body() = std::move(reply.body);
-        message.prepare_payload();
-        answered_ = true;
-        stream_.expires_after(write_timeout_);
-        const auto [error, bytes] = co_await http::async_write(stream_, message, as_tuple);
-        co_return update_connection(error);
-    }
-
-    asio::awaitable<bool> start_stream(http_reply head) override
-    {
-        http::response<http::empty_body> message(static_cast<http::status>(head.status), http_1_1);
-        set_fields(message, head);
-        // HTTP/1.0 has no chunks: the end of the connection ends the reply.
-        chunked_ = chunked_ && !head.ends_with_connection;
-        keep_alive_ = keep_alive_ && chunked_;
-        message.keep_alive(keep_alive_);
-        message.chunked(chunked_);
-        http::response_serializer<http::empty_body> serializer(message);
-        answered_ = true;
-        streaming_ = true;
-        stream_.expires_after(write_timeout_);
-        const auto [error, bytes] =
-            co_await http::async_write_header(stream_, serializer, as_tuple);
-        co_return update_connection(error);
-    }
-
-    asio::awaitable<bool> write_chunk(std::string_view bytes) override
-    {
-        stream_.expires_after(write_timeout_);
-        if (!chunked_) {
-            const auto [error, written] = co_await asio::async_write(
-                stream_, asio::const_buffer(bytes.data(), bytes.size()), as_tuple);
-            co_return update_connection(error);
-        }
-        const auto chunk = http::make_chunk(asio::const_buffer(bytes.data(), bytes.size()));
-        const auto [error, written] = co_await asio::async_write(stream_, chunk, as_tuple);
-        co_return update_connection(error);
-    }
-
-    asio::awaitable<bool> end_stream() override
-    {
-        streaming_ = false;
-        if (!chunked_) {
-            co_return true;
-        }
-        stream_.expires_after(write_timeout_);
-        const auto [error, written] =
-            co_await asio::async_write(stream_, http::make_chunk_last(), as_tuple);
-        co_return update_connection(error);
-    }
-
-    void abort() override
-    {
-        connection_failed_ = true;
-        error_code ignored;
-        stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
-        stream_.socket().close(ignored);
-    }
-
-    asio::awaitable<void> wait_for_peer_close() override
-    {
-        while (true) {
-            const auto [error] =
-                co_await stream_.socket().async_wait(tcp::socket::wait_read, as_tuple);
-            error_code unused;
-            if (error || stream_.socket().available(unused) == 0) {
-                co_return;
-            }
-            co_await sleep_for(peer_close_poll_interval); // The peer has sent its next request.
-        }
-    }
-
-    bool peer_has_closed() const override
-    {
-        char byte = 0;
-        error_code error;
-        tcp::socket& socket = stream_.socket();
-        if (!socket.is_open()) {
-            return true;
-        }
-        if (!socket.non_blocking()) {
-            socket.non_blocking(true, error);
-        }
-        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-        return error && error != asio::error::would_block;
-    }
-
-    /** \return true if the connection can carry another request. */
-    bool reusable() const { return answered_ && !streaming_ && !connection_failed_ && keep_alive_; }
-    bool answered() const { return answered_; }
-
-  private:
-    bool update_connection(const error_code& error)
-    {
-        connection_failed_ = connection_failed_ || error;
-        return !error;
-    }
-
-    beast::tcp_stream& stream_;
-    http_request request_;
-    bool keep_alive_;
-    duration write_timeout_;
-    bool chunked_;
-    bool answered_ = false;
-    bool streaming_ = false;
-    bool connection_failed_ = false;
+/** The wait of a connection for its next request. */
+struct idle_period {
+    time_point since{};
+    time_point until{}; // Closed then.
 };
 
 } // namespace
 
+http_reply default_bad_request_reply(bad_request kind)
+{
+    http_reply reply;
+    reply.status = kind == bad_request::body_too_large         ? 413
+                   : kind == bad_request::header_too_large     ? 431
+                   : kind == bad_request::too_slow             ? 408
+                   : kind == bad_request::too_many_connections ? 503
+                                                               : 400;
+    reply.body = R"({"error":{"message":"the request could not be read"}})";
+    return reply;
+}
+
 struct http_server::state : std::enable_shared_from_this<http_server::state> {
     state(asio::any_io_executor executor_in, http_handler handler_in, http_limits limits_in,
           bad_request_hook hook)
@@ -242,18 +107,23 @@
     bad_request_hook on_bad_request;
     tcp::acceptor acceptor;
     std::string last_reason;
-    std::unordered_set<beast::tcp_stream*> idle_streams;
+    std::unordered_map<beast::tcp_stream*, idle_period*> idle_connections;
     std::size_t open_connections = 0;
-    std::size_t active_requests = 0; // The first byte was read and the reply is not complete.
+    std::size_t refused_connections = 0; // Open beyond the limit, for their refusal.
+    std::size_t active_requests = 0;     // The first byte was read and the reply is not complete.
     bool stopping = false;
     bool keep_alive_disabled = false; // Each connection closes after its next reply.
 
     asio::awaitable<void> accept_connections();
     asio::awaitable<void> serve(tcp::socket socket);
+    asio::awaitable<void> refuse(tcp::socket socket);
     void accept_pending();
     static bool has_pending_bytes(beast::tcp_stream& stream, const beast::flat_buffer& buffer);
+    asio::awaitable<bool> wait_for_request(beast::tcp_stream& stream, beast::flat_buffer& buffer);
     asio::awaitable<bool> serve_request(beast::tcp_stream& stream, beast::flat_buffer& buffer);
+    asio::awaitable<std::optional<std::string>> run_handler(http_exchange& exchange);
     asio::awaitable<void> reject(beast::tcp_stream& stream, bad_request kind);
+    static asio::awaitable<void> close_gracefully(beast::tcp_stream& stream);
 };
 
 asio::awaitable<void> http_server::state::accept_connections()
@@ -269,7 +139,10 @@
             continue;
         }
         if (open_connections >= limits.max_connections) {
-            continue; // The socket is closed on destruction.
+            if (refused_connections < max_refused_connections) {
+                asio::co_spawn(executor, refuse(std::move(socket)), asio::detached);
+            }
+            continue; // Else the socket is closed on destruction.
         }
         asio::co_spawn(executor, serve(std::move(socket)), asio::detached);
     }
@@ -279,17 +152,33 @@
 {
     const auto self = shared_from_this();
     ++open_connections;
+    const scope_guard closed([this] { --open_connections; });
     error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer(read_buffer_bytes + limits.max_header_bytes);
-    bool is_first = true;
-    while ((is_first || !stopping || has_pending_bytes(stream, buffer)) &&
-           co_await serve_request(stream, buffer)) {
-        is_first = false;
+    bool reusable = true;
+    while (reusable) {
+        reusable = co_await serve_request(stream, buffer);
+        reusable = reusable && (!stopping || has_pending_bytes(stream, buffer));
     }
     stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
-    --open_connections;
+}
+
+/** Refuses the first request of a connection over the limit. */
+asio::awaitable<void> http_server::state::refuse(tcp::socket socket)
+{
+    const auto self = shared_from_this();
+    ++refused_connections;
+    const scope_guard closed([this] { --refused_connections; });
+    beast::tcp_stream stream(std::move(socket));
+    char begin[discard_buffer_bytes];
+    // A reply without a request would belong to none.
+    stream.expires_after(first_request_timeout);
+    const auto [error, bytes] = co_await stream.async_read_some(asio::buffer(begin), as_tuple);
+    if (!error) {
+        co_await reject(stream, bad_request::too_many_connections);
+    }
 }
 
 /** \return true if a request or a part of one has arrived. */
@@ -314,19 +203,47 @@
     }
 }
 
+/** Reads the first bytes of the next request.
+ * \return false if none arrived in time, or if the peer or the server closes the connection.
+ */
+asio::awaitable<bool> http_server::state::wait_for_request(beast::tcp_stream& stream,
+                                                           beast::flat_buffer& buffer)
+{
+    const time_point since = monotonic_clock::now();
+    idle_period period{since, since + (stopping ? first_request_timeout : limits.idle_timeout)};
+    idle_connections[&stream] = &period;
+    const scope_guard ended([this, &stream] { idle_connections.erase(&stream); });
+    stream.expires_never();
+    while (true) {
+        const duration left = period.until - monotonic_clock::now();
+        std::optional<read_timer> wait(std::in_place, stream, left);
+        const auto [error, bytes] =
+            co_await stream.async_read_some(buffer.prepare(read_buffer_bytes), as_tuple);
+        const bool expired = wait->expired();
+        wait.reset();
+        if (!error) {
+            buffer.commit(bytes);
+            co_return true;
+        }
+        if (error != asio::error::operation_aborted) {
+            co_return false;
+        }
+        // Bytes may have arrived before the event loop ran the timer.
+        const bool prolonged = expired && monotonic_clock::now() < period.until;
+        if (!prolonged && !has_pending_bytes(stream, buffer)) {
+            co_return false;
+        }
+    }
+}
+
 asio::awaitable<bool> http_server::state::serve_request(beast::tcp_stream& stream,
                                                         beast::flat_buffer& buffer)
 {
     if (buffer.size() == 0) {
-        idle_streams.insert(&stream);
-        stream.expires_after(stopping ? first_request_timeout : limits.idle_timeout);
-        const auto [error, bytes] =
-            co_await stream.async_read_some(buffer.prepare(read_buffer_bytes), as_tuple);
-        idle_streams.erase(&stream);
-        if (error) {
+        const bool begins = co_await wait_for_request(stream, buffer);
+        if (!begins) {
             co_return false;
         }
-        buffer.commit(bytes);
     }
     ++active_requests;
     const scope_guard ended([this] { --active_requests; });
@@ -334,10 +251,18 @@
     parser.body_limit(limits.max_body_bytes);
     parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
     stream.expires_never();
-    std::optional<read_timer> read(std::in_place, stream, limits.request_read_timeout);
-    const auto [error, bytes] = co_await http::async_read(stream, buffer, parser, as_tuple);
-    const bool too_slow = read->expired();
+    std::optional<read_timer> read(std::in_place, stream, limits.header_read_timeout);
+    auto [error, header_bytes] = co_await http::async_read_header(stream, buffer, parser, as_tuple);
+    bool too_slow = read->expired();
     read.reset();
+    if (!error && !parser.is_done()) {
+        read.emplace(stream, limits.body_read_timeout);
+        const auto [body_error, body_bytes] =
+            co_await http::async_read(stream, buffer, parser, as_tuple);
+        error = body_error;
+        too_slow = read->expired();
+        read.reset();
+    }
     if (error) {
         if (too_slow) {
             co_await reject(stream, bad_request::too_slow);
@@ -349,23 +274,59 @@
     }
     const bool keep_alive = parser.get().keep_alive();
     const unsigned version = parser.get().version();
-    beast_exchange exchange(stream, to_http_request(parser.release()),
-                            keep_alive && !stopping && !keep_alive_disabled, limits.write_timeout,
-                            version);
-    co_await handler(exchange);
+    beast_exchange exchange(
+        stream, to_http_request(parser.release()),
+        [this, keep_alive] { return keep_alive && !stopping && !keep_alive_disabled; },
+        limits.write_timeout, version);
+    const std::optional<std::string> thrown = co_await run_handler(exchange);
+    if (thrown) {
+        server_log.write("handler_failed", {{"method", exchange.request().method},
+                                            {"path", std::string(exchange.request().path())},
+                                            {"replied", exchange.answered() ? "yes" : "no"},
+                                            {"reason", *thrown}});
+        exchange.close_after_reply();
+    }
     if (!exchange.answered()) {
         http_reply missing;
         missing.status = 500;
-        missing.body = R"({"error":{"message":"the handler sent no reply"}})";
+        missing.body = thrown ? R"({"error":{"message":"the handler failed"}})"
+                              : R"({"error":{"message":"the handler sent no reply"}})";
         co_await exchange.respond(std::move(missing));
     }
+    else if (thrown && !exchange.reply_is_complete()) {
+        exchange.abort();
+    }
+    if (!exchange.reusable() && exchange.reply_is_complete() && has_pending_bytes(stream, buffer)) {
+        co_await close_gracefully(stream);
+    }
     co_return exchange.reusable();
 }
 
+/** Runs the handler on a request that was read.
+ * \return what the handler threw, if it threw.
+ */
+asio::awaitable<std::optional<std::string>> http_server::state::run_handler(http_exchange& exchange)
+{
+    try {
+        co_await handler(exchange);
+    }
+    catch (const std::exception& error) {
+        co_return std::string(error.what());
+    }
+    co_return std::nullopt;
+}
+
 asio::awaitable<void> http_server::state::reject(beast::tcp_stream& stream, bad_request kind)
 {
-    beast_exchange exchange(stream, {}, false, limits.write_timeout);
+    beast_exchange exchange(
+        stream, {}, [] { return false; }, limits.write_timeout);
     co_await exchange.respond(on_bad_request(kind));
+    co_await close_gracefully(stream);
+}
+
+/** Closes the connection so that the peer can read the last reply. */
+asio::awaitable<void> http_server::state::close_gracefully(beast::tcp_stream& stream)
+{
     // Closing a socket with unread bytes resets the connection, and a peer that is still sending
     // might not receive the reply. Therefore the rest of the request is read and discarded.
     error_code ignored;
@@ -439,6 +400,12 @@
 void http_server::set_limits(http_limits limits)
 {
     state_->limits = limits;
+    if (state_->stopping) {
+        return;
+    }
+    for (const auto& [stream, period] : state_->idle_connections) {
+        period->until = std::max(period->until, period->since + limits.idle_timeout);
+    }
 }
 
 void http_server::disable_keep_alive()
@@ -457,7 +424,7 @@
         state_->accept_pending();
     }
     state_->acceptor.close(ignored);
-    for (beast::tcp_stream* stream : state_->idle_streams) {
+    for (const auto& [stream, period] : state_->idle_connections) {
         // A request that has arrived is still read and answered.
         if (stream->socket().available(ignored) == 0) {
             stream->cancel();
--- a/src/base/http_server.h
+++ b/src/base/http_server.h
@@ -21,14 +21,21 @@
 struct http_limits {
     std::size_t max_body_bytes = 8U << 20U;
     std::size_t max_header_bytes = 32U << 10U;
-    duration request_read_timeout = 30s;  // From the first byte of a request to its last.
-    duration idle_timeout = 75s;          // Until the first byte of the next request arrives.
-    duration write_timeout = 30s;         // Of one write; the connection is closed after it.
-    std::size_t max_connections = 20'000; // Further connections are closed at once.
+    duration header_read_timeout = 30s; // From the first byte of a request to the end of its head.
+    duration body_read_timeout = 30s;   // From there to the last byte of its body.
+    duration idle_timeout = 75s;        // Until the first byte of the next request arrives.
+    duration write_timeout = 30s;       // Of one write; the connection is closed after it.
+    std::size_t max_connections = 20'000; // Requests on further connections are refused.
 };
 
-/** Why a request could not be read. */
-enum class bad_request { malformed, header_too_large, body_too_large, too_slow };
+/** Why a request was not read. */
+enum class bad_request {
+    malformed,
+    header_too_large,
+    body_too_large,
+    too_slow,
+    too_many_connections, // The server is at its limit; the request was not run.
+};
 
 /** A request and the functions that reply to it. A handler sends exactly one reply: respond(), or
  * start_stream(), any number of write_chunk() and end_stream(). Each of them returns false once the
@@ -60,12 +67,17 @@
     virtual bool peer_has_closed() const = 0;
 };
 
-/** Handles one request. If it returns without a reply, the server replies with status 500. */
+/** Handles one request. If it returns or throws without a reply, the server replies with status
+ * 500. If it throws within its reply, the server resets the connection.
+ */
 using http_handler = std::function<boost::asio::awaitable<void>(http_exchange&)>;
 
-/** Makes the reply to a request that could not be read. */
+/** Makes the reply to a request that was not read. */
 using bad_request_hook = std::function<http_reply(bad_request)>;
 
+/** \return the reply that is used without a hook. */
+http_reply default_bad_request_reply(bad_request kind);
+
 /** Accepts connections and reads requests within limits. The handler routes them by path. */
 class http_server {
   public:
@@ -88,7 +100,9 @@
     /** \return the port that the server listens on, or zero if it does not listen. */
     std::uint16_t port() const;
 
-    /** Replaces the limits of the requests that are read from now on. */
+    /** Replaces the limits of the requests that are read from now on. An idle connection stays open
+     * for the longest idle timeout in force since it became idle.
+     */
     void set_limits(http_limits limits);
 
     /** Closes each connection after the reply to the next request that is read from it. New
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/connection_limit.h"
 #include "base/event_log.h"
 #include "base/milliseconds.h"
 #include "base/task.h"
@@ -55,7 +56,10 @@
     : executor_(std::move(executor)), settings_(std::move(settings)), hooks_(std::move(hooks)),
       random_(std::move(random)), incarnation_(wall_clock_ms()),
       started_at_(monotonic_clock::now()),
-      calls_(executor_, [this](http_exchange& exchange) { return serve(exchange); }),
+      calls_(
+          executor_, [this](http_exchange& exchange) { return serve(exchange); },
+          {.max_connections = max_accepted_connections()},
+          [this](bad_request kind) { return refuse_unread(context_, kind); }),
       ready_(executor_, [this](http_exchange& exchange) { return serve_ready(exchange); }),
       directory_(executor_, [this](http_exchange& exchange) { return serve_directory(exchange); }),
       metrics_(executor_, [this](http_exchange& exchange) { return serve_metrics(exchange); })
@@ -279,9 +283,10 @@
     }
     const caller_limits& given = configuration->limits();
     http_limits limits;
+    limits.max_connections = max_accepted_connections();
     limits.max_body_bytes = given.max_body_bytes;
     limits.max_header_bytes = given.max_header_bytes;
-    limits.request_read_timeout = given.header_timeout;
+    limits.header_read_timeout = given.header_timeout;
     limits.idle_timeout = given.idle_timeout + 1s; // A request may be sent just before the timeout.
     calls_.set_limits(limits);
     apply_fleet_change();
--- a/src/relay/serve_call.cpp
+++ b/src/relay/serve_call.cpp
@@ -4,6 +4,7 @@
 #include "relay/serve_call.h"
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 #include <boost/asio.hpp>
@@ -111,7 +112,7 @@
     co_await forever.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
-asio::awaitable<void> forward_call(relayed_call& call)
+asio::awaitable<void> forward_by_service(relayed_call& call)
 {
     const backend_service* service = call.configuration->find_service(call.service);
     if (service != nullptr && service->engine) {
@@ -122,6 +123,19 @@
     }
 }
 
+/** Forwards the call and answers it. What it throws is kept in `thrown`: the operator || would
+ * otherwise wait for the other operation, which never completes.
+ */
+asio::awaitable<void> forward_call(relayed_call& call, std::exception_ptr& thrown)
+{
+    try {
+        co_await forward_by_service(call);
+    }
+    catch (...) {
+        thrown = std::current_exception();
+    }
+}
+
 std::string to_text(const std::optional<duration>& span)
 {
     return span ? to_ms_text(*span) : "none";
@@ -204,9 +218,31 @@
         co_return;
     }
     call.deadline = std::min(call.deadline, call.arrived_at + call.route->timeout);
+    if (call.time_left() <= duration::zero()) {
+        co_await refuse(call, 503, "the call arrived without time left", retry_elsewhere_delay);
+        log_call_end(call);
+        co_return;
+    }
     call.service = choose_service(*call.route, context.random);
-    co_await (forward_call(call) || cancel_on_disconnect(call));
+    std::exception_ptr thrown;
+    co_await (forward_call(call, thrown) || cancel_on_disconnect(call));
+    if (thrown) {
+        call.end.outcome = "failed";
+        call.end.reason = "an exception ended the call";
+    }
     log_call_end(call);
+    if (thrown) {
+        std::rethrow_exception(thrown); // The server replies.
+    }
+}
+
+http_reply refuse_unread(const relay_context& context, bad_request kind)
+{
+    if (kind != bad_request::too_many_connections) {
+        return default_bad_request_reply(kind);
+    }
+    return context.codec.write_refusal(503, "this node has too many connections",
+                                       retry_elsewhere_delay);
 }
 
 } // namespace chervildyke
