Run each timer at its exact time of the manual clock

Callers see nothing: the manual clock serves tests only.

Cause: under the manual clock the reactor armed its timerfd for an immediate expiry. The kernel reports it after an interrupt, hence after any number of polls, so a timer ran some steps late and tasks of one step ran in another order, by the load of the machine.

Change: while the manual clock is installed the reactor checks no timers by itself. After each step that can have expired one, manual_clock arms a timer of another clock that has expired already, which makes the reactor check the timers of all clocks, and polls until it has. It repeats this until no timer has expired at the current time. Timers thus run at their exact time and in an order that the program alone determines. No test and no bound changed.

--- a/src/base/clock.cpp
+++ b/src/base/clock.cpp
@@ -5,7 +5,9 @@
 
 #include <algorithm>
 #include <ctime>
+#include <memory>
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -18,10 +20,13 @@
 
 constexpr time_point manual_clock_start{1h};
 
+// Longer than the reactor ever waits, so that it checks no timers by itself.
+constexpr duration unlimited_wait = 1h;
+
 struct manual_state {
     bool installed = false;
     time_point now = manual_clock_start;
-    time_point next_expiry{}; // Of the earliest timer, when the reactor last asked for it.
+    time_point next_expiry{}; // At most that of the earliest timer.
 };
 
 manual_state& manual()
@@ -52,7 +57,7 @@
         return until;
     }
     manual().next_expiry = manual().now + until;
-    return duration::zero();
+    return unlimited_wait;
 }
 
 duration monotonic_wait_traits::to_wait_duration(const time_point& until)
@@ -89,6 +94,31 @@
     co_await sleep_timer.async_wait(boost::asio::use_awaitable);
 }
 
+namespace {
+
+/** Runs the ready tasks, then the tasks whose timers have expired, until no timer has. */
+void run_until_idle(boost::asio::io_context& context)
+{
+    context.restart();
+    context.poll();
+    while (manual().next_expiry <= manual().now) {
+        // A timer of another clock that has expired makes the reactor check the timers of all
+        // clocks. The kernel reports it after an interrupt, hence after any number of polls.
+        manual().next_expiry = time_point::max();
+        boost::asio::steady_timer expired(context, std::chrono::steady_clock::time_point::min());
+        const auto checked = std::make_shared<bool>(false); // Outlives an exception of a task.
+        expired.async_wait([checked](const boost::system::error_code&) { *checked = true; });
+        while (!*checked) {
+            context.restart();
+            context.poll_one();
+        }
+        context.restart();
+        context.poll();
+    }
+}
+
+} // namespace
+
 manual_clock::manual_clock(boost::asio::io_context& context) : context_(context)
 {
     manual().installed = true;
@@ -104,14 +134,14 @@
 void manual_clock::advance(duration span, duration step)
 {
     const time_point end = manual().now + span;
-    context_.restart();
-    context_.poll();
+    run_until_idle(context_);
     while (manual().now < end) {
         // Steps after which no timer can have expired are combined into one.
-        const duration idle = std::max(manual().next_expiry - manual().now - 1ns, duration::zero());
-        manual().now += std::min((idle / step + 1) * step, end - manual().now);
-        context_.restart();
-        context_.poll();
+        const duration left = end - manual().now;
+        const duration idle =
+            std::clamp(manual().next_expiry - manual().now - 1ns, duration::zero(), left);
+        manual().now += std::min((idle / step + 1) * step, left);
+        run_until_idle(context_);
     }
 }
 
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -32,8 +32,8 @@
 using time_point = monotonic_clock::time_point;
 using duration = monotonic_clock::duration;
 
-/** Converts the times of timers for asio's reactor. While a manual_clock is installed, it makes the
- * reactor check for expired timers on each poll instead of waiting by the system's clock.
+/** Converts the times of timers for asio's reactor. While a manual_clock is installed, the reactor
+ * doesn't wait by the system's clock, but checks for expired timers when manual_clock asks for it.
  */
 struct monotonic_wait_traits {
     static duration to_wait_duration(const duration& until);
