Show that an endless answer outlives the deadline of its call

Callers would see a plain call without an answer at its deadline while its back end sends without a pause.

A read that begins after the deadline still gets a millisecond. Bytes that are always ready arrive within it, so the deadline ends no read, and only the size limit ends the answer.

--- a/test/error/relay_endless_answers.cpp
+++ b/test/error/relay_endless_answers.cpp
@@ -2,6 +2,7 @@
  * Tests faulty backend servers that send an endless head or body, or a byte now and then: memory
  * stays bounded, the call ends, and no incomplete answer looks complete.
  */
+#include "relay/whole_body.h"
 #include "support/relay_fixture.h"
 
 using namespace chervildyke;
@@ -154,6 +155,15 @@
     CHECK_FALSE(got);
 }
 
+// Guards against a deadline that no read reaches, because each one ends within a millisecond.
+TEST_CASE("an endless body of small pieces is aborted at the timeout")
+{
+    const auto got =
+        call_directly(sealed_head + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", 500ms);
+    REQUIRE_FALSE(got);
+    CHECK(got.failure().code == http_error::timed_out);
+}
+
 TEST_CASE("an endless event aborts the stream, which does not look complete")
 {
     endless_fixture fixture(sealed_head + "Transfer-Encoding: chunked\r\n\r\n",
@@ -185,6 +195,40 @@
     CHECK(fixture.node.replica_lb->silence_of(9, monotonic_clock::now()) == duration::zero());
 }
 
+// Guards against a plain call that outlives its deadline while its answer goes on.
+TEST_CASE("an answer whose bytes are always ready fails at its deadline")
+{
+    struct endless_stream : http_stream {
+        unsigned status() const override { return 200; }
+        std::string header(std::string_view) const override { return {}; }
+        std::vector<http_header> headers() const override { return {}; }
+        asio::awaitable<http_result<std::string>> read_some(duration) override
+        {
+            co_await sleep_for(100us);
+            co_return std::string("x");
+        }
+    };
+    asio::io_context context;
+    manual_clock clock(context);
+    endless_stream answer;
+    byte_budget budget(32U << 20U);
+    byte_budget::reservation held(budget);
+    const time_point deadline = monotonic_clock::now() + 5s;
+    std::optional<http_result<std::string>> got;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            got = co_await read_whole_body(answer, 4U << 20U, held, deadline);
+        },
+        asio::detached);
+    clock.advance(4999ms);
+    CHECK_FALSE(got);
+    clock.advance(1ms);
+    REQUIRE(got);
+    REQUIRE_FALSE(*got);
+    CHECK(got->failure().code == http_error::timed_out);
+}
+
 TEST_CASE("fifty endless plain answers: each fails, and memory stays bounded")
 {
     endless_fixture fixture("HTTP/1.1 200 OK\r\nX-Attempt-Id: call1\r\nX-Response-Seal: s\r\n"
