End a plain answer at the deadline of its call even while bytes arrive

Callers would see a plain call without an answer at its deadline while its back end sends without a pause. At load 25 none of 50 such calls of error/relay had an answer after 8 s, with a deadline of 5 s.

Cause: each read got the time left but at least a millisecond. Bytes that are always ready arrive within it, so that the deadline ends no read, and the size limit alone ends the answer. That this is what the 50 calls met at load 25 was not traced; at load 14 to 17 most of them had ended after 6.6 s.

Evidence: both cases of error/relay_endless_answers.cpp failed before, one of them under the manual clock.

Change: read_whole_body, http_client::call() and the discarding of replies to other calls check the deadline before each read and fail with timed_out once it has passed.

--- a/src/base/http_client.cpp
+++ b/src/base/http_client.cpp
@@ -262,7 +262,10 @@
     {
         while (!parser_->is_done()) {
             const duration left = deadline - monotonic_clock::now();
-            auto part = co_await read_chunk(std::max<duration>(left, 1ms));
+            if (left <= duration::zero()) {
+                co_return false;
+            }
+            auto part = co_await read_chunk(left);
             if (!part) {
                 co_return false;
             }
@@ -429,7 +432,14 @@
     reply.content_type = stream.header("content-type");
     reply.headers = stream.headers();
     while (true) {
-        const duration left = std::max<duration>(end - monotonic_clock::now(), 1ms);
+        const duration left = end - monotonic_clock::now();
+        if (left <=
+            duration::zero()) { // Otherwise bytes that are always ready outlast any timeout.
+            co_return http_failure{http_error::timed_out,
+                                   address +
+                                       ": expected the end of the reply by the timeout, found " +
+                                       std::to_string(reply.body.size()) + " bytes of its body"};
+        }
         auto part = co_await stream.read_some(left);
         if (!part) {
             co_return part.failure();
--- a/src/relay/whole_body.cpp
+++ b/src/relay/whole_body.cpp
@@ -3,8 +3,6 @@
  */
 #include "relay/whole_body.h"
 
-#include <algorithm>
-
 namespace chervildyke {
 
 boost::asio::awaitable<http_result<std::string>> read_whole_body(http_stream& answer,
@@ -15,7 +13,13 @@
     std::string body;
     while (true) {
         const duration left = deadline - monotonic_clock::now();
-        auto part = co_await answer.read_some(std::max<duration>(left, 1ms));
+        if (left <=
+            duration::zero()) { // Otherwise bytes that are always ready outlast any timeout.
+            co_return http_failure{http_error::timed_out,
+                                   "expected the end of the answer by the deadline, found " +
+                                       std::to_string(body.size()) + " bytes of it"};
+        }
+        auto part = co_await answer.read_some(left);
         if (!part) {
             co_return part.failure();
         }
