Count the accelerators that wait for a load in the cost of taking a replica's VMs

Operators would see a team lose its broken replica to complete another one, although waiting for the lost member cost less.

Cause: completing or preempting takes the VMs of a replica whose team then loads its model again. The cost of that load was its downtime and the accelerators that the taken replica leaves idle; those of the VMs that load were not counted, whereas a rebuild counts them.

Change: the accelerators of all members of the taken replica count for the time of its load, and those left idle for the wait before it, as before.

--- a/src/replicas/repair_candidates.cpp
+++ b/src/replicas/repair_candidates.cpp
@@ -117,13 +117,15 @@
                                    to_seconds(options_.release_time);
             const double source_value = repair_costs::team_value(other.team->parameters);
             // The source's team is down for as long as this team would have been, and then loads.
-            const double source_down_seconds =
-                wait_seconds + costs_.seconds_to_load(source.subject->model,
-                                                      source.subject->members.size(), source_value);
+            // Loading strands the accelerators of all its members.
+            const double source_load_seconds = costs_.seconds_to_load(
+                source.subject->model, source.subject->members.size(), source_value);
+            double source_accelerators = 0;
             double idle_accelerators = 0;
             for (const std::string& vm : source_vms) {
                 const bool is_used = std::find(selection->vms.begin(), selection->vms.end(), vm) !=
                                      selection->vms.end();
+                source_accelerators += fleet_.find(vm)->accelerators;
                 idle_accelerators += is_used ? 0 : fleet_.find(vm)->accelerators;
             }
             repair_candidate candidate;
@@ -131,7 +133,8 @@
                 source.health.broken ? repair_action::complete : repair_action::preempt;
             candidate.cost =
                 costs_.downtime_cost(seconds, value, stranded) +
-                costs_.downtime_cost(source_down_seconds, source_value, idle_accelerators);
+                costs_.downtime_cost(wait_seconds, source_value, idle_accelerators) +
+                costs_.downtime_cost(source_load_seconds, source_value, source_accelerators);
             candidate.sources = {source.subject->id};
             candidate.note = "retires replica " + std::to_string(source.subject->id) + " of team " +
                              other.name + " for its VMs";
