Check a second time whether a server that broke off has ended

The nodes took crashed servers for running ones: when the connection of the call was reset, the server's address still accepted connections for some milliseconds, so no crash was counted. A process that ends may close its listening socket last.

A server that still accepts is asked again 50 ms later.

--- a/src/relay/prompt_guard.cpp
+++ b/src/relay/prompt_guard.cpp
@@ -18,6 +18,10 @@
 
 constexpr duration crash_check_timeout = 250ms; // Of connecting to a server that broke off.
 
+// Between two connections to a server that broke off. A process that ends may close its listening
+// socket last.
+constexpr duration crash_recheck_delay = 50ms;
+
 std::vector<prompt_part> parts_of(const relayed_call& call)
 {
     std::vector<prompt_part> parts;
@@ -66,8 +70,12 @@
         co_return;
     }
     const serving_replica& replica = selected.replica;
-    const bool runs =
-        co_await call_.context.http->accepts_connections(replica.head_address, crash_check_timeout);
+    http_client& http = *call_.context.http;
+    bool runs = co_await http.accepts_connections(replica.head_address, crash_check_timeout);
+    if (runs) {
+        co_await sleep_for(crash_recheck_delay);
+        runs = co_await http.accepts_connections(replica.head_address, crash_check_timeout);
+    }
     if (!runs) {
         log_crash(call_, selected, events);
         call_.context.crashes->note_crash(head_incarnation(replica), parts_,
--- a/test/error/relay_endless_answers.cpp
+++ b/test/error/relay_endless_answers.cpp
@@ -203,6 +203,7 @@
         unsigned status() const override { return 200; }
         std::string header(std::string_view) const override { return {}; }
         std::vector<http_header> headers() const override { return {}; }
+        bool is_on_reused_connection() const override { return false; }
         asio::awaitable<http_result<std::string>> read_some(duration) override
         {
             co_await sleep_for(100us);
