Show that a member is taken as lost by probes that failed before its calls moved

Since silent calls go on elsewhere after half a second, the probing stops with two failures, and 1 s after the first the replica retires and its calls are aborted, although the server answers again.

--- a/test/correctness/assembly_plans.cpp
+++ b/test/correctness/assembly_plans.cpp
@@ -260,10 +260,39 @@
     CHECK(fixture.plan().commands.empty());
     fixture.now = silent_since + 2s;
     fixture.uses[replica.epoch()] = {3, 0, 2s};
+    fixture.history.note_probe_outcome(silent, probe_outcome::silent, fixture.now);
     fixture.step();
     CHECK(fixture.replica(name).phase() == schema::shared_phase_retiring);
 }
 
+// Guards against taking a member as lost by probes that failed while it was silent, after its calls
+// have moved elsewhere and no further probe has shown whether it answers again.
+TEST_CASE("a member that failed probes is probed until it answers, also when its calls have moved")
+{
+    assembly_fixture fixture;
+    fixture.add_domain("d0-", 10);
+    fixture.steps(4);
+    const std::string name = fixture.serving("small").front();
+    const schema::shared_replica replica = fixture.replica(name);
+    const std::string silent = replica.members(0).id();
+    const time_point silent_since = fixture.now;
+    for (const duration failed_after : {800ms, 1000ms}) {
+        fixture.now = silent_since + failed_after;
+        fixture.uses[replica.epoch()] = {3, 0, failed_after};
+        fixture.history.note_probe_sent(silent, fixture.now - 350ms);
+        fixture.history.note_probe_outcome(silent, probe_outcome::silent, fixture.now);
+    }
+    fixture.uses[replica.epoch()] = {0, 0, 0ms};
+    fixture.now = silent_since + 1200ms;
+    const assembly_plan probing = fixture.plan();
+    CHECK(std::count(probing.probes.begin(), probing.probes.end(), silent) == 1);
+    fixture.now = silent_since + 2s;
+    CHECK(fixture.plan().records.empty()); // No probe has failed since.
+    fixture.history.note_probe_outcome(silent, probe_outcome::answered, fixture.now);
+    fixture.now = silent_since + 5s;
+    CHECK(fixture.plan().records.empty());
+}
+
 TEST_CASE("a replica retires at once when a member refuses connections: its process has ended")
 {
     assembly_fixture fixture;
