Probe a member that failed a probe until it answers or is lost

Callers would have seen (LOST): calls at a working replica were aborted 1 s after its member's first failed probe, although the member answered again, because the calls had moved elsewhere meanwhile and nothing probed it any more.

Change: a member with a failed probe is probed on, whether or not calls run there, and counts as lost when its probes have failed for probe_silence_limit, not when that time has passed since the first.

--- a/src/assembly/assembly_history.cpp
+++ b/src/assembly/assembly_history.cpp
@@ -74,6 +74,7 @@
         probe.first_failure_at = now;
     }
     ++probe.failures;
+    probe.last_failure_at = now;
     probe.refused = outcome == probe_outcome::refused;
 }
 
--- a/src/assembly/assembly_history.h
+++ b/src/assembly/assembly_history.h
@@ -30,6 +30,7 @@
     time_point last_at{};
     std::uint32_t failures = 0; // Consecutive.
     time_point first_failure_at{};
+    time_point last_failure_at{};
     bool refused = false; // The last connection attempt was refused: no process listens.
     time_point answered_at{};
 
--- a/src/assembly/assembly_plan.cpp
+++ b/src/assembly/assembly_plan.cpp
@@ -93,7 +93,8 @@
         if (probe == nullptr || probe->failures < settings_.probe_failure_limit) {
             return false;
         }
-        return probe->refused || in_.now - probe->first_failure_at >= settings_.probe_silence_limit;
+        return probe->refused ||
+               probe->last_failure_at - probe->first_failure_at >= settings_.probe_silence_limit;
     }
 
     void add_probe(const std::string& vm)
@@ -103,7 +104,9 @@
                              in_.now - before->answered_at < settings_.probe_validity;
         const bool due = !trusted && (before == nullptr ||
                                       in_.now - before->last_at >= settings_.probe_interval);
-        if (due && in_.backends->find(vm) != nullptr) {
+        const bool planned =
+            std::find(plan_.probes.begin(), plan_.probes.end(), vm) != plan_.probes.end();
+        if (due && !planned && in_.backends->find(vm) != nullptr) {
             plan_.probes.push_back(vm);
         }
     }
@@ -239,6 +242,14 @@
 
     std::string find_progress_fault(const ledger_entry& entry)
     {
+        // A member that failed a probe is probed until it answers or is lost, also when its calls
+        // have moved to other replicas.
+        for (const schema::shared_member& member : entry.second.members()) {
+            const probe_state* probe = in_.history->find_probe(member.id());
+            if (probe != nullptr && probe->failures > 0) {
+                add_probe(member.id());
+            }
+        }
         const auto use = in_.uses.find(entry.second.epoch());
         if (use == in_.uses.end() || use->second.running == 0 ||
             use->second.silent < settings_.stall_probe_delay) {
--- a/src/assembly/assembly_plan.h
+++ b/src/assembly/assembly_plan.h
@@ -46,8 +46,9 @@
     /** Consecutive failed probes after which a VM counts as lost, if it refuses connections. */
     std::uint32_t probe_failure_limit = 2;
 
-    /** A VM that only stays silent counts as lost so long after its first failed probe. A working
-     * VM may be silent for a second, and its calls have been silent for 0.8 s by then.
+    /** A VM that only stays silent counts as lost when its probes have failed for so long. A
+     * working VM may be silent for a second, and its calls have been silent for 0.8 s at the first
+     * failure.
      */
     duration probe_silence_limit = 1s;
 
