Count only a refused connection as the end of a server that broke off

Found by the reviewer, by reading: a connection that was merely not answered within 250 ms, as when the server is silent or a packet is lost, counted as a crash, so sound calls with the part could be blocked.

--- a/src/base/http_client.cpp
+++ b/src/base/http_client.cpp
@@ -367,14 +367,23 @@
     state_->idle_connections.erase(address);
 }
 
-asio::awaitable<bool> http_client::accepts_connections(std::string address, duration timeout)
+asio::awaitable<bool> http_client::refuses_connections(std::string address, duration timeout)
 {
     const auto self = state_;
-    http_call_options options;
-    options.fresh_connection = true;
-    options.timeout = timeout;
-    const auto connected = co_await self->connect(std::move(address), options);
-    co_return connected.has_value();
+    std::string ip;
+    std::uint16_t port = 0;
+    error_code error;
+    if (!split_address(address, ip, port)) {
+        co_return false;
+    }
+    const auto ip_address = asio::ip::make_address(ip, error);
+    if (error) {
+        co_return false;
+    }
+    beast::tcp_stream stream(self->executor);
+    stream.expires_after(timeout);
+    const auto [failed] = co_await stream.async_connect(tcp::endpoint(ip_address, port), as_tuple);
+    co_return failed == asio::error::connection_refused;
 }
 
 asio::awaitable<http_result<std::shared_ptr<http_stream>>>
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -127,10 +127,10 @@
     boost::asio::awaitable<http_result<std::shared_ptr<http_stream>>> open(std::string address,
                                                                            http_request request);
 
-    /** \return true if the address accepts a connection within the timeout. The connection is
-     * closed.
+    /** \return true if the address refuses a connection: nothing listens there. False if it accepts
+     * one or does not answer within the timeout.
      */
-    boost::asio::awaitable<bool> accepts_connections(std::string address, duration timeout);
+    boost::asio::awaitable<bool> refuses_connections(std::string address, duration timeout);
 
     /** Closes the pooled connections to an address whose server may have stopped responding. */
     void close_idle_connections(const std::string& address);
--- a/src/relay/prompt_guard.cpp
+++ b/src/relay/prompt_guard.cpp
@@ -71,12 +71,12 @@
     }
     const serving_replica& replica = selected.replica;
     http_client& http = *call_.context.http;
-    bool runs = co_await http.accepts_connections(replica.head_address, crash_check_timeout);
-    if (runs) {
+    bool ended = co_await http.refuses_connections(replica.head_address, crash_check_timeout);
+    if (!ended) {
         co_await sleep_for(crash_recheck_delay);
-        runs = co_await http.accepts_connections(replica.head_address, crash_check_timeout);
+        ended = co_await http.refuses_connections(replica.head_address, crash_check_timeout);
     }
-    if (!runs) {
+    if (ended) {
         log_crash(call_, selected, events);
         call_.context.crashes->note_crash(head_incarnation(replica), parts_,
                                           monotonic_clock::now());
