Don't take a slow caller for a silent server

Found by the reviewer, by reading: while an event is written to a caller that reads slowly, no further event is read, so the attempt looked silent. A second attempt could then write into the same connection at the same time. An attempt counts as silent only while it waits for its server.

--- a/src/relay/streaming_call.cpp
+++ b/src/relay/streaming_call.cpp
@@ -57,6 +57,9 @@
  */
 bool streaming_call::should_end(running_attempt& running, silent_attempt silent)
 {
+    if (forwarding_) {
+        return false; // The caller is slow, not the server.
+    }
     const time_point now = monotonic_clock::now();
     replica_balancer& balancer = *call_.context.replica_lb;
     const std::uint64_t epoch = running.selected.replica.epoch;
@@ -141,7 +144,11 @@
                 co_return end;
             }
             supersede_others(running);
-            if (!co_await forwarder_.forward(*event, headers)) {
+            forwarding_ = true;
+            const bool forwarded = co_await forwarder_.forward(*event, headers);
+            forwarding_ = false;
+            running.detector->record_event(running.selected.event_gap);
+            if (!forwarded) {
                 end.result = attempt_result::caller_left;
                 co_return end;
             }
--- a/src/relay/streaming_call.h
+++ b/src/relay/streaming_call.h
@@ -85,6 +85,7 @@
     relayed_call& call_;
     prompt_guard prompt_;
     event_forwarder forwarder_;
+    bool forwarding_ = false; // An event is being written to the caller.
     std::set<std::uint64_t> tried_;
     std::vector<std::unique_ptr<running_attempt>> attempts_; // Two at most.
     timer attempt_ended_;                                    // Cancelled when an attempt ends.
