--- a/src/relay/streaming_call.cpp
+++ b/src/relay/streaming_call.cpp
@@ -83,8 +83,8 @@
             start(std::move(*granted));
             return false;
         }
-        if (replacement.first_event) {
-            return false; // The slot was taken meanwhile; another may become free.
+        if (replacement.first_event || forwarder_.started()) {
+            return false; // A slot may become free, or the server may go on.
         }
         log_silence(call_, running.selected, silent, forwarder_.started(),
                     "wait for a slot elsewhere");
