--- a/src/fleet/backend_incarnation.h
+++ b/src/fleet/backend_incarnation.h
@@ -3,9 +3,9 @@
  */
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace chervildyke {
 
@@ -14,7 +14,12 @@
     std::string id;
     std::uint64_t started_ms = 0; // Unix time of its start.
 
-    auto operator<=>(const backend_incarnation&) const = default;
+    bool operator==(const backend_incarnation&) const = default;
+
+    bool operator<(const backend_incarnation& other) const
+    {
+        return std::tie(id, started_ms) < std::tie(other.id, other.started_ms);
+    }
 };
 
 } // namespace chervildyke
--- a/src/relay/streaming_call.cpp
+++ b/src/relay/streaming_call.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <boost/asio.hpp>
+
 #include "base/scope_guard.h"
 #include "relay/attempt_log.h"
 #include "relay/call_demand.h"
--- a/src/routing/crash_evidence.h
+++ b/src/routing/crash_evidence.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "base/clock.h"
@@ -23,7 +24,12 @@
     std::string model;
     std::string id;
 
-    auto operator<=>(const prompt_part&) const = default;
+    bool operator==(const prompt_part&) const = default;
+
+    bool operator<(const prompt_part& other) const
+    {
+        return std::tie(service, model, id) < std::tie(other.service, other.model, other.id);
+    }
 };
 
 /** What a node knows of one part. Times are ages, so that nodes can exchange them. */
--- a/test/correctness/relay_crash_evidence_exchange.cpp
+++ b/test/correctness/relay_crash_evidence_exchange.cpp
@@ -184,7 +184,8 @@
     schema::part_evidence old;
     old.set_part("old");
     old.add_crashes()->set_server("i1");
-    old.set_recorded_at_ms(wall_clock_ms() - 40 * 60 * 1000);
+    constexpr std::uint64_t age_ms = 2'400'000; // Longer than crashes are kept.
+    old.set_recorded_at_ms(wall_clock_ms() - age_ms);
     log.records["pool/m/old"] = old.SerializeAsString();
     test_node node(context, log);
     run_for(context, std::chrono::milliseconds(50));
--- a/test/correctness/routing_crash_evidence.cpp
+++ b/test/correctness/routing_crash_evidence.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include <deque>
+#include <set>
 
 #include "base/random.h"
 #include "routing/crash_evidence.h"
