Let a stream that has begun last until the time limit of its call

Every read of an attempt ended deadline_margin before the deadline. The margin gives the node time to write its own 502 or 504, but after the first event it has no answer of its own to write.

The margin now applies only until the stream has begun.

--- a/src/relay/streaming_call.cpp
+++ b/src/relay/streaming_call.cpp
@@ -23,8 +23,10 @@
 
 namespace {
 
-constexpr std::uint32_t max_sends = 4;    // Attempts of one call, including refused ones.
-constexpr duration deadline_margin = 5ms; // Reserved for sending the end before the deadline.
+constexpr std::uint32_t max_sends = 4; // Attempts of one call, including refused ones.
+// Reserved for an answer of the node itself. A stream that has begun needs none and lasts until the
+// deadline.
+constexpr duration deadline_margin = 5ms;
 
 // How long a replica is excluded after a failed attempt; the assembly detects a lost member in this
 // time.
@@ -41,7 +43,8 @@
 
 duration streaming_call::usable_time_left() const
 {
-    return std::max<duration>(call_.time_left() - deadline_margin, 1ms);
+    const duration reserved = forwarder_.started() ? duration::zero() : deadline_margin;
+    return std::max<duration>(call_.time_left() - reserved, 1ms);
 }
 
 /** \return true if another attempt may run beside the one in progress. */
--- a/src/relay/streaming_call.h
+++ b/src/relay/streaming_call.h
@@ -79,6 +79,7 @@
     bool may_retry(const attempt_end& ended);
     bool may_fail_over() const;
     bool should_end(running_attempt& running, silent_attempt silent);
+    /** \return the time that an attempt may still take. */
     duration usable_time_left() const;
     duration retry_after() const;
 
