Show that a stream whose events never pause outlasts its time limit

A head that streams for 3 s without a pause is forwarded to its end, although the call has a limit of 300 ms: each part that has arrived is read at once, so the timeout of the reads never applies.

--- a/test/error/relay_stream_limits.cpp
+++ b/test/error/relay_stream_limits.cpp
@@ -125,3 +125,15 @@
     const duration lasted = fixture.over_at - fixture.arrived_at;
     CHECK(lasted / 1us >= time_left / 1us);
 }
+
+// Guards against a stream that outlasts its time limit because bytes of it are always ready.
+TEST_CASE("a stream whose events never pause is ended at its time limit")
+{
+    limit_fixture fixture;
+    fixture.head.events_per_write = 200;
+    fixture.call_with(300ms);
+    CHECK(fixture.status == 200);
+    CHECK_FALSE(fixture.is_complete);
+    CHECK_FALSE(fixture.head.has_ended_stream);
+    CHECK(fixture.over_at - fixture.arrived_at >= 300ms);
+}
