End a stream whose events never pause at the time limit of its call

A stream of which bytes are always ready was forwarded until its server ended it, however long its call had been over: callers and their node's slots were held past the route's timeout.

Each read has the time left as its timeout, which never applies if bytes are there at once, and the loop around it did not look at the deadline. Bytes that are ready are still read for 20 ms after the deadline, so that an end of the stream that has arrived is delivered.

The case "a stream whose events never pause is ended at its time limit" saw a stream of 3 s complete with a limit of 300 ms; now it is ended (5 of 5 runs). error/relay: 66 of 66 cases passed.

--- a/src/relay/streaming_call.cpp
+++ b/src/relay/streaming_call.cpp
@@ -28,6 +28,10 @@
 // deadline.
 constexpr duration deadline_margin = 5ms;
 
+// After the deadline, a stream that has begun goes on for so long while bytes of it are ready, so
+// that an end that has arrived is delivered.
+constexpr duration late_read_limit = 20ms;
+
 // How long a replica is excluded after a failed attempt; the assembly detects a lost member in this
 // time.
 constexpr duration exclusion_after_failure = 1500ms;
@@ -113,6 +117,10 @@
     bool has_event = false;
     const std::vector<http_header> headers = answer.headers();
     while (true) {
+        if (call_.time_left() <= -late_read_limit) {
+            end.reason = "the stream outlasts the deadline"; // Though bytes are always ready.
+            co_return end;
+        }
         auto part = co_await answer.read_some(usable_time_left());
         if (running.cancel->cancelled()) {
             end.reason = "cancelled";
