Show that a plain call loses its silent first server to a second one that fails

A call that may run again is sent to a second server after 0.8 s, and its attempt at the first one is cancelled before the second one has said anything. If that one refuses or closes, the caller gets 502, if it answers with 500, the caller gets that, and if it is silent too, nothing by 1.9 s; the first server would have answered after 1.2 s.

--- a/test/error/relay_call_ends.cpp
+++ b/test/error/relay_call_ends.cpp
@@ -454,3 +454,56 @@
     CHECK(refused.status() == 503);
     CHECK(refused.text.find("Retry-After") != std::string::npos);
 }
+
+// Guards against giving up a silent server before another one has answered.
+TEST_CASE("a plain call is answered by its silent first server if the second one fails")
+{
+    call_fixture fixture(retry_rule::idempotent);
+    plain_server silent(fixture.context);
+    plain_server other(fixture.context);
+    silent.delay = 1200ms;
+    SUBCASE("it refuses")
+    {
+        other.status = 503;
+        other.added = {{"X-Not-Executed", "1"}};
+    }
+    SUBCASE("it closes without an answer")
+    {
+        other.closes = true;
+    }
+    SUBCASE("it answers with a failure")
+    {
+        other.status = 500;
+    }
+    SUBCASE("it stays silent")
+    {
+        other.delay = 4s;
+    }
+    fixture.list("i-1", silent);
+    tcp::socket caller = fixture.begin_call();
+    fixture.run(100ms);
+    fixture.list("i-2", other);
+    fixture.run(1800ms);
+    CHECK(received(caller).status() == 200);
+    CHECK(silent.calls == 1);
+    CHECK(other.calls == 1);
+    CHECK(fixture.front.requests_in_progress() == 0);
+}
+
+// Guards against a refusal of a call that the silent one of its servers may have run.
+TEST_CASE("a plain call whose first server is silent and whose second one refuses gets 504")
+{
+    call_fixture fixture(retry_rule::idempotent);
+    plain_server silent(fixture.context);
+    plain_server other(fixture.context);
+    silent.delay = 3s;
+    other.status = 503;
+    other.added = {{"X-Not-Executed", "1"}};
+    fixture.list("i-1", silent);
+    tcp::socket caller = fixture.begin_call("/p/x", "1200");
+    fixture.run(100ms);
+    fixture.list("i-2", other);
+    fixture.run(1500ms);
+    CHECK(received(caller).status() == 504);
+    CHECK(other.calls == 1);
+}
