Keep a plain call's silent server until another one has answered

Callers of a plain call that may run again got 502, the 500 of the second server or no answer although the first server was only slow: after twice the latency target its attempt was cancelled to make way for one at another server, and if that one refused, closed, failed or was silent too, nothing was left.

The other attempt now starts beside the slow one, as streams do it. The first answer that is no failure is forwarded and the other attempts are cancelled. The limits are those of before: only idempotent routes, max-attempts counts the attempts in progress as runs, at most four sends, each further attempt takes a retry from the budget. A refusal (503) is sent only if every attempt ended as not run. A server that was slow and lost counts as failed for the balancer, as before; one that was cancelled without being slow doesn't.

--- a/src/relay/plain_relay.cpp
+++ b/src/relay/plain_relay.cpp
@@ -4,8 +4,15 @@
 #include "relay/plain_relay.h"
 
 #include <algorithm>
+#include <exception>
+#include <memory>
+#include <optional>
 #include <set>
+#include <string>
 #include <utility>
+#include <vector>
+
+#include <boost/asio.hpp>
 
 #include "base/event_log.h"
 #include "base/scope_guard.h"
@@ -95,12 +102,10 @@
     return end;
 }
 
-/** \param cancel ends the attempt; the end of the call does so too. */
+/** \param cancel ends the attempt. */
 asio::awaitable<attempt_end> send_once(relayed_call& call, backend target,
                                        std::shared_ptr<http_cancel> cancel)
 {
-    call.cancel->set_close_hook([cancel] { cancel->cancel(); });
-    const scope_guard unlink([&call] { call.cancel->set_close_hook(nullptr); });
     http_request request = call.attempt(target.id, call.parameters.last_event);
     http_call_options options = call.options(call.time_left(), incarnation_of(target));
     options.cancel = std::move(cancel);
@@ -138,150 +143,263 @@
     co_return end;
 }
 
-/** \return true if another attempt could follow the one in progress, apart from the retry budget.
- */
-bool may_fail_over(const relayed_call& call, const std::set<std::string>& tried)
-{
-    const time_point now = monotonic_clock::now();
-    return call.route->retry == retry_rule::idempotent &&
-           call.end.runs + 1 < call.route->max_attempts && call.end.sends < max_sends &&
-           call.context.backend_lb->choose(candidates_of(call, now), tried, now).has_value();
-}
-
-/** Ends an attempt that takes long, once another attempt may follow; until then the server may
- * still answer. Takes the retry of the other attempt from the budget.
+/** One call with its attempts at backend servers. Beside an attempt that is slow, another one may
+ * run at another server. The first answer that is no failure is forwarded, and the other attempts
+ * are cancelled then.
  */
-class slow_attempt_watch {
+class plain_call : public std::enable_shared_from_this<plain_call> {
   public:
-    /** \param tried the servers to which the call was sent; it outlives the watch. */
-    slow_attempt_watch(relayed_call& call, const std::set<std::string>& tried)
-        : state_(std::make_shared<watch_state>(call, tried))
+    explicit plain_call(relayed_call& call)
+        : call_(call), attempt_ended_(call.context.executor), slow_(call.context.executor),
+          slow_after_(std::max<duration>(call.route->latency_target * attempt_timeout_per_target,
+                                         min_attempt_timeout))
     {
-        const duration target = call.route->latency_target;
-        wait(state_, std::max<duration>(target * attempt_timeout_per_target, min_attempt_timeout));
     }
-    ~slow_attempt_watch() { state_->wake.cancel(); }
-    slow_attempt_watch(const slow_attempt_watch&) = delete;
-    slow_attempt_watch& operator=(const slow_attempt_watch&) = delete;
-
-    const std::shared_ptr<http_cancel>& cancel() const { return state_->cancel; }
 
-    /** \return true if the attempt was ended and its retry was taken from the budget. */
-    bool has_ended_attempt() const { return state_->ended; }
+    asio::awaitable<void> run();
 
   private:
-    struct watch_state {
-        watch_state(relayed_call& watched, const std::set<std::string>& servers)
-            : call(watched), tried(servers), wake(watched.context.executor)
-        {
-        }
-
-        relayed_call& call;
-        const std::set<std::string>& tried;
-        timer wake;
+    /** One attempt in progress. */
+    struct running_attempt {
+        backend target;
+        time_point sent_at{};
         std::shared_ptr<http_cancel> cancel = std::make_shared<http_cancel>();
-        bool ended = false;
+        bool was_slow = false;          // Another attempt was started because of this one.
+        std::optional<attempt_end> end; // Set once the attempt has ended.
+        std::exception_ptr thrown;
     };
 
-    static void wait(const std::shared_ptr<watch_state>& state, duration span)
-    {
-        state->wake.expires_after(span);
-        state->wake.async_wait(
-            [watching = std::weak_ptr<watch_state>(state)](const boost::system::error_code& error) {
-                const auto current = watching.lock();
-                if (error || !current) {
-                    return;
-                }
-                if (may_fail_over(current->call, current->tried) && current->call.take_retry()) {
-                    current->ended = true;
-                    current->cancel->cancel();
-                    return;
-                }
-                wait(current, slow_attempt_interval);
-            });
-    }
+    bool start_next();
+    void watch_slow_attempts(time_point at);
+    void start_beside_slow_attempts();
+    bool has_attempts_left() const;
+    bool may_send_again(const attempt_end& ended);
+    void cancel_attempts();
+    asio::awaitable<attempt_end> wait_for_end();
+    void note_end(const running_attempt& done, const attempt_end& end);
+    asio::awaitable<void> end_attempts();
+    asio::awaitable<void> finish(attempt_end last);
 
-    std::shared_ptr<watch_state> state_;
+    relayed_call& call_;
+    std::set<std::string> tried_; // Addresses of servers.
+    std::vector<std::unique_ptr<running_attempt>> attempts_;
+    timer attempt_ended_; // Cancelled when an attempt ends.
+    timer slow_;          // Expires when all attempts in progress are slow.
+    duration slow_after_;
+    bool ending_ = false;                       // No further attempt is started.
+    std::optional<attempt_end> failure_answer_; // The last answer with a 5xx status.
+    std::exception_ptr thrown_;                 // By an attempt.
 };
 
-bool may_send_again(relayed_call& call, const attempt_end& ended, bool retry_paid)
+/** Starts an attempt at a server that was not tried.
+ * \return false if there is none.
+ */
+bool plain_call::start_next()
 {
-    const bool safe =
-        ended.result == attempt_result::not_run || call.route->retry == retry_rule::idempotent;
-    const bool runs_left = call.end.runs < call.route->max_attempts;
-    const bool time_left = call.time_left() > deadline_margin;
-    return safe && runs_left && time_left && call.end.sends < max_sends &&
-           !call.cancel->cancelled() && (retry_paid || call.take_retry());
+    const time_point now = monotonic_clock::now();
+    const auto address = call_.context.backend_lb->choose(candidates_of(call_, now), tried_, now);
+    const backend* listed = address ? backend_at(call_, *address) : nullptr;
+    if (listed == nullptr) {
+        return false;
+    }
+    running_attempt& running = *attempts_.emplace_back(std::make_unique<running_attempt>());
+    running.target = *listed;
+    running.sent_at = now;
+    tried_.insert(*address);
+    ++call_.end.sends;
+    call_.end.backend = running.target.id;
+    call_.context.backend_lb->note_start(running.target.address);
+    asio::co_spawn(call_.context.executor, send_once(call_, running.target, running.cancel),
+                   [this, &running](const std::exception_ptr& thrown, attempt_end end) {
+                       running.thrown = thrown;
+                       running.end = std::move(end);
+                       attempt_ended_.cancel();
+                   });
+    watch_slow_attempts(now + slow_after_);
+    return true;
 }
 
-} // namespace
-
-asio::awaitable<void> relay_plain_call(relayed_call& call)
+void plain_call::watch_slow_attempts(time_point at)
 {
-    std::set<std::string> tried;
-    attempt_end last;
-    last.reason = "no backend server of the service can be called";
-    call.context.budget_of(call.service).note_call();
-    std::optional<attempt_end> failure_answer; // The last answer with a 5xx status.
-    while (true) {
-        const time_point now = monotonic_clock::now();
-        const auto address = call.context.backend_lb->choose(candidates_of(call, now), tried, now);
-        const backend* listed = address ? backend_at(call, *address) : nullptr;
-        if (listed == nullptr) {
-            break;
-        }
-        const backend target = *listed;
-        tried.insert(*address);
-        ++call.end.sends;
-        call.end.backend = target.id;
-        call.context.backend_lb->note_start(target.address);
-        const slow_attempt_watch watch(call, tried);
-        last = co_await send_once(call, target, watch.cancel());
-        const bool healthy = last.result == attempt_result::answered && !last.backend_failed;
-        call.context.backend_lb->note_end(target.address,
-                                          healthy || call.cancel->cancelled() || last.backend_failed
-                                              ? backend_result::answered
-                                              : backend_result::failed,
-                                          monotonic_clock::now());
-        call.end.runs += last.result == attempt_result::not_run ? 0 : 1;
-        if (healthy || call.cancel->cancelled()) {
-            break;
+    slow_.expires_at(at);
+    slow_.async_wait([watching = weak_from_this()](const boost::system::error_code& error) {
+        const auto current = watching.lock();
+        if (!error && current) {
+            current->start_beside_slow_attempts();
         }
-        if (last.backend_failed) {
-            failure_answer = last;
+    });
+}
+
+/** Starts another attempt if it may; until then the servers may still answer. */
+void plain_call::start_beside_slow_attempts()
+{
+    if (ending_ || attempts_.empty()) {
+        return;
+    }
+    const time_point now = monotonic_clock::now();
+    const bool has_server =
+        call_.context.backend_lb->choose(candidates_of(call_, now), tried_, now).has_value();
+    if (call_.route->retry == retry_rule::idempotent && has_attempts_left() && has_server &&
+        call_.take_retry()) {
+        for (const auto& running : attempts_) {
+            running->was_slow = true;
         }
-        call_log.write(
-            "attempt_failed",
-            {{"request", call.parameters.id},
-             {"backend", target.id},
-             {"may_have_run", last.result == attempt_result::not_run ? "no" : "yes"},
-             {"reason", last.backend_failed ? "the backend server answered with a 5xx status"
-                                            : last.reason}});
-        if (!may_send_again(call, last, watch.has_ended_attempt())) {
-            break;
+        start_next();
+        return;
+    }
+    watch_slow_attempts(now + slow_attempt_interval);
+}
+
+/** \return true if another attempt may run after or beside those in progress, each of which may be
+ * executed.
+ */
+bool plain_call::has_attempts_left() const
+{
+    return call_.end.runs + attempts_.size() < call_.route->max_attempts &&
+           call_.end.sends < max_sends && !call_.cancel->cancelled();
+}
+
+bool plain_call::may_send_again(const attempt_end& ended)
+{
+    const bool safe =
+        ended.result == attempt_result::not_run || call_.route->retry == retry_rule::idempotent;
+    return safe && has_attempts_left() && call_.time_left() > deadline_margin && call_.take_retry();
+}
+
+void plain_call::cancel_attempts()
+{
+    for (const auto& running : attempts_) {
+        running->cancel->cancel();
+    }
+}
+
+/** Waits until an attempt ends, and removes it. With an answer at hand, which is a failure, the
+ * attempts in progress end early enough to send it before the deadline.
+ */
+asio::awaitable<attempt_end> plain_call::wait_for_end()
+{
+    const auto has_ended = [](const auto& running) { return running->end.has_value(); };
+    auto ended = std::find_if(attempts_.begin(), attempts_.end(), has_ended);
+    time_point until = failure_answer_ ? call_.deadline - deadline_margin : time_point::max();
+    while (ended == attempts_.end()) {
+        attempt_ended_.expires_at(until);
+        co_await attempt_ended_.async_wait(asio::as_tuple(asio::use_awaitable));
+        if (monotonic_clock::now() >= until) {
+            cancel_attempts();
+            until = time_point::max();
         }
+        ended = std::find_if(attempts_.begin(), attempts_.end(), has_ended);
+    }
+    const std::unique_ptr<running_attempt> done = std::move(*ended);
+    attempts_.erase(ended);
+    attempt_end end = std::move(*done->end);
+    if (done->thrown) {
+        thrown_ = done->thrown;
+        end.result = attempt_result::may_have_run;
     }
-    if (call.cancel->cancelled()) {
-        call.end.outcome = "caller_left";
-        call.exchange.abort();
+    note_end(*done, end);
+    co_return end;
+}
+
+/** Records the end of an attempt for the call, the balancer and the log. */
+void plain_call::note_end(const running_attempt& done, const attempt_end& end)
+{
+    const bool healthy = end.result == attempt_result::answered && !end.backend_failed;
+    // An attempt that was cancelled because of another's answer shows a failure only if it was
+    // slow.
+    const bool answered =
+        healthy || end.backend_failed || call_.cancel->cancelled() || (ending_ && !done.was_slow);
+    call_.context.backend_lb->note_end(done.target.address,
+                                       answered ? backend_result::answered : backend_result::failed,
+                                       monotonic_clock::now());
+    call_.end.runs += end.result == attempt_result::not_run ? 0 : 1;
+    if (healthy || call_.cancel->cancelled()) {
+        return;
+    }
+    if (end.backend_failed) {
+        failure_answer_ = end;
+    }
+    call_log.write(
+        "attempt_failed",
+        {{"request", call_.parameters.id},
+         {"backend", done.target.id},
+         {"may_have_run", end.result == attempt_result::not_run ? "no" : "yes"},
+         {"reason", ending_              ? "another attempt was answered first"
+                    : end.backend_failed ? "the backend server answered with a 5xx status"
+                                         : end.reason}});
+}
+
+/** Cancels the attempts in progress and waits until they have ended. */
+asio::awaitable<void> plain_call::end_attempts()
+{
+    ending_ = true;
+    slow_.cancel();
+    cancel_attempts();
+    while (!attempts_.empty()) {
+        co_await wait_for_end();
+    }
+}
+
+asio::awaitable<void> plain_call::finish(attempt_end last)
+{
+    if (call_.cancel->cancelled()) {
+        call_.end.outcome = "caller_left";
+        call_.exchange.abort();
         co_return;
     }
-    if (last.result != attempt_result::answered && failure_answer) {
-        last = std::move(*failure_answer);
+    if (last.result != attempt_result::answered && failure_answer_) {
+        last = std::move(*failure_answer_);
     }
     if (last.result == attempt_result::answered) {
-        call.end.status = last.reply.status;
-        call.end.outcome = last.backend_failed ? "backend_failed" : "complete";
-        co_await call.exchange.respond(std::move(last.reply));
+        call_.end.status = last.reply.status;
+        call_.end.outcome = last.backend_failed ? "backend_failed" : "complete";
+        co_await call_.exchange.respond(std::move(last.reply));
         co_return;
     }
-    if (call.end.runs == 0) {
-        const duration wait = retry_after(call);
-        co_await refuse(call, 503, last.reason, wait);
+    if (call_.end.runs == 0) {
+        const duration wait = retry_after(call_);
+        co_await refuse(call_, 503, last.reason, wait);
         co_return;
     }
-    const bool too_late = call.time_left() <= deadline_margin;
-    co_await fail(call, too_late ? 504 : 502, last.reason);
+    const bool too_late = call_.time_left() <= deadline_margin;
+    co_await fail(call_, too_late ? 504 : 502, last.reason);
+}
+
+asio::awaitable<void> plain_call::run()
+{
+    call_.context.budget_of(call_.service).note_call();
+    call_.cancel->set_close_hook([this] { cancel_attempts(); });
+    const scope_guard unlink([this] { call_.cancel->set_close_hook(nullptr); });
+    attempt_end last;
+    last.reason = "no backend server of the service can be called";
+    bool over = !start_next();
+    while (!over) {
+        last = co_await wait_for_end();
+        over = (last.result == attempt_result::answered && !last.backend_failed) ||
+               call_.cancel->cancelled() || thrown_;
+        if (over) {
+            break;
+        }
+        if (attempts_.empty()) {
+            over = !may_send_again(last) || !start_next();
+        }
+        else {
+            watch_slow_attempts(attempts_.back()->sent_at + slow_after_);
+        }
+    }
+    co_await end_attempts();
+    if (thrown_) {
+        std::rethrow_exception(thrown_);
+    }
+    co_await finish(std::move(last));
+}
+
+} // namespace
+
+asio::awaitable<void> relay_plain_call(relayed_call& call)
+{
+    const auto running = std::make_shared<plain_call>(call);
+    co_await running->run();
 }
 
 } // namespace chervildyke
--- a/test/error/relay_call_ends.cpp
+++ b/test/error/relay_call_ends.cpp
@@ -507,3 +507,20 @@
     CHECK(received(caller).status() == 504);
     CHECK(other.calls == 1);
 }
+
+// Guards against a failure of a server that is replaced by another one of the node.
+TEST_CASE("a plain call whose servers are silent and fail gets the failure by its deadline")
+{
+    call_fixture fixture(retry_rule::idempotent);
+    plain_server silent(fixture.context);
+    plain_server other(fixture.context);
+    silent.delay = 3s;
+    other.status = 500;
+    fixture.list("i-1", silent);
+    tcp::socket caller = fixture.begin_call("/p/x", "1200");
+    fixture.run(100ms);
+    fixture.list("i-2", other);
+    fixture.run(1500ms);
+    CHECK(received(caller).status() == 500);
+    CHECK(other.calls == 1);
+}
