Test what a server can tell of a caller that shut down its sending side

A caller that closes only its sending side after a whole request loses its answer: its call ends like that of a caller that left. Both send the same FIN; only a write tells them apart, since a closed socket answers it with a reset.

--- a/test/error/base_connection_ends.cpp
+++ b/test/error/base_connection_ends.cpp
@@ -22,6 +22,8 @@
     return "GET " + path + " HTTP/1.1\r\nHost: a\r\n" + headers + "\r\n";
 }
 
+int failed_writes = 0; // Of the path /write-after-close.
+
 asio::awaitable<void> handle(http_exchange& exchange)
 {
     using namespace asio::experimental::awaitable_operators;
@@ -46,6 +48,18 @@
         const auto ended = co_await (exchange.wait_for_peer_close() || sleep_for(500ms));
         reply.body = ended.index() == 0 ? "the client left" : "the client listens";
     }
+    if (path == "/write-after-close") {
+        co_await exchange.wait_for_peer_close();
+        co_await exchange.start_stream(reply);
+        co_await sleep_for(50ms);
+        // A socket that the client has closed answers the first write with a reset.
+        const bool client_reads = co_await exchange.write_chunk("the client reads");
+        if (!client_reads) {
+            ++failed_writes;
+        }
+        co_await exchange.end_stream();
+        co_return;
+    }
     co_await exchange.respond(reply);
 }
 
@@ -218,6 +232,31 @@
     CHECK(connection_fixture::read_arrived(caller).find("the client left") != std::string::npos);
 }
 
+// Guards against the assumption that a server can tell a client that shut down only its sending
+// side from one that left before it has written to it.
+TEST_CASE("only a write tells a client that closed its connection from one that still reads")
+{
+    connection_fixture fixture;
+    failed_writes = 0;
+    tcp::socket caller = fixture.connect();
+    fixture.send(caller, get("/write-after-close"));
+    SUBCASE("the client shut down its sending side")
+    {
+        caller.shutdown(tcp::socket::shutdown_send);
+        fixture.run(150ms);
+        const std::string reply = connection_fixture::read_arrived(caller);
+        CHECK(reply.find("the client reads") != std::string::npos);
+        CHECK(failed_writes == 0);
+    }
+    SUBCASE("the client closed its connection")
+    {
+        caller.close();
+        fixture.run(150ms);
+        CHECK(failed_writes == 1);
+    }
+    CHECK(fixture.server.requests_in_progress() == 0);
+}
+
 // Guards against a reset that destroys the rest of a reply when bytes follow the last request.
 TEST_CASE("bytes behind a request that closes its connection do not reset the reply")
 {
