Show that a stream is held past its time limit by a caller that reads nothing

A stream with a limit of 300 ms whose caller read nothing for 2 s was in progress for 2.05 s, until the caller read on: a write to the caller has a timeout of 30 s of its own.

--- a/test/error/relay_stream_limits.cpp
+++ b/test/error/relay_stream_limits.cpp
@@ -33,7 +33,8 @@
         while (monotonic_clock::now() < end) {
             std::string bytes;
             for (int i = 0; i < events_per_write; ++i) {
-                bytes += test::event(++id);
+                bytes += "id: " + std::to_string(++id) +
+                         "\ndata: " + std::string(bytes_per_event, 'x') + "\n\n";
             }
             if (!co_await exchange.write_chunk(bytes)) {
                 co_return;
@@ -47,6 +48,7 @@
     }
 
     int events_per_write = 1;
+    std::size_t bytes_per_event = 1;
     duration pause{}; // Between two writes.
     bool has_ended_stream = false;
     http_server server;
@@ -89,6 +91,7 @@
             auto opened = co_await client.open(address, request);
             REQUIRE(opened);
             status = (*opened)->status();
+            co_await sleep_for(reads_after);
             while (true) {
                 auto part = co_await (*opened)->read_some(5s);
                 is_complete = part.has_value();
@@ -104,6 +107,7 @@
     }
 
     pacing_head head{context};
+    duration reads_after{}; // The caller's pause before it reads the stream.
     time_point arrived_at{};
     time_point over_at{};
     http_server timed_front{context.get_executor(),
@@ -137,3 +141,15 @@
     CHECK_FALSE(fixture.head.has_ended_stream);
     CHECK(fixture.over_at - fixture.arrived_at >= 300ms);
 }
+
+// Guards against a stream that outlasts its time limit because its caller reads slowly.
+TEST_CASE("a stream whose caller reads nothing more is ended at its time limit")
+{
+    limit_fixture fixture;
+    fixture.head.bytes_per_event = 256U << 10U; // More than the buffers of the sockets hold.
+    fixture.reads_after = 2s;
+    fixture.call_with(300ms);
+    CHECK_FALSE(fixture.is_complete);
+    CHECK_FALSE(fixture.head.has_ended_stream);
+    CHECK(fixture.over_at - fixture.arrived_at < fixture.reads_after);
+}
