End a stream at its time limit if its caller does not take it

A stream whose caller reads nothing was held, with its slot at the replica, past the time limit of its call: a write to the caller has a timeout of 30 s, and nothing else looked at the deadline meanwhile.

The end of a stream (its last chunk) still has only the timeout of a write.

--- a/src/relay/streaming_call.cpp
+++ b/src/relay/streaming_call.cpp
@@ -28,9 +28,9 @@
 // deadline.
 constexpr duration deadline_margin = 5ms;
 
-// After the deadline, a stream that has begun goes on for so long while bytes of it are ready, so
-// that an end that has arrived is delivered.
-constexpr duration late_read_limit = 20ms;
+// After the deadline, a stream that has begun goes on for so long while bytes of it are ready or
+// are being written, so that an end that has arrived is delivered.
+constexpr duration late_limit = 20ms;
 
 // How long a replica is excluded after a failed attempt; the assembly detects a lost member in this
 // time.
@@ -117,7 +117,7 @@
     bool has_event = false;
     const std::vector<http_header> headers = answer.headers();
     while (true) {
-        if (call_.time_left() <= -late_read_limit) {
+        if (call_.time_left() <= -late_limit) {
             end.reason = "the stream outlasts the deadline"; // Though bytes are always ready.
             co_return end;
         }
@@ -337,6 +337,19 @@
     }
 }
 
+/** Ends the connection if an event is still being written to the caller after the deadline. */
+void streaming_call::limit_writes()
+{
+    write_limit_->expires_at(call_.deadline + late_limit);
+    write_limit_->async_wait(
+        [this, limit = std::weak_ptr<timer>(write_limit_)](const boost::system::error_code& error) {
+            if (!error && !limit.expired() && forwarding_) {
+                caller_is_late_ = true;
+                call_.exchange.abort();
+            }
+        });
+}
+
 /** Waits until an attempt ends, and removes it. */
 asio::awaitable<attempt_end> streaming_call::wait_for_end()
 {
@@ -388,6 +401,11 @@
 
 asio::awaitable<void> streaming_call::finish(attempt_end last)
 {
+    if (caller_is_late_) {
+        call_.end.outcome = "broken_off";
+        call_.end.reason = "the caller did not take the stream by the deadline";
+        co_return;
+    }
     if (last.result == attempt_result::caller_left || call_.cancel->cancelled()) {
         call_.end.outcome = "caller_left";
         call_.exchange.abort();
@@ -457,6 +475,7 @@
     note_demand(call_);
     call_.cancel->set_close_hook([this] { cancel_attempts(); });
     const scope_guard unlink([this] { call_.cancel->set_close_hook(nullptr); });
+    limit_writes();
     attempt_end last;
     bool over = !co_await start_next(last);
     while (!over) {
--- a/src/relay/streaming_call.h
+++ b/src/relay/streaming_call.h
@@ -43,7 +43,8 @@
 class streaming_call {
   public:
     explicit streaming_call(relayed_call& call)
-        : call_(call), prompt_(call), forwarder_(call), attempt_ended_(call.context.executor)
+        : call_(call), prompt_(call), forwarder_(call), attempt_ended_(call.context.executor),
+          write_limit_(std::make_shared<timer>(call.context.executor))
     {
     }
 
@@ -73,6 +74,7 @@
                                                        running_attempt& running);
     void supersede_others(const running_attempt& winner);
     void cancel_attempts();
+    void limit_writes();
     boost::asio::awaitable<attempt_end> wait_for_end();
     boost::asio::awaitable<void> end_attempts();
     boost::asio::awaitable<void> finish(attempt_end last);
@@ -86,10 +88,12 @@
     relayed_call& call_;
     prompt_guard prompt_;
     event_forwarder forwarder_;
-    bool forwarding_ = false; // An event is being written to the caller.
+    bool forwarding_ = false;     // An event is being written to the caller.
+    bool caller_is_late_ = false; // It did not take an event by the deadline.
     std::set<std::uint64_t> tried_;
     std::vector<std::unique_ptr<running_attempt>> attempts_; // Two at most.
     timer attempt_ended_;                                    // Cancelled when an attempt ends.
+    std::shared_ptr<timer> write_limit_; // Expires after the deadline; reset when the call ends.
     std::optional<time_point> paused_until_; // All replicas have asked for no calls until then.
 };
 
