Let running calls finish at a head that is missing from the list

Callers would have seen (LOST): all calls at a working replica were aborted once its head was missing from the list of backend servers, although it was only cut from the store, or left without having announced it, or had announced that it leaves and its entry was removed before its last call had ended.

Cause: a missing entry was taken for the end of the process. The retiring record asked the head to abort its calls, and finish_retiring_without_head sent close_now whatever the record asked.

Change: the replica still retires in the same plan, so it gets no new calls, and the ledger still holds its VMs. While calls run there, have been silent for less than stall_retire_delay and no member counts as lost, the head is commanded to close when idle, and is probed when its calls are silent. It is commanded to abort once it has no calls, refuses connections, is silent beyond the limit, or after idle_close_timeout.

--- a/src/assembly/assembly_plan.cpp
+++ b/src/assembly/assembly_plan.cpp
@@ -106,11 +106,19 @@
                                       in_.now - before->last_at >= settings_.probe_interval);
         const bool planned =
             std::find(plan_.probes.begin(), plan_.probes.end(), vm) != plan_.probes.end();
-        if (due && !planned && in_.backends->find(vm) != nullptr) {
+        if (due && !planned) {
             plan_.probes.push_back(vm);
         }
     }
 
+    /** Probes a member whose address is known from the list of VMs. */
+    void add_probe_of_member(const std::string& vm)
+    {
+        if (in_.backends->find(vm) != nullptr) {
+            add_probe(vm);
+        }
+    }
+
     bool add_command(const std::string& vm, const engine_command& command,
                      bool loads_weights = false)
     {
@@ -149,6 +157,21 @@
                use->second.silent < settings_.stall_probe_delay;
     }
 
+    /** \return true while calls run at the replica, have not been silent for too long, and no
+     * member counts as lost.
+     */
+    bool calls_may_finish(const ledger_entry& entry) const
+    {
+        const auto use = in_.uses.find(entry.second.epoch());
+        const auto& members = entry.second.members();
+        return use != in_.uses.end() && use->second.running > 0 &&
+               use->second.silent <= settings_.stall_retire_delay &&
+               std::none_of(members.begin(), members.end(),
+                            [this](const schema::shared_member& member) {
+                                return is_unresponsive(member.id());
+                            });
+    }
+
     /** \return why the replica can't continue with its members, or an empty text. */
     std::string find_member_fault(const ledger_entry& entry)
     {
@@ -223,8 +246,11 @@
         if (fault.empty()) {
             fault = find_progress_fault(entry);
         }
+        // A head that is not listed may only be disconnected from the log, or may leave without
+        // having announced it.
+        const bool head_listed = in_.backends->find(entry.second.members(0).id()) != nullptr;
         if (!fault.empty()) {
-            retire(entry, fault, !leaving);
+            retire(entry, fault, !leaving && (head_listed || !calls_may_finish(entry)));
         }
     }
 
@@ -247,7 +273,7 @@
         for (const schema::shared_member& member : entry.second.members()) {
             const probe_state* probe = in_.history->find_probe(member.id());
             if (probe != nullptr && probe->failures > 0) {
-                add_probe(member.id());
+                add_probe_of_member(member.id());
             }
         }
         const auto use = in_.uses.find(entry.second.epoch());
@@ -259,7 +285,7 @@
             return "its calls receive no events";
         }
         for (const schema::shared_member& member : entry.second.members()) {
-            add_probe(member.id());
+            add_probe_of_member(member.id());
         }
         return {};
     }
@@ -349,10 +375,13 @@
         const bool wait_is_over = was_silent || in_.now - lost->since >= settings_.lost_head_wait;
         const sent_command* immediate_close =
             in_.history->find(head, command_kind::close_now, entry.second.epoch());
+        const sent_command* idle_close =
+            in_.history->find(head, command_kind::close_when_idle, entry.second.epoch());
         const sent_command* leave =
             in_.history->find(head, command_kind::leave, entry.second.epoch());
         // A refusal to leave means that the head is no longer in the replica.
         const bool confirmed = is_settled(leave) || has_outcome(leave, command_outcome::other_vm) ||
+                               has_outcome(idle_close, command_outcome::other_vm) ||
                                has_outcome(immediate_close, command_outcome::other_vm);
         const auto use = in_.uses.find(entry.second.epoch());
         const bool has_recent_events = use != in_.uses.end() && use->second.running > 0 &&
@@ -364,12 +393,36 @@
         if (!lost->address_known) {
             return;
         }
+        if (waits_for_lost_head(entry, *lost, idle_close)) {
+            return;
+        }
         // A refusal to close means that the head no longer takes calls.
         add_command(head, make_command(is_settled(immediate_close) ? command_kind::leave
                                                                    : command_kind::close_now,
                                        entry));
     }
 
+    /** Closes a head that is no longer listed for new calls, and probes it when its calls are
+     * silent.
+     * \return true while the calls may finish.
+     */
+    bool waits_for_lost_head(const ledger_entry& entry, const lost_head& lost,
+                             const sent_command* idle_close)
+    {
+        const bool in_time = in_.now - lost.since < settings_.idle_close_timeout;
+        if (entry.second.abort_calls() || !in_time || !calls_may_finish(entry)) {
+            return false;
+        }
+        const std::string& head = entry.second.members(0).id();
+        if (!makes_progress(entry)) {
+            add_probe(head);
+        }
+        if (!is_settled(idle_close)) {
+            add_command(head, make_command(command_kind::close_when_idle, entry));
+        }
+        return true;
+    }
+
     /** Loads models into the hosts of free VMs: first where the loads complete a replica, then on
      * spares that can replace lost members.
      */
--- a/test/correctness/assembly_lost_heads.cpp
+++ b/test/correctness/assembly_lost_heads.cpp
@@ -104,6 +104,7 @@
     fixture.set_silence(1200ms);
     const assembly_plan silent = fixture.step_with_head(command_outcome::begun);
     CHECK(count_commands(silent, command_kind::close_now) == 0);
+    CHECK(count_commands(silent, command_kind::leave) == 0);
     CHECK(std::count(silent.probes.begin(), silent.probes.end(), fixture.head) == 1);
     SUBCASE("the events continue")
     {
@@ -121,6 +122,15 @@
         fixture.set_silence(fixture.settings.stall_retire_delay + 1ms);
         CHECK(count_commands(fixture.plan(), command_kind::close_now) == 1);
     }
+    SUBCASE("another VM has its address")
+    {
+        engine_command close;
+        close.kind = command_kind::close_when_idle;
+        close.epoch = fixture.before.epoch();
+        fixture.history.note_outcome(fixture.head, close, command_outcome::other_vm);
+        fixture.step();
+        CHECK_FALSE(fixture.ledger.replicas().contains(fixture.name));
+    }
     SUBCASE("the calls end")
     {
         fixture.uses.clear();
