Keep a replica while two of its members are silent one after the other

Callers would have seen (LOST): all calls at a replica were aborted 2.6 s after their last event, although its members work: one was silent for a second or so, and then another one. Callers wait for two seconds, four times the objective or eight times the allowed pause, whichever is longest, so most of them still listen.

Cause: stall_retire_delay was taken as evidence of a cut fabric whatever the probes had shown. A member that was silent second counted as lost sooner after its last answer than the first one, since its probes were under way already, and a member that had answered was not probed again for 1 s, so that a silence could pass without a failed probe.

Change: a replica whose members answer all probes is retired 2.5 s after the last event, as before. A failed probe of a member explains the lack of events for another 1.5 s, up to 4 s in all. A member that has answered since the last event counts as lost 0.45 s later than one that was silent from the start, and answers stay valid for 0.4 s instead of 1 s (up to 1.5 more probes a second for each member of a stalled replica, none otherwise). Calls that the relay can resume move to another replica meanwhile, as before.

--- a/src/assembly/assembly_plan.cpp
+++ b/src/assembly/assembly_plan.cpp
@@ -87,14 +87,20 @@
         return same ? &membership : nullptr;
     }
 
-    bool is_unresponsive(const std::string& vm) const
+    bool is_unresponsive(const ledger_entry& entry, const std::string& vm) const
     {
         const probe_state* probe = in_.history->find_probe(vm);
         if (probe == nullptr || probe->failures < settings_.probe_failure_limit) {
             return false;
         }
-        return probe->refused ||
-               probe->last_failure_at - probe->first_failure_at >= settings_.probe_silence_limit;
+        // A VM that has answered since the last event of the calls became silent after them, so
+        // that its first probe may have failed sooner after its last sign of life.
+        const auto use = in_.uses.find(entry.second.epoch());
+        const bool answered_since =
+            use != in_.uses.end() && in_.now - probe->answered_at < use->second.silent;
+        const duration limit = settings_.probe_silence_limit +
+                               (answered_since ? settings_.stall_probe_delay : duration::zero());
+        return probe->refused || probe->last_failure_at - probe->first_failure_at >= limit;
     }
 
     void add_probe(const std::string& vm)
@@ -167,8 +173,8 @@
         return use != in_.uses.end() && use->second.running > 0 &&
                use->second.silent <= settings_.stall_retire_delay &&
                std::none_of(members.begin(), members.end(),
-                            [this](const schema::shared_member& member) {
-                                return is_unresponsive(member.id());
+                            [&](const schema::shared_member& member) {
+                                return is_unresponsive(entry, member.id());
                             });
     }
 
@@ -194,7 +200,7 @@
                 !leaving_but_usable(*listed, is_head, in_.now, settings_)) {
                 return "member " + member.id() + " is leaving";
             }
-            if (is_unresponsive(member.id())) {
+            if (is_unresponsive(entry, member.id())) {
                 return "member " + member.id() + " does not answer probes";
             }
         }
@@ -266,6 +272,18 @@
                    : std::string();
     }
 
+    /** \return true when the last failed probe of a member explains why calls receive no events. */
+    bool member_was_silent(const ledger_entry& entry) const
+    {
+        const auto& members = entry.second.members();
+        return std::any_of(members.begin(), members.end(),
+                           [this](const schema::shared_member& member) {
+                               const probe_state* probe = in_.history->find_probe(member.id());
+                               return probe != nullptr && probe->last_failure_at != time_point() &&
+                                      in_.now - probe->last_failure_at < settings_.silence_recovery;
+                           });
+    }
+
     std::string find_progress_fault(const ledger_entry& entry)
     {
         // A member that failed a probe is probed until it answers or is lost, also when its calls
@@ -281,7 +299,9 @@
             use->second.silent < settings_.stall_probe_delay) {
             return {};
         }
-        if (use->second.silent > settings_.stall_retire_delay) {
+        const duration silent = use->second.silent;
+        if (silent > settings_.max_stall ||
+            (silent > settings_.stall_retire_delay && !member_was_silent(entry))) {
             return "its calls receive no events";
         }
         for (const schema::shared_member& member : entry.second.members()) {
--- a/src/assembly/assembly_plan.h
+++ b/src/assembly/assembly_plan.h
@@ -35,13 +35,25 @@
      */
     duration stall_retire_delay = 2500ms;
 
+    /** The calls of a replica may lack events for so long after a failed probe of a member: another
+     * member may have become silent meanwhile without a failed probe yet.
+     */
+    duration silence_recovery = 1500ms;
+
+    /** A replica that has calls is retired once it has sent no event for so long, whatever its
+     * members answer. Two members that are silent one after the other take less.
+     */
+    duration max_stall = 4s;
+
     /** Time between probes of one VM. It is shorter than an answer may take, so that it shows
      * sooner whether two datagrams or the VM were lost.
      */
     duration probe_interval = 200ms;
 
-    /** A VM that answered a probe is not probed again for so long. */
-    duration probe_validity = 1s;
+    /** A VM that answered a probe is not probed again for so long. It is shorter than the usual
+     * silence of a working VM, so that each silence of a member makes a probe fail.
+     */
+    duration probe_validity = 400ms;
 
     /** Consecutive failed probes after which a VM counts as lost, if it refuses connections. */
     std::uint32_t probe_failure_limit = 2;
