Make the head of a replica without a record leave

Seen in the pool: a VM that says that it is the open or closing head of a replica which the ledger does not know (a late command opened it, or its record was lost) was excluded from all replicas for good, which strands its accelerators.

Cause: member_pool leaves out heads that may take calls, and nothing closed a head without a record.

Evidence: correctness/assembly, three cases of assembly_orphans.cpp failed before: such a head got no command.

Change: the planner closes such a head (when idle while calls are known there, for idle_close_timeout at most) and then makes it leave, with the name and the epoch of its own membership, so that no other membership is touched. It does so only for epochs below next_epoch(): a higher one belongs to a record that this node has not read yet. VMs that a replica of the ledger holds are left alone, and so are heads that have left within list_lag, whose list entries may be old.

--- a/src/assembly/assembly_plan.cpp
+++ b/src/assembly/assembly_plan.cpp
@@ -31,6 +31,22 @@
     return command;
 }
 
+/** \return the epoch of the next replica: all records of lower epochs were read. */
+std::uint64_t next_epoch(const replica_ledger& ledger)
+{
+    return ledger.end() + 1;
+}
+
+/** \return a command to a VM about the replica of which it says that it is the head. */
+engine_command make_orphan_command(command_kind kind, const replica_membership& membership)
+{
+    engine_command command;
+    command.kind = kind;
+    command.replica = membership.replica;
+    command.epoch = membership.epoch;
+    return command;
+}
+
 /** Makes one plan. */
 class planner {
   public:
@@ -65,6 +81,7 @@
             plan_.records.insert(plan_.records.end(), formation.records().begin(),
                                  formation.records().end());
             load_models(formation);
+            close_orphans();
         }
         return std::move(plan_);
     }
@@ -344,41 +361,72 @@
             drop(entry);
             return;
         }
-        const bool takes_calls = joined != nullptr && (joined->phase == membership_phase::open ||
-                                                       joined->phase == membership_phase::closing);
-        if (takes_calls && !close_head(entry)) {
+        const bool is_open = joined != nullptr && (joined->phase == membership_phase::open ||
+                                                   joined->phase == membership_phase::closing);
+        if (is_open && !close_head(head.id(), make_command(command_kind::close_now, entry),
+                                   entry.second.abort_calls())) {
             return;
         }
         add_command(head.id(), make_command(command_kind::leave, entry));
     }
 
-    /** Closes the head for calls.
+    /** Closes a head for calls.
+     * \param close_now the command that aborts its calls.
      * \return true once it may leave.
      */
-    bool close_head(const ledger_entry& entry)
+    bool close_head(const std::string& head, const engine_command& close_now, bool abort_calls)
     {
-        const std::string& head = entry.second.members(0).id();
         const sent_command* idle_close =
-            in_.history->find(head, command_kind::close_when_idle, entry.second.epoch());
+            in_.history->find(head, command_kind::close_when_idle, close_now.epoch);
         const bool waits_for_calls =
-            !entry.second.abort_calls() &&
+            !abort_calls &&
             (idle_close == nullptr || in_.now - idle_close->at < settings_.idle_close_timeout);
         if (waits_for_calls) {
             if (idle_close == nullptr) {
-                add_command(head, make_command(command_kind::close_when_idle, entry));
+                engine_command close_when_idle = close_now;
+                close_when_idle.kind = command_kind::close_when_idle;
+                add_command(head, close_when_idle);
             }
             return false;
         }
         const sent_command* immediate_close =
-            in_.history->find(head, command_kind::close_now, entry.second.epoch());
+            in_.history->find(head, command_kind::close_now, close_now.epoch);
         // A refusal means that the head no longer takes calls.
         if (is_settled(immediate_close)) {
             return true;
         }
-        add_command(head, make_command(command_kind::close_now, entry));
+        add_command(head, close_now);
         return false;
     }
 
+    /** Makes heads leave replicas that the ledger does not know, so that they can join others. A
+     * late command opened such a replica, or its record was lost.
+     */
+    void close_orphans()
+    {
+        for (const auto& [id, listed] : in_.backends->all()) {
+            const backend& vm = listed.server;
+            const bool orphan = vm.service == in_.service && !vm.leaving && takes_calls(vm) &&
+                                vm.membership->epoch < next_epoch(*in_.ledger) &&
+                                !in_.ledger->holder_of(id);
+            if (!orphan) {
+                continue;
+            }
+            const replica_membership& membership = *vm.membership;
+            const sent_command* leave =
+                in_.history->find(id, command_kind::leave, membership.epoch);
+            if (is_settled(leave) && in_.now - leave->at < settings_.list_lag) {
+                continue;
+            }
+            const auto use = in_.uses.find(membership.epoch);
+            const bool has_calls = use != in_.uses.end() && use->second.running > 0;
+            if (close_head(id, make_orphan_command(command_kind::close_now, membership),
+                           !has_calls)) {
+                add_command(id, make_orphan_command(command_kind::leave, membership));
+            }
+        }
+    }
+
     /** Handles a head that is no longer listed: its process ended, or it is disconnected and may
      * still serve calls.
      */
--- a/src/assembly/assembly_plan.h
+++ b/src/assembly/assembly_plan.h
@@ -92,6 +92,9 @@
      */
     duration silent_head_wait = 2500ms;
 
+    /** The list of VMs shows that a VM has left a replica within this time: two heartbeats. */
+    duration list_lag = 2s;
+
     /** By this fraction a model's share increases for each VM of a replica, since the loss of any
      * one of them stops the replica.
      */
--- a/src/assembly/member_pool.cpp
+++ b/src/assembly/member_pool.cpp
@@ -26,11 +26,6 @@
                        [&vm](const std::string& staged) { return staged == vm.loaded_model; });
 }
 
-namespace {
-
-/** \return true when the VM is a head that may take calls. A late command can leave a VM in this
- * state although no replica of the ledger has it as a member.
- */
 bool takes_calls(const backend& vm)
 {
     return vm.membership && vm.membership->rank == 0 &&
@@ -38,6 +33,8 @@
             vm.membership->phase == membership_phase::closing);
 }
 
+namespace {
+
 bool may_join(const listed_backend& listed, const assembly_input& input)
 {
     const probe_state* probe = input.history->find_probe(listed.server.id);
--- a/src/assembly/member_pool.h
+++ b/src/assembly/member_pool.h
@@ -29,6 +29,11 @@
  */
 bool can_stage_without_eviction(const backend& vm);
 
+/** \return true when the VM is a head that may take calls. A late command can leave a VM in this
+ * state although no replica of the ledger has it as a member.
+ */
+bool takes_calls(const backend& vm);
+
 /** The VMs of a service that belong to no replica, by fabric domain. */
 class member_pool {
   public:
--- a/test/correctness/assembly_orphans.cpp
+++ b/test/correctness/assembly_orphans.cpp
@@ -99,6 +99,23 @@
     CHECK(orphan_fixture::count_for_orphan(fixture.step(), command_kind::close_now) == 1);
 }
 
+TEST_CASE("a head that has left gets no commands while its list entry does not show it yet")
+{
+    orphan_fixture fixture;
+    fixture.unresponsive = {orphan_fixture::orphan};
+    fixture.list_orphan();
+    engine_command leave;
+    leave.kind = command_kind::leave;
+    leave.replica = fixture.membership.replica;
+    leave.epoch = fixture.membership.epoch;
+    fixture.history.note_sent(orphan_fixture::orphan, leave, fixture.now);
+    fixture.history.note_outcome(orphan_fixture::orphan, leave, command_outcome::begun);
+    fixture.now += fixture.settings.list_lag - 1ms;
+    CHECK(orphan_fixture::count_for_orphan(fixture.plan(), command_kind::close_now) == 0);
+    fixture.now += 1ms;
+    CHECK(orphan_fixture::count_for_orphan(fixture.plan(), command_kind::close_now) == 1);
+}
+
 TEST_CASE("the head of a replica whose record this node may not have read yet is left alone")
 {
     orphan_fixture fixture;
