--- a/src/assembly/assembly_plan.cpp
+++ b/src/assembly/assembly_plan.cpp
@@ -11,6 +11,7 @@
 #include "assembly/formation_planner.h"
 #include "assembly/load_planner.h"
 #include "assembly/member_pool.h"
+#include "assembly/replica_evidence.h"
 
 namespace chervildyke {
 
@@ -51,7 +52,8 @@
 class planner {
   public:
     planner(const assembly_input& input, const assembly_settings& settings)
-        : in_(input), settings_(settings), remaining_loads_(input.load_allowance)
+        : in_(input), settings_(settings), evidence_(input, settings),
+          remaining_loads_(input.load_allowance)
     {
     }
 
@@ -104,22 +106,6 @@
         return same ? &membership : nullptr;
     }
 
-    bool is_unresponsive(const ledger_entry& entry, const std::string& vm) const
-    {
-        const probe_state* probe = in_.history->find_probe(vm);
-        if (probe == nullptr || probe->failures < settings_.probe_failure_limit) {
-            return false;
-        }
-        // A VM that has answered since the last event of the calls became silent after them, so
-        // that its first probe may have failed sooner after its last sign of life.
-        const auto use = in_.uses.find(entry.second.epoch());
-        const bool answered_since =
-            use != in_.uses.end() && in_.now - probe->answered_at < use->second.silent;
-        const duration limit = settings_.probe_silence_limit +
-                               (answered_since ? settings_.stall_probe_delay : duration::zero());
-        return probe->refused || probe->last_failure_at - probe->first_failure_at >= limit;
-    }
-
     void add_probe(const std::string& vm)
     {
         const probe_state* before = in_.history->find_probe(vm);
@@ -172,29 +158,6 @@
         plan_.records.push_back(std::move(dropped));
     }
 
-    /** \return true while calls at the replica receive events. */
-    bool makes_progress(const ledger_entry& entry) const
-    {
-        const auto use = in_.uses.find(entry.second.epoch());
-        return use != in_.uses.end() && use->second.running > 0 &&
-               use->second.silent < settings_.stall_probe_delay;
-    }
-
-    /** \return true while calls run at the replica, have not been silent for too long, and no
-     * member counts as lost.
-     */
-    bool calls_may_finish(const ledger_entry& entry) const
-    {
-        const auto use = in_.uses.find(entry.second.epoch());
-        const auto& members = entry.second.members();
-        return use != in_.uses.end() && use->second.running > 0 &&
-               use->second.silent <= settings_.stall_retire_delay &&
-               std::none_of(members.begin(), members.end(),
-                            [&](const schema::shared_member& member) {
-                                return is_unresponsive(entry, member.id());
-                            });
-    }
-
     /** \return why the replica can't continue with its members, or an empty text. */
     std::string find_member_fault(const ledger_entry& entry)
     {
@@ -205,7 +168,7 @@
                 // The member may only be disconnected from the log, or may leave without having
                 // announced it. In both cases it continues to work for a while.
                 if (!is_head && entry.second.phase() == schema::shared_phase_serving &&
-                    makes_progress(entry)) {
+                    evidence_.makes_progress(entry.second)) {
                     continue;
                 }
                 return "member " + member.id() + " is not listed any more";
@@ -217,7 +180,7 @@
                 !leaving_but_usable(*listed, is_head, in_.now, settings_)) {
                 return "member " + member.id() + " is leaving";
             }
-            if (is_unresponsive(entry, member.id())) {
+            if (evidence_.is_unresponsive(entry.second, member.id())) {
                 return "member " + member.id() + " does not answer probes";
             }
         }
@@ -273,7 +236,8 @@
         // having announced it.
         const bool head_listed = in_.backends->find(entry.second.members(0).id()) != nullptr;
         if (!fault.empty()) {
-            retire(entry, fault, !leaving && (head_listed || !calls_may_finish(entry)));
+            retire(entry, fault,
+                   !leaving && (head_listed || !evidence_.calls_may_finish(entry.second)));
         }
     }
 
@@ -289,18 +253,6 @@
                    : std::string();
     }
 
-    /** \return true when the last failed probe of a member explains why calls receive no events. */
-    bool member_was_silent(const ledger_entry& entry) const
-    {
-        const auto& members = entry.second.members();
-        return std::any_of(members.begin(), members.end(),
-                           [this](const schema::shared_member& member) {
-                               const probe_state* probe = in_.history->find_probe(member.id());
-                               return probe != nullptr && probe->last_failure_at != time_point() &&
-                                      in_.now - probe->last_failure_at < settings_.silence_recovery;
-                           });
-    }
-
     std::string find_progress_fault(const ledger_entry& entry)
     {
         // A member that failed a probe is probed until it answers or is lost, also when its calls
@@ -318,7 +270,7 @@
         }
         const duration silent = use->second.silent;
         if (silent > settings_.max_stall ||
-            (silent > settings_.stall_retire_delay && !member_was_silent(entry))) {
+            (silent > settings_.stall_retire_delay && !evidence_.member_was_silent(entry.second))) {
             return "its calls receive no events";
         }
         for (const schema::shared_member& member : entry.second.members()) {
@@ -478,11 +430,11 @@
                              const sent_command* idle_close)
     {
         const bool in_time = in_.now - lost.since < settings_.idle_close_timeout;
-        if (entry.second.abort_calls() || !in_time || !calls_may_finish(entry)) {
+        if (entry.second.abort_calls() || !in_time || !evidence_.calls_may_finish(entry.second)) {
             return false;
         }
         const std::string& head = entry.second.members(0).id();
-        if (!makes_progress(entry)) {
+        if (!evidence_.makes_progress(entry.second)) {
             add_probe(head);
         }
         if (!is_settled(idle_close)) {
@@ -542,6 +494,7 @@
 
     const assembly_input& in_;
     const assembly_settings& settings_;
+    replica_evidence evidence_;
     std::uint32_t remaining_loads_;
     assembly_plan plan_;
 };
