Let members of one replica fall silent one after the other in the soak

The soak left a second between silences of servers that hold up the same calls, since two in a row retired a replica. Two in a row are harmless now, so only the silences of one server keep a second between them.

--- a/soak/backend_server.cpp
+++ b/soak/backend_server.cpp
@@ -21,9 +21,8 @@
 constexpr std::uint32_t order_queue_limit = 4; // Calls that wait for a slot on a server of orders.
 constexpr duration drain_timeout = 10s;        // For how long running calls may delay the end.
 constexpr duration drain_poll_interval = 5ms;  // Between two checks of a leaving server for calls.
-constexpr duration publish_retry_interval = 200ms; // While the store is down.
-// Callers bear one silence of a call's servers, but not several in a row.
-constexpr duration min_silence_gap = 1s;
+constexpr duration publish_retry_interval = 200ms;       // While the store is down.
+constexpr duration min_silence_gap = 1s;                 // Between two silences of one server.
 constexpr std::size_t seal_length = 12;                  // Characters.
 constexpr double ends_with_connection_probability = 0.1; // Of each answer.
 
@@ -100,7 +99,7 @@
 void backend_server::fall_silent(duration span)
 {
     const time_point now = monotonic_clock::now();
-    if (now - last_silence_end() > min_silence_gap) {
+    if (now - silent_until_ > min_silence_gap) {
         silent_until_ = now + span;
     }
 }
--- a/soak/backend_server.h
+++ b/soak/backend_server.h
@@ -73,7 +73,7 @@
     void leave();
 
     /** Makes the server accept, answer and send nothing for the span; then it goes on where it was.
-     * Does nothing soon after another silence that its calls have met.
+     * Does nothing soon after another silence of the server.
      */
     void fall_silent(duration span);
     bool silent() const { return monotonic_clock::now() < silent_until_; }
@@ -92,8 +92,6 @@
     server_faults& faults() { return faults_; }
 
   protected:
-    /** \return the end of the latest silence that the server's calls have met or will meet. */
-    virtual time_point last_silence_end() const { return silent_until_; }
     virtual boost::asio::awaitable<void> serve_call(http_exchange& exchange) = 0;
     virtual boost::asio::awaitable<void> serve_command(http_exchange& exchange);
 
--- a/soak/model_server.cpp
+++ b/soak/model_server.cpp
@@ -63,17 +63,6 @@
     });
 }
 
-time_point model_server::last_silence_end() const
-{
-    time_point end = backend_server::last_silence_end();
-    for (const std::string& id : members_) {
-        if (const auto member = find_server(id)) {
-            end = std::max(end, member->backend_server::last_silence_end());
-        }
-    }
-    return end;
-}
-
 bool model_server::any_member_silent() const
 {
     return silent() || std::any_of(members_.begin(), members_.end(), [this](const std::string& id) {
--- a/soak/model_server.h
+++ b/soak/model_server.h
@@ -26,7 +26,6 @@
     bool is_open_head(const std::string& replica, std::uint64_t epoch) const;
 
   protected:
-    time_point last_silence_end() const override;
     bool has_running_calls() const override;
     boost::asio::awaitable<void> serve_call(http_exchange& exchange) override;
     boost::asio::awaitable<void> serve_command(http_exchange& exchange) override;
