--- a/test/correctness/assembly_stalls.cpp
+++ b/test/correctness/assembly_stalls.cpp
@@ -54,7 +54,7 @@
             }
             for (const std::string& vm : made.probes) {
                 history.note_probe_sent(vm, now);
-                pending.push_back({vm, at});
+                pending_.push_back({vm, at});
             }
         }
         return never;
@@ -73,7 +73,7 @@
 
     void finish_probes()
     {
-        std::erase_if(pending, [this](const sent_probe& probe) {
+        std::erase_if(pending_, [this](const sent_probe& probe) {
             const silence& silent = silences[probe.vm == before.members(0).id() ? 0 : 1];
             const bool held = probe.at >= silent.begin && probe.at < silent.end;
             const bool fails = held && silent.end > probe.at + probe_timeout;
@@ -87,7 +87,7 @@
         });
     }
 
-    std::vector<sent_probe> pending;
+    std::vector<sent_probe> pending_;
 };
 
 } // namespace
@@ -97,7 +97,7 @@
 {
     for (duration first = 700ms; first <= 1500ms; first += 50ms) {
         for (duration second = 700ms; second <= 1500ms; second += 50ms) {
-            for (const std::size_t rank : {0, 1}) {
+            for (const unsigned rank : {0U, 1U}) {
                 stall_fixture fixture;
                 fixture.silences.resize(2);
                 fixture.silences[rank] = {0s, first};
