--- a/src/assembly/assembly_plan.cpp
+++ b/src/assembly/assembly_plan.cpp
@@ -11,6 +11,7 @@
 #include "assembly/formation_planner.h"
 #include "assembly/load_planner.h"
 #include "assembly/member_pool.h"
+#include "assembly/replica_evidence.h"
 
 namespace chervildyke {
 
@@ -31,11 +32,28 @@
     return command;
 }
 
+/** \return the epoch of the next replica: all records of lower epochs were read. */
+std::uint64_t next_epoch(const replica_ledger& ledger)
+{
+    return ledger.end() + 1;
+}
+
+/** \return a command to a VM about the replica of which it says that it is the head. */
+engine_command make_orphan_command(command_kind kind, const replica_membership& membership)
+{
+    engine_command command;
+    command.kind = kind;
+    command.replica = membership.replica;
+    command.epoch = membership.epoch;
+    return command;
+}
+
 /** Makes one plan. */
 class planner {
   public:
     planner(const assembly_input& input, const assembly_settings& settings)
-        : in_(input), settings_(settings), remaining_loads_(input.load_allowance)
+        : in_(input), settings_(settings), evidence_(input, settings),
+          remaining_loads_(input.load_allowance)
     {
     }
 
@@ -65,6 +83,7 @@
             plan_.records.insert(plan_.records.end(), formation.records().begin(),
                                  formation.records().end());
             load_models(formation);
+            close_orphans();
         }
         return std::move(plan_);
     }
@@ -87,16 +106,6 @@
         return same ? &membership : nullptr;
     }
 
-    bool is_unresponsive(const std::string& vm) const
-    {
-        const probe_state* probe = in_.history->find_probe(vm);
-        if (probe == nullptr || probe->failures < settings_.probe_failure_limit) {
-            return false;
-        }
-        return probe->refused ||
-               probe->last_failure_at - probe->first_failure_at >= settings_.probe_silence_limit;
-    }
-
     void add_probe(const std::string& vm)
     {
         const probe_state* before = in_.history->find_probe(vm);
@@ -106,11 +115,19 @@
                                       in_.now - before->last_at >= settings_.probe_interval);
         const bool planned =
             std::find(plan_.probes.begin(), plan_.probes.end(), vm) != plan_.probes.end();
-        if (due && !planned && in_.backends->find(vm) != nullptr) {
+        if (due && !planned) {
             plan_.probes.push_back(vm);
         }
     }
 
+    /** Probes a member whose address is known from the list of VMs. */
+    void add_probe_of_member(const std::string& vm)
+    {
+        if (in_.backends->find(vm) != nullptr) {
+            add_probe(vm);
+        }
+    }
+
     bool add_command(const std::string& vm, const engine_command& command,
                      bool loads_weights = false)
     {
@@ -141,14 +158,6 @@
         plan_.records.push_back(std::move(dropped));
     }
 
-    /** \return true while calls at the replica receive events. */
-    bool makes_progress(const ledger_entry& entry) const
-    {
-        const auto use = in_.uses.find(entry.second.epoch());
-        return use != in_.uses.end() && use->second.running > 0 &&
-               use->second.silent < settings_.stall_probe_delay;
-    }
-
     /** \return why the replica can't continue with its members, or an empty text. */
     std::string find_member_fault(const ledger_entry& entry)
     {
@@ -159,7 +168,7 @@
                 // The member may only be disconnected from the log, or may leave without having
                 // announced it. In both cases it continues to work for a while.
                 if (!is_head && entry.second.phase() == schema::shared_phase_serving &&
-                    makes_progress(entry)) {
+                    evidence_.makes_progress(entry.second)) {
                     continue;
                 }
                 return "member " + member.id() + " is not listed any more";
@@ -171,7 +180,7 @@
                 !leaving_but_usable(*listed, is_head, in_.now, settings_)) {
                 return "member " + member.id() + " is leaving";
             }
-            if (is_unresponsive(member.id())) {
+            if (evidence_.is_unresponsive(entry.second, member.id())) {
                 return "member " + member.id() + " does not answer probes";
             }
         }
@@ -223,8 +232,12 @@
         if (fault.empty()) {
             fault = find_progress_fault(entry);
         }
+        // A head that is not listed may only be disconnected from the log, or may leave without
+        // having announced it.
+        const bool head_listed = in_.backends->find(entry.second.members(0).id()) != nullptr;
         if (!fault.empty()) {
-            retire(entry, fault, !leaving);
+            retire(entry, fault,
+                   !leaving && (head_listed || !evidence_.calls_may_finish(entry.second)));
         }
     }
 
@@ -247,7 +260,7 @@
         for (const schema::shared_member& member : entry.second.members()) {
             const probe_state* probe = in_.history->find_probe(member.id());
             if (probe != nullptr && probe->failures > 0) {
-                add_probe(member.id());
+                add_probe_of_member(member.id());
             }
         }
         const auto use = in_.uses.find(entry.second.epoch());
@@ -255,11 +268,13 @@
             use->second.silent < settings_.stall_probe_delay) {
             return {};
         }
-        if (use->second.silent > settings_.stall_retire_delay) {
+        const duration silent = use->second.silent;
+        if (silent > settings_.max_stall ||
+            (silent > settings_.stall_retire_delay && !evidence_.member_was_silent(entry.second))) {
             return "its calls receive no events";
         }
         for (const schema::shared_member& member : entry.second.members()) {
-            add_probe(member.id());
+            add_probe_of_member(member.id());
         }
         return {};
     }
@@ -298,41 +313,72 @@
             drop(entry);
             return;
         }
-        const bool takes_calls = joined != nullptr && (joined->phase == membership_phase::open ||
-                                                       joined->phase == membership_phase::closing);
-        if (takes_calls && !close_head(entry)) {
+        const bool is_open = joined != nullptr && (joined->phase == membership_phase::open ||
+                                                   joined->phase == membership_phase::closing);
+        if (is_open && !close_head(head.id(), make_command(command_kind::close_now, entry),
+                                   entry.second.abort_calls())) {
             return;
         }
         add_command(head.id(), make_command(command_kind::leave, entry));
     }
 
-    /** Closes the head for calls.
+    /** Closes a head for calls.
+     * \param close_now the command that aborts its calls.
      * \return true once it may leave.
      */
-    bool close_head(const ledger_entry& entry)
+    bool close_head(const std::string& head, const engine_command& close_now, bool abort_calls)
     {
-        const std::string& head = entry.second.members(0).id();
         const sent_command* idle_close =
-            in_.history->find(head, command_kind::close_when_idle, entry.second.epoch());
+            in_.history->find(head, command_kind::close_when_idle, close_now.epoch);
         const bool waits_for_calls =
-            !entry.second.abort_calls() &&
+            !abort_calls &&
             (idle_close == nullptr || in_.now - idle_close->at < settings_.idle_close_timeout);
         if (waits_for_calls) {
             if (idle_close == nullptr) {
-                add_command(head, make_command(command_kind::close_when_idle, entry));
+                engine_command close_when_idle = close_now;
+                close_when_idle.kind = command_kind::close_when_idle;
+                add_command(head, close_when_idle);
             }
             return false;
         }
         const sent_command* immediate_close =
-            in_.history->find(head, command_kind::close_now, entry.second.epoch());
+            in_.history->find(head, command_kind::close_now, close_now.epoch);
         // A refusal means that the head no longer takes calls.
         if (is_settled(immediate_close)) {
             return true;
         }
-        add_command(head, make_command(command_kind::close_now, entry));
+        add_command(head, close_now);
         return false;
     }
 
+    /** Makes heads leave replicas that the ledger does not know, so that they can join others. A
+     * late command opened such a replica, or its record was lost.
+     */
+    void close_orphans()
+    {
+        for (const auto& [id, listed] : in_.backends->all()) {
+            const backend& vm = listed.server;
+            const bool orphan = vm.service == in_.service && !vm.leaving && takes_calls(vm) &&
+                                vm.membership->epoch < next_epoch(*in_.ledger) &&
+                                !in_.ledger->holder_of(id);
+            if (!orphan) {
+                continue;
+            }
+            const replica_membership& membership = *vm.membership;
+            const sent_command* leave =
+                in_.history->find(id, command_kind::leave, membership.epoch);
+            if (is_settled(leave) && in_.now - leave->at < settings_.list_lag) {
+                continue;
+            }
+            const auto use = in_.uses.find(membership.epoch);
+            const bool has_calls = use != in_.uses.end() && use->second.running > 0;
+            if (close_head(id, make_orphan_command(command_kind::close_now, membership),
+                           !has_calls)) {
+                add_command(id, make_orphan_command(command_kind::leave, membership));
+            }
+        }
+    }
+
     /** Handles a head that is no longer listed: its process ended, or it is disconnected and may
      * still serve calls.
      */
@@ -349,10 +395,13 @@
         const bool wait_is_over = was_silent || in_.now - lost->since >= settings_.lost_head_wait;
         const sent_command* immediate_close =
             in_.history->find(head, command_kind::close_now, entry.second.epoch());
+        const sent_command* idle_close =
+            in_.history->find(head, command_kind::close_when_idle, entry.second.epoch());
         const sent_command* leave =
             in_.history->find(head, command_kind::leave, entry.second.epoch());
         // A refusal to leave means that the head is no longer in the replica.
         const bool confirmed = is_settled(leave) || has_outcome(leave, command_outcome::other_vm) ||
+                               has_outcome(idle_close, command_outcome::other_vm) ||
                                has_outcome(immediate_close, command_outcome::other_vm);
         const auto use = in_.uses.find(entry.second.epoch());
         const bool has_recent_events = use != in_.uses.end() && use->second.running > 0 &&
@@ -364,12 +413,36 @@
         if (!lost->address_known) {
             return;
         }
+        if (waits_for_lost_head(entry, *lost, idle_close)) {
+            return;
+        }
         // A refusal to close means that the head no longer takes calls.
         add_command(head, make_command(is_settled(immediate_close) ? command_kind::leave
                                                                    : command_kind::close_now,
                                        entry));
     }
 
+    /** Closes a head that is no longer listed for new calls, and probes it when its calls are
+     * silent.
+     * \return true while the calls may finish.
+     */
+    bool waits_for_lost_head(const ledger_entry& entry, const lost_head& lost,
+                             const sent_command* idle_close)
+    {
+        const bool in_time = in_.now - lost.since < settings_.idle_close_timeout;
+        if (entry.second.abort_calls() || !in_time || !evidence_.calls_may_finish(entry.second)) {
+            return false;
+        }
+        const std::string& head = entry.second.members(0).id();
+        if (!evidence_.makes_progress(entry.second)) {
+            add_probe(head);
+        }
+        if (!is_settled(idle_close)) {
+            add_command(head, make_command(command_kind::close_when_idle, entry));
+        }
+        return true;
+    }
+
     /** Loads models into the hosts of free VMs: first where the loads complete a replica, then on
      * spares that can replace lost members.
      */
@@ -421,6 +494,7 @@
 
     const assembly_input& in_;
     const assembly_settings& settings_;
+    replica_evidence evidence_;
     std::uint32_t remaining_loads_;
     assembly_plan plan_;
 };
