Answer a call whose handler throws with status 500

Callers saw their connection reset when the entry failed within a call, and could not tell whether the call had run. entry_node::handle_request caught the exception and aborted the connection, also when nothing had been sent. It now answers 500 in the API's format with the outcome unknown, since the call may have run, and passes an exception within a reply on to the server, which breaks off an incomplete reply and leaves a complete one. The exchange says whether it was answered.

Before: status 0, "Connection reset by peer".

--- a/src/base/beast_exchange.h
+++ b/src/base/beast_exchange.h
@@ -41,7 +41,7 @@
 
     /** \return true if the connection can carry another request. */
     bool reusable() const { return answered_ && !streaming_ && !connection_failed_ && keep_alive_; }
-    bool answered() const { return answered_; }
+    bool answered() const override { return answered_; }
     bool reply_is_complete() const { return reply_is_complete_; }
     void close_after_reply() { keep_alive_ = false; }
 
--- a/src/base/http_server.h
+++ b/src/base/http_server.h
@@ -55,6 +55,9 @@
     virtual boost::asio::awaitable<bool> write_chunk(std::string_view bytes) = 0;
     virtual boost::asio::awaitable<bool> end_stream() = 0;
 
+    /** \return true once respond() or start_stream() was called. */
+    virtual bool answered() const = 0;
+
     /** Resets the connection without completing the reply. */
     virtual void abort() = 0;
 
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -3,6 +3,8 @@
  */
 #include "entry/entry_node.h"
 
+#include <exception>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
@@ -102,6 +104,17 @@
     return error;
 }
 
+/** \return an error of a call that may have run. */
+api_error internal_error()
+{
+    api_error error;
+    error.message = "the entry failed while it handled the call";
+    error.type = "server_error";
+    error.code = "internal_error";
+    error.outcome = call_outcome::unknown;
+    return error;
+}
+
 api_error route_not_found(const http_request& request)
 {
     const bool wrong_method = request.path().starts_with("/v1/") && request.method != "POST";
@@ -333,18 +346,25 @@
 
 asio::awaitable<void> entry_node::handle_request(http_exchange& exchange)
 {
+    std::exception_ptr thrown;
     std::string failure;
     try {
         co_await route(exchange);
     }
     catch (const std::exception& error) {
+        thrown = std::current_exception();
         failure = error.what();
     }
-    if (!failure.empty()) {
-        context_->metrics->counter("chervil_internal_errors_total") += 1;
-        log.error("internal error while serving a call: ", failure);
-        exchange.abort();
+    if (!thrown) {
+        co_return;
+    }
+    context_->metrics->counter("chervil_internal_errors_total") += 1;
+    log.error("internal error while serving a call: ", failure);
+    if (exchange.answered()) {
+        std::rethrow_exception(thrown); // The server breaks off an incomplete reply.
     }
+    http_reply reply = to_reply(internal_error());
+    co_await exchange.respond(std::move(reply));
 }
 
 } // namespace chervildyke
