Show that a completion whose handling throws gets no answer

completion_call waits for its answer or for the caller to leave; asio's operator || takes an exception for no success and goes on waiting for the other. Seen: no answer until the client's timeout of 2 s, before the answer and within a stream.

--- a/test/error/entry_thrown_errors.cpp
+++ b/test/error/entry_thrown_errors.cpp
@@ -57,6 +57,12 @@
     }
 };
 
+/** \return a source that fails, as a fault within the handling of a call does. */
+random_source throwing_source()
+{
+    return []() -> std::uint64_t { throw std::runtime_error("random source"); };
+}
+
 http_request service_request()
 {
     http_request request;
@@ -115,3 +121,38 @@
     CHECK(fixture.call(service_request()).status == 0);
     CHECK(fixture.internal_errors() == 1);
 }
+
+// Guards against a call that waits for its caller to leave after its handling has thrown.
+TEST_CASE("a completion whose handling throws before its answer is answered with status 500")
+{
+    entry_fixture fixture;
+    fixture.engine.answer = [&](http_exchange& exchange,
+                                schema::engine_call) -> asio::awaitable<void> {
+        fixture.entry.node->context().random = throwing_source();
+        co_await refuse(exchange);
+    };
+    REQUIRE(fixture.entry.start(view_of({fixture.engine.address(), fixture.engine.address()})));
+    check_internal_error(fixture.call(entry_under_test::chat(true)));
+    CHECK(fixture.engine.calls.size() == 1);
+    CHECK(fixture.internal_errors() == 1);
+}
+
+// Guards against a stream that stays open without an end after its handling has thrown.
+TEST_CASE("a stream whose handling throws is broken off")
+{
+    entry_fixture fixture;
+    fixture.engine.answer = [&](http_exchange& exchange,
+                                schema::engine_call call) -> asio::awaitable<void> {
+        if (fixture.engine.calls.size() > 1) {
+            co_await refuse(exchange);
+            co_return;
+        }
+        fixture.entry.node->context().random = throwing_source();
+        co_await stream_words(exchange, std::move(call), 3, 1);
+    };
+    REQUIRE(fixture.entry.start(view_of({fixture.engine.address(), fixture.engine.address()})));
+    const http_reply reply = fixture.call(entry_under_test::chat(true));
+    CHECK(reply.status == 0);
+    CHECK(reply.body.find("timeout") == std::string::npos);
+    CHECK(fixture.internal_errors() == 1);
+}
