End a completion whose handling throws

Callers saw no answer, or a stream without an end, when the entry failed within a completion, until they left themselves. completion_call waits for its answer or for the caller to leave with asio's operator ||, which takes an exception for no success and waits for the other. The exception is now kept and thrown again once the answer's task has ended, so that the entry answers 500 or breaks off the stream, logs it and counts the outcome as unknown. An exception by which the task ends because the caller left is none.

--- a/src/entry/completion_call.cpp
+++ b/src/entry/completion_call.cpp
@@ -312,6 +312,16 @@
     co_await respond(result);
 }
 
+asio::awaitable<void> completion_call::admit_and_run_without_throwing()
+{
+    try {
+        co_await admit_and_run();
+    }
+    catch (...) {
+        thrown_ = std::current_exception();
+    }
+}
+
 asio::awaitable<void> completion_call::run()
 {
     if (const auto error = validate()) {
@@ -322,10 +332,16 @@
         co_await admit_and_run();
         co_return;
     }
-    auto response = admit_and_run();
+    // After an exception, the operator || would wait for the caller to leave.
+    auto response = admit_and_run_without_throwing();
     auto disconnect = exchange_.wait_for_peer_close();
     auto first_to_end = std::move(response) || std::move(disconnect);
-    co_await std::move(first_to_end);
+    constexpr std::size_t response_ended = 0;
+    const auto ended = co_await std::move(first_to_end);
+    if (ended.index() == response_ended && thrown_) {
+        count_outcome(call_outcome::unknown);
+        std::rethrow_exception(thrown_);
+    }
     if (!outcome_counted_) {
         context_.metrics->counter("chervil_callers_left_total") += 1;
     }
--- a/src/entry/completion_call.h
+++ b/src/entry/completion_call.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include <exception>
 #include <optional>
 #include <string>
 
@@ -38,6 +39,9 @@
      */
     std::optional<api_error> validate();
     boost::asio::awaitable<void> admit_and_run();
+
+    /** As admit_and_run(), but stores an exception in thrown_. */
+    boost::asio::awaitable<void> admit_and_run_without_throwing();
     boost::asio::awaitable<void> claim_and_run();
     boost::asio::awaitable<engine_call_result> run_on_engines();
     boost::asio::awaitable<void> respond(engine_call_result result);
@@ -62,6 +66,7 @@
     bool at_most_once_ = false;
     bool within_share_ = true; // The admission result; raises the priority at engines.
     bool outcome_counted_ = false;
+    std::exception_ptr thrown_;
 };
 
 } // namespace chervildyke
