--- a/src/base/program.cpp
+++ b/src/base/program.cpp
@@ -114,6 +114,7 @@
                   const std::function<boost::asio::awaitable<int>()>& main_task)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGHUP, SIG_IGN); // Until run_reload_loop() handles it.
     int exit_code = exit_failure;
     boost::asio::co_spawn(context, main_task(), [&](const std::exception_ptr& thrown, int code) {
         exit_code = code;
--- a/src/base/program.h
+++ b/src/base/program.h
@@ -45,8 +45,8 @@
  */
 boost::asio::awaitable<void> run_reload_loop(std::function<void(bool)> reload);
 
-/** Runs the io_context until the main task completes. SIGPIPE is ignored. An exception of the main
- * task is rethrown.
+/** Runs the io_context until the main task completes. SIGPIPE is ignored, and so is SIGHUP unless
+ * run_reload_loop() runs. An exception of the main task is rethrown.
  * \param context the only io_context of the process.
  * \param main_task returns the exit code.
  * \return the exit code.
