Show that a server closes connections as idle while it accepts them

stop_accepting accepts the connections in the backlog and then cancels the reads of idle connections. Called from a task of the server's own event loop, as in every drain, the new connections already wait for their first request by then and are cancelled as idle. The existing case calls it from outside the loop, where they don't. Seen: the connection ends without an answer.

--- a/test/error/base_planned_stop.cpp
+++ b/test/error/base_planned_stop.cpp
@@ -92,6 +92,23 @@
     CHECK(server_fixture::read_all(caller).find("whole") != std::string::npos);
 }
 
+// Guards against a connection that is closed as idle as soon as it is accepted, when a task of the
+// server's own event loop stops the server.
+TEST_CASE("the first request of such a connection is answered when a task stops the server")
+{
+    server_fixture fixture;
+    fixture.run(50ms); // The server waits for connections.
+    tcp::socket caller(fixture.client_context);
+    asio::post(fixture.context, [&] {
+        caller = fixture.connect();
+        fixture.server.stop_accepting();
+    });
+    fixture.run(50ms);
+    asio::write(caller, asio::buffer(request));
+    fixture.run(200ms);
+    CHECK(server_fixture::read_all(caller).find("whole") != std::string::npos);
+}
+
 TEST_CASE("a request that has arrived on an idle connection is answered")
 {
     server_fixture fixture;
