Close idle connections before accepting the last ones

Callers saw a connection that was accepted while a node or an entry stopped closed before they could send their request on it. stop_accepting cancelled the idle connections after accepting those in the backlog, which wait for their first request at once when a task of the event loop stops the server.

Before: the connection ended without an answer.

--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -420,16 +420,17 @@
     }
     state_->stopping = true;
     error_code ignored;
-    if (state_->acceptor.is_open()) {
-        state_->accept_pending();
-    }
-    state_->acceptor.close(ignored);
     for (const auto& [stream, period] : state_->idle_connections) {
         // A request that has arrived is still read and answered.
         if (stream->socket().available(ignored) == 0) {
             stream->cancel();
         }
     }
+    // After that, since the connections accepted now wait for their first request at once.
+    if (state_->acceptor.is_open()) {
+        state_->accept_pending();
+    }
+    state_->acceptor.close(ignored);
 }
 
 asio::awaitable<void> http_server::wait_until_drained()
