Show that service calls are given up before another server has taken them

service_proxy ends the attempt of an idempotent call after half the time left, or the operation's timeout, and only then looks for another backend server. Seen: a server that answers after 0.7 of 1 s is given up although there is no other one, or the other one refuses or drops its reply; outcome unknown three times. Two cases that pass state what must stay: a server that is silent for good is replaced, and two such servers end the call at its deadline as unknown.

--- a/test/error/entry_services.cpp
+++ b/test/error/entry_services.cpp
@@ -3,6 +3,9 @@
  * call that may have run. It comes about when a backend server runs a call and its reply is lost,
  * and when the retry on the next backend server is refused.
  */
+#include <deque>
+#include <utility>
+
 #include <doctest/doctest.h>
 
 #include "entry/service_proxy.h"
@@ -18,9 +21,12 @@
 struct fake_backend {
     enum class behavior { answers, refuses, drops_reply };
 
-    explicit fake_backend(asio::io_context& context)
-        : server(context.get_executor(),
-                 [this](http_exchange& exchange) { return serve(exchange); })
+    /** What the servers that share it do with their next requests, and after which delay. */
+    using behavior_script = std::deque<std::pair<behavior, duration>>;
+
+    fake_backend(asio::io_context& context, behavior_script& shared_script)
+        : script(shared_script), server(context.get_executor(),
+                                        [this](http_exchange& exchange) { return serve(exchange); })
     {
         REQUIRE(server.listen("127.0.0.1", 0));
     }
@@ -28,14 +34,21 @@
     asio::awaitable<void> serve(http_exchange& exchange)
     {
         ++requests;
+        behavior now = current_behavior;
+        if (!script.empty()) {
+            now = script.front().first;
+            const duration delay = script.front().second;
+            script.pop_front();
+            co_await sleep_for(delay);
+        }
         http_reply reply;
         reply.body = R"({"confirmation":")" +
                      std::string(exchange.request().header("X-Attempt-Id")) + R"("})";
-        if (current_behavior == behavior::refuses) {
+        if (now == behavior::refuses) {
             reply.status = 503;
             reply.body = R"({"code":"busy","reason":"busy","not_run":true})";
         }
-        if (current_behavior == behavior::drops_reply) {
+        if (now == behavior::drops_reply) {
             exchange.abort();
             co_return;
         }
@@ -44,7 +57,8 @@
 
     std::string address() const { return "127.0.0.1:" + std::to_string(server.port()); }
 
-    behavior current_behavior = behavior::answers;
+    behavior_script& script;
+    behavior current_behavior = behavior::answers; // After the script.
     int requests = 0;
     http_server server;
 };
@@ -52,7 +66,7 @@
 /** The service handler of an entry behind an HTTP server, with two backend servers. */
 struct service_fixture {
     service_fixture()
-        : first(context), second(context),
+        : first(context, script), second(context, script),
           http(std::make_shared<http_client>(context.get_executor()))
     {
         schema::service_view& service = *view.add_services();
@@ -99,6 +113,7 @@
             http_request request;
             request.method = "POST";
             request.target = "/v1/services/stock/" + operation;
+            request.headers = headers;
             request.body = "{}";
             const std::string address = "127.0.0.1:" + std::to_string(entry->port());
             const auto reply = co_await http->call(address, request);
@@ -117,12 +132,14 @@
     int requests() const { return first.requests + second.requests; }
 
     asio::io_context context;
+    fake_backend::behavior_script script;
     fake_backend first;
     fake_backend second;
     std::shared_ptr<http_client> http;
     schema::routing_view view;
     caller_info caller;
     schema::claim_result claim_result = schema::claim_won;
+    std::vector<http_header> headers; // Of each call.
     std::string settled;
     std::string settled_body;
     service_call_handler handler;
@@ -196,6 +213,52 @@
     CHECK(unknown > 0);
 }
 
+// Guards against a call that is given up at a slow backend server although no other one takes it.
+TEST_CASE("an idempotent call stays at its slow backend server until another one can take it")
+{
+    service_fixture fixture;
+    // Without a configured timeout, an attempt is silent for too long after half the time left.
+    fixture.headers = {{"X-Chervil-Deadline-Ms", "1000"}};
+    fixture.script = {{fake_backend::behavior::answers, 700ms}};
+    SUBCASE("there is no other one")
+    {
+        fixture.view.mutable_services(0)->mutable_backends(1)->set_healthy(false);
+    }
+    SUBCASE("the other one refuses")
+    {
+        fixture.script.emplace_back(fake_backend::behavior::refuses, 0ms);
+    }
+    SUBCASE("the other one drops its reply")
+    {
+        fixture.script.emplace_back(fake_backend::behavior::drops_reply, 0ms);
+    }
+    const int servers = fixture.view.services(0).backends(1).healthy() ? 2 : 1;
+    const http_reply reply = fixture.call("look_up");
+    CHECK(reply.header("X-Chervil-Outcome") == "complete");
+    CHECK(fixture.requests() == servers);
+}
+
+TEST_CASE("an idempotent call goes on at the next backend server when the first one stays silent")
+{
+    service_fixture fixture;
+    fixture.headers = {{"X-Chervil-Deadline-Ms", "1000"}};
+    fixture.script = {{fake_backend::behavior::answers, 5s}};
+    const http_reply reply = fixture.call("look_up");
+    CHECK(reply.header("X-Chervil-Outcome") == "complete");
+    CHECK(fixture.requests() == 2);
+}
+
+TEST_CASE("an idempotent call at silent backend servers ends at its deadline as unknown")
+{
+    service_fixture fixture;
+    fixture.headers = {{"X-Chervil-Deadline-Ms", "300"}};
+    fixture.script = {{fake_backend::behavior::answers, 5s}, {fake_backend::behavior::answers, 5s}};
+    const http_reply reply = fixture.call("look_up");
+    CHECK(reply.status == 504);
+    CHECK(reply.header("X-Chervil-Outcome") == "unknown");
+    CHECK(fixture.requests() == 2);
+}
+
 TEST_CASE(
     "calls of unknown operations, or of a service without healthy backend servers, are not_run")
 {
