Keep a silent service call until another server has answered it

Callers of an idempotent operation got 504 or the refusal of another server although their own server would have answered in time: service_proxy ended an attempt after half the time left, or the operation's timeout, before it looked for another one. A silent attempt now goes on until its deadline, and beside it a second one begins at a server that was not tried, if there is one and the limits of retries and the budget allow. The first to complete wins and the other is cancelled. A call that may have run is never reported as not run: the outcome of an attempt counts although a later one refuses. Calls that run at most once make one attempt at a time, as before.

--- a/src/entry/service_proxy.cpp
+++ b/src/entry/service_proxy.cpp
@@ -4,16 +4,22 @@
 #include "entry/service_proxy.h"
 
 #include <algorithm>
+#include <exception>
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
+#include <vector>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include "base/hash.h"
 #include "base/scope_guard.h"
 #include "entry/api_error.h"
 #include "entry/order_client.h"
-#include "external/json_message.h"
-#include "platform.pb.h"
+#include "entry/service_result.h"
 #include "routing/retry_policy.h"
 
 namespace chervildyke {
@@ -27,6 +33,8 @@
 constexpr std::uint32_t max_in_flight_per_backend = 256;
 constexpr duration min_attempt_timeout = 5ms;
 constexpr duration retry_after = 1s;
+constexpr std::size_t max_attempts_at_once = 2;
+constexpr duration silence_check_interval = 20ms; // While an attempt is silent for too long.
 
 /** A parsed and validated call. */
 struct service_request {
@@ -36,22 +44,26 @@
     call_identity identity;
 };
 
-/** How a call or one of its attempts ended. */
-struct service_result {
-    call_outcome outcome = call_outcome::not_run;
-    http_reply reply; // If complete.
-    std::string reason;
-    unsigned status = 503;
+/** One attempt in progress. */
+struct running_attempt {
+    time_point silent_at{}; // From then on another attempt may run beside it.
+    std::shared_ptr<http_cancel> cancel = std::make_shared<http_cancel>();
+    std::optional<service_result> end; // Set once the attempt has ended.
 };
 
-service_result failed_result(call_outcome outcome, unsigned status, std::string reason)
-{
-    service_result result;
-    result.outcome = outcome;
-    result.status = status;
-    result.reason = std::move(reason);
-    return result;
-}
+/** The attempts of one call. */
+struct call_attempts {
+    call_attempts(const asio::any_io_executor& executor, service_request request)
+        : call(std::move(request)), ended(executor)
+    {
+    }
+
+    service_request call;
+    std::set<std::string> tried;
+    std::uint32_t count = 0; // Started so far.
+    std::vector<std::shared_ptr<running_attempt>> running;
+    timer ended; // Cancelled when an attempt ends.
+};
 
 api_error not_found(const std::string& message)
 {
@@ -60,50 +72,6 @@
     return error;
 }
 
-api_error to_error(const service_result& result)
-{
-    api_error error = unavailable(result.reason, "service_unavailable", retry_after);
-    error.status = result.status;
-    error.outcome = result.outcome;
-    if (result.outcome == call_outcome::unknown) {
-        error.code = "outcome_unknown";
-        error.retry_after.reset();
-    }
-    return error;
-}
-
-/** Determines the outcome from a reply of a backend server. */
-service_result classify_reply(http_reply reply)
-{
-    schema::refusal refusal;
-    const bool is_refusal = reply.status >= 400 && from_json(reply.body, refusal);
-    if (is_refusal && refusal.not_run()) {
-        return failed_result(call_outcome::not_run, reply.status, refusal.reason());
-    }
-    if (reply.status >= 500) {
-        return failed_result(call_outcome::unknown, 502,
-                             "the backend server replied with HTTP status " +
-                                 std::to_string(reply.status));
-    }
-    service_result result;
-    result.outcome = call_outcome::complete;
-    result.status = reply.status;
-    result.reply.status = reply.status;
-    result.reply.content_type = std::move(reply.content_type);
-    result.reply.body = std::move(reply.body);
-    return result;
-}
-
-/** Determines the outcome of an attempt without a reply. */
-service_result classify_failure(const http_failure& failure)
-{
-    if (failure.code == http_error::not_sent) {
-        return failed_result(call_outcome::not_run, 503, failure.reason);
-    }
-    const unsigned status = failure.code == http_error::timed_out ? 504 : 502;
-    return failed_result(call_outcome::unknown, status, failure.reason);
-}
-
 std::vector<backend_candidate> healthy_backends(const schema::service_view& service)
 {
     std::vector<backend_candidate> healthy;
@@ -208,25 +176,32 @@
 
     /** Makes one attempt at one backend server. */
     asio::awaitable<service_result> call_backend(std::string address, service_request call,
-                                                 duration timeout)
+                                                 std::shared_ptr<running_attempt> running)
     {
         backends.note_start(address);
         http_call_options options;
-        options.timeout = timeout;
+        options.timeout = call.identity.deadline - monotonic_clock::now();
+        options.cancel = running->cancel;
         // A reply does not name its call. On a reused connection, a reply to an earlier call that
         // is sent again would be taken for it.
         options.fresh_connection = true;
         auto reply = co_await context.http->call(address, std::move(call.request), options);
         service_result result =
             reply ? classify_reply(std::move(*reply)) : classify_failure(reply.failure());
+        const time_point now = monotonic_clock::now();
         const bool answered =
             result.outcome == call_outcome::complete || (reply && reply->status < 500);
-        backends.note_end(address, answered ? backend_result::answered : backend_result::failed,
-                          monotonic_clock::now());
+        const bool cancelled = running->cancel->cancelled() && now < running->silent_at;
+        backends.note_end(address,
+                          answered    ? backend_result::answered
+                          : cancelled ? backend_result::cancelled
+                                      : backend_result::failed,
+                          now);
         co_return result;
     }
 
-    duration attempt_timeout(const service_request& call, duration time_left) const
+    /** \return the silence after which another attempt may begin beside one. */
+    static duration tolerated_silence(const service_request& call, duration time_left)
     {
         if (!call.operation.repeatable()) {
             return time_left;
@@ -237,38 +212,119 @@
                    : std::max<duration>(time_left / 2, min_attempt_timeout);
     }
 
-    /** Makes attempts at different backend servers until one completes or no retry is allowed.
+    /** Starts an attempt at a backend server that was not tried yet.
+     * \param address the backend server, from choose_backend().
+     */
+    void start_attempt(const std::shared_ptr<call_attempts>& attempts, const std::string& address)
+    {
+        const service_request& call = attempts->call;
+        const time_point now = monotonic_clock::now();
+        const auto running = std::make_shared<running_attempt>();
+        running->silent_at = now + tolerated_silence(call, call.identity.deadline - now);
+        attempts->tried.insert(address);
+        ++attempts->count;
+        attempts->running.push_back(running);
+        asio::co_spawn(context.executor, call_backend(address, call, running),
+                       [self = shared_from_this(), attempts,
+                        running](const std::exception_ptr& thrown, service_result end) {
+                           running->end = thrown ? failed_result(call_outcome::unknown, 502,
+                                                                 "the attempt threw an exception")
+                                                 : std::move(end);
+                           attempts->ended.cancel();
+                       });
+    }
+
+    std::optional<std::string> choose_backend(const call_attempts& attempts)
+    {
+        const std::vector<backend_candidate> healthy = healthy_backends(attempts.call.service);
+        return backends.choose(healthy, attempts.tried, monotonic_clock::now());
+    }
+
+    /** Starts another attempt beside one that is silent for too long, if a backend server can take
+     * it. The silent one goes on, since it may still be answered.
+     */
+    void start_beside_silent(const std::shared_ptr<call_attempts>& attempts)
+    {
+        const time_point now = monotonic_clock::now();
+        running_attempt& silent = *attempts->running.front();
+        const bool may_start = attempts->call.operation.repeatable() &&
+                               attempts->running.size() < max_attempts_at_once &&
+                               now >= silent.silent_at && now < attempts->call.identity.deadline;
+        if (!may_start) {
+            return;
+        }
+        const auto address = choose_backend(*attempts);
+        const service_result silence = failed_result(call_outcome::unknown, 504, "silent");
+        if (address && take_retry(attempts->call, silence, attempts->count)) {
+            context.metrics->counter("chervil_service_retries_total") += 1;
+            start_attempt(attempts, *address);
+        }
+    }
+
+    /** Waits until an attempt has ended, and starts another one beside a silent one.
+     * \return how the attempt ended, which runs no more.
+     */
+    asio::awaitable<service_result> wait_for_end(std::shared_ptr<call_attempts> attempts)
+    {
+        const auto as_tuple = asio::as_tuple(asio::use_awaitable);
+        auto& running = attempts->running;
+        while (true) {
+            const auto found = std::find_if(running.begin(), running.end(),
+                                            [](const auto& one) { return one->end.has_value(); });
+            if (found != running.end()) {
+                service_result end = std::move(*(*found)->end);
+                running.erase(found);
+                co_return end;
+            }
+            start_beside_silent(attempts);
+            const time_point now = monotonic_clock::now();
+            attempts->ended.expires_at(
+                std::max(running.front()->silent_at, now + silence_check_interval));
+            co_await attempts->ended.async_wait(as_tuple);
+        }
+    }
+
+    /** Makes attempts at different backend servers until one completes or no retry is allowed. An
+     * attempt that is silent for long is kept beside the next one until either completes.
      * \return how the last attempt ended; its outcome is unknown if no attempt completed and one
      * may have run.
      */
     asio::awaitable<service_result> run_attempts(service_request call)
     {
-        std::set<std::string> tried;
-        const std::vector<backend_candidate> candidates = healthy_backends(call.service);
+        const auto attempts = std::make_shared<call_attempts>(context.executor, std::move(call));
+        const scope_guard cancel_rest([attempts] {
+            for (const auto& running : attempts->running) {
+                running->cancel->cancel();
+            }
+        });
         service_result result =
             failed_result(call_outcome::not_run, 503, "the service has no healthy backend server");
+        bool may_start = true;
         retries.note_call();
-        for (std::uint32_t attempt = 1;; ++attempt) {
-            const duration time_left = call.identity.deadline - monotonic_clock::now();
-            const auto address = backends.choose(candidates, tried, monotonic_clock::now());
-            if (time_left <= duration::zero()) {
+        while (true) {
+            const auto address = may_start ? choose_backend(*attempts) : std::nullopt;
+            const bool expired = monotonic_clock::now() >= attempts->call.identity.deadline;
+            if (may_start && expired) {
                 result = failed_result(result.outcome, 504, "the deadline passed");
-                break;
             }
-            if (!address) {
+            else if (address) {
+                start_attempt(attempts, *address);
+            }
+            if (attempts->running.empty()) {
                 break;
             }
-            tried.insert(*address);
-            const service_request sent = call;
             const bool may_have_run = result.outcome == call_outcome::unknown;
-            result = co_await call_backend(*address, sent, attempt_timeout(call, time_left));
-            if (may_have_run && result.outcome == call_outcome::not_run) {
+            result = co_await wait_for_end(attempts);
+            if (result.outcome == call_outcome::complete) {
+                break;
+            }
+            if (may_have_run) {
                 result.outcome = call_outcome::unknown; // An earlier attempt may have run.
             }
-            if (result.outcome == call_outcome::complete || !take_retry(call, result, attempt)) {
-                break;
+            may_start = take_retry(attempts->call, result, attempts->count);
+            if (may_start) {
+                context.metrics->counter("chervil_service_retries_total") += 1;
             }
-            context.metrics->counter("chervil_service_retries_total") += 1;
         }
         co_return result;
     }
--- a/src/entry/service_proxy.h
+++ b/src/entry/service_proxy.h
@@ -35,7 +35,8 @@
 /** Handles POST /v1/services/{service}/{operation}.
  *
  * A call of an idempotent operation, one with the configuration value repeatable, is retried on
- * another backend server while its deadline and the retry budget allow. Any other call is claimed
+ * another backend server while its deadline and the retry budget allow. An attempt that is silent
+ * for long goes on beside the retry; the first of them to complete wins. Any other call is claimed
  * first and then runs at most once: it is retried only if it certainly did not run, because no byte
  * of it was sent or the backend server refused it.
  */
--- a/src/routing/backend_balancer.cpp
+++ b/src/routing/backend_balancer.cpp
@@ -56,6 +56,9 @@
 {
     backend_state& state = backends_[address];
     state.in_flight -= std::min<std::uint32_t>(state.in_flight, 1);
+    if (result == backend_result::cancelled) {
+        return;
+    }
     if (result == backend_result::answered) {
         state.failures = 0;
         return;
--- a/src/routing/backend_balancer.h
+++ b/src/routing/backend_balancer.h
@@ -33,7 +33,11 @@
 };
 
 /** Result of a call as it affects the health of the backend server. */
-enum class backend_result { answered, failed };
+enum class backend_result {
+    answered,
+    failed,
+    cancelled, // Before the server could be expected to answer: its health is not affected.
+};
 
 /** Counts the calls in flight and the consecutive failures of each backend server. */
 class backend_balancer {
--- a/test/error/entry_services.cpp
+++ b/test/error/entry_services.cpp
@@ -298,3 +298,16 @@
     }
     CHECK(choose() == "far:1"); // It has far fewer calls in flight.
 }
+
+// Guards against the ejection of a backend server whose attempts only lost to an earlier one.
+TEST_CASE("attempts that are cancelled early don't eject a backend server")
+{
+    const std::vector<backend_candidate> candidates = {{"near:1", "nea"}, {"far:1", "far"}};
+    backend_balancer balancer("nea", seeded_random(1));
+    for (int i = 0; i < 5; ++i) {
+        balancer.note_start("near:1");
+        balancer.note_end("near:1", backend_result::cancelled, monotonic_clock::now());
+    }
+    CHECK(balancer.choose(candidates, {}, monotonic_clock::now()) == "near:1");
+    CHECK(balancer.in_flight("near:1") == 0);
+}
