Skip interim replies in http_client

What callers saw: a server that sends an interim answer (103 with the id of the call) before its answer made a node give 502 for a call that had been answered. http_client::call() returned the 103 as the reply, without a body, and the next call on the connection got the reply to this one.

Cause: http_client returned the first head on the connection as the reply; Beast ends an informational reply with its head, so it counts as whole.

Evidence: error/relay: "a call whose server sends interim answers first gets the whole answer" and two cases of error/base failed with 103 and 502 in place of 200.

Why this works: a head with status 1xx is now discarded like the reply to another call, and the next head is awaited until the timeout of the call; it can no longer be returned. Only the time limits the number of heads.

--- a/src/base/http_client.cpp
+++ b/src/base/http_client.cpp
@@ -428,7 +428,10 @@
             self->close_idle_after_timeout(address, header_error);
             co_return to_failure(header_error, http_error::unanswered, address);
         }
-        if (!options.matches_request || options.matches_request(stream->headers())) {
+        const bool is_interim =
+            http::to_status_class(stream->status()) == http::status_class::informational;
+        if (!is_interim &&
+            (!options.matches_request || options.matches_request(stream->headers()))) {
             co_return std::shared_ptr<http_stream>(std::move(stream));
         }
         if (!co_await stream->discard_reply(deadline)) {
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -90,7 +90,8 @@
 
     /** Returns whether a reply with these headers is the reply to this request. A reply that is
      * not, such as one to an earlier request on the connection, is read and discarded, and the next
-     * one is awaited. Empty: every reply matches.
+     * one is awaited. Empty: every reply matches. Not called for interim replies (status 1xx),
+     * which are always discarded.
      */
     std::function<bool(const std::vector<http_header>&)> matches_request;
 };
