Stop within a grace time that is shorter than the time of leaving

What callers saw: with a short grace time the process was killed while it still accepted calls, which were cut off with no answer.

Cause: drain() accepted for 2.5 s and waited 0.3 s more, whatever the grace time.

Evidence: error/relay: "a node with a short grace time stops within it": 2,799 ms with a grace time of 1,500 ms.

Why this works: the new class stop_grace derives all times of a stop from the grace time; accepting ends early enough for the last requests to be read and answered.

--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -19,6 +19,7 @@
 #include "fleet/published_configuration.h"
 #include "relay/call_codec.h"
 #include "relay/replica_queue.h"
+#include "relay/stop_grace.h"
 #include "routing/backend_balancer.h"
 #include "routing/backend_notices.h"
 #include "routing/crash_evidence.h"
@@ -56,6 +57,7 @@
     byte_budget buffered{32U << 20U}; // Answers buffered until they are whole; a fifth of the
                                       // memory of the smallest node.
     bool leaving = false;
+    stop_grace stopping; // Begins when the node leaves.
     loop_lag lag;
 
     /** \return the current configuration; null before the first one is read. */
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -40,13 +40,11 @@
 // started has not received the states of all others.
 constexpr std::size_t min_budget_nodes = 8;
 
-constexpr duration grace_reserve = 600ms;         // End of the grace time, left for the shutdown.
-constexpr duration last_request_wait = 300ms;     // One round trip of most callers.
-constexpr duration accept_while_leaving = 2500ms; // Callers use a cached address for that long.
-constexpr duration fleet_check_interval = 200ms;  // Between two runs of the periodic checks.
-constexpr duration never_read_age = 24h;          // Reported for a topic that was not read yet.
-constexpr duration log_retry_interval = 1s;       // After a failed call on the topic of nodes.
-constexpr duration drain_check_interval = 20ms; // Between two checks whether all calls have ended.
+constexpr duration last_request_wait = 300ms;    // One round trip of most callers.
+constexpr duration fleet_check_interval = 200ms; // Between two runs of the periodic checks.
+constexpr duration never_read_age = 24h;         // Reported for a topic that was not read yet.
+constexpr duration log_retry_interval = 1s;      // After a failed call on the topic of nodes.
+constexpr duration drain_check_interval = 20ms;  // Between two checks whether all calls have ended.
 constexpr const char* plain_text = "text/plain";
 
 } // namespace
@@ -473,17 +471,18 @@
 
 asio::awaitable<void> relay_node::drain()
 {
-    const time_point end =
-        monotonic_clock::now() + from_ms(1000 * settings_.stop_grace_s()) - grace_reserve;
+    const time_point now = monotonic_clock::now();
+    stop_grace& stopping = context_.stopping;
+    stopping.begin(now, from_ms(1000 * settings_.stop_grace_s()));
     context_.leaving = true;
     calls_.disable_keep_alive();
     peers_->broadcast();
     node_log.write("stopping",
                    {{"calls_in_progress", std::to_string(calls_.requests_in_progress())}});
-    co_await sleep_for(accept_while_leaving);
+    co_await sleep_for(stopping.accepting_end() - now);
     calls_.stop_accepting();
     co_await sleep_for(last_request_wait); // For requests on connections accepted just before.
-    while (calls_.requests_in_progress() > 0 && monotonic_clock::now() < end) {
+    while (calls_.requests_in_progress() > 0 && monotonic_clock::now() < stopping.exit_at()) {
         co_await sleep_for(drain_check_interval);
     }
     node_log.write("stopped", {{"calls_cut_off", std::to_string(calls_.requests_in_progress())}});
