Let calls in progress use the grace time up to 150 ms before its end

What callers saw: calls in progress when a node stopped were cut off with no answer 600 ms before the process would have been killed.

Cause: drain() kept that long for the shutdown, which only ends the event loop.

Evidence: error/relay: "a call in progress has nearly the whole grace time" had no answer.

--- a/src/relay/stop_grace.cpp
+++ b/src/relay/stop_grace.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr duration exit_reserve = 600ms;          // For the end of the process itself.
+constexpr duration exit_reserve = 150ms;          // For the end of the process itself.
 constexpr duration last_answers_time = 100ms;     // To send the answers of the last calls.
 constexpr duration accept_while_leaving = 2500ms; // Callers use a cached address for that long.
 constexpr duration last_requests_time = 300ms;    // To read the requests of the last connections.
