Refuse calls that a stopping node can't finish

What callers saw: a call that arrived late in the grace time of a planned stop was taken, passed on, and cut off with no answer at its end, also one that may run once and so can't be repeated.

Cause: a stopping node took every call, whatever time it had left.

Evidence: error/relay: "a call that may run once and outlast the grace time is refused while the node stops": the server ran both calls and neither was answered, on a new connection and on one that was open before.

--- a/src/relay/serve_call.cpp
+++ b/src/relay/serve_call.cpp
@@ -223,6 +223,12 @@
         log_call_end(call);
         co_return;
     }
+    if (!context.stopping.takes(call.arrived_at, call.deadline, call.route->retry)) {
+        co_await refuse(call, 503, "this node stops before the call can end",
+                        retry_elsewhere_delay);
+        log_call_end(call);
+        co_return;
+    }
     call.service = choose_service(*call.route, context.random);
     std::exception_ptr thrown;
     co_await (forward_call(call, thrown) || cancel_on_disconnect(call));
