Hand a server no more time than a stopping node can wait

What callers saw: a call that a stopping node had taken was cut off with no answer at the end of the grace time, while its server worked on.

Cause: the deadline of the call, and so the X-Deadline-Ms of its attempts, did not know of the stop.

Evidence: error/relay: "a call that may run again has until the end of the grace time while the node stops": the server was given 4,500 ms with under 3,000 ms of the grace time left.

Why this works: the deadline of a call that arrives during a stop ends with stop_grace::calls_end(), and an attempt that is sent during a stop, of a call that arrived before it, is given no more time than that.

--- a/src/relay/relayed_call.cpp
+++ b/src/relay/relayed_call.cpp
@@ -27,7 +27,8 @@
     attempt_parameters added;
     added.backend_id = backend_id;
     added.team = team;
-    added.time_left = std::max<duration>(time_left(), 1ms);
+    const duration until_stop = context.stopping.calls_end() - monotonic_clock::now();
+    added.time_left = std::max<duration>(std::min(time_left(), until_stop), 1ms);
     added.last_event = last_event;
     return context.codec.write_attempt(exchange.request(), added);
 }
--- a/src/relay/serve_call.cpp
+++ b/src/relay/serve_call.cpp
@@ -229,6 +229,7 @@
         log_call_end(call);
         co_return;
     }
+    call.deadline = std::min(call.deadline, context.stopping.calls_end());
     call.service = choose_service(*call.route, context.random);
     std::exception_ptr thrown;
     co_await (forward_call(call, thrown) || cancel_on_disconnect(call));
--- a/test/error/relay_call_ends.cpp
+++ b/test/error/relay_call_ends.cpp
@@ -243,6 +243,22 @@
     CHECK(answer.text.find("Connection: close") != std::string::npos);
 }
 
+// Guards against cutting off with no answer a call that a stopping node can wait for in part.
+TEST_CASE("a call that a stopping node took gets 504 before the grace time ends")
+{
+    call_fixture fixture(retry_rule::idempotent);
+    plain_server silent(fixture.context);
+    silent.delay = 4s;
+    fixture.list("i-1", silent);
+    fixture.node.leaving = true;
+    fixture.node.stopping.begin(monotonic_clock::now(), 1500ms);
+    fixture.front.disable_keep_alive();
+    tcp::socket caller = fixture.begin_call("/p/x", "2000");
+    fixture.run(1400ms);
+    CHECK(received(caller).status() == 504);
+    CHECK(silent.calls == 1);
+}
+
 TEST_CASE("a call in progress is answered when the limits of callers change")
 {
     call_fixture fixture(retry_rule::never);
