--- a/src/relay/relayed_call.cpp
+++ b/src/relay/relayed_call.cpp
@@ -27,7 +27,8 @@
     attempt_parameters added;
     added.backend_id = backend_id;
     added.team = team;
-    added.time_left = std::max<duration>(time_left(), 1ms);
+    const duration until_stop = context.stopping.calls_end() - monotonic_clock::now();
+    added.time_left = std::max<duration>(std::min(time_left(), until_stop), 1ms);
     added.last_event = last_event;
     return context.codec.write_attempt(exchange.request(), added);
 }
@@ -54,7 +55,8 @@
             end.reason = "its connection had ended before an attempt was sent";
             cancel->cancel();
         }
-        return !cancel->cancelled() && context.notices->may_call(target, monotonic_clock::now());
+        return !cancel->cancelled() && context.stopping.may_send(deadline, route->retry) &&
+               context.notices->may_call(target, monotonic_clock::now());
     };
     options.matches_request = [read_metadata = context.codec.read_metadata,
                                id = parameters.id](const std::vector<http_header>& headers) {
