--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -23,6 +23,11 @@
 constexpr std::size_t late_server_stride = 3;    // Every third server executes commands late.
 constexpr duration late_command_delay = 2500ms;  // From the arrival of a command to its execution.
 
+// Of the copy from which the store is restored, before the outage.
+constexpr duration min_copy_age = 500ms;
+constexpr duration copy_age_spread = 12s;
+constexpr duration rewrite_delay_limit = 1s; // The operator and the servers write again earlier.
+
 /** Sets a value to faulty_value for the span and to normal_value then. */
 template <typename Value>
 asio::awaitable<void> set_for(Value& value, Value faulty_value, Value normal_value, duration span)
@@ -202,6 +207,16 @@
         faults.rejected_nodes.erase(node);
         break;
     }
+    case fault_kind::store_restored: {
+        // Overlapping faults of the store end on their own.
+        co_await set_for(faults.down, true, false, fault.length);
+        const duration age =
+            min_copy_age + std::chrono::milliseconds(fault.target % (copy_age_spread / 1ms));
+        const duration rewrite_delay =
+            std::chrono::milliseconds((fault.target >> 16U) % (rewrite_delay_limit / 1ms));
+        fleet_.store().restore_copy(age + fault.length, rewrite_delay);
+        break;
+    }
     default:
         fleet_.store().trim_history();
         break;
@@ -230,6 +245,7 @@
     case fault_kind::store_loses_answers:
     case fault_kind::store_rejects_node:
     case fault_kind::store_forgets:
+    case fault_kind::store_restored:
         return all;
     default:
         return {};
@@ -282,6 +298,7 @@
     case fault_kind::store_loses_answers:
     case fault_kind::store_rejects_node:
     case fault_kind::store_forgets:
+    case fault_kind::store_restored:
         co_await inject_store_fault(fault);
         break;
     default:
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -119,6 +119,7 @@
         "folder", "the folder for the settings and logs of the nodes",
         cxxopts::value<std::string>()->default_value("run/soak"))(
         "poison", "add calls whose prompts crash servers")(
+        "restores", "add restores of the store from an older copy")(
         "excusing-nothing-only", "draw only faults that excuse no lost answer")(
         "net", "second byte of all addresses, 127.NET.x.y; 0: derived from the seed",
         cxxopts::value<std::uint32_t>()->default_value("0"))("help", "prints this text");
@@ -155,6 +156,7 @@
         schedule_options schedule;
         schedule.excusing_nothing_only = arguments.count("excusing-nothing-only") > 0;
         schedule.poison = poison;
+        schedule.restores = arguments.count("restores") > 0;
         asio::io_context context(1);
         soak_fleet fleet(context.get_executor(), options);
         return run_main_task(context, [&] { return run(fleet, options, span, schedule); });
--- a/soak/metadata_store.cpp
+++ b/soak/metadata_store.cpp
@@ -3,8 +3,12 @@
  */
 #include "soak/metadata_store.h"
 
+#include <algorithm>
 #include <utility>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 namespace chervildyke::soak {
 
 namespace asio = boost::asio;
@@ -39,17 +43,24 @@
 {
     topic_log& log = topics_[topic];
     record.offset = log.end_offset();
+    note_newest(log, record);
+    log.records.push_back(std::move(record));
+    log.appended_at.push_back(monotonic_clock::now());
+}
+
+void metadata_store::note_newest(topic_log& log, const stored_record& record)
+{
     if (record.value.empty()) {
         log.newest_by_key.erase(record.key);
     }
     else {
         log.newest_by_key[record.key] = record;
     }
-    log.records.push_back(std::move(record));
 }
 
 void metadata_store::put(const std::string& topic, const std::string& key, const std::string& value)
 {
+    written_[topic][key] = value;
     append_record(topic, {0, key, value});
 }
 
@@ -57,7 +68,42 @@
 {
     for (auto& [name, log] : topics_) {
         log.first_offset = log.end_offset();
-        log.records.clear();
+    }
+}
+
+void metadata_store::restore_copy(duration age, duration rewrite_delay)
+{
+    const time_point copied_at = monotonic_clock::now() - age;
+    for (auto& [name, log] : topics_) {
+        const auto lost =
+            std::upper_bound(log.appended_at.begin(), log.appended_at.end(), copied_at);
+        const auto kept = static_cast<std::size_t>(lost - log.appended_at.begin());
+        log.appended_at.resize(kept);
+        log.records.resize(kept);
+        log.first_offset = std::min(log.first_offset, log.end_offset());
+        log.newest_by_key.clear();
+        for (const stored_record& record : log.records) {
+            note_newest(log, record);
+        }
+    }
+    ++era_;
+    asio::co_spawn(executor_, rewrite(rewrite_delay), asio::detached);
+}
+
+/** Writes what the operator and the servers wrote and the copy lacks, or has in another state. */
+asio::awaitable<void> metadata_store::rewrite(duration delay)
+{
+    co_await sleep_for(delay);
+    for (const auto& [topic, values] : written_) {
+        for (const auto& [key, value] : values) {
+            const auto& newest = topics_[topic].newest_by_key;
+            const auto stored = newest.find(key);
+            const bool same =
+                stored == newest.end() ? value.empty() : stored->second.value == value;
+            if (!same) {
+                append_record(topic, {0, key, value});
+            }
+        }
     }
 }
 
@@ -80,13 +126,11 @@
 http_reply metadata_store::read(const store_call& call)
 {
     const topic_log& log = topics_[call.topic];
-    if (call.from_offset < log.first_offset) {
+    if (call.from_offset < log.first_offset || call.from_offset > log.end_offset()) {
         return write_trimmed(log.first_offset);
     }
-    const std::size_t skipped =
-        std::min<std::size_t>(call.from_offset - log.first_offset, log.records.size());
     const std::vector<stored_record> selected(
-        log.records.begin() + static_cast<std::ptrdiff_t>(skipped), log.records.end());
+        log.records.begin() + static_cast<std::ptrdiff_t>(call.from_offset), log.records.end());
     return write_records(log.end_offset(), log.first_offset, selected);
 }
 
@@ -118,7 +162,7 @@
     }
     const time_point deadline = monotonic_clock::now() + call.max_wait;
     while (monotonic_clock::now() < deadline &&
-           topics_[call.topic].end_offset() <= call.from_offset && !faults_.down) {
+           topics_[call.topic].end_offset() == call.from_offset && !faults_.down) {
         co_await sleep_for(read_poll_interval);
     }
     co_return read(call);
@@ -130,11 +174,13 @@
     co_await sleep_for(delay);
     if (faults_.down || faults_.rejected_nodes.contains(node)) {
         http_reply reply = refusal(503);
+        set_era(reply, era_);
         co_await exchange.respond(std::move(reply));
         co_return;
     }
     store_call call = read_store_call(exchange.request());
     http_reply reply = co_await handle(std::move(call));
+    set_era(reply, era_);
     if (faults_.drops_answers) {
         exchange.abort();
         co_return;
--- a/soak/metadata_store.h
+++ b/soak/metadata_store.h
@@ -48,25 +48,38 @@
     /** Deletes all records but the newest of each key, so that older offsets can't be read. */
     void trim_history();
 
+    /** Replaces all topics by a copy, which lacks the newest records; their offsets are given out
+     * again. A new era begins. The operator and the servers write again what is missing of theirs.
+     * \param age of the copy.
+     * \param rewrite_delay until the operator and the servers write again.
+     */
+    void restore_copy(duration age, duration rewrite_delay);
+
     store_faults& faults() { return faults_; }
 
   private:
     /** The records of one topic. */
     struct topic_log {
-        std::uint64_t first_offset = 0; // The oldest offset that can be read.
-        std::vector<stored_record> records;
+        std::uint64_t first_offset = 0;      // The oldest offset that can be read.
+        std::vector<stored_record> records;  // From offset zero on.
+        std::vector<time_point> appended_at; // Of each record.
         std::map<std::string, stored_record> newest_by_key;
-        std::uint64_t end_offset() const { return first_offset + records.size(); }
+        std::uint64_t end_offset() const { return records.size(); }
     };
 
     boost::asio::awaitable<void> serve(http_exchange& exchange, std::size_t node);
     boost::asio::awaitable<http_reply> handle(store_call call);
+    boost::asio::awaitable<void> rewrite(duration delay);
     http_reply append(const store_call& call);
     http_reply read(const store_call& call);
     http_reply read_latest(const store_call& call);
     void append_record(const std::string& topic, stored_record record);
+    static void note_newest(topic_log& log, const stored_record& record);
 
     boost::asio::any_io_executor executor_;
+    std::uint64_t era_ = 1; // Increases with each restore.
+    // The newest values that the operator and the servers wrote, by topic and key.
+    std::map<std::string, std::map<std::string, std::string>> written_;
     store_faults faults_;
     std::map<std::string, topic_log> topics_;
     std::vector<std::unique_ptr<http_server>> servers_;
--- a/soak/schedule.cpp
+++ b/soak/schedule.cpp
@@ -22,7 +22,7 @@
 };
 
 // Kinds without a weight are drawn on their own, so that the other faults of a seed stay the same.
-constexpr std::array<fault_kind_info, 27> fault_kinds = {{
+constexpr std::array<fault_kind_info, 28> fault_kinds = {{
     {fault_kind::node_killed, "node_killed", 4, false, false},
     {fault_kind::node_stopped, "node_stopped", 4, false, true},
     {fault_kind::node_frozen, "node_frozen", 3, true, false},
@@ -50,6 +50,7 @@
     {fault_kind::key_revoked, "key_revoked", 2, false, true},
     {fault_kind::server_silent, "server_silent", 0, true, true},
     {fault_kind::poison_prompts, "poison_prompts", 0, true, false},
+    {fault_kind::store_restored, "store_restored", 0, true, false},
 }};
 
 constexpr std::size_t link_kind_count = 3;
@@ -61,6 +62,9 @@
 constexpr std::uint64_t follow_up_gap_limit_ms = 400; // It starts earlier.
 constexpr std::uint64_t silence_seed_offset = 0x5117'0000'0000'0000;
 constexpr std::uint64_t poison_seed_offset = 0x9015'0000'0000'0000;
+constexpr std::uint64_t restore_seed_offset = 0xe2a5'0000'0000'0000;
+constexpr std::uint64_t max_restores = 3;
+constexpr std::uint64_t outage_limit_ms = 2'500; // The store comes back earlier.
 constexpr std::uint64_t min_silence_ms = 700;
 constexpr std::uint64_t silence_limit_ms = 1'501;    // Silences are shorter.
 constexpr double silence_beside_probability = 0.6;   // That one starts near a planned operation.
@@ -119,6 +123,25 @@
     faults.push_back(poison);
 }
 
+/** Adds restores of the store, some of them soon after another one. */
+void add_restores(std::vector<scheduled_fault>& faults, std::uint64_t seed, duration span)
+{
+    const random_source random = seeded_random(seed ^ restore_seed_offset);
+    const std::uint64_t count = 1 + random_below(random, max_restores);
+    for (std::uint64_t i = 0; i < count; ++i) {
+        scheduled_fault restore;
+        restore.kind = fault_kind::store_restored;
+        restore.start = draw_ms(random, 0, static_cast<std::uint64_t>(span / 1ms));
+        if (i > 0 && random_fraction(random) < follow_up_probability) {
+            restore.start = faults.back().start + faults.back().length +
+                            draw_ms(random, 0, follow_up_gap_limit_ms);
+        }
+        restore.length = draw_ms(random, min_length_ms, outage_limit_ms);
+        restore.target = random();
+        faults.push_back(restore);
+    }
+}
+
 /** Adds silences of servers around the planned operations of a schedule and at other times. */
 void add_silences(std::vector<scheduled_fault>& faults, std::uint64_t seed, duration span)
 {
@@ -190,6 +213,9 @@
     if (options.poison) {
         add_poison(faults, seed, span);
     }
+    if (options.restores) {
+        add_restores(faults, seed, span);
+    }
     std::sort(faults.begin(), faults.end(),
               [](const scheduled_fault& a, const scheduled_fault& b) { return a.start < b.start; });
     return faults;
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -40,6 +40,7 @@
     key_revoked,
     server_silent,  // Accepts, answers and sends nothing for about a second, then goes on.
     poison_prompts, // Some calls crash each server that begins to answer them.
+    store_restored, // The store is down, then comes back from an older copy.
 };
 
 /** The links that a fault may affect. */
@@ -66,6 +67,7 @@
 struct schedule_options {
     bool excusing_nothing_only = false; // Other kinds would excuse lost answers near their time.
     bool poison = false;                // Adds poison_prompts for at least half of the time.
+    bool restores = false;              // Adds one to three of store_restored.
 };
 
 /** Draws a schedule, which is the same for the same seed. Faults may overlap.
--- a/soak/wire_format.cpp
+++ b/soak/wire_format.cpp
@@ -159,6 +159,11 @@
     return call;
 }
 
+void set_era(http_reply& reply, std::uint64_t era)
+{
+    reply.headers.push_back({"Store-Era", std::to_string(era)});
+}
+
 http_reply write_append_result(std::uint64_t offset, std::uint64_t end_offset)
 {
     return json_reply(200, {{"offset", offset}, {"end-offset", end_offset}});
--- a/soak/wire_format.h
+++ b/soak/wire_format.h
@@ -38,6 +38,9 @@
 /** Decodes a request; operation is unknown if its path is. */
 store_call read_store_call(const http_request& request);
 
+/** Sets the era of the store in one of its replies. */
+void set_era(http_reply& reply, std::uint64_t era);
+
 /** \return the store's reply to an append. */
 http_reply write_append_result(std::uint64_t offset, std::uint64_t end_offset);
 
