--- a/src/assembly/assembler.cpp
+++ b/src/assembly/assembler.cpp
@@ -142,17 +142,20 @@
 
 asio::awaitable<void> assembler::append(std::vector<keyed_record> records)
 {
-    const std::size_t count = records.size();
-    const std::string at = std::to_string(ledger_.end());
-    for (std::size_t i = 0; i < count; ++i) {
-        records[i].offset = ledger_.end() + i;
-    }
+    const log_position at = ledger_.end();
+    records.insert(records.begin(), make_ledger_header(at.era));
     keyed_records written;
+    written.era = at.era;
+    written.next_offset = at.offset + records.size();
+    for (std::size_t i = 0; i < records.size(); ++i) {
+        records[i].offset = at.offset + i;
+    }
     written.records = records;
-    auto appended = co_await log_.append(replica_topic, std::move(records));
+    auto appended = co_await log_.append(replica_topic, at, std::move(records));
     assembly_log.write("records_appended",
-                       {{"at", at},
-                        {"count", std::to_string(count)},
+                       {{"era", std::to_string(at.era)},
+                        {"at", std::to_string(at.offset)},
+                        {"count", std::to_string(written.records.size())},
                         {"outcome", appended ? "done" : appended.failure().reason}});
     if (appended) {
         hooks_.apply_records(written);
@@ -292,10 +295,12 @@
             load_tokens_ = 0;
             load_tokens_refilled_at_ = now;
             assembly_log.write(is_leader ? "lead_taken" : "lead_given_up",
-                               {{"ledger_end", std::to_string(ledger_.end())}});
+                               {{"ledger_era", std::to_string(ledger_.end().era)},
+                                {"ledger_end", std::to_string(ledger_.end().offset)}});
         }
         const published_configuration_ptr services = hooks_.services();
-        if (!is_leader || now - leadership_changed_at_ < leader_settle_time || !services) {
+        const bool settled = now - leadership_changed_at_ >= leader_settle_time;
+        if (!is_leader || !settled || !services || !hooks_.view_is_settled()) {
             continue;
         }
         note_lost_heads();
--- a/src/assembly/assembler.h
+++ b/src/assembly/assembler.h
@@ -33,6 +33,11 @@
     /** \return true while the list of backend servers is current. */
     std::function<bool()> list_is_current;
 
+    /** \return false while a restored log still lacks replicas or entries of VMs. Nothing is
+     * planned then, since VMs may be in other replicas than the log says.
+     */
+    std::function<bool()> view_is_settled;
+
     /** \return false while the VM has asked this node for a pause. */
     std::function<bool(const backend&)> may_probe;
 
--- a/src/assembly/assembly_plan.cpp
+++ b/src/assembly/assembly_plan.cpp
@@ -60,7 +60,9 @@
             }
         }
         if (in_.list_is_current) {
-            formation_planner formation(in_, settings_, in_.ledger->end() + plan_.records.size());
+            log_position next = in_.ledger->end();
+            next.offset += plan_.records.size();
+            formation_planner formation(in_, settings_, next);
             formation.run();
             plan_.records.insert(plan_.records.end(), formation.records().begin(),
                                  formation.records().end());
@@ -411,7 +413,7 @@
                 command.replica = "spare-" + vm->id;
                 // Lower than the epoch of any replica that this node has not read yet: if such a
                 // replica has taken the VM, the VM refuses this command.
-                command.epoch = in_.ledger->end();
+                command.epoch = epoch_at(in_.ledger->end()) - 1;
                 command.model = vm->staged_models.front();
                 command.members = {vm->id};
                 add_command(vm->id, command);
--- a/src/assembly/formation_planner.cpp
+++ b/src/assembly/formation_planner.cpp
@@ -11,9 +11,10 @@
 
 namespace {
 
+/** \return a name that no other replica has, also in other eras of the log. */
 std::string replica_name(std::uint64_t epoch)
 {
-    std::string name = std::to_string(epoch);
+    std::string name = std::to_string(epoch - 1);
     name.insert(name.begin(), 'r');
     return name;
 }
@@ -59,8 +60,8 @@
 }
 
 formation_planner::formation_planner(const assembly_input& input, const assembly_settings& settings,
-                                     std::uint64_t first_offset)
-    : in_(input), settings_(settings), next_offset_(first_offset), pool_(input)
+                                     log_position first)
+    : in_(input), settings_(settings), next_(first), pool_(input)
 {
 }
 
@@ -125,14 +126,15 @@
     schema::shared_replica formed;
     formed.set_service(in_.service);
     formed.set_model(model.name);
-    formed.set_epoch(next_offset_ + 1); // Never zero, the default value.
+    const std::uint64_t epoch = epoch_at(next_);
+    formed.set_epoch(epoch);
     formed.set_phase(schema::shared_phase_forming);
     formed.set_reason("the model has fewer replicas than its target");
     *formed.mutable_members() = {members.begin(), members.end()};
-    records_.push_back(to_record(replica_name(next_offset_), formed));
+    records_.push_back(to_record(replica_name(epoch), formed));
     taken_.insert(taken_.end(), members.begin(), members.end());
     ++replica_counts_[model.name];
-    ++next_offset_;
+    ++next_.offset;
 }
 
 void formation_planner::form_from_packing(const domain_packing& packing)
--- a/src/assembly/formation_planner.h
+++ b/src/assembly/formation_planner.h
@@ -28,9 +28,9 @@
 /** The part of a plan that decides how many replicas there are, and of which VMs. */
 class formation_planner {
   public:
-    /** \param first_offset the offset of the first record made here. */
+    /** \param first the offset of the first record made here. */
     formation_planner(const assembly_input& input, const assembly_settings& settings,
-                      std::uint64_t first_offset);
+                      log_position first);
 
     /** Forms replicas of the models that are below their targets. */
     void run();
@@ -70,7 +70,7 @@
 
     const assembly_input& in_;
     const assembly_settings& settings_;
-    std::uint64_t next_offset_;
+    log_position next_;
     member_pool pool_;
     std::map<std::string, std::uint32_t> replica_counts_;
     std::map<std::string, std::uint32_t> targets_;
--- a/src/fleet/backend_table.cpp
+++ b/src/fleet/backend_table.cpp
@@ -9,6 +9,13 @@
 
 namespace chervildyke {
 
+namespace {
+
+// Copies of the log are younger; older removals are forgotten.
+constexpr duration removal_retention = 120s;
+
+} // namespace
+
 backend_table::backend_table(duration return_time) : return_time_(return_time) {}
 
 bool backend_table::list_is_stable(time_point now) const
@@ -36,6 +43,26 @@
     listed.server.loaded_model = std::move(loaded);
 }
 
+void backend_table::restore(const std::vector<backend>& entries, time_point now)
+{
+    note_outage(now);
+    std::vector<std::string> ids;
+    for (const backend& entry : entries) {
+        ids.push_back(entry.id);
+        const listed_backend* known = find(entry.id);
+        const bool is_older = known != nullptr && known->server.started_ms > entry.started_ms;
+        if (is_older || removed_at_.contains(incarnation_of(entry))) {
+            continue;
+        }
+        const bool was_leaving = known != nullptr && known->server.leaving &&
+                                 known->server.started_ms == entry.started_ms;
+        backend merged = entry;
+        merged.leaving = entry.leaving || was_leaving;
+        apply(merged, now);
+    }
+    retain(ids, now);
+}
+
 void backend_table::remove(const std::string& id, time_point now)
 {
     const auto found = backends_.find(id);
@@ -44,6 +71,7 @@
     }
     ++version_;
     if (list_is_stable(now)) {
+        removed_at_[incarnation_of(found->second.server)] = now;
         backends_.erase(found);
         return;
     }
@@ -77,6 +105,8 @@
 
 std::vector<std::string> backend_table::remove_expired(time_point now)
 {
+    std::erase_if(removed_at_,
+                  [now](const auto& removal) { return now - removal.second > removal_retention; });
     std::vector<std::string> dropped;
     for (const auto& [id, listed] : backends_) {
         if (listed.expires_at && *listed.expires_at <= now) {
@@ -84,6 +114,7 @@
         }
     }
     for (const std::string& id : dropped) {
+        removed_at_[incarnation_of(find(id)->server)] = now;
         backends_.erase(id);
         ++version_;
     }
--- a/src/fleet/backend_table.h
+++ b/src/fleet/backend_table.h
@@ -39,6 +39,13 @@
     /** Adds or replaces the entry of a server. */
     void apply(const backend& entry, time_point now);
 
+    /** Replaces the list by that of a log which was restored from an older copy. Entries that are
+     * missing get the grace period. An entry is ignored if it is known to be out of date: of an
+     * earlier incarnation, or of a server that was removed while the list was stable. A server that
+     * was leaving still is.
+     */
+    void restore(const std::vector<backend>& entries, time_point now);
+
     /** Handles an entry that has disappeared from the list. */
     void remove(const std::string& id, time_point now);
 
@@ -66,6 +73,7 @@
 
     duration return_time_;
     std::optional<time_point> outage_at_;
+    std::map<backend_incarnation, time_point> removed_at_; // Removed while the list was stable.
     std::map<std::string, listed_backend> backends_;
     std::uint64_t version_ = 0;
 };
--- a/src/fleet/shared_log.h
+++ b/src/fleet/shared_log.h
@@ -13,6 +13,7 @@
 
 #include "base/clock.h"
 #include "base/result.h"
+#include "fleet/log_position.h"
 
 namespace chervildyke {
 
@@ -23,7 +24,9 @@
     unknown_outcome, // No answer. An append may have been applied, or may still be while its
                      // condition holds.
     conflict,        // The log does not end at the offset that the append expects.
-    trimmed,         // The requested records have been deleted; read the latest record of each key.
+    trimmed,  // The requested records are not in the log; read the latest record of each key.
+    restored, // The log was restored from an older copy; read the latest record of each key. An
+              // append may have been applied to the restored log.
     invalid_response, // The answer could not be parsed.
 };
 
@@ -41,10 +44,13 @@
     bool operator==(const keyed_record&) const = default;
 };
 
-/** Records and the offset at which to continue reading. */
+/** Records of one era and the offset at which to continue reading. */
 struct keyed_records {
     std::vector<keyed_record> records;
     std::uint64_t next_offset = 0;
+    std::uint64_t era = 0; // Of the log when it was read.
+
+    log_position end() const { return {era, next_offset}; }
 
     bool operator==(const keyed_records&) const = default;
 };
@@ -63,17 +69,22 @@
         std::string topic, std::uint64_t from, duration wait)>
         read;
 
-    /** Appends all records or none, on condition that the log ends at the offset of the first one.
-     * \return the offset after the last one.
+    /** Appends all records or none, on condition that the log ends at an offset; the records'
+     * offsets are ignored. The log can't check the era: if it was restored and happens to end at
+     * the same offset, it appends the records and the call fails with shared_log_error::restored.
+     * \param at the end of the log as the writer has read it.
+     * \return the position after the last record.
      */
-    std::function<boost::asio::awaitable<shared_log_result<std::uint64_t>>(
-        std::string topic, std::vector<keyed_record> records)>
+    std::function<boost::asio::awaitable<shared_log_result<log_position>>(
+        std::string topic, log_position at, std::vector<keyed_record> records)>
         append;
 
     /** Appends one record at the end of the log, without a condition; the record's offset is
-     * ignored. */
-    std::function<boost::asio::awaitable<shared_log_result<std::uint64_t>>(std::string topic,
-                                                                           keyed_record record)>
+     * ignored.
+     * \return the position after the record.
+     */
+    std::function<boost::asio::awaitable<shared_log_result<log_position>>(std::string topic,
+                                                                          keyed_record record)>
         put;
 };
 
--- a/src/fleet/topic_follower.cpp
+++ b/src/fleet/topic_follower.cpp
@@ -29,60 +29,94 @@
     return time_since_boot() - *confirmed_at_;
 }
 
+/** Logs a read whose answer can't be used.
+ * \return false, the result of the read.
+ */
+bool topic_follower::fail_read(const char* call, const std::string& reason) const
+{
+    follower_log.write("read_failed", {{"topic", topic_}, {"call", call}, {"reason", reason}});
+    return false;
+}
+
+void topic_follower::note_success()
+{
+    if (last_read_failed_) {
+        follower_log.write("store_regained", {{"topic", topic_}});
+        last_read_failed_ = false;
+    }
+}
+
+bool topic_follower::note_era(std::uint64_t era)
+{
+    if (era <= position_.era) {
+        return false;
+    }
+    loaded_ = false;
+    return true;
+}
+
 boost::asio::awaitable<bool> topic_follower::load()
 {
     const duration requested_at = time_since_boot();
     auto newest = co_await log_.read_latest(topic_);
     if (!newest) {
-        follower_log.write(
-            "read_failed",
-            {{"topic", topic_}, {"call", "newest"}, {"reason", newest.failure().reason}});
         hooks_.outage();
-        co_return false;
+        co_return fail_read("newest", newest.failure().reason);
     }
     // An outdated answer must not move the follower back before what it has applied.
-    if (newest->next_offset < next_offset_) {
-        follower_log.write("read_failed", {{"topic", topic_},
-                                           {"call", "newest"},
-                                           {"reason", "the log ends before what was read"}});
-        co_return false;
+    if (newest->end() < position_) {
+        co_return fail_read("newest", "the log ends before what was read");
+    }
+    if (newest->era != position_.era && confirmed_at_) {
+        follower_log.write("era_began", {{"topic", topic_},
+                                         {"era", std::to_string(newest->era)},
+                                         {"next_offset", std::to_string(newest->next_offset)},
+                                         {"era_before", std::to_string(position_.era)},
+                                         {"offset_before", std::to_string(position_.offset)}});
     }
     hooks_.replace(*newest);
-    next_offset_ = newest->next_offset;
+    position_ = newest->end();
     confirmed_at_ = requested_at;
     loaded_ = true;
+    note_success();
     follower_log.write("topic_loaded", {{"topic", topic_},
                                         {"records", std::to_string(newest->records.size())},
-                                        {"next_offset", std::to_string(next_offset_)}});
+                                        {"era", std::to_string(position_.era)},
+                                        {"next_offset", std::to_string(position_.offset)}});
     co_return true;
 }
 
 bool topic_follower::apply_records(const keyed_records& records)
 {
-    if (!loaded_) {
+    if (!loaded_ || records.era > position_.era) {
         return false;
     }
+    if (records.era < position_.era) {
+        return true;
+    }
     keyed_records new_records;
     for (const keyed_record& record : records.records) {
-        if (record.offset < next_offset_ + new_records.records.size()) {
+        const std::uint64_t expected = position_.offset + new_records.records.size();
+        if (record.offset < expected) {
             continue;
         }
-        if (record.offset > next_offset_ + new_records.records.size()) {
+        if (record.offset > expected) {
             return false;
         }
         new_records.records.push_back(record);
     }
     if (!new_records.records.empty()) {
-        new_records.next_offset = next_offset_ + new_records.records.size();
-        next_offset_ = new_records.next_offset;
+        position_.offset += new_records.records.size();
+        new_records.next_offset = position_.offset;
+        new_records.era = position_.era;
         hooks_.apply(new_records);
     }
     return true;
 }
 
-void topic_follower::confirm(std::uint64_t end, duration age)
+void topic_follower::confirm(log_position end, duration age)
 {
-    if (!loaded_ || next_offset_ < end) {
+    if (!loaded_ || end.era != position_.era || position_.offset < end.offset) {
         return;
     }
     const duration read_at = time_since_boot() - age;
@@ -94,13 +128,17 @@
     if (!loaded_) {
         co_return co_await load();
     }
+    // After an outage the log may end where it did before, in another era: it would delay its
+    // answer.
+    wait = last_read_failed_ ? duration::zero() : wait;
     const duration requested_at = time_since_boot();
-    auto read = co_await log_.read(topic_, next_offset_, wait);
+    auto read = co_await log_.read(topic_, position_.offset, wait);
     if (!read) {
         const shared_log_failure& failed = read.failure();
         if (failed.code == shared_log_error::trimmed) {
-            follower_log.write("topic_trimmed",
-                               {{"topic", topic_}, {"next_offset", std::to_string(next_offset_)}});
+            follower_log.write(
+                "topic_trimmed",
+                {{"topic", topic_}, {"next_offset", std::to_string(position_.offset)}});
             loaded_ = false;
             co_return co_await load();
         }
@@ -111,9 +149,15 @@
         hooks_.outage();
         co_return false;
     }
-    if (last_read_failed_) {
-        follower_log.write("store_regained", {{"topic", topic_}});
-        last_read_failed_ = false;
+    if (read->era < position_.era) {
+        co_return fail_read("read", "the answer is from an earlier era");
+    }
+    note_success();
+    if (read->era > position_.era) {
+        // The restored log may have grown past the position: its records there are not the next
+        // ones of what was read.
+        loaded_ = false;
+        co_return co_await load();
     }
     // The log returns no record only if none was appended during the whole wait.
     const bool waited = read->records.empty() && time_since_boot() - requested_at >= wait;
--- a/src/fleet/topic_follower.h
+++ b/src/fleet/topic_follower.h
@@ -17,7 +17,10 @@
 
 /** Callbacks of a topic_follower. */
 struct topic_hooks {
-    /** Replaces the whole state by the newest record of each key; other keys have been deleted. */
+    /** Replaces the whole state by the newest record of each key; other keys have been deleted. If
+     * the records are of a newer era than those before, the log was restored from an older copy:
+     * newer records may be missing, and deleted keys may be back.
+     */
     std::function<void(const keyed_records&)> replace;
 
     /** Applies further records, in log order. */
@@ -28,7 +31,9 @@
 };
 
 /** Reads a topic: first the newest record of each key, then each record in log order. Applies every
- * record once and skips none. */
+ * record once and skips none. When the log was restored from an older copy, its era has increased:
+ * the newest record of each key is read again, and nothing of an earlier era is applied any more.
+ */
 class topic_follower {
   public:
     topic_follower(shared_log log, std::string topic, topic_hooks hooks);
@@ -40,21 +45,27 @@
     boost::asio::awaitable<bool> read_once(duration wait);
 
     /** Applies records known to be in the log, from an append or from a peer. Records that were
-     * applied before are skipped.
+     * applied before, and those of an earlier era, are skipped.
      * \return false if the topic is not loaded or records before these are missing.
      */
     bool apply_records(const keyed_records& records);
 
     /** Uses a peer's read of the topic to lower age(), if this node has read as far as the peer.
-     * \param end the offset after the last record that the peer read.
+     * \param end the position after the last record that the peer read.
      * \param age time since the peer's read began, including the transfer of its message.
      */
-    void confirm(std::uint64_t end, duration age);
+    void confirm(log_position end, duration age);
+
+    /** Records that the log has reached an era. If it is newer than the one that was read, the
+     * newest record of each key is read next.
+     * \return true if it is newer.
+     */
+    bool note_era(std::uint64_t era);
 
-    /** The offset after the last record that was applied. */
-    std::uint64_t next_offset() const { return next_offset_; }
+    /** The position after the last record that was applied. */
+    log_position position() const { return position_; }
 
-    /** True after the newest record of each key has been read. */
+    /** True after the newest record of each key has been read, in the newest known era. */
     bool is_loaded() const { return loaded_; }
 
     /** True if the last read of new records failed. */
@@ -67,13 +78,15 @@
 
   private:
     boost::asio::awaitable<bool> load();
+    void note_success();
+    bool fail_read(const char* call, const std::string& reason) const;
 
     shared_log log_;
     std::string topic_;
     topic_hooks hooks_;
     bool loaded_ = false;
     bool last_read_failed_ = false;
-    std::uint64_t next_offset_ = 0;
+    log_position position_;
     std::optional<duration> confirmed_at_; // On the clock that includes suspended time.
 };
 
--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -38,37 +38,41 @@
       settings_(settings), backends_(return_time),
       configuration_follower_(
           log, codec_.configuration_topic,
-          make_topic_hooks([this](const keyed_records& read) { apply_configuration(read); },
+          make_topic_hooks([this](const keyed_records& read) { load_configuration(read); },
                            [this](const keyed_records& read) {
                                on_read(schema::shared_topic_configuration, read);
-                               apply_configuration(read);
+                               apply_configuration(read, true);
                            },
                            // The list is stored in the same log but is not read all the time, so an
                            // outage that the configuration reveals counts for the list too.
                            [this] { backends_.note_outage(monotonic_clock::now()); })),
       backend_follower_(
           log, codec_.backend_topic,
-          make_topic_hooks([this](const keyed_records& read) { apply_backends(read, true); },
+          make_topic_hooks([this](const keyed_records& read) { load_backends(read); },
                            [this](const keyed_records& read) {
                                recent_backends_.add(read, monotonic_clock::now());
                                on_read(schema::shared_topic_backends, read);
-                               apply_backends(read, false);
+                               apply_backends(read);
                            },
                            [this] { backends_.note_outage(monotonic_clock::now()); })),
-      replica_follower_(log, replica_topic,
-                        make_topic_hooks(
-                            [this](const keyed_records& read) {
-                                ledger_.replace(read);
-                                on_change();
-                            },
-                            [this](const keyed_records& read) { add_replica_records(read); },
-                            [] {})),
+      replica_follower_(
+          log, replica_topic,
+          make_topic_hooks([this](const keyed_records& read) { load_replicas(read); },
+                           [this](const keyed_records& read) { add_replica_records(read); },
+                           [] {})),
       replica_timer_(executor_), recent_replicas_(settings.recent_record_window),
       recent_backends_(settings.recent_record_window)
 {
 }
 
-void fleet_view::apply_configuration(const keyed_records& records)
+void fleet_view::load_configuration(const keyed_records& records)
+{
+    version_in_log_ = 0; // A restored log may have lost the newest one.
+    apply_configuration(records, true);
+}
+
+/** \param is_in_log false for records that another topic holds. */
+void fleet_view::apply_configuration(const keyed_records& records, bool is_in_log)
 {
     for (const keyed_record& record : records.records) {
         if (record.key != codec_.configuration_key || !record.value) {
@@ -81,59 +85,108 @@
                            {{"offset", offset}, {"reason", read.failure().reason}});
             continue;
         }
-        if (current_configuration_ && (*read)->version() <= current_configuration_->version()) {
+        const std::uint64_t version = (*read)->version();
+        version_in_log_ = is_in_log ? std::max(version_in_log_, version) : version_in_log_;
+        if (current_configuration_ && version <= current_configuration_->version()) {
             view_log.write("configuration_skipped",
                            {{"offset", offset},
-                            {"version", std::to_string((*read)->version())},
+                            {"version", std::to_string(version)},
                             {"in_force", std::to_string(current_configuration_->version())}});
             continue;
         }
         current_configuration_ = *read;
+        current_document_ = record;
         view_log.write("configuration_in_force",
                        {{"offset", offset},
-                        {"version", std::to_string(current_configuration_->version())},
+                        {"version", std::to_string(version)},
                         {"routes", std::to_string(current_configuration_->routes().size())}});
         on_configuration(current_configuration_);
     }
 }
 
-/** \param is_whole_list true to remove the servers that the records don't contain. */
-void fleet_view::apply_backends(const keyed_records& records, bool is_whole_list)
+void fleet_view::apply_accepted_configuration(const keyed_records& records)
+{
+    apply_configuration(records, false);
+}
+
+std::optional<keyed_record> fleet_view::configuration_missing_in_log() const
+{
+    const bool is_missing = configuration_follower_.is_loaded() && current_configuration_ &&
+                            current_configuration_->version() > version_in_log_;
+    return is_missing ? std::optional(current_document_) : std::nullopt;
+}
+
+/** \return the server of a record, or nothing if the record can't be used. */
+std::optional<backend> fleet_view::read_backend(const keyed_record& record) const
+{
+    auto read = codec_.read_backend(record.key, *record.value);
+    if (!read) {
+        view_log.write("backend_rejected",
+                       {{"backend", record.key}, {"reason", read.failure().reason}});
+        return std::nullopt;
+    }
+    const listed_backend* known = backends_.find(record.key);
+    if (known == nullptr || known->server.leaving != read->leaving ||
+        known->server.started_ms != read->started_ms) {
+        view_log.write("backend_listed",
+                       {{"backend", record.key},
+                        {"service", read->service},
+                        {"address", read->address},
+                        {"fabric_domain", read->fabric_domain},
+                        {"staged", read->staged_models.empty() ? "" : read->staged_models[0]},
+                        {"leaving", read->leaving ? "yes" : "no"},
+                        {"offset", std::to_string(record.offset)}});
+    }
+    return *read;
+}
+
+/** Applies the whole list; servers that the records don't contain are missing from it. */
+void fleet_view::load_backends(const keyed_records& records)
 {
     const time_point now = monotonic_clock::now();
     const std::uint64_t before = backends_.version();
+    const bool is_restored =
+        backend_follower_.age().has_value() && records.era > backend_follower_.position().era;
+    std::vector<backend> entries;
     std::vector<std::string> listed;
+    for (const keyed_record& record : records.records) {
+        if (auto entry = record.value ? read_backend(record) : std::nullopt) {
+            listed.push_back(record.key);
+            entries.push_back(std::move(*entry));
+        }
+    }
+    if (is_restored) {
+        restored_at_ = now;
+        backends_.restore(entries, now);
+    }
+    else {
+        for (const backend& entry : entries) {
+            backends_.apply(entry, now);
+        }
+        backends_.retain(listed, now);
+    }
+    remove_expired_backends();
+    if (backends_.version() != before) {
+        on_change();
+    }
+}
+
+void fleet_view::apply_backends(const keyed_records& records)
+{
+    const time_point now = monotonic_clock::now();
+    const std::uint64_t before = backends_.version();
     for (const keyed_record& record : records.records) {
         if (!record.value) {
             view_log.write("backend_removed",
                            {{"backend", record.key}, {"offset", std::to_string(record.offset)}});
             backends_.remove(record.key, now);
-            continue;
         }
-        auto read = codec_.read_backend(record.key, *record.value);
-        if (!read) {
-            view_log.write("backend_rejected",
-                           {{"backend", record.key}, {"reason", read.failure().reason}});
-            backends_.remove(record.key, now);
-            continue;
+        else if (const auto entry = read_backend(record)) {
+            backends_.apply(*entry, now);
         }
-        listed.push_back(record.key);
-        const listed_backend* known = backends_.find(record.key);
-        if (known == nullptr || known->server.leaving != read->leaving ||
-            known->server.started_ms != read->started_ms) {
-            view_log.write("backend_listed",
-                           {{"backend", record.key},
-                            {"service", read->service},
-                            {"address", read->address},
-                            {"fabric_domain", read->fabric_domain},
-                            {"staged", read->staged_models.empty() ? "" : read->staged_models[0]},
-                            {"leaving", read->leaving ? "yes" : "no"},
-                            {"offset", std::to_string(record.offset)}});
+        else {
+            backends_.remove(record.key, now);
         }
-        backends_.apply(*read, now);
-    }
-    if (is_whole_list) {
-        backends_.retain(listed, now);
     }
     remove_expired_backends();
     if (backends_.version() != before) {
@@ -149,6 +202,16 @@
     }
 }
 
+/** Makes all topics be read again when one of them, or a peer, shows that the log was restored. */
+void fleet_view::note_era(std::uint64_t era)
+{
+    configuration_follower_.note_era(era);
+    backend_follower_.note_era(era);
+    if (replica_follower_.note_era(era)) {
+        replica_timer_.cancel();
+    }
+}
+
 asio::awaitable<void> fleet_view::follow_configuration()
 {
     const auto self = shared_from_this();
@@ -161,8 +224,9 @@
             co_await sleep_for(settings_.retry_interval);
         }
         else {
+            note_era(configuration_follower_.position().era);
             // The log itself decides, not what a peer reported.
-            newest_peer_configuration_end_ = configuration_follower_.next_offset();
+            newest_peer_configuration_end_ = configuration_follower_.position();
             if (!current_configuration_) {
                 co_await sleep_for(settings_.forming_backend_interval); // None is published yet.
             }
@@ -174,8 +238,8 @@
 {
     const auto age = configuration_follower_.age();
     return is_leader() || reads_log_directly() || !current_configuration_ || !age ||
-           *age > settings_.max_shared_configuration_age ||
-           newest_peer_configuration_end_ > configuration_follower_.next_offset();
+           !configuration_follower_.is_loaded() || *age > settings_.max_shared_configuration_age ||
+           newest_peer_configuration_end_ > configuration_follower_.position();
 }
 
 /** \return the long-poll time of a read of the configuration. */
@@ -190,12 +254,13 @@
     return shared ? std::min(usual, settings_.max_shared_configuration_age / 2) : usual;
 }
 
-void fleet_view::note_configuration_end(std::uint64_t end)
+void fleet_view::note_configuration_end(log_position end)
 {
+    note_era(end.era);
     newest_peer_configuration_end_ = std::max(newest_peer_configuration_end_, end);
 }
 
-void fleet_view::confirm_configuration(std::uint64_t end, duration age)
+void fleet_view::confirm_configuration(log_position end, duration age)
 {
     note_configuration_end(end);
     configuration_follower_.confirm(end, age);
@@ -250,7 +315,8 @@
     const duration max_wait = missing_record_wait(settings_.backend_interval / 2);
     const bool missed =
         behind_leader_since_ && monotonic_clock::now() - *behind_leader_since_ > max_wait;
-    return is_leader() || !age || *age > settings_.backend_interval || missed;
+    return is_leader() || !backend_follower_.is_loaded() || !age ||
+           *age > settings_.backend_interval || missed;
 }
 
 asio::awaitable<void> fleet_view::follow_backends()
@@ -269,6 +335,7 @@
                                   : has_forming_replicas() ? settings_.forming_backend_interval
                                                            : settings_.leader_backend_interval;
         if (read) {
+            note_era(backend_follower_.position().era);
             behind_leader_since_.reset();
         }
         co_await sleep_for(interval);
@@ -277,9 +344,9 @@
 
 void fleet_view::apply_leader_backends(const peer_topic_state& peer)
 {
-    const bool has_all = backend_follower_.apply_records({peer.recent, 0});
+    const bool has_all = backend_follower_.apply_records({peer.recent, 0, peer.end.era});
     backend_follower_.confirm(peer.end, peer.age);
-    if (has_all && backend_follower_.next_offset() >= peer.end) {
+    if (has_all && backend_follower_.position() >= peer.end) {
         behind_leader_since_.reset();
     }
     else if (!behind_leader_since_) {
@@ -294,7 +361,7 @@
 
 std::vector<keyed_record> fleet_view::recent_backends() const
 {
-    return recent_backends_.at(monotonic_clock::now());
+    return recent_backends_.at(monotonic_clock::now(), backend_list_end().era);
 }
 
 asio::awaitable<void> fleet_view::read_replicas()
@@ -308,6 +375,22 @@
     reading_replicas_ = false;
 }
 
+void fleet_view::load_replicas(const keyed_records& records)
+{
+    ledger_.replace(records);
+    if (!ledger_.is_current()) {
+        restored_at_ = monotonic_clock::now();
+    }
+    on_change();
+}
+
+bool fleet_view::is_settled() const
+{
+    const bool listed_again = !restored_at_ || monotonic_clock::now() - *restored_at_ >=
+                                                   settings_.restored_list_settle_time;
+    return ledger_.is_current() && listed_again;
+}
+
 void fleet_view::add_replica_records(const keyed_records& records)
 {
     ledger_.apply(records);
@@ -319,8 +402,9 @@
 bool fleet_view::must_read_replicas() const
 {
     const auto age = replica_follower_.age();
-    return is_leader() || !age || *age > settings_.max_replica_age ||
-           newest_peer_offset_ > replica_follower_.next_offset();
+    return is_leader() || !replica_follower_.is_loaded() || !age ||
+           *age > settings_.max_replica_age ||
+           newest_peer_replica_end_ > replica_follower_.position();
 }
 
 asio::awaitable<void> fleet_view::follow_replicas()
@@ -341,14 +425,15 @@
                 // The next messages of peers may contain the records.
                 co_await sleep_for(missing_record_wait(settings_.missing_replica_wait));
             }
-        } while (woken && newest_peer_offset_ <= replica_follower_.next_offset());
+        } while (woken && !must_read_replicas());
     }
 }
 
-void fleet_view::note_replica_offset(std::uint64_t next_offset)
+void fleet_view::note_replica_end(log_position end)
 {
-    newest_peer_offset_ = std::max(newest_peer_offset_, next_offset);
-    if (newest_peer_offset_ > replica_follower_.next_offset()) {
+    note_era(end.era);
+    newest_peer_replica_end_ = std::max(newest_peer_replica_end_, end);
+    if (newest_peer_replica_end_ > replica_follower_.position()) {
         replica_timer_.cancel();
     }
 }
@@ -363,14 +448,14 @@
 void fleet_view::apply_peer_replicas(const peer_topic_state& peer)
 {
     if (!peer.recent.empty()) {
-        apply_replica_records({peer.recent, 0});
+        apply_replica_records({peer.recent, 0, peer.end.era});
     }
     replica_follower_.confirm(peer.end, peer.age);
 }
 
 std::vector<keyed_record> fleet_view::recent_replicas() const
 {
-    return recent_replicas_.at(monotonic_clock::now());
+    return recent_replicas_.at(monotonic_clock::now(), ledger_.end().era);
 }
 
 std::vector<serving_replica> fleet_view::serving() const
--- a/src/relay/fleet_view.h
+++ b/src/relay/fleet_view.h
@@ -73,13 +73,16 @@
 
     // After a failed read. Each read is a call on the log.
     duration retry_interval = 400ms;
+
+    // In a restored log, the time in which backend servers list themselves again.
+    duration restored_list_settle_time = 2s;
 };
 
 /** What a peer reports having read of a topic. Only the leader sends records. */
 struct peer_topic_state {
-    std::uint64_t end = 0;            // The offset after the last record read.
+    log_position end;                 // The position after the last record read.
     duration age{};                   // Time since the start of the call that read it.
-    std::vector<keyed_record> recent; // Oldest first.
+    std::vector<keyed_record> recent; // Oldest first, of the era of end.
 
     bool operator==(const peer_topic_state&) const = default;
 };
@@ -112,8 +115,8 @@
     /** Reads the replicas once, without waiting for new records. */
     boost::asio::awaitable<void> read_replicas();
 
-    /** Records that a peer has read the replicas up to the offset. */
-    void note_replica_offset(std::uint64_t next_offset);
+    /** Records that a peer has read the replicas up to the position. */
+    void note_replica_end(log_position end);
 
     /** Applies records of replicas that are in the log. */
     void apply_replica_records(const keyed_records& records);
@@ -134,14 +137,27 @@
     /** Applies records that another node of the failure domain has read and forwarded. */
     void apply_forwarded(schema::shared_topic topic, const keyed_records& records);
 
-    /** Records that another node has read the configuration up to the offset. */
-    void note_configuration_end(std::uint64_t end);
+    /** Records that another node has read the configuration up to the position. */
+    void note_configuration_end(log_position end);
 
     /** The same; also updates the age of this node's configuration if this node has read up to the
-     * same offset.
+     * same position.
      * \param age time since the other node last read the configuration.
      */
-    void confirm_configuration(std::uint64_t end, duration age);
+    void confirm_configuration(log_position end, duration age);
+
+    /** Applies a configuration that the fleet had in force and that a restored log may lack. */
+    void apply_accepted_configuration(const keyed_records& records);
+
+    /** \return the record of the configuration in force, for a log that was restored without it;
+     * nothing if the log contains this version or a newer one.
+     */
+    std::optional<keyed_record> configuration_missing_in_log() const;
+
+    /** \return false while a restored log lacks what was agreed, and for a short time afterwards,
+     * in which backend servers list themselves again.
+     */
+    bool is_settled() const;
 
     /** \return the newest records, which the leader sends its peers. */
     std::vector<keyed_record> recent_replicas() const;
@@ -155,16 +171,22 @@
     bool store_is_healthy() const;
     std::optional<duration> backend_age() const { return backend_follower_.age(); }
     std::optional<duration> replica_age() const { return replica_follower_.age(); }
-    std::uint64_t backend_list_end() const { return backend_follower_.next_offset(); }
-    std::uint64_t configuration_offset() const { return configuration_follower_.next_offset(); }
+    log_position backend_list_end() const { return backend_follower_.position(); }
+    log_position configuration_end() const { return configuration_follower_.position(); }
+    bool has_read_replicas() const { return replica_follower_.is_loaded(); }
 
     /** \return the replicas that can take calls according to this node's view. */
     std::vector<serving_replica> serving() const;
 
   private:
-    void apply_configuration(const keyed_records& records);
-    void apply_backends(const keyed_records& records, bool is_whole_list);
+    void load_configuration(const keyed_records& records);
+    void apply_configuration(const keyed_records& records, bool is_in_log);
+    void load_backends(const keyed_records& records);
+    void apply_backends(const keyed_records& records);
+    std::optional<backend> read_backend(const keyed_record& record) const;
+    void load_replicas(const keyed_records& records);
     void add_replica_records(const keyed_records& records);
+    void note_era(std::uint64_t era);
     bool has_forming_replicas() const;
     bool must_read_configuration() const;
     duration configuration_wait() const;
@@ -180,15 +202,18 @@
     backend_table backends_;
     replica_ledger ledger_;
     published_configuration_ptr current_configuration_;
+    keyed_record current_document_;    // The record of the current configuration.
+    std::uint64_t version_in_log_ = 0; // The newest version that the log contains in this era.
     topic_follower configuration_follower_;
     topic_follower backend_follower_;
     topic_follower replica_follower_;
     timer replica_timer_;
-    std::uint64_t newest_peer_offset_ = 0; // The highest offset that a peer has read up to.
-    std::uint64_t newest_peer_configuration_end_ = 0;
+    log_position newest_peer_replica_end_; // The last position that a peer has read up to.
+    log_position newest_peer_configuration_end_;
     recent_records recent_replicas_;
     recent_records recent_backends_;
     std::optional<time_point> behind_leader_since_; // Since the leader has been ahead of this list.
+    std::optional<time_point> restored_at_;         // When this node last read a restored log.
     bool reading_replicas_ = false;
 };
 
--- a/src/relay/recent_records.cpp
+++ b/src/relay/recent_records.cpp
@@ -18,6 +18,10 @@
 
 void recent_records::add(const keyed_records& records, time_point now)
 {
+    if (records.era != era_) {
+        records_.clear();
+        era_ = records.era;
+    }
     for (const keyed_record& record : records.records) {
         records_.emplace_back(now, record);
     }
@@ -26,9 +30,12 @@
     }
 }
 
-std::vector<keyed_record> recent_records::at(time_point now) const
+std::vector<keyed_record> recent_records::at(time_point now, std::uint64_t era) const
 {
     std::vector<keyed_record> newest;
+    if (era != era_) {
+        return newest;
+    }
     std::size_t bytes = 0;
     for (const auto& [added_at, record] : boost::adaptors::reverse(records_)) {
         bytes += record.key.size() + (record.value ? record.value->size() : 0);
--- a/src/relay/recent_records.h
+++ b/src/relay/recent_records.h
@@ -20,13 +20,17 @@
     /** \param keep_for how long a record is sent to peers. */
     explicit recent_records(duration keep_for) : keep_for_(keep_for) {}
 
+    /** Adds records; those of an earlier era are dropped. */
     void add(const keyed_records& records, time_point now);
 
-    /** \return the newest records in the order of the log, up to the size limit of one message. */
-    std::vector<keyed_record> at(time_point now) const;
+    /** \return the newest records in the order of the log, up to the size limit of one message;
+     * nothing if the records are of another era.
+     */
+    std::vector<keyed_record> at(time_point now, std::uint64_t era) const;
 
   private:
     duration keep_for_;
+    std::uint64_t era_ = 0; // Of all records.
     std::deque<std::pair<time_point, keyed_record>> records_;
 };
 
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -12,6 +12,7 @@
 #include "base/task.h"
 #include "members/leader_ranking.h"
 #include "relay/message_values.h"
+#include "relay/peer_topics.h"
 #include "relay/serve_call.h"
 
 namespace chervildyke {
@@ -44,7 +45,6 @@
 constexpr duration last_request_wait = 300ms;     // One round trip of most callers.
 constexpr duration accept_while_leaving = 2500ms; // Callers use a cached address for that long.
 constexpr duration fleet_check_interval = 200ms;  // Between two runs of the periodic checks.
-constexpr duration never_read_age = 24h;          // Reported for a topic that was not read yet.
 constexpr duration log_retry_interval = 1s;       // After a failed call on the topic of nodes.
 constexpr duration drain_check_interval = 20ms; // Between two checks whether all calls have ended.
 constexpr const char* plain_text = "text/plain";
@@ -100,7 +100,7 @@
                                                                 *context_.crashes, random_);
     context_.backend_lb = std::make_shared<backend_balancer>(settings_.failure_domain(), random_);
     context_.backends = &view_->backends();
-    context_.configuration = [this] { return view_->configuration(); };
+    context_.configuration = [this] { return served_configuration(); };
     context_.configuration_age = [this] { return view_->configuration_age(); };
     view_->on_configuration = [this](const published_configuration_ptr& configuration) {
         apply_configuration(configuration);
@@ -117,6 +117,12 @@
         executor_, [this](schema::peer_word& state) { fill_own_state(state); }, random_, gossip);
     reading_ = std::make_unique<shared_reading>(settings_, *view_, *peers_, random_);
     apply_limits();
+    fleet_restorer_hooks restoring;
+    restoring.peers = [this] { return agreements_of(peers_->live()); };
+    restoring.can_write = [this] { return !context_.leaving && view_->store_is_healthy(); };
+    restoring.on_restored = [this] { spawn_task(executor_, "address", publish_address()); };
+    restorer_ = std::make_shared<fleet_restorer>(settings_.name(), hooks_.log, *view_,
+                                                 std::move(restoring));
     peers_->on_message = [this](const schema::peer_word& message) {
         reading_->handle_message(message);
     };
@@ -125,6 +131,7 @@
     assembling.is_leader = [this] { return is_leader(); };
     assembling.services = [this] { return view_->configuration(); };
     assembling.calls_began = [this] { return calls_began_; };
+    assembling.view_is_settled = [this] { return view_->is_settled(); };
     assembling.list_is_current = [this] {
         const auto age = view_->backend_age();
         return age && *age < current_list_max_age;
@@ -219,6 +226,7 @@
     spawn_task(executor_, "replicas", view_->follow_replicas());
     spawn_task(executor_, "peer sender", peers_->run_sender());
     spawn_task(executor_, "peer receiver", peers_->run_receiver());
+    spawn_task(executor_, "restore", restorer_->run());
     spawn_task(executor_, "assembly", assembler_->run());
     crash_exchange_->start();
     spawn_task(executor_, "crash evidence", crash_exchange_->load());
@@ -313,20 +321,15 @@
     for (const schema::running_load& load : state.loads()) {
         assembler_->note_running_load(load);
     }
-    const peer_topic_state replicas{state.replica_log_end(),
-                                    std::chrono::milliseconds(state.replica_log_age_ms()),
-                                    from_messages(state.records())};
-    const peer_topic_state backends{state.backend_list_end(),
-                                    std::chrono::milliseconds(state.backend_list_age_ms()),
-                                    from_messages(state.backend_records())};
+    const peer_topic_state replicas = replicas_of(state);
     view_->apply_peer_replicas(replicas);
     if (state.leading()) {
-        view_->apply_leader_backends(backends);
+        view_->apply_leader_backends(backends_of(state));
     }
     else {
-        view_->confirm_backends(backends);
+        view_->confirm_backends(backends_of(state));
     }
-    view_->note_replica_offset(state.replica_log_end());
+    view_->note_replica_end(replicas.end);
 }
 
 void relay_node::fill_own_state(schema::peer_word& state)
@@ -341,7 +344,6 @@
     state.set_ready(ready());
     state.set_leaving(context_.leaving);
     state.set_sound_store(view_->store_is_healthy());
-    state.set_replica_log_end(view_->ledger().end());
     state.set_calls_began(calls_began_);
     state.set_up_ms(to_whole_ms(now - started_at_));
     for (const auto& [model, rate] : context_.demand.rates(now)) {
@@ -351,12 +353,8 @@
     }
     state.set_leading(assembler_->leading());
     state.set_processor_share(settings_.processor_share());
-    state.set_replica_log_age_ms(to_whole_ms(view_->replica_age().value_or(never_read_age)));
-    state.set_backend_list_end(view_->backend_list_end());
-    state.set_backend_list_age_ms(to_whole_ms(view_->backend_age().value_or(never_read_age)));
+    set_topics(*view_, assembler_->leading(), state);
     if (assembler_->leading()) {
-        to_messages(view_->recent_replicas(), *state.mutable_records());
-        to_messages(view_->recent_backends(), *state.mutable_backend_records());
         for (schema::running_load& load : assembler_->running_loads()) {
             *state.add_loads() = std::move(load);
         }
@@ -385,9 +383,18 @@
     }
 }
 
-bool relay_node::ready() const
+/** \return the configuration to serve calls by, or null while this node has just started and may
+ * know an older one than the others.
+ */
+published_configuration_ptr relay_node::served_configuration()
+{
+    caught_up_ = caught_up_ || !restorer_->is_behind();
+    return caught_up_ ? view_->configuration() : nullptr;
+}
+
+bool relay_node::ready()
 {
-    return !context_.leaving && view_->configuration() != nullptr;
+    return !context_.leaving && served_configuration() != nullptr;
 }
 
 bool relay_node::is_leader() const
@@ -421,7 +428,7 @@
     return total;
 }
 
-std::vector<std::string> relay_node::call_addresses() const
+std::vector<std::string> relay_node::call_addresses()
 {
     std::vector<std::string> healthy; // Nodes that can reach the store.
     std::vector<std::string> others;
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -17,6 +17,7 @@
 #include "relay/call_codec.h"
 #include "relay/crash_evidence_exchange.h"
 #include "relay/fleet_codec.h"
+#include "relay/fleet_restorer.h"
 #include "relay/fleet_view.h"
 #include "relay/relay_context.h"
 #include "relay/shared_reading.h"
@@ -64,14 +65,15 @@
     boost::asio::awaitable<void> run_fleet_checks();
     void apply_peer_state(const schema::peer_word& state);
     void fill_own_state(schema::peer_word& state);
-    std::vector<std::string> call_addresses() const;
+    std::vector<std::string> call_addresses();
     std::map<std::string, double> demand() const;
     bool listen(http_server& server, const std::string& address);
     void apply_limits();
     void record_availability(const backend_incarnation& server,
                              const backend_availability& availability);
     void add_seed_addresses();
-    bool ready() const;
+    published_configuration_ptr served_configuration();
+    bool ready();
     bool is_leader() const;
 
     boost::asio::any_io_executor executor_;
@@ -85,12 +87,14 @@
     std::shared_ptr<peer_gossip> peers_;
     std::unique_ptr<shared_reading> reading_;
     std::shared_ptr<assembler> assembler_;
+    std::shared_ptr<fleet_restorer> restorer_;
     std::shared_ptr<crash_evidence_exchange> crash_exchange_;
     http_server calls_;
     http_server ready_;
     http_server directory_;
     http_server metrics_;
     bool calls_began_ = false;
+    bool caught_up_ = false; // Since its start, with what the other nodes know.
     std::string last_reason_;
 };
 
--- a/src/relay/shared_reading.cpp
+++ b/src/relay/shared_reading.cpp
@@ -138,7 +138,8 @@
         schema::peer_word reply;
         schema::freshness_answer& answer = *reply.mutable_answer();
         answer.set_nonce(message.question().nonce());
-        answer.set_configuration_end(view_.configuration_offset());
+        answer.set_configuration_era(view_.configuration_end().era);
+        answer.set_configuration_end(view_.configuration_end().offset);
         answer.set_configuration_age_ms(to_whole_ms(*view_.configuration_age()) + 1);
         peers_.send_message(std::move(reply), message.address(),
                             static_cast<std::uint16_t>(message.port()));
@@ -148,15 +149,17 @@
         const auto age = questions_.resolve(
             answer.nonce(), std::chrono::milliseconds(answer.configuration_age_ms()),
             time_since_boot());
+        const log_position end{answer.configuration_era(), answer.configuration_end()};
         if (age) {
-            view_.confirm_configuration(answer.configuration_end(), *age);
+            view_.confirm_configuration(end, *age);
         }
         else {
-            view_.note_configuration_end(answer.configuration_end());
+            view_.note_configuration_end(end);
         }
     }
     if (message.has_news()) {
-        view_.apply_forwarded(message.news().topic(), {from_messages(message.news().records()), 0});
+        const schema::topic_news& news = message.news();
+        view_.apply_forwarded(news.topic(), {from_messages(news.records()), 0, news.era()});
     }
 }
 
@@ -170,7 +173,9 @@
     for (const keyed_record& record : read.records) {
         const std::size_t size = record.key.size() + (record.value ? record.value->size() : 0);
         if (bytes + size > max_forwarded_bytes) {
-            messages.emplace_back().mutable_news()->set_topic(topic);
+            schema::topic_news& news = *messages.emplace_back().mutable_news();
+            news.set_topic(topic);
+            news.set_era(read.era);
             bytes = 0;
         }
         bytes += size;
@@ -180,6 +185,7 @@
         // A configuration that does not fit into a datagram is read by each node; the offset that
         // is sent in any case triggers the read.
         schema::freshness_answer& end = *messages.emplace_back().mutable_answer();
+        end.set_configuration_era(read.era);
         end.set_configuration_end(read.next_offset);
         std::erase_if(messages, [](const schema::peer_word& message) {
             return message.ByteSizeLong() > max_message_bytes;
--- a/test/correctness/assembly_spares.cpp
+++ b/test/correctness/assembly_spares.cpp
@@ -119,7 +119,7 @@
             return planned.vm == "new" && planned.command.kind == command_kind::join;
         });
     REQUIRE(spare_join != plan.commands.end());
-    CHECK(spare_join->command.epoch == fixture.ledger.end());
+    CHECK(spare_join->command.epoch == epoch_at(fixture.ledger.end()) - 1);
     CHECK(spare_join->command.members == std::vector<std::string>{"new"});
     CHECK_FALSE(spare_join->loads_weights);
 }
--- a/test/correctness/platform_store.cpp
+++ b/test/correctness/platform_store.cpp
@@ -28,6 +28,8 @@
     shared_log log;
 };
 
+const log_position start{1, 0}; // The stand-in counts eras from one.
+
 keyed_record make_record(std::uint64_t offset, const std::string& key, const std::string& value)
 {
     return {offset, key, value};
@@ -41,9 +43,9 @@
     test::run_task(fixture.context, [&fixture]() -> asio::awaitable<void> {
         std::vector<keyed_record> records = {make_record(0, "a", "1"), make_record(1, "a", "2"),
                                              make_record(2, "b", std::string("\0x", 2))};
-        const auto appended = co_await fixture.log.append("t", records);
+        const auto appended = co_await fixture.log.append("t", start, records);
         REQUIRE(appended);
-        CHECK(*appended == 3);
+        CHECK(appended->offset == 3);
         const auto newest = co_await fixture.log.read_latest("t");
         REQUIRE(newest);
         REQUIRE(newest->records.size() == 2);
@@ -63,10 +65,10 @@
     store_fixture fixture;
     test::run_task(fixture.context, [&fixture]() -> asio::awaitable<void> {
         std::vector<keyed_record> first = {make_record(0, "a", "1")};
-        const auto appended = co_await fixture.log.append("t", first);
+        const auto appended = co_await fixture.log.append("t", start, first);
         REQUIRE(appended);
         std::vector<keyed_record> again = {make_record(0, "a", "other")};
-        const auto refused = co_await fixture.log.append("t", again);
+        const auto refused = co_await fixture.log.append("t", start, again);
         REQUIRE_FALSE(refused);
         CHECK(refused.failure().code == shared_log_error::conflict);
         const auto newest = co_await fixture.log.read_latest("t");
@@ -119,7 +121,8 @@
         fixture.store.faults().down = false;
         fixture.store.faults().drops_answers = true;
         std::vector<keyed_record> records = {make_record(1, "b", "2")};
-        const auto unanswered = co_await fixture.log.append("t", records);
+        const log_position at{1, 1};
+        const auto unanswered = co_await fixture.log.append("t", at, records);
         REQUIRE_FALSE(unanswered);
         CHECK(unanswered.failure().code == shared_log_error::unknown_outcome);
         fixture.store.faults().drops_answers = false;
--- a/test/correctness/relay_crash_evidence_exchange.cpp
+++ b/test/correctness/relay_crash_evidence_exchange.cpp
@@ -37,7 +37,7 @@
             co_return read;
         };
         log.put = [this](const std::string& topic,
-                         keyed_record record) -> asio::awaitable<shared_log_result<std::uint64_t>> {
+                         keyed_record record) -> asio::awaitable<shared_log_result<log_position>> {
             CHECK(topic == crash_evidence_topic);
             if (down) {
                 co_return shared_log_failure{shared_log_error::refused, "the log is down"};
@@ -49,7 +49,7 @@
             else {
                 records.erase(record.key);
             }
-            const std::uint64_t next = 1;
+            const log_position next{0, 1};
             co_return next;
         };
         return log;
--- a/test/correctness/relay_fleet_view.cpp
+++ b/test/correctness/relay_fleet_view.cpp
@@ -135,7 +135,7 @@
     void receive_from_reader(duration span, std::uint64_t end, duration age)
     {
         for (duration passed{}; passed < span; passed += 500ms) {
-            view->confirm_configuration(end, age);
+            view->confirm_configuration({0, end}, age);
             clock.advance(500ms);
         }
     }
@@ -146,7 +146,7 @@
 TEST_CASE("a node that receives the leader's state does not read the list")
 {
     view_fixture fixture;
-    fixture.receive_from_leader(30s, {1, 300ms, {}});
+    fixture.receive_from_leader(30s, {{0, 1}, 300ms, {}});
     CHECK(fixture.log.calls["servers"] == 0);
     CHECK(*fixture.view->backend_age() < 1s);
 }
@@ -164,7 +164,7 @@
 TEST_CASE("a report of an old read does not refresh the list")
 {
     view_fixture fixture;
-    fixture.receive_from_leader(10s, {1, 20s, {}});
+    fixture.receive_from_leader(10s, {{0, 1}, 20s, {}});
     CHECK(fixture.log.calls["servers"] >= 4);
 }
 
@@ -172,13 +172,13 @@
 {
     view_fixture fixture;
     for (duration passed{}; passed < 10s; passed += 200ms) {
-        fixture.view->confirm_backends({1, 500ms, {}});
+        fixture.view->confirm_backends({{0, 1}, 500ms, {}});
         fixture.clock.advance(200ms);
     }
     CHECK(fixture.log.calls["servers"] == 0);
     fixture.log.add_server("i-2");
     for (duration passed{}; passed < 2s; passed += 200ms) {
-        fixture.view->confirm_backends({2, 500ms, {}});
+        fixture.view->confirm_backends({{0, 2}, 500ms, {}});
         fixture.clock.advance(200ms);
     }
     CHECK(fixture.view->backends().find("i-2") != nullptr);
@@ -188,9 +188,9 @@
 {
     view_fixture fixture;
     const keyed_record leaving = fixture.log.add_server("i-1", "draining");
-    fixture.receive_from_leader(200ms, {2, 100ms, {leaving}});
+    fixture.receive_from_leader(200ms, {{0, 2}, 100ms, {leaving}});
     CHECK(fixture.view->backends().find("i-1")->server.leaving);
-    fixture.receive_from_leader(5s, {2, 100ms, {leaving}});
+    fixture.receive_from_leader(5s, {{0, 2}, 100ms, {leaving}});
     CHECK(fixture.log.calls["servers"] == 0);
 }
 
@@ -199,7 +199,7 @@
     view_fixture fixture;
     fixture.log.add_server("i-2");
     const keyed_record last = fixture.log.add_server("i-3");
-    fixture.receive_from_leader(800ms, {3, 100ms, {last}});
+    fixture.receive_from_leader(800ms, {{0, 3}, 100ms, {last}});
     CHECK(fixture.view->backends().find("i-2") != nullptr);
     CHECK(fixture.view->backends().find("i-3") != nullptr);
     CHECK(fixture.log.calls["servers"] == 1);
@@ -212,7 +212,7 @@
     fixture.clock.advance(2s);
     const keyed_record added = fixture.log.add_server("i-2");
     fixture.clock.advance(500ms);
-    CHECK(fixture.view->backend_list_end() == 2);
+    CHECK(fixture.view->backend_list_end().offset == 2);
     CHECK(*fixture.view->backend_age() < 1s);
     CHECK(fixture.view->recent_backends() == std::vector<keyed_record>{added});
     fixture.clock.advance(2s);
@@ -243,8 +243,8 @@
 {
     shared_view_fixture fixture;
     fixture.log.publish(2);
-    fixture.view->confirm_configuration(2, 100ms);
-    CHECK(fixture.view->configuration_offset() == 1);
+    fixture.view->confirm_configuration({0, 2}, 100ms);
+    CHECK(fixture.view->configuration_end().offset == 1);
     fixture.clock.advance(300ms);
     CHECK(fixture.view->configuration()->version() == 2);
     CHECK(fixture.log.calls["op"] == 1);
@@ -263,7 +263,7 @@
 TEST_CASE("a reported offset beyond the end of the log costs one read")
 {
     shared_view_fixture fixture;
-    fixture.view->note_configuration_end(99);
+    fixture.view->note_configuration_end({0, 99});
     fixture.receive_from_reader(5s, 1, 700ms);
     CHECK(fixture.log.calls["op"] == 1);
 }
@@ -273,9 +273,9 @@
     shared_view_fixture fixture;
     const keyed_record second = fixture.log.add_server("i-2");
     const keyed_record third = fixture.log.add_server("i-3");
-    fixture.receive_from_leader(200ms, {3, 100ms, {third}});
+    fixture.receive_from_leader(200ms, {{0, 3}, 100ms, {third}});
     fixture.view->apply_forwarded(schema::shared_topic_backends, {{second, third}, 0});
-    fixture.receive_from_leader(2s, {3, 100ms, {third}});
+    fixture.receive_from_leader(2s, {{0, 3}, 100ms, {third}});
     CHECK(fixture.view->backends().find("i-2") != nullptr);
     CHECK(fixture.log.calls["servers"] == 0);
 }
--- a/test/error/fleet_topic_follower.cpp
+++ b/test/error/fleet_topic_follower.cpp
@@ -160,15 +160,15 @@
     asio::io_context context;
     manual_clock clock(context);
     follower_fixture fixture;
-    fixture.follower->confirm(0, 0s);
+    fixture.follower->confirm({0, 0}, 0s);
     CHECK_FALSE(fixture.follower->age().has_value()); // Nothing was read yet.
     fixture.log.add("a");
     fixture.read();
     clock.advance(3s);
-    fixture.follower->confirm(2, 0s); // The peer has read more.
+    fixture.follower->confirm({0, 2}, 0s); // The peer has read more.
     CHECK(fixture.follower->age() == 3s);
-    fixture.follower->confirm(1, 5s);
+    fixture.follower->confirm({0, 1}, 5s);
     CHECK(fixture.follower->age() == 3s);
-    fixture.follower->confirm(1, 1s);
+    fixture.follower->confirm({0, 1}, 1s);
     CHECK(fixture.follower->age() == 1s);
 }
--- a/test/support/assembly_fixture.h
+++ b/test/support/assembly_fixture.h
@@ -71,7 +71,7 @@
     {
         assembly_plan made = plan();
         keyed_records appended;
-        appended.next_offset = ledger.end();
+        appended.next_offset = ledger.end().offset;
         for (keyed_record record : made.records) {
             record.offset = appended.next_offset++;
             appended.records.push_back(std::move(record));
