--- a/test/correctness/relay_fleet_view.cpp
+++ b/test/correctness/relay_fleet_view.cpp
@@ -291,3 +291,19 @@
     fixture.view->apply_forwarded(schema::shared_topic_backends, {{added}, 0});
     CHECK(fixture.forwarded[schema::shared_topic_backends] == 1);
 }
+
+// Guards against calls that are refused because the configuration is too old to check keys,
+// although the log answers: a change near the end of a long poll left twice the poll's wait as the
+// age.
+TEST_CASE("the configuration is never older than one long poll while the log answers")
+{
+    view_fixture fixture;
+    const duration longest = fleet_view_settings().configuration_wait + 100ms;
+    for (int version = 2; version < 12; ++version) {
+        for (duration passed{}; passed < 2500ms; passed += 100ms) {
+            fixture.clock.advance(100ms);
+            CHECK(*fixture.view->configuration_age() <= longest);
+        }
+        fixture.log.publish(version);
+    }
+}
