Write the evidence of crashing prompts again after the log was restored

Change: a record counts only in the era in which it was written or read; when a new era begins, one node writes the records of blocked parts again, and each publishes its address again. The new case of correctness/relay_crash_evidence could not run on the code before, whose records had no era.

--- a/soak/schedule.cpp
+++ b/soak/schedule.cpp
@@ -64,7 +64,9 @@
 constexpr std::uint64_t poison_seed_offset = 0x9015'0000'0000'0000;
 constexpr std::uint64_t restore_seed_offset = 0xe2a5'0000'0000'0000;
 constexpr std::uint64_t max_restores = 3;
-constexpr std::uint64_t outage_limit_ms = 2'500; // The store comes back earlier.
+constexpr int lost_changes = 3;                       // Before each restore.
+constexpr std::uint64_t lost_change_limit_ms = 4'000; // Each comes less than this before it.
+constexpr std::uint64_t outage_limit_ms = 2'500;      // The store comes back earlier.
 constexpr std::uint64_t min_silence_ms = 700;
 constexpr std::uint64_t silence_limit_ms = 1'501;    // Silences are shorter.
 constexpr double silence_beside_probability = 0.6;   // That one starts near a planned operation.
@@ -123,21 +125,37 @@
     faults.push_back(poison);
 }
 
+/** Adds changes of the configuration shortly before a restore, which the older copy lacks. */
+void add_lost_changes(std::vector<scheduled_fault>& faults, const random_source& random,
+                      duration restore_start)
+{
+    for (int i = 0; i < lost_changes; ++i) {
+        scheduled_fault change;
+        change.kind = fault_kind::configuration_changed;
+        change.start = std::max<duration>(restore_start - draw_ms(random, 0, lost_change_limit_ms),
+                                          duration::zero());
+        change.target = random();
+        faults.push_back(change);
+    }
+}
+
 /** Adds restores of the store, some of them soon after another one. */
 void add_restores(std::vector<scheduled_fault>& faults, std::uint64_t seed, duration span)
 {
     const random_source random = seeded_random(seed ^ restore_seed_offset);
     const std::uint64_t count = 1 + random_below(random, max_restores);
+    duration last_end{};
     for (std::uint64_t i = 0; i < count; ++i) {
         scheduled_fault restore;
         restore.kind = fault_kind::store_restored;
         restore.start = draw_ms(random, 0, static_cast<std::uint64_t>(span / 1ms));
         if (i > 0 && random_fraction(random) < follow_up_probability) {
-            restore.start = faults.back().start + faults.back().length +
-                            draw_ms(random, 0, follow_up_gap_limit_ms);
+            restore.start = last_end + draw_ms(random, 0, follow_up_gap_limit_ms);
         }
         restore.length = draw_ms(random, min_length_ms, outage_limit_ms);
         restore.target = random();
+        last_end = restore.start + restore.length;
+        add_lost_changes(faults, random, restore.start);
         faults.push_back(restore);
     }
 }
--- a/src/relay/crash_evidence_exchange.cpp
+++ b/src/relay/crash_evidence_exchange.cpp
@@ -53,7 +53,8 @@
     }
     message.set_answered(report.answered.has_value());
     message.set_answered_age_ms(to_whole_ms(report.answered.value_or(duration::zero())));
-    message.set_recorded(report.recorded);
+    message.set_recorded(report.recorded_era.has_value());
+    message.set_recorded_era(report.recorded_era.value_or(0));
     return message;
 }
 
@@ -71,7 +72,9 @@
     if (message.answered()) {
         report.answered = std::chrono::milliseconds(message.answered_age_ms());
     }
-    report.recorded = message.recorded();
+    if (message.recorded()) {
+        report.recorded_era = message.recorded_era();
+    }
     return report;
 }
 
@@ -96,8 +99,8 @@
              {"part", report.part.id},
              {"crashes", std::to_string(report.crashes.size())},
              {"answered_ms", report.answered ? to_ms_text(*report.answered) : "never"},
-             {"recorded", report.recorded ? "yes" : "no"}});
-        if (!report.recorded) {
+             {"recorded", self->evidence_.is_recorded(report) ? "yes" : "no"}});
+        if (!self->evidence_.is_recorded(report)) {
             spawn_task(self->executor_, "crash evidence", self->record(report.part));
         }
     };
@@ -112,7 +115,7 @@
     while (true) {
         const time_point now = monotonic_clock::now();
         const auto report = evidence_.report_of(part, now);
-        if (!report || report->recorded || !evidence_.find_blocked({part}, now)) {
+        if (!report || evidence_.is_recorded(*report) || !evidence_.find_blocked({part}, now)) {
             co_return;
         }
         schema::part_evidence message = to_message(*report);
@@ -122,7 +125,7 @@
         written.value = message.SerializeAsString();
         auto put = co_await log_.put(crash_evidence_topic, written);
         if (put) {
-            evidence_.mark_recorded(part);
+            evidence_.mark_recorded(part, put->era);
             co_return;
         }
         evidence_log.write("record_failed", {{"part", part.id}, {"reason", put.failure().reason}});
@@ -155,7 +158,7 @@
         if (report.answered) {
             *report.answered += age;
         }
-        report.recorded = true;
+        report.recorded_era = records.era;
         const bool is_old =
             std::all_of(report.crashes.begin(), report.crashes.end(), [this](const auto& crash) {
                 return crash.second >= evidence_.settings().retention;
@@ -196,6 +199,11 @@
     }
 }
 
+void crash_evidence_exchange::begin_era(std::uint64_t era)
+{
+    evidence_.begin_era(era, monotonic_clock::now());
+}
+
 void crash_evidence_exchange::fill_state(schema::peer_word& state)
 {
     for (const part_report& report :
--- a/src/relay/crash_evidence_exchange.h
+++ b/src/relay/crash_evidence_exchange.h
@@ -33,6 +33,9 @@
     /** Reads the records once; repeats the read until it succeeds. */
     boost::asio::awaitable<void> load();
 
+    /** Writes the records again that a log which was restored from an older copy may lack. */
+    void begin_era(std::uint64_t era);
+
     /** Adds evidence to the state that this node sends. */
     void fill_state(schema::peer_word& state);
 
--- a/src/relay/fleet_restorer.cpp
+++ b/src/relay/fleet_restorer.cpp
@@ -39,7 +39,7 @@
     era_seen_at_ = monotonic_clock::now();
     accepted_version_ = 0;
     if (!is_first) {
-        hooks_.on_restored();
+        hooks_.on_restored(era_);
     }
 }
 
--- a/src/relay/fleet_restorer.h
+++ b/src/relay/fleet_restorer.h
@@ -40,7 +40,7 @@
     std::function<bool()> can_write;
 
     /** Called after the log was found restored: records of any topic may be lost. */
-    std::function<void()> on_restored = [] {};
+    std::function<void(std::uint64_t era)> on_restored = [](std::uint64_t) {};
 };
 
 struct fleet_restorer_settings {
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -120,7 +120,10 @@
     fleet_restorer_hooks restoring;
     restoring.peers = [this] { return agreements_of(peers_->live()); };
     restoring.can_write = [this] { return !context_.leaving && view_->store_is_healthy(); };
-    restoring.on_restored = [this] { spawn_task(executor_, "address", publish_address()); };
+    restoring.on_restored = [this](std::uint64_t era) {
+        crash_exchange_->begin_era(era);
+        spawn_task(executor_, "address", publish_address());
+    };
     restorer_ = std::make_shared<fleet_restorer>(settings_.name(), hooks_.log, *view_,
                                                  std::move(restoring));
     peers_->on_message = [this](const schema::peer_word& message) {
--- a/src/routing/crash_evidence.cpp
+++ b/src/routing/crash_evidence.cpp
@@ -190,16 +190,27 @@
             add_crash(*state, server, now - std::max(age, duration::zero()));
         }
         const bool blocked = blocked_until(*state, now).has_value();
-        state->recorded = state->recorded || (report.recorded && blocked);
+        if (blocked) {
+            state->recorded_era = std::max(state->recorded_era, report.recorded_era);
+        }
         check_blocked(report.part, *state, now);
     }
 }
 
-void crash_evidence::mark_recorded(const prompt_part& part)
+void crash_evidence::begin_era(std::uint64_t era, time_point now)
+{
+    era_ = era;
+    for (auto& [part, state] : parts_) {
+        state.reported_blocked = state.reported_blocked && state.recorded_era >= era_;
+        check_blocked(part, state, now);
+    }
+}
+
+void crash_evidence::mark_recorded(const prompt_part& part, std::uint64_t era)
 {
     const auto known = parts_.find(part);
     if (known != parts_.end()) {
-        known->second.recorded = true;
+        known->second.recorded_era = std::max(known->second.recorded_era, std::optional(era));
     }
 }
 
@@ -238,7 +249,7 @@
     if (state.answered_at) {
         report.answered = now - *state.answered_at;
     }
-    report.recorded = state.recorded;
+    report.recorded_era = state.recorded_era;
     return report;
 }
 
--- a/src/routing/crash_evidence.h
+++ b/src/routing/crash_evidence.h
@@ -37,7 +37,7 @@
     prompt_part part;
     std::map<backend_incarnation, duration> crashes; // Age of the crash of each server.
     std::optional<duration> answered;                // Age of the newest answer with the part.
-    bool recorded = false;                           // The shared log has a record of the part.
+    std::optional<std::uint64_t> recorded_era; // The era in which the shared log had a record.
 
     bool operator==(const part_report&) const = default;
 };
@@ -100,8 +100,16 @@
     /** Merges what another node reports. */
     void merge(const std::vector<part_report>& reports, time_point now);
 
-    /** Notes that the shared log has a record of the part. */
-    void mark_recorded(const prompt_part& part);
+    /** Notes that the shared log has a record of the part in an era. */
+    void mark_recorded(const prompt_part& part, std::uint64_t era);
+
+    /** Notes that the shared log was restored from an older copy: records of earlier eras may be
+     * lost. Calls on_blocked for the parts without a record in the new era.
+     */
+    void begin_era(std::uint64_t era, time_point now);
+
+    /** \return true if the shared log has the record that the report names. */
+    bool is_recorded(const part_report& report) const { return report.recorded_era >= era_; }
 
     /** \return the first part that is blocked, or nothing if the call may be sent. */
     std::optional<blocked_part> find_blocked(const std::vector<prompt_part>& parts,
@@ -126,7 +134,7 @@
     struct part_state {
         std::map<backend_incarnation, time_point> crashes;
         std::optional<time_point> answered_at;
-        bool recorded = false;
+        std::optional<std::uint64_t> recorded_era;
         bool reported_blocked = false;
     };
     using part_map = std::map<prompt_part, part_state>;
@@ -143,7 +151,8 @@
     part_report to_report(const prompt_part& part, const part_state& state, time_point now) const;
 
     crash_evidence_settings settings_;
-    part_map parts_;                                 // Parts that a server crashed with.
+    std::uint64_t era_ = 0; // Records of earlier eras of the shared log don't count.
+    part_map parts_;        // Parts that a server crashed with.
     std::map<prompt_part, time_point> answered_;     // When calls with a part were last answered.
     std::map<time_point, prompt_part> answer_order_; // The same, oldest first.
     prompt_part last_reported_;
--- a/test/correctness/relay_crash_evidence_exchange.cpp
+++ b/test/correctness/relay_crash_evidence_exchange.cpp
@@ -20,6 +20,7 @@
     std::map<std::string, std::string> records;
     int puts = 0;
     bool down = false;
+    std::uint64_t era = 1;
 
     shared_log calls()
     {
@@ -31,6 +32,7 @@
                 co_return shared_log_failure{shared_log_error::refused, "the log is down"};
             }
             keyed_records read;
+            read.era = era;
             for (const auto& [key, value] : records) {
                 read.records.push_back({read.next_offset++, key, value});
             }
@@ -49,7 +51,7 @@
             else {
                 records.erase(record.key);
             }
-            const log_position next{0, 1};
+            const log_position next{era, 1};
             co_return next;
         };
         return log;
@@ -129,6 +131,31 @@
     CHECK(log.puts == 1);
 }
 
+// Guards against evidence that a node which starts later can't read, because the log was restored
+// from a copy without the record and the nodes still take it for recorded.
+TEST_CASE("after the log was restored without the record, one node writes it again")
+{
+    asio::io_context context;
+    fake_log log;
+    test_node first(context, log);
+    test_node second(context, log);
+    run_for(context, std::chrono::milliseconds(50));
+    first.crash(3);
+    run_for(context, record_time);
+    first.send_state_to(second);
+    REQUIRE(log.puts == 1);
+    log.records.clear();
+    ++log.era;
+    first.exchange->begin_era(log.era);
+    second.send_state_to(first); // Still says that the record is there, in the earlier era.
+    run_for(context, record_time);
+    first.send_state_to(second);
+    second.exchange->begin_era(log.era);
+    run_for(context, record_time);
+    CHECK(log.records.size() == 1);
+    CHECK(log.puts == 2);
+}
+
 TEST_CASE("while the log is down a restarted node learns from a peer, and the record comes later")
 {
     asio::io_context context;
