Refuse answers of an earlier era than the newest one that any answer or peer has shown

An answer that was sent before a restore, or by a stale replica of the store, was loaded as the newest state, and as a peer's states kept naming the newer era the topic was loaded again and again without a pause. Two cases of error/fleet fix what a follower applies across eras.

--- a/src/fleet/topic_follower.cpp
+++ b/src/fleet/topic_follower.cpp
@@ -48,9 +48,10 @@
 
 bool topic_follower::note_era(std::uint64_t era)
 {
-    if (era <= position_.era) {
+    if (era <= newest_era_) {
         return false;
     }
+    newest_era_ = era;
     loaded_ = false;
     return true;
 }
@@ -64,9 +65,10 @@
         co_return fail_read("newest", newest.failure().reason);
     }
     // An outdated answer must not move the follower back before what it has applied.
-    if (newest->end() < position_) {
+    if (newest->end() < position_ || newest->era < newest_era_) {
         co_return fail_read("newest", "the log ends before what was read");
     }
+    newest_era_ = newest->era;
     if (newest->era != position_.era && confirmed_at_) {
         follower_log.write("era_began", {{"topic", topic_},
                                          {"era", std::to_string(newest->era)},
@@ -149,14 +151,13 @@
         hooks_.outage();
         co_return false;
     }
-    if (read->era < position_.era) {
+    if (read->era < newest_era_) {
         co_return fail_read("read", "the answer is from an earlier era");
     }
     note_success();
-    if (read->era > position_.era) {
-        // The restored log may have grown past the position: its records there are not the next
-        // ones of what was read.
-        loaded_ = false;
+    // A restored log may have grown past the position: its records there are not the next ones of
+    // what was read.
+    if (note_era(read->era)) {
         co_return co_await load();
     }
     // The log returns no record only if none was appended during the whole wait.
--- a/src/fleet/topic_follower.h
+++ b/src/fleet/topic_follower.h
@@ -87,6 +87,7 @@
     bool loaded_ = false;
     bool last_read_failed_ = false;
     log_position position_;
+    std::uint64_t newest_era_ = 0;         // Of the log, as any answer or peer has shown.
     std::optional<duration> confirmed_at_; // On the clock that includes suspended time.
 };
 
--- a/test/error/fleet_topic_follower.cpp
+++ b/test/error/fleet_topic_follower.cpp
@@ -40,6 +40,7 @@
                 }
             }
             read.next_offset = records.records.size();
+            read.era = records.era;
             co_return read;
         };
         return log;
@@ -172,3 +173,45 @@
     fixture.follower->confirm({0, 1}, 1s);
     CHECK(fixture.follower->age() == 1s);
 }
+
+// Guards against records of an earlier era that a peer forwards late, and against a copy that looks
+// up to date because a peer has read as far in another era.
+TEST_CASE("records and confirmations of another era are not applied")
+{
+    asio::io_context context;
+    manual_clock clock(context);
+    follower_fixture fixture;
+    fixture.log.add("a");
+    fixture.log.records.era = 2;
+    fixture.read();
+    clock.advance(1s);
+    keyed_record late;
+    late.offset = 1;
+    late.key = "late";
+    CHECK(fixture.follower->apply_records({{late}, 0, 1})); // Nothing is missing.
+    CHECK_FALSE(fixture.follower->apply_records({{late}, 0, 3}));
+    fixture.follower->confirm({1, 1}, 0s);
+    fixture.follower->confirm({3, 1}, 0s);
+    CHECK(fixture.seen == names{"a"});
+    CHECK(fixture.follower->age() == 1s);
+}
+
+// Guards against a follower that takes answers of an earlier era, which were sent before a restore,
+// for the state of the restored log.
+TEST_CASE("a follower that learns of a newer era applies no answer of an earlier one")
+{
+    follower_fixture fixture;
+    fixture.log.add("a");
+    fixture.log.records.era = 1;
+    fixture.read();
+    CHECK(fixture.follower->note_era(2));
+    CHECK_FALSE(fixture.follower->is_loaded());
+    fixture.log.add("b");
+    fixture.read();
+    CHECK(fixture.seen == names{"a"});
+    fixture.log.records.era = 2;
+    fixture.read();
+    CHECK(fixture.follower->is_loaded());
+    CHECK(fixture.seen == names{"a", "b"});
+    CHECK_FALSE(fixture.follower->note_era(2));
+}
