Read the whole topic when a peer shows a new era during a read

A peer's state that names a new era while a read is under way made the answer in that era count as a confirmation of the old copy: its age was zero, though nothing of the new era had been read. Found by a reviewer by reading. A failed load now also counts as a failed read, so that such a node does not claim to reach the store.

--- a/src/fleet/topic_follower.cpp
+++ b/src/fleet/topic_follower.cpp
@@ -32,8 +32,9 @@
 /** Logs a read whose answer can't be used.
  * \return false, the result of the read.
  */
-bool topic_follower::fail_read(const char* call, const std::string& reason) const
+bool topic_follower::fail_read(const char* call, const std::string& reason)
 {
+    last_read_failed_ = true;
     follower_log.write("read_failed", {{"topic", topic_}, {"call", call}, {"reason", reason}});
     return false;
 }
@@ -157,7 +158,8 @@
     note_success();
     // A restored log may have grown past the position: its records there are not the next ones of
     // what was read.
-    if (note_era(read->era)) {
+    note_era(read->era);
+    if (!loaded_) { // A peer may have shown the new era during the read.
         co_return co_await load();
     }
     // The log returns no record only if none was appended during the whole wait.
--- a/src/fleet/topic_follower.h
+++ b/src/fleet/topic_follower.h
@@ -68,7 +68,7 @@
     /** True after the newest record of each key has been read, in the newest known era. */
     bool is_loaded() const { return loaded_; }
 
-    /** True if the last read of new records failed. */
+    /** True if the last read failed. */
     bool last_read_failed() const { return last_read_failed_; }
 
     /** Time since the start of the last read which confirmed that this node's copy is up to date.
@@ -79,7 +79,7 @@
   private:
     boost::asio::awaitable<bool> load();
     void note_success();
-    bool fail_read(const char* call, const std::string& reason) const;
+    bool fail_read(const char* call, const std::string& reason);
 
     shared_log log_;
     std::string topic_;
--- a/test/error/fleet_topic_follower.cpp
+++ b/test/error/fleet_topic_follower.cpp
@@ -27,6 +27,9 @@
         };
         log.read = [this](std::string, std::uint64_t from,
                           duration) -> asio::awaitable<shared_log_result<keyed_records>> {
+            if (during_read) {
+                during_read();
+            }
             if (down) {
                 co_return shared_log_failure{shared_log_error::unknown_outcome, "silent"};
             }
@@ -58,6 +61,7 @@
     keyed_records records;
     bool down = false;
     std::uint64_t trimmed_before = 0;
+    std::function<void()> during_read;
 };
 
 struct follower_fixture {
@@ -215,3 +219,26 @@
     CHECK(fixture.seen == names{"a", "b"});
     CHECK_FALSE(fixture.follower->note_era(2));
 }
+
+// Guards against an age of zero for a copy of the earlier era, when a peer shows the new era while
+// a read is under way that is answered in the new era.
+TEST_CASE("a follower that learns of a newer era during a read reads the whole topic")
+{
+    asio::io_context context;
+    manual_clock clock(context);
+    follower_fixture fixture;
+    fixture.log.add("a");
+    fixture.log.records.era = 1;
+    fixture.read();
+    clock.advance(2s);
+    fixture.log.during_read = [&fixture] {
+        fixture.log.records.records.clear();
+        fixture.log.add("b");
+        fixture.log.records.era = 2;
+        fixture.follower->note_era(2);
+    };
+    fixture.read();
+    CHECK(fixture.seen == names{"b"});
+    CHECK(fixture.follower->age() == 0s);
+    CHECK(fixture.follower->is_loaded());
+}
