Ignore entries of a restored list that a newer entry had replaced

Callers at a sound replica would be cut: the copy shows its head before it opened, and once the list has settled the leader retires the replica because its head is no member. The table keeps the last entries of each server, so that an entry of the copy is told from one that the server wrote again. New cases: correctness/fleet, backend table.

--- a/src/fleet/backend_table.cpp
+++ b/src/fleet/backend_table.cpp
@@ -14,6 +14,9 @@
 // Copies of the log are younger; older removals are forgotten.
 constexpr duration removal_retention = 120s;
 
+// More than a server replaces within the age of a copy.
+constexpr std::size_t max_replaced_entries = 8;
+
 } // namespace
 
 backend_table::backend_table(duration return_time) : return_time_(return_time) {}
@@ -39,7 +42,17 @@
     const bool same_incarnation = listed.server.started_ms == entry.started_ms;
     std::string loaded = entry.loaded_model.empty() && same_incarnation ? listed.server.loaded_model
                                                                         : entry.loaded_model;
-    listed = {entry, now, std::nullopt, entry.leaving ? leaving_since : std::nullopt};
+    if (same_incarnation && listed.published != entry) {
+        std::deque<backend>& earlier = replaced_[entry.id];
+        earlier.push_back(listed.published);
+        if (earlier.size() > max_replaced_entries) {
+            earlier.pop_front();
+        }
+    }
+    else if (!same_incarnation) {
+        replaced_.erase(entry.id);
+    }
+    listed = {entry, now, std::nullopt, entry.leaving ? leaving_since : std::nullopt, entry};
     listed.server.loaded_model = std::move(loaded);
 }
 
@@ -51,7 +64,7 @@
         ids.push_back(entry.id);
         const listed_backend* known = find(entry.id);
         const bool is_older = known != nullptr && known->server.started_ms > entry.started_ms;
-        if (is_older || removed_at_.contains(incarnation_of(entry))) {
+        if (is_older || was_replaced(entry) || removed_at_.contains(incarnation_of(entry))) {
             continue;
         }
         const bool was_leaving = known != nullptr && known->server.leaving &&
@@ -63,6 +76,17 @@
     retain(ids, now);
 }
 
+bool backend_table::was_replaced(const backend& entry) const
+{
+    const listed_backend* known = find(entry.id);
+    const auto earlier = replaced_.find(entry.id);
+    if (known == nullptr || known->published == entry || earlier == replaced_.end()) {
+        return false;
+    }
+    return std::find(earlier->second.begin(), earlier->second.end(), entry) !=
+           earlier->second.end();
+}
+
 void backend_table::remove(const std::string& id, time_point now)
 {
     const auto found = backends_.find(id);
@@ -73,6 +97,7 @@
     if (list_is_stable(now)) {
         removed_at_[incarnation_of(found->second.server)] = now;
         backends_.erase(found);
+        replaced_.erase(id);
         return;
     }
     if (!found->second.expires_at) {
@@ -116,6 +141,7 @@
     for (const std::string& id : dropped) {
         removed_at_[incarnation_of(find(id)->server)] = now;
         backends_.erase(id);
+        replaced_.erase(id);
         ++version_;
     }
     return dropped;
--- a/src/fleet/backend_table.h
+++ b/src/fleet/backend_table.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -21,6 +22,7 @@
     // Set while it is missing from the list: when it is removed.
     std::optional<time_point> expires_at;
     std::optional<time_point> leaving_since; // When this incarnation was first listed as leaving.
+    backend published;                       // The newest entry, as it was in the list.
 
     bool operator==(const listed_backend&) const = default;
 };
@@ -41,8 +43,8 @@
 
     /** Replaces the list by that of a log which was restored from an older copy. Entries that are
      * missing get the grace period. An entry is ignored if it is known to be out of date: of an
-     * earlier incarnation, or of a server that was removed while the list was stable. A server that
-     * was leaving still is.
+     * earlier incarnation, of a server that was removed while the list was stable, or one that a
+     * newer entry had replaced. A server that was leaving still is.
      */
     void restore(const std::vector<backend>& entries, time_point now);
 
@@ -68,6 +70,9 @@
     std::uint64_t version() const { return version_; }
 
   private:
+    /** \return true if a newer entry of the same incarnation has replaced this one. */
+    bool was_replaced(const backend& entry) const;
+
     /** \return true when no outage of the list lies within the grace period. */
     bool list_is_stable(time_point now) const;
 
@@ -75,6 +80,7 @@
     std::optional<time_point> outage_at_;
     std::map<backend_incarnation, time_point> removed_at_; // Removed while the list was stable.
     std::map<std::string, listed_backend> backends_;
+    std::map<std::string, std::deque<backend>> replaced_; // By id: earlier entries of the server.
     std::uint64_t version_ = 0;
 };
 
