Wait for the list to settle on a node that starts after a restore too

A node that reads its first list within the two seconds in which servers list themselves again took it for complete as soon as it led. Found by reading.

--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -145,8 +145,11 @@
 {
     const time_point now = monotonic_clock::now();
     const std::uint64_t before = backends_.version();
-    const bool is_restored =
-        backend_follower_.age().has_value() && records.era > backend_follower_.position().era;
+    const bool is_first = !backend_follower_.age();
+    const bool is_restored = !is_first && records.era > backend_follower_.position().era;
+    if (is_first || is_restored) {
+        list_began_at_ = now;
+    }
     std::vector<backend> entries;
     std::vector<std::string> listed;
     for (const keyed_record& record : records.records) {
@@ -156,7 +159,6 @@
         }
     }
     if (is_restored) {
-        restored_at_ = now;
         backends_.restore(entries, now);
     }
     else {
@@ -383,16 +385,13 @@
 void fleet_view::load_replicas(const keyed_records& records)
 {
     ledger_.replace(records);
-    if (!ledger_.is_current()) {
-        restored_at_ = monotonic_clock::now();
-    }
     on_change();
 }
 
 bool fleet_view::is_settled() const
 {
-    const bool listed_again = !restored_at_ || monotonic_clock::now() - *restored_at_ >=
-                                                   settings_.restored_list_settle_time;
+    const bool listed_again = list_began_at_ && monotonic_clock::now() - *list_began_at_ >=
+                                                    settings_.restored_list_settle_time;
     return ledger_.is_current() && listed_again;
 }
 
--- a/src/relay/fleet_view.h
+++ b/src/relay/fleet_view.h
@@ -74,7 +74,8 @@
     // After a failed read. Each read is a call on the log.
     duration retry_interval = 400ms;
 
-    // In a restored log, the time in which backend servers list themselves again.
+    // From the first read of the list in an era: the time in which backend servers list themselves
+    // again if the log was restored.
     duration restored_list_settle_time = 2s;
 };
 
@@ -213,7 +214,7 @@
     recent_records recent_replicas_;
     recent_records recent_backends_;
     std::optional<time_point> behind_leader_since_; // Since the leader has been ahead of this list.
-    std::optional<time_point> restored_at_;         // When this node last read a restored log.
+    std::optional<time_point> list_began_at_;       // When the list was first read in this era.
     bool reading_replicas_ = false;
 };
 
