Bound the waits of a restore, and serve nothing before what others wrote was read

Found by a reviewer by reading, each with a case in error/relay (fleet restorer) that was first run on the fixed code: - A node whose first read of the accepted configuration failed, or that had heard no peer yet, served by the copy, with keys that were revoked since. - A node waited for ever for another one that knew as much and did not write. - A node that knew nothing agreed declared the copy agreed after 1.5 s, although live nodes knew more. - A late write of an older accepted configuration was never replaced. - Refused writes were repeated each 100 ms; now each 400 ms.

--- a/src/relay/fleet_restorer.cpp
+++ b/src/relay/fleet_restorer.cpp
@@ -53,15 +53,23 @@
     if (known == log_position() && now - started_at_ < settings_.first_node_wait) {
         return false;
     }
-    const bool waits_for_writer = now - *lacking_since_ < settings_.max_wait_for_writer;
-    for (const known_agreement& peer : hooks_.peers()) {
-        const bool knows_more = peer.replicas > known;
-        const bool goes_first = peer.replicas == known && peer.node < node_ && peer.can_write;
-        if ((knows_more && (peer.can_write || waits_for_writer)) || goes_first) {
-            return false;
-        }
+    const auto peers = hooks_.peers();
+    return std::none_of(peers.begin(), peers.end(), [&](const known_agreement& peer) {
+        return must_wait_for(peer, now - *lacking_since_);
+    });
+}
+
+/** \return true while the peer should write instead of this node. */
+bool fleet_restorer::must_wait_for(const known_agreement& peer, duration waited) const
+{
+    const log_position known = view_.ledger().agreed_end();
+    if (peer.replicas > known) {
+        const bool waits_long = peer.can_write || known == log_position();
+        return waited <
+               (waits_long ? settings_.max_wait_for_knowing : settings_.max_wait_for_writer);
     }
-    return true;
+    const bool goes_first = peer.replicas == known && peer.node < node_ && peer.can_write;
+    return goes_first && waited < settings_.max_wait_for_writer;
 }
 
 asio::awaitable<void> fleet_restorer::restore_replicas()
@@ -73,7 +81,7 @@
         co_return;
     }
     lacking_since_ = lacking_since_.value_or(now);
-    if (!should_write_replicas(now)) {
+    if (now < replicas_retry_at_ || !should_write_replicas(now)) {
         co_return;
     }
     const log_position at = ledger.end();
@@ -94,6 +102,7 @@
         view_.apply_replica_records(written);
         co_return;
     }
+    replicas_retry_at_ = monotonic_clock::now() + settings_.retry_interval;
     co_await view_.read_replicas();
 }
 
@@ -104,10 +113,19 @@
         return false;
     }
     const std::uint64_t version = view_.configuration()->version();
-    if (version <= accepted_version_) {
+    const auto peers = hooks_.peers();
+    // A late write of another node may have replaced this one's by an older version.
+    const bool others_are_older =
+        std::any_of(peers.begin(), peers.end(), [version](const known_agreement& peer) {
+            return peer.configuration_version < version;
+        });
+    const bool is_due = version > accepted_version_ ||
+                        (others_are_older && now - accepted_written_at_.value_or(time_point()) >=
+                                                 settings_.rewrite_interval);
+    if (!is_due || now < accepted_retry_at_) {
         return false;
     }
-    for (const known_agreement& peer : hooks_.peers()) {
+    for (const known_agreement& peer : peers) {
         const bool goes_first = peer.configuration_version > version ||
                                 (peer.configuration_version == version && peer.node < node_);
         if (goes_first && peer.can_write) {
@@ -129,7 +147,10 @@
                                                  {"outcome", put ? "done" : put.failure().reason}});
     if (put) {
         accepted_version_ = version;
+        accepted_written_at_ = monotonic_clock::now();
+        co_return;
     }
+    accepted_retry_at_ = monotonic_clock::now() + settings_.retry_interval;
 }
 
 bool fleet_restorer::must_read_accepted() const
@@ -139,7 +160,7 @@
     if (!is_due || !view_.configuration()) {
         return false;
     }
-    if (!has_tried_accepted_) {
+    if (!has_read_accepted_) {
         return true;
     }
     // The topic is written only after a restore.
@@ -159,24 +180,30 @@
     }
     accepted_read_at_ = monotonic_clock::now();
     auto read = co_await log_.read_latest(accepted_configuration_topic);
-    has_tried_accepted_ = true;
     if (!read) {
         restore_log.write("read_failed", {{"topic", accepted_configuration_topic},
                                           {"reason", read.failure().reason}});
         co_return;
     }
+    has_read_accepted_ = true;
     view_.apply_accepted_configuration(*read);
 }
 
 bool fleet_restorer::is_behind() const
 {
     const replica_ledger& ledger = view_.ledger();
+    const duration uptime = monotonic_clock::now() - started_at_;
     const bool lacks_replicas =
         view_.has_read_replicas() && !ledger.is_current() && ledger.agreed_end() == log_position();
-    if (lacks_replicas || !has_tried_accepted_ || !view_.configuration()) {
+    const bool is_reading =
+        (!view_.has_read_replicas() || !has_read_accepted_) && uptime < settings_.max_catch_up_time;
+    if (lacks_replicas || is_reading || !view_.configuration()) {
         return true;
     }
     const auto peers = hooks_.peers();
+    if (peers.empty()) {
+        return uptime < settings_.first_node_wait;
+    }
     return std::any_of(peers.begin(), peers.end(), [this](const known_agreement& peer) {
         return peer.configuration_version > view_.configuration()->version();
     });
--- a/src/relay/fleet_restorer.h
+++ b/src/relay/fleet_restorer.h
@@ -53,8 +53,19 @@
     // peers.
     duration first_node_wait = 1200ms;
 
-    // How long a node that knows more but does not reach the log is waited for.
+    // How long a node that should write is waited for: one that knows as much, or one that knows
+    // more and does not reach the log.
     duration max_wait_for_writer = 1500ms;
+
+    // How long one that knows more and reaches the log is waited for, and by a node that knows
+    // nothing agreed any one that knows more.
+    duration max_wait_for_knowing = 10s;
+
+    // How long a node that has just started tries to read what the others have written.
+    duration max_catch_up_time = 5s;
+
+    duration retry_interval = 400ms; // After a failed call on the log.
+    duration rewrite_interval = 1s;  // While another node has an older configuration.
 };
 
 /** On a restored log, the node that knows most writes the agreed replicas and the accepted
@@ -83,6 +94,7 @@
     void note_era();
     bool must_read_accepted() const;
     bool should_write_replicas(time_point now) const;
+    bool must_wait_for(const known_agreement& peer, duration waited) const;
     bool should_write_configuration(time_point now) const;
 
     std::string node_;
@@ -95,8 +107,11 @@
     std::optional<time_point> era_seen_at_;   // When it was first seen after another one.
     std::optional<time_point> lacking_since_; // Since the log lacks agreed replicas.
     std::optional<time_point> accepted_read_at_;
-    std::uint64_t accepted_version_ = 0; // In the accepted topic.
-    bool has_tried_accepted_ = false;
+    std::uint64_t accepted_version_ = 0;            // Of this node's last write to the topic.
+    std::optional<time_point> accepted_written_at_; // When that was.
+    bool has_read_accepted_ = false;
+    time_point replicas_retry_at_{};
+    time_point accepted_retry_at_{};
 };
 
 } // namespace chervildyke
--- /dev/null
+++ b/test/error/relay_fleet_restorer.cpp
@@ -0,0 +1,177 @@
+/** \file
+ * Tests when a node writes what a restored log lacks, and when a node that starts may serve calls,
+ * while other nodes or the log fail.
+ */
+#include <doctest/doctest.h>
+
+#include <boost/asio.hpp>
+
+#include "base/task.h"
+#include "platform/published_documents.h"
+#include "relay/fleet_restorer.h"
+#include "support/restorable_log.h"
+
+using namespace chervildyke;
+namespace asio = boost::asio;
+
+namespace {
+
+keyed_record configuration(int version)
+{
+    keyed_record record;
+    record.key = "config";
+    record.value = R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[]})";
+    return record;
+}
+
+/** One node "n1", whose peers report what a test says. */
+struct node_fixture {
+    node_fixture()
+    {
+        log.write("op", configuration(1));
+        start();
+    }
+
+    /** Starts the node, or ends it and starts it again. */
+    void start()
+    {
+        link->node_ended = true;
+        link = std::make_shared<test::log_link>();
+        shared_log calls = log.calls(link);
+        const auto append = calls.append;
+        calls.append = [this, append](std::string topic, log_position at,
+                                      std::vector<keyed_record> records) {
+            ++writes;
+            return append(std::move(topic), at, std::move(records));
+        };
+        const auto put = calls.put;
+        calls.put = [this, put](std::string topic, keyed_record record) {
+            ++writes;
+            return put(std::move(topic), std::move(record));
+        };
+        views.push_back(std::make_shared<fleet_view>(
+            context.get_executor(), calls, platform::make_fleet_codec(), seeded_random(1), 2s));
+        view = views.back();
+        view->on_change = [] {};
+        view->on_configuration = [](const published_configuration_ptr&) {};
+        view->is_leader = [] { return true; };
+        fleet_restorer_hooks hooks;
+        hooks.peers = [this] { return peers; };
+        hooks.can_write = [this] { return can_write; };
+        restorer = std::make_shared<fleet_restorer>("n1", calls, *view, hooks);
+        spawn_task(context.get_executor(), "configuration", view->follow_configuration());
+        spawn_task(context.get_executor(), "replicas", view->follow_replicas());
+        spawn_task(context.get_executor(), "restore", restorer->run());
+    }
+
+    void restore_log()
+    {
+        const time_point copied_at = monotonic_clock::now() - 2s;
+        log.go_down();
+        clock.advance(500ms);
+        log.restore(copied_at);
+        clock.advance(100ms);
+    }
+
+    bool is_current() const { return view->ledger().is_current(); }
+
+    asio::io_context context{1};
+    manual_clock clock{context};
+    test::restorable_log log;
+    std::shared_ptr<test::log_link> link = std::make_shared<test::log_link>();
+    std::vector<std::shared_ptr<fleet_view>> views; // Also those of ended nodes.
+    std::shared_ptr<fleet_view> view;
+    std::shared_ptr<fleet_restorer> restorer;
+    std::vector<known_agreement> peers;
+    bool can_write = true;
+    int writes = 0;
+};
+
+} // namespace
+
+// Guards against a fleet that never plans again because the node that should write does not.
+TEST_CASE("a node does not wait for ever for another one that knows as much")
+{
+    node_fixture fixture;
+    fixture.clock.advance(3s);
+    REQUIRE(fixture.is_current());
+    fixture.peers = {{"n0", fixture.view->ledger().agreed_end(), 1, true}};
+    fixture.restore_log();
+    fixture.clock.advance(1s);
+    CHECK_FALSE(fixture.is_current());
+    fixture.clock.advance(1s);
+    CHECK(fixture.is_current());
+}
+
+// Guards against a node that has just started and declares an older copy agreed.
+TEST_CASE("a node that knows nothing agreed waits for nodes that do, also if they can't write")
+{
+    node_fixture fixture;
+    fixture.clock.advance(3s);
+    const log_position known = fixture.view->ledger().agreed_end();
+    fixture.restore_log();
+    fixture.peers = {{"n2", known, 1, false}};
+    fixture.start();
+    fixture.clock.advance(8s);
+    CHECK_FALSE(fixture.is_current());
+    CHECK(fixture.restorer->is_behind());
+    fixture.clock.advance(4s);
+    CHECK(fixture.is_current());
+}
+
+// Guards against a configuration that goes back at a node that starts: a late write of a node with
+// an older one replaced the newest, and nobody wrote it again.
+TEST_CASE("the configuration in force is written again while another node has an older one")
+{
+    node_fixture fixture;
+    fixture.clock.advance(3s);
+    fixture.log.write("op", configuration(5));
+    fixture.clock.advance(100ms);
+    REQUIRE(fixture.view->configuration()->version() == 5);
+    fixture.restore_log();
+    fixture.clock.advance(1s);
+    fixture.log.write(accepted_configuration_topic, configuration(3)); // By a node that was late.
+    fixture.peers = {{"n0", {}, 3, true}};
+    fixture.clock.advance(1500ms);
+    fixture.start();
+    fixture.clock.advance(1s);
+    CHECK(fixture.view->configuration()->version() == 5);
+}
+
+// Guards against a revoked key that is honoured by a node whose first reads fail.
+TEST_CASE("a node that starts serves nothing until it has read what the others have written")
+{
+    node_fixture fixture;
+    fixture.clock.advance(3s);
+    fixture.log.write("op", configuration(5));
+    fixture.clock.advance(100ms);
+    fixture.restore_log();
+    fixture.clock.advance(1s);
+    fixture.log.refuse_topic(accepted_configuration_topic);
+    fixture.start();
+    fixture.clock.advance(2s);
+    CHECK(fixture.view->configuration()->version() == 1);
+    CHECK(fixture.restorer->is_behind());
+    fixture.log.refuse_topic("");
+    fixture.clock.advance(500ms);
+    CHECK(fixture.view->configuration()->version() == 5);
+    CHECK_FALSE(fixture.restorer->is_behind());
+}
+
+// Guards against calls without a pause on a store that refuses them.
+TEST_CASE("writes that are refused are repeated after a pause")
+{
+    node_fixture fixture;
+    fixture.clock.advance(3s);
+    fixture.log.write("op", configuration(5));
+    fixture.clock.advance(100ms);
+    fixture.log.refuse_writes(true);
+    fixture.restore_log();
+    fixture.writes = 0;
+    fixture.clock.advance(4s);
+    CHECK(fixture.writes >= 4);
+    CHECK(fixture.writes <= 20); // Two writes in each 400 ms.
+    fixture.log.refuse_writes(false);
+    fixture.clock.advance(1s);
+    CHECK(fixture.is_current());
+}
--- a/test/support/restorable_log.h
+++ b/test/support/restorable_log.h
@@ -83,6 +83,12 @@
 
     std::uint64_t era() const { return era_; }
 
+    /** Refuses all calls on one topic; on none if the name is empty. */
+    void refuse_topic(const std::string& topic) { refused_topic_ = topic; }
+
+    /** Refuses appends of nodes, and serves reads. */
+    void refuse_writes(bool refused) { refuses_writes_ = refused; }
+
   private:
     struct stored_record {
         keyed_record record;
@@ -95,7 +101,7 @@
                                                                   std::string topic)
     {
         co_await link->pass();
-        if (down_) {
+        if (down_ || topic == refused_topic_) {
             co_return refusal();
         }
         std::map<std::string, keyed_record> newest;
@@ -147,7 +153,7 @@
         co_await link->pass();
         const duration delay = link->append_delay;
         co_await sleep_for(delay);
-        if (down_) {
+        if (down_ || refuses_writes_) {
             co_return refusal();
         }
         if (topics_[topic].size() != at.offset) {
@@ -168,7 +174,7 @@
                                                          std::string topic, keyed_record record)
     {
         co_await link->pass();
-        if (down_) {
+        if (down_ || refuses_writes_) {
             co_return refusal();
         }
         write(topic, std::move(record));
@@ -179,6 +185,8 @@
     std::map<std::string, std::vector<stored_record>> topics_;
     std::uint64_t era_ = 1;
     bool down_ = false;
+    bool refuses_writes_ = false;
+    std::string refused_topic_;
 };
 
 } // namespace chervildyke::test
