--- a/src/assembly/assembly_plan.cpp
+++ b/src/assembly/assembly_plan.cpp
@@ -32,12 +32,6 @@
     return command;
 }
 
-/** \return the epoch of the next replica: all records of lower epochs were read. */
-std::uint64_t next_epoch(const replica_ledger& ledger)
-{
-    return ledger.end() + 1;
-}
-
 /** \return a command to a VM about the replica of which it says that it is the head. */
 engine_command make_orphan_command(command_kind kind, const replica_membership& membership)
 {
@@ -78,7 +72,9 @@
             }
         }
         if (in_.list_is_current) {
-            formation_planner formation(in_, settings_, in_.ledger->end() + plan_.records.size());
+            log_position next = in_.ledger->end();
+            next.offset += plan_.records.size();
+            formation_planner formation(in_, settings_, next);
             formation.run();
             plan_.records.insert(plan_.records.end(), formation.records().begin(),
                                  formation.records().end());
@@ -359,7 +355,7 @@
         for (const auto& [id, listed] : in_.backends->all()) {
             const backend& vm = listed.server;
             const bool orphan = vm.service == in_.service && !vm.leaving && takes_calls(vm) &&
-                                vm.membership->epoch < next_epoch(*in_.ledger) &&
+                                vm.membership->epoch < epoch_at(in_.ledger->end()) &&
                                 !in_.ledger->holder_of(id);
             if (!orphan) {
                 continue;
@@ -484,7 +480,7 @@
                 command.replica = "spare-" + vm->id;
                 // Lower than the epoch of any replica that this node has not read yet: if such a
                 // replica has taken the VM, the VM refuses this command.
-                command.epoch = in_.ledger->end();
+                command.epoch = epoch_at(in_.ledger->end()) - 1;
                 command.model = vm->staged_models.front();
                 command.members = {vm->id};
                 add_command(vm->id, command);
--- a/test/correctness/assembly_orphans.cpp
+++ b/test/correctness/assembly_orphans.cpp
@@ -28,7 +28,7 @@
         REQUIRE(serving("small").size() == 1);
         add_domain("d1-", 2);
         membership.replica = "lost-record";
-        membership.epoch = ledger.end(); // Lower than the epoch of the next replica.
+        membership.epoch = epoch_at(ledger.end()) - 1; // Lower than the epoch of the next replica.
         membership.rank = 0;
         membership.phase = membership_phase::open;
     }
@@ -119,7 +119,7 @@
 TEST_CASE("the head of a replica whose record this node may not have read yet is left alone")
 {
     orphan_fixture fixture;
-    fixture.membership.epoch = fixture.ledger.end() + 1; // The next replica.
+    fixture.membership.epoch = epoch_at(fixture.ledger.end()); // The next replica.
     fixture.list_orphan();
     for (const planned_command& planned : fixture.plan().commands) {
         CHECK(planned.vm != orphan_fixture::orphan);
--- a/test/error/fleet_topic_follower.cpp
+++ b/test/error/fleet_topic_follower.cpp
@@ -27,6 +27,9 @@
         };
         log.read = [this](std::string, std::uint64_t from,
                           duration) -> asio::awaitable<shared_log_result<keyed_records>> {
+            if (during_read) {
+                during_read();
+            }
             if (down) {
                 co_return shared_log_failure{shared_log_error::unknown_outcome, "silent"};
             }
@@ -40,6 +43,7 @@
                 }
             }
             read.next_offset = records.records.size();
+            read.era = records.era;
             co_return read;
         };
         return log;
@@ -57,6 +61,7 @@
     keyed_records records;
     bool down = false;
     std::uint64_t trimmed_before = 0;
+    std::function<void()> during_read;
 };
 
 struct follower_fixture {
@@ -160,15 +165,80 @@
     asio::io_context context;
     manual_clock clock(context);
     follower_fixture fixture;
-    fixture.follower->confirm(0, 0s);
+    fixture.follower->confirm({0, 0}, 0s);
     CHECK_FALSE(fixture.follower->age().has_value()); // Nothing was read yet.
     fixture.log.add("a");
     fixture.read();
     clock.advance(3s);
-    fixture.follower->confirm(2, 0s); // The peer has read more.
+    fixture.follower->confirm({0, 2}, 0s); // The peer has read more.
     CHECK(fixture.follower->age() == 3s);
-    fixture.follower->confirm(1, 5s);
+    fixture.follower->confirm({0, 1}, 5s);
     CHECK(fixture.follower->age() == 3s);
-    fixture.follower->confirm(1, 1s);
+    fixture.follower->confirm({0, 1}, 1s);
+    CHECK(fixture.follower->age() == 1s);
+}
+
+// Guards against records of an earlier era that a peer forwards late, and against a copy that looks
+// up to date because a peer has read as far in another era.
+TEST_CASE("records and confirmations of another era are not applied")
+{
+    asio::io_context context;
+    manual_clock clock(context);
+    follower_fixture fixture;
+    fixture.log.add("a");
+    fixture.log.records.era = 2;
+    fixture.read();
+    clock.advance(1s);
+    keyed_record late;
+    late.offset = 1;
+    late.key = "late";
+    CHECK(fixture.follower->apply_records({{late}, 0, 1})); // Nothing is missing.
+    CHECK_FALSE(fixture.follower->apply_records({{late}, 0, 3}));
+    fixture.follower->confirm({1, 1}, 0s);
+    fixture.follower->confirm({3, 1}, 0s);
+    CHECK(fixture.seen == names{"a"});
     CHECK(fixture.follower->age() == 1s);
 }
+
+// Guards against a follower that takes answers of an earlier era, which were sent before a restore,
+// for the state of the restored log.
+TEST_CASE("a follower that learns of a newer era applies no answer of an earlier one")
+{
+    follower_fixture fixture;
+    fixture.log.add("a");
+    fixture.log.records.era = 1;
+    fixture.read();
+    CHECK(fixture.follower->note_era(2));
+    CHECK_FALSE(fixture.follower->is_loaded());
+    fixture.log.add("b");
+    fixture.read();
+    CHECK(fixture.seen == names{"a"});
+    fixture.log.records.era = 2;
+    fixture.read();
+    CHECK(fixture.follower->is_loaded());
+    CHECK(fixture.seen == names{"a", "b"});
+    CHECK_FALSE(fixture.follower->note_era(2));
+}
+
+// Guards against an age of zero for a copy of the earlier era, when a peer shows the new era while
+// a read is under way that is answered in the new era.
+TEST_CASE("a follower that learns of a newer era during a read reads the whole topic")
+{
+    asio::io_context context;
+    manual_clock clock(context);
+    follower_fixture fixture;
+    fixture.log.add("a");
+    fixture.log.records.era = 1;
+    fixture.read();
+    clock.advance(2s);
+    fixture.log.during_read = [&fixture] {
+        fixture.log.records.records.clear();
+        fixture.log.add("b");
+        fixture.log.records.era = 2;
+        fixture.follower->note_era(2);
+    };
+    fixture.read();
+    CHECK(fixture.seen == names{"b"});
+    CHECK(fixture.follower->age() == 0s);
+    CHECK(fixture.follower->is_loaded());
+}
--- a/test/error/relay_planned_stops.cpp
+++ b/test/error/relay_planned_stops.cpp
@@ -46,10 +46,13 @@
         }
         co_return read;
     };
-    log.append = [](std::string, std::vector<keyed_record>)
-        -> asio::awaitable<shared_log_result<std::uint64_t>> { co_return std::uint64_t{0}; };
-    log.put = [](std::string, keyed_record) -> asio::awaitable<shared_log_result<std::uint64_t>> {
-        co_return std::uint64_t{1};
+    log.append = [](std::string, log_position at,
+                    std::vector<keyed_record>) -> asio::awaitable<shared_log_result<log_position>> {
+        co_return at;
+    };
+    log.put = [](std::string, keyed_record) -> asio::awaitable<shared_log_result<log_position>> {
+        const log_position end{0, 1};
+        co_return end;
     };
     return log;
 }
