Count the calls that run at a replica without a listed head

Callers whose streams ran at a head that vanished from the list were still cut: the leader plans from the usage of serving replicas alone, and a replica whose head is not listed serves no new calls, so its running calls looked like none and close_now aborted them. The tests of the planner set the usage by hand.

--- a/src/routing/replica_balancer.cpp
+++ b/src/routing/replica_balancer.cpp
@@ -277,6 +277,17 @@
     for (const auto& [epoch, replica] : serving_) {
         uses[epoch] = usage_of(epoch, now);
     }
+    // Calls go on at a replica that takes no new ones.
+    for (const auto& [epoch, own] : own_usage_) {
+        if (own.running > 0) {
+            uses[epoch] = usage_of(epoch, now);
+        }
+    }
+    for (const auto& [epoch, total] : peer_totals_) {
+        if (total.running > 0) {
+            uses[epoch] = usage_of(epoch, now);
+        }
+    }
     return uses;
 }
 
--- a/src/routing/replica_balancer.h
+++ b/src/routing/replica_balancer.h
@@ -175,8 +175,8 @@
     /** The usage of this node by epoch, to be reported to peers. */
     std::map<std::uint64_t, replica_usage> own_usage(time_point now) const;
 
-    /** The usage of all nodes by epoch. The silence of a replica is the shortest that any node
-     * reports. */
+    /** The usage of all nodes by epoch: of the serving replicas, and of others while calls run
+     * there. The silence of a replica is the shortest that any node reports. */
     std::map<std::uint64_t, replica_usage> total_usage(time_point now) const;
 
     /** \return how long no node has received an event from the replica; zero if it has no calls. */
--- a/test/correctness/routing_replica_balancer.cpp
+++ b/test/correctness/routing_replica_balancer.cpp
@@ -100,6 +100,21 @@
     CHECK(balancer.choose(request(), 1, start).selected.has_value());
 }
 
+// Guards against running calls that are aborted because the leader does not see them once the head
+// of their replica is missing from the list, so that the replica takes no new calls.
+TEST_CASE("the calls that run at a replica count until they end, also when it takes no new ones")
+{
+    replica_balancer balancer = balancer_of(2);
+    balancer.note_peer_usage("peer", {{1, {2, 0, 100ms, false}}}, start, false);
+    balancer.set_serving({});
+    const auto uses = balancer.total_usage(start);
+    REQUIRE(uses.contains(1));
+    CHECK(uses.at(1).running == 2);
+    CHECK_FALSE(uses.contains(2));
+    balancer.note_peer_usage("peer", {}, start, false);
+    CHECK(balancer.total_usage(start).empty());
+}
+
 TEST_CASE("the silence of a replica is the shortest that any node reports")
 {
     replica_balancer balancer = balancer_of(1);
