Start no further plain attempt in the last milliseconds of a call

With a failure in hand the attempts are cancelled 3 ms before the deadline; the watch of slow attempts could still start another one then. Found by the reviewer by reading, without a test of its own.

--- a/src/relay/plain_relay.cpp
+++ b/src/relay/plain_relay.cpp
@@ -233,7 +233,7 @@
 /** Starts another attempt if it may; until then the servers may still answer. */
 void plain_call::start_beside_slow_attempts()
 {
-    if (ending_ || attempts_.empty()) {
+    if (ending_ || attempts_.empty() || call_.time_left() <= deadline_margin) {
         return;
     }
     const time_point now = monotonic_clock::now();
