Don't take a cancelled plain attempt for an answer of its server

An attempt that was cancelled because another one had been answered, or because the caller had left, cleared the failures of a server that had said nothing, so a dead server stayed in use longer.

--- a/src/relay/plain_relay.cpp
+++ b/src/relay/plain_relay.cpp
@@ -307,10 +307,12 @@
     const bool healthy = end.result == attempt_result::answered && !end.backend_failed;
     // An attempt that was cancelled because of another's answer shows a failure only if it was
     // slow.
-    const bool answered =
-        healthy || end.backend_failed || call_.cancel->cancelled() || (ending_ && !done.was_slow);
+    const bool answered = healthy || end.backend_failed;
+    const bool cancelled = call_.cancel->cancelled() || (ending_ && !done.was_slow);
     call_.context.backend_lb->note_end(done.target.address,
-                                       answered ? backend_result::answered : backend_result::failed,
+                                       answered    ? backend_result::answered
+                                       : cancelled ? backend_result::cancelled
+                                                   : backend_result::failed,
                                        monotonic_clock::now());
     call_.end.runs += end.result == attempt_result::not_run ? 0 : 1;
     if (healthy || call_.cancel->cancelled()) {
