Let the node of the planned stops hear no peers before it serves

The fixture advanced one second; a node that hears no other node serves no calls for the first 1.2 s since it may know less than the others.

--- a/test/error/relay_planned_stops.cpp
+++ b/test/error/relay_planned_stops.cpp
@@ -86,7 +86,7 @@
         node.emplace(context.get_executor(), settings, make_hooks(timeout),
                      std::make_shared<http_client>(context.get_executor()), seeded_random(1));
         REQUIRE_MESSAGE(node->start(), node->last_reason());
-        clock.advance(1s);
+        clock.advance(2s); // Alone, it serves no calls for the first 1.2 s.
     }
 
     relay_hooks make_hooks(duration timeout) const
