--- a/src/assembly/assembler.cpp
+++ b/src/assembly/assembler.cpp
@@ -144,14 +144,8 @@
 {
     const log_position at = ledger_.end();
     records.insert(records.begin(), make_ledger_header(at.era));
-    keyed_records written;
-    written.era = at.era;
-    written.next_offset = at.offset + records.size();
-    for (std::size_t i = 0; i < records.size(); ++i) {
-        records[i].offset = at.offset + i;
-    }
-    written.records = records;
-    auto appended = co_await log_.append(replica_topic, at, std::move(records));
+    const keyed_records written = appended_at(at, std::move(records));
+    auto appended = co_await log_.append(replica_topic, at, written.records);
     assembly_log.write("records_appended",
                        {{"era", std::to_string(at.era)},
                         {"at", std::to_string(at.offset)},
--- a/src/fleet/shared_log.h
+++ b/src/fleet/shared_log.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
@@ -55,6 +56,16 @@
     bool operator==(const keyed_records&) const = default;
 };
 
+/** \return the records as they stand in the log after an append at a position. */
+inline keyed_records appended_at(log_position at, std::vector<keyed_record> records)
+{
+    for (std::size_t i = 0; i < records.size(); ++i) {
+        records[i].offset = at.offset + i;
+    }
+    const std::uint64_t next = at.offset + records.size();
+    return {std::move(records), next, at.era};
+}
+
 /** The calls on the log, supplied by the platform. */
 struct shared_log {
     /** Reads the newest record of each key. Records that are appended during the call may be
--- a/src/relay/fleet_restorer.cpp
+++ b/src/relay/fleet_restorer.cpp
@@ -85,13 +85,7 @@
         co_return;
     }
     const log_position at = ledger.end();
-    keyed_records written;
-    written.records = ledger.make_restoring_records();
-    written.era = at.era;
-    written.next_offset = at.offset + written.records.size();
-    for (std::size_t i = 0; i < written.records.size(); ++i) {
-        written.records[i].offset = at.offset + i;
-    }
+    const keyed_records written = appended_at(at, ledger.make_restoring_records());
     auto appended = co_await log_.append(replica_topic, at, written.records);
     restore_log.write("replicas_restored",
                       {{"era", std::to_string(at.era)},
--- a/test/fuzz/relay_restored_log.cpp
+++ b/test/fuzz/relay_restored_log.cpp
@@ -131,13 +131,8 @@
             }
             const log_position at = view->ledger().end();
             records.insert(records.begin(), make_ledger_header(at.era));
-            keyed_records written;
-            written.era = at.era;
-            written.next_offset = at.offset + 2;
-            records[0].offset = at.offset;
-            records[1].offset = at.offset + 1;
-            written.records = records;
-            auto appended = co_await shared.append(replica_topic, at, std::move(records));
+            const keyed_records written = appended_at(at, std::move(records));
+            auto appended = co_await shared.append(replica_topic, at, written.records);
             if (!appended) {
                 co_await view->read_replicas();
                 continue;
