--- a/src/fleet/log_position.h
+++ b/src/fleet/log_position.h
@@ -3,8 +3,8 @@
  */
 #pragma once
 
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace chervildyke {
 
@@ -16,7 +16,15 @@
     std::uint64_t era = 0;
     std::uint64_t offset = 0;
 
-    auto operator<=>(const log_position&) const = default;
+    bool operator==(const log_position&) const = default;
+
+    bool operator<(const log_position& other) const
+    {
+        return std::tie(era, offset) < std::tie(other.era, other.offset);
+    }
+    bool operator>(const log_position& other) const { return other < *this; }
+    bool operator<=(const log_position& other) const { return !(other < *this); }
+    bool operator>=(const log_position& other) const { return !(*this < other); }
 };
 
 } // namespace chervildyke
--- a/test/fuzz/relay_restored_log.cpp
+++ b/test/fuzz/relay_restored_log.cpp
@@ -21,7 +21,6 @@
 
 namespace {
 
-constexpr duration gossip_interval = 100ms;
 constexpr duration round_interval = 50ms; // Between two checks of the whole fleet.
 
 /** The commands that VMs have received, and what nodes have seen take effect. */
