--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -253,12 +253,7 @@
     }
     const duration usual =
         is_leader() ? settings_.leader_configuration_wait : settings_.configuration_wait;
-    const duration longest =
-        shared ? std::min(usual, settings_.max_shared_configuration_age / 2) : usual;
-    // A read that ended early with a new configuration confirms only what was in force when it
-    // began; its wait counts towards the age.
-    const duration age = configuration_follower_.age().value_or(duration::zero());
-    return std::max<duration>(longest - age, duration::zero());
+    return shared ? std::min(usual, settings_.max_shared_configuration_age / 2) : usual;
 }
 
 void fleet_view::note_configuration_end(log_position end)
