--- a/test/correctness/platform_store.cpp
+++ b/test/correctness/platform_store.cpp
@@ -45,7 +45,7 @@
                                              make_record(2, "b", std::string("\0x", 2))};
         const auto appended = co_await fixture.log.append("t", start, records);
         REQUIRE(appended);
-        CHECK(appended->offset == 3);
+        CHECK((*appended == log_position{1, 3}));
         const auto newest = co_await fixture.log.read_latest("t");
         REQUIRE(newest);
         REQUIRE(newest->records.size() == 2);
--- a/test/correctness/relay_fleet_view.cpp
+++ b/test/correctness/relay_fleet_view.cpp
@@ -212,7 +212,7 @@
     fixture.clock.advance(2s);
     const keyed_record added = fixture.log.add_server("i-2");
     fixture.clock.advance(500ms);
-    CHECK(fixture.view->backend_list_end().offset == 2);
+    CHECK((fixture.view->backend_list_end() == log_position{0, 2}));
     CHECK(*fixture.view->backend_age() < 1s);
     CHECK(fixture.view->recent_backends() == std::vector<keyed_record>{added});
     fixture.clock.advance(2s);
@@ -244,7 +244,7 @@
     shared_view_fixture fixture;
     fixture.log.publish(2);
     fixture.view->confirm_configuration({0, 2}, 100ms);
-    CHECK(fixture.view->configuration_end().offset == 1);
+    CHECK((fixture.view->configuration_end() == log_position{0, 1}));
     fixture.clock.advance(300ms);
     CHECK(fixture.view->configuration()->version() == 2);
     CHECK(fixture.log.calls["op"] == 1);
--- a/test/error/assembly_ledger.cpp
+++ b/test/error/assembly_ledger.cpp
@@ -39,7 +39,7 @@
     CHECK(ledger.replicas().size() == 1);
     CHECK(ledger.holder_of("b") == "r1");
     CHECK_FALSE(ledger.holder_of("c").has_value());
-    CHECK(ledger.end().offset == 2);
+    CHECK((ledger.end() == log_position{0, 2}));
 }
 
 TEST_CASE("a malformed record changes nothing")
