--- a/src/assembly/assembler.cpp
+++ b/src/assembly/assembler.cpp
@@ -275,6 +275,19 @@
     planned_at_ = monotonic_clock::now();
 }
 
+/** \return true while a restored log lacks too much to plan from. */
+bool assembler::is_held()
+{
+    const bool held = !hooks_.view_is_settled();
+    if (held != held_) {
+        held_ = held;
+        assembly_log.write(held ? "planning_held" : "planning_resumed",
+                           {{"ledger_era", std::to_string(ledger_.end().era)},
+                            {"ledger_is_current", ledger_.is_current() ? "yes" : "no"}});
+    }
+    return held;
+}
+
 asio::awaitable<void> assembler::run()
 {
     const auto self = shared_from_this();
@@ -294,7 +307,7 @@
         }
         const published_configuration_ptr services = hooks_.services();
         const bool settled = now - leadership_changed_at_ >= leader_settle_time;
-        if (!is_leader || !settled || !services || !hooks_.view_is_settled()) {
+        if (!is_leader || !settled || !services || is_held()) {
             continue;
         }
         note_lost_heads();
--- a/src/assembly/assembler.h
+++ b/src/assembly/assembler.h
@@ -82,6 +82,7 @@
     boost::asio::awaitable<void> probe(backend vm);
     boost::asio::awaitable<void> wait_for_next_plan();
     void refill_load_tokens(const engine_profile& profile);
+    bool is_held();
     void note_lost_heads();
     void update_last_seen();
 
@@ -108,6 +109,7 @@
     time_point load_tokens_refilled_at_{};
     time_point leadership_changed_at_{};
     bool leading_ = false;
+    bool held_ = false;           // No plans are made until a restored log is complete.
     std::string logged_free_vms_; // In the last free_vms log line.
 };
 
