Ask for the configuration at once after a poll that ended early

What callers saw: keyed calls got 503 for about 0.1 s in calm, since a poll that ended with a change confirms only what was in force when it began, and its wait came on top of the next one's (up to 5.2 s, limit 4.5 s).

Change: a read without a wait follows such a poll.

--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -19,6 +19,8 @@
 
 const event_log view_log("view");
 
+constexpr duration max_unconfirmed_age = 50ms; // Of the configuration when a long poll begins.
+
 topic_hooks make_topic_hooks(std::function<void(const keyed_records&)> replace,
                              std::function<void(const keyed_records&)> apply,
                              std::function<void()> outage)
@@ -249,6 +251,11 @@
     if (current_configuration_ && !is_leader() && !reads_log_directly()) {
         return duration::zero(); // The read only replaces a missing report of the reader.
     }
+    // A read that ended early, with a new configuration, confirms only what was in force when it
+    // began. A read without a wait confirms the rest, so that the age stays below one long poll.
+    if (configuration_follower_.age().value_or(duration::zero()) > max_unconfirmed_age) {
+        return duration::zero();
+    }
     const duration usual =
         is_leader() ? settings_.leader_configuration_wait : settings_.configuration_wait;
     return shared ? std::min(usual, settings_.max_shared_configuration_age / 2) : usual;
@@ -359,11 +366,6 @@
     backend_follower_.confirm(peer.end, peer.age);
 }
 
-std::vector<keyed_record> fleet_view::recent_backends() const
-{
-    return recent_backends_.at(monotonic_clock::now(), backend_list_end().era);
-}
-
 asio::awaitable<void> fleet_view::read_replicas()
 {
     const auto self = shared_from_this();
@@ -450,11 +452,6 @@
     replica_follower_.confirm(peer.end, peer.age);
 }
 
-std::vector<keyed_record> fleet_view::recent_replicas() const
-{
-    return recent_replicas_.at(monotonic_clock::now(), ledger_.end().era);
-}
-
 std::vector<serving_replica> fleet_view::serving() const
 {
     std::vector<serving_replica> replicas;
--- a/src/relay/fleet_view.h
+++ b/src/relay/fleet_view.h
@@ -164,8 +164,14 @@
     bool is_settled() const;
 
     /** \return the newest records, which the leader sends its peers. */
-    std::vector<keyed_record> recent_replicas() const;
-    std::vector<keyed_record> recent_backends() const;
+    std::vector<keyed_record> recent_replicas() const
+    {
+        return recent_replicas_.at(monotonic_clock::now(), ledger_.end().era);
+    }
+    std::vector<keyed_record> recent_backends() const
+    {
+        return recent_backends_.at(monotonic_clock::now(), backend_list_end().era);
+    }
 
     const published_configuration_ptr& configuration() const { return current_configuration_; }
     const backend_table& backends() const { return backends_; }
