--- a/test/error/relay_silent_servers.cpp
+++ b/test/error/relay_silent_servers.cpp
@@ -75,6 +75,17 @@
     fixture.check_whole_answer();
 }
 
+// Guards against taking a comment of the other replica for its answer.
+TEST_CASE(
+    "a stream survives a silent second of its server although the other replica only comments")
+{
+    silent_server_fixture fixture;
+    fixture.second.comment = ": still there\n\n";
+    fixture.second.last_whole_event = 0;
+    fixture.call("k1");
+    fixture.check_whole_answer();
+}
+
 // Guards against giving up the server that resumes first when both are silent at once.
 TEST_CASE("a stream resumes with its server although another attempt waits at a silent replica")
 {
--- a/test/support/relay_fixture.h
+++ b/test/support/relay_fixture.h
@@ -62,6 +62,9 @@
             co_return;
         }
         co_await exchange.start_stream(head);
+        if (!comment.empty()) {
+            co_await exchange.write_chunk(comment);
+        }
         while (id < events_per_answer) {
             ++id;
             if (id > last_whole_event) {
@@ -84,6 +87,7 @@
     duration delay{};                     // Before the first event.
     std::uint64_t silent_after_event = 0; // It pauses for `silence` after this event.
     duration silence{};
+    std::string comment;               // Sent before the first event.
     std::optional<http_reply> refusal; // Answers with this instead of a stream.
     bool leaving = false;              // Its answers state that it is leaving.
     std::string crashing_part;         // It crashes when it starts to answer a prompt with this.
