Skip a comment of an attempt beside which another one runs

A caller's stream was cut when the server to which it failed over sent a comment and broke off: the comment cancelled the silent attempt that would have gone on. It says nothing about an answer, so it neither supersedes the other attempt nor starts the caller's stream.

--- a/src/relay/event_forwarder.cpp
+++ b/src/relay/event_forwarder.cpp
@@ -11,8 +11,7 @@
 event_position event_forwarder::position_of(const raw_event& event) const
 {
     if (!event.id) {
-        const bool is_comment = event.bytes.starts_with(':');
-        return last_event_ && !is_comment ? event_position::unknown : event_position::next;
+        return last_event_ && !event.is_comment() ? event_position::unknown : event_position::next;
     }
     if (!last_event_ || *event.id == *last_event_ + 1) {
         return event_position::next;
--- a/src/relay/event_splitter.h
+++ b/src/relay/event_splitter.h
@@ -16,6 +16,9 @@
     std::string bytes;
     std::optional<std::uint64_t> id;
 
+    /** \return true if it only keeps the connection open. */
+    bool is_comment() const { return !id && bytes.starts_with(':'); }
+
     bool operator==(const raw_event&) const = default;
 };
 
--- a/src/relay/streaming_call.cpp
+++ b/src/relay/streaming_call.cpp
@@ -136,6 +136,9 @@
         }
         splitter.feed(*part);
         while (const auto event = splitter.next()) {
+            if (event->is_comment() && attempts_.size() > 1) {
+                continue; // It does not show that this attempt will be answered.
+            }
             // Only whole events count as progress.
             const time_point now = monotonic_clock::now();
             if (!has_event) {
@@ -330,13 +333,6 @@
     }
 }
 
-void streaming_call::cancel_attempts()
-{
-    for (const auto& running : attempts_) {
-        running->cancel->cancel();
-    }
-}
-
 /** Ends the connection if an event is still being written to the caller after the deadline. */
 void streaming_call::limit_writes()
 {
--- a/src/relay/streaming_call.h
+++ b/src/relay/streaming_call.h
@@ -73,7 +73,12 @@
     boost::asio::awaitable<attempt_end> forward_events(http_stream& answer,
                                                        running_attempt& running);
     void supersede_others(const running_attempt& winner);
-    void cancel_attempts();
+    void cancel_attempts()
+    {
+        for (const auto& running : attempts_) {
+            running->cancel->cancel();
+        }
+    }
     void limit_writes();
     boost::asio::awaitable<attempt_end> wait_for_end();
     boost::asio::awaitable<void> end_attempts();
