Free the members of a lost head only after it must have stopped

VMs were joined to another replica while the head of their old one was open, so two replicas could believe in the same VM.

Cause: a replica whose head could not be contacted was dropped after 2.5 or 4 s, neither derived from anything a head does. "No address known" counted as "could not be contacted", which a leader that has just started always has for a head whose entry lapsed. The planner also took any VM as free that no replica of the ledger holds, unless it was itself an open head, so the members of a replica that only a restored copy lacks were free while its head was open. Class: something given up (a membership) before it is known to have ended.

Change: one rule for every path (member_release). A member joins again once its head has confirmed that it closed, or its process has ended (it refuses connections), or else after the member itself has confirmed that it left and the head must have broken since: engineStallMs of the settings, from the platform's stall-ms, and half a second. Members of replicas that the ledger does not know leave first, and wait as long. The ledger needs no new field: a new leader only has to ask the members. The end of replicas moves to retirement_planner, and what collects a plan to plan_builder.

Evidence: correctness/assembly, assembly_member_release.cpp, 6 cases. The test of lost_head_wait, and one of assembly_lost_heads.cpp, stated the old rule (free after 4 s, whatever the head does); they now ask for the departure of every member and the whole wait, which is stricter.

--- a/src/assembly/assembler.cpp
+++ b/src/assembly/assembler.cpp
@@ -112,8 +112,9 @@
     command.kind = command_kind::stage;
     command.model = load.model();
     const duration age = std::chrono::milliseconds(load.age_ms());
-    history_.note_sent(load.vm(), command, monotonic_clock::now() - age);
-    history_.note_outcome(load.vm(), command, command_outcome::begun);
+    const time_point now = monotonic_clock::now();
+    history_.note_sent(load.vm(), command, now - age);
+    history_.note_outcome(load.vm(), command, command_outcome::begun, now);
 }
 
 void assembler::update_last_seen()
@@ -165,7 +166,7 @@
     const std::string id = vm.id;
     const engine_command sent = planned.command;
     const command_outcome outcome = co_await engines_.send(std::move(vm), sent);
-    history_.note_outcome(id, sent, outcome);
+    history_.note_outcome(id, sent, outcome, monotonic_clock::now());
     if (backends_.find(id) == nullptr) {
         history_.lost_head_entry(sent.epoch).no_contact =
             outcome == command_outcome::no_contact || outcome == command_outcome::unclear;
@@ -236,6 +237,7 @@
     input.before_first_call = !calls_began;
     input.load_allowance = static_cast<std::uint32_t>(std::max(load_tokens_, 0.0));
     input.list_is_current = hooks_.list_is_current();
+    input.engine_stall_time = settings_.engine_stall_time;
     input.now = now;
     assembly_plan plan = plan_assembly(input, settings_);
     if (plan.free_vms != logged_free_vms_) {
@@ -245,6 +247,9 @@
                                         {"demand_ms_per_s", demand_text(input.demand_ms_per_s)},
                                         {"vms", logged_free_vms_}});
     }
+    for (const std::uint64_t epoch : plan.closed) {
+        history_.note_closed(epoch, now);
+    }
     for (const std::string& vm : plan.probes) {
         if (!hooks_.may_probe(last_seen_[vm])) {
             continue;
--- a/src/assembly/assembly_history.cpp
+++ b/src/assembly/assembly_history.cpp
@@ -11,15 +11,21 @@
     if (command.kind == command_kind::join && loads_weights) {
         commands_.erase({vm, command_kind::stage, 0});
     }
-    commands_[{vm, command.kind, command.epoch}] = {now, command.model, std::nullopt};
+    sent_command& sent = commands_[{vm, command.kind, command.epoch}];
+    sent = {now, command.model, std::nullopt, {}, sent.unanswered};
 }
 
 void assembly_history::note_outcome(const std::string& vm, const engine_command& command,
-                                    command_outcome outcome)
+                                    command_outcome outcome, time_point now)
 {
     const auto found = commands_.find({vm, command.kind, command.epoch});
     if (found != commands_.end()) {
-        found->second.outcome = outcome;
+        sent_command& sent = found->second;
+        const bool answered =
+            outcome != command_outcome::unclear && outcome != command_outcome::no_contact;
+        sent.outcome = outcome;
+        sent.outcome_at = now;
+        sent.unanswered = answered ? 0 : sent.unanswered + 1;
     }
 }
 
@@ -43,6 +49,21 @@
     return false;
 }
 
+std::vector<std::uint64_t> assembly_history::leaves_since(const std::string& vm,
+                                                          time_point time) const
+{
+    std::vector<std::uint64_t> epochs;
+    for (auto sent = commands_.lower_bound({vm, command_kind::leave, 0});
+         sent != commands_.end() && std::get<0>(sent->first) == vm &&
+         std::get<command_kind>(sent->first) == command_kind::leave;
+         ++sent) {
+        if (sent->second.outcome && sent->second.outcome_at >= time) {
+            epochs.push_back(std::get<std::uint64_t>(sent->first));
+        }
+    }
+    return epochs;
+}
+
 std::vector<std::pair<std::string, sent_command>>
 assembly_history::loads_since(time_point time) const
 {
@@ -95,6 +116,7 @@
     std::erase_if(commands_, [time](const auto& entry) { return entry.second.at < time; });
     std::erase_if(probes_, [time](const auto& entry) { return entry.second.last_at < time; });
     std::erase_if(lost_heads_, [time](const auto& entry) { return entry.second.since < time; });
+    std::erase_if(closed_, [time](const auto& entry) { return entry.second < time; });
 }
 
 } // namespace chervildyke
--- a/src/assembly/assembly_history.h
+++ b/src/assembly/assembly_history.h
@@ -21,6 +21,8 @@
     time_point at{};
     std::string model;
     std::optional<command_outcome> outcome; // None: no outcome yet.
+    time_point outcome_at{};                // Set with the outcome.
+    std::uint32_t unanswered = 0;           // Such commands in a row that the VM did not answer.
 
     bool operator==(const sent_command&) const = default;
 };
@@ -54,8 +56,8 @@
      */
     void note_sent(const std::string& vm, const engine_command& command, time_point now,
                    bool loads_weights = false);
-    void note_outcome(const std::string& vm, const engine_command& command,
-                      command_outcome outcome);
+    void note_outcome(const std::string& vm, const engine_command& command, command_outcome outcome,
+                      time_point now);
 
     /** \return the last command of the kind to the VM for the epoch, or null. */
     const sent_command* find(const std::string& vm, command_kind kind, std::uint64_t epoch) const;
@@ -65,6 +67,11 @@
      */
     bool sent_since(const std::string& vm, command_kind kind, time_point time) const;
 
+    /** \return the epochs of the replicas that the VM was commanded to leave, with an outcome at or
+     * after the given time.
+     */
+    std::vector<std::uint64_t> leaves_since(const std::string& vm, time_point time) const;
+
     /** \return the VMs and stage commands that were sent at or after the given time. */
     std::vector<std::pair<std::string, sent_command>> loads_since(time_point time) const;
 
@@ -80,6 +87,12 @@
     /** \return the lost head of the replica with the epoch, or null. */
     const lost_head* find_lost_head(std::uint64_t epoch) const;
 
+    /** Records that the head of the replica with the epoch serves no more: it has closed and left,
+     * or its process has ended.
+     */
+    void note_closed(std::uint64_t epoch, time_point now) { closed_[epoch] = now; }
+    bool is_closed(std::uint64_t epoch) const { return closed_.contains(epoch); }
+
     /** Removes entries that are older than the given time. */
     void erase_older_than(time_point time);
 
@@ -89,6 +102,7 @@
     std::map<command_key, sent_command> commands_;
     std::map<std::string, probe_state> probes_;     // By VM.
     std::map<std::uint64_t, lost_head> lost_heads_; // By epoch.
+    std::map<std::uint64_t, time_point> closed_;    // By epoch; when it was noted.
 };
 
 } // namespace chervildyke
--- a/src/assembly/assembly_plan.cpp
+++ b/src/assembly/assembly_plan.cpp
@@ -11,21 +11,21 @@
 #include "assembly/formation_planner.h"
 #include "assembly/load_planner.h"
 #include "assembly/member_pool.h"
+#include "assembly/plan_builder.h"
 #include "assembly/replica_command.h"
 #include "assembly/replica_evidence.h"
+#include "assembly/retirement_planner.h"
 
 namespace chervildyke {
 
 namespace {
 
-using ledger_entry = std::pair<const std::string, schema::shared_replica>;
-
 /** Makes one plan. */
 class planner {
   public:
     planner(const assembly_input& input, const assembly_settings& settings)
-        : in_(input), settings_(settings), evidence_(input, settings),
-          remaining_loads_(input.load_allowance)
+        : in_(input), settings_(settings), evidence_(input, settings), builder_(input, settings),
+          retirement_(input, settings, builder_)
     {
     }
 
@@ -43,7 +43,7 @@
                 check_serving(entry);
                 break;
             case schema::shared_phase_retiring:
-                finish_retiring(entry);
+                retirement_.finish(entry);
                 break;
             default:
                 break;
@@ -51,15 +51,15 @@
         }
         if (in_.list_is_current) {
             log_position next = in_.ledger->end();
-            next.offset += plan_.records.size();
+            next.offset += builder_.plan.records.size();
             formation_planner formation(in_, settings_, next);
             formation.run();
-            plan_.records.insert(plan_.records.end(), formation.records().begin(),
-                                 formation.records().end());
+            builder_.plan.records.insert(builder_.plan.records.end(), formation.records().begin(),
+                                         formation.records().end());
             load_models(formation);
-            close_orphans();
+            retirement_.close_orphans();
         }
-        return std::move(plan_);
+        return std::move(builder_.plan);
     }
 
   private:
@@ -68,70 +68,20 @@
         return find_listed_member(*in_.backends, member);
     }
 
-    static const replica_membership* membership_in(const listed_backend* listed,
-                                                   const ledger_entry& entry)
-    {
-        if (listed == nullptr || !listed->server.membership) {
-            return nullptr;
-        }
-        const replica_membership& membership = *listed->server.membership;
-        const bool same =
-            membership.replica == entry.first && membership.epoch == entry.second.epoch();
-        return same ? &membership : nullptr;
-    }
-
-    void add_probe(const std::string& vm)
-    {
-        const probe_state* before = in_.history->find_probe(vm);
-        const bool trusted = before != nullptr && before->failures == 0 &&
-                             in_.now - before->answered_at < settings_.probe_validity;
-        const bool due = !trusted && (before == nullptr ||
-                                      in_.now - before->last_at >= settings_.probe_interval);
-        const bool planned =
-            std::find(plan_.probes.begin(), plan_.probes.end(), vm) != plan_.probes.end();
-        if (due && !planned) {
-            plan_.probes.push_back(vm);
-        }
-    }
-
     /** Probes a member whose address is known from the list of VMs. */
     void add_probe_of_member(const std::string& vm)
     {
         if (in_.backends->find(vm) != nullptr) {
-            add_probe(vm);
+            builder_.add_probe(vm);
         }
     }
 
-    bool add_command(const std::string& vm, const engine_command& command,
-                     bool loads_weights = false)
-    {
-        const sent_command* before = in_.history->find(vm, command.kind, command.epoch);
-        if (before != nullptr && in_.now - before->at < settings_.command_resend_interval) {
-            return false;
-        }
-        if (loads_weights && before == nullptr && !in_.before_first_call) {
-            if (remaining_loads_ == 0) {
-                return false;
-            }
-            --remaining_loads_;
-        }
-        plan_.commands.push_back({vm, command, loads_weights});
-        return true;
-    }
-
     void retire(const ledger_entry& entry, const std::string& reason, bool abort_calls)
     {
-        plan_.records.push_back(
+        builder_.plan.records.push_back(
             make_retiring_record(entry.first, entry.second, reason, abort_calls));
     }
 
-    void drop(const ledger_entry& entry)
-    {
-        keyed_record dropped;
-        dropped.key = entry.first;
-        plan_.records.push_back(std::move(dropped));
-    }
-
     /** \return why the replica can't continue with its members, or an empty text. */
     std::string find_member_fault(const ledger_entry& entry)
     {
@@ -174,8 +124,9 @@
             const replica_membership* joined = membership_in(listed, entry);
             if (joined == nullptr) {
                 const bool loads = !holds_model(listed->server, entry.second.model());
-                add_command(member.id(),
-                            make_command(command_kind::join, entry.first, entry.second), loads);
+                builder_.add_command(member.id(),
+                                     make_command(command_kind::join, entry.first, entry.second),
+                                     loads);
                 continue;
             }
             const bool able =
@@ -191,10 +142,11 @@
             opened.set_phase(schema::shared_phase_serving);
             opened.set_reason("all members are ready and the head is open");
             opened.set_abort_calls(false);
-            plan_.records.push_back(to_record(entry.first, opened));
+            builder_.plan.records.push_back(to_record(entry.first, opened));
             return;
         }
-        add_command(head.id(), make_command(command_kind::open, entry.first, entry.second));
+        builder_.add_command(head.id(),
+                             make_command(command_kind::open, entry.first, entry.second));
     }
 
     void check_serving(const ledger_entry& entry)
@@ -254,184 +206,19 @@
         return {};
     }
 
-    static bool has_outcome(const sent_command* command, command_outcome outcome)
-    {
-        return command != nullptr && command->outcome == outcome;
-    }
-
-    /** \return true when the VM executes the command, or refused it because there is nothing to do.
-     */
-    static bool is_settled(const sent_command* command)
-    {
-        return has_outcome(command, command_outcome::begun) ||
-               has_outcome(command, command_outcome::refused);
-    }
-
-    void finish_retiring(const ledger_entry& entry)
-    {
-        const schema::shared_member& head = entry.second.members(0);
-        const listed_backend* listed = in_.backends->find(head.id());
-        if (listed == nullptr) {
-            finish_retiring_without_head(entry);
-            return;
-        }
-        const replica_membership* joined = membership_in(listed, entry);
-        const sent_command* leave =
-            in_.history->find(head.id(), command_kind::leave, entry.second.epoch());
-        // A list entry changes only when its VM's state does. An old entry that does not show the
-        // head in this replica, together with its refusal to leave, is thus as conclusive as a new
-        // one.
-        const bool not_a_member = joined == nullptr && has_outcome(leave, command_outcome::refused);
-        const bool confirmed = not_a_member || has_outcome(leave, command_outcome::begun);
-        const bool other_incarnation = listed->server.started_ms != head.started_ms();
-        if (confirmed || other_incarnation) {
-            drop(entry);
-            return;
-        }
-        const bool is_open = joined != nullptr && (joined->phase == membership_phase::open ||
-                                                   joined->phase == membership_phase::closing);
-        if (is_open &&
-            !close_head(head.id(), make_command(command_kind::close_now, entry.first, entry.second),
-                        entry.second.abort_calls())) {
-            return;
-        }
-        add_command(head.id(), make_command(command_kind::leave, entry.first, entry.second));
-    }
-
-    /** Closes a head for calls.
-     * \param close_now the command that aborts its calls.
-     * \return true once it may leave.
-     */
-    bool close_head(const std::string& head, const engine_command& close_now, bool abort_calls)
-    {
-        const sent_command* idle_close =
-            in_.history->find(head, command_kind::close_when_idle, close_now.epoch);
-        const bool waits_for_calls =
-            !abort_calls &&
-            (idle_close == nullptr || in_.now - idle_close->at < settings_.idle_close_timeout);
-        if (waits_for_calls) {
-            if (idle_close == nullptr) {
-                engine_command close_when_idle = close_now;
-                close_when_idle.kind = command_kind::close_when_idle;
-                add_command(head, close_when_idle);
-            }
-            return false;
-        }
-        const sent_command* immediate_close =
-            in_.history->find(head, command_kind::close_now, close_now.epoch);
-        // A refusal means that the head no longer takes calls.
-        if (is_settled(immediate_close)) {
-            return true;
-        }
-        add_command(head, close_now);
-        return false;
-    }
-
-    /** Makes heads leave replicas that the ledger does not know, so that they can join others. A
-     * late command opened such a replica, or its record was lost.
-     */
-    void close_orphans()
-    {
-        for (const auto& [id, listed] : in_.backends->all()) {
-            const backend& vm = listed.server;
-            const bool orphan = vm.service == in_.service && !vm.leaving && takes_calls(vm) &&
-                                vm.membership->epoch < epoch_at(in_.ledger->end()) &&
-                                !in_.ledger->holder_of(id);
-            if (!orphan) {
-                continue;
-            }
-            const replica_membership& membership = *vm.membership;
-            const sent_command* leave =
-                in_.history->find(id, command_kind::leave, membership.epoch);
-            if (is_settled(leave) && in_.now - leave->at < settings_.list_lag) {
-                continue;
-            }
-            const auto use = in_.uses.find(membership.epoch);
-            const bool has_calls = use != in_.uses.end() && use->second.running > 0;
-            if (close_head(id, make_command(command_kind::close_now, membership), !has_calls)) {
-                add_command(id, make_command(command_kind::leave, membership));
-            }
-        }
-    }
-
-    /** Handles a head that is no longer listed: its process ended, or it is disconnected and may
-     * still serve calls.
-     */
-    void finish_retiring_without_head(const ledger_entry& entry)
-    {
-        const std::string& head = entry.second.members(0).id();
-        const lost_head* lost = in_.history->find_lost_head(entry.second.epoch());
-        if (lost == nullptr) {
-            return; // The assembler has not recorded the loss yet.
-        }
-        const probe_state* probed = in_.history->find_probe(head);
-        const bool was_silent = probed != nullptr && probed->failures > 0 &&
-                                in_.now - probed->first_failure_at >= settings_.silent_head_wait;
-        const bool wait_is_over = was_silent || in_.now - lost->since >= settings_.lost_head_wait;
-        const sent_command* immediate_close =
-            in_.history->find(head, command_kind::close_now, entry.second.epoch());
-        const sent_command* idle_close =
-            in_.history->find(head, command_kind::close_when_idle, entry.second.epoch());
-        const sent_command* leave =
-            in_.history->find(head, command_kind::leave, entry.second.epoch());
-        // A refusal to leave means that the head is no longer in the replica.
-        const bool confirmed = is_settled(leave) || has_outcome(leave, command_outcome::other_vm) ||
-                               has_outcome(idle_close, command_outcome::other_vm) ||
-                               has_outcome(immediate_close, command_outcome::other_vm);
-        const auto use = in_.uses.find(entry.second.epoch());
-        const bool has_recent_events = use != in_.uses.end() && use->second.running > 0 &&
-                                       use->second.silent < settings_.lost_head_wait;
-        if (confirmed || (wait_is_over && lost->no_contact && !has_recent_events)) {
-            drop(entry);
-            return;
-        }
-        if (!lost->address_known) {
-            return;
-        }
-        if (waits_for_lost_head(entry, *lost, idle_close)) {
-            return;
-        }
-        // A refusal to close means that the head no longer takes calls.
-        add_command(head, make_command(is_settled(immediate_close) ? command_kind::leave
-                                                                   : command_kind::close_now,
-                                       entry.first, entry.second));
-    }
-
-    /** Closes a head that is no longer listed for new calls, and probes it when its calls are
-     * silent.
-     * \return true while the calls may finish.
-     */
-    bool waits_for_lost_head(const ledger_entry& entry, const lost_head& lost,
-                             const sent_command* idle_close)
-    {
-        const bool in_time = in_.now - lost.since < settings_.idle_close_timeout;
-        if (entry.second.abort_calls() || !in_time || !evidence_.calls_may_finish(entry.second)) {
-            return false;
-        }
-        const std::string& head = entry.second.members(0).id();
-        if (!evidence_.makes_progress(entry.second)) {
-            add_probe(head);
-        }
-        if (!is_settled(idle_close)) {
-            add_command(head,
-                        make_command(command_kind::close_when_idle, entry.first, entry.second));
-        }
-        return true;
-    }
-
     /** Loads models into the hosts of free VMs: first where the loads complete a replica, then on
      * spares that can replace lost members.
      */
     void load_models(const formation_planner& formation)
     {
         load_planner loads(in_, formation.taken(), formation.counts(), formation.targets());
-        plan_.free_vms = loads.describe();
+        builder_.plan.free_vms = loads.describe();
         std::set<std::string> loading;
-        for (const planned_load& load : loads.choose(remaining_loads_)) {
+        for (const planned_load& load : loads.choose(builder_.remaining_loads())) {
             engine_command command;
             command.kind = command_kind::stage;
             command.model = load.model;
-            add_command(load.vm, command, true);
+            builder_.add_command(load.vm, command, true);
             loading.insert(load.vm);
         }
         preload_spares(formation, loads, loading);
@@ -463,7 +250,7 @@
                 command.epoch = epoch_at(in_.ledger->end()) - 1;
                 command.model = vm->staged_models.front();
                 command.members = {vm->id};
-                add_command(vm->id, command);
+                builder_.add_command(vm->id, command);
             }
         }
     }
@@ -471,8 +258,8 @@
     const assembly_input& in_;
     const assembly_settings& settings_;
     replica_evidence evidence_;
-    std::uint32_t remaining_loads_;
-    assembly_plan plan_;
+    plan_builder builder_;
+    retirement_planner retirement_;
 };
 
 } // namespace
--- a/src/assembly/assembly_plan.h
+++ b/src/assembly/assembly_plan.h
@@ -83,7 +83,7 @@
     duration leaving_member_usable_time = 6500ms;
 
     /** When a lost head can't be reached to close it: the time from its removal from the backend
-     * list until its VMs may be used again.
+     * list until its members leave the replica.
      */
     duration lost_head_wait = 4s;
 
@@ -92,6 +92,9 @@
      */
     duration silent_head_wait = 2500ms;
 
+    /** An open head that has lost a member breaks within this time, and serves no more then. */
+    duration engine_stall_time = 6500ms;
+
     /** The list of VMs shows that a VM has left a replica within this time: two heartbeats. */
     duration list_lag = 2s;
 
@@ -119,6 +122,7 @@
     bool before_first_call = false;   // No call has come yet: loads are fast and not rate-limited.
     std::uint32_t load_allowance = 0; // After the first call: loads that may start now.
     bool list_is_current = true;      // The list of VMs was read recently.
+    duration engine_stall_time{};     // As in the settings.
     time_point now{};
 };
 
@@ -134,8 +138,9 @@
 struct assembly_plan {
     std::vector<keyed_record> records;
     std::vector<planned_command> commands;
-    std::vector<std::string> probes; // VMs.
-    std::string free_vms;            // The free VMs from which loads were chosen, for the log.
+    std::vector<std::string> probes;   // VMs.
+    std::vector<std::uint64_t> closed; // Epochs of replicas whose heads are known to serve no more.
+    std::string free_vms;              // The free VMs from which loads were chosen, for the log.
 };
 
 /** \return true while a replica may take calls although the member is leaving. The member serves
--- a/src/assembly/member_pool.cpp
+++ b/src/assembly/member_pool.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "assembly/assembly_plan.h"
+#include "assembly/member_release.h"
 
 namespace chervildyke {
 
@@ -35,17 +36,20 @@
 
 namespace {
 
-bool may_join(const listed_backend& listed, const assembly_input& input)
+bool may_join(const listed_backend& listed, const assembly_input& input,
+              const member_release& release)
 {
     const probe_state* probe = input.history->find_probe(listed.server.id);
     const bool lost = probe != nullptr && probe->failures > 0;
-    return !listed.server.leaving && !listed.expires_at && !lost && !takes_calls(listed.server);
+    return !listed.server.leaving && !listed.expires_at && !lost && !takes_calls(listed.server) &&
+           release.may_join(listed.server);
 }
 
 } // namespace
 
 member_pool::member_pool(const assembly_input& input)
 {
+    const member_release release(input);
     for (const auto& [id, listed] : input.backends->all()) {
         if (listed.server.service != input.service || listed.server.leaving) {
             continue;
@@ -56,7 +60,7 @@
             const std::string& model = input.ledger->replicas().at(*holder).model();
             ++serving_[listed.server.fabric_domain][model];
         }
-        else if (may_join(listed, input)) {
+        else if (may_join(listed, input, release)) {
             free_[listed.server.fabric_domain].push_back(&listed.server);
         }
     }
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -42,6 +42,7 @@
 constexpr duration last_request_wait = 300ms;    // One round trip of most callers.
 constexpr duration fleet_check_interval = 200ms; // Between two runs of the periodic checks.
 constexpr duration drain_check_interval = 20ms;  // Between two checks whether all calls have ended.
+constexpr duration engine_stall_margin = 500ms;  // For late timers of an engine.
 constexpr const char* plain_text = "text/plain";
 
 } // namespace
@@ -148,7 +149,10 @@
         view_->apply_replica_records(records);
         peers_->broadcast();
     };
-    const assembly_settings assembly;
+    assembly_settings assembly;
+    if (settings_.engine_stall_ms() > 0) {
+        assembly.engine_stall_time = from_ms(settings_.engine_stall_ms()) + engine_stall_margin;
+    }
     assembler_ = std::make_shared<assembler>(executor_, hooks_.log, hooks_.engines, view_->ledger(),
                                              view_->backends(), *context_.replica_lb,
                                              std::move(assembling), assembly);
--- a/test/correctness/assembly_lost_heads.cpp
+++ b/test/correctness/assembly_lost_heads.cpp
@@ -55,7 +55,7 @@
         assembly_plan made = step();
         for (const planned_command& planned : made.commands) {
             if (planned.vm == head) {
-                history.note_outcome(head, planned.command, outcome);
+                history.note_outcome(head, planned.command, outcome, now);
             }
         }
         return made;
@@ -127,7 +127,7 @@
         engine_command close;
         close.kind = command_kind::close_when_idle;
         close.epoch = fixture.before.epoch();
-        fixture.history.note_outcome(fixture.head, close, command_outcome::other_vm);
+        fixture.history.note_outcome(fixture.head, close, command_outcome::other_vm, fixture.now);
         fixture.step();
         CHECK_FALSE(fixture.ledger.replicas().contains(fixture.name));
     }
@@ -157,8 +157,10 @@
 TEST_CASE("a replica whose missing head has ended aborts its calls at once")
 {
     missing_head_fixture fixture;
+    bool ended = false;
     SUBCASE("it refuses connections")
     {
+        ended = true;
         fixture.history.note_probe_outcome(fixture.head, probe_outcome::refused, fixture.now);
         fixture.history.note_probe_outcome(fixture.head, probe_outcome::refused, fixture.now);
     }
@@ -178,6 +180,10 @@
     noted.no_contact = true;
     fixture.uses.clear();
     fixture.now = noted.since + fixture.settings.lost_head_wait;
+    const assembly_plan given_up = fixture.step();
+    CHECK(fixture.ledger.replicas().contains(fixture.name) != ended);
+    CHECK(count_commands(given_up, command_kind::leave) == (ended ? 0 : member_count - 1));
+    fixture.now += assembly_settings().engine_stall_time;
     fixture.step();
     CHECK_FALSE(fixture.ledger.replicas().contains(fixture.name));
 }
--- /dev/null
+++ b/test/correctness/assembly_member_release.cpp
@@ -0,0 +1,167 @@
+/** \file
+ * Tests that no VM joins a replica while the head of its last one may still serve, however the head
+ * was lost.
+ */
+#include <optional>
+#include <string>
+
+#include <doctest/doctest.h>
+
+#include "support/assembly_fixture.h"
+
+using namespace chervildyke;
+using test::assembly_fixture;
+
+namespace {
+
+constexpr duration stall_time = assembly_settings().engine_stall_time;
+constexpr int steps_to_recover = 30;
+
+/** A small replica whose head stays open and answers no command. The only other VM of the domain is
+ * its second member, beside a spare that can form a replica with it.
+ */
+struct unreachable_head_fixture : assembly_fixture {
+    unreachable_head_fixture()
+    {
+        profile.models.erase(profile.models.begin());
+        profile.models[0].initial_share = 1;
+        settings.spare_share = 0;
+        add_domain("d0-", 3);
+        steps(4);
+        REQUIRE(serving("small").size() == 1);
+        name = serving("small").front();
+        before = replica(name);
+        head = before.members(0).id();
+        member = before.members(1).id();
+        unresponsive = {head};
+        before_first_call = false;
+    }
+
+    /** Removes the head from the list as the assembler of a leader that knew it, or did not. */
+    void lose_head(bool address_known)
+    {
+        backends.remove(head, now);
+        step();
+        lost_head& noted = history.lost_head_entry(before.epoch());
+        noted.since = now;
+        noted.address_known = address_known;
+        noted.no_contact = true;
+    }
+
+    /** Runs plans until the member joins another replica.
+     * \return the time of the join since the member left the old replica; nullopt without a join.
+     */
+    std::optional<duration> run_until_member_joins()
+    {
+        std::optional<time_point> left;
+        for (int i = 0; i < steps_to_recover; ++i) {
+            const time_point at = now;
+            for (const planned_command& planned : step().commands) {
+                if (planned.vm != member) {
+                    continue;
+                }
+                if (planned.command.kind == command_kind::leave && !unresponsive.contains(member)) {
+                    CHECK(planned.command.epoch == before.epoch());
+                    left = at;
+                }
+                if (planned.command.kind == command_kind::join) {
+                    REQUIRE(left.has_value());
+                    return at - *left;
+                }
+            }
+        }
+        return std::nullopt;
+    }
+
+    std::string name;
+    schema::shared_replica before; // While it was serving.
+    std::string head;
+    std::string member;
+};
+
+} // namespace
+
+// Guards against using the members of a head that a new leader can't address, and that is open.
+TEST_CASE("members of a lost head join again only after it must have stopped")
+{
+    for (const bool address_known : {false, true}) {
+        unreachable_head_fixture fixture;
+        fixture.lose_head(address_known);
+        const auto joined = fixture.run_until_member_joins();
+        REQUIRE(joined.has_value());
+        CHECK(*joined >= stall_time);
+        CHECK(*joined <= stall_time + 3 * assembly_fixture::step_interval);
+    }
+}
+
+TEST_CASE("members of a listed head that answers no command join again after it must have stopped")
+{
+    unreachable_head_fixture fixture;
+    fixture.history.note_probe_outcome(fixture.head, probe_outcome::silent, fixture.now);
+    fixture.now += fixture.settings.probe_silence_limit;
+    fixture.history.note_probe_outcome(fixture.head, probe_outcome::silent, fixture.now);
+    fixture.step();
+    REQUIRE(fixture.replica(fixture.name).phase() == schema::shared_phase_retiring);
+    fixture.step();
+    engine_command close;
+    close.kind = command_kind::close_now;
+    close.epoch = fixture.before.epoch();
+    fixture.history.note_outcome(fixture.head, close, command_outcome::unclear, fixture.now);
+    const auto joined = fixture.run_until_member_joins();
+    REQUIRE(joined.has_value());
+    CHECK(*joined >= stall_time);
+}
+
+// Guards against using the members of a replica that a restored copy of the log lacks.
+TEST_CASE("members of a replica that the ledger lacks join again after its head must have stopped")
+{
+    unreachable_head_fixture fixture;
+    fixture.backends.remove(fixture.head, fixture.now);
+    keyed_records copy;
+    copy.next_offset = fixture.ledger.end().offset;
+    fixture.ledger.replace(copy);
+    REQUIRE(fixture.ledger.replicas().empty());
+    SUBCASE("the leader knows what it commanded before") {}
+    SUBCASE("a leader that has just started")
+    {
+        fixture.history = assembly_history();
+    }
+    const auto joined = fixture.run_until_member_joins();
+    REQUIRE(joined.has_value());
+    CHECK(*joined >= stall_time);
+}
+
+TEST_CASE("a member that does not confirm that it left a lost head joins no other replica")
+{
+    unreachable_head_fixture fixture;
+    fixture.unresponsive.insert(fixture.member);
+    fixture.lose_head(false);
+    CHECK_FALSE(fixture.run_until_member_joins());
+    CHECK(fixture.ledger.holder_of(fixture.member) == fixture.name);
+}
+
+TEST_CASE("the members of a head whose process has ended are free once it is given up")
+{
+    unreachable_head_fixture fixture;
+    fixture.lose_head(true);
+    fixture.history.note_probe_outcome(fixture.head, probe_outcome::refused, fixture.now);
+    fixture.history.note_probe_outcome(fixture.head, probe_outcome::refused, fixture.now);
+    fixture.now += fixture.settings.lost_head_wait;
+    fixture.step();
+    CHECK_FALSE(fixture.ledger.holder_of(fixture.member));
+    fixture.steps(3);
+    CHECK(fixture.ledger.holder_of(fixture.member));
+}
+
+TEST_CASE("the members of a head that confirms that it closed are free at once")
+{
+    unreachable_head_fixture fixture;
+    fixture.unresponsive.clear();
+    backend restarted = fixture.backends.find(fixture.head)->server;
+    restarted.started_ms = 2;
+    restarted.membership.reset();
+    fixture.backends.apply(restarted, fixture.now);
+    fixture.steps(2);
+    CHECK_FALSE(fixture.ledger.holder_of(fixture.member) == fixture.name);
+    CHECK(fixture.history.is_closed(fixture.before.epoch()));
+}
--- a/test/support/assembly_fixture.h
+++ b/test/support/assembly_fixture.h
@@ -60,6 +60,7 @@
         input.uses = uses;
         input.before_first_call = before_first_call;
         input.load_allowance = load_allowance;
+        input.engine_stall_time = settings.engine_stall_time;
         input.now = now;
         return plan_assembly(input, settings);
     }
@@ -79,11 +80,14 @@
         if (!appended.records.empty()) {
             ledger.apply(appended);
         }
+        for (const std::uint64_t epoch : made.closed) {
+            history.note_closed(epoch, now);
+        }
         for (const planned_command& planned : made.commands) {
             history.note_sent(planned.vm, planned.command, now, planned.loads_weights);
             if (backends.find(planned.vm) != nullptr && !unresponsive.contains(planned.vm)) {
                 execute(planned);
-                history.note_outcome(planned.vm, planned.command, command_outcome::begun);
+                history.note_outcome(planned.vm, planned.command, command_outcome::begun, now);
             }
         }
         now += step_interval;
