--- a/test/error/relay_endless_answers.cpp
+++ b/test/error/relay_endless_answers.cpp
@@ -2,6 +2,7 @@
  * Tests faulty backend servers that send an endless head or body, or a byte now and then: memory
  * stays bounded, the call ends, and no incomplete answer looks complete.
  */
+#include "platform/engine_calls.h"
 #include "relay/whole_body.h"
 #include "support/relay_fixture.h"
 
@@ -279,3 +280,37 @@
     CHECK(fixture.node.buffered.available_bytes() == 32U << 20U);
     CHECK(fixture.server.requests == calls); // Each ran once.
 }
+
+// Guards against a node that keeps the bodies of liveness checks and commands, which nothing reads.
+TEST_CASE("liveness checks and commands read little of an answer without end")
+{
+    constexpr int checks = 21;
+    constexpr std::size_t max_sent_per_check = 1U << 20U; // Socket buffers included.
+    asio::io_context context;
+    endless_server server(context,
+                          "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                          "Transfer-Encoding: chunked\r\n\r\n",
+                          "4000\r\n" + std::string(0x4000, 'x') + "\r\n");
+    server.acceptor.set_option(asio::socket_base::send_buffer_size(64 << 10));
+    const auto http = std::make_shared<http_client>(context.get_executor());
+    const engine_calls calls = platform::make_engine_calls(http, {});
+    backend vm;
+    vm.id = "i-1";
+    vm.address = server.address();
+    int ended = 0;
+    for (int i = 0; i < checks; ++i) {
+        asio::co_spawn(
+            context,
+            [&]() -> asio::awaitable<void> {
+                CHECK(co_await calls.probe(vm) != probe_outcome::answered);
+                CHECK(co_await calls.send(vm, engine_command()) == command_outcome::unclear);
+                if (++ended == checks) {
+                    context.stop();
+                }
+            },
+            asio::detached);
+    }
+    context.run_for(std::chrono::seconds(10));
+    CHECK(ended == checks);
+    CHECK(server.sent < 2 * checks * max_sent_per_check);
+}
