Take the memory of answers from the server that holds most of it

Cause: the node's limit on buffered answers was shared by sound and faulty traffic, and whichever call asked for the byte that was missing failed. Unfinished events of streams (1 MB for each attempt) and whole answers that are being written to a slow caller were not in that limit at all.

Change: a reservation names the sender whose bytes it holds. When the bytes run out, the largest reservation of the sender that holds most of them is given up, its connection closed and its server counted as failed, so that it is avoided after some such answers. Events count while they are unfinished; a whole answer counts for its caller until it is written. The limit follows from the settings (memoryMb, a fifth of it). The search for the end of an event starts where the last one ended, since it took quadratic time in an event without end.

--- a/src/base/byte_budget.h
+++ b/src/base/byte_budget.h
@@ -4,49 +4,85 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
 
 namespace chervildyke {
 
-/** Tracks the bytes that are available to a group of tasks. Not thread-safe. */
+/** Tracks the bytes that are available to a group of tasks. Each task holds bytes on behalf of a
+ * sender, whose data it buffers. When the bytes run out, the sender that holds most of them loses
+ * its largest reservation, so that one that sends without end takes nothing from the others. Not
+ * thread-safe.
+ */
 class byte_budget {
   public:
     /** \param max_bytes the limit on all reservations together. */
-    explicit byte_budget(std::size_t max_bytes) : available_bytes_(max_bytes) {}
+    explicit byte_budget(std::size_t max_bytes) : max_bytes_(max_bytes) {}
+    byte_budget(const byte_budget&) = delete;
+    byte_budget& operator=(const byte_budget&) = delete;
 
     /** The bytes reserved by one task. They are released when the reservation is destroyed, which
      * must happen before the budget is destroyed.
      */
     class reservation {
       public:
-        explicit reservation(byte_budget& budget) : budget_(budget) {}
-        ~reservation() { budget_.available_bytes_ += reserved_bytes_; }
+        /** \param sender whose data the bytes hold.
+         * \param give_up ends the task that buffers the data. It is called at most once, when the
+         * bytes are taken away; they count as available from then on. Without it, they are never
+         * taken away.
+         */
+        explicit reservation(byte_budget& budget, std::string sender = {},
+                             std::function<void()> give_up = {});
+        ~reservation();
         reservation(const reservation&) = delete;
         reservation& operator=(const reservation&) = delete;
 
         /** Reserves further bytes.
-         * \return false, with nothing reserved, if fewer bytes are available.
+         * \return false, with nothing further reserved, if this sender holds most of the bytes and
+         * this is its largest reservation, or if the reservation was taken away.
          */
-        bool try_reserve(std::size_t bytes)
-        {
-            if (bytes > budget_.available_bytes_) {
-                return false;
-            }
-            budget_.available_bytes_ -= bytes;
-            reserved_bytes_ += bytes;
-            return true;
-        }
+        bool try_reserve(std::size_t bytes);
+
+        /** Reserves or releases bytes up to the given total.
+         * \return as try_reserve().
+         */
+        bool try_resize(std::size_t total);
+
+        /** Replaces the sender and the function given at construction. */
+        void transfer(std::string sender, std::function<void()> give_up);
 
         std::size_t reserved_bytes() const { return reserved_bytes_; }
+        bool taken_away() const { return taken_away_; }
 
       private:
+        friend class byte_budget;
+        void release(std::size_t bytes);
+
         byte_budget& budget_;
+        std::string sender_;
+        std::function<void()> give_up_;
         std::size_t reserved_bytes_ = 0;
+        bool taken_away_ = false;
     };
 
-    std::size_t available_bytes() const { return available_bytes_; }
+    /** Changes the limit. With a lower one, less or nothing is available until bytes are released.
+     */
+    void set_max_bytes(std::size_t max_bytes) { max_bytes_ = max_bytes; }
+
+    std::size_t available_bytes() const
+    {
+        return max_bytes_ > reserved_bytes_ ? max_bytes_ - reserved_bytes_ : 0;
+    }
 
   private:
-    std::size_t available_bytes_;
+    reservation* find_largest(const reservation& asking, std::size_t bytes) const;
+
+    std::size_t max_bytes_;
+    std::size_t reserved_bytes_ = 0;
+    std::set<reservation*> reservations_;
+    std::map<std::string, std::size_t> bytes_by_sender_;
 };
 
 } // namespace chervildyke
--- a/src/relay/event_splitter.cpp
+++ b/src/relay/event_splitter.cpp
@@ -3,6 +3,7 @@
  */
 #include "relay/event_splitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace chervildyke {
@@ -36,11 +37,14 @@
 
 std::optional<raw_event> event_splitter::next()
 {
-    const std::size_t unix_end = buffer_.find("\n\n");
-    const std::size_t dos_end = buffer_.find("\r\n\r\n");
+    constexpr std::string_view dos_mark = "\r\n\r\n";
+    const std::size_t unix_end = buffer_.find("\n\n", searched_bytes_);
+    const std::size_t dos_end = buffer_.find(dos_mark, searched_bytes_);
     if (unix_end == std::string::npos && dos_end == std::string::npos) {
+        searched_bytes_ = buffer_.size() - std::min(buffer_.size(), dos_mark.size() - 1);
         return std::nullopt;
     }
+    searched_bytes_ = 0;
     const std::size_t end = unix_end < dos_end ? unix_end + 2 : dos_end + 4;
     raw_event event;
     event.bytes = buffer_.substr(0, end);
--- a/src/relay/event_splitter.h
+++ b/src/relay/event_splitter.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -39,6 +40,7 @@
 
   private:
     std::string buffer_;
+    std::size_t searched_bytes_ = 0; // At the begin of the buffer, without the end of an event.
 };
 
 } // namespace chervildyke
--- a/src/relay/plain_relay.cpp
+++ b/src/relay/plain_relay.cpp
@@ -44,7 +44,8 @@
 
 struct attempt_end {
     attempt_result result = attempt_result::not_run;
-    http_reply reply;            // Set if answered.
+    http_reply reply;                               // Set if answered.
+    std::shared_ptr<byte_budget::reservation> held; // The memory of the reply's body.
     bool backend_failed = false; // The backend server answered with a 5xx status.
     std::string reason;
 };
@@ -108,7 +109,7 @@
 {
     http_request request = call.attempt(target.id, call.parameters.last_event);
     http_call_options options = call.options(call.time_left(), incarnation_of(target));
-    options.cancel = std::move(cancel);
+    options.cancel = cancel;
     if (call.route->retry == retry_rule::never) {
         options.max_idle_time = max_idle_for_single_runs;
     }
@@ -120,9 +121,10 @@
     const std::vector<http_header> headers = answer.headers();
     const answer_metadata metadata = call.context.codec.read_metadata(answer.status(), headers);
     call.record_notice(incarnation_of(target), metadata);
-    byte_budget::reservation held(call.context.buffered);
-    auto body =
-        co_await read_whole_body(answer, call.context.limits.max_answer_bytes, held, call.deadline);
+    auto held = std::make_shared<byte_budget::reservation>(call.context.buffered, target.id,
+                                                           [cancel] { cancel->cancel(); });
+    auto body = co_await read_whole_body(answer, call.context.limits.max_answer_bytes, *held,
+                                         call.deadline);
     if (!body) {
         co_return attempt_end_of(body.failure());
     }
@@ -140,6 +142,9 @@
     end.backend_failed = status >= 500;
     end.result = attempt_result::answered;
     end.reply = make_forwarded_reply(status, headers, std::move(*body));
+    // From now on only the caller determines how long the memory is held.
+    held->transfer("caller " + call.exchange.peer_address(), [&call] { call.exchange.abort(); });
+    end.held = std::move(held);
     co_return end;
 }
 
--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -54,8 +54,8 @@
     demand_meter demand;
     const backend_table* backends = nullptr;
     std::map<std::string, retry_budget> budgets; // By service.
-    byte_budget buffered{32U << 20U}; // Answers buffered until they are whole; a fifth of the
-                                      // memory of the smallest node.
+    byte_budget buffered{32U << 20U}; // Answers and events, buffered until they are whole; a fifth
+                                      // of the memory of the smallest node.
     bool leaving = false;
     stop_grace stopping; // Begins when the node leaves.
     loop_lag lag;
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -42,7 +42,9 @@
 constexpr duration last_request_wait = 300ms;    // One round trip of most callers.
 constexpr duration fleet_check_interval = 200ms; // Between two runs of the periodic checks.
 constexpr duration drain_check_interval = 20ms;  // Between two checks whether all calls have ended.
-constexpr duration engine_stall_margin = 500ms;  // For late timers of an engine.
+constexpr double buffered_share = 0.2; // Of the memory, for answers that are not whole yet.
+constexpr double bytes_per_mb = 1 << 20;
+constexpr duration engine_stall_margin = 500ms; // For late timers of an engine.
 constexpr const char* plain_text = "text/plain";
 
 } // namespace
@@ -96,6 +98,13 @@
                                                                 *context_.crashes, random_);
     context_.backend_lb = std::make_shared<backend_balancer>(settings_.failure_domain(), random_);
     context_.backends = &view_->backends();
+    if (settings_.memory_mb() > 0) {
+        context_.buffered.set_max_bytes(
+            static_cast<std::size_t>(settings_.memory_mb() * buffered_share * bytes_per_mb));
+    }
+    context_.metrics->add_gauge("chervil_answer_bytes_available", [this] {
+        return static_cast<double>(context_.buffered.available_bytes());
+    });
     context_.configuration = [this] { return served_configuration(); };
     context_.configuration_age = [this] { return view_->configuration_age(); };
     view_->on_configuration = [this](const published_configuration_ptr& configuration) {
--- a/src/relay/streaming_call.h
+++ b/src/relay/streaming_call.h
@@ -69,7 +69,8 @@
     boost::asio::awaitable<attempt_end> attempt(running_attempt& running);
     void note_failure(const running_attempt& running, const attempt_end& end, bool answered) const;
     boost::asio::awaitable<attempt_end> read_answer(http_stream& answer, running_attempt& running);
-    boost::asio::awaitable<attempt_end> read_error(http_stream& answer);
+    boost::asio::awaitable<attempt_end> read_error(http_stream& answer,
+                                                   const running_attempt& running);
     boost::asio::awaitable<attempt_end> forward_events(http_stream& answer,
                                                        running_attempt& running);
     void supersede_others(const running_attempt& winner);
--- a/src/relay/whole_body.cpp
+++ b/src/relay/whole_body.cpp
@@ -20,6 +20,11 @@
                                        std::to_string(body.size()) + " bytes of it"};
         }
         auto part = co_await answer.read_some(left);
+        if (budget.taken_away()) {
+            co_return http_failure{http_error::broken,
+                                   "the answer was given up at " + std::to_string(body.size()) +
+                                       " bytes: the answers of its server hold the most memory"};
+        }
         if (!part) {
             co_return part.failure();
         }
@@ -27,11 +32,17 @@
             co_return body;
         }
         body += *part;
-        if (body.size() > max_bytes || !budget.try_reserve(part->size())) {
+        if (body.size() > max_bytes) {
             co_return http_failure{http_error::broken,
-                                   "the answer is longer than " + std::to_string(body.size() - 1) +
+                                   "the answer is longer than " + std::to_string(max_bytes) +
                                        " bytes, the limit of a buffered answer"};
         }
+        if (!budget.try_reserve(part->size())) {
+            co_return http_failure{http_error::broken,
+                                   "the answer was given up at " + std::to_string(body.size()) +
+                                       " bytes: no memory is left for it, and the answers of its "
+                                       "server hold the most"};
+        }
     }
 }
 
--- a/src/relay/whole_body.h
+++ b/src/relay/whole_body.h
@@ -16,8 +16,8 @@
 
 /** Reads a body to its end.
  * \param max_bytes limit of its size; a longer body fails with http_error::broken.
- * \param budget from which its bytes are taken; the body fails with http_error::broken when the
- * node's budget for buffered answers is used up.
+ * \param budget from which its bytes are taken; the body fails with http_error::broken when they
+ * are refused or taken away.
  * \param deadline of the whole body, so that a server that sends a byte now and then can't keep the
  * call open.
  */
--- a/test/correctness/relay_events.cpp
+++ b/test/correctness/relay_events.cpp
@@ -44,3 +44,27 @@
                                               {"X-Kept", "2"}};
     CHECK(end_to_end_headers(headers) == std::vector<http_header>{{"X-Kept", "2"}});
 }
+
+// Guards against missing the end of an event that arrives in two parts.
+TEST_CASE("events are the same wherever their bytes are divided")
+{
+    const std::string bytes = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
+    for (std::size_t first = 0; first <= bytes.size(); ++first) {
+        for (std::size_t second = first; second <= bytes.size(); ++second) {
+            event_splitter splitter;
+            std::string joined;
+            std::vector<std::uint64_t> ids;
+            for (const std::string& part :
+                 {bytes.substr(0, first), bytes.substr(first, second - first),
+                  bytes.substr(second)}) {
+                splitter.feed(part);
+                while (const auto event = splitter.next()) {
+                    joined += event->bytes;
+                    ids.push_back(event->id.value_or(0));
+                }
+            }
+            CHECK(joined == bytes);
+            CHECK(ids == std::vector<std::uint64_t>{1, 2, 3});
+        }
+    }
+}
