Read each request by the limits in force when it begins

Callers: 431 for a request that the configuration allows, on a connection that was opened before the limit on heads was raised; the same request is served on a new connection, and a 431 is not tried again.

Cause: the buffer of a connection was sized by the limit on heads at the moment of its acceptance, while the parser used the newest limit. Class: a limit that outlives the configuration that set it.

Evidence: error/base, "a request on an open connection follows raised limits on head and body" (large head: refused before, answered now). A request that had begun when the limits were lowered was and is answered.

--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -156,7 +156,7 @@
     error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer(read_buffer_bytes + limits.max_header_bytes);
+    beast::flat_buffer buffer;
     bool reusable = true;
     while (reusable) {
         reusable = co_await serve_request(stream, buffer);
@@ -247,6 +247,8 @@
     }
     ++active_requests;
     const scope_guard ended([this] { --active_requests; });
+    // The limits may have changed since the connection was accepted.
+    buffer.max_size(std::max(buffer.size(), read_buffer_bytes + limits.max_header_bytes));
     http::request_parser<http::string_body> parser;
     parser.body_limit(limits.max_body_bytes);
     parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
--- a/test/error/base_connection_ends.cpp
+++ b/test/error/base_connection_ends.cpp
@@ -208,6 +208,45 @@
     CHECK(connection_fixture::read_arrived(caller) == "(end)");
 }
 
+// Guards against requests that a raised limit allows, and that are refused on older connections.
+TEST_CASE("a request on an open connection follows raised limits on head and body")
+{
+    http_limits limits;
+    limits.max_header_bytes = 2U << 10U;
+    limits.max_body_bytes = 1U << 10U;
+    connection_fixture fixture(limits);
+    tcp::socket caller = fixture.connect();
+    fixture.send(caller, get("/"));
+    CHECK(is_whole(connection_fixture::read_arrived(caller)));
+    limits.max_header_bytes = 64U << 10U;
+    limits.max_body_bytes = 64U << 10U;
+    fixture.server.set_limits(limits);
+    constexpr std::size_t large = 40U << 10U;
+    SUBCASE("a large head")
+    {
+        fixture.send(caller, get("/", "X-Large: " + std::string(large, 'x') + "\r\n"));
+    }
+    SUBCASE("a large body")
+    {
+        fixture.send(caller, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                                 std::to_string(large) + "\r\n\r\n" + std::string(large, 'x'));
+    }
+    CHECK(is_whole(connection_fixture::read_arrived(caller)));
+}
+
+TEST_CASE("a request that had begun when the limits were lowered is answered")
+{
+    connection_fixture fixture;
+    tcp::socket caller = fixture.connect();
+    fixture.send(caller, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nfirst");
+    http_limits limits;
+    limits.max_header_bytes = 16;
+    limits.max_body_bytes = 4;
+    fixture.server.set_limits(limits);
+    fixture.send(caller, "other");
+    CHECK(is_whole(connection_fixture::read_arrived(caller)));
+}
+
 // Guards against taking readiness without bytes for the end of the connection. An urgent byte
 // before other bytes makes a socket readable while its count of available bytes is zero.
 TEST_CASE("a client that is still there is not taken for one that left")
