Choose no server whose list entry has expired

Cause: a removal that is read soon after a failed read marks the entry with a time, and only a read of the list removed entries whose time had passed. A node whose list the leader confirms reads nothing, so the mark outlasted its time for as long as the list did not change, and no choice looked at it. Class: something that expires, and whose expiry needs a clean-up.

Change: relay_context::availability() is the one place that says whether a server may be called, by its notices and by the expiry of its entry. Plain calls, streams, and the last check before an attempt is sent ask it at that moment. Expired entries are also removed at each check of the list's age, so that replicas are rebuilt.

--- a/src/fleet/backend_table.cpp
+++ b/src/fleet/backend_table.cpp
@@ -137,7 +137,7 @@
                   [now](const auto& removal) { return now - removal.second > removal_retention; });
     std::vector<std::string> dropped;
     for (const auto& [id, listed] : backends_) {
-        if (listed.expires_at && *listed.expires_at <= now) {
+        if (listed.has_expired(now)) {
             dropped.push_back(id);
         }
     }
--- a/src/fleet/backend_table.h
+++ b/src/fleet/backend_table.h
@@ -24,6 +24,9 @@
     std::optional<time_point> leaving_since; // When this incarnation was first listed as leaving.
     backend published;                       // The newest entry, as it was in the list.
 
+    /** \return true if it may not be used any more, whether or not it was removed yet. */
+    bool has_expired(time_point now) const { return expires_at && *expires_at <= now; }
+
     bool operator==(const listed_backend&) const = default;
 };
 
--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -331,6 +331,7 @@
     const auto self = shared_from_this();
     while (true) {
         if (!must_read_backends()) {
+            remove_expired_backends();
             co_await sleep_for(settings_.list_age_check_interval);
             continue;
         }
--- a/src/relay/plain_relay.cpp
+++ b/src/relay/plain_relay.cpp
@@ -54,8 +54,10 @@
 {
     std::vector<backend_candidate> candidates;
     for (const auto& [id, listed] : call.context.backends->all()) {
+        const backend_availability current =
+            call.context.availability(incarnation_of(listed.server), now);
         const bool usable = listed.server.service == call.service && !listed.server.leaving &&
-                            call.context.notices->may_call(incarnation_of(listed.server), now);
+                            !current.leaving && !current.paused_until;
         if (usable) {
             candidates.push_back({listed.server.address, listed.server.failure_domain});
         }
@@ -75,7 +77,7 @@
             continue;
         }
         const backend_availability current =
-            call.context.notices->availability(incarnation_of(listed.server), now);
+            call.context.availability(incarnation_of(listed.server), now);
         const time_point until = current.paused_until.value_or(now);
         if (!current.leaving && (!soonest || until < *soonest)) {
             soonest = until;
--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -67,6 +67,17 @@
      */
     std::function<std::optional<duration>()> configuration_age;
 
+    /** \return whether the server may be called, by its notices and by its entry in the list: one
+     * that has expired counts as leaving.
+     */
+    backend_availability availability(const backend_incarnation& server, time_point now) const
+    {
+        backend_availability current = notices->availability(server, now);
+        const listed_backend* listed = backends->find(server.id);
+        current.leaving = current.leaving || (listed != nullptr && listed->has_expired(now));
+        return current;
+    }
+
     retry_budget& budget_of(const std::string& service)
     {
         const auto found = budgets.try_emplace(service, limits.retry_ratio, limits.retry_reserve,
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -89,7 +89,7 @@
     };
     context_.replica_lb->head_availability = [this](const serving_replica& replica,
                                                     time_point now) {
-        return context_.notices->availability(head_incarnation(replica), now);
+        return context_.availability(head_incarnation(replica), now);
     };
     context_.metrics->add_gauge("chervil_blocked_prompt_parts", [this] {
         return static_cast<double>(context_.crashes->blocked_parts(monotonic_clock::now()));
--- a/src/relay/relayed_call.cpp
+++ b/src/relay/relayed_call.cpp
@@ -55,8 +55,9 @@
             end.reason = "its connection had ended before an attempt was sent";
             cancel->cancel();
         }
+        const backend_availability current = context.availability(target, monotonic_clock::now());
         return !cancel->cancelled() && context.stopping.may_send(deadline, route->retry) &&
-               context.notices->may_call(target, monotonic_clock::now());
+               !current.leaving && !current.paused_until;
     };
     options.matches_request = [read_metadata = context.codec.read_metadata,
                                id = parameters.id](const std::vector<http_header>& headers) {
--- a/test/support/relay_fixture.h
+++ b/test/support/relay_fixture.h
@@ -147,7 +147,7 @@
         node.notices = std::make_shared<backend_notices>();
         node.replica_lb->head_availability = [this](const serving_replica& replica,
                                                     time_point now) {
-            return node.notices->availability(head_incarnation(replica), now);
+            return node.availability(head_incarnation(replica), now);
         };
         node.configuration = [this] { return configuration; };
         node.configuration_age = [this] { return configuration_age; };
