Let the soak play servers whose answers go on without end

Nothing outside a node watched its memory, and no server of the soak sent without end. In every run the memory of each node is read from /proc each 50 ms and compared with what its settings give it, 160 MB.

--- a/soak/backend_server.cpp
+++ b/soak/backend_server.cpp
@@ -15,6 +15,8 @@
 
 namespace {
 
+constexpr std::size_t endless_piece_bytes = 16U << 10U;
+constexpr duration endless_piece_interval = 1ms;
 constexpr duration entry_ttl = 3600ms;           // From the end of a server's updates.
 constexpr duration extra_listen_time = 1s;       // From the end of the drain period.
 constexpr duration order_processing_time = 15ms; // Of one call to a server of orders.
@@ -180,6 +182,17 @@
     environment_.poison.record_arrival(arrival.id, now);
 }
 
+asio::awaitable<void> backend_server::send_without_end(http_exchange& exchange, http_reply start)
+{
+    const std::string piece(endless_piece_bytes, 'x');
+    bool written = co_await exchange.start_stream(std::move(start));
+    while (written && alive_ && faults_.sends_without_end) {
+        written = co_await exchange.write_chunk(piece);
+        co_await sleep_for(endless_piece_interval); // The other servers run on the same thread.
+    }
+    exchange.abort();
+}
+
 asio::awaitable<void> backend_server::refuse(http_exchange& exchange, unsigned status)
 {
     http_reply reply = write_not_executed(read_arrival(exchange.request()).id, status);
@@ -203,6 +216,11 @@
         co_await refuse(exchange, 421);
         co_return;
     }
+    if (faults_.sends_without_end && kind != request_kind::call) {
+        http_reply start;
+        co_await send_without_end(exchange, std::move(start));
+        co_return;
+    }
     switch (kind) {
     case request_kind::report: {
         http_reply reply = write_report(entry_, running_calls_);
@@ -252,6 +270,10 @@
         co_return;
     }
     http_reply reply = write_server_answer(arrival.id, answer);
+    if (faults_.sends_without_end) {
+        co_await send_without_end(exchange, std::move(reply));
+        co_return;
+    }
     if (draw_with_probability(faults_.truncation_probability)) {
         // Without a length, only the reset shows that the answer is not complete.
         reply.ends_with_connection = true;
--- a/soak/backend_server.h
+++ b/soak/backend_server.h
@@ -27,6 +27,7 @@
     double answer_loss_probability = 0; // A call runs and is not answered.
     double truncation_probability = 0;  // An answer ends before the end of its body.
     duration command_delay{};           // If not zero: commands run after it and are not answered.
+    bool sends_without_end = false;     // Answers to calls, checks and commands do not end.
     double slowdown_factor = 1;         // Multiplies the time that calls take.
 };
 
@@ -109,6 +110,11 @@
      */
     boost::asio::awaitable<void> send(http_exchange& exchange, http_reply reply);
 
+    /** Sends bytes that are no whole answer until the peer closes the connection or the fault ends.
+     * \param start the head of the answer.
+     */
+    boost::asio::awaitable<void> send_without_end(http_exchange& exchange, http_reply start);
+
     /** Answers that the call or command was not executed. */
     boost::asio::awaitable<void> refuse(http_exchange& exchange, unsigned status);
 
--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -144,6 +144,9 @@
         server->fall_silent(fault.length);
         co_await sleep_for(fault.length);
         break;
+    case fault_kind::server_endless:
+        co_await set_for(faults.sends_without_end, true, false, fault.length);
+        break;
     case fault_kind::server_slow:
         co_await set_for(faults.slowdown_factor, slow_server_factor, 1.0, fault.length);
         break;
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -3,6 +3,7 @@
  */
 #include "soak/fleet.h"
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <utility>
@@ -39,6 +40,9 @@
 constexpr std::size_t servers_per_fabric_domain = 7;
 constexpr double same_id_probability = 0.25;  // That a restarted server keeps its id.
 constexpr std::uint64_t max_version_step = 5; // Configuration versions need not be consecutive.
+constexpr std::size_t node_memory_mb = 160;   // Of the smallest nodes.
+constexpr std::size_t bytes_per_mb = 1U << 20U;
+constexpr duration memory_poll_interval = 50ms;
 constexpr double initial_address_validity_s = 2;
 
 deployment make_deployment()
@@ -106,7 +110,9 @@
         {"retryRatio", 0.2},
         {"retrySlack", 100},
         {"addressValidityS", address_validity_s},
-        {"clockSettleMs", 2500}};
+        {"clockSettleMs", 2500},
+        {"memoryMb", node_memory_mb},
+        {"engineStallMs", in_ms(stall_timeout)}};
     settings["storeAddress"] =
         ip_of(store_link_subnet, node.index) + ":" + std::to_string(store_port);
     std::ofstream(options_.folder / (node.name + ".json")) << settings.dump(2);
@@ -245,6 +251,7 @@
     start_callers();
     asio::co_spawn(executor_, watch_nodes(), asio::detached);
     asio::co_spawn(executor_, watch_servers(), asio::detached);
+    asio::co_spawn(executor_, watch_memory(), asio::detached);
     return true;
 }
 
@@ -276,6 +283,23 @@
     }
 }
 
+asio::awaitable<void> soak_fleet::watch_memory()
+{
+    while (!stopping_) {
+        co_await sleep_for(memory_poll_interval);
+        for (const auto& node : nodes_) {
+            const std::size_t used = node->process->resident_bytes();
+            const bool exceeded = node->peak_bytes > node_memory_mb * bytes_per_mb;
+            node->peak_bytes = std::max(node->peak_bytes, used);
+            if (!exceeded && used > node_memory_mb * bytes_per_mb) {
+                checker_.add_finding("memory", node->name + " uses " +
+                                                   std::to_string(used / bytes_per_mb) + " MB of " +
+                                                   std::to_string(node_memory_mb));
+            }
+        }
+    }
+}
+
 asio::awaitable<void> soak_fleet::watch_servers()
 {
     while (!stopping_) {
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -50,6 +50,7 @@
     bool exit_expected = false; // The node was stopped or killed by a fault.
     int active_freezes = 0;     // Freeze faults that are active; they may overlap.
     std::uint64_t restart_count = 0;
+    std::size_t peak_bytes = 0; // The most memory that one of its processes used.
 };
 
 /** An address at which one backend server runs after another, behind a proxy. */
@@ -123,6 +124,9 @@
     /** Starts a new server at the endpoint of each server that has ended until the fleet stops. */
     boost::asio::awaitable<void> watch_servers();
 
+    /** Adds a finding if a node uses more memory than its settings give it. */
+    boost::asio::awaitable<void> watch_memory();
+
     /** Adds a finding if a node ended by itself. */
     void check_exit(const soak_node& node, int status);
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -91,6 +91,9 @@
         std::cout << fleet.poison().crash_count() << " servers crashed by prompts\n";
     }
     print("ended", fleet.callers().counts());
+    for (const auto& node : fleet.nodes()) {
+        std::cout << node->name << " used " << (node->peak_bytes >> 20U) << " MB at most\n";
+    }
     for (const std::string& finding : fleet.checker().findings()) {
         std::cout << "BROKEN " << finding << '\n';
     }
@@ -120,6 +123,7 @@
         cxxopts::value<std::string>()->default_value("run/soak"))(
         "poison", "add calls whose prompts crash servers")(
         "restores", "add restores of the store from an older copy")(
+        "endless", "add servers whose answers go on without end")(
         "excusing-nothing-only", "draw only faults that excuse no lost answer")(
         "net", "second byte of all addresses, 127.NET.x.y; 0: derived from the seed",
         cxxopts::value<std::uint32_t>()->default_value("0"))("help", "prints this text");
@@ -156,6 +160,7 @@
         schedule_options schedule;
         schedule.excusing_nothing_only = arguments.count("excusing-nothing-only") > 0;
         schedule.poison = poison;
+        schedule.endless = arguments.count("endless") > 0;
         schedule.restores = arguments.count("restores") > 0;
         asio::io_context context(1);
         soak_fleet fleet(context.get_executor(), options);
--- a/soak/model_server.cpp
+++ b/soak/model_server.cpp
@@ -392,6 +392,11 @@
     environment_.checker.record_server_answer(arrival.id, answer);
     http_reply start = write_server_answer(arrival.id, answer);
     start.content_type = "text/event-stream";
+    if (faults_.sends_without_end) {
+        co_await send_without_end(exchange, std::move(start));
+        --running_calls_;
+        co_return;
+    }
     const bool ends_with_connection = draw_ends_with_connection();
     start.ends_with_connection = ends_with_connection;
     co_await exchange.start_stream(std::move(start));
--- a/soak/node_process.cpp
+++ b/soak/node_process.cpp
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <csignal>
+#include <fstream>
 #include <utility>
 
 #include <fcntl.h>
@@ -55,6 +56,16 @@
     return failed == 0;
 }
 
+std::size_t node_process::resident_bytes() const
+{
+    std::size_t all_pages = 0;
+    std::size_t resident_pages = 0;
+    if (is_running()) {
+        std::ifstream("/proc/" + std::to_string(pid_) + "/statm") >> all_pages >> resident_pages;
+    }
+    return resident_pages * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
 void node_process::send_signal(int signal)
 {
     if (is_running()) {
--- a/soak/node_process.h
+++ b/soak/node_process.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 
@@ -28,6 +29,9 @@
     /** Sends a signal if the process is running. */
     void send_signal(int signal);
 
+    /** \return the memory that the process uses now; zero if it is not running. */
+    std::size_t resident_bytes() const;
+
     /** \return the process's status in the form of waitpid if it has ended since the last call,
      * nothing otherwise.
      */
--- a/soak/schedule.cpp
+++ b/soak/schedule.cpp
@@ -22,7 +22,7 @@
 };
 
 // Kinds without a weight are drawn on their own, so that the other faults of a seed stay the same.
-constexpr std::array<fault_kind_info, 28> fault_kinds = {{
+constexpr std::array<fault_kind_info, 29> fault_kinds = {{
     {fault_kind::node_killed, "node_killed", 4, false, false},
     {fault_kind::node_stopped, "node_stopped", 4, false, true},
     {fault_kind::node_frozen, "node_frozen", 3, true, false},
@@ -48,6 +48,7 @@
     {fault_kind::store_forgets, "store_forgets", 2, false, false},
     {fault_kind::configuration_changed, "configuration_changed", 4, false, true},
     {fault_kind::key_revoked, "key_revoked", 2, false, true},
+    {fault_kind::server_endless, "server_endless", 0, true, false},
     {fault_kind::server_silent, "server_silent", 0, true, true},
     {fault_kind::poison_prompts, "poison_prompts", 0, true, false},
     {fault_kind::store_restored, "store_restored", 0, true, false},
@@ -63,8 +64,11 @@
 constexpr std::uint64_t silence_seed_offset = 0x5117'0000'0000'0000;
 constexpr std::uint64_t poison_seed_offset = 0x9015'0000'0000'0000;
 constexpr std::uint64_t restore_seed_offset = 0xe2a5'0000'0000'0000;
+constexpr std::uint64_t endless_seed_offset = 0xe4d1'0000'0000'0000;
 constexpr std::uint64_t max_restores = 3;
-constexpr int lost_changes = 3;                       // Before each restore.
+constexpr std::uint64_t min_endless = 2;
+constexpr std::uint64_t endless_limit = 6; // A schedule has fewer servers that send without end.
+constexpr int lost_changes = 3;            // Before each restore.
 constexpr std::uint64_t lost_change_limit_ms = 4'000; // Each comes less than this before it.
 constexpr std::uint64_t outage_limit_ms = 2'500;      // The store comes back earlier.
 constexpr std::uint64_t min_silence_ms = 700;
@@ -160,6 +164,21 @@
     }
 }
 
+/** Adds times in which the answers of a server go on without end. */
+void add_endless(std::vector<scheduled_fault>& faults, std::uint64_t seed, duration span)
+{
+    const random_source random = seeded_random(seed ^ endless_seed_offset);
+    const std::uint64_t count = min_endless + random_below(random, endless_limit - min_endless);
+    for (std::uint64_t i = 0; i < count; ++i) {
+        scheduled_fault endless;
+        endless.kind = fault_kind::server_endless;
+        endless.start = draw_ms(random, 0, static_cast<std::uint64_t>(span / 1ms));
+        endless.length = draw_ms(random, min_length_ms, length_limit_ms);
+        endless.target = random();
+        faults.push_back(endless);
+    }
+}
+
 /** Adds silences of servers around the planned operations of a schedule and at other times. */
 void add_silences(std::vector<scheduled_fault>& faults, std::uint64_t seed, duration span)
 {
@@ -234,6 +253,9 @@
     if (options.restores) {
         add_restores(faults, seed, span);
     }
+    if (options.endless) {
+        add_endless(faults, seed, span);
+    }
     std::sort(faults.begin(), faults.end(),
               [](const scheduled_fault& a, const scheduled_fault& b) { return a.start < b.start; });
     return faults;
