--- a/src/relay/plain_relay.cpp
+++ b/src/relay/plain_relay.cpp
@@ -123,8 +123,7 @@
     const std::vector<http_header> headers = answer.headers();
     const answer_metadata metadata = call.context.codec.read_metadata(answer.status(), headers);
     call.record_notice(incarnation_of(target), metadata);
-    auto held = std::make_shared<byte_budget::reservation>(call.context.buffered, target.id,
-                                                           [cancel] { cancel->cancel(); });
+    auto held = reserve_for_answer(call.context.buffered, target.id, std::move(cancel));
     auto body = co_await read_whole_body(answer, call.context.limits.max_answer_bytes, *held,
                                          call.deadline);
     if (!body) {
--- a/src/relay/streaming_call.cpp
+++ b/src/relay/streaming_call.cpp
@@ -39,9 +39,6 @@
 constexpr std::size_t max_error_body_bytes = 1U << 20U; // Bytes of an answer that is not a stream.
 constexpr std::size_t max_event_bytes = 1U << 20U;      // Of one event; a token takes a few bytes.
 
-constexpr const char* no_memory_reason =
-    "the answer was given up: no memory is left, and the answers of its server hold the most";
-
 // The Retry-After of refusals is drawn at random, so that the calls of a burst return spread out.
 constexpr duration min_retry_after = 800ms;
 constexpr duration retry_after_spread = 1200ms;
@@ -117,8 +114,8 @@
     attempt_end end;
     end.result = attempt_result::broken;
     event_splitter splitter;
-    byte_budget::reservation held(call_.context.buffered, running.selected.replica.head_id,
-                                  [cancel = running.cancel] { cancel->cancel(); });
+    const auto held = reserve_for_answer(call_.context.buffered, running.selected.replica.head_id,
+                                         running.cancel);
     bool has_event = false;
     const std::vector<http_header> headers = answer.headers();
     while (true) {
@@ -128,7 +125,7 @@
         }
         auto part = co_await answer.read_some(usable_time_left());
         if (running.cancel->cancelled()) {
-            end.reason = held.taken_away() ? no_memory_reason : "cancelled";
+            end.reason = held->taken_away() ? no_memory_reason : "cancelled";
             co_return end;
         }
         if (!part) {
@@ -140,7 +137,7 @@
             break;
         }
         splitter.feed(*part);
-        if (!held.try_resize(splitter.partial_event_bytes())) {
+        if (!held->try_resize(splitter.partial_event_bytes())) {
             end.reason = no_memory_reason;
             co_return end;
         }
@@ -182,15 +179,11 @@
             end.reason = "an event is longer than " + std::to_string(max_event_bytes) + " bytes";
             co_return end;
         }
-        held.try_resize(splitter.partial_event_bytes());
-    }
-    if (splitter.has_partial_event()) {
-        end.reason = "the stream ended within an event";
-        end.server_broke_off = true;
-        co_return end;
+        held->try_resize(splitter.partial_event_bytes());
     }
-    if (!forwarder_.started()) {
-        end.reason = "the stream ended without an event";
+    if (splitter.has_partial_event() || !forwarder_.started()) {
+        end.reason = splitter.has_partial_event() ? "the stream ended within an event"
+                                                  : "the stream ended without an event";
         end.server_broke_off = true;
         co_return end;
     }
@@ -227,9 +220,9 @@
 {
     attempt_end end;
     end.result = attempt_result::broken;
-    byte_budget::reservation held(call_.context.buffered, running.selected.replica.head_id,
-                                  [cancel = running.cancel] { cancel->cancel(); });
-    auto body = co_await read_whole_body(answer, max_error_body_bytes, held,
+    const auto held = reserve_for_answer(call_.context.buffered, running.selected.replica.head_id,
+                                         running.cancel);
+    auto body = co_await read_whole_body(answer, max_error_body_bytes, *held,
                                          call_.deadline - deadline_margin);
     if (!body) {
         end.reason = body.failure().reason;
--- a/src/relay/whole_body.cpp
+++ b/src/relay/whole_body.cpp
@@ -3,8 +3,17 @@
  */
 #include "relay/whole_body.h"
 
+#include <utility>
+
 namespace chervildyke {
 
+std::shared_ptr<byte_budget::reservation>
+reserve_for_answer(byte_budget& budget, std::string server, std::shared_ptr<http_cancel> attempt)
+{
+    return std::make_shared<byte_budget::reservation>(
+        budget, std::move(server), [attempt = std::move(attempt)] { attempt->cancel(); });
+}
+
 boost::asio::awaitable<http_result<std::string>> read_whole_body(http_stream& answer,
                                                                  std::size_t max_bytes,
                                                                  byte_budget::reservation& budget,
@@ -21,9 +30,7 @@
         }
         auto part = co_await answer.read_some(left);
         if (budget.taken_away()) {
-            co_return http_failure{http_error::broken,
-                                   "the answer was given up at " + std::to_string(body.size()) +
-                                       " bytes: the answers of its server hold the most memory"};
+            co_return http_failure{http_error::broken, no_memory_reason};
         }
         if (!part) {
             co_return part.failure();
@@ -38,10 +45,7 @@
                                        " bytes, the limit of a buffered answer"};
         }
         if (!budget.try_reserve(part->size())) {
-            co_return http_failure{http_error::broken,
-                                   "the answer was given up at " + std::to_string(body.size()) +
-                                       " bytes: no memory is left for it, and the answers of its "
-                                       "server hold the most"};
+            co_return http_failure{http_error::broken, no_memory_reason};
         }
     }
 }
--- a/src/relay/whole_body.h
+++ b/src/relay/whole_body.h
@@ -1,9 +1,11 @@
 /** \file
- * Defines read_whole_body, which buffers an answer that is forwarded as a whole.
+ * Defines read_whole_body, which buffers an answer that is forwarded as a whole, and the
+ * reservation of memory for what a server sends.
  */
 #pragma once
 
 #include <cstddef>
+#include <memory>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
@@ -14,6 +16,16 @@
 
 namespace chervildyke {
 
+/** The reason of an attempt whose memory was refused or taken away. */
+inline constexpr const char* no_memory_reason =
+    "the answer was given up: no memory is left, and the answers of its server hold the most";
+
+/** \return a reservation for an answer of the server; its attempt is cancelled when the bytes are
+ * taken away.
+ */
+std::shared_ptr<byte_budget::reservation>
+reserve_for_answer(byte_budget& budget, std::string server, std::shared_ptr<http_cancel> attempt);
+
 /** Reads a body to its end.
  * \param max_bytes limit of its size; a longer body fails with http_error::broken.
  * \param budget from which its bytes are taken; the body fails with http_error::broken when they
