--- a/src/relay/streaming_call.cpp
+++ b/src/relay/streaming_call.cpp
@@ -430,8 +430,7 @@
         co_return;
     }
     if (call_.end.runs == 0) {
-        const duration wait = retry_after();
-        co_await refuse(call_, 503, last.reason, wait);
+        co_await refuse(call_, 503, last.reason, retry_after());
         co_return;
     }
     const bool too_late = call_.time_left() <= 2 * deadline_margin;
