Wait for members of a lost head that were not listed, and for departures without an answer

A replica of which no member was listed was noted as closed when it was given up, so members that came back joined another replica at once, the head being open. A departure that the list showed before its answer counted for nothing. A refusal counted as a departure whatever its reason. And an answer of a member counted as one of the head, which kept the members for a minute.

Now such a replica is dropped without being noted as closed, so its members count as orphaned and leave first; a command without an answer counts from the latest moment at which it may be executed; a refusal counts if the list doesn't show the VM in the replica. Evidence: two cases in correctness/assembly (not run on the code before); the others are by reading.

--- a/src/assembly/assembler.cpp
+++ b/src/assembly/assembler.cpp
@@ -167,7 +167,10 @@
     const engine_command sent = planned.command;
     const command_outcome outcome = co_await engines_.send(std::move(vm), sent);
     history_.note_outcome(id, sent, outcome, monotonic_clock::now());
-    if (backends_.find(id) == nullptr) {
+    const auto replica = ledger_.replicas().find(sent.replica);
+    const bool is_head =
+        replica != ledger_.replicas().end() && replica->second.members(0).id() == id;
+    if (is_head && backends_.find(id) == nullptr) {
         history_.lost_head_entry(sent.epoch).no_contact =
             outcome == command_outcome::no_contact || outcome == command_outcome::unclear;
     }
--- a/src/assembly/assembly_history.cpp
+++ b/src/assembly/assembly_history.cpp
@@ -5,6 +5,12 @@
 
 namespace chervildyke {
 
+namespace {
+
+constexpr duration max_execution_delay = 12s; // Of a command that was not answered.
+
+} // namespace
+
 void assembly_history::note_sent(const std::string& vm, const engine_command& command,
                                  time_point now, bool loads_weights)
 {
@@ -49,19 +55,20 @@
     return false;
 }
 
-std::vector<std::uint64_t> assembly_history::leaves_since(const std::string& vm,
-                                                          time_point time) const
+std::vector<std::pair<std::uint64_t, time_point>>
+assembly_history::leaves_of(const std::string& vm) const
 {
-    std::vector<std::uint64_t> epochs;
+    std::vector<std::pair<std::uint64_t, time_point>> leaves;
     for (auto sent = commands_.lower_bound({vm, command_kind::leave, 0});
          sent != commands_.end() && std::get<0>(sent->first) == vm &&
          std::get<command_kind>(sent->first) == command_kind::leave;
          ++sent) {
-        if (sent->second.outcome && sent->second.outcome_at >= time) {
-            epochs.push_back(std::get<std::uint64_t>(sent->first));
-        }
+        const sent_command& leave = sent->second;
+        const bool answered = leave.outcome && leave.unanswered == 0;
+        leaves.emplace_back(std::get<std::uint64_t>(sent->first),
+                            answered ? leave.outcome_at : leave.at + max_execution_delay);
     }
-    return epochs;
+    return leaves;
 }
 
 std::vector<std::pair<std::string, sent_command>>
--- a/src/assembly/assembly_history.h
+++ b/src/assembly/assembly_history.h
@@ -67,10 +67,11 @@
      */
     bool sent_since(const std::string& vm, command_kind kind, time_point time) const;
 
-    /** \return the epochs of the replicas that the VM was commanded to leave, with an outcome at or
-     * after the given time.
+    /** \return the epochs of the replicas that the VM was commanded to leave, with the time by
+     * which it has left if it does: that of its answer, or else the latest at which it may still
+     * execute the command.
      */
-    std::vector<std::uint64_t> leaves_since(const std::string& vm, time_point time) const;
+    std::vector<std::pair<std::uint64_t, time_point>> leaves_of(const std::string& vm) const;
 
     /** \return the VMs and stage commands that were sent at or after the given time. */
     std::vector<std::pair<std::string, sent_command>> loads_since(time_point time) const;
--- a/src/assembly/member_release.cpp
+++ b/src/assembly/member_release.cpp
@@ -13,11 +13,30 @@
 std::optional<time_point> member_release::left_at(const std::string& vm, std::uint64_t epoch) const
 {
     const sent_command* leave = in_.history->find(vm, command_kind::leave, epoch);
-    const bool has_left = leave != nullptr && (leave->outcome == command_outcome::begun ||
-                                               leave->outcome == command_outcome::refused);
+    if (leave == nullptr) {
+        return std::nullopt;
+    }
+    const listed_backend* listed = in_.backends->find(vm);
+    const bool shows_membership =
+        listed != nullptr && listed->server.membership && listed->server.membership->epoch == epoch;
+    // A VM may refuse for another reason than that it is in no such replica.
+    const bool has_left = leave->outcome == command_outcome::begun ||
+                          (leave->outcome == command_outcome::refused && !shows_membership);
     return has_left ? std::optional(leave->outcome_at) : std::nullopt;
 }
 
+std::optional<time_point> member_release::first_left_at(const schema::shared_replica& replica) const
+{
+    std::optional<time_point> first;
+    for (int i = 1; i < replica.members_size(); ++i) {
+        const auto left = left_at(replica.members(i).id(), replica.epoch());
+        if (left && (!first || *left < *first)) {
+            first = left;
+        }
+    }
+    return first;
+}
+
 std::vector<std::string>
 member_release::members_to_leave(const schema::shared_replica& replica) const
 {
@@ -32,20 +51,16 @@
     return vms;
 }
 
+bool member_release::has_no_known_member(const schema::shared_replica& replica) const
+{
+    return members_to_leave(replica).empty() && !first_left_at(replica);
+}
+
 bool member_release::head_must_have_stopped(const schema::shared_replica& replica) const
 {
-    if (!members_to_leave(replica).empty()) {
-        return false;
-    }
-    std::optional<time_point> first_left;
-    for (const schema::shared_member& member : replica.members()) {
-        const auto left = left_at(member.id(), replica.epoch());
-        if (left && (!first_left || *left < *first_left)) {
-            first_left = left;
-        }
-    }
-    // Without any, the ledger keeps no VM from use: those that are listed again count as orphaned.
-    return !first_left || in_.now - *first_left >= in_.engine_stall_time;
+    const auto first_left = first_left_at(replica);
+    return members_to_leave(replica).empty() && first_left &&
+           in_.now - *first_left >= in_.engine_stall_time;
 }
 
 bool member_release::is_orphaned_member(const backend& vm) const
@@ -59,9 +74,11 @@
     if (is_orphaned_member(vm)) {
         return false;
     }
-    const auto recent = in_.history->leaves_since(vm.id, in_.now - in_.engine_stall_time);
-    return std::all_of(recent.begin(), recent.end(),
-                       [this](std::uint64_t epoch) { return in_.history->is_closed(epoch); });
+    const auto left = in_.history->leaves_of(vm.id);
+    return std::all_of(left.begin(), left.end(), [this](const auto& leave) {
+        const auto& [epoch, latest] = leave;
+        return in_.history->is_closed(epoch) || in_.now - latest >= in_.engine_stall_time;
+    });
 }
 
 } // namespace chervildyke
--- a/src/assembly/member_release.h
+++ b/src/assembly/member_release.h
@@ -25,6 +25,9 @@
     /** \return the listed members other than the head that have not confirmed that they left. */
     std::vector<std::string> members_to_leave(const schema::shared_replica& replica) const;
 
+    /** \return true if no member other than the head is listed or has confirmed that it left. */
+    bool has_no_known_member(const schema::shared_replica& replica) const;
+
     /** \return true once all listed members have left and the head must have stopped serving. */
     bool head_must_have_stopped(const schema::shared_replica& replica) const;
 
@@ -38,6 +41,7 @@
 
   private:
     std::optional<time_point> left_at(const std::string& vm, std::uint64_t epoch) const;
+    std::optional<time_point> first_left_at(const schema::shared_replica& replica) const;
 
     const assembly_input& in_;
 };
--- a/src/assembly/plan_builder.cpp
+++ b/src/assembly/plan_builder.cpp
@@ -50,6 +50,11 @@
 void plan_builder::drop_closed(const ledger_entry& entry)
 {
     plan.closed.push_back(entry.second.epoch());
+    drop(entry);
+}
+
+void plan_builder::drop(const ledger_entry& entry)
+{
     keyed_record dropped;
     dropped.key = entry.first;
     plan.records.push_back(std::move(dropped));
--- a/src/assembly/plan_builder.h
+++ b/src/assembly/plan_builder.h
@@ -37,7 +37,10 @@
     bool add_command(const std::string& vm, const engine_command& command,
                      bool loads_weights = false);
 
-    /** Adds the record that removes the replica, whose head is known to serve no more. */
+    /** Adds the record that removes the replica. */
+    void drop(const ledger_entry& entry);
+
+    /** The same for a replica whose head is known to serve no more. */
     void drop_closed(const ledger_entry& entry);
 
     std::uint32_t remaining_loads() const { return remaining_loads_; }
--- a/src/assembly/retirement_planner.cpp
+++ b/src/assembly/retirement_planner.cpp
@@ -167,6 +167,10 @@
         builder_.drop_closed(entry);
         return;
     }
+    if (given_up && release_.has_no_known_member(entry.second)) {
+        builder_.drop(entry); // Members that are listed again count as orphaned.
+        return;
+    }
     if (given_up) {
         release_members(entry);
         if (lost->address_known) {
--- a/test/correctness/assembly_member_release.cpp
+++ b/test/correctness/assembly_member_release.cpp
@@ -165,3 +165,43 @@
     CHECK_FALSE(fixture.ledger.holder_of(fixture.member) == fixture.name);
     CHECK(fixture.history.is_closed(fixture.before.epoch()));
 }
+
+// Guards against using members that were not listed when their lost head was given up.
+TEST_CASE("a member that is listed again after its lost head was given up joins after the wait")
+{
+    unreachable_head_fixture fixture;
+    const backend listed = fixture.backends.find(fixture.member)->server;
+    fixture.backends.remove(fixture.member, fixture.now);
+    fixture.lose_head(false);
+    fixture.now += fixture.settings.lost_head_wait;
+    fixture.steps(2);
+    CHECK_FALSE(fixture.ledger.replicas().contains(fixture.name));
+    fixture.backends.apply(listed, fixture.now);
+    const auto joined = fixture.run_until_member_joins();
+    REQUIRE(joined.has_value());
+    CHECK(*joined >= stall_time);
+}
+
+// Guards against a command that is executed although its answer is late or lost.
+TEST_CASE("a member whose departure is listed before it was answered joins after the wait")
+{
+    unreachable_head_fixture fixture;
+    engine_command leave;
+    leave.kind = command_kind::leave;
+    leave.epoch = fixture.before.epoch();
+    fixture.backends.remove(fixture.head, fixture.now);
+    keyed_records copy;
+    copy.next_offset = fixture.ledger.end().offset;
+    fixture.ledger.replace(copy);
+    fixture.history.note_sent(fixture.member, leave, fixture.now);
+    backend left = fixture.backends.find(fixture.member)->server;
+    left.membership.reset();
+    fixture.backends.apply(left, fixture.now);
+    const time_point sent_at = fixture.now;
+    while (fixture.now - sent_at < stall_time) {
+        for (const planned_command& planned : fixture.step().commands) {
+            CHECK_FALSE(
+                (planned.vm == fixture.member && planned.command.kind == command_kind::join));
+        }
+    }
+}
