Let reservations of memory outlive their budget, and charge slow callers one by one

Found by the review of the memory limit. When the process ends with calls cut off, their tasks are destroyed after the node that holds the budget, and their reservations wrote to it. The state is now shared. And whole answers were charged to the address of their caller, so many callers behind one address were one sender; each call is now its own, only once its answer is being written, and the log says why it was broken off. Evidence: correctness/base, "a reservation may outlive its budget"; the slow caller is by reading.

--- a/src/base/byte_budget.cpp
+++ b/src/base/byte_budget.cpp
@@ -9,41 +9,41 @@
 
 byte_budget::reservation::reservation(byte_budget& budget, std::string sender,
                                       std::function<void()> give_up)
-    : budget_(budget), sender_(std::move(sender)), give_up_(std::move(give_up))
+    : budget_(budget.held_), sender_(std::move(sender)), give_up_(std::move(give_up))
 {
-    budget_.reservations_.insert(this);
+    budget_->reservations.insert(this);
 }
 
 byte_budget::reservation::~reservation()
 {
     release(reserved_bytes_);
-    budget_.reservations_.erase(this);
+    budget_->reservations.erase(this);
 }
 
 void byte_budget::reservation::release(std::size_t bytes)
 {
     reserved_bytes_ -= bytes;
-    budget_.reserved_bytes_ -= bytes;
-    const auto held = budget_.bytes_by_sender_.find(sender_);
-    if (held != budget_.bytes_by_sender_.end() && (held->second -= bytes) == 0) {
-        budget_.bytes_by_sender_.erase(held);
+    budget_->reserved_bytes -= bytes;
+    const auto held = budget_->bytes_by_sender.find(sender_);
+    if (held != budget_->bytes_by_sender.end() && (held->second -= bytes) == 0) {
+        budget_->bytes_by_sender.erase(held);
     }
 }
 
 /** \return the largest reservation of the sender that holds most bytes, of those that can be taken
  * away and of the asking one, which counts with the bytes that it asks for.
  */
-byte_budget::reservation* byte_budget::find_largest(const reservation& asking,
-                                                    std::size_t bytes) const
+byte_budget::reservation* byte_budget::state::find_largest(const reservation& asking,
+                                                           std::size_t bytes) const
 {
     const auto rank = [&](const reservation& held) {
         const std::size_t asked = held.sender_ == asking.sender_ ? bytes : 0;
-        const auto sender = bytes_by_sender_.find(held.sender_);
-        const std::size_t of_sender = sender == bytes_by_sender_.end() ? 0 : sender->second;
+        const auto sender = bytes_by_sender.find(held.sender_);
+        const std::size_t of_sender = sender == bytes_by_sender.end() ? 0 : sender->second;
         return std::pair(of_sender + asked, held.reserved_bytes_ + (&held == &asking ? bytes : 0));
     };
     reservation* largest = nullptr;
-    for (reservation* held : reservations_) {
+    for (reservation* held : reservations) {
         const bool counts = held == &asking || (held->give_up_ && held->reserved_bytes_ > 0);
         if (counts && (largest == nullptr || rank(*held) > rank(*largest))) {
             largest = held;
@@ -54,8 +54,8 @@
 
 bool byte_budget::reservation::try_reserve(std::size_t bytes)
 {
-    while (!taken_away_ && bytes > budget_.available_bytes()) {
-        reservation* largest = budget_.find_largest(*this, bytes);
+    while (!taken_away_ && bytes > budget_->available()) {
+        reservation* largest = budget_->find_largest(*this, bytes);
         if (largest == this) {
             return false;
         }
@@ -68,8 +68,8 @@
         return false;
     }
     reserved_bytes_ += bytes;
-    budget_.reserved_bytes_ += bytes;
-    budget_.bytes_by_sender_[sender_] += bytes;
+    budget_->reserved_bytes += bytes;
+    budget_->bytes_by_sender[sender_] += bytes;
     return true;
 }
 
@@ -92,8 +92,8 @@
     sender_ = std::move(sender);
     give_up_ = std::move(give_up);
     reserved_bytes_ += bytes;
-    budget_.reserved_bytes_ += bytes;
-    budget_.bytes_by_sender_[sender_] += bytes;
+    budget_->reserved_bytes += bytes;
+    budget_->bytes_by_sender[sender_] += bytes;
 }
 
 } // namespace chervildyke
--- a/src/base/byte_budget.h
+++ b/src/base/byte_budget.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <functional>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 
@@ -19,13 +20,32 @@
 class byte_budget {
   public:
     /** \param max_bytes the limit on all reservations together. */
-    explicit byte_budget(std::size_t max_bytes) : max_bytes_(max_bytes) {}
+    explicit byte_budget(std::size_t max_bytes) : held_(std::make_shared<state>())
+    {
+        held_->max_bytes = max_bytes;
+    }
     byte_budget(const byte_budget&) = delete;
     byte_budget& operator=(const byte_budget&) = delete;
 
-    /** The bytes reserved by one task. They are released when the reservation is destroyed, which
-     * must happen before the budget is destroyed.
-     */
+    class reservation;
+
+  private:
+    /** Shared, since the tasks of a process that ends may be destroyed after the budget. */
+    struct state {
+        std::size_t available() const
+        {
+            return max_bytes > reserved_bytes ? max_bytes - reserved_bytes : 0;
+        }
+        reservation* find_largest(const reservation& asking, std::size_t bytes) const;
+
+        std::size_t max_bytes = 0;
+        std::size_t reserved_bytes = 0;
+        std::set<reservation*> reservations;
+        std::map<std::string, std::size_t> bytes_by_sender;
+    };
+
+  public:
+    /** The bytes reserved by one task. They are released when the reservation is destroyed. */
     class reservation {
       public:
         /** \param sender whose data the bytes hold.
@@ -57,10 +77,10 @@
         bool taken_away() const { return taken_away_; }
 
       private:
-        friend class byte_budget;
+        friend struct state;
         void release(std::size_t bytes);
 
-        byte_budget& budget_;
+        std::shared_ptr<state> budget_;
         std::string sender_;
         std::function<void()> give_up_;
         std::size_t reserved_bytes_ = 0;
@@ -69,20 +89,12 @@
 
     /** Changes the limit. With a lower one, less or nothing is available until bytes are released.
      */
-    void set_max_bytes(std::size_t max_bytes) { max_bytes_ = max_bytes; }
+    void set_max_bytes(std::size_t max_bytes) { held_->max_bytes = max_bytes; }
 
-    std::size_t available_bytes() const
-    {
-        return max_bytes_ > reserved_bytes_ ? max_bytes_ - reserved_bytes_ : 0;
-    }
+    std::size_t available_bytes() const { return held_->available(); }
 
   private:
-    reservation* find_largest(const reservation& asking, std::size_t bytes) const;
-
-    std::size_t max_bytes_;
-    std::size_t reserved_bytes_ = 0;
-    std::set<reservation*> reservations_;
-    std::map<std::string, std::size_t> bytes_by_sender_;
+    std::shared_ptr<state> held_;
 };
 
 } // namespace chervildyke
--- a/src/relay/plain_relay.cpp
+++ b/src/relay/plain_relay.cpp
@@ -143,8 +143,6 @@
     end.backend_failed = status >= 500;
     end.result = attempt_result::answered;
     end.reply = make_forwarded_reply(status, headers, std::move(*body));
-    // From now on only the caller determines how long the memory is held.
-    held->transfer("caller " + call.exchange.peer_address(), [&call] { call.exchange.abort(); });
     end.held = std::move(held);
     co_return end;
 }
@@ -361,6 +359,12 @@
     if (last.result == attempt_result::answered) {
         call_.end.status = last.reply.status;
         call_.end.outcome = last.backend_failed ? "backend_failed" : "complete";
+        // From now on only the caller determines how long the memory is held.
+        last.held->transfer("caller of " + call_.parameters.id, [this] {
+            call_.end.outcome = "broken_off";
+            call_.end.reason = "no memory is left, and its caller reads the largest answer slowly";
+            call_.exchange.abort();
+        });
         co_await call_.exchange.respond(std::move(last.reply));
         co_return;
     }
--- a/test/correctness/base_byte_budget.cpp
+++ b/test/correctness/base_byte_budget.cpp
@@ -88,3 +88,15 @@
     held.reset();
     CHECK(budget.available_bytes() == 50);
 }
+
+// Guards against the end of a process in which tasks are destroyed after what they share.
+TEST_CASE("a reservation may outlive its budget")
+{
+    std::optional<byte_budget> budget(std::in_place, 100U);
+    byte_budget::reservation held(*budget, "server", [] {});
+    REQUIRE(held.try_reserve(60));
+    budget.reset();
+    CHECK_FALSE(held.try_reserve(60));
+    CHECK(held.try_resize(10));
+    CHECK(held.reserved_bytes() == 10);
+}
