--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -47,6 +47,14 @@
 constexpr duration engine_stall_margin = 500ms; // For late timers of an engine.
 constexpr const char* plain_text = "text/plain";
 
+/** \return how long after the loss of a member an open head serves at most. */
+duration engine_stall_time(const schema::relay_settings& settings)
+{
+    return settings.engine_stall_ms() > 0
+               ? from_ms(settings.engine_stall_ms()) + engine_stall_margin
+               : assembly_settings().engine_stall_time;
+}
+
 } // namespace
 
 relay_node::relay_node(asio::any_io_executor executor, schema::relay_settings settings,
@@ -98,10 +106,6 @@
                                                                 *context_.crashes, random_);
     context_.backend_lb = std::make_shared<backend_balancer>(settings_.failure_domain(), random_);
     context_.backends = &view_->backends();
-    if (settings_.memory_mb() > 0) {
-        context_.buffered.set_max_bytes(
-            static_cast<std::size_t>(settings_.memory_mb() * buffered_share * bytes_per_mb));
-    }
     context_.metrics->add_gauge("chervil_answer_bytes_available", [this] {
         return static_cast<double>(context_.buffered.available_bytes());
     });
@@ -159,9 +163,7 @@
         peers_->broadcast();
     };
     assembly_settings assembly;
-    if (settings_.engine_stall_ms() > 0) {
-        assembly.engine_stall_time = from_ms(settings_.engine_stall_ms()) + engine_stall_margin;
-    }
+    assembly.engine_stall_time = engine_stall_time(settings_);
     assembler_ = std::make_shared<assembler>(executor_, hooks_.log, hooks_.engines, view_->ledger(),
                                              view_->backends(), *context_.replica_lb,
                                              std::move(assembling), assembly);
@@ -187,6 +189,10 @@
     context_.limits.retry_ratio = settings_.retry_ratio() * retry_budget_share;
     const auto nodes = static_cast<double>(std::max(min_budget_nodes, peers_->live().size() + 1));
     context_.limits.retry_reserve = settings_.retry_slack() * retry_budget_share / nodes;
+    if (settings_.memory_mb() > 0) {
+        context_.buffered.set_max_bytes(
+            static_cast<std::size_t>(settings_.memory_mb() * buffered_share * bytes_per_mb));
+    }
     context_.limits.key_staleness = from_ms(settings_.key_staleness_ms()) - key_margin;
 }
 
@@ -206,6 +212,9 @@
     settings_.set_retry_ratio(settings.retry_ratio());
     settings_.set_retry_slack(settings.retry_slack());
     settings_.set_address_validity_s(settings.address_validity_s());
+    settings_.set_memory_mb(settings.memory_mb());
+    settings_.set_engine_stall_ms(settings.engine_stall_ms());
+    assembler_->set_engine_stall_time(engine_stall_time(settings_));
     apply_limits();
     add_seed_addresses();
 }
