Tell of expired list entries that are removed between reads

Found by the review: the replicas to choose from were not rebuilt when an expired entry was removed without a read.

--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -204,6 +204,16 @@
     }
 }
 
+/** The same, and tells of the change. */
+void fleet_view::drop_expired_backends()
+{
+    const std::uint64_t before = backends_.version();
+    remove_expired_backends();
+    if (backends_.version() != before) {
+        on_change();
+    }
+}
+
 /** Makes all topics be read again when one of them, or a peer, shows that the log was restored. */
 void fleet_view::note_era(std::uint64_t era)
 {
@@ -331,13 +341,13 @@
     const auto self = shared_from_this();
     while (true) {
         if (!must_read_backends()) {
-            remove_expired_backends();
+            drop_expired_backends();
             co_await sleep_for(settings_.list_age_check_interval);
             continue;
         }
         const duration wait = is_leader() ? settings_.leader_backend_wait : settings_.backend_wait;
         const bool read = co_await backend_follower_.read_once(wait);
-        remove_expired_backends();
+        drop_expired_backends();
         const duration interval = !read                    ? settings_.retry_interval
                                   : !is_leader()           ? settings_.list_age_check_interval
                                   : has_forming_replicas() ? settings_.forming_backend_interval
