Free a member of a lost head as soon as it has left

The users' rule needs no wait: a VM that has left belongs to no replica, and the head can't serve without it. So the condition is what the VM confirms, and the time and its setting go; so does the case of a departure that is listed before its answer, since such a VM has left.

--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -111,8 +111,7 @@
         {"retrySlack", 100},
         {"addressValidityS", address_validity_s},
         {"clockSettleMs", 2500},
-        {"memoryMb", node_memory_mb},
-        {"engineStallMs", in_ms(stall_timeout)}};
+        {"memoryMb", node_memory_mb}};
     settings["storeAddress"] =
         ip_of(store_link_subnet, node.index) + ":" + std::to_string(store_port);
     std::ofstream(options_.folder / (node.name + ".json")) << settings.dump(2);
--- a/src/assembly/assembler.cpp
+++ b/src/assembly/assembler.cpp
@@ -112,9 +112,8 @@
     command.kind = command_kind::stage;
     command.model = load.model();
     const duration age = std::chrono::milliseconds(load.age_ms());
-    const time_point now = monotonic_clock::now();
-    history_.note_sent(load.vm(), command, now - age);
-    history_.note_outcome(load.vm(), command, command_outcome::begun, now);
+    history_.note_sent(load.vm(), command, monotonic_clock::now() - age);
+    history_.note_outcome(load.vm(), command, command_outcome::begun);
 }
 
 void assembler::update_last_seen()
@@ -166,7 +165,7 @@
     const std::string id = vm.id;
     const engine_command sent = planned.command;
     const command_outcome outcome = co_await engines_.send(std::move(vm), sent);
-    history_.note_outcome(id, sent, outcome, monotonic_clock::now());
+    history_.note_outcome(id, sent, outcome);
     const auto replica = ledger_.replicas().find(sent.replica);
     const bool is_head =
         replica != ledger_.replicas().end() && replica->second.members(0).id() == id;
@@ -240,7 +239,6 @@
     input.before_first_call = !calls_began;
     input.load_allowance = static_cast<std::uint32_t>(std::max(load_tokens_, 0.0));
     input.list_is_current = hooks_.list_is_current();
-    input.engine_stall_time = settings_.engine_stall_time;
     input.now = now;
     assembly_plan plan = plan_assembly(input, settings_);
     if (plan.free_vms != logged_free_vms_) {
--- a/src/assembly/assembler.h
+++ b/src/assembly/assembler.h
@@ -63,9 +63,6 @@
     /** Makes the next plan early. To be called when something that a plan may wait for changed. */
     void plan_soon();
 
-    /** Replaces assembly_settings::engine_stall_time. */
-    void set_engine_stall_time(duration time) { settings_.engine_stall_time = time; }
-
     /** \return true while this node is the leader, as of its last plan interval. */
     bool leading() const { return leading_; }
 
--- a/src/assembly/assembly_plan.h
+++ b/src/assembly/assembly_plan.h
@@ -92,9 +92,6 @@
      */
     duration silent_head_wait = 2500ms;
 
-    /** An open head that has lost a member breaks within this time, and serves no more then. */
-    duration engine_stall_time = 6500ms;
-
     /** The list of VMs shows that a VM has left a replica within this time: two heartbeats. */
     duration list_lag = 2s;
 
@@ -122,7 +119,6 @@
     bool before_first_call = false;   // No call has come yet: loads are fast and not rate-limited.
     std::uint32_t load_allowance = 0; // After the first call: loads that may start now.
     bool list_is_current = true;      // The list of VMs was read recently.
-    duration engine_stall_time{};     // As in the settings.
     time_point now{};
 };
 
--- a/src/assembly/member_pool.cpp
+++ b/src/assembly/member_pool.cpp
@@ -42,7 +42,7 @@
     const probe_state* probe = input.history->find_probe(listed.server.id);
     const bool lost = probe != nullptr && probe->failures > 0;
     return !listed.server.leaving && !listed.expires_at && !lost && !takes_calls(listed.server) &&
-           release.may_join(listed.server);
+           !release.is_orphaned_member(listed.server);
 }
 
 } // namespace
--- a/src/assembly/member_release.h
+++ b/src/assembly/member_release.h
@@ -4,7 +4,6 @@
  */
 #pragma once
 
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -13,9 +12,9 @@
 
 namespace chervildyke {
 
-/** A head that can't be reached may go on serving with its members. It can't without them: once one
- * has left, no call makes progress, and the head breaks after engine_stall_time. So each member
- * leaves, and none joins another replica before the head must have broken.
+/** A head that can't be reached may go on serving with its members, and no time bounds that. So
+ * each member leaves the replica, and joins another one only once it has confirmed that it left.
+ * The head can't serve without its members.
  */
 class member_release {
   public:
@@ -25,23 +24,13 @@
     /** \return the listed members other than the head that have not confirmed that they left. */
     std::vector<std::string> members_to_leave(const schema::shared_replica& replica) const;
 
-    /** \return true if no member other than the head is listed or has confirmed that it left. */
-    bool has_no_known_member(const schema::shared_replica& replica) const;
-
-    /** \return true once all listed members have left and the head must have stopped serving. */
-    bool head_must_have_stopped(const schema::shared_replica& replica) const;
-
-    /** \return true if the list shows the VM as a member, but not as the head, of a replica whose
-     * head is not known to have closed and which the ledger does not know.
+    /** \return true if the VM, which no replica of the ledger holds, is a member but not the head
+     * of a replica whose head is not known to have closed.
      */
     bool is_orphaned_member(const backend& vm) const;
 
-    /** \return true if the VM, which no replica of the ledger holds, may join one. */
-    bool may_join(const backend& vm) const;
-
   private:
-    std::optional<time_point> left_at(const std::string& vm, std::uint64_t epoch) const;
-    std::optional<time_point> first_left_at(const schema::shared_replica& replica) const;
+    bool has_left(const std::string& vm, std::uint64_t epoch) const;
 
     const assembly_input& in_;
 };
--- a/src/assembly/retirement_planner.cpp
+++ b/src/assembly/retirement_planner.cpp
@@ -61,16 +61,16 @@
     builder_.add_command(head.id(), make_command(command_kind::leave, entry.first, entry.second));
 }
 
-/** Makes the members leave a replica whose head can't be reached. */
+/** Makes the members leave a replica whose head can't be reached, and then gives it up. */
 void retirement_planner::release_members(const ledger_entry& entry)
 {
-    if (release_.head_must_have_stopped(entry.second)) {
-        builder_.drop_closed(entry);
-        return;
-    }
-    for (const std::string& vm : release_.members_to_leave(entry.second)) {
+    const std::vector<std::string> staying = release_.members_to_leave(entry.second);
+    for (const std::string& vm : staying) {
         builder_.add_command(vm, make_command(command_kind::leave, entry.first, entry.second));
     }
+    if (staying.empty()) {
+        builder_.drop(entry); // Members that are listed again leave first, as orphaned ones.
+    }
 }
 
 /** Closes a head for calls.
@@ -167,10 +167,6 @@
         builder_.drop_closed(entry);
         return;
     }
-    if (given_up && release_.has_no_known_member(entry.second)) {
-        builder_.drop(entry); // Members that are listed again count as orphaned.
-        return;
-    }
     if (given_up) {
         release_members(entry);
         if (lost->address_known) {
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -44,17 +44,8 @@
 constexpr duration drain_check_interval = 20ms;  // Between two checks whether all calls have ended.
 constexpr double buffered_share = 0.2; // Of the memory, for answers that are not whole yet.
 constexpr double bytes_per_mb = 1 << 20;
-constexpr duration engine_stall_margin = 500ms; // For late timers of an engine.
 constexpr const char* plain_text = "text/plain";
 
-/** \return how long after the loss of a member an open head serves at most. */
-duration engine_stall_time(const schema::relay_settings& settings)
-{
-    return settings.engine_stall_ms() > 0
-               ? from_ms(settings.engine_stall_ms()) + engine_stall_margin
-               : assembly_settings().engine_stall_time;
-}
-
 } // namespace
 
 relay_node::relay_node(asio::any_io_executor executor, schema::relay_settings settings,
@@ -162,8 +153,7 @@
         view_->apply_replica_records(records);
         peers_->broadcast();
     };
-    assembly_settings assembly;
-    assembly.engine_stall_time = engine_stall_time(settings_);
+    const assembly_settings assembly;
     assembler_ = std::make_shared<assembler>(executor_, hooks_.log, hooks_.engines, view_->ledger(),
                                              view_->backends(), *context_.replica_lb,
                                              std::move(assembling), assembly);
@@ -213,8 +203,6 @@
     settings_.set_retry_slack(settings.retry_slack());
     settings_.set_address_validity_s(settings.address_validity_s());
     settings_.set_memory_mb(settings.memory_mb());
-    settings_.set_engine_stall_ms(settings.engine_stall_ms());
-    assembler_->set_engine_stall_time(engine_stall_time(settings_));
     apply_limits();
     add_seed_addresses();
 }
