--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -167,10 +167,7 @@
         }
         backends_.retain(listed, now);
     }
-    remove_expired_backends();
-    if (backends_.version() != before) {
-        on_change();
-    }
+    report_backend_changes(before);
 }
 
 void fleet_view::apply_backends(const keyed_records& records)
@@ -190,25 +187,18 @@
             backends_.remove(record.key, now);
         }
     }
-    remove_expired_backends();
-    if (backends_.version() != before) {
-        on_change();
-    }
+    report_backend_changes(before);
 }
 
-void fleet_view::remove_expired_backends()
+/** Removes expired entries, and reports if the list has changed.
+ * \param before its version before the change.
+ */
+void fleet_view::report_backend_changes(std::uint64_t before)
 {
     for (const std::string& id : backends_.remove_expired(monotonic_clock::now())) {
         view_log.write("backend_gone",
                        {{"backend", id}, {"reason", "not listed again in time after an outage"}});
     }
-}
-
-/** The same, and tells of the change. */
-void fleet_view::drop_expired_backends()
-{
-    const std::uint64_t before = backends_.version();
-    remove_expired_backends();
     if (backends_.version() != before) {
         on_change();
     }
@@ -341,13 +331,13 @@
     const auto self = shared_from_this();
     while (true) {
         if (!must_read_backends()) {
-            drop_expired_backends();
+            report_backend_changes(backends_.version());
             co_await sleep_for(settings_.list_age_check_interval);
             continue;
         }
         const duration wait = is_leader() ? settings_.leader_backend_wait : settings_.backend_wait;
         const bool read = co_await backend_follower_.read_once(wait);
-        drop_expired_backends();
+        report_backend_changes(backends_.version());
         const duration interval = !read                    ? settings_.retry_interval
                                   : !is_leader()           ? settings_.list_age_check_interval
                                   : has_forming_replicas() ? settings_.forming_backend_interval
--- a/src/relay/fleet_view.h
+++ b/src/relay/fleet_view.h
@@ -203,8 +203,7 @@
     bool must_read_backends() const;
     duration missing_record_wait(duration limit) const;
     bool must_read_replicas() const;
-    void remove_expired_backends();
-    void drop_expired_backends();
+    void report_backend_changes(std::uint64_t before);
 
     boost::asio::any_io_executor executor_;
     fleet_codec codec_;
