--- a/test/error/relay_shared_memory.cpp
+++ b/test/error/relay_shared_memory.cpp
@@ -135,9 +135,9 @@
     fixture.context.run_for(std::chrono::seconds(20));
     CHECK(ended == 2 * calls);
     CHECK(faulty.requests > 0);
-    for (const auto& [status, count] : sound_statuses) {
-        CAPTURE(count);
-        CHECK(status == 200);
+    for (const auto& status_count : sound_statuses) {
+        CAPTURE(status_count.second);
+        CHECK(status_count.first == 200);
     }
     CHECK(fixture.node.buffered.available_bytes() == 32U << 20U);
 }
