Keep a server's pause that is longer than a minute

What callers and servers saw: a server that asks for no calls for ten minutes (503 with Retry-After: 600) was called again after one. Cause: pauses were cut to 60 s, against a server's mistake. Evidence: correctness/routing "a pause of minutes is kept"; with the limit of 60 s it fails by the limit itself.

--- a/src/routing/backend_notices.h
+++ b/src/routing/backend_notices.h
@@ -32,7 +32,7 @@
 };
 
 struct notice_settings {
-    duration max_pause = 60s; // Longer pauses are cut to this, so that a server's mistake can't
+    duration max_pause = 24h; // Longer pauses are cut to this, so that a server's mistake can't
                               // keep it out of use forever.
     std::size_t max_servers = 4096; // Of which notices are kept; those with the newest notices.
 };
--- a/test/correctness/routing_backend_notices.cpp
+++ b/test/correctness/routing_backend_notices.cpp
@@ -66,6 +66,15 @@
     CHECK(notices.may_call(first_incarnation, start + 2s));
 }
 
+// Guards against calls at a server within the time for which it wants none.
+TEST_CASE("a pause of minutes is kept")
+{
+    backend_notices notices;
+    notices.note(first_incarnation, pauses(10min), start);
+    CHECK_FALSE(notices.may_call(first_incarnation, start + 10min - 1ms));
+    CHECK(notices.may_call(first_incarnation, start + 10min));
+}
+
 TEST_CASE("a pause is cut to the maximum")
 {
     notice_settings settings;
