--- a/soak/caller_pool.cpp
+++ b/soak/caller_pool.cpp
@@ -26,6 +26,7 @@
 constexpr std::uint64_t pause_limit_ms = 120; // A caller waits for less than this before each call.
 constexpr std::size_t poison_callers = 4;
 constexpr std::uint64_t poison_pause_limit_ms = 1'200; // As above, for callers that crash servers.
+constexpr std::uint64_t poison_burst_limit = 17;       // Fewer calls come at the same moment.
 constexpr std::uint64_t first_parts = 3;               // Parts with which prompts begin.
 constexpr std::uint64_t second_parts = 12;             // Parts that follow.
 constexpr std::size_t own_part_length = 8;             // Characters of its id.
@@ -74,12 +75,14 @@
 {
     sends_poison_ = true;
     poison_check_.begin();
-    for (std::size_t i = 0; i < poison_callers; ++i) {
+    const std::size_t burst = random_below(random_, poison_burst_limit);
+    for (std::size_t i = 0; i < poison_callers + burst; ++i) {
         const auto caller = std::make_shared<caller_state>();
         caller->http = std::make_shared<http_client>(executor_, 1);
         caller->name = "poison" + std::to_string(poison_caller_count_++);
         caller->address_ttl = address_ttl;
         caller->sends_poison = true;
+        caller->calls_once = i >= poison_callers;
         ++active_count_;
         asio::co_spawn(executor_, run_caller(caller), asio::detached);
     }
@@ -95,14 +98,19 @@
 {
     const std::uint64_t limit_ms = caller->sends_poison ? poison_pause_limit_ms : pause_limit_ms;
     while (running_ && (sends_poison_ || !caller->sends_poison)) {
-        const auto pause = std::chrono::milliseconds(random_below(random_, limit_ms));
-        co_await sleep_for(pause);
+        if (!caller->calls_once) {
+            const auto pause = std::chrono::milliseconds(random_below(random_, limit_ms));
+            co_await sleep_for(pause);
+        }
         if (monotonic_clock::now() > caller->addresses_until) {
             co_await resolve_addresses(caller);
         }
         if (!caller->addresses.empty()) {
             co_await call_random_route(caller);
         }
+        if (caller->calls_once) {
+            break;
+        }
     }
     --active_count_;
 }
--- a/soak/caller_pool.h
+++ b/soak/caller_pool.h
@@ -61,7 +61,9 @@
     /** Starts callers that send calls until stop(). */
     void start(std::size_t count);
 
-    /** Starts callers whose prompts crash servers. They send calls until stop_poison(). */
+    /** Starts callers whose prompts crash servers: a burst of single calls, and some that send
+     * calls until stop_poison().
+     */
     void start_poison();
     void stop_poison();
 
@@ -88,6 +90,7 @@
         bool keeps_to_node = false; // Uses its open connection as long as it can.
         std::string kept_address;   // Of that connection; empty if there is none.
         bool sends_poison = false;  // All its prompts crash servers.
+        bool calls_once = false;    // At once, with others at the same moment.
         std::uint64_t call_count = 0;
         std::string name;
     };
