--- a/src/relay/crash_evidence_exchange.cpp
+++ b/src/relay/crash_evidence_exchange.cpp
@@ -20,16 +20,13 @@
 const event_log evidence_log("crashes");
 
 constexpr std::size_t max_reports_sent = 12; // Parts in one datagram, about 3 KB.
+constexpr std::size_t max_crashes_sent = 64; // Of all these parts, unless a single one has more.
 constexpr int max_reports_read = 64;         // Parts of one datagram.
-constexpr int max_crashes_read = 16;         // Crashes of one part.
+constexpr int max_crashes_read = 32;         // Crashes of one part.
 constexpr std::size_t max_text_bytes = 128;  // Of a service, model, part or server.
 constexpr duration log_retry_interval = 1s;  // After a failed call on the shared log.
-constexpr duration max_record_delay = 400ms; // Another node's record is known by then.
-
-std::string key_of(const prompt_part& part)
-{
-    return part.service + "/" + part.model + "/" + part.id;
-}
+constexpr duration min_record_delay = 150ms; // The crashes of a burst are known by then.
+constexpr duration max_record_delay = 550ms; // Another node's records are known by then.
 
 bool is_readable(const schema::part_evidence& message)
 {
@@ -42,9 +39,7 @@
 schema::part_evidence to_message(const part_report& report)
 {
     schema::part_evidence message;
-    message.set_service(report.part.service);
-    message.set_model(report.part.model);
-    message.set_part(report.part.id);
+    message.set_part(report.part);
     for (const auto& [server, age] : report.crashes) {
         schema::server_crash& crash = *message.add_crashes();
         crash.set_server(server.id);
@@ -52,7 +47,10 @@
         crash.set_age_ms(to_whole_ms(age));
     }
     message.set_answered(report.answered.has_value());
-    message.set_answered_age_ms(to_whole_ms(report.answered.value_or(duration::zero())));
+    if (report.answered) {
+        message.set_answered_age_ms(to_whole_ms(report.answered->age));
+        message.set_answered_stamp(report.answered->stamp);
+    }
     message.set_recorded(report.recorded_era.has_value());
     message.set_recorded_era(report.recorded_era.value_or(0));
     return message;
@@ -61,7 +59,7 @@
 part_report from_message(const schema::part_evidence& message)
 {
     part_report report;
-    report.part = {message.service(), message.model(), message.part()};
+    report.part = message.part();
     for (int i = 0; i < std::min(message.crashes_size(), max_crashes_read); ++i) {
         const schema::server_crash& crash = message.crashes(i);
         if (crash.server().size() <= max_text_bytes) {
@@ -70,7 +68,8 @@
         }
     }
     if (message.answered()) {
-        report.answered = std::chrono::milliseconds(message.answered_age_ms());
+        report.answered = part_answer{std::chrono::milliseconds(message.answered_age_ms()),
+                                      message.answered_stamp()};
     }
     if (message.recorded()) {
         report.recorded_era = message.recorded_era();
@@ -87,48 +86,81 @@
 
 void crash_evidence_exchange::start()
 {
-    evidence_.on_blocked = [weak = weak_from_this()](const part_report& report) {
+    evidence_.on_blamed = [weak = weak_from_this()](const part_report& report) {
         const auto self = weak.lock();
         if (!self) {
             return;
         }
         evidence_log.write(
-            "part_blocked",
-            {{"service", report.part.service},
-             {"model", report.part.model},
-             {"part", report.part.id},
+            "part_blamed",
+            {{"part", report.part},
              {"crashes", std::to_string(report.crashes.size())},
-             {"answered_ms", report.answered ? to_ms_text(*report.answered) : "never"},
+             {"answered_ms", report.answered ? to_ms_text(report.answered->age) : "never"},
              {"recorded", self->evidence_.is_recorded(report) ? "yes" : "no"}});
-        if (!self->evidence_.is_recorded(report)) {
-            spawn_task(self->executor_, "crash evidence", self->record(report.part));
+        if (!self->recording_ && !self->evidence_.is_recorded(report)) {
+            self->recording_ = true;
+            spawn_task(self->executor_, "crash evidence", self->record());
+        }
+    };
+    evidence_.on_cleared = [weak = weak_from_this()](const std::string& part) {
+        if (const auto self = weak.lock()) {
+            evidence_log.write("part_cleared", {{"part", part}});
+            spawn_task(self->executor_, "crash evidence", self->remove_record(part));
         }
     };
 }
 
-/** Writes a record of a blocked part, unless another node does so first. */
-asio::awaitable<void> crash_evidence_exchange::record(prompt_part part)
+/** Writes the records of the blamed parts that have none, unless another node does so first. All of
+ * them show the same moment, since a part is judged by the crashes that it shares with others.
+ */
+asio::awaitable<void> crash_evidence_exchange::record()
 {
     const auto self = shared_from_this();
     const double share = random_fraction(random_);
-    co_await sleep_for(std::chrono::duration_cast<duration>(max_record_delay * share));
+    co_await sleep_for(min_record_delay + std::chrono::duration_cast<duration>(
+                                              (max_record_delay - min_record_delay) * share));
     while (true) {
-        const time_point now = monotonic_clock::now();
-        const auto report = evidence_.report_of(part, now);
-        if (!report || evidence_.is_recorded(*report) || !evidence_.find_blocked({part}, now)) {
+        const auto reports = evidence_.unrecorded_reports(monotonic_clock::now());
+        bool failed = false;
+        for (const part_report& report : reports) {
+            schema::part_evidence message = to_message(report);
+            message.set_recorded_at_ms(wall_clock_ms());
+            keyed_record written;
+            written.key = report.part;
+            written.value = message.SerializeAsString();
+            auto put = co_await log_.put(crash_evidence_topic, written);
+            if (!put) {
+                evidence_log.write("record_failed",
+                                   {{"part", report.part}, {"reason", put.failure().reason}});
+                failed = true;
+                break;
+            }
+            evidence_.mark_recorded(report.part, put->era);
+        }
+        if (reports.empty()) {
+            recording_ = false;
             co_return;
         }
-        schema::part_evidence message = to_message(*report);
-        message.set_recorded_at_ms(wall_clock_ms());
-        keyed_record written;
-        written.key = key_of(part);
-        written.value = message.SerializeAsString();
-        auto put = co_await log_.put(crash_evidence_topic, written);
+        if (failed) {
+            co_await sleep_for(log_retry_interval);
+        }
+    }
+}
+
+/** Removes the record of a part that is no longer blamed, so that a node that starts later does not
+ * judge it without the answer.
+ */
+asio::awaitable<void> crash_evidence_exchange::remove_record(std::string part)
+{
+    const auto self = shared_from_this();
+    while (!evidence_.is_blamed(part)) {
+        keyed_record removed;
+        removed.key = part;
+        auto put = co_await log_.put(crash_evidence_topic, removed);
         if (put) {
-            evidence_.mark_recorded(part, put->era);
+            evidence_.forget_record(part);
             co_return;
         }
-        evidence_log.write("record_failed", {{"part", part.id}, {"reason", put.failure().reason}});
         co_await sleep_for(log_retry_interval);
     }
 }
@@ -156,7 +188,7 @@
             crash_age += age;
         }
         if (report.answered) {
-            *report.answered += age;
+            report.answered->age += age;
         }
         report.recorded_era = records.era;
         const bool is_old =
@@ -169,10 +201,9 @@
         reports.push_back(std::move(report));
     }
     evidence_.merge(reports, now);
-    evidence_log.write("records_loaded",
-                       {{"records", std::to_string(reports.size())},
-                        {"expired", std::to_string(expired.size())},
-                        {"blocked", std::to_string(evidence_.blocked_parts(now))}});
+    evidence_log.write("records_loaded", {{"records", std::to_string(reports.size())},
+                                          {"expired", std::to_string(expired.size())},
+                                          {"blamed", std::to_string(evidence_.blamed_parts())}});
 }
 
 asio::awaitable<void> crash_evidence_exchange::load()
@@ -207,7 +238,7 @@
 void crash_evidence_exchange::fill_state(schema::peer_word& state)
 {
     for (const part_report& report :
-         evidence_.next_reports(max_reports_sent, monotonic_clock::now())) {
+         evidence_.next_reports(max_reports_sent, max_crashes_sent, monotonic_clock::now())) {
         *state.add_crash_evidence() = to_message(report);
     }
 }
--- a/src/relay/crash_evidence_exchange.h
+++ b/src/relay/crash_evidence_exchange.h
@@ -18,16 +18,16 @@
 
 inline constexpr const char* crash_evidence_topic = "crash-evidence";
 
-/** Exchanges evidence with other nodes by datagrams, and keeps a record of each blocked part in the
+/** Exchanges evidence with other nodes by datagrams, and keeps a record of each blamed part in the
  * shared log, from which a node learns of it even if all nodes have restarted at once.
  */
 class crash_evidence_exchange : public std::enable_shared_from_this<crash_evidence_exchange> {
   public:
-    /** Sets evidence.on_blocked. The evidence must outlive this object. */
+    /** Sets evidence.on_blamed and on_cleared. The evidence must outlive this object. */
     crash_evidence_exchange(boost::asio::any_io_executor executor, shared_log log,
                             crash_evidence& evidence, random_source random);
 
-    /** Starts to write a record of each part that becomes blocked. */
+    /** Starts to write a record of each part that begins to be blamed. */
     void start();
 
     /** Reads the records once; repeats the read until it succeeds. */
@@ -43,13 +43,15 @@
     void apply_state(const schema::peer_word& state);
 
   private:
-    boost::asio::awaitable<void> record(prompt_part part);
+    boost::asio::awaitable<void> record();
+    boost::asio::awaitable<void> remove_record(std::string part);
     void apply_records(const keyed_records& records, std::vector<std::string>& expired);
 
     boost::asio::any_io_executor executor_;
     shared_log log_;
     crash_evidence& evidence_;
     random_source random_;
+    bool recording_ = false; // record() is running.
 };
 
 /** \return the message for what is known of a part. */
--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -24,6 +24,7 @@
 #include "routing/backend_notices.h"
 #include "routing/crash_evidence.h"
 #include "routing/demand_meter.h"
+#include "routing/prompt_turns.h"
 #include "routing/replica_balancer.h"
 #include "routing/retry_policy.h"
 
@@ -51,6 +52,7 @@
     std::shared_ptr<backend_balancer> backend_lb;
     std::shared_ptr<backend_notices> notices;
     std::shared_ptr<crash_evidence> crashes = std::make_shared<crash_evidence>();
+    std::shared_ptr<prompt_turns> turns = std::make_shared<prompt_turns>(system_random());
     demand_meter demand;
     const backend_table* backends = nullptr;
     std::map<std::string, retry_budget> budgets; // By service.
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -91,7 +91,7 @@
         return context_.availability(head_incarnation(replica), now);
     };
     context_.metrics->add_gauge("chervil_blocked_prompt_parts", [this] {
-        return static_cast<double>(context_.crashes->blocked_parts(monotonic_clock::now()));
+        return static_cast<double>(context_.crashes->blamed_parts());
     });
     crash_exchange_ = std::make_shared<crash_evidence_exchange>(executor_, hooks_.log,
                                                                 *context_.crashes, random_);
@@ -347,6 +347,7 @@
             live.insert(node->state.name());
         }
         context_.replica_lb->retain_peers(live);
+        context_.turns->set_nodes(live.size() + 1);
         apply_limits();
         context_.replica_lb->prefer_domain(
             peers_->fleet_exceeds_fanout() ? settings_.failure_domain() : "");
--- a/src/relay/streaming_call.cpp
+++ b/src/relay/streaming_call.cpp
@@ -58,7 +58,7 @@
     return call_.route->retry == retry_rule::resumable && forwarder_.can_resume() &&
            attempts_.size() < max_attempts_at_once &&
            call_.end.runs + attempts_.size() < call_.route->max_attempts &&
-           call_.end.sends < max_sends && call_.has_retry();
+           call_.end.sends < max_sends && call_.has_retry() && prompt_.may_retry();
 }
 
 /** Decides whether to end a silent attempt, or to start another one beside it.
@@ -364,6 +364,7 @@
     const std::unique_ptr<running_attempt> done = std::move(*ended);
     attempts_.erase(ended);
     done->slot.reset();
+    prompt_.note_end();
     call_.context.queue->admit_waiting();
     attempt_end end = std::move(*done->end);
     call_.end.runs += end.result == attempt_result::not_run ? 0 : 1;
@@ -444,31 +445,25 @@
 asio::awaitable<bool> streaming_call::start_next(attempt_end& last)
 {
     replica_queue_request request = make_slot_request(call_, tried_, forwarder_.started());
-    replica_queue_result granted = co_await call_.context.queue->admit(std::move(request));
+    guarded_slot slot = co_await prompt_.admit(std::move(request));
     if (call_.cancel->cancelled()) {
         co_return false;
     }
-    if (const auto refused = prompt_.find_refusal()) { // Blocked since the call was queued.
-        last.reason = refused->reason;
-        paused_until_ = refused->until;
-        co_return false;
-    }
-    if (granted.outcome != replica_queue_outcome::admitted) {
-        paused_until_ = granted.paused_until;
-        const std::string refusal =
-            std::string(to_text(granted.outcome)) + " (" + granted.replica_summary + ")";
-        last.reason = last.reason.empty() ? refusal : last.reason + "; then " + refusal;
+    if (slot.refusal) {
+        const std::string& reason = slot.refusal->reason;
+        last.reason = last.reason.empty() ? reason : last.reason + "; then " + reason;
+        paused_until_ = slot.refusal->until;
         co_return false;
     }
-    start(std::move(granted));
+    start(std::move(slot.granted));
     co_return true;
 }
 
 asio::awaitable<void> streaming_call::run()
 {
     if (const auto refused = prompt_.find_refusal()) {
-        const duration wait = refused->until - monotonic_clock::now();
-        co_await refuse(call_, 503, refused->reason, wait);
+        paused_until_ = refused->until;
+        co_await refuse(call_, 503, refused->reason, retry_after());
         co_return;
     }
     call_.context.budget_of(call_.service).note_call();
--- a/src/routing/crash_evidence.cpp
+++ b/src/routing/crash_evidence.cpp
@@ -11,57 +11,70 @@
 
 constexpr duration expiry_interval = 1s; // Between two removals of old entries.
 
-}
-
-crash_evidence::crash_evidence(crash_evidence_settings settings) : settings_(settings) {}
+// Times that nodes report differ by less. A newer entry replaces another one only if it is newer by
+// this; otherwise two nodes could replace each other's entries forever.
+constexpr duration time_difference = 1s;
 
-std::size_t crash_evidence::crashes_since_answer(const part_state& state, time_point now) const
+std::int64_t offset_to_unix_time()
 {
-    return static_cast<std::size_t>(
-        std::count_if(state.crashes.begin(), state.crashes.end(), [&](const auto& crash) {
-            const bool cleared = state.answered_at && *state.answered_at >= crash.second;
-            return !cleared && now - crash.second < settings_.retention;
-        }));
+    const duration since_epoch = std::chrono::milliseconds(wall_clock_ms());
+    return (since_epoch - monotonic_clock::now().time_since_epoch()).count();
 }
 
-/** \return the number of crashes that blocks the part. */
-std::size_t crash_evidence::limit_of(const part_state& state, time_point now) const
-{
-    const bool answered = state.answered_at && now - *state.answered_at < settings_.retention;
-    return answered ? settings_.crashes_to_block_answered : settings_.crashes_to_block;
-}
+} // namespace
 
-std::optional<time_point> crash_evidence::blocked_until(const part_state& state,
-                                                        time_point now) const
+crash_evidence::crash_evidence(crash_evidence_settings settings)
+    : settings_(settings), clock_offset_(offset_to_unix_time())
 {
-    if (crashes_since_answer(state, now) < limit_of(state, now)) {
-        return std::nullopt;
-    }
-    time_point newest{};
-    for (const auto& [server, at] : state.crashes) {
-        newest = std::max(newest, at);
-    }
-    const time_point until = newest + settings_.block_time;
-    return until > now ? std::optional(until) : std::nullopt;
 }
 
-void crash_evidence::add_crash(part_state& state, const backend_incarnation& server, time_point at)
+/** \return true if the crash is new. */
+bool crash_evidence::add_crash(part_state& state, const backend_incarnation& server, time_point at)
 {
     const auto known = state.crashes.find(server);
     if (known != state.crashes.end()) {
         known->second = std::min(known->second, at); // Each node sees the same crash a bit later.
-        return;
+        return false;
     }
     if (state.crashes.size() >= settings_.max_crashes) {
         const auto oldest =
             std::min_element(state.crashes.begin(), state.crashes.end(),
                              [](const auto& a, const auto& b) { return a.second < b.second; });
-        if (oldest->second >= at) {
-            return;
+        if (at <= oldest->second + time_difference) {
+            return false;
         }
         state.crashes.erase(oldest);
     }
     state.crashes.emplace(server, at);
+    return true;
+}
+
+/** Takes over an answer unless a newer one is known. Nodes repeat an answer with a slightly younger
+ * age each time, so the stamp decides which of two answers is the newer one, and the time of one
+ * answer never moves forward.
+ * \return true if it was the first answer, or if other crashes count now.
+ */
+bool crash_evidence::add_answer(part_state& state, const answer& reported)
+{
+    if (!state.answered) {
+        state.answered = reported;
+        return true;
+    }
+    answer& known = *state.answered;
+    const time_point before = known.at;
+    const bool without_stamp = reported.stamp == 0 || known.stamp == 0;
+    if (!without_stamp && reported.stamp == known.stamp) {
+        known.at = std::min(known.at, reported.at);
+    }
+    else if (without_stamp ? reported.at > known.at + time_difference
+                           : reported.stamp > known.stamp) {
+        known = reported;
+    }
+    const auto [first, last] = std::minmax(before, known.at);
+    return std::any_of(state.crashes.begin(), state.crashes.end(),
+                       [from = first, to = last](const auto& crash) {
+                           return crash.second > from && crash.second <= to;
+                       });
 }
 
 void crash_evidence::expire(time_point now)
@@ -70,130 +83,209 @@
         return;
     }
     expired_at_ = now;
+    bool changed = false;
     for (auto& [part, state] : parts_) {
-        std::erase_if(state.crashes,
-                      [&](const auto& crash) { return now - crash.second >= settings_.retention; });
+        changed |= std::erase_if(state.crashes, [&](const auto& crash) {
+                       return now - crash.second >= settings_.retention;
+                   }) > 0;
+        if (state.answered && now - state.answered->at >= settings_.retention) {
+            state.answered.reset();
+            changed = true;
+        }
     }
     std::erase_if(parts_, [](const auto& entry) { return entry.second.crashes.empty(); });
     while (!answer_order_.empty() && now - answer_order_.begin()->first >= settings_.retention) {
         answered_.erase(answer_order_.begin()->second);
         answer_order_.erase(answer_order_.begin());
     }
+    if (changed) {
+        refresh(now);
+    }
+}
+
+/** Judges the parts anew after the evidence has changed. */
+void crash_evidence::refresh(time_point now)
+{
+    std::map<std::string, part_history> histories;
+    for (const auto& [part, state] : parts_) {
+        part_history& history = histories[part];
+        history.answered = state.answered.has_value();
+        time_point first = time_point::max();
+        for (const auto& [server, at] : state.crashes) {
+            const bool cleared = state.answered && state.answered->at >= at;
+            if (!cleared && now - at < settings_.retention) {
+                history.crashes.emplace(server, at);
+            }
+            first = std::min(first, at);
+        }
+        if (state.crashes.size() >= settings_.max_crashes) {
+            history.complete_from = first;
+        }
+    }
+    blame_ = crash_blame(histories, settings_.rules);
 }
 
-/** Removes the part with the fewest crashes if the table is full.
- * \return false if all parts are blocked, so that none may be removed.
+/** Removes the part with the least evidence if the table is full.
+ * \param added the evidence of the part for which there must be room.
+ * \return false if all parts have more.
  */
-bool crash_evidence::make_room(time_point now)
+bool crash_evidence::make_room(const part_weight& added)
 {
     if (parts_.size() < settings_.max_parts) {
         return true;
     }
-    const auto weight = [&](const auto& entry) {
-        return std::pair(blocked_until(entry.second, now).has_value(),
-                         crashes_since_answer(entry.second, now));
+    const auto weight = [this](const auto& entry) {
+        time_point newest{};
+        for (const auto& [server, at] : entry.second.crashes) {
+            newest = std::max(newest, at);
+        }
+        return part_weight{blame_.is_blamed(entry.first), blame_.crashes_of(entry.first), newest};
     };
     const auto least =
         std::min_element(parts_.begin(), parts_.end(),
                          [&](const auto& a, const auto& b) { return weight(a) < weight(b); });
-    if (weight(*least).first) {
+    if (!(weight(*least) < added)) {
         return false;
     }
     parts_.erase(least);
     return true;
 }
 
-crash_evidence::part_state* crash_evidence::find_or_add(const prompt_part& part, time_point now)
+crash_evidence::part_state* crash_evidence::find_or_add(const std::string& part,
+                                                        const part_weight& weight)
 {
     const auto known = parts_.find(part);
     if (known != parts_.end()) {
         return &known->second;
     }
-    return make_room(now) ? &parts_[part] : nullptr;
+    if (!make_room(weight)) {
+        return nullptr;
+    }
+    part_state& added = parts_[part];
+    const auto found = answered_.find(part);
+    if (found != answered_.end()) {
+        added.answered = found->second;
+    }
+    return &added;
 }
 
-/** Takes over what this node knows of answers with the part. */
-void crash_evidence::apply_answer(part_state& state, const prompt_part& part) const
+/** \return the evidence in another node's report. */
+crash_evidence::part_weight crash_evidence::weight_of(const part_report& report,
+                                                      time_point now) const
 {
-    const auto found = answered_.find(part);
-    if (found != answered_.end()) {
-        state.answered_at = std::max(state.answered_at.value_or(found->second), found->second);
+    std::size_t crashes = 0;
+    duration youngest = settings_.retention;
+    for (const auto& [server, age] : report.crashes) {
+        const bool cleared = report.answered && report.answered->age <= age;
+        crashes += cleared ? 0 : 1;
+        youngest = std::min(youngest, age);
     }
+    return {false, crashes, now - youngest};
 }
 
-void crash_evidence::check_blocked(const prompt_part& part, part_state& state, time_point now)
+/** Tells of the parts that have begun to be blamed, and of those that no longer are. */
+void crash_evidence::report_blamed(time_point now)
 {
-    const bool blocked = blocked_until(state, now).has_value();
-    const bool newly_blocked = blocked && !state.reported_blocked;
-    state.reported_blocked = blocked;
-    if (newly_blocked && on_blocked) {
-        on_blocked(to_report(part, state, now));
+    std::vector<part_report> begun;
+    std::vector<std::string> ended;
+    for (auto& [part, state] : parts_) {
+        const bool blamed = blame_.is_blamed(part);
+        if (blamed && !state.reported_blamed) {
+            begun.push_back(to_report(part, state, now));
+        }
+        else if (!blamed && state.reported_blamed) {
+            ended.push_back(part);
+        }
+        state.reported_blamed = blamed;
+    }
+    for (const part_report& report : begun) {
+        if (on_blamed) {
+            on_blamed(report);
+        }
+    }
+    for (const std::string& part : ended) {
+        if (on_cleared) {
+            on_cleared(part);
+        }
     }
 }
 
 void crash_evidence::note_crash(const backend_incarnation& server,
-                                const std::vector<prompt_part>& parts, time_point now)
+                                const std::vector<std::string>& parts, time_point now)
 {
     expire(now);
-    for (const prompt_part& part : parts) {
-        if (part_state* state = find_or_add(part, now)) {
-            apply_answer(*state, part);
+    for (const std::string& part : parts) {
+        if (part_state* state = find_or_add(part, {false, 1, now})) {
             add_crash(*state, server, now);
-            check_blocked(part, *state, now);
         }
     }
+    refresh(now);
+    report_blamed(now);
 }
 
-void crash_evidence::note_answer(const std::vector<prompt_part>& parts, time_point now)
+void crash_evidence::note_answer(const std::vector<std::string>& parts, time_point now)
 {
     expire(now);
-    for (const prompt_part& part : parts) {
+    const answer received{
+        now, static_cast<std::uint64_t>(now.time_since_epoch().count() + clock_offset_)};
+    bool changed = false;
+    for (const std::string& part : parts) {
         const auto known = answered_.find(part);
         if (known != answered_.end()) {
-            answer_order_.erase(known->second);
+            answer_order_.erase({known->second.at, part});
         }
         else if (answered_.size() >= settings_.max_answered_parts) {
             answered_.erase(answer_order_.begin()->second);
             answer_order_.erase(answer_order_.begin());
         }
-        time_point at = now;
-        while (answer_order_.contains(at)) {
-            at += duration(1); // Parts of one call are answered at the same time.
-        }
-        answered_[part] = at;
-        answer_order_.emplace(at, part);
+        answered_[part] = received;
+        answer_order_.emplace(now, part);
         const auto suspected = parts_.find(part);
         if (suspected != parts_.end()) {
-            suspected->second.answered_at = at;
-            suspected->second.reported_blocked = false;
+            // Newer than what is known, also if the clock of this node is slow.
+            answer newest = received;
+            if (suspected->second.answered) {
+                newest.stamp = std::max(newest.stamp, suspected->second.answered->stamp + 1);
+            }
+            changed |= add_answer(suspected->second, newest);
         }
     }
+    if (changed) {
+        refresh(now);
+        report_blamed(now);
+    }
 }
 
 void crash_evidence::merge(const std::vector<part_report>& reports, time_point now)
 {
     expire(now);
+    bool changed = false;
     for (const part_report& report : reports) {
         const bool has_recent_crash =
             std::any_of(report.crashes.begin(), report.crashes.end(),
                         [&](const auto& crash) { return crash.second < settings_.retention; });
-        part_state* state = has_recent_crash ? find_or_add(report.part, now) : nullptr;
+        part_state* state =
+            has_recent_crash ? find_or_add(report.part, weight_of(report, now)) : nullptr;
         if (state == nullptr) {
             continue;
         }
-        apply_answer(*state, report.part);
-        if (report.answered) {
-            const time_point at = now - *report.answered;
-            state->answered_at = std::max(state->answered_at.value_or(at), at);
+        if (report.answered && report.answered->age < settings_.retention) {
+            changed |= add_answer(*state, {now - report.answered->age, report.answered->stamp});
         }
         for (const auto& [server, age] : report.crashes) {
-            add_crash(*state, server, now - std::max(age, duration::zero()));
+            changed |= add_crash(*state, server, now - std::max(age, duration::zero()));
         }
-        const bool blocked = blocked_until(*state, now).has_value();
-        if (blocked) {
-            state->recorded_era = std::max(state->recorded_era, report.recorded_era);
+    }
+    if (changed) {
+        refresh(now);
+    }
+    for (const part_report& report : reports) {
+        if (report.recorded_era && blame_.is_blamed(report.part)) {
+            mark_recorded(report.part, *report.recorded_era);
         }
-        check_blocked(report.part, *state, now);
+    }
+    if (changed) {
+        report_blamed(now);
     }
 }
 
@@ -201,12 +293,12 @@
 {
     era_ = era;
     for (auto& [part, state] : parts_) {
-        state.reported_blocked = state.reported_blocked && state.recorded_era >= era_;
-        check_blocked(part, state, now);
+        state.reported_blamed = state.reported_blamed && state.recorded_era >= era_;
     }
+    report_blamed(now);
 }
 
-void crash_evidence::mark_recorded(const prompt_part& part, std::uint64_t era)
+void crash_evidence::mark_recorded(const std::string& part, std::uint64_t era)
 {
     const auto known = parts_.find(part);
     if (known != parts_.end()) {
@@ -214,31 +306,33 @@
     }
 }
 
-std::optional<blocked_part> crash_evidence::find_blocked(const std::vector<prompt_part>& parts,
-                                                         time_point now) const
+void crash_evidence::forget_record(const std::string& part)
 {
-    for (const prompt_part& part : parts) {
-        const auto known = parts_.find(part);
-        if (known == parts_.end()) {
-            continue;
-        }
-        if (const auto until = blocked_until(known->second, now)) {
-            return blocked_part{part, crashes_since_answer(known->second, now), *until};
-        }
+    const auto known = parts_.find(part);
+    if (known != parts_.end()) {
+        known->second.recorded_era.reset();
     }
-    return std::nullopt;
 }
 
-bool crash_evidence::is_suspect(const std::vector<prompt_part>& parts, time_point now) const
+prompt_verdict crash_evidence::judge(const std::vector<std::string>& parts, time_point now) const
 {
-    return std::any_of(parts.begin(), parts.end(), [&](const prompt_part& part) {
+    prompt_verdict verdict = blame_.judge(parts, now);
+    if (verdict.standing != prompt_standing::sound) {
+        return verdict;
+    }
+    for (const std::string& part : parts) {
         const auto known = parts_.find(part);
-        return known != parts_.end() &&
-               crashes_since_answer(known->second, now) + 1 >= limit_of(known->second, now);
-    });
+        const bool answered = answered_.contains(part) ||
+                              (known != parts_.end() && known->second.answered.has_value());
+        if (!answered) {
+            verdict.standing = prompt_standing::untested;
+            verdict.unproven.push_back(part);
+        }
+    }
+    return verdict;
 }
 
-part_report crash_evidence::to_report(const prompt_part& part, const part_state& state,
+part_report crash_evidence::to_report(const std::string& part, const part_state& state,
                                       time_point now) const
 {
     part_report report;
@@ -246,42 +340,49 @@
     for (const auto& [server, at] : state.crashes) {
         report.crashes.emplace(server, now - at);
     }
-    if (state.answered_at) {
-        report.answered = now - *state.answered_at;
+    if (state.answered) {
+        report.answered = part_answer{now - state.answered->at, state.answered->stamp};
     }
     report.recorded_era = state.recorded_era;
     return report;
 }
 
-std::vector<part_report> crash_evidence::next_reports(std::size_t max_reports, time_point now)
+std::vector<part_report> crash_evidence::next_reports(std::size_t max_reports,
+                                                      std::size_t max_crashes, time_point now)
 {
     expire(now);
     std::vector<part_report> reports;
+    std::size_t crashes = 0;
     auto next = parts_.upper_bound(last_reported_);
-    for (std::size_t i = 0; i < std::min(max_reports, parts_.size()); ++i) {
+    const std::size_t count = std::min(max_reports, parts_.size());
+    while (reports.size() < count && crashes < max_crashes) {
         if (next == parts_.end()) {
             next = parts_.begin();
         }
         last_reported_ = next->first;
         reports.push_back(to_report(next->first, next->second, now));
+        crashes += next->second.crashes.size();
         ++next;
     }
     return reports;
 }
 
-std::optional<part_report> crash_evidence::report_of(const prompt_part& part, time_point now) const
+std::vector<part_report> crash_evidence::unrecorded_reports(time_point now) const
 {
-    const auto known = parts_.find(part);
-    return known == parts_.end() ? std::nullopt
-                                 : std::optional(to_report(part, known->second, now));
+    std::vector<part_report> reports;
+    for (const auto& [part, state] : parts_) {
+        if (blame_.is_blamed(part) && !(state.recorded_era >= era_)) {
+            reports.push_back(to_report(part, state, now));
+        }
+    }
+    return reports;
 }
 
-std::size_t crash_evidence::blocked_parts(time_point now) const
+std::optional<part_report> crash_evidence::report_of(const std::string& part, time_point now) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(parts_.begin(), parts_.end(), [&](const auto& entry) {
-            return blocked_until(entry.second, now).has_value();
-        }));
+    const auto known = parts_.find(part);
+    return known == parts_.end() ? std::nullopt
+                                 : std::optional(to_report(part, known->second, now));
 }
 
 } // namespace chervildyke
--- a/src/routing/crash_evidence.h
+++ b/src/routing/crash_evidence.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines crash_evidence, which finds parts of prompts that crash the servers that answer them.
+ * Defines crash_evidence, which collects with which parts of prompts servers crash.
  */
 #pragma once
 
@@ -7,79 +7,55 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
 #include "fleet/backend_incarnation.h"
+#include "routing/crash_blame.h"
 
 namespace chervildyke {
 
-/** A part of a prompt that several calls share. Parts of different models are different, since what
- * crashes the engine of one may be harmless to another.
- */
-struct prompt_part {
-    std::string service;
-    std::string model;
-    std::string id;
-
-    bool operator==(const prompt_part&) const = default;
+/** An answer with a part, as nodes tell each other of it. */
+struct part_answer {
+    duration age{};
+    std::uint64_t stamp = 0; // When it was received, by the clock of the node that received it, in
+                             // ns since the Unix epoch; zero if an older node reports it.
 
-    bool operator<(const prompt_part& other) const
-    {
-        return std::tie(service, model, id) < std::tie(other.service, other.model, other.id);
-    }
+    bool operator==(const part_answer&) const = default;
 };
 
 /** What a node knows of one part. Times are ages, so that nodes can exchange them. */
 struct part_report {
-    prompt_part part;
+    std::string part;
     std::map<backend_incarnation, duration> crashes; // Age of the crash of each server.
-    std::optional<duration> answered;                // Age of the newest answer with the part.
+    std::optional<part_answer> answered;             // The newest answer with the part.
     std::optional<std::uint64_t> recorded_era; // The era in which the shared log had a record.
 
     bool operator==(const part_report&) const = default;
 };
 
-/** A part because of which a call is refused. */
-struct blocked_part {
-    prompt_part part;
-    std::size_t crashes = 0;
-    time_point until{}; // When the part may be tried again if no further server crashes.
-
-    bool operator==(const blocked_part&) const = default;
-};
-
 struct crash_evidence_settings {
-    /** Crashed servers, since the part was last answered, that block a part. */
-    std::size_t crashes_to_block = 3;
-
-    /** The same for a part that has been answered within retention: a sound part of many calls can
-     * be in progress at several servers that crash for another reason.
-     */
-    std::size_t crashes_to_block_answered = 6;
-
-    /** A blocked part may be tried again so long after the last crash. One more crash then blocks
-     * it again, until the evidence expires.
-     */
-    duration block_time = 10min;
+    crash_blame_rules rules;
 
     /** Crashes and answers are forgotten after this time. */
     duration retention = 30min;
 
     /** Crashes kept for each part, the newest ones. */
-    std::size_t max_crashes = 8;
+    std::size_t max_crashes = 32;
 
     /** Parts with crashes that are kept, and parts whose last answer is known. */
     std::size_t max_parts = 64;
     std::size_t max_answered_parts = 4096;
 };
 
-/** Collects which parts the calls had that a server was starting to answer when it crashed. A part
- * that crashes servers is never answered, whereas a sound part that was there by chance is answered
- * elsewhere, which clears it. The evidence of all nodes is merged: a crash counts once, whoever has
- * seen it, and an answer at any node clears the part at all nodes.
+/** Collects which parts the calls had that a server was starting to answer when it crashed, and
+ * which parts were answered. Evidence belongs to the part, whatever model or service the call
+ * names. The evidence of all nodes is merged: a crash counts once, whoever has seen it, and an
+ * answer at any node counts at all nodes.
  */
 class crash_evidence {
   public:
@@ -87,75 +63,95 @@
 
     const crash_evidence_settings& settings() const { return settings_; }
 
-    /** Called when a part becomes blocked at this node. May be empty. */
-    std::function<void(const part_report&)> on_blocked;
+    /** Called when a part begins to be blamed at this node. May be empty. */
+    std::function<void(const part_report&)> on_blamed;
+
+    /** Called when a part is no longer blamed because it was answered. May be empty. */
+    std::function<void(const std::string&)> on_cleared;
 
     /** Records that a server crashed while it started to answer a call with these parts. */
-    void note_crash(const backend_incarnation& server, const std::vector<prompt_part>& parts,
+    void note_crash(const backend_incarnation& server, const std::vector<std::string>& parts,
                     time_point now);
 
     /** Records that a server has written an answer to a call with these parts. */
-    void note_answer(const std::vector<prompt_part>& parts, time_point now);
+    void note_answer(const std::vector<std::string>& parts, time_point now);
 
     /** Merges what another node reports. */
     void merge(const std::vector<part_report>& reports, time_point now);
 
     /** Notes that the shared log has a record of the part in an era. */
-    void mark_recorded(const prompt_part& part, std::uint64_t era);
+    void mark_recorded(const std::string& part, std::uint64_t era);
+
+    /** Notes that the record of the part was removed. */
+    void forget_record(const std::string& part);
 
     /** Notes that the shared log was restored from an older copy: records of earlier eras may be
-     * lost. Calls on_blocked for the parts without a record in the new era.
+     * lost. Calls on_blamed for the parts without a record in the new era.
      */
     void begin_era(std::uint64_t era, time_point now);
 
     /** \return true if the shared log has the record that the report names. */
     bool is_recorded(const part_report& report) const { return report.recorded_era >= era_; }
 
-    /** \return the first part that is blocked, or nothing if the call may be sent. */
-    std::optional<blocked_part> find_blocked(const std::vector<prompt_part>& parts,
-                                             time_point now) const;
+    /** \return what may be done with a prompt that has these parts. */
+    prompt_verdict judge(const std::vector<std::string>& parts, time_point now) const;
+
+    /** \return true if prompts with the part are doubtful or blocked because of it. */
+    bool is_blamed(const std::string& part) const { return blame_.is_blamed(part); }
 
-    /** \return true if one more crash would block a part, so that a call with it is not retried. */
-    bool is_suspect(const std::vector<prompt_part>& parts, time_point now) const;
+    /** \return the number of such parts. */
+    std::size_t blamed_parts() const { return blame_.blamed_parts(); }
 
-    /** What peers should know: parts with crashes that no answer has cleared, and recent answers
-     * that clear parts.
+    /** What peers should know: parts with crashes, and the newest answers with them.
      * \param max_reports the most parts to report; successive calls report different ones in turn.
+     * \param max_crashes no further part is added from this number of crashes on.
      */
-    std::vector<part_report> next_reports(std::size_t max_reports, time_point now);
+    std::vector<part_report> next_reports(std::size_t max_reports, std::size_t max_crashes,
+                                          time_point now);
 
-    /** \return what is known of the part, or nothing. */
-    std::optional<part_report> report_of(const prompt_part& part, time_point now) const;
+    /** \return what is known of the blamed parts of which the shared log has no record, all at the
+     * same time.
+     */
+    std::vector<part_report> unrecorded_reports(time_point now) const;
 
-    /** \return the number of parts that are blocked. */
-    std::size_t blocked_parts(time_point now) const;
+    /** \return what is known of the part, or nothing. */
+    std::optional<part_report> report_of(const std::string& part, time_point now) const;
 
   private:
+    struct answer {
+        time_point at{};
+        std::uint64_t stamp = 0;
+    };
     struct part_state {
         std::map<backend_incarnation, time_point> crashes;
-        std::optional<time_point> answered_at;
+        std::optional<answer> answered;
         std::optional<std::uint64_t> recorded_era;
-        bool reported_blocked = false;
+        bool reported_blamed = false;
     };
-    using part_map = std::map<prompt_part, part_state>;
 
-    std::size_t limit_of(const part_state& state, time_point now) const;
-    std::size_t crashes_since_answer(const part_state& state, time_point now) const;
-    std::optional<time_point> blocked_until(const part_state& state, time_point now) const;
-    void add_crash(part_state& state, const backend_incarnation& server, time_point at);
-    part_state* find_or_add(const prompt_part& part, time_point now);
+    /** How much the evidence of a part matters: whether it is blamed, its crashes that no answer
+     * has cleared, and the newest crash.
+     */
+    using part_weight = std::tuple<bool, std::size_t, time_point>;
+
+    bool add_crash(part_state& state, const backend_incarnation& server, time_point at);
+    static bool add_answer(part_state& state, const answer& reported);
+    part_state* find_or_add(const std::string& part, const part_weight& weight);
+    bool make_room(const part_weight& added);
+    part_weight weight_of(const part_report& report, time_point now) const;
     void expire(time_point now);
-    bool make_room(time_point now);
-    void apply_answer(part_state& state, const prompt_part& part) const;
-    void check_blocked(const prompt_part& part, part_state& state, time_point now);
-    part_report to_report(const prompt_part& part, const part_state& state, time_point now) const;
+    void refresh(time_point now);
+    void report_blamed(time_point now);
+    part_report to_report(const std::string& part, const part_state& state, time_point now) const;
 
     crash_evidence_settings settings_;
-    std::uint64_t era_ = 0; // Records of earlier eras of the shared log don't count.
-    part_map parts_;        // Parts that a server crashed with.
-    std::map<prompt_part, time_point> answered_;     // When calls with a part were last answered.
-    std::map<time_point, prompt_part> answer_order_; // The same, oldest first.
-    prompt_part last_reported_;
+    std::uint64_t era_ = 0;     // Records of earlier eras of the shared log don't count.
+    std::int64_t clock_offset_; // From time_point to the Unix epoch, in ns.
+    std::map<std::string, part_state> parts_; // Parts that a server crashed with.
+    std::map<std::string, answer> answered_;  // When calls with a part were last answered.
+    std::set<std::pair<time_point, std::string>> answer_order_; // The same, oldest first.
+    crash_blame blame_;
+    std::string last_reported_;
     time_point expired_at_{};
 };
 
--- a/test/correctness/relay_crash_evidence_exchange.cpp
+++ b/test/correctness/relay_crash_evidence_exchange.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-const prompt_part bad{"pool", "m", "bad"};
+const std::string bad = "bad";
 
 /** A shared log with one topic, which may be down. */
 struct fake_log {
@@ -67,7 +67,10 @@
         asio::co_spawn(context, exchange->load(), asio::detached);
     }
 
-    bool blocks() const { return evidence.find_blocked({bad}, monotonic_clock::now()).has_value(); }
+    bool blocks() const
+    {
+        return evidence.judge({bad}, monotonic_clock::now()).standing == prompt_standing::blocked;
+    }
 
     void crash(int servers)
     {
@@ -201,7 +204,80 @@
     }
     later.exchange->apply_state(odd);
     CHECK(later.blocks());
-    CHECK(later.evidence.next_reports(100, monotonic_clock::now()).size() == 2);
+    CHECK(later.evidence.next_reports(100, 1000, monotonic_clock::now()).size() == 2);
+}
+
+// Guards against blocking a sound part after a restart, since the record of the crashing part was
+// written earlier and shows fewer crashes, or since the answer that cleared the sound one is gone.
+TEST_CASE("after a restart of all nodes a part that was cleared is not blamed")
+{
+    asio::io_context context;
+    fake_log log;
+    const std::string shared = "shared";
+    {
+        test_node first(context, log);
+        run_for(context, std::chrono::milliseconds(50));
+        for (int i = 0; i < 6; ++i) {
+            first.evidence.note_crash({"i" + std::to_string(i), 1}, {shared, bad},
+                                      monotonic_clock::now());
+            run_for(context, std::chrono::milliseconds(20));
+        }
+        run_for(context, record_time);
+        CHECK(log.records.size() == 2);
+        schema::part_evidence of_shared;
+        schema::part_evidence of_bad;
+        REQUIRE(of_shared.ParseFromString(log.records[shared]));
+        REQUIRE(of_bad.ParseFromString(log.records[bad]));
+        CHECK(of_shared.crashes_size() == of_bad.crashes_size());
+        first.evidence.note_answer({shared}, monotonic_clock::now());
+        run_for(context, std::chrono::milliseconds(50));
+    }
+    CHECK(log.records.size() == 1);
+    test_node later(context, log);
+    run_for(context, std::chrono::milliseconds(50));
+    CHECK(later.blocks());
+    CHECK_FALSE(later.evidence.is_blamed(shared));
+}
+
+// Guards against losing what was recorded, or what a node says that runs an older version.
+TEST_CASE("evidence of the older form, which names a service and a model, counts for the part")
+{
+    asio::io_context context;
+    fake_log log;
+    schema::peer_word state;
+    for (int i = 0; i < 3; ++i) {
+        schema::part_evidence older;
+        older.set_service("pool");
+        older.set_model("m" + std::to_string(i));
+        older.set_part(bad);
+        older.add_crashes()->set_server("i" + std::to_string(i));
+        *state.add_crash_evidence() = older;
+        older.set_recorded_at_ms(wall_clock_ms());
+        log.records["pool/m" + std::to_string(i) + "/bad"] = older.SerializeAsString();
+    }
+    SUBCASE("in records")
+    {
+        test_node node(context, log);
+        run_for(context, std::chrono::milliseconds(50));
+        CHECK(node.blocks());
+        CHECK(log.records.size() == 3);
+    }
+    SUBCASE("in the state of a peer")
+    {
+        log.records.clear();
+        test_node node(context, log);
+        node.exchange->apply_state(state);
+        CHECK(node.blocks());
+    }
+    SUBCASE("an answer without a stamp")
+    {
+        log.records.clear();
+        test_node node(context, log);
+        schema::part_evidence& answered = *state.mutable_crash_evidence(2);
+        answered.set_answered(true);
+        node.exchange->apply_state(state);
+        CHECK_FALSE(node.blocks());
+    }
 }
 
 TEST_CASE("a record whose evidence has expired is removed from the log")
@@ -217,5 +293,5 @@
     test_node node(context, log);
     run_for(context, std::chrono::milliseconds(50));
     CHECK(log.records.empty());
-    CHECK(node.evidence.next_reports(100, monotonic_clock::now()).empty());
+    CHECK(node.evidence.next_reports(100, 1000, monotonic_clock::now()).empty());
 }
--- a/test/correctness/routing_crash_evidence.cpp
+++ b/test/correctness/routing_crash_evidence.cpp
@@ -9,14 +9,17 @@
 
 #include "base/random.h"
 #include "routing/crash_evidence.h"
+#include "routing/prompt_turns.h"
+#include "support/crash_simulation.h"
 
 using namespace chervildyke;
 
 namespace {
 
 constexpr time_point start{1000s};
-const prompt_part bad{"pool", "m", "bad"};
-const prompt_part sound{"pool", "m", "sound"};
+const std::string bad = "bad";
+const std::string sound = "sound";
+constexpr std::size_t all_crashes = 100'000; // In one round of reports.
 
 backend_incarnation server(int number)
 {
@@ -25,32 +28,43 @@
 
 /** Reports the crashes of `count` servers, one second apart, ending at `until`. */
 void crash_servers(crash_evidence& evidence, int count, time_point until,
-                   const std::vector<prompt_part>& parts)
+                   const std::vector<std::string>& parts)
 {
     for (int i = 0; i < count; ++i) {
         evidence.note_crash(server(i), parts, until - std::chrono::seconds(count - 1 - i));
     }
 }
 
+prompt_standing standing(const crash_evidence& evidence, const std::string& part, time_point now)
+{
+    return evidence.judge({part}, now).standing;
+}
+
+std::vector<part_report> reports_of(crash_evidence& evidence, time_point now)
+{
+    return evidence.next_reports(100, all_crashes, now);
+}
+
 } // namespace
 
 TEST_CASE("a part is blocked after the crashes of three servers, and a further call isn't retried")
 {
     crash_evidence evidence;
-    int blocked = 0;
-    evidence.on_blocked = [&](const part_report&) { ++blocked; };
+    int blamed = 0;
+    evidence.on_blamed = [&](const part_report&) { ++blamed; };
+    CHECK(standing(evidence, bad, start) == prompt_standing::untested);
     evidence.note_crash(server(1), {bad}, start);
-    CHECK_FALSE(evidence.is_suspect({bad}, start));
+    CHECK(evidence.judge({bad}, start).may_retry);
     evidence.note_crash(server(2), {bad}, start + 1s);
-    CHECK(evidence.is_suspect({bad}, start + 1s));
-    CHECK_FALSE(evidence.find_blocked({bad}, start + 1s));
+    CHECK_FALSE(evidence.judge({bad}, start + 1s).may_retry);
+    CHECK(standing(evidence, bad, start + 1s) == prompt_standing::suspected);
     evidence.note_crash(server(3), {bad}, start + 2s);
-    const auto found = evidence.find_blocked({sound, bad}, start + 2s);
-    REQUIRE(found);
-    CHECK(found->part == bad);
-    CHECK(found->crashes == 3);
-    CHECK(blocked == 1);
-    CHECK_FALSE(evidence.find_blocked({sound}, start + 2s));
+    const prompt_verdict found = evidence.judge({sound, bad}, start + 2s);
+    CHECK(found.standing == prompt_standing::blocked);
+    CHECK(found.unproven == std::vector<std::string>{bad});
+    CHECK(found.crashes == 3);
+    CHECK(blamed == 1);
+    CHECK(standing(evidence, sound, start + 2s) == prompt_standing::untested);
 }
 
 TEST_CASE(
@@ -62,10 +76,10 @@
         evidence.note_crash(server(1), {bad}, start + std::chrono::milliseconds(i));
     }
     peer.note_crash(server(1), {bad}, start + 2ms);
-    evidence.merge(peer.next_reports(10, start + 100ms), start + 100ms);
-    CHECK_FALSE(evidence.is_suspect({bad}, start + 100ms));
+    evidence.merge(reports_of(peer, start + 100ms), start + 100ms);
+    CHECK(evidence.judge({bad}, start + 100ms).may_retry);
     evidence.note_crash({"i1", 2}, {bad}, start + 4s);
-    CHECK(evidence.is_suspect({bad}, start + 4s));
+    CHECK_FALSE(evidence.judge({bad}, start + 4s).may_retry);
 }
 
 // Guards against blaming a part of sound calls that were in progress at servers which crashed.
@@ -74,38 +88,138 @@
     crash_evidence evidence;
     crash_evidence peer;
     crash_servers(evidence, 3, start, {bad, sound});
-    CHECK(evidence.find_blocked({sound}, start));
+    CHECK(standing(evidence, sound, start) == prompt_standing::doubtful);
     peer.note_answer({sound}, start + 1s);
-    peer.merge(evidence.next_reports(10, start + 1s), start + 1s);
-    evidence.merge(peer.next_reports(10, start + 1s), start + 1s);
-    CHECK_FALSE(evidence.find_blocked({sound}, start + 1s));
-    CHECK_FALSE(peer.find_blocked({sound}, start + 1s));
-    CHECK(peer.find_blocked({bad}, start + 1s));
+    peer.merge(reports_of(evidence, start + 1s), start + 1s);
+    evidence.merge(reports_of(peer, start + 1s), start + 1s);
+    CHECK(standing(evidence, sound, start + 1s) == prompt_standing::sound);
+    CHECK(standing(peer, sound, start + 1s) == prompt_standing::sound);
+    CHECK(standing(peer, bad, start + 1s) == prompt_standing::blocked);
+}
+
+// Guards against evidence that fades while nodes repeat an answer to each other: each time it
+// arrives a bit younger than it was sent.
+TEST_CASE("an answer that nodes exchange does not clear crashes that came after it")
+{
+    constexpr duration travel_time = 20ms;
+    crash_evidence evidence;
+    crash_evidence peer;
+    constexpr int crashes = 8;
+    evidence.note_answer({sound}, start - 10s);
+    crash_servers(evidence, crashes, start, {sound});
+    REQUIRE(evidence.judge({sound}, start).crashes == crashes);
+    time_point now = start;
+    for (int round = 0; round < 1000; ++round) {
+        peer.merge(reports_of(evidence, now), now + travel_time);
+        evidence.merge(reports_of(peer, now + travel_time), now + 2 * travel_time);
+        now += 2 * travel_time;
+    }
+    CHECK(evidence.judge({sound}, now).crashes == crashes);
+    CHECK(peer.judge({sound}, now).crashes == crashes);
+}
+
+TEST_CASE("an answer that an older node repeats without a stamp does not move forward either")
+{
+    crash_evidence evidence;
+    constexpr int crashes = 8;
+    evidence.note_answer({sound}, start - 10s);
+    crash_servers(evidence, crashes, start, {sound});
+    time_point now = start;
+    for (int round = 0; round < 1000; ++round) {
+        auto reports = reports_of(evidence, now);
+        reports.at(0).answered->stamp = 0;
+        now += 20ms;
+        evidence.merge(reports, now);
+    }
+    CHECK(evidence.judge({sound}, now).crashes == crashes);
+}
+
+// Guards against forgetting the crashing part because many parts were in crashes that an answer has
+// cleared since.
+TEST_CASE("in a full table parts whose crashes were cleared make room for others")
+{
+    crash_evidence evidence;
+    for (int i = 0; i < 64; ++i) {
+        const std::vector<std::string> part{"cleared" + std::to_string(i)};
+        evidence.note_crash(server(1000 + 2 * i), part, start);
+        evidence.note_crash(server(1001 + 2 * i), part, start);
+        evidence.note_answer(part, start + 1s);
+    }
+    for (int i = 0; i < 3; ++i) {
+        evidence.note_crash(server(i), {"own" + std::to_string(i), bad}, start + 2s);
+    }
+    CHECK(standing(evidence, bad, start + 2s) == prompt_standing::blocked);
+}
+
+// Guards against crashes that two nodes with full lists replace for each other forever.
+TEST_CASE("nodes with more crashes of a part than they keep agree on some of them")
+{
+    crash_evidence first;
+    crash_evidence second;
+    for (int i = 0; i < 60; ++i) {
+        crash_evidence& seen_by = i % 2 == 0 ? first : second;
+        seen_by.note_crash(server(i), {bad}, start + std::chrono::milliseconds(i));
+    }
+    time_point now = start + 1s;
+    const auto exchange = [&] {
+        first.merge(reports_of(second, now), now + 20ms);
+        second.merge(reports_of(first, now + 20ms), now + 40ms);
+        now += 100ms;
+    };
+    for (int round = 0; round < 50; ++round) {
+        exchange();
+    }
+    const auto settled = first.report_of(bad, now)->crashes;
+    exchange();
+    const auto later = first.report_of(bad, now)->crashes;
+    REQUIRE(later.size() == settled.size());
+    for (const auto& [crashed, age] : settled) {
+        CHECK(later.contains(crashed));
+    }
+}
+
+TEST_CASE("a node whose clock is slow can clear a part, too")
+{
+    crash_evidence evidence;
+    std::vector<part_report> reports(1);
+    reports[0].part = sound;
+    constexpr std::uint64_t distant_future = 1ULL << 62U; // The stamp of a fast clock.
+    reports[0].answered = part_answer{10s, distant_future};
+    for (int i = 0; i < 7; ++i) {
+        reports[0].crashes[server(i)] = std::chrono::seconds(i);
+    }
+    evidence.merge(reports, start);
+    CHECK(evidence.judge({sound}, start + 7s).crashes == 7);
+    CHECK(standing(evidence, sound, start + 7s) != prompt_standing::sound);
+    evidence.note_answer({sound}, start + 7s);
+    CHECK(standing(evidence, sound, start + 7s) == prompt_standing::sound);
 }
 
-TEST_CASE("a part that was answered before is blocked only after six crashes")
+TEST_CASE("a part that was answered before is doubtful only after six crashes")
 {
     crash_evidence evidence;
     evidence.note_answer({sound}, start - 10s);
     crash_servers(evidence, 5, start, {sound});
-    CHECK_FALSE(evidence.find_blocked({sound}, start));
+    CHECK(standing(evidence, sound, start) == prompt_standing::sound);
     evidence.note_crash(server(5), {sound}, start);
-    CHECK(evidence.find_blocked({sound}, start));
+    CHECK(standing(evidence, sound, start + 39s) == prompt_standing::blocked);
+    CHECK(standing(evidence, sound, start + 40s) == prompt_standing::doubtful); // After 10 x 4 s.
 }
 
-TEST_CASE("a block ends, a further crash renews it, and in the end the evidence expires")
+TEST_CASE("after a block a part is tried, a further crash renews it, and the evidence expires")
 {
     const crash_evidence_settings settings;
     crash_evidence evidence;
     crash_servers(evidence, 3, start, {bad});
-    CHECK(evidence.find_blocked({bad}, start + settings.block_time - 1s));
-    const time_point later = start + settings.block_time + 1s;
-    CHECK_FALSE(evidence.find_blocked({bad}, later));
+    CHECK(standing(evidence, bad, start + settings.rules.block_time - 1s) ==
+          prompt_standing::blocked);
+    const time_point later = start + settings.rules.block_time + 1s;
+    CHECK(standing(evidence, bad, later) == prompt_standing::doubtful);
     evidence.note_crash(server(9), {bad}, later);
-    CHECK(evidence.find_blocked({bad}, later));
+    CHECK(standing(evidence, bad, later) == prompt_standing::blocked);
     const time_point expired = later + settings.retention + 1s;
-    CHECK_FALSE(evidence.find_blocked({bad}, expired));
-    CHECK(evidence.next_reports(10, expired).empty());
+    CHECK(reports_of(evidence, expired).empty());
+    CHECK(standing(evidence, bad, expired) == prompt_standing::untested);
 }
 
 TEST_CASE("the evidence is bounded, and parts with few crashes make room for those with more")
@@ -114,32 +228,39 @@
     crash_evidence evidence;
     crash_servers(evidence, 3, start, {bad});
     for (int i = 0; i < 1000; ++i) {
-        const prompt_part once{"pool", "m", "once" + std::to_string(i)};
-        evidence.note_crash(server(100 + i), {once}, start);
+        evidence.note_crash(server(100 + i), {"once" + std::to_string(i)}, start);
     }
-    CHECK(evidence.next_reports(10'000, start).size() <= settings.max_parts);
-    CHECK(evidence.find_blocked({bad}, start));
-    crash_servers(evidence, 40, start, {bad});
+    CHECK(evidence.next_reports(10'000, all_crashes, start).size() <= settings.max_parts);
+    CHECK(standing(evidence, bad, start) == prompt_standing::blocked);
+    crash_servers(evidence, 200, start, {bad});
     CHECK(evidence.report_of(bad, start)->crashes.size() <= settings.max_crashes);
     for (int i = 0; i < 10'000; ++i) {
-        evidence.note_answer({{"pool", "m", std::to_string(i)}}, start);
+        evidence.note_answer({std::to_string(i)}, start);
     }
-    CHECK(evidence.find_blocked({bad}, start));
+    CHECK(standing(evidence, bad, start) == prompt_standing::blocked);
 }
 
-TEST_CASE("the reports of successive rounds cover all parts")
+TEST_CASE("the reports of successive rounds cover all parts, by parts and by crashes")
 {
     crash_evidence evidence;
     for (int i = 0; i < 30; ++i) {
-        evidence.note_crash(server(i), {{"pool", "m", std::to_string(i)}}, start);
+        const std::vector<std::string> part{std::to_string(i)};
+        evidence.note_crash(server(2 * i), part, start);
+        evidence.note_crash(server(2 * i + 1), part, start);
     }
-    std::set<std::string> reported;
-    for (int round = 0; round < 3; ++round) {
-        for (const part_report& report : evidence.next_reports(10, start)) {
-            reported.insert(report.part.id);
+    constexpr std::size_t no_limit = 1000;
+    for (const auto& [max_reports, max_crashes] :
+         {std::pair<std::size_t, std::size_t>(10, no_limit), {no_limit, 20}}) {
+        std::set<std::string> reported;
+        for (int round = 0; round < 3; ++round) {
+            const auto reports = evidence.next_reports(max_reports, max_crashes, start);
+            CHECK(reports.size() == 10);
+            for (const part_report& report : reports) {
+                reported.insert(report.part);
+            }
         }
+        CHECK(reported.size() == 30);
     }
-    CHECK(reported.size() == 30);
 }
 
 namespace {
@@ -180,14 +301,12 @@
   private:
     struct node {
         crash_evidence evidence = crash_evidence();
+        prompt_turns turns = prompt_turns(seeded_random(1));
         time_point frozen_until{};
         time_point undisturbed_since{};
     };
 
-    prompt_part shared(std::uint64_t number) const
-    {
-        return {"pool", "m", "shared" + std::to_string(number)};
-    }
+    static std::string shared(std::uint64_t number) { return "shared" + std::to_string(number); }
 
     /** Now and then a node restarts without its evidence, is new, or stands still. */
     void disturb()
@@ -209,11 +328,21 @@
 
     bool settled() const { return fifth_crash_ && now_ > *fifth_crash_ + settle; }
 
+    /** Calls last less than a step, so turns end at once; only the draw of doubtful parts counts.
+     */
+    bool may_send(node& at, const std::vector<std::string>& parts)
+    {
+        at.turns.set_nodes(nodes_.size());
+        const prompt_verdict verdict = at.evidence.judge(parts, now_);
+        return verdict.standing != prompt_standing::blocked &&
+               at.turns.take(verdict, now_) != nullptr;
+    }
+
     void send_sound_calls(node& at)
     {
         for (int i = 0; i < 3; ++i) {
-            const prompt_part part = shared(random_below(random_, shared_parts));
-            const bool refused = at.evidence.find_blocked({part}, now_).has_value();
+            const std::string part = shared(random_below(random_, shared_parts));
+            const bool refused = !may_send(at, {part});
             if (settled()) {
                 ++sound_calls;
                 sound_refused += refused ? 1 : 0;
@@ -226,8 +355,8 @@
 
     void send_crashing_call(node& at)
     {
-        const prompt_part first = shared(random_below(random_, shared_parts));
-        if (at.evidence.find_blocked({first, bad}, now_)) {
+        const std::string first = shared(random_below(random_, shared_parts));
+        if (!may_send(at, {first, bad})) {
             return;
         }
         const bool in_touch = now_ - at.undisturbed_since >= settle;
@@ -244,7 +373,7 @@
 
     void gossip(std::size_t from)
     {
-        const auto reports = nodes_[from].evidence.next_reports(12, now_);
+        const auto reports = nodes_[from].evidence.next_reports(12, 64, now_);
         for (std::size_t to = 0; to < nodes_.size(); ++to) {
             const bool lost = random_fraction(random_) < 0.2 || now_ < nodes_[to].frozen_until;
             if (to != from && !lost) {
@@ -273,3 +402,54 @@
         CHECK(fleet.sound_refused * 2 <= fleet.sound_calls); // The users' bound.
     }
 }
+
+// Guards against refusing sound prompts after a burst of prompts of which one part crashes servers,
+// and against sending further ones of these. The bounds are those of the users' rules.
+TEST_CASE("after a burst of crashing prompts, sound ones are served and no more servers crash")
+{
+    const std::vector<std::size_t> fleets{3, 8, 64};
+    const std::vector<std::size_t> bursts{1, 6, 64};
+    constexpr std::size_t small_fleet = 8;
+    for (const std::size_t nodes : fleets) {
+        for (const std::size_t burst : bursts) {
+            if (burst < nodes && nodes > small_fleet) {
+                continue; // Most nodes of a large fleet see nothing of a small burst.
+            }
+            for (const bool answered_before : {true, false}) {
+                for (const bool varied_first_part : {true, false}) {
+                    test::crash_scenario scenario;
+                    scenario.nodes = nodes;
+                    scenario.burst = burst;
+                    scenario.answered_before = answered_before;
+                    scenario.varied_first_part = varied_first_part;
+                    scenario.seed = nodes + burst;
+                    CAPTURE(nodes);
+                    CAPTURE(burst);
+                    CAPTURE(answered_before);
+                    CAPTURE(varied_first_part);
+                    const test::crash_outcome outcome = test::crash_simulation(scenario).run();
+                    CHECK(outcome.late_arrivals <= 3);
+                    CHECK(outcome.sound_refused * 2 <= outcome.sound_calls);
+                    CHECK(outcome.known_after.has_value());
+                }
+            }
+        }
+    }
+}
+
+// The users' rules name one such part at a time; two must not block the sound ones either.
+TEST_CASE("after a burst of prompts with two crashing parts, sound ones are served")
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        test::crash_scenario scenario;
+        scenario.bad_parts = 2;
+        scenario.burst = 12;
+        scenario.answered_before = seed % 2 == 0;
+        scenario.seed = seed;
+        const test::crash_outcome outcome = test::crash_simulation(scenario).run();
+        CHECK(outcome.late_arrivals <= 3);
+        CHECK(outcome.sound_refused * 2 <= outcome.sound_calls);
+        CHECK(outcome.known_after.has_value());
+    }
+}
