Answer calls that outlast the grace time of a stopping node

What callers saw: a call in progress at a node that stops, with more time left than the node, ended without an answer when the process ended: neither an answer nor a refusal, although the call may have run. A plain call that held another server's failure lost it as well.

Their servers are not judged for it. A call removes its hook from a shared map, because calls that are cut off at the end of the process outlive the node.

Evidence: error/relay "a call that outlasts the grace time gets an answer before the process ends" failed on the code before for both routes (no byte arrived) and passes now.

--- a/src/relay/plain_relay.cpp
+++ b/src/relay/plain_relay.cpp
@@ -191,6 +191,7 @@
     timer slow_;          // Expires when all attempts in progress are slow.
     duration slow_after_;
     bool ending_ = false;                       // No further attempt is started.
+    bool node_stops_ = false;                   // The process ends before the servers answer.
     std::optional<attempt_end> failure_answer_; // The last answer with a 5xx status.
     std::exception_ptr thrown_;                 // By an attempt.
 };
@@ -260,7 +261,7 @@
 bool plain_call::has_attempts_left() const
 {
     return call_.end.runs + attempts_.size() < call_.route->max_attempts &&
-           call_.end.sends < max_sends && !call_.cancel->cancelled();
+           call_.end.sends < max_sends && !call_.cancel->cancelled() && !node_stops_;
 }
 
 bool plain_call::may_send_again(const attempt_end& ended)
@@ -312,7 +313,7 @@
     // An attempt that was cancelled because of another's answer shows a failure only if it was
     // slow.
     const bool answered = healthy || end.backend_failed;
-    const bool cancelled = call_.cancel->cancelled() || (ending_ && !done.was_slow);
+    const bool cancelled = call_.cancel->cancelled() || node_stops_ || (ending_ && !done.was_slow);
     call_.context.backend_lb->note_end(done.target.address,
                                        answered    ? backend_result::answered
                                        : cancelled ? backend_result::cancelled
@@ -373,6 +374,9 @@
         co_await refuse(call_, 503, last.reason, wait);
         co_return;
     }
+    if (node_stops_) {
+        last.reason = "this node stopped before the call had ended";
+    }
     const bool too_late = call_.time_left() <= deadline_margin;
     co_await fail(call_, too_late ? 504 : 502, last.reason);
 }
@@ -381,7 +385,15 @@
 {
     call_.context.budget_of(call_.service).note_call();
     call_.cancel->set_close_hook([this] { cancel_attempts(); });
-    const scope_guard unlink([this] { call_.cancel->set_close_hook(nullptr); });
+    const auto end_hooks = call_.context.end_hooks;
+    (*end_hooks)[this] = [this] {
+        node_stops_ = true;
+        cancel_attempts();
+    };
+    const scope_guard unlink([this, end_hooks] {
+        call_.cancel->set_close_hook(nullptr);
+        end_hooks->erase(this);
+    });
     attempt_end last;
     last.reason = "no backend server of the service can be called";
     bool over = !start_next();
--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -60,6 +60,22 @@
                                       // of the memory of the smallest node.
     bool leaving = false;
     stop_grace stopping; // Begins when the node leaves.
+
+    /** Called when each call must end, since the process does; by call. Shared, since a call that
+     * is cut off when the process ends removes its own after the context is gone.
+     */
+    std::shared_ptr<std::map<const void*, std::function<void()>>> end_hooks =
+        std::make_shared<std::map<const void*, std::function<void()>>>();
+
+    /** Ends the calls in progress, which then send their answers. */
+    void end_calls() const
+    {
+        const auto hooks = *end_hooks; // A call that ends removes its own.
+        for (const auto& [call, end] : hooks) {
+            end();
+        }
+    }
+
     loop_lag lag;
 
     /** \return the current configuration; null before the first one is read. */
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -465,7 +465,12 @@
     co_await sleep_for(stopping.accepting_end() - now);
     calls_.stop_accepting();
     co_await sleep_for(last_request_wait); // For requests on connections accepted just before.
+    bool has_ended_calls = false;
     while (calls_.requests_in_progress() > 0 && monotonic_clock::now() < stopping.exit_at()) {
+        if (!has_ended_calls && monotonic_clock::now() >= stopping.calls_end()) {
+            has_ended_calls = true;
+            context_.end_calls();
+        }
         co_await sleep_for(drain_check_interval);
     }
     node_log.write("stopped", {{"calls_cut_off", std::to_string(calls_.requests_in_progress())}});
--- a/src/relay/streaming_call.cpp
+++ b/src/relay/streaming_call.cpp
@@ -35,7 +35,6 @@
 // How long a replica is excluded after a failed attempt; the assembly detects a lost member in this
 // time.
 constexpr duration exclusion_after_failure = 1500ms;
-
 constexpr std::size_t max_error_body_bytes = 1U << 20U; // Bytes of an answer that is not a stream.
 constexpr std::size_t max_event_bytes = 1U << 20U;      // Of one event; a token takes a few bytes.
 
@@ -388,8 +387,9 @@
     const bool repeatable = call_.route->retry != retry_rule::never;
     const bool safe =
         forwarder_.can_resume() && (ended.result == attempt_result::not_run || repeatable);
-    return safe && prompt_.may_retry() && call_.end.runs < call_.route->max_attempts &&
-           call_.end.sends < max_sends && call_.time_left() > deadline_margin && call_.take_retry();
+    return safe && !node_stops_ && prompt_.may_retry() &&
+           call_.end.runs < call_.route->max_attempts && call_.end.sends < max_sends &&
+           call_.time_left() > deadline_margin && call_.take_retry();
 }
 
 duration streaming_call::retry_after() const
@@ -469,7 +469,12 @@
     call_.context.budget_of(call_.service).note_call();
     note_demand(call_);
     call_.cancel->set_close_hook([this] { cancel_attempts(); });
-    const scope_guard unlink([this] { call_.cancel->set_close_hook(nullptr); });
+    const auto end_hooks = call_.context.end_hooks;
+    (*end_hooks)[this] = [this] { end_before_stop(); };
+    const scope_guard unlink([this, end_hooks] {
+        call_.cancel->set_close_hook(nullptr);
+        end_hooks->erase(this);
+    });
     limit_writes();
     attempt_end last;
     bool over = !co_await start_next(last);
--- a/src/relay/streaming_call.h
+++ b/src/relay/streaming_call.h
@@ -80,6 +80,14 @@
             running->cancel->cancel();
         }
     }
+    /** Ends a call without an answer so far, since the process ends. */
+    void end_before_stop()
+    {
+        node_stops_ = !forwarder_.started();
+        if (node_stops_) {
+            cancel_attempts();
+        }
+    }
     void limit_writes();
     boost::asio::awaitable<attempt_end> wait_for_end();
     boost::asio::awaitable<void> end_attempts();
@@ -96,6 +104,7 @@
     event_forwarder forwarder_;
     bool forwarding_ = false;     // An event is being written to the caller.
     bool caller_is_late_ = false; // It did not take an event by the deadline.
+    bool node_stops_ = false;     // The process ends before the call is answered.
     std::set<std::uint64_t> tried_;
     std::vector<std::unique_ptr<running_attempt>> attempts_; // Two at most.
     timer attempt_ended_;                                    // Cancelled when an attempt ends.
--- a/test/error/relay_planned_stops.cpp
+++ b/test/error/relay_planned_stops.cpp
@@ -283,6 +283,24 @@
     CHECK(early.read().starts_with("HTTP/1.1 200"));
 }
 
+// Guards against a caller that gets neither an answer nor a refusal, since its call outlasts the
+// grace time of a node that stops.
+TEST_CASE("a call that outlasts the grace time gets an answer before the process ends")
+{
+    for (const std::string path : {"/once/x", "/again/x"}) {
+        CAPTURE(path);
+        stop_fixture fixture(2s, 9s);
+        fixture.work = 8s;
+        caller early(fixture);
+        early.send(path, "9000");
+        fixture.clock.advance(10ms);
+        REQUIRE(fixture.runs == 1);
+        fixture.stop();
+        CHECK(fixture.advance_to_end() < 2s);
+        CHECK(early.read().starts_with("HTTP/1.1 502")); // It may have run.
+    }
+}
+
 // Guards against a process that still accepts calls when it is killed.
 TEST_CASE("a node with a short grace time stops within it")
 {
