End streams that wait, and none twice, when a node stops

What callers saw: a stream that waited for a slot when its node's time was over was sent and then cut, or cut without a refusal. A stream cancelled in the moment of its head counted as not run, so that it could run twice. In a full table of crash evidence, the parts of one call pushed each other out.

Change: the queue closes when calls must end; an attempt cancelled after its head counts as broken; at the end of the process nothing is checked or held against a server. Evidence is weighed by what the table has now. Records are written again if a part is blamed while its record is removed.

--- a/src/relay/crash_evidence_exchange.cpp
+++ b/src/relay/crash_evidence_exchange.cpp
@@ -97,10 +97,7 @@
              {"crashes", std::to_string(report.crashes.size())},
              {"answered_ms", report.answered ? to_ms_text(report.answered->age) : "never"},
              {"recorded", self->evidence_.is_recorded(report) ? "yes" : "no"}});
-        if (!self->recording_ && !self->evidence_.is_recorded(report)) {
-            self->recording_ = true;
-            spawn_task(self->executor_, "crash evidence", self->record());
-        }
+        self->record_soon();
     };
     evidence_.on_cleared = [weak = weak_from_this()](const std::string& part) {
         if (const auto self = weak.lock()) {
@@ -110,6 +107,14 @@
     };
 }
 
+void crash_evidence_exchange::record_soon()
+{
+    if (!recording_) {
+        recording_ = true;
+        spawn_task(executor_, "crash evidence", record());
+    }
+}
+
 /** Writes the records of the blamed parts that have none, unless another node does so first. All of
  * them show the same moment, since a part is judged by the crashes that it shares with others.
  */
@@ -119,9 +124,8 @@
     const double share = random_fraction(random_);
     co_await sleep_for(min_record_delay + std::chrono::duration_cast<duration>(
                                               (max_record_delay - min_record_delay) * share));
-    while (true) {
-        const auto reports = evidence_.unrecorded_reports(monotonic_clock::now());
-        bool failed = false;
+    auto reports = evidence_.unrecorded_reports(monotonic_clock::now());
+    while (!reports.empty()) {
         for (const part_report& report : reports) {
             schema::part_evidence message = to_message(report);
             message.set_recorded_at_ms(wall_clock_ms());
@@ -132,19 +136,17 @@
             if (!put) {
                 evidence_log.write("record_failed",
                                    {{"part", report.part}, {"reason", put.failure().reason}});
-                failed = true;
                 break;
             }
             evidence_.mark_recorded(report.part, put->era);
         }
-        if (reports.empty()) {
-            recording_ = false;
-            co_return;
-        }
-        if (failed) {
+        reports = evidence_.unrecorded_reports(monotonic_clock::now());
+        if (!reports.empty()) {
             co_await sleep_for(log_retry_interval);
+            reports = evidence_.unrecorded_reports(monotonic_clock::now());
         }
     }
+    recording_ = false;
 }
 
 /** Removes the record of a part that is no longer blamed, so that a node that starts later does not
@@ -153,16 +155,17 @@
 asio::awaitable<void> crash_evidence_exchange::remove_record(std::string part)
 {
     const auto self = shared_from_this();
-    while (!evidence_.is_blamed(part)) {
-        keyed_record removed;
-        removed.key = part;
-        auto put = co_await log_.put(crash_evidence_topic, removed);
-        if (put) {
-            evidence_.forget_record(part);
-            co_return;
+    bool removed = false;
+    while (!removed && !evidence_.is_blamed(part)) {
+        keyed_record record;
+        record.key = part;
+        evidence_.forget_record(part);
+        removed = (co_await log_.put(crash_evidence_topic, record)).has_value();
+        if (!removed) {
+            co_await sleep_for(log_retry_interval);
         }
-        co_await sleep_for(log_retry_interval);
     }
+    record_soon(); // The part may have been blamed again meanwhile.
 }
 
 /** \param expired set to the keys of records that say nothing any more. */
--- a/src/relay/crash_evidence_exchange.h
+++ b/src/relay/crash_evidence_exchange.h
@@ -43,6 +43,7 @@
     void apply_state(const schema::peer_word& state);
 
   private:
+    void record_soon();
     boost::asio::awaitable<void> record();
     boost::asio::awaitable<void> remove_record(std::string part);
     void apply_records(const keyed_records& records, std::vector<std::string>& expired);
--- a/src/relay/prompt_guard.cpp
+++ b/src/relay/prompt_guard.cpp
@@ -82,7 +82,8 @@
     if (slot.refusal || call_.cancel->cancelled()) {
         co_return slot;
     }
-    request.wait_until += monotonic_clock::now() - began; // It has not waited for a slot so far.
+    const duration waited = monotonic_clock::now() - began; // For the turn, not for a slot.
+    request.wait_until = std::min(request.wait_until + waited, call_.deadline);
     slot.granted = co_await call_.context.queue->admit(std::move(request));
     slot.refusal = find_refusal(); // Blocked since the call was queued.
     if (!slot.refusal && slot.granted.outcome != replica_queue_outcome::admitted) {
--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -67,9 +67,10 @@
     std::shared_ptr<std::map<const void*, std::function<void()>>> end_hooks =
         std::make_shared<std::map<const void*, std::function<void()>>>();
 
-    /** Ends the calls in progress, which then send their answers. */
+    /** Ends the calls in progress, which then send their answers, and refuses those that wait. */
     void end_calls() const
     {
+        queue->close();
         const auto hooks = *end_hooks; // A call that ends removes its own.
         for (const auto& [call, end] : hooks) {
             end();
--- a/src/relay/replica_queue.cpp
+++ b/src/relay/replica_queue.cpp
@@ -82,6 +82,9 @@
 
 std::optional<replica_queue_result> replica_queue::admit_now(const replica_queue_request& request)
 {
+    if (closed_) {
+        return std::nullopt;
+    }
     auto result = try_admit(request);
     if (!result || result->outcome != replica_queue_outcome::admitted) {
         return std::nullopt;
@@ -115,7 +118,7 @@
 {
     model_queue& queue = model_queues_[request.wanted.service + "/" + request.wanted.model];
     const time_point now = monotonic_clock::now();
-    if (queue.waiters.empty()) {
+    if (queue.waiters.empty() && !closed_) {
         if (auto result = try_admit(request)) {
             record_admission(queue, now);
             co_return std::move(*result);
@@ -123,7 +126,7 @@
     }
     replica_queue_result refused;
     refused.replica_summary = to_text(balancer_.choose(request.wanted, request.fill_limit, now));
-    if (request.wait_until <= now) {
+    if (request.wait_until <= now || closed_) {
         refused.outcome = replica_queue_outcome::waited_too_long;
         co_return refused;
     }
@@ -153,7 +156,7 @@
 
 void replica_queue::admit_waiting()
 {
-    if (admitting_) {
+    if (admitting_ || closed_) {
         return; // An admitted call that fails immediately calls this function again.
     }
     admitting_ = true;
@@ -183,6 +186,16 @@
     admitting_ = false;
 }
 
+void replica_queue::close()
+{
+    closed_ = true;
+    for (const auto& [name, queue] : model_queues_) {
+        for (const auto& [id, waiting] : queue.waiters) {
+            waiting->wake.cancel();
+        }
+    }
+}
+
 std::size_t replica_queue::waiting() const
 {
     std::size_t count = 0;
--- a/src/relay/replica_queue.h
+++ b/src/relay/replica_queue.h
@@ -67,6 +67,9 @@
      */
     void admit_waiting();
 
+    /** Refuses the waiting calls and all later ones, since the process ends. */
+    void close();
+
     /** \return the number of waiting calls of all models. */
     std::size_t waiting() const;
 
@@ -90,6 +93,7 @@
     std::map<std::string, model_queue> model_queues_; // By "service/model".
     std::uint64_t next_id_ = 0;
     bool admitting_ = false;
+    bool closed_ = false;
 };
 
 } // namespace chervildyke
--- a/src/relay/streaming_call.cpp
+++ b/src/relay/streaming_call.cpp
@@ -23,7 +23,6 @@
 
 namespace {
 
-constexpr std::uint32_t max_sends = 4; // Attempts of one call, including refused ones.
 // Reserved for an answer of the node itself. A stream that has begun needs none and lasts until the
 // deadline.
 constexpr duration deadline_margin = 5ms;
@@ -35,6 +34,7 @@
 // How long a replica is excluded after a failed attempt; the assembly detects a lost member in this
 // time.
 constexpr duration exclusion_after_failure = 1500ms;
+
 constexpr std::size_t max_error_body_bytes = 1U << 20U; // Bytes of an answer that is not a stream.
 constexpr std::size_t max_event_bytes = 1U << 20U;      // Of one event; a token takes a few bytes.
 
@@ -50,63 +50,6 @@
     return std::max<duration>(call_.time_left() - reserved, 1ms);
 }
 
-/** \return true if another attempt may run beside the one in progress. */
-bool streaming_call::may_fail_over() const
-{
-    constexpr std::size_t max_attempts_at_once = 2;
-    return call_.route->retry == retry_rule::resumable && forwarder_.can_resume() &&
-           attempts_.size() < max_attempts_at_once &&
-           call_.end.runs + attempts_.size() < call_.route->max_attempts &&
-           call_.end.sends < max_sends && call_.has_retry() && prompt_.may_retry();
-}
-
-/** Decides whether to end a silent attempt, or to start another one beside it.
- * \return true to end it.
- */
-bool streaming_call::should_end(running_attempt& running, silent_attempt silent)
-{
-    if (forwarding_) {
-        return false; // The caller is slow, not the server.
-    }
-    const time_point now = monotonic_clock::now();
-    replica_balancer& balancer = *call_.context.replica_lb;
-    const std::uint64_t epoch = running.selected.replica.epoch;
-    silent.replica_silence = balancer.silence_of(epoch, now);
-    silent.replica_is_serving = balancer.serving().contains(epoch);
-    replacement_attempt replacement{may_fail_over(), duration::zero()};
-    if (choose_stall_action(silent, replacement, call_.time_left()) == stall_action::wait) {
-        return false; // Even if another replica could answer at once.
-    }
-    const replica_queue_request request = make_slot_request(call_, tried_, forwarder_.started());
-    const replica_selection found = balancer.choose(request.wanted, request.fill_limit, now);
-    replacement.first_event =
-        found.selected ? std::optional(found.selected->first_event) : std::nullopt;
-    switch (choose_stall_action(silent, replacement, call_.time_left())) {
-    case stall_action::wait:
-        return false;
-    case stall_action::failover:
-        if (auto granted = call_.context.queue->admit_now(request); granted && call_.take_retry()) {
-            log_silence(call_, running.selected, silent, forwarder_.started(), "failover");
-            running.has_replacement = true;
-            start(std::move(*granted));
-            return false;
-        }
-        if (replacement.first_event || forwarder_.started()) {
-            return false; // A slot may become free, or the server may go on.
-        }
-        log_silence(call_, running.selected, silent, forwarder_.started(),
-                    "wait for a slot elsewhere");
-        return true;
-    case stall_action::fail:
-        if (forwarder_.started() || attempts_.size() > 1) {
-            return false; // The caller can still receive the rest, or the other attempt's answer.
-        }
-        log_silence(call_, running.selected, silent, forwarder_.started(), "fail");
-        return true;
-    }
-    return false;
-}
-
 asio::awaitable<attempt_end> streaming_call::forward_events(http_stream& answer,
                                                             running_attempt& running)
 {
@@ -252,10 +195,17 @@
         end.reason = failed.reason;
         end.server_broke_off = failed.code == http_error::unanswered;
     }
+    else { // Cancelled just after the server had begun to answer.
+        end.result = attempt_result::broken;
+        end.reason = "cancelled";
+    }
     if (call_.cancel->cancelled()) {
         end.result = attempt_result::caller_left;
         co_return end;
     }
+    if (node_stops_) {
+        co_return end; // Nothing is held against the server, and there is no time to ask it.
+    }
     if (running.superseded) {
         end.result = attempt_result::superseded;
         end.reason = "another attempt received an event first";
@@ -363,7 +313,9 @@
     const std::unique_ptr<running_attempt> done = std::move(*ended);
     attempts_.erase(ended);
     done->slot.reset();
-    prompt_.note_end();
+    if (attempts_.empty()) {
+        prompt_.note_end();
+    }
     call_.context.queue->admit_waiting();
     attempt_end end = std::move(*done->end);
     call_.end.runs += end.result == attempt_result::not_run ? 0 : 1;
--- a/src/relay/streaming_call.h
+++ b/src/relay/streaming_call.h
@@ -51,6 +51,8 @@
     boost::asio::awaitable<void> run();
 
   private:
+    static constexpr std::uint32_t max_sends = 4; // Attempts of one call, including refused ones.
+
     /** One attempt in progress. */
     struct running_attempt {
         selected_replica selected;
--- a/src/routing/crash_blame.cpp
+++ b/src/routing/crash_blame.cpp
@@ -206,12 +206,6 @@
     return known != parts_.end() && is_doubtful(known->second);
 }
 
-std::size_t crash_blame::crashes_of(const std::string& id) const
-{
-    const auto known = parts_.find(id);
-    return known == parts_.end() ? 0 : known->second.crashes;
-}
-
 std::size_t crash_blame::blamed_parts() const
 {
     return static_cast<std::size_t>(
--- a/src/routing/crash_blame.h
+++ b/src/routing/crash_blame.h
@@ -83,9 +83,6 @@
     /** \return true if a prompt with the part is doubtful or blocked because of it. */
     bool is_blamed(const std::string& id) const;
 
-    /** \return the crashes of the part that no answer has cleared. */
-    std::size_t crashes_of(const std::string& id) const;
-
     /** \return the number of such parts. */
     std::size_t blamed_parts() const;
 
--- a/src/routing/crash_evidence.cpp
+++ b/src/routing/crash_evidence.cpp
@@ -88,10 +88,6 @@
         changed |= std::erase_if(state.crashes, [&](const auto& crash) {
                        return now - crash.second >= settings_.retention;
                    }) > 0;
-        if (state.answered && now - state.answered->at >= settings_.retention) {
-            state.answered.reset();
-            changed = true;
-        }
     }
     std::erase_if(parts_, [](const auto& entry) { return entry.second.crashes.empty(); });
     while (!answer_order_.empty() && now - answer_order_.begin()->first >= settings_.retention) {
@@ -125,6 +121,15 @@
     blame_ = crash_blame(histories, settings_.rules);
 }
 
+/** \return the crashes that no answer has cleared. */
+std::size_t crash_evidence::crashes_since_answer(const part_state& state)
+{
+    return static_cast<std::size_t>(
+        std::count_if(state.crashes.begin(), state.crashes.end(), [&](const auto& crash) {
+            return !state.answered || state.answered->at < crash.second;
+        }));
+}
+
 /** Removes the part with the least evidence if the table is full.
  * \param added the evidence of the part for which there must be room.
  * \return false if all parts have more.
@@ -139,7 +144,8 @@
         for (const auto& [server, at] : entry.second.crashes) {
             newest = std::max(newest, at);
         }
-        return part_weight{blame_.is_blamed(entry.first), blame_.crashes_of(entry.first), newest};
+        return part_weight{blame_.is_blamed(entry.first), crashes_since_answer(entry.second),
+                           newest};
     };
     const auto least =
         std::min_element(parts_.begin(), parts_.end(),
@@ -269,11 +275,12 @@
         if (state == nullptr) {
             continue;
         }
-        if (report.answered && report.answered->age < settings_.retention) {
+        if (report.answered) {
             changed |= add_answer(*state, {now - report.answered->age, report.answered->stamp});
         }
         for (const auto& [server, age] : report.crashes) {
-            changed |= add_crash(*state, server, now - std::max(age, duration::zero()));
+            changed |= age < settings_.retention &&
+                       add_crash(*state, server, now - std::max(age, duration::zero()));
         }
     }
     if (changed) {
--- a/src/routing/crash_evidence.h
+++ b/src/routing/crash_evidence.h
@@ -136,6 +136,7 @@
 
     bool add_crash(part_state& state, const backend_incarnation& server, time_point at);
     static bool add_answer(part_state& state, const answer& reported);
+    static std::size_t crashes_since_answer(const part_state& state);
     part_state* find_or_add(const std::string& part, const part_weight& weight);
     bool make_room(const part_weight& added);
     part_weight weight_of(const part_report& report, time_point now) const;
--- a/test/correctness/relay_replica_queue.cpp
+++ b/test/correctness/relay_replica_queue.cpp
@@ -146,6 +146,22 @@
     CHECK(fixture.outcomes.at("moved") == replica_queue_outcome::admitted);
 }
 
+// Guards against a call that still waits when its process ends, and so is neither sent nor refused.
+TEST_CASE("when the queue closes, waiting calls are refused and no further one is admitted")
+{
+    queue_fixture fixture;
+    fixture.admit("first", "a", 1s);
+    fixture.admit("second", "a", 1s);
+    fixture.admit("waiting", "a", 10s);
+    REQUIRE(fixture.outcomes.count("waiting") == 0);
+    fixture.queue.close();
+    fixture.clock.advance(1ms);
+    CHECK(fixture.outcomes.at("waiting") == replica_queue_outcome::waited_too_long);
+    fixture.end("first");
+    fixture.admit("late", "a", 1s);
+    CHECK(fixture.outcomes.at("late") == replica_queue_outcome::waited_too_long);
+}
+
 TEST_CASE("no replica of the model: the call is refused at once")
 {
     queue_fixture fixture;
--- a/test/correctness/routing_crash_evidence.cpp
+++ b/test/correctness/routing_crash_evidence.cpp
@@ -151,6 +151,21 @@
     CHECK(standing(evidence, bad, start + 2s) == prompt_standing::blocked);
 }
 
+// Guards against adding the parts of a call one by one so that each takes the room of the one
+// before.
+TEST_CASE("in a full table the parts of one call don't push out each other")
+{
+    crash_evidence evidence;
+    for (int i = 0; i < 64; ++i) {
+        evidence.note_crash(server(1000 + i), {"other" + std::to_string(i)}, start);
+    }
+    for (int i = 0; i < 3; ++i) {
+        evidence.note_crash(server(i), {bad, "own" + std::to_string(i)},
+                            start + std::chrono::seconds(i + 1));
+    }
+    CHECK(standing(evidence, bad, start + 4s) == prompt_standing::blocked);
+}
+
 // Guards against crashes that two nodes with full lists replace for each other forever.
 TEST_CASE("nodes with more crashes of a part than they keep agree on some of them")
 {
