--- a/src/fleet/published_configuration.cpp
+++ b/src/fleet/published_configuration.cpp
@@ -35,6 +35,24 @@
     return found == team_of_key_.end() ? nullptr : &teams_[found->second];
 }
 
+bool published_configuration::has_mixed_priorities(const std::string& service) const
+{
+    std::optional<std::uint32_t> first;
+    for (const call_route& route : routes_) {
+        const bool uses_service =
+            std::any_of(route.services.begin(), route.services.end(),
+                        [&service](const auto& used) { return used.service == service; });
+        if (!route.streaming || !uses_service) {
+            continue;
+        }
+        if (first && *first != route.priority) {
+            return true;
+        }
+        first = route.priority;
+    }
+    return false;
+}
+
 published_configuration::builder& published_configuration::builder::version(std::uint64_t number)
 {
     built_.version_ = number;
--- a/src/fleet/published_configuration.h
+++ b/src/fleet/published_configuration.h
@@ -94,6 +94,11 @@
     /** \return the team to which the key belongs, or null. */
     const team_keys* find_team(const std::string& key) const;
 
+    /** \return true if the streaming routes of the service have different priorities, so that
+     * calls of some of them are more urgent than others.
+     */
+    bool has_mixed_priorities(const std::string& service) const;
+
     /** True if teams are configured, so that routes which are not public require a key. */
     bool has_teams() const { return !teams_.empty(); }
 
--- a/test/correctness/fleet_published_configuration.cpp
+++ b/test/correctness/fleet_published_configuration.cpp
@@ -78,3 +78,24 @@
     CHECK(table.remove_expired(now + 8s) == std::vector<std::string>{"b"});
     CHECK(table.find("a") != nullptr);
 }
+
+TEST_CASE("priorities are mixed only if streaming routes of one service differ")
+{
+    const auto streaming_route = [](const std::string& prefix, const std::string& service,
+                                    std::uint32_t priority) {
+        call_route route = route_at(prefix);
+        route.streaming = true;
+        route.services = {{service, 1}};
+        route.priority = priority;
+        return route;
+    };
+    published_configuration::builder builder;
+    builder.route(streaming_route("/a/", "models", 1)).route(streaming_route("/b/", "models", 1));
+    builder.route(streaming_route("/c/", "others", 0)).route(streaming_route("/d/", "others", 2));
+    call_route plain = route_at("/e/");
+    plain.services = {{"models", 1}};
+    plain.priority = 2;
+    const auto configuration = builder.route(plain).build();
+    CHECK_FALSE(configuration->has_mixed_priorities("models"));
+    CHECK(configuration->has_mixed_priorities("others"));
+}
