Send no calls to evacuated failure domains

Callers: when operators took a failure domain out of service, calls went on reaching its servers until each of them announced that it leaves or stopped, so calls were cut off or refused by servers that were being shut down.

The assembly forms no replica and starts no load there, keeps its replicas, and leaves them out of counts and targets; commands that close or leave still go there.

--- a/src/assembly/assembler.cpp
+++ b/src/assembly/assembler.cpp
@@ -239,6 +239,7 @@
     input.before_first_call = !calls_began;
     input.load_allowance = static_cast<std::uint32_t>(std::max(load_tokens_, 0.0));
     input.list_is_current = hooks_.list_is_current();
+    input.evacuated = hooks_.evacuated_domains();
     input.now = now;
     assembly_plan plan = plan_assembly(input, settings_);
     if (plan.free_vms != logged_free_vms_) {
--- a/src/assembly/assembler.h
+++ b/src/assembly/assembler.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -38,6 +39,11 @@
      */
     std::function<bool()> view_is_settled;
 
+    /** \return the failure domains in which no replica forms and no load starts. */
+    std::function<std::set<std::string>()> evacuated_domains = [] {
+        return std::set<std::string>();
+    };
+
     /** \return false while the VM has asked this node for a pause. */
     std::function<bool(const backend&)> may_probe;
 
--- a/src/assembly/assembly_plan.cpp
+++ b/src/assembly/assembly_plan.cpp
@@ -118,10 +118,15 @@
             retire(entry, fault, true);
             return;
         }
+        // Until its domain returns it gets neither joins, which may load weights, nor an open.
+        const bool is_held = in_.is_evacuated(entry.second);
         std::size_t ready = 0;
         for (const schema::shared_member& member : entry.second.members()) {
             const listed_backend* listed = find_listed(member);
             const replica_membership* joined = membership_in(listed, entry);
+            if (joined == nullptr && is_held) {
+                continue;
+            }
             if (joined == nullptr) {
                 const bool loads = !holds_model(listed->server, entry.second.model());
                 builder_.add_command(member.id(),
@@ -145,8 +150,10 @@
             builder_.plan.records.push_back(to_record(entry.first, opened));
             return;
         }
-        builder_.add_command(head.id(),
-                             make_command(command_kind::open, entry.first, entry.second));
+        if (!is_held) {
+            builder_.add_command(head.id(),
+                                 make_command(command_kind::open, entry.first, entry.second));
+        }
     }
 
     void check_serving(const ledger_entry& entry)
@@ -264,6 +271,15 @@
 
 } // namespace
 
+bool assembly_input::is_evacuated(const schema::shared_replica& replica) const
+{
+    return std::any_of(replica.members().begin(), replica.members().end(),
+                       [this](const schema::shared_member& member) {
+                           const listed_backend* listed = backends->find(member.id());
+                           return listed != nullptr && is_evacuated(listed->server);
+                       });
+}
+
 bool leaving_but_usable(const listed_backend& member, bool is_head, time_point now,
                         const assembly_settings& settings)
 {
--- a/src/assembly/assembly_plan.h
+++ b/src/assembly/assembly_plan.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -119,7 +120,16 @@
     bool before_first_call = false;   // No call has come yet: loads are fast and not rate-limited.
     std::uint32_t load_allowance = 0; // After the first call: loads that may start now.
     bool list_is_current = true;      // The list of VMs was read recently.
+    std::set<std::string> evacuated;  // Failure domains without formation and loads.
     time_point now{};
+
+    /** \return true if no replica may form on the VM and no load may start there. */
+    bool is_evacuated(const backend& vm) const { return evacuated.contains(vm.failure_domain); }
+
+    /** \return true if a listed member is on an evacuated VM. The replica stays for the return of
+     * its domain, but doesn't count as capacity.
+     */
+    bool is_evacuated(const schema::shared_replica& replica) const;
 };
 
 struct planned_command {
--- a/src/assembly/formation_planner.cpp
+++ b/src/assembly/formation_planner.cpp
@@ -91,7 +91,7 @@
             return false;
         }
     }
-    return replica.phase() != schema::shared_phase_retiring;
+    return replica.phase() != schema::shared_phase_retiring && !in_.is_evacuated(replica);
 }
 
 std::map<std::string, std::uint32_t> formation_planner::counts_by_model() const
--- a/src/assembly/formation_planner.h
+++ b/src/assembly/formation_planner.h
@@ -51,7 +51,9 @@
     const std::map<std::string, std::uint32_t>& targets() const { return targets_; }
 
   private:
-    /** \return false when the replica retires, now or once a leaving member has left. */
+    /** \return false when the replica retires, now or once a leaving member has left, or takes no
+     * calls because its failure domain is evacuated.
+     */
     bool will_remain(const schema::shared_replica& replica) const;
     std::map<std::string, std::uint32_t> counts_by_model() const;
     domain_packing make_packing() const;
--- a/src/assembly/load_planner.cpp
+++ b/src/assembly/load_planner.cpp
@@ -126,7 +126,8 @@
         for (const schema::shared_member& member : replica.members()) {
             const listed_backend* listed = in_.backends->find(member.id());
             const bool remains = listed != nullptr && !listed->server.leaving &&
-                                 listed->server.started_ms == member.started_ms();
+                                 listed->server.started_ms == member.started_ms() &&
+                                 !in_.is_evacuated(listed->server);
             if (remains) {
                 remaining.push_back(&listed->server);
             }
@@ -141,6 +142,15 @@
     }
 }
 
+void load_planner::count_evacuated_loads()
+{
+    for (const auto& [id, listed] : in_.backends->all()) {
+        const bool loads = listed.server.service == in_.service &&
+                           in_.is_evacuated(listed.server) && loading(listed.server) != nullptr;
+        running_loads_ += loads ? 1 : 0;
+    }
+}
+
 void load_planner::build_domains(const std::vector<schema::shared_member>& taken)
 {
     std::set<std::string> taken_ids;
@@ -148,6 +158,7 @@
         taken_ids.insert(member.id());
     }
     count_released_vms();
+    count_evacuated_loads();
     const member_pool pool(in_);
     for (const auto& [name, vms] : pool.free_by_domain()) {
         domain_state& domain = domains_[name];
--- a/src/assembly/load_planner.h
+++ b/src/assembly/load_planner.h
@@ -70,6 +70,10 @@
 
     /** Counts the VMs that will be released by replicas which retire or have lost a member. */
     void count_released_vms();
+
+    /** Counts loads that began before their domain was evacuated: they still use the weight store.
+     */
+    void count_evacuated_loads();
     void build_domains(const std::vector<schema::shared_member>& taken);
 
     /** \return true when no replica serves the model and free VMs can form none. */
--- a/src/assembly/member_pool.cpp
+++ b/src/assembly/member_pool.cpp
@@ -51,7 +51,8 @@
 {
     const member_release release(input);
     for (const auto& [id, listed] : input.backends->all()) {
-        if (listed.server.service != input.service || listed.server.leaving) {
+        if (listed.server.service != input.service || listed.server.leaving ||
+            input.is_evacuated(listed.server)) {
             continue;
         }
         ++usable_[listed.server.fabric_domain];
--- a/src/assembly/member_pool.h
+++ b/src/assembly/member_pool.h
@@ -34,7 +34,9 @@
  */
 bool takes_calls(const backend& vm);
 
-/** The VMs of a service that belong to no replica, by fabric domain. */
+/** The VMs of a service that belong to no replica, by fabric domain. It leaves out VMs of evacuated
+ * failure domains.
+ */
 class member_pool {
   public:
     explicit member_pool(const assembly_input& input);
--- a/src/relay/fleet_codec.h
+++ b/src/relay/fleet_codec.h
@@ -30,6 +30,11 @@
 struct fleet_codec {
     std::string configuration_topic;
     std::string configuration_key;
+
+    // In the topic of the configuration: a record with the key PREFIX + DOMAIN evacuates a failure
+    // domain. Without a prefix, none can be evacuated.
+    std::string evacuation_key_prefix;
+
     std::string backend_topic;
     std::function<decoded<published_configuration_ptr>(const std::string& value)>
         read_configuration;
--- a/src/relay/fleet_view.h
+++ b/src/relay/fleet_view.h
@@ -7,6 +7,8 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
+#include <string>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -14,6 +16,7 @@
 #include "assembly/replica_ledger.h"
 #include "base/random.h"
 #include "fleet/backend_table.h"
+#include "fleet/evacuated_domains.h"
 #include "fleet/published_configuration.h"
 #include "fleet/topic_follower.h"
 #include "relay/fleet_codec.h"
@@ -97,7 +100,7 @@
     /** Called with each new configuration that is applied. */
     std::function<void(const published_configuration_ptr&)> on_configuration;
 
-    /** Called when backend servers or replicas have changed. */
+    /** Called when backend servers, replicas or the evacuated domains have changed. */
     std::function<void()> on_change;
 
     /** \return true while this node is the leader, which needs an up-to-date list. */
@@ -175,6 +178,18 @@
 
     const published_configuration_ptr& configuration() const { return current_configuration_; }
     const backend_table& backends() const { return backends_; }
+
+    /** \return the failure domains whose servers must get no calls. */
+    const std::set<std::string>& evacuated() const { return evacuated_.domains(); }
+
+    /** \return when this node learnt that the last evacuation of the domain had ended; nothing
+     * while it is evacuated, and if none has ended recently.
+     */
+    std::optional<time_point> evacuation_ended_at(const std::string& domain) const
+    {
+        return evacuated_.ended_at(domain);
+    }
+
     const replica_ledger& ledger() const { return ledger_; }
     std::optional<duration> configuration_age() const { return configuration_follower_.age(); }
     /** \return true if the last read of the configuration succeeded and was recent. */
@@ -191,6 +206,8 @@
   private:
     void load_configuration(const keyed_records& records);
     void apply_configuration(const keyed_records& records, bool is_in_log);
+    void note_evacuations(const evacuation_changes& changes, const char* return_reason);
+    void end_unwritten_evacuations();
     void load_backends(const keyed_records& records);
     void apply_backends(const keyed_records& records);
     std::optional<backend> read_backend(const keyed_record& record) const;
@@ -210,6 +227,7 @@
     random_source random_;
     fleet_view_settings settings_;
     backend_table backends_;
+    evacuated_domains evacuated_;
     replica_ledger ledger_;
     published_configuration_ptr current_configuration_;
     keyed_record current_document_;    // The record of the current configuration.
--- /dev/null
+++ b/src/relay/fleet_view_configuration.cpp
@@ -0,0 +1,159 @@
+/** \file
+ * Implements the part of fleet_view that follows the topic of the operators: the configuration and
+ * the evacuated failure domains.
+ */
+#include <algorithm>
+#include <utility>
+
+#include "base/event_log.h"
+#include "relay/fleet_view.h"
+
+namespace chervildyke {
+
+namespace asio = boost::asio;
+
+namespace {
+
+const event_log view_log("view");
+
+constexpr duration max_unconfirmed_age = 50ms; // Of the configuration when a long poll begins.
+
+} // namespace
+
+void fleet_view::load_configuration(const keyed_records& records)
+{
+    version_in_log_ = 0; // A restored log may have lost the newest one.
+    note_evacuations(evacuated_.replace(records, monotonic_clock::now()), "not in the log");
+    apply_configuration(records, true);
+}
+
+/** \param is_in_log false for records that another topic holds. */
+void fleet_view::apply_configuration(const keyed_records& records, bool is_in_log)
+{
+    for (const keyed_record& record : records.records) {
+        if (record.key != codec_.configuration_key || !record.value) {
+            continue;
+        }
+        auto read = codec_.read_configuration(*record.value);
+        const std::string offset = std::to_string(record.offset);
+        if (!read) {
+            view_log.write("configuration_rejected",
+                           {{"offset", offset}, {"reason", read.failure().reason}});
+            continue;
+        }
+        const std::uint64_t version = (*read)->version();
+        version_in_log_ = is_in_log ? std::max(version_in_log_, version) : version_in_log_;
+        if (current_configuration_ && version <= current_configuration_->version()) {
+            view_log.write("configuration_skipped",
+                           {{"offset", offset},
+                            {"version", std::to_string(version)},
+                            {"in_force", std::to_string(current_configuration_->version())}});
+            continue;
+        }
+        current_configuration_ = *read;
+        current_document_ = record;
+        view_log.write("configuration_in_force",
+                       {{"offset", offset},
+                        {"version", std::to_string(version)},
+                        {"routes", std::to_string(current_configuration_->routes().size())}});
+        on_configuration(current_configuration_);
+    }
+}
+
+std::optional<keyed_record> fleet_view::configuration_missing_in_log() const
+{
+    const bool is_missing = configuration_follower_.is_loaded() && current_configuration_ &&
+                            current_configuration_->version() > version_in_log_;
+    return is_missing ? std::optional(current_document_) : std::nullopt;
+}
+
+void fleet_view::note_evacuations(const evacuation_changes& changes, const char* return_reason)
+{
+    for (const std::string& domain : changes.evacuated) {
+        const auto& listed = backends_.all();
+        const auto servers = std::count_if(listed.begin(), listed.end(), [&](const auto& entry) {
+            return entry.second.server.failure_domain == domain;
+        });
+        view_log.write("domain_evacuated",
+                       {{"domain", domain}, {"servers", std::to_string(servers)}});
+    }
+    for (const std::string& domain : changes.returned) {
+        view_log.write("domain_returned", {{"domain", domain}, {"reason", return_reason}});
+    }
+    if (!changes.empty()) {
+        on_change();
+    }
+}
+
+/** Ends evacuations that operators did not write again after the log was restored. */
+void fleet_view::end_unwritten_evacuations()
+{
+    const auto age = configuration_follower_.age();
+    if (age && configuration_follower_.is_loaded()) {
+        const time_point now = monotonic_clock::now();
+        note_evacuations(evacuated_.end_unwritten(now - *age, now),
+                         "not written again after the log was restored");
+    }
+}
+
+asio::awaitable<void> fleet_view::follow_configuration()
+{
+    const auto self = shared_from_this();
+    while (true) {
+        end_unwritten_evacuations();
+        if (!must_read_configuration()) {
+            co_await sleep_for(settings_.list_age_check_interval);
+            continue;
+        }
+        if (!co_await configuration_follower_.read_once(configuration_wait())) {
+            co_await sleep_for(settings_.retry_interval);
+        }
+        else {
+            note_era(configuration_follower_.position().era);
+            // The log itself decides, not what a peer reported.
+            newest_peer_configuration_end_ = configuration_follower_.position();
+            if (!current_configuration_) {
+                co_await sleep_for(settings_.forming_backend_interval); // None is published yet.
+            }
+        }
+    }
+}
+
+bool fleet_view::must_read_configuration() const
+{
+    const auto age = configuration_follower_.age();
+    return is_leader() || reads_log_directly() || !current_configuration_ || !age ||
+           !configuration_follower_.is_loaded() || *age > settings_.max_shared_configuration_age ||
+           newest_peer_configuration_end_ > configuration_follower_.position();
+}
+
+/** \return the long-poll time of a read of the configuration. */
+duration fleet_view::configuration_wait() const
+{
+    const bool shared = settings_.max_shared_configuration_age > duration::zero();
+    if (current_configuration_ && !is_leader() && !reads_log_directly()) {
+        return duration::zero(); // The read only replaces a missing report of the reader.
+    }
+    // A read that ended early, with a new configuration, confirms only what was in force when it
+    // began. A read without a wait confirms the rest, so that the age stays below one long poll.
+    if (configuration_follower_.age().value_or(duration::zero()) > max_unconfirmed_age) {
+        return duration::zero();
+    }
+    const duration usual =
+        is_leader() ? settings_.leader_configuration_wait : settings_.configuration_wait;
+    return shared ? std::min(usual, settings_.max_shared_configuration_age / 2) : usual;
+}
+
+void fleet_view::note_configuration_end(log_position end)
+{
+    note_era(end.era);
+    newest_peer_configuration_end_ = std::max(newest_peer_configuration_end_, end);
+}
+
+void fleet_view::confirm_configuration(log_position end, duration age)
+{
+    note_configuration_end(end);
+    configuration_follower_.confirm(end, age);
+}
+
+} // namespace chervildyke
--- a/src/relay/plain_relay.cpp
+++ b/src/relay/plain_relay.cpp
@@ -28,7 +28,12 @@
 
 constexpr std::uint32_t max_sends = 4;      // Attempts of one call, including refused ones.
 constexpr duration min_retry_after = 200ms; // Longer than the queue of a backend server lasts.
-constexpr duration deadline_margin = 3ms;   // Reserved for sending the answer before the deadline.
+
+// An evacuation lasts until an operator withdraws it, so a call that returns sooner would only be
+// refused again.
+constexpr duration evacuated_retry_after = 1s;
+
+constexpr duration deadline_margin = 3ms; // Reserved for sending the answer before the deadline.
 
 // Time of an attempt after which another may follow, as a multiple of the latency target.
 constexpr int attempt_timeout_per_target = 2;
@@ -65,24 +70,29 @@
     return candidates;
 }
 
-/** \return the Retry-After of a refusal: min_retry_after, or the end of the shortest pause if all
- * servers have asked for one.
+/** \return the Retry-After of a refusal: min_retry_after, the end of the shortest pause if all
+ * servers have asked for one, or evacuated_retry_after if only evacuated servers are left.
  */
 duration retry_after(const relayed_call& call)
 {
     const time_point now = monotonic_clock::now();
     std::optional<time_point> soonest;
+    bool has_evacuated = false;
     for (const auto& [id, listed] : call.context.backends->all()) {
         if (listed.server.service != call.service || listed.server.leaving) {
             continue;
         }
         const backend_availability current =
             call.context.availability(incarnation_of(listed.server), now);
+        has_evacuated = has_evacuated || call.context.is_evacuated(listed.server.failure_domain);
         const time_point until = current.paused_until.value_or(now);
         if (!current.leaving && (!soonest || until < *soonest)) {
             soonest = until;
         }
     }
+    if (!soonest && has_evacuated) {
+        return evacuated_retry_after;
+    }
     return std::max<duration>(min_retry_after, soonest ? *soonest - now : duration::zero());
 }
 
--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -86,14 +86,22 @@
      */
     std::function<std::optional<duration>()> configuration_age;
 
+    /** \return true if no call may be sent to servers of the failure domain. */
+    std::function<bool(const std::string& domain)> is_evacuated = [](const std::string&) {
+        return false;
+    };
+
     /** \return whether the server may be called, by its notices and by its entry in the list: one
-     * that has expired counts as leaving.
+     * that has expired, or whose failure domain is evacuated, counts as leaving.
      */
     backend_availability availability(const backend_incarnation& server, time_point now) const
     {
         backend_availability current = notices->availability(server, now);
         const listed_backend* listed = backends->find(server.id);
-        current.leaving = current.leaving || (listed != nullptr && listed->has_expired(now));
+        const bool is_out_of_use =
+            listed != nullptr &&
+            (listed->has_expired(now) || is_evacuated(listed->server.failure_domain));
+        current.leaving = current.leaving || is_out_of_use;
         return current;
     }
 
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -100,6 +100,11 @@
     context_.metrics->add_gauge("chervil_answer_bytes_available", [this] {
         return static_cast<double>(context_.buffered.available_bytes());
     });
+    context_.is_evacuated = [this](const std::string& domain) {
+        return view_->evacuated().contains(domain);
+    };
+    context_.metrics->add_gauge("chervil_evacuated_domains",
+                                [this] { return static_cast<double>(view_->evacuated().size()); });
     context_.configuration = [this] { return served_configuration(); };
     context_.configuration_age = [this] { return view_->configuration_age(); };
     view_->on_configuration = [this](const published_configuration_ptr& configuration) {
@@ -147,6 +152,7 @@
         return !context_.notices->availability(incarnation_of(vm), monotonic_clock::now())
                     .paused_until;
     };
+    assembling.evacuated_domains = [this] { return view_->evacuated(); };
     assembling.demand_ms_per_s = [this] { return demand(); };
     assembling.refresh_ledger = [this] { return view_->read_replicas(); };
     assembling.apply_records = [this](const keyed_records& records) {
--- a/src/relay/relayed_call.cpp
+++ b/src/relay/relayed_call.cpp
@@ -50,14 +50,17 @@
     options.timeout = std::max<duration>(std::min(timeout, time_left()), 1ms);
     options.connect_timeout = connect_timeout;
     options.cancel = cancel;
-    options.should_send = [this, target] {
+    // The server may disappear from the list before the attempt is sent.
+    const listed_backend* listed = context.backends->find(target.id);
+    const std::string domain = listed != nullptr ? listed->server.failure_domain : std::string();
+    options.should_send = [this, target, domain] {
         if (exchange.peer_has_closed()) {
             end.reason = "its connection had ended before an attempt was sent";
             cancel->cancel();
         }
         const backend_availability current = context.availability(target, monotonic_clock::now());
         return !cancel->cancelled() && context.stopping.may_send(deadline, route->retry) &&
-               !current.leaving && !current.paused_until;
+               !current.leaving && !current.paused_until && !context.is_evacuated(domain);
     };
     options.matches_request = [read_metadata = context.codec.read_metadata,
                                id = parameters.id](const std::vector<http_header>& headers) {
--- a/src/relay/shared_reading.cpp
+++ b/src/relay/shared_reading.cpp
@@ -171,6 +171,9 @@
     std::vector<schema::peer_word> messages;
     std::size_t bytes = max_forwarded_bytes;
     for (const keyed_record& record : read.records) {
+        if (record.value && record.value->empty()) {
+            continue; // A message can't tell it from a deletion; nodes that miss it read the log.
+        }
         const std::size_t size = record.key.size() + (record.value ? record.value->size() : 0);
         if (bytes + size > max_forwarded_bytes) {
             schema::topic_news& news = *messages.emplace_back().mutable_news();
