--- a/test/support/assembly_fixture.h
+++ b/test/support/assembly_fixture.h
@@ -44,6 +44,7 @@
             vm.id = domain + std::to_string(i);
             vm.service = "pool";
             vm.fabric_domain = domain;
+            vm.failure_domain = domain;
             vm.started_ms = 1;
             backends.apply(vm, now);
         }
@@ -60,6 +61,7 @@
         input.uses = uses;
         input.before_first_call = before_first_call;
         input.load_allowance = load_allowance;
+        input.evacuated = evacuated;
         input.now = now;
         return plan_assembly(input, settings);
     }
@@ -126,6 +128,7 @@
     std::set<std::string> unresponsive; // VMs that execute no command.
     bool before_first_call = true;
     std::uint32_t load_allowance = 1000;
+    std::set<std::string> evacuated; // Domains.
 
   private:
     void execute(const planned_command& planned)
