Limit the calls of all nodes to a cold server

All nodes find such a server empty and send to it at once; callers then see the failed calls of a crashed server.

Cause: nodes read neither cold-remaining-ms of a server's entry nor cold-per-s of its service.

Where a service sets cold-per-s, a few nodes, chosen by rendezvous hashing of the live nodes, each send an equal whole number of calls a second to a cold server, and the others none. A node that hears only a part of the fleet chooses correspondingly fewer. A replica with a limited head counts as full; a plain service's calls go elsewhere or get a Retry-After.

No run with real processes yet.

--- a/src/fleet/backend.h
+++ b/src/fleet/backend.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "base/clock.h"
 #include "fleet/backend_incarnation.h"
 
 namespace chervildyke {
@@ -40,6 +41,11 @@
     std::vector<std::string> staged_models; // Held in its host's memory.
     std::optional<replica_membership> membership;
 
+    /** How much longer it was cold when it wrote the entry; zero if it was not, nothing if the
+     * entry does not say.
+     */
+    std::optional<duration> cold_remaining;
+
     bool operator==(const backend&) const = default;
 };
 
--- a/src/fleet/backend_table.cpp
+++ b/src/fleet/backend_table.cpp
@@ -31,6 +31,9 @@
     listed_backend& listed = backends_[entry.id];
     backend known = listed.server;
     known.loaded_model = entry.loaded_model;
+    known.cold_remaining = entry.cold_remaining;
+    backend published = entry;
+    published.cold_remaining.reset();
     if (known != entry || listed.expires_at) {
         ++version_;
     }
@@ -42,7 +45,7 @@
     const bool same_incarnation = listed.server.started_ms == entry.started_ms;
     std::string loaded = entry.loaded_model.empty() && same_incarnation ? listed.server.loaded_model
                                                                         : entry.loaded_model;
-    if (same_incarnation && listed.published != entry) {
+    if (same_incarnation && listed.published != published) {
         std::deque<backend>& earlier = replaced_[entry.id];
         earlier.push_back(listed.published);
         if (earlier.size() > max_replaced_entries) {
@@ -52,7 +55,12 @@
     else if (!same_incarnation) {
         replaced_.erase(entry.id);
     }
-    listed = {entry, now, std::nullopt, entry.leaving ? leaving_since : std::nullopt, entry};
+    const bool is_known = same_incarnation && !listed.server.id.empty();
+    const std::optional<time_point> appeared_at = is_known       ? listed.appeared_at
+                                                  : is_complete_ ? std::optional(now)
+                                                                 : std::nullopt;
+    listed = {entry,     now,        std::nullopt, entry.leaving ? leaving_since : std::nullopt,
+              published, appeared_at};
     listed.server.loaded_model = std::move(loaded);
 }
 
@@ -83,10 +91,12 @@
 {
     const listed_backend* known = find(entry.id);
     const auto earlier = replaced_.find(entry.id);
-    if (known == nullptr || known->published == entry || earlier == replaced_.end()) {
+    backend published = entry;
+    published.cold_remaining.reset();
+    if (known == nullptr || known->published == published || earlier == replaced_.end()) {
         return false;
     }
-    return std::find(earlier->second.begin(), earlier->second.end(), entry) !=
+    return std::find(earlier->second.begin(), earlier->second.end(), published) !=
            earlier->second.end();
 }
 
@@ -110,6 +120,7 @@
 
 void backend_table::retain(const std::vector<std::string>& ids, time_point now)
 {
+    is_complete_ = true;
     std::vector<std::string> missing;
     for (const auto& [id, listed] : backends_) {
         if (std::find(ids.begin(), ids.end(), id) == ids.end()) {
--- a/src/fleet/backend_table.h
+++ b/src/fleet/backend_table.h
@@ -22,7 +22,10 @@
     // Set while it is missing from the list: when it is removed.
     std::optional<time_point> expires_at;
     std::optional<time_point> leaving_since; // When this incarnation was first listed as leaving.
-    backend published;                       // The newest entry, as it was in the list.
+    // The newest entry, as it was in the list, but without cold_remaining, which changes with time.
+    backend published;
+    // When this incarnation was first listed; nothing if it was in the first list that was read.
+    std::optional<time_point> appeared_at;
 
     /** \return true if it may not be used any more, whether or not it was removed yet. */
     bool has_expired(time_point now) const { return expires_at && *expires_at <= now; }
@@ -70,7 +73,7 @@
     const listed_backend* find(const std::string& id) const;
     const std::map<std::string, listed_backend>& all() const { return backends_; }
 
-    /** Increases with each change other than a heartbeat or the loaded model. */
+    /** Increases with each change other than a heartbeat, the loaded model or the cold time. */
     std::uint64_t version() const { return version_; }
 
   private:
@@ -86,6 +89,7 @@
     std::map<std::string, listed_backend> backends_;
     std::map<std::string, std::deque<backend>> replaced_; // By id: earlier entries of the server.
     std::uint64_t version_ = 0;
+    bool is_complete_ = false; // The list was read whole once.
 };
 
 } // namespace chervildyke
--- a/src/fleet/published_configuration.h
+++ b/src/fleet/published_configuration.h
@@ -50,11 +50,20 @@
     bool operator==(const call_route&) const = default;
 };
 
+/** How a service's backend servers start slowly. */
+struct cold_start_rule {
+    double calls_per_s = 0;   // To one cold server, from all nodes; zero if there is no limit.
+    duration start_time = 3s; // For which a server is cold after its start.
+
+    bool operator==(const cold_start_rule&) const = default;
+};
+
 /** A service that backend servers provide. */
 struct backend_service {
     std::string name;
     std::uint32_t max_connections = 0;    // To one backend server, over all callers.
     std::optional<engine_profile> engine; // Set if model engines provide the service.
+    cold_start_rule cold;
 
     bool operator==(const backend_service&) const = default;
 };
--- a/src/members/peer_gossip.h
+++ b/src/members/peer_gossip.h
@@ -105,6 +105,9 @@
     /** True when there are more addresses than one interval sends to: the fleet is large. */
     bool fleet_exceeds_fanout() const { return addresses_.size() > settings_.fanout; }
 
+    /** \return the number of other nodes' addresses, whether or not they are live. */
+    std::size_t known_addresses() const { return addresses_.size(); }
+
     /** The other nodes that are live. */
     std::vector<const known_node*> live() const;
 
--- a/src/relay/plain_relay.cpp
+++ b/src/relay/plain_relay.cpp
@@ -58,15 +58,15 @@
             call.context.availability(incarnation_of(listed.server), now);
         const bool usable = listed.server.service == call.service && !listed.server.leaving &&
                             !current.leaving && !current.paused_until;
-        if (usable) {
+        if (usable && (!call.context.cold || call.context.cold->may_call(call.service, id, now))) {
             candidates.push_back({listed.server.address, listed.server.failure_domain});
         }
     }
     return candidates;
 }
 
-/** \return the Retry-After of a refusal: min_retry_after, or the end of the shortest pause if all
- * servers have asked for one.
+/** \return the Retry-After of a refusal: min_retry_after, or the time until the first server may be
+ * called if all of them have asked for a pause or are cold.
  */
 duration retry_after(const relayed_call& call)
 {
@@ -78,7 +78,9 @@
         }
         const backend_availability current =
             call.context.availability(incarnation_of(listed.server), now);
-        const time_point until = current.paused_until.value_or(now);
+        const time_point warm_at =
+            call.context.cold ? call.context.cold->next_call_at(call.service, id, now) : now;
+        const time_point until = std::max(current.paused_until.value_or(now), warm_at);
         if (!current.leaving && (!soonest || until < *soonest)) {
             soonest = until;
         }
@@ -214,6 +216,9 @@
     ++call_.end.sends;
     call_.end.backend = running.target.id;
     call_.context.backend_lb->note_start(running.target.address);
+    if (call_.context.cold) {
+        call_.context.cold->note_sent(call_.service, running.target.id, now);
+    }
     asio::co_spawn(call_.context.executor, send_once(call_, running.target, running.cancel),
                    [this, &running](const std::exception_ptr& thrown, attempt_end end) {
                        running.thrown = thrown;
--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -18,6 +18,7 @@
 #include "fleet/backend_table.h"
 #include "fleet/published_configuration.h"
 #include "relay/call_codec.h"
+#include "relay/cold_servers.h"
 #include "relay/replica_queue.h"
 #include "relay/stop_grace.h"
 #include "routing/backend_balancer.h"
@@ -54,6 +55,7 @@
     std::shared_ptr<crash_evidence> crashes = std::make_shared<crash_evidence>();
     std::shared_ptr<prompt_turns> turns = std::make_shared<prompt_turns>(system_random());
     demand_meter demand;
+    std::shared_ptr<cold_servers> cold; // Null if no server is limited.
     const backend_table* backends = nullptr;
     std::map<std::string, retry_budget> budgets; // By service.
     byte_budget buffered{32U << 20U}; // Answers and events, buffered until they are whole; a fifth
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -97,6 +97,12 @@
                                                                 *context_.crashes, random_);
     context_.backend_lb = std::make_shared<backend_balancer>(settings_.failure_domain(), random_);
     context_.backends = &view_->backends();
+    cold_server_hooks cold;
+    cold.configuration = [this] { return view_->configuration(); };
+    cold.list_age = [this] { return view_->backend_age(); };
+    context_.cold = std::make_shared<cold_servers>(settings_.name(), view_->backends(),
+                                                   context_.metrics, std::move(cold));
+    context_.cold->limit_replicas(*context_.replica_lb);
     context_.metrics->add_gauge("chervil_answer_bytes_available", [this] {
         return static_cast<double>(context_.buffered.available_bytes());
     });
@@ -334,20 +340,20 @@
 }
 
 /** Periodically chooses the node that reads the log, drops the usage reported by nodes that are no
- * longer live, divides the retry budget by the live nodes, and in a large fleet prefers replicas in
- * this node's failure domain.
+ * longer live, divides the retry budget and the calls to cold servers by the live nodes, and in a
+ * large fleet prefers replicas in this node's failure domain.
  */
 asio::awaitable<void> relay_node::run_fleet_checks()
 {
     while (true) {
         co_await sleep_for(fleet_check_interval);
         reading_->update(context_.leaving);
-        std::set<std::string> live;
-        for (const known_node* node : peers_->live()) {
-            live.insert(node->state.name());
+        cold_limit_peers peers = peers_of(*peers_);
+        context_.replica_lb->retain_peers(peers.live);
+        context_.turns->set_nodes(peers.live.size() + 1);
+        if (context_.cold->update(std::move(peers), ready(), monotonic_clock::now())) {
+            context_.queue->admit_waiting(); // This node may call a cold server again.
         }
-        context_.replica_lb->retain_peers(live);
-        context_.turns->set_nodes(live.size() + 1);
         apply_limits();
         context_.replica_lb->prefer_domain(
             peers_->fleet_exceeds_fanout() ? settings_.failure_domain() : "");
--- a/src/relay/replica_queue.cpp
+++ b/src/relay/replica_queue.cpp
@@ -23,7 +23,8 @@
 {
     return std::to_string(found.serving) + " replicas, " + std::to_string(found.full) + " full, " +
            std::to_string(found.stalled) + " stalled, " + std::to_string(found.excluded) +
-           " excluded";
+           " excluded" +
+           (found.cold > 0 ? ", " + std::to_string(found.cold) + " of the full ones cold" : "");
 }
 
 } // namespace
@@ -74,6 +75,9 @@
         return std::nullopt;
     }
     result.outcome = replica_queue_outcome::admitted;
+    if (balancer_.on_chosen) {
+        balancer_.on_chosen(found.selected->replica, now);
+    }
     result.slot = std::make_unique<replica_balancer::call>(balancer_, found.selected->replica.epoch,
                                                            request.wanted.prompt_tokens, now);
     result.selected = std::move(found.selected);
--- a/src/relay/streaming_call.cpp
+++ b/src/relay/streaming_call.cpp
@@ -251,6 +251,10 @@
     running.slot = std::move(granted.slot);
     running.sent_at = monotonic_clock::now();
     const selected_replica& selected = running.selected;
+    if (call_.context.cold) {
+        call_.context.cold->note_sent(selected.replica.service, selected.replica.head_id,
+                                      running.sent_at);
+    }
     tried_.insert(selected.replica.epoch);
     ++call_.end.sends;
     call_.end.backend = selected.replica.head_id;
--- a/src/routing/replica_balancer.cpp
+++ b/src/routing/replica_balancer.cpp
@@ -167,7 +167,11 @@
             preferred_domain_.empty() || replica.failure_domain == preferred_domain_;
         const double fill =
             is_local ? fill_limit : std::min(fill_limit, settings_.remote_fill_limit);
-        const bool full = use.running >= fill * profile->second.batch_slots;
+        const bool no_slot = use.running >= fill * profile->second.batch_slots;
+        const bool cold =
+            !stalled && !no_slot && head_may_be_called && !head_may_be_called(replica, now);
+        const bool full = no_slot || cold;
+        selection.cold += cold ? 1 : 0;
         selection.stalled += stalled ? 1 : 0;
         selection.full += full && !stalled ? 1 : 0;
         if (!stalled && !full) {
--- a/src/routing/replica_balancer.h
+++ b/src/routing/replica_balancer.h
@@ -73,6 +73,7 @@
     std::optional<time_point> paused_until;   // The earliest end of a pause of a replica's head.
     std::uint32_t serving = 0;                // Replicas of the model whose head accepts calls.
     std::uint32_t full = 0;                   // Of these, replicas without a free slot,
+    std::uint32_t cold = 0;                   // full replicas whose head is cold,
     std::uint32_t stalled = 0;                // stalled replicas,
     std::uint32_t excluded = 0; // and replicas excluded after a failure or tried by this call.
 };
@@ -118,6 +119,14 @@
      */
     std::function<backend_availability(const serving_replica&, time_point)> head_availability;
 
+    /** Returns false if this node may not send a call to a replica's head now, since that is cold;
+     * may be empty. Such a replica counts as full.
+     */
+    std::function<bool(const serving_replica&, time_point)> head_may_be_called;
+
+    /** Called when a replica was chosen for a call that is sent next; may be empty. */
+    std::function<void(const serving_replica&, time_point)> on_chosen;
+
     /** Prefers replicas of a failure domain, whose counts are the most recent at this node; empty
      * for no preference. */
     void prefer_domain(std::string failure_domain)
