--- a/test/correctness/fleet_backend_table.cpp
+++ b/test/correctness/fleet_backend_table.cpp
@@ -82,3 +82,37 @@
     CHECK(fixture.table.remove_expired(fixture.now + 1900ms).empty());
     CHECK(fixture.table.remove_expired(fixture.now + 2s) == std::vector<std::string>{"a"});
 }
+
+// Guards against a plan for each heartbeat of a cold server, and against an old copy of the list
+// that is not recognized, since the time for which a server stays cold differs in each entry.
+TEST_CASE("the cold time of an entry does not make it a different one")
+{
+    table_fixture fixture;
+    backend joining = member("a", membership_phase::joining);
+    joining.cold_remaining = 3s;
+    backend open = member("a", membership_phase::open);
+    fixture.table.apply(joining, fixture.now);
+    const std::uint64_t version = fixture.table.version();
+    joining.cold_remaining = 2s;
+    fixture.table.apply(joining, fixture.now + 1s);
+    CHECK(fixture.table.version() == version);
+    CHECK(fixture.table.find("a")->server.cold_remaining == 2s);
+    CHECK(fixture.table.find("a")->last_seen_at == fixture.now + 1s);
+    fixture.table.apply(open, fixture.now + 2s);
+    joining.cold_remaining = 1s;
+    fixture.table.restore({joining}, fixture.now + 3s);
+    CHECK(fixture.table.find("a")->server == open);
+}
+
+TEST_CASE("an incarnation that was not in the first list has just appeared")
+{
+    table_fixture fixture;
+    fixture.table.apply(server("a"), fixture.now);
+    fixture.table.retain({"a"}, fixture.now);
+    CHECK_FALSE(fixture.table.find("a")->appeared_at);
+    fixture.table.apply(server("b"), fixture.now + 1s);
+    fixture.table.apply(server("b"), fixture.now + 2s);
+    fixture.table.apply(server("a", 2), fixture.now + 3s);
+    CHECK(fixture.table.find("b")->appeared_at == fixture.now + 1s);
+    CHECK(fixture.table.find("a")->appeared_at == fixture.now + 3s);
+}
--- a/test/error/platform_decoding.cpp
+++ b/test/error/platform_decoding.cpp
@@ -204,3 +204,34 @@
     command.kind = command_kind::stage;
     CHECK(platform::encode_command(command) == R"({"model":"m0","operation":"stage"})");
 }
+
+TEST_CASE("the limit of cold servers and the time for which one stays cold are decoded")
+{
+    const auto service_with = [](const std::string& fields) {
+        std::string text = configuration;
+        const std::string name = R"({"name":"orders")";
+        text.insert(text.find(name) + name.size(), "," + fields);
+        const auto read = platform::read_configuration(text);
+        REQUIRE(read);
+        return (*read)->find_service("orders")->cold;
+    };
+    CHECK(service_with(R"("cold-per-s":14,"cold-start-s":2.5)") == cold_start_rule{14, 2500ms});
+    CHECK(service_with(R"("cold-per-s":14)") == cold_start_rule{14, 3s});
+    CHECK(service_with(R"("cold-start-s":2)").calls_per_s == 0);
+    const auto remaining = [](const std::string& value) {
+        std::string text = backend_entry("ready");
+        text.insert(1, R"("cold-remaining-ms":)" + value + ",");
+        const auto read = platform::read_backend("i-1", text);
+        REQUIRE(read);
+        return read->cold_remaining;
+    };
+    CHECK(remaining("1800") == 1800ms);
+    CHECK(remaining("0") == 0ms);
+    CHECK_FALSE(platform::read_backend("i-1", backend_entry("ready"))->cold_remaining);
+    // Guards against a list entry or a configuration that is lost because of one invalid number.
+    for (const std::string invalid : {"-1", "null", "\"3000\"", "[]"}) {
+        CHECK_FALSE(remaining(invalid));
+        CHECK(service_with("\"cold-per-s\":" + invalid).calls_per_s == 0);
+    }
+    CHECK(remaining("1e300") == 10min);
+}
