--- a/src/routing/cold_server_limit.cpp
+++ b/src/routing/cold_server_limit.cpp
@@ -18,9 +18,8 @@
 // and its records take 0.5 s to reach 64 nodes.
 constexpr duration max_list_delay = 1200ms;
 
-constexpr duration counting_window = 1s; // The rate holds for any second.
-
-// Far above the longest window, which is that of a service with a call in ten seconds.
+// The longest time in which calls are counted; a rate of less than one call in it is raised to
+// that.
 constexpr double max_window_s = 10;
 
 // The rounding of shares must not lose a whole call to the error of a division.
