--- a/test/correctness/routing_cold_servers.cpp
+++ b/test/correctness/routing_cold_servers.cpp
@@ -143,7 +143,7 @@
 // Guards against two halves of a partitioned fleet that each use the whole rate.
 TEST_CASE("the parts of a partitioned fleet stay within the limit together")
 {
-    for (const std::size_t parts : {2, 3, 8, 72}) {
+    for (const std::size_t parts : {2U, 3U, 8U, 72U}) {
         greedy_fleet fleet;
         fleet.hears = [parts](std::size_t node, std::size_t other) {
             return node % parts == other % parts;
