--- a/src/routing/fair_queue.cpp
+++ b/src/routing/fair_queue.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <utility>
 
 namespace chervildyke {
 
@@ -22,7 +23,7 @@
     const double start = std::max(virtual_time_, tenant.finish_tag);
     tenant.finish_tag = start + 1.0 / tenant.share;
     ++tenant.waiting;
-    const order_key key{-static_cast<std::int64_t>(call.priority), start, ++arrivals_};
+    const order_key key{-static_cast<std::int64_t>(call.priority), start + call.delay, ++arrivals_};
     order_.emplace(key, call);
     by_id_.emplace(call.id, key);
 }
@@ -34,7 +35,7 @@
     }
     const auto first = order_.begin();
     queued_call call = first->second;
-    virtual_time_ = std::max(virtual_time_, std::get<1>(first->first));
+    virtual_time_ = std::max(virtual_time_, std::get<1>(first->first) - call.delay);
     order_.erase(first);
     by_id_.erase(call.id);
     drop_one(call.tenant);
@@ -54,6 +55,29 @@
     return true;
 }
 
+bool fair_queue::set_priority(std::uint64_t id, std::uint32_t priority)
+{
+    const auto found = by_id_.find(id);
+    if (found == by_id_.end()) {
+        return false;
+    }
+    auto place = order_.extract(found->second);
+    std::get<0>(place.key()) = -static_cast<std::int64_t>(priority);
+    place.mapped().priority = priority;
+    found->second = place.key();
+    order_.insert(std::move(place));
+    return true;
+}
+
+std::vector<std::uint64_t> fair_queue::ids() const
+{
+    std::vector<std::uint64_t> ids;
+    for (const auto& [key, call] : order_) {
+        ids.push_back(call.id);
+    }
+    return ids;
+}
+
 void fair_queue::drop_one(const std::string& tenant)
 {
     --tenants_[tenant].waiting;
@@ -101,8 +125,8 @@
 
 std::size_t fair_queue::calls_ahead(const queued_call& call) const
 {
-    const order_key key{-static_cast<std::int64_t>(call.priority), next_start_tag(call.tenant),
-                        arrivals_ + 1};
+    const order_key key{-static_cast<std::int64_t>(call.priority),
+                        next_start_tag(call.tenant) + call.delay, arrivals_ + 1};
     return static_cast<std::size_t>(std::distance(order_.begin(), order_.lower_bound(key)));
 }
 
--- a/src/routing/fair_queue.h
+++ b/src/routing/fair_queue.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <vector>
 
 #include "base/clock.h"
 
@@ -22,6 +23,7 @@
     std::uint32_t share = 1;
     std::uint32_t priority = 0; // Higher values go first, unlike those of call_route.
     time_point deadline{};
+    double delay = 0; // Moves it back among calls of its priority, in calls of one team.
 
     bool operator==(const queued_call&) const = default;
 };
@@ -41,6 +43,13 @@
      * \return false if it was not in the queue. */
     bool remove(std::uint64_t id);
 
+    /** Changes the priority of a call; its tenant is not charged again.
+     * \return false if it was not in the queue. */
+    bool set_priority(std::uint64_t id, std::uint32_t priority);
+
+    /** \return the ids of the queued calls in the order in which they leave. */
+    std::vector<std::uint64_t> ids() const;
+
     std::size_t size() const { return order_.size(); }
     std::size_t size_of(const std::string& tenant) const;
 
@@ -67,7 +76,7 @@
         std::uint32_t share = 1;
         std::size_t waiting = 0;
     };
-    // The negated priority, the start tag and the order of arrival.
+    // The negated priority, the start tag with the delay, and the order of arrival.
     using order_key = std::tuple<std::int64_t, double, std::uint64_t>;
 
     double next_start_tag(const std::string& tenant) const;
--- a/src/routing/replica_balancer.cpp
+++ b/src/routing/replica_balancer.cpp
@@ -171,6 +171,8 @@
         selection.stalled += stalled ? 1 : 0;
         selection.full += full && !stalled ? 1 : 0;
         if (!stalled && !full) {
+            const std::uint32_t slots = profile->second.batch_slots;
+            selection.open_slots += slots - std::min(use.running, slots);
             const duration first = model_latency.time_to_first_event(use.running, use.prompt_tokens,
                                                                      request.prompt_tokens);
             (is_local ? local : remote).push_back({&replica, error.correct(first), use.running});
@@ -322,6 +324,12 @@
     return slots;
 }
 
+std::uint32_t replica_balancer::batch_slots(const std::string& service) const
+{
+    const auto profile = profiles_.find(service);
+    return profile == profiles_.end() ? 0 : profile->second.batch_slots;
+}
+
 replica_balancer::call::call(replica_balancer& balancer, std::uint64_t epoch,
                              std::uint32_t prompt_tokens, time_point now)
     : balancer_(balancer), epoch_(epoch), pending_prompt_tokens_(prompt_tokens)
--- a/src/routing/replica_balancer.h
+++ b/src/routing/replica_balancer.h
@@ -74,7 +74,8 @@
     std::uint32_t serving = 0;                // Replicas of the model whose head accepts calls.
     std::uint32_t full = 0;                   // Of these, replicas without a free slot,
     std::uint32_t stalled = 0;                // stalled replicas,
-    std::uint32_t excluded = 0; // and replicas excluded after a failure or tried by this call.
+    std::uint32_t excluded = 0;   // and replicas excluded after a failure or tried by this call.
+    std::uint32_t open_slots = 0; // Free slots of the replicas that may take the call.
 };
 
 /** Timeouts and limits of a replica_balancer. */
@@ -185,6 +186,8 @@
     /** \return the calls of all nodes at replicas of the model. */
     std::uint32_t running_calls_of_model(const std::string& service, const std::string& model,
                                          time_point now) const;
+    /** \return the batch slots of one replica of the service; zero if unknown. */
+    std::uint32_t batch_slots(const std::string& service) const;
     /** \return the batch slots of all replicas of the model. */
     std::uint32_t slots_of_model(const std::string& service, const std::string& model) const;
 
