Let an attempt state its priority to the model engine

The engine's own queue did not know which call was more urgent, or late. An attempt may now set X-Request-Priority, which replaces that of the caller; without one the request is as before.

--- a/src/relay/call_codec.h
+++ b/src/relay/call_codec.h
@@ -37,6 +37,9 @@
     std::string team;       // Empty if the route needs no key.
     duration time_left{};
     std::optional<std::uint64_t> last_event;
+    // In the engine's queue, 0 to 9, zero first; replaces that of the caller. None: it is
+    // forwarded.
+    std::optional<std::uint32_t> priority;
 
     bool operator==(const attempt_parameters&) const = default;
 };
--- a/src/relay/relayed_call.cpp
+++ b/src/relay/relayed_call.cpp
@@ -22,7 +22,8 @@
 } // namespace
 
 http_request relayed_call::attempt(const std::string& backend_id,
-                                   std::optional<std::uint64_t> last_event) const
+                                   std::optional<std::uint64_t> last_event,
+                                   std::optional<std::uint32_t> engine_priority) const
 {
     attempt_parameters added;
     added.backend_id = backend_id;
@@ -30,6 +31,7 @@
     const duration until_stop = context.stopping.calls_end() - monotonic_clock::now();
     added.time_left = std::max<duration>(std::min(time_left(), until_stop), 1ms);
     added.last_event = last_event;
+    added.priority = engine_priority;
     return context.codec.write_attempt(exchange.request(), added);
 }
 
--- a/src/relay/relayed_call.h
+++ b/src/relay/relayed_call.h
@@ -53,9 +53,11 @@
 
     duration time_left() const { return deadline - monotonic_clock::now(); }
 
-    /** \return the request of the next attempt. */
-    http_request attempt(const std::string& backend_id,
-                         std::optional<std::uint64_t> last_event) const;
+    /** \return the request of the next attempt.
+     * \param engine_priority in the engine's queue; none: that of the caller.
+     */
+    http_request attempt(const std::string& backend_id, std::optional<std::uint64_t> last_event,
+                         std::optional<std::uint32_t> engine_priority = std::nullopt) const;
 
     /** Options for an attempt.
      * \param timeout time until the head of the answer.
