Let calls wait by rank where routes differ in priority

A call waited for at most 0.6 of its target, was refused, came back and was refused again; late calls kept the fill limit of their first attempt. Now a call in time goes before a late one, a late one waits while the admissions of all nodes reach it before its deadline, and it is refused as soon as they no longer do, with a Retry-After from the expected wait. The queue of services with one priority is unchanged.

--- a/src/relay/call_demand.cpp
+++ b/src/relay/call_demand.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 
+#include "routing/overload_policy.h"
 #include "routing/replica_latency_model.h"
 
 namespace chervildyke {
@@ -58,6 +59,55 @@
     return std::clamp(spare, share(min_wait_share), share(max_wait_share));
 }
 
+/** \return the tokens of the answer that are expected. */
+double answer_tokens(const relayed_call& call, const engine_profile& engine)
+{
+    const double usual = engine.usual_answer_tokens;
+    const double most =
+        call.parameters.max_answer_tokens > 0 ? call.parameters.max_answer_tokens : usual;
+    return std::min(most,
+                    call.parameters.answer_hint.value_or(static_cast<std::uint32_t>(usual)) * 1.0);
+}
+
+// Of the predicted time of an answer. The engine serves late calls last, and answers may be longer
+// than expected.
+constexpr double answer_time_factor = 1.2;
+
+/** \return what decides about the call, or nullopt if calls of its service do not differ in
+ * urgency. */
+std::optional<overload_terms> make_overload_terms(const relayed_call& call,
+                                                  const replica_request& wanted, bool is_late)
+{
+    const backend_service* service = call.configuration->find_service(call.service);
+    const model_profile* model = service != nullptr && service->engine
+                                     ? service->engine->find(call.parameters.model)
+                                     : nullptr;
+    if (model == nullptr || !call.configuration->has_mixed_priorities(call.service)) {
+        return std::nullopt;
+    }
+    const engine_profile& engine = *service->engine;
+    const replica_latency_model latency(engine, *model);
+    const double answer = answer_tokens(call, engine);
+    const duration needed =
+        call.context.replica_lb->first_event_of_full_batch(wanted) +
+        std::chrono::duration_cast<duration>(latency.step_time(engine.batch_slots) * answer);
+    overload_terms terms;
+    terms.priority = call.priority;
+    terms.has_started = call.end.sends > 0;
+    terms.in_time_until = is_late ? time_point::min() : call.arrived_at + max_wait(call, wanted);
+    terms.deadline = call.deadline;
+    terms.start_by =
+        call.deadline - std::chrono::duration_cast<duration>(needed * answer_time_factor);
+    const duration usual =
+        latency.replica_time_of_call(engine.usual_prompt_tokens, engine.usual_answer_tokens);
+    if (usual > duration::zero()) {
+        const duration work = latency.replica_time_of_call(wanted.prompt_tokens, answer);
+        terms.relative_work =
+            static_cast<double>(work.count()) / static_cast<double>(usual.count());
+    }
+    return terms;
+}
+
 } // namespace
 
 void note_demand(const relayed_call& call)
@@ -67,11 +117,7 @@
     if (model == nullptr || is_returning(call)) {
         return;
     }
-    const double usual = service->engine->usual_answer_tokens;
-    const double most =
-        call.parameters.max_answer_tokens > 0 ? call.parameters.max_answer_tokens : usual;
-    const double answer = std::min(
-        most, call.parameters.answer_hint.value_or(static_cast<std::uint32_t>(usual)) * 1.0);
+    const double answer = answer_tokens(call, *service->engine);
     const replica_latency_model latency(*service->engine, *model);
     call.context.demand.note(call.parameters.model,
                              latency.replica_time_of_call(call.parameters.prompt_tokens, answer),
@@ -101,6 +147,10 @@
         request.fill_limit = late_fill_limit;
     }
     request.wait_until = std::min(request.wait_until, call.deadline);
+    request.overload = make_overload_terms(call, request.wanted, is_late(call, started));
+    if (request.overload && request.overload->has_started) {
+        request.overload->start_by = request.wait_until;
+    }
     return request;
 }
 
--- a/src/relay/replica_queue.h
+++ b/src/relay/replica_queue.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -14,7 +15,10 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "base/clock.h"
+#include "base/random.h"
 #include "routing/fair_queue.h"
+#include "routing/model_load.h"
+#include "routing/overload_policy.h"
 #include "routing/replica_balancer.h"
 
 namespace chervildyke {
@@ -26,6 +30,8 @@
     time_point wait_until{};   // Refused afterwards.
     double fill_limit = 1;     // Fraction of a replica's slots that may be used before the call.
     bool is_failover = false;  // It was sent before; it is not refused before wait_until.
+    // Where calls differ in urgency: replaces urgency, wait_until and fill_limit.
+    std::optional<overload_terms> overload;
 };
 
 enum class replica_queue_outcome { admitted, no_replica, too_many_waiting, waited_too_long };
@@ -39,6 +45,9 @@
     std::unique_ptr<replica_balancer::call> slot; // Occupies a slot of the replica while it exists.
     std::optional<time_point> paused_until; // All replicas have asked for no calls until then.
     std::string replica_summary;            // State of the model's replicas, for the log.
+    // Set if the request has overload terms: the rank at the end of the wait,
+    std::optional<call_rank> rank;
+    std::optional<duration> retry_after; // and of a refusal.
 };
 
 struct replica_queue_settings {
@@ -50,7 +59,7 @@
 class replica_queue {
   public:
     replica_queue(boost::asio::any_io_executor executor, replica_balancer& balancer,
-                  replica_queue_settings settings = {});
+                  replica_queue_settings settings = {}, random_source random = system_random());
 
     /** Waits until a replica has a free slot, request.wait_until has passed, or the call is
      * refused.
@@ -67,6 +76,23 @@
      */
     void admit_waiting();
 
+    /** Reports what becomes of calls with overload terms: "started", "waiting", "refused" or, of
+     * one that has waited, "given_up". May be empty.
+     */
+    std::function<void(const char* decision, const call_rank& rank)> on_decision;
+
+    /** Adds the time for which a call has occupied a slot of the model. */
+    void note_held(const std::string& service, const std::string& model, duration held);
+
+    /** Replaces what a peer has reported of the calls that wait there. */
+    void note_peer_waiting(const std::string& peer, waiting_counts waiting)
+    {
+        peers_.note(peer, std::move(waiting), monotonic_clock::now());
+    }
+
+    /** \return the waiting calls with overload terms, to be reported to peers. */
+    waiting_counts own_waiting() const;
+
     /** Refuses the waiting calls and all later ones, since the process ends. */
     void close();
 
@@ -75,14 +101,27 @@
 
   private:
     struct waiter;
+    using waiter_map = std::map<std::uint64_t, std::shared_ptr<waiter>>;
     struct model_queue { // The waiting calls of one model.
         fair_queue order;
-        std::map<std::uint64_t, std::shared_ptr<waiter>> waiters;
+        waiter_map waiters;
         double admissions_per_s = 0;
         time_point rate_at{};
+        model_load load;
+        time_point reviewed_at{};
     };
 
     std::optional<replica_queue_result> try_admit(const replica_queue_request& request);
+    boost::asio::awaitable<replica_queue_result> admit_by_rank(replica_queue_request request);
+    std::optional<duration> wait_of(const std::string& name, const model_queue& queue,
+                                    const call_rank& rank, double local_ahead,
+                                    time_point now) const;
+    replica_queue_result refusal(const replica_queue_request& request,
+                                 replica_queue_outcome outcome, std::optional<duration> wait,
+                                 time_point now);
+    void review_waiting(const std::string& name, model_queue& queue, time_point now);
+    static rank_counts counts_of(const waiter_map& waiters);
+    void report(const char* decision, const call_rank& rank) const;
     bool must_refuse(const model_queue& queue, const replica_queue_request& request,
                      time_point now) const;
     void record_admission(model_queue& queue, time_point now);
@@ -90,7 +129,9 @@
     boost::asio::any_io_executor executor_;
     replica_balancer& balancer_;
     replica_queue_settings settings_;
+    random_source random_;
     std::map<std::string, model_queue> model_queues_; // By "service/model".
+    peer_waiting_calls peers_;
     std::uint64_t next_id_ = 0;
     bool admitting_ = false;
     bool closed_ = false;
--- a/src/relay/streaming_call.cpp
+++ b/src/relay/streaming_call.cpp
@@ -179,7 +179,8 @@
 asio::awaitable<attempt_end> streaming_call::attempt(running_attempt& running)
 {
     const serving_replica& replica = running.selected.replica;
-    http_request request = call_.attempt(replica.head_id, forwarder_.last_event());
+    http_request request =
+        call_.attempt(replica.head_id, forwarder_.last_event(), running.priority);
     http_call_options options = call_.options(usable_time_left(), head_incarnation(replica));
     options.cancel = running.cancel;
     auto opened =
@@ -250,6 +251,9 @@
     running.selected = std::move(*granted.selected);
     running.slot = std::move(granted.slot);
     running.sent_at = monotonic_clock::now();
+    if (granted.rank) {
+        running.priority = engine_priority(*granted.rank);
+    }
     const selected_replica& selected = running.selected;
     tried_.insert(selected.replica.epoch);
     ++call_.end.sends;
@@ -316,6 +320,10 @@
     if (attempts_.empty()) {
         prompt_.note_end();
     }
+    if (done->end->result == attempt_result::complete) {
+        call_.context.queue->note_held(call_.service, call_.parameters.model,
+                                       monotonic_clock::now() - done->sent_at);
+    }
     call_.context.queue->admit_waiting();
     attempt_end end = std::move(*done->end);
     call_.end.runs += end.result == attempt_result::not_run ? 0 : 1;
@@ -347,8 +355,8 @@
 duration streaming_call::retry_after() const
 {
     const double part = random_fraction(call_.context.random);
-    const duration usual =
-        min_retry_after + std::chrono::duration_cast<duration>(retry_after_spread * part);
+    const duration usual = expected_room_.value_or(
+        min_retry_after + std::chrono::duration_cast<duration>(retry_after_spread * part));
     return paused_until_ ? std::max<duration>(usual, *paused_until_ - monotonic_clock::now())
                          : usual;
 }
@@ -405,6 +413,7 @@
         const std::string& reason = slot.refusal->reason;
         last.reason = last.reason.empty() ? reason : last.reason + "; then " + reason;
         paused_until_ = slot.refusal->until;
+        expected_room_ = slot.granted.retry_after;
         co_return false;
     }
     start(std::move(slot.granted));
--- a/src/relay/streaming_call.h
+++ b/src/relay/streaming_call.h
@@ -58,6 +58,7 @@
         selected_replica selected;
         std::unique_ptr<replica_balancer::call> slot;
         time_point sent_at{};
+        std::optional<std::uint32_t> priority; // In the engine's queue.
         std::shared_ptr<http_cancel> cancel = std::make_shared<http_cancel>();
         std::unique_ptr<stall_detector> detector;
         bool has_replacement = false;   // Another attempt was started because this one is silent.
@@ -112,6 +113,7 @@
     timer attempt_ended_;                                    // Cancelled when an attempt ends.
     std::shared_ptr<timer> write_limit_; // Expires after the deadline; reset when the call ends.
     std::optional<time_point> paused_until_; // All replicas have asked for no calls until then.
+    std::optional<duration> expected_room_;  // Retry-After by which room for the call is expected.
 };
 
 } // namespace chervildyke
