--- a/src/relay/message_values.cpp
+++ b/src/relay/message_values.cpp
@@ -3,6 +3,7 @@
  */
 #include "relay/message_values.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -55,6 +56,31 @@
     }
 }
 
+waiting_counts from_messages(const waiting_messages& messages)
+{
+    // More calls never wait for one model at a node; a larger number must not stop all later ranks.
+    constexpr std::uint32_t max_calls = 1000;
+    waiting_counts waiting;
+    for (const schema::waiting_call_count& message : messages) {
+        if (const auto rank = rank_from_number(message.rank()); rank && message.calls() > 0) {
+            waiting[message.model()][*rank] = std::min(message.calls(), max_calls);
+        }
+    }
+    return waiting;
+}
+
+void to_messages(const waiting_counts& waiting, waiting_messages& messages)
+{
+    for (const auto& [model, counts] : waiting) {
+        for (const auto& [rank, calls] : counts) {
+            schema::waiting_call_count& message = *messages.Add();
+            message.set_model(model);
+            message.set_rank(to_number(rank));
+            message.set_calls(calls);
+        }
+    }
+}
+
 std::uint32_t to_whole_ms(duration span)
 {
     return static_cast<std::uint32_t>(
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -80,7 +80,12 @@
         return std::chrono::duration<double>(context_.lag.current()).count();
     });
     context_.replica_lb = std::make_shared<replica_balancer>(random_);
-    context_.queue = std::make_shared<replica_queue>(executor_, *context_.replica_lb);
+    context_.queue = std::make_shared<replica_queue>(executor_, *context_.replica_lb,
+                                                     replica_queue_settings(), random_);
+    context_.queue->on_decision = [this](const char* decision, const call_rank& rank) {
+        context_.metrics->counter("chervil_overload_decisions_total",
+                                  {{"decision", decision}, {"rank", to_text(rank)}}) += 1;
+    };
     context_.notices = hooks_.notices;
     context_.notices->on_change = [this](const backend_incarnation& server,
                                          const backend_availability& availability) {
@@ -285,6 +290,7 @@
         peers_->fleet_exceeds_fanout() && state.failure_domain() != settings_.failure_domain();
     context_.replica_lb->note_peer_usage(state.name(), from_messages(state.counts()),
                                          monotonic_clock::now(), is_remote);
+    context_.queue->note_peer_waiting(state.name(), from_messages(state.waiting_calls()));
     crash_exchange_->apply_state(state);
     context_.queue->admit_waiting();
     calls_began_ = calls_began_ || state.calls_began();
@@ -330,6 +336,7 @@
         }
     }
     to_messages(context_.replica_lb->own_usage(now), *state.mutable_counts());
+    to_messages(context_.queue->own_waiting(), *state.mutable_waiting_calls());
     crash_exchange_->fill_state(state);
 }
 
