Keep the rank of a call that engines have only refused

A late call that an engine had refused counted as sent before and went ahead of calls in time. It now keeps its rank unless an attempt may have run.

--- a/src/relay/call_demand.cpp
+++ b/src/relay/call_demand.cpp
@@ -93,7 +93,9 @@
         std::chrono::duration_cast<duration>(latency.step_time(engine.batch_slots) * answer);
     overload_terms terms;
     terms.priority = call.priority;
-    terms.has_started = call.end.sends > 0;
+    // A call that engines have only refused keeps its rank: it lost no part of an answer, and a
+    // late one would go before those in time.
+    terms.has_started = call.end.sends > call.end.not_run;
     terms.in_time_until = is_late ? time_point::min() : call.arrived_at + max_wait(call, wanted);
     terms.deadline = call.deadline;
     terms.start_by =
--- a/src/relay/relayed_call.h
+++ b/src/relay/relayed_call.h
@@ -19,10 +19,11 @@
     unsigned status = 0; // Sent to the caller; zero if the connection was closed without one.
     // One of complete, refused, failed, backend_failed, broken_off, caller_left.
     std::string outcome;
-    std::string reason;      // Of caller_left: what showed that the caller had disconnected.
-    std::string backend;     // The last one that the call was sent to.
-    std::uint32_t runs = 0;  // Attempts that may have been executed.
-    std::uint32_t sends = 0; // All attempts.
+    std::string reason;        // Of caller_left: what showed that the caller had disconnected.
+    std::string backend;       // The last one that the call was sent to.
+    std::uint32_t runs = 0;    // Attempts that may have been executed.
+    std::uint32_t sends = 0;   // All attempts.
+    std::uint32_t not_run = 0; // Attempts that were certainly not executed.
     std::uint32_t events = 0;
     duration waited{};                       // For the first slot at a replica.
     std::optional<duration> first_event;     // Of a stream; time since the call arrived.
--- a/src/relay/streaming_call.cpp
+++ b/src/relay/streaming_call.cpp
@@ -326,7 +326,7 @@
     }
     call_.context.queue->admit_waiting();
     attempt_end end = std::move(*done->end);
-    call_.end.runs += end.result == attempt_result::not_run ? 0 : 1;
+    (end.result == attempt_result::not_run ? call_.end.not_run : call_.end.runs) += 1;
     if (end.result != attempt_result::complete && end.result != attempt_result::caller_left) {
         log_failed_attempt(call_, done->selected, done->sent_at, end.reason);
     }
--- a/src/routing/model_load.cpp
+++ b/src/routing/model_load.cpp
@@ -53,7 +53,7 @@
     for (const auto& [other, held] : admissions_) {
         const double weight = decayed(held.weight, now - held.at);
         all += weight;
-        from += other >= rank ? weight : 0;
+        from += other < rank ? 0 : weight;
     }
     return all > 0 ? from / all : 1;
 }
--- a/src/routing/overload_policy.h
+++ b/src/routing/overload_policy.h
@@ -4,10 +4,10 @@
  */
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 
 #include "base/clock.h"
 
@@ -25,7 +25,11 @@
     call_standing standing = call_standing::in_time;
     std::uint32_t priority = 0; // Of call_route; zero is the most urgent.
 
-    auto operator<=>(const call_rank&) const = default;
+    bool operator==(const call_rank&) const = default;
+    bool operator<(const call_rank& other) const
+    {
+        return std::tie(standing, priority) < std::tie(other.standing, other.priority);
+    }
 };
 
 /** What decides about a call while it waits. */
