Divide VMs between models by the cost of refused calls

Callers saw: with a large and a small model at equal configured shares, 2,318 of 10,454 calls of the most urgent kind were refused, and none of the less urgent ones.

Cause: half of each model's target came from the configured share, and the urgency of the calls was no input, so the less urgent model kept spare capacity.

Change: where the routes of an engine service have different priorities, nodes report their demand by priority, and the leader chooses the numbers of replicas with the lowest expected cost of refusals, of at least two replicas for each model with demand. A split is kept until another one is clearly better for 3 s. Formation, loads and spares follow the targets, so each lost replica moves the split.

--- a/src/assembly/assembler.cpp
+++ b/src/assembly/assembler.cpp
@@ -52,6 +52,15 @@
     return text;
 }
 
+std::string counts_text(const replica_counts& counts)
+{
+    std::string text;
+    for (const auto& [model, count] : counts) {
+        text += (text.empty() ? "" : ",") + model + ":" + std::to_string(count);
+    }
+    return text;
+}
+
 } // namespace
 
 assembler::assembler(asio::any_io_executor executor, shared_log log, engine_calls engines,
@@ -219,6 +228,25 @@
     return now - growth.grew_at < list_settle_time && now - growth.began_at < max_list_growth_time;
 }
 
+void assembler::note_split(const std::string& service, const assembly_plan& plan)
+{
+    if (!plan.split) {
+        return;
+    }
+    hooks_.on_split(*plan.split);
+    const bool first = splits_[service].adopted.empty();
+    splits_[service] = plan.split->state;
+    if (first || plan.split->changed) {
+        assembly_log.write("model_split",
+                           {{"service", service},
+                            {"targets", counts_text(plan.split->targets)},
+                            {"replicas", counts_text(plan.counts)},
+                            {"demand_ms_per_s", demand_text(hooks_.demand_ms_per_s())},
+                            {"refusal_cost", std::to_string(std::lround(plan.split->cost))},
+                            {"cost_of_all", std::to_string(std::lround(plan.split->cost_of_all))}});
+    }
+}
+
 asio::awaitable<void> assembler::reconcile(const std::string& service,
                                            const engine_profile& profile)
 {
@@ -237,10 +265,15 @@
     input.uses = balancer_.total_usage(now);
     input.demand_ms_per_s = hooks_.demand_ms_per_s();
     input.before_first_call = !calls_began;
+    if (calls_began && hooks_.services()->has_mixed_priorities(service)) {
+        demand_.note(hooks_.demand_of_priorities(), now);
+        input.split = split_input{demand_.recent(), splits_[service]};
+    }
     input.load_allowance = static_cast<std::uint32_t>(std::max(load_tokens_, 0.0));
     input.list_is_current = hooks_.list_is_current();
     input.now = now;
     assembly_plan plan = plan_assembly(input, settings_);
+    note_split(service, plan);
     if (plan.free_vms != logged_free_vms_) {
         logged_free_vms_ = plan.free_vms;
         assembly_log.write("free_vms", {{"service", service},
@@ -307,6 +340,7 @@
             leadership_changed_at_ = now;
             load_tokens_ = 0;
             load_tokens_refilled_at_ = now;
+            splits_.clear(); // Other leaders may have changed the split since.
             assembly_log.write(is_leader ? "lead_taken" : "lead_given_up",
                                {{"ledger_era", std::to_string(ledger_.end().era)},
                                 {"ledger_end", std::to_string(ledger_.end().offset)}});
--- a/src/assembly/assembler.h
+++ b/src/assembly/assembler.h
@@ -44,6 +44,12 @@
     /** \return the demand of all nodes by model: replica time in ms per second. */
     std::function<std::map<std::string, double>()> demand_ms_per_s;
 
+    /** \return the demand of all nodes by model and priority. */
+    std::function<demand_by_priority()> demand_of_priorities;
+
+    /** Called after each plan that divides the VMs by demand of different priorities. */
+    std::function<void(const split_decision&)> on_split;
+
     /** Reads the replicas topic once, so that the next append is made at the end of the log. */
     std::function<boost::asio::awaitable<void>()> refresh_ledger;
 
@@ -76,6 +82,9 @@
     /** Makes one plan for a service and executes it. */
     boost::asio::awaitable<void> reconcile(const std::string& service,
                                            const engine_profile& profile);
+
+    /** Stores what a plan decided on the split between models, and logs a change. */
+    void note_split(const std::string& service, const assembly_plan& plan);
     bool list_is_growing(const std::string& service);
     boost::asio::awaitable<void> append(std::vector<keyed_record> records);
     boost::asio::awaitable<void> send(backend vm, planned_command planned);
@@ -103,6 +112,8 @@
         time_point grew_at{};  // When vms last increased.
     };
     std::map<std::string, list_growth> list_growth_; // By service.
+    std::map<std::string, split_state> splits_;      // By service.
+    demand_history demand_;
     timer next_plan_;
     time_point planned_at_{};
     double load_tokens_ = 0; // Token bucket: loads that may start now.
--- a/src/assembly/assembly_plan.cpp
+++ b/src/assembly/assembly_plan.cpp
@@ -56,6 +56,8 @@
             formation.run();
             builder_.plan.records.insert(builder_.plan.records.end(), formation.records().begin(),
                                          formation.records().end());
+            builder_.plan.counts = formation.counts();
+            builder_.plan.split = formation.split();
             load_models(formation);
             retirement_.close_orphans();
         }
--- a/src/assembly/assembly_plan.h
+++ b/src/assembly/assembly_plan.h
@@ -6,11 +6,13 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "assembly/assembly_history.h"
 #include "assembly/engine_command.h"
+#include "assembly/model_split.h"
 #include "assembly/replica_ledger.h"
 #include "base/clock.h"
 #include "fleet/backend_table.h"
@@ -105,6 +107,14 @@
      * load that replaces a used spare.
      */
     double spare_share = 0.1;
+
+    model_split_settings split;
+};
+
+/** From what the split of the VMs between models is decided, where calls differ in urgency. */
+struct split_input {
+    std::map<std::string, recent_demand> demand; // By model.
+    split_state state;                           // Of the last decision.
 };
 
 /** The state from which a plan is made. */
@@ -116,6 +126,7 @@
     const assembly_history* history = nullptr;
     std::map<std::uint64_t, replica_usage> uses;   // Of all nodes, by epoch.
     std::map<std::string, double> demand_ms_per_s; // Replica time demanded, by model.
+    std::optional<split_input> split; // Empty: the configured shares and demand_ms_per_s count.
     bool before_first_call = false;   // No call has come yet: loads are fast and not rate-limited.
     std::uint32_t load_allowance = 0; // After the first call: loads that may start now.
     bool list_is_current = true;      // The list of VMs was read recently.
@@ -137,6 +148,8 @@
     std::vector<std::string> probes;   // VMs.
     std::vector<std::uint64_t> closed; // Epochs of replicas whose heads are known to serve no more.
     std::string free_vms;              // The free VMs from which loads were chosen, for the log.
+    replica_counts counts;             // Replicas that form or serve, new ones included.
+    std::optional<split_decision> split; // Set if the input has a split.
 };
 
 /** \return true while a replica may take calls although the member is leaving. The member serves
--- a/src/assembly/domain_packing.cpp
+++ b/src/assembly/domain_packing.cpp
@@ -83,12 +83,18 @@
     return vms;
 }
 
-std::map<std::string, std::uint32_t> domain_packing::targets() const
+std::uint32_t domain_packing::replica_vms_of_all() const
 {
     std::uint32_t fill = 0;
     for (const auto& [name, domain] : domains_) {
         fill += max_fill(replica_vm_limit(domain));
     }
+    return fill;
+}
+
+std::map<std::string, std::uint32_t> domain_packing::targets() const
+{
+    const std::uint32_t fill = replica_vms_of_all();
     std::map<std::string, std::uint32_t> targets;
     std::uint32_t left = fill;
     for (const model_share& model : models_) {
--- a/src/assembly/domain_packing.h
+++ b/src/assembly/domain_packing.h
@@ -53,6 +53,9 @@
     domain_packing(std::vector<model_share> models, std::map<std::string, domain_capacity> domains,
                    double spare_share);
 
+    /** \return how many VMs the replicas of all domains can use. */
+    std::uint32_t replica_vms_of_all() const;
+
     /** \return how many replicas of each model the domains should hold, at least one. */
     std::map<std::string, std::uint32_t> targets() const;
 
--- a/src/assembly/formation_planner.cpp
+++ b/src/assembly/formation_planner.cpp
@@ -67,9 +67,9 @@
 
 void formation_planner::run()
 {
+    replica_counts_ = counts_by_model();
     const domain_packing packing = make_packing();
     targets_ = packing.targets();
-    replica_counts_ = counts_by_model();
     if (in_.before_first_call) {
         form_from_packing(packing);
         return;
@@ -104,7 +104,24 @@
     return counts;
 }
 
-domain_packing formation_planner::make_packing() const
+std::vector<model_share> formation_planner::split_shares(std::uint32_t vms)
+{
+    std::vector<split_model> models;
+    for (const model_profile& model : in_.profile->models) {
+        const auto demand = in_.split->demand.find(model.name);
+        models.push_back({model.name, model.replica_size,
+                          demand == in_.split->demand.end() ? recent_demand() : demand->second});
+    }
+    split_ = decide_split(models, vms, replica_counts_, in_.split->state, in_.now, settings_.split);
+    std::vector<model_share> shares;
+    for (const split_model& model : models) {
+        const double used = split_->targets.at(model.name) * model.replica_size;
+        shares.push_back({model.name, model.replica_size, used / vms});
+    }
+    return shares;
+}
+
+domain_packing formation_planner::make_packing()
 {
     std::map<std::string, domain_capacity> domains;
     for (const auto& [name, vms] : pool_.usable_by_domain()) {
@@ -116,8 +133,13 @@
             ++domains[head->server.fabric_domain].replicas[replica.model()];
         }
     }
-    return domain_packing(model_shares(*in_.profile, in_.demand_ms_per_s, settings_),
-                          std::move(domains), settings_.spare_share);
+    domain_packing packing(model_shares(*in_.profile, in_.demand_ms_per_s, settings_), domains,
+                           settings_.spare_share);
+    const std::uint32_t vms = packing.replica_vms_of_all();
+    if (!in_.split || in_.before_first_call || vms == 0) {
+        return packing;
+    }
+    return domain_packing(split_shares(vms), std::move(domains), settings_.spare_share);
 }
 
 void formation_planner::form(const model_profile& model,
--- a/src/assembly/formation_planner.h
+++ b/src/assembly/formation_planner.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,11 +51,19 @@
     /** \return the number of replicas wanted, by model. */
     const std::map<std::string, std::uint32_t>& targets() const { return targets_; }
 
+    /** \return the decision on the split between models, if the input asks for one. */
+    const std::optional<split_decision>& split() const { return split_; }
+
   private:
     /** \return false when the replica retires, now or once a leaving member has left. */
     bool will_remain(const schema::shared_replica& replica) const;
     std::map<std::string, std::uint32_t> counts_by_model() const;
-    domain_packing make_packing() const;
+    domain_packing make_packing();
+
+    /** \return the models with shares that give each its number of replicas in the best split.
+     * \param vms how many VMs replicas may use.
+     */
+    std::vector<model_share> split_shares(std::uint32_t vms);
     void form(const model_profile& model, const std::vector<schema::shared_member>& members);
 
     /** Forms the missing replicas of the packing, also of VMs that have to load the model. */
@@ -74,6 +83,7 @@
     member_pool pool_;
     std::map<std::string, std::uint32_t> replica_counts_;
     std::map<std::string, std::uint32_t> targets_;
+    std::optional<split_decision> split_;
     std::vector<schema::shared_member> taken_;
     std::vector<keyed_record> records_;
 };
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -185,6 +185,12 @@
     gauges_[name] = std::move(read);
 }
 
+void metrics_registry::add_gauges(const std::string& name, const std::string& label,
+                                  std::function<std::map<std::string, double>()> read)
+{
+    labelled_gauges_[name] = {label, std::move(read)};
+}
+
 std::string metrics_registry::to_text() const
 {
     std::ostringstream out;
@@ -197,6 +203,14 @@
     for (const auto& [name, read] : gauges_) {
         out << "# TYPE " << name << " gauge\n" << name << " " << read() << "\n";
     }
+    for (const auto& [name, gauges] : labelled_gauges_) {
+        const std::map<std::string, double> values = gauges.read();
+        out << (values.empty() ? "" : "# TYPE " + name + " gauge\n");
+        for (const auto& [value_of_label, value] : values) {
+            out << name << in_braces(label_text({{gauges.label, value_of_label}})) << " " << value
+                << "\n";
+        }
+    }
     for (const auto& [name, label_sets] : histograms_) {
         out << "# TYPE " << name << " histogram\n";
         for (const auto& [labels, values] : label_sets) {
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -78,6 +78,12 @@
      */
     void add_gauge(const std::string& name, std::function<double()> read);
 
+    /** Adds gauges that differ in the value of one label. Nothing is written while there are none.
+     * \param read returns their values by that of the label.
+     */
+    void add_gauges(const std::string& name, const std::string& label,
+                    std::function<std::map<std::string, double>()> read);
+
     /** \return all metrics in the Prometheus text format. */
     std::string to_text() const;
 
@@ -93,6 +99,12 @@
     std::map<std::string, family<std::uint64_t>> counters_;
     std::map<std::string, family<histogram>> histograms_;
     std::map<std::string, std::function<double()>> gauges_;
+
+    struct labelled_gauges {
+        std::string label;
+        std::function<std::map<std::string, double>()> read;
+    };
+    std::map<std::string, labelled_gauges> labelled_gauges_;
 };
 
 } // namespace chervildyke
--- a/src/relay/call_demand.cpp
+++ b/src/relay/call_demand.cpp
@@ -75,7 +75,7 @@
     const replica_latency_model latency(*service->engine, *model);
     call.context.demand.note(call.parameters.model,
                              latency.replica_time_of_call(call.parameters.prompt_tokens, answer),
-                             call.arrived_at);
+                             call.arrived_at, std::min(call.priority, max_priority));
 }
 
 replica_queue_request make_slot_request(const relayed_call& call,
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -11,6 +11,7 @@
 #include "base/milliseconds.h"
 #include "base/task.h"
 #include "members/leader_ranking.h"
+#include "relay/demand_report.h"
 #include "relay/message_values.h"
 #include "relay/peer_topics.h"
 #include "relay/serve_call.h"
@@ -147,7 +148,18 @@
         return !context_.notices->availability(incarnation_of(vm), monotonic_clock::now())
                     .paused_until;
     };
-    assembling.demand_ms_per_s = [this] { return demand(); };
+    assembling.demand_ms_per_s = [this] {
+        return total_demand(context_.demand, peers_->live(), monotonic_clock::now());
+    };
+    assembling.demand_of_priorities = [this] {
+        return total_demand_by_priority(context_.demand, peers_->live(), monotonic_clock::now());
+    };
+    assembling.on_split = [this](const split_decision& split) {
+        for (const auto& [model, count] : split.targets) {
+            replica_targets_[model] = count;
+        }
+    };
+    add_replica_gauges();
     assembling.refresh_ledger = [this] { return view_->read_replicas(); };
     assembling.apply_records = [this](const keyed_records& records) {
         view_->apply_replica_records(records);
@@ -159,6 +171,23 @@
                                              std::move(assembling), assembly);
 }
 
+/** Only the leader, which decides the targets, writes these gauges. */
+void relay_node::add_replica_gauges()
+{
+    context_.metrics->add_gauges("chervil_replica_targets", "model", [this] {
+        return assembler_->leading() ? replica_targets_ : std::map<std::string, double>();
+    });
+    context_.metrics->add_gauges("chervil_replicas_serving", "model", [this] {
+        std::map<std::string, double> serving;
+        if (assembler_->leading() && !replica_targets_.empty()) {
+            for (const serving_replica& replica : view_->serving()) {
+                ++serving[replica.model];
+            }
+        }
+        return serving;
+    });
+}
+
 void relay_node::record_availability(const backend_incarnation& server,
                                      const backend_availability& availability)
 {
@@ -316,11 +345,7 @@
     state.set_sound_store(view_->store_is_healthy());
     state.set_calls_began(calls_began_);
     state.set_up_ms(to_whole_ms(now - started_at_));
-    for (const auto& [model, rate] : context_.demand.rates(now)) {
-        schema::model_demand& demand = *state.add_demands();
-        demand.set_model(model);
-        demand.set_work_ms_per_s(rate);
-    }
+    report_demand(context_.demand, view_->configuration(), now, state);
     state.set_leading(assembler_->leading());
     state.set_processor_share(settings_.processor_share());
     set_topics(*view_, assembler_->leading(), state);
@@ -391,17 +416,6 @@
     return true;
 }
 
-std::map<std::string, double> relay_node::demand() const
-{
-    std::map<std::string, double> total = context_.demand.rates(monotonic_clock::now());
-    for (const known_node* node : peers_->live()) {
-        for (const schema::model_demand& part : node->state.demands()) {
-            total[part.model()] += part.work_ms_per_s();
-        }
-    }
-    return total;
-}
-
 std::vector<std::string> relay_node::call_addresses()
 {
     std::vector<std::string> healthy; // Nodes that can reach the store.
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include <map>
 #include <memory>
 #include <string>
 
@@ -65,9 +66,9 @@
     void apply_peer_state(const schema::peer_word& state);
     void fill_own_state(schema::peer_word& state);
     std::vector<std::string> call_addresses();
-    std::map<std::string, double> demand() const;
     bool listen(http_server& server, const std::string& address);
     void apply_limits();
+    void add_replica_gauges();
     void record_availability(const backend_incarnation& server,
                              const backend_availability& availability);
     void add_seed_addresses();
@@ -95,6 +96,7 @@
     http_server metrics_;
     bool calls_began_ = false;
     bool caught_up_ = false; // Since its start, with what the other nodes know.
+    std::map<std::string, double> replica_targets_; // By model, where priorities differ.
     std::string last_reason_;
 };
 
--- a/test/support/assembly_fixture.h
+++ b/test/support/assembly_fixture.h
@@ -3,6 +3,8 @@
  */
 #pragma once
 
+#include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -58,6 +60,9 @@
         input.backends = &backends;
         input.history = &history;
         input.uses = uses;
+        if (mixed_demand) {
+            input.split = split_input{*mixed_demand, split};
+        }
         input.before_first_call = before_first_call;
         input.load_allowance = load_allowance;
         input.now = now;
@@ -70,6 +75,9 @@
     assembly_plan step()
     {
         assembly_plan made = plan();
+        if (made.split) {
+            split = made.split->state;
+        }
         keyed_records appended;
         appended.next_offset = ledger.end().offset;
         for (keyed_record record : made.records) {
@@ -124,6 +132,8 @@
     assembly_history history;
     std::map<std::uint64_t, replica_usage> uses;
     std::set<std::string> unresponsive; // VMs that execute no command.
+    std::optional<std::map<std::string, recent_demand>> mixed_demand; // Set: priorities differ.
+    split_state split;
     bool before_first_call = true;
     std::uint32_t load_allowance = 1000;
 
