Convert serving replicas to the model with the greater need

Callers saw: after a change of demand, or the loss of a failure domain, urgent calls for one model were refused until enough replicas of the other one had been lost by chance.

Cause: targets only decide which lost replicas form again; a serving replica kept its model.

Change: when a model has had more replicas than its target for 5 s, members of one of its replicas in each domain load the wanted model beside serving, within three quarters of the concurrent loads and after repairs. Once they hold it, the replica retires without aborting calls and its VMs form replicas of the wanted model. The list of VMs shows the progress, so a new leader continues with the same replica.

The tests of the split alone switch conversions off, since they expect that only losses move it.

--- a/src/assembly/assembly_plan.cpp
+++ b/src/assembly/assembly_plan.cpp
@@ -8,6 +8,7 @@
 #include <cmath>
 #include <set>
 
+#include "assembly/conversion_planner.h"
 #include "assembly/formation_planner.h"
 #include "assembly/load_planner.h"
 #include "assembly/member_pool.h"
@@ -224,6 +225,11 @@
             loading.insert(load.vm);
         }
         preload_spares(formation, loads, loading);
+        if (builder_.plan.split) {
+            conversion_planner(in_, settings_.split, formation.targets(), formation.counts(), loads,
+                               loads.running_loads() + loading.size(), builder_)
+                .run(builder_.plan.split->state);
+        }
     }
 
     /** Makes each spare join a replica of its own, which never opens, so that its staged model is
--- a/src/assembly/load_planner.cpp
+++ b/src/assembly/load_planner.cpp
@@ -137,10 +137,24 @@
         }
         for (const backend* vm : remaining) {
             ++domains_[vm->fabric_domain].holding[replica.model()];
+            const bool converted = in_.split && !vm->staged_models.empty() &&
+                                   vm->staged_models.front() != replica.model();
+            if (converted) {
+                ++domains_[vm->fabric_domain].holding[vm->staged_models.front()];
+            }
         }
     }
 }
 
+void load_planner::count_loads_of_members()
+{
+    for (const auto& [id, listed] : in_.backends->all()) {
+        const bool member =
+            listed.server.service == in_.service && in_.ledger->holder_of(id).has_value();
+        running_loads_ += member && loading(listed.server) != nullptr ? 1 : 0;
+    }
+}
+
 void load_planner::build_domains(const std::vector<schema::shared_member>& taken)
 {
     std::set<std::string> taken_ids;
@@ -148,6 +162,9 @@
         taken_ids.insert(member.id());
     }
     count_released_vms();
+    if (in_.split) {
+        count_loads_of_members();
+    }
     const member_pool pool(in_);
     for (const auto& [name, vms] : pool.free_by_domain()) {
         domain_state& domain = domains_[name];
--- a/src/assembly/load_planner.h
+++ b/src/assembly/load_planner.h
@@ -46,6 +46,9 @@
     /** \return the model that the VM is loading into its host's memory, or null. */
     const model_profile* loading(const backend& vm) const;
 
+    /** \return how many loads run, without those that choose() has chosen. */
+    std::uint32_t running_loads() const { return running_loads_; }
+
   private:
     /** The free VMs of one fabric domain. */
     struct domain_state {
@@ -70,6 +73,9 @@
 
     /** Counts the VMs that will be released by replicas which retire or have lost a member. */
     void count_released_vms();
+
+    /** Counts the loads of members that serve another model meanwhile. */
+    void count_loads_of_members();
     void build_domains(const std::vector<schema::shared_member>& taken);
 
     /** \return true when no replica serves the model and free VMs can form none. */
--- a/src/assembly/model_split.h
+++ b/src/assembly/model_split.h
@@ -50,12 +50,23 @@
 
     /** The gain must have lasted for so long. */
     duration gain_hold = 3s;
+
+    /** A model must have had more replicas than its target for so long before one is converted to
+     * another model. Repairs and short changes of the VMs in use take less.
+     */
+    duration conversion_hold = 5s;
+
+    /** Fraction of the concurrent loads that conversions may use, together with all other loads.
+     * The rest is for repairs.
+     */
+    double conversion_load_share = 0.75;
 };
 
 /** What a decision passes on to the next one. A node that has become the leader starts without. */
 struct split_state {
-    replica_counts adopted;               // Replicas in the adopted split.
-    std::optional<time_point> gain_since; // Since when another split would have been better.
+    replica_counts adopted;                 // Replicas in the adopted split.
+    std::optional<time_point> gain_since;   // Since when another split would have been better.
+    std::optional<time_point> excess_since; // Since when a model has had too many replicas.
 
     bool operator==(const split_state&) const = default;
 };
--- a/test/correctness/assembly_split.cpp
+++ b/test/correctness/assembly_split.cpp
@@ -61,6 +61,7 @@
         REQUIRE(serving("small").size() == 10);
         before_first_call = false;
         load_allowance = 7;
+        settings.split.conversion_hold = 1h; // Only losses move the split here.
         mixed_demand = {{"large", large_demand()}, {"small", small_demand()}};
     }
 
