--- a/soak/node_process.cpp
+++ b/soak/node_process.cpp
@@ -5,7 +5,9 @@
 
 #include <array>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <utility>
 
 #include <fcntl.h>
@@ -18,6 +20,7 @@
 namespace {
 
 constexpr mode_t log_mode = 0644;
+constexpr std::size_t bytes_per_kb = 1024;
 
 } // namespace
 
@@ -66,6 +69,30 @@
     return resident_pages * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
 }
 
+std::size_t node_process::peak_resident_bytes() const
+{
+    std::size_t kilobytes = 0;
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    std::string word;
+    while (is_running() && status >> word) {
+        if (word == "VmHWM:") {
+            status >> kilobytes;
+            break;
+        }
+    }
+    return kilobytes * bytes_per_kb;
+}
+
+std::size_t node_process::open_descriptors() const
+{
+    std::error_code error;
+    const std::filesystem::directory_iterator open("/proc/" + std::to_string(pid_) + "/fd", error);
+    if (!is_running() || error) {
+        return 0;
+    }
+    return static_cast<std::size_t>(std::distance(begin(open), end(open)));
+}
+
 void node_process::send_signal(int signal)
 {
     if (is_running()) {
--- a/soak/node_process.h
+++ b/soak/node_process.h
@@ -32,6 +32,12 @@
     /** \return the memory that the process uses now; zero if it is not running. */
     std::size_t resident_bytes() const;
 
+    /** \return the most memory that the process has used so far; zero if it is not running. */
+    std::size_t peak_resident_bytes() const;
+
+    /** \return the number of descriptors that the process has open; zero if it is not running. */
+    std::size_t open_descriptors() const;
+
     /** \return the process's status in the form of waitpid if it has ended since the last call,
      * nothing otherwise.
      */
