Bound the memory and the connections of clients that exceed the limits

Cause: http_server read each body into a string of its own, up to the limit, with nothing that bounded all of them together; a body that stopped short kept its memory until the time limit, each connection took 16 KB while idle, and over the limit on connections new clients were refused while the others stayed. The ports for health, directory and metrics took 8 MB bodies on 20,000 connections, and chervil-entry did not fit its connections to its descriptors.

The change: request_reader reads a request and charges each growth of its buffers to a byte_budget before it grows them, by client address (request_memory). Each buffered byte counts twice: a buffer is copied when it grows, and an attempt holds a copy of the body. When the budget is full, the address that holds most loses its largest incomplete request: 503, which says that the call has not run. A complete request is never ended; the largest request within the limits always fits. A body without progress for 10 s is refused with 408. connection_set closes, at the limit, the connection that has waited longest of the address that has most; tests of the limit that opened a second connection beside an idle one now keep the first in use, and a new test has the idle one give way. bounded_body allocates nothing for a length that is only announced.

Why it works: memory for requests no longer depends on the number of clients but on the budget, a fifth of memoryMb or 64 MB, and memory for connections on their limit.

--- a/src/base/byte_budget.cpp
+++ b/src/base/byte_budget.cpp
@@ -7,9 +7,23 @@
 
 namespace chervildyke {
 
+byte_budget::sender_totals::iterator byte_budget::state::join(const std::string& sender)
+{
+    const auto joined = senders.try_emplace(sender).first;
+    ++joined->second.reservations;
+    return joined;
+}
+
+void byte_budget::state::leave(sender_totals::iterator sender)
+{
+    if (--sender->second.reservations == 0) {
+        senders.erase(sender);
+    }
+}
+
 byte_budget::reservation::reservation(byte_budget& budget, std::string sender,
                                       std::function<void()> give_up)
-    : budget_(budget.held_), sender_(std::move(sender)), give_up_(std::move(give_up))
+    : budget_(budget.held_), sender_(budget_->join(sender)), give_up_(std::move(give_up))
 {
     budget_->reservations.insert(this);
 }
@@ -18,16 +32,14 @@
 {
     release(reserved_bytes_);
     budget_->reservations.erase(this);
+    budget_->leave(sender_);
 }
 
 void byte_budget::reservation::release(std::size_t bytes)
 {
     reserved_bytes_ -= bytes;
     budget_->reserved_bytes -= bytes;
-    const auto held = budget_->bytes_by_sender.find(sender_);
-    if (held != budget_->bytes_by_sender.end() && (held->second -= bytes) == 0) {
-        budget_->bytes_by_sender.erase(held);
-    }
+    sender_->second.bytes -= bytes;
 }
 
 /** \return the largest reservation of the sender that holds most bytes, of those that can be taken
@@ -38,9 +50,8 @@
 {
     const auto rank = [&](const reservation& held) {
         const std::size_t asked = held.sender_ == asking.sender_ ? bytes : 0;
-        const auto sender = bytes_by_sender.find(held.sender_);
-        const std::size_t of_sender = sender == bytes_by_sender.end() ? 0 : sender->second;
-        return std::pair(of_sender + asked, held.reserved_bytes_ + (&held == &asking ? bytes : 0));
+        return std::pair(held.sender_->second.bytes + asked,
+                         held.reserved_bytes_ + (&held == &asking ? bytes : 0));
     };
     reservation* largest = nullptr;
     for (reservation* held : reservations) {
@@ -69,7 +80,7 @@
     }
     reserved_bytes_ += bytes;
     budget_->reserved_bytes += bytes;
-    budget_->bytes_by_sender[sender_] += bytes;
+    sender_->second.bytes += bytes;
     return true;
 }
 
@@ -89,11 +100,13 @@
 {
     const std::size_t bytes = reserved_bytes_;
     release(bytes);
-    sender_ = std::move(sender);
+    const auto joined = budget_->join(sender); // Before the sender is left, which may be the same.
+    budget_->leave(sender_);
+    sender_ = joined;
     give_up_ = std::move(give_up);
     reserved_bytes_ += bytes;
     budget_->reserved_bytes += bytes;
-    budget_->bytes_by_sender[sender_] += bytes;
+    sender_->second.bytes += bytes;
 }
 
 } // namespace chervildyke
--- a/src/base/byte_budget.h
+++ b/src/base/byte_budget.h
@@ -30,18 +30,27 @@
     class reservation;
 
   private:
+    /** What the reservations of one sender hold together. */
+    struct sender_total {
+        std::size_t bytes = 0;
+        std::size_t reservations = 0;
+    };
+    using sender_totals = std::map<std::string, sender_total>;
+
     /** Shared, since the tasks of a process that ends may be destroyed after the budget. */
     struct state {
         std::size_t available() const
         {
             return max_bytes > reserved_bytes ? max_bytes - reserved_bytes : 0;
         }
+        sender_totals::iterator join(const std::string& sender);
+        void leave(sender_totals::iterator sender);
         reservation* find_largest(const reservation& asking, std::size_t bytes) const;
 
         std::size_t max_bytes = 0;
         std::size_t reserved_bytes = 0;
         std::set<reservation*> reservations;
-        std::map<std::string, std::size_t> bytes_by_sender;
+        sender_totals senders; // With a reservation at least.
     };
 
   public:
@@ -81,7 +90,7 @@
         void release(std::size_t bytes);
 
         std::shared_ptr<state> budget_;
-        std::string sender_;
+        sender_totals::iterator sender_;
         std::function<void()> give_up_;
         std::size_t reserved_bytes_ = 0;
         bool taken_away_ = false;
--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -10,11 +10,15 @@
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
 
 #include "base/beast_exchange.h"
+#include "base/byte_budget.h"
+#include "base/connection_set.h"
 #include "base/event_log.h"
 #include "base/read_timer.h"
+#include "base/refused_requests.h"
+#include "base/request_memory.h"
+#include "base/request_reader.h"
 #include "base/scope_guard.h"
 
 namespace chervildyke {
@@ -23,14 +27,13 @@
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
-namespace http = boost::beast::http;
 using asio::ip::tcp;
 using boost::system::error_code;
 
 const event_log server_log("server");
 
 constexpr auto as_tuple = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t read_buffer_bytes = 16U << 10U;
+constexpr std::size_t first_read_bytes = 2U << 10U; // Most heads; an idle connection holds it.
 // The wait for the first request of a connection that is accepted while the server stops. It covers
 // the round trip of most clients.
 constexpr duration first_request_timeout = 300ms;
@@ -42,36 +45,6 @@
 constexpr std::size_t max_refused_connections = 64; // At once; further ones are closed at once.
 constexpr int listen_backlog = 4096;                // Connections that are not accepted yet.
 
-http_request to_http_request(http::request<http::string_body>&& message)
-{
-    http_request converted;
-    converted.method = std::string(message.method_string());
-    converted.target = std::string(message.target());
-    for (const auto& field : message) {
-        converted.headers.push_back({std::string(field.name_string()), std::string(field.value())});
-    }
-    converted.body = std::move(message.body());
-    return converted;
-}
-
-bad_request to_bad_request(const error_code& error)
-{
-    if (error == http::error::body_limit) {
-        return bad_request::body_too_large;
-    }
-    if (error == http::error::header_limit || error == http::error::buffer_overflow) {
-        return bad_request::header_too_large;
-    }
-    return bad_request::malformed;
-}
-
-/** \return true if the connection has ended, so that no error reply can be sent. */
-bool is_connection_end(const error_code& error)
-{
-    return error == http::error::end_of_stream || error == asio::error::connection_reset ||
-           error == asio::error::operation_aborted || error == asio::error::broken_pipe;
-}
-
 /** The wait of a connection for its next request. */
 struct idle_period {
     time_point since{};
@@ -87,18 +60,34 @@
                    : kind == bad_request::header_too_large     ? 431
                    : kind == bad_request::too_slow             ? 408
                    : kind == bad_request::too_many_connections ? 503
+                   : kind == bad_request::no_memory            ? 503
                                                                : 400;
     reply.body = R"({"error":{"message":"the request could not be read"}})";
     return reply;
 }
 
+http_limits small_port_limits()
+{
+    http_limits limits;
+    limits.max_body_bytes = 64U << 10U;
+    limits.max_connections = 128;
+    limits.max_request_memory = 2U << 20U;
+    return limits;
+}
+
 struct http_server::state : std::enable_shared_from_this<http_server::state> {
     state(asio::any_io_executor executor_in, http_handler handler_in, http_limits limits_in,
           bad_request_hook hook)
         : executor(std::move(executor_in)), handler(std::move(handler_in)), limits(limits_in),
           on_bad_request(hook ? std::move(hook) : bad_request_hook(default_bad_request_reply)),
-          acceptor(executor)
+          acceptor(executor), memory(memory_of(limits))
+    {
+    }
+
+    /** \return the size of the budget for requests. */
+    static std::size_t memory_of(const http_limits& limits)
     {
+        return std::max(limits.max_request_memory, largest_request_charge(limits));
     }
 
     asio::any_io_executor executor;
@@ -108,7 +97,9 @@
     tcp::acceptor acceptor;
     std::string last_reason;
     std::unordered_map<beast::tcp_stream*, idle_period*> idle_connections;
-    std::size_t open_connections = 0;
+    connection_set open_connections;
+    byte_budget memory;
+    refused_requests refused;
     std::size_t refused_connections = 0; // Open beyond the limit, for their refusal.
     std::size_t active_requests = 0;     // The first byte was read and the reply is not complete.
     bool stopping = false;
@@ -118,14 +109,26 @@
     asio::awaitable<void> serve(tcp::socket socket);
     asio::awaitable<void> refuse(tcp::socket socket);
     void accept_pending();
+    static std::string address_of(const tcp::socket& socket);
     static bool has_pending_bytes(beast::tcp_stream& stream, const beast::flat_buffer& buffer);
     asio::awaitable<bool> wait_for_request(beast::tcp_stream& stream, beast::flat_buffer& buffer);
-    asio::awaitable<bool> serve_request(beast::tcp_stream& stream, beast::flat_buffer& buffer);
+    asio::awaitable<bool> serve_request(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+                                        connection_set::entry& connection);
+    asio::awaitable<bool> answer(beast_exchange& exchange, beast::tcp_stream& stream,
+                                 const beast::flat_buffer& buffer);
     asio::awaitable<std::optional<std::string>> run_handler(http_exchange& exchange);
-    asio::awaitable<void> reject(beast::tcp_stream& stream, bad_request kind);
+    asio::awaitable<void> reject(beast::tcp_stream& stream, bad_request kind, std::string address);
     static asio::awaitable<void> close_gracefully(beast::tcp_stream& stream);
 };
 
+/** \return the IP address of the client. */
+std::string http_server::state::address_of(const tcp::socket& socket)
+{
+    error_code error;
+    const auto peer = socket.remote_endpoint(error);
+    return error ? std::string() : peer.address().to_string();
+}
+
 asio::awaitable<void> http_server::state::accept_connections()
 {
     const auto self = shared_from_this();
@@ -138,7 +141,7 @@
             co_await sleep_for(accept_retry_delay); // Most likely no file descriptor is free.
             continue;
         }
-        if (open_connections >= limits.max_connections) {
+        if (open_connections.size() >= limits.max_connections && !open_connections.make_room()) {
             if (refused_connections < max_refused_connections) {
                 asio::co_spawn(executor, refuse(std::move(socket)), asio::detached);
             }
@@ -151,15 +154,19 @@
 asio::awaitable<void> http_server::state::serve(tcp::socket socket)
 {
     const auto self = shared_from_this();
-    ++open_connections;
-    const scope_guard closed([this] { --open_connections; });
     error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
+    const std::string address = address_of(socket);
     beast::tcp_stream stream(std::move(socket));
+    connection_set::entry connection(open_connections, address, [this, &stream, &address] {
+        error_code close_error;
+        stream.socket().close(close_error);
+        refused.note(bad_request::connection_displaced, address);
+    });
     beast::flat_buffer buffer;
     bool reusable = true;
     while (reusable) {
-        reusable = co_await serve_request(stream, buffer);
+        reusable = co_await serve_request(stream, buffer, connection);
         reusable = reusable && (!stopping || has_pending_bytes(stream, buffer));
     }
     stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
@@ -177,7 +184,7 @@
     stream.expires_after(first_request_timeout);
     const auto [error, bytes] = co_await stream.async_read_some(asio::buffer(begin), as_tuple);
     if (!error) {
-        co_await reject(stream, bad_request::too_many_connections);
+        co_await reject(stream, bad_request::too_many_connections, address_of(stream.socket()));
     }
 }
 
@@ -194,7 +201,7 @@
 {
     error_code error;
     acceptor.non_blocking(true, error);
-    while (!error && open_connections < limits.max_connections) {
+    while (!error && open_connections.size() < limits.max_connections) {
         tcp::socket socket(executor);
         acceptor.accept(socket, error);
         if (!error) {
@@ -218,7 +225,7 @@
         const duration left = period.until - monotonic_clock::now();
         std::optional<read_timer> wait(std::in_place, stream, left);
         const auto [error, bytes] =
-            co_await stream.async_read_some(buffer.prepare(read_buffer_bytes), as_tuple);
+            co_await stream.async_read_some(buffer.prepare(first_read_bytes), as_tuple);
         const bool expired = wait->expired();
         wait.reset();
         if (!error) {
@@ -237,8 +244,10 @@
 }
 
 asio::awaitable<bool> http_server::state::serve_request(beast::tcp_stream& stream,
-                                                        beast::flat_buffer& buffer)
+                                                        beast::flat_buffer& buffer,
+                                                        connection_set::entry& connection)
 {
+    connection.set_waiting(true);
     if (buffer.size() == 0) {
         const bool begins = co_await wait_for_request(stream, buffer);
         if (!begins) {
@@ -248,38 +257,38 @@
     ++active_requests;
     const scope_guard ended([this] { --active_requests; });
     // The limits may have changed since the connection was accepted.
-    buffer.max_size(std::max(buffer.size(), read_buffer_bytes + limits.max_header_bytes));
-    http::request_parser<http::string_body> parser;
-    parser.body_limit(limits.max_body_bytes);
-    parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
-    stream.expires_never();
-    std::optional<read_timer> read(std::in_place, stream, limits.header_read_timeout);
-    auto [error, header_bytes] = co_await http::async_read_header(stream, buffer, parser, as_tuple);
-    bool too_slow = read->expired();
-    read.reset();
-    if (!error && !parser.is_done()) {
-        read.emplace(stream, limits.body_read_timeout);
-        const auto [body_error, body_bytes] =
-            co_await http::async_read(stream, buffer, parser, as_tuple);
-        error = body_error;
-        too_slow = read->expired();
-        read.reset();
+    buffer.max_size(std::max(buffer.size(), max_buffered_bytes(limits)));
+    std::optional<request_memory> held(std::in_place, memory, connection.address(),
+                                       [&stream] { stream.cancel(); });
+    incoming_request incoming = co_await read_request(stream, buffer, limits, *held);
+    if (connection.displaced()) {
+        co_return false;
     }
-    if (error) {
-        if (too_slow) {
-            co_await reject(stream, bad_request::too_slow);
-        }
-        else if (!is_connection_end(error)) {
-            co_await reject(stream, to_bad_request(error));
+    if (!incoming.request) {
+        // Otherwise the memory would be held, and could end the refusal when it is taken away.
+        buffer = beast::flat_buffer();
+        held.reset();
+        if (incoming.refused) {
+            co_await reject(stream, *incoming.refused, connection.address());
         }
         co_return false;
     }
-    const bool keep_alive = parser.get().keep_alive();
-    const unsigned version = parser.get().version();
+    connection.set_waiting(false);
+    const bool keep_alive = incoming.keep_alive;
     beast_exchange exchange(
-        stream, to_http_request(parser.release()),
+        stream, std::move(*incoming.request),
         [this, keep_alive] { return keep_alive && !stopping && !keep_alive_disabled; },
-        limits.write_timeout, version);
+        limits.write_timeout, incoming.version);
+    co_return co_await answer(exchange, stream, buffer);
+}
+
+/** Runs the handler and makes sure of a reply.
+ * \return true if the connection can carry another request.
+ */
+asio::awaitable<bool> http_server::state::answer(beast_exchange& exchange,
+                                                 beast::tcp_stream& stream,
+                                                 const beast::flat_buffer& buffer)
+{
     const std::optional<std::string> thrown = co_await run_handler(exchange);
     if (thrown) {
         server_log.write("handler_failed", {{"method", exchange.request().method},
@@ -318,8 +327,10 @@
     co_return std::nullopt;
 }
 
-asio::awaitable<void> http_server::state::reject(beast::tcp_stream& stream, bad_request kind)
+asio::awaitable<void> http_server::state::reject(beast::tcp_stream& stream, bad_request kind,
+                                                 std::string address)
 {
+    refused.note(kind, address);
     beast_exchange exchange(
         stream, {}, [] { return false; }, limits.write_timeout);
     co_await exchange.respond(on_bad_request(kind));
@@ -402,6 +413,7 @@
 void http_server::set_limits(http_limits limits)
 {
     state_->limits = limits;
+    state_->memory.set_max_bytes(state::memory_of(limits));
     if (state_->stopping) {
         return;
     }
@@ -442,9 +454,19 @@
     }
 }
 
+void http_server::set_refusal_hook(std::function<void(bad_request)> on_refused)
+{
+    state_->refused.on_refused = std::move(on_refused);
+}
+
+std::size_t http_server::request_bytes_available() const
+{
+    return state_->memory.available_bytes();
+}
+
 std::size_t http_server::connections() const
 {
-    return state_->open_connections;
+    return state_->open_connections.size();
 }
 
 std::size_t http_server::requests_in_progress() const
--- a/src/base/http_server.h
+++ b/src/base/http_server.h
@@ -25,9 +25,19 @@
     duration body_read_timeout = 30s;   // From there to the last byte of its body.
     duration idle_timeout = 75s;        // Until the first byte of the next request arrives.
     duration write_timeout = 30s;       // Of one write; the connection is closed after it.
-    std::size_t max_connections = 20'000; // Requests on further connections are refused.
+    // A body of which nothing arrives for this long is refused; so is one that takes longer in all.
+    duration body_stall_timeout = 10s;
+    std::size_t max_connections = 20'000; // For further ones, connections that wait are closed.
+    // Of all requests together, from the first byte until the call has ended. The largest request
+    // within the limits always fits, even if this is less.
+    std::size_t max_request_memory = 64U << 20U;
 };
 
+/** \return the limits of a port that takes no calls, such as one for metrics or health: requests
+ * with small bodies on few connections.
+ */
+http_limits small_port_limits();
+
 /** Why a request was not read. */
 enum class bad_request {
     malformed,
@@ -35,8 +45,13 @@
     body_too_large,
     too_slow,
     too_many_connections, // The server is at its limit; the request was not run.
+    no_memory,            // The server's memory for requests is used up; the request was not run.
+    connection_displaced, // The connection was closed, without a reply, to make room for another.
 };
 
+/** \return the kind as one word, for logs and metrics. */
+const char* to_text(bad_request kind);
+
 /** A request and the functions that reply to it. A handler sends exactly one reply: respond(), or
  * start_stream(), any number of write_chunk() and end_stream(). Each of them returns false once the
  * connection has failed.
@@ -121,9 +136,17 @@
     /** Completes when no request is in progress. */
     boost::asio::awaitable<void> wait_until_drained();
 
+    /** Sets a function that is called for each request that was refused before it was read, after
+     * any reply was made.
+     */
+    void set_refusal_hook(std::function<void(bad_request)> on_refused);
+
     /** \return the number of open connections. */
     std::size_t connections() const;
 
+    /** \return how much of the memory for requests is available. */
+    std::size_t request_bytes_available() const;
+
     /** \return the number of requests of which the first byte was read and that are unanswered. */
     std::size_t requests_in_progress() const;
 
--- a/src/base/program.cpp
+++ b/src/base/program.cpp
@@ -16,6 +16,7 @@
 #include <cxxopts.hpp>
 
 #include "base/clock.h"
+#include "base/free_memory.h"
 #include "base/settings.h"
 
 namespace chervildyke {
@@ -113,9 +114,11 @@
 int run_main_task(boost::asio::io_context& context,
                   const std::function<boost::asio::awaitable<int>()>& main_task)
 {
+    return_large_blocks();
     std::signal(SIGPIPE, SIG_IGN);
     std::signal(SIGHUP, SIG_IGN); // Until run_reload_loop() handles it.
     int exit_code = exit_failure;
+    boost::asio::co_spawn(context, return_free_memory(), boost::asio::detached);
     boost::asio::co_spawn(context, main_task(), [&](const std::exception_ptr& thrown, int code) {
         exit_code = code;
         context.stop();
--- a/src/control/control_components.cpp
+++ b/src/control/control_components.cpp
@@ -74,7 +74,7 @@
                   random, make_coordinator_hooks()),
       publisher([this] { return make_view(); }, options.view_heartbeat),
       rpc_server(executor, make_rpc_hooks()),
-      http_endpoints(executor, make_control_http_handler(make_http_hooks()))
+      http_endpoints(executor, make_control_http_handler(make_http_hooks()), small_port_limits())
 {
 }
 
--- a/src/entry/api_error.cpp
+++ b/src/entry/api_error.cpp
@@ -93,6 +93,9 @@
         error = invalid_request("too many connections are open", "too_many_connections");
         error.status = 503;
     }
+    else if (kind == bad_request::no_memory) {
+        error = unavailable("there is no memory left for requests", "overloaded", 1s);
+    }
     return to_reply(error);
 }
 
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 
+#include "base/connection_limit.h"
 #include "base/hash.h"
 #include "base/log.h"
 #include "entry/completion_call.h"
@@ -63,6 +64,7 @@
     limits.max_header_bytes = settings.max_header_bytes();
     limits.header_read_timeout = ms(settings.request_read_timeout_ms());
     limits.body_read_timeout = limits.header_read_timeout;
+    limits.max_connections = max_accepted_connections();
     return limits;
 }
 
@@ -165,6 +167,12 @@
                       [this] { return static_cast<double>(context_->admissions->waiting()); });
     metrics.add_gauge("chervil_connections",
                       [this] { return static_cast<double>(server_.connections()); });
+    metrics.add_gauge("chervil_request_bytes_available",
+                      [this] { return static_cast<double>(server_.request_bytes_available()); });
+    server_.set_refusal_hook([this](bad_request kind) {
+        context_->metrics->counter("chervil_requests_refused_unread_total",
+                                   {{"reason", to_text(kind)}}) += 1;
+    });
     metrics.add_gauge("chervil_retry_budget", [this] { return context_->retries.left(); });
     metrics.add_gauge("chervil_view_configuration_version", [this] {
         const routing_view_ptr view = view_watcher_.current().view;
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -43,6 +43,8 @@
 constexpr duration fleet_check_interval = 200ms; // Between two runs of the periodic checks.
 constexpr duration drain_check_interval = 20ms;  // Between two checks whether all calls have ended.
 constexpr double buffered_share = 0.2; // Of the memory, for answers that are not whole yet.
+constexpr double request_share = 0.2;  // Of the memory, for requests until their calls end.
+constexpr std::size_t small_ports = 3; // Ready, directory and metrics.
 constexpr double bytes_per_mb = 1 << 20;
 constexpr const char* plain_text = "text/plain";
 
@@ -52,14 +54,20 @@
                        relay_hooks hooks, std::shared_ptr<http_client> http, random_source random)
     : executor_(std::move(executor)), settings_(std::move(settings)), hooks_(std::move(hooks)),
       random_(std::move(random)), incarnation_(wall_clock_ms()),
-      started_at_(monotonic_clock::now()),
+      started_at_(monotonic_clock::now()), call_limits_{.max_connections =
+                                                            max_accepted_connections(small_ports)},
       calls_(
-          executor_, [this](http_exchange& exchange) { return serve(exchange); },
-          {.max_connections = max_accepted_connections()},
+          executor_, [this](http_exchange& exchange) { return serve(exchange); }, call_limits_,
           [this](bad_request kind) { return refuse_unread(context_, kind); }),
-      ready_(executor_, [this](http_exchange& exchange) { return serve_ready(exchange); }),
-      directory_(executor_, [this](http_exchange& exchange) { return serve_directory(exchange); }),
-      metrics_(executor_, [this](http_exchange& exchange) { return serve_metrics(exchange); })
+      ready_(
+          executor_, [this](http_exchange& exchange) { return serve_ready(exchange); },
+          small_port_limits()),
+      directory_(
+          executor_, [this](http_exchange& exchange) { return serve_directory(exchange); },
+          small_port_limits()),
+      metrics_(
+          executor_, [this](http_exchange& exchange) { return serve_metrics(exchange); },
+          small_port_limits())
 {
     fleet_view_settings view;
     view.backend_interval = std::chrono::duration_cast<duration>(
@@ -100,6 +108,15 @@
     context_.metrics->add_gauge("chervil_answer_bytes_available", [this] {
         return static_cast<double>(context_.buffered.available_bytes());
     });
+    context_.metrics->add_gauge("chervil_request_bytes_available", [this] {
+        return static_cast<double>(calls_.request_bytes_available());
+    });
+    for (http_server* server : {&calls_, &ready_, &directory_, &metrics_}) {
+        server->set_refusal_hook([this](bad_request kind) {
+            context_.metrics->counter("chervil_requests_refused_unread_total",
+                                      {{"reason", to_text(kind)}}) += 1;
+        });
+    }
     context_.configuration = [this] { return served_configuration(); };
     context_.configuration_age = [this] { return view_->configuration_age(); };
     view_->on_configuration = [this](const published_configuration_ptr& configuration) {
@@ -179,10 +196,13 @@
     context_.limits.retry_ratio = settings_.retry_ratio() * retry_budget_share;
     const auto nodes = static_cast<double>(std::max(min_budget_nodes, peers_->live().size() + 1));
     context_.limits.retry_reserve = settings_.retry_slack() * retry_budget_share / nodes;
-    if (settings_.memory_mb() > 0) {
-        context_.buffered.set_max_bytes(
-            static_cast<std::size_t>(settings_.memory_mb() * buffered_share * bytes_per_mb));
+    const double memory = settings_.memory_mb() * bytes_per_mb;
+    if (memory > 0) {
+        context_.buffered.set_max_bytes(static_cast<std::size_t>(memory * buffered_share));
     }
+    call_limits_.max_request_memory = memory > 0 ? static_cast<std::size_t>(memory * request_share)
+                                                 : http_limits().max_request_memory;
+    calls_.set_limits(call_limits_);
     context_.limits.key_staleness = from_ms(settings_.key_staleness_ms()) - key_margin;
 }
 
@@ -260,13 +280,12 @@
         }
     }
     const caller_limits& given = configuration->limits();
-    http_limits limits;
-    limits.max_connections = max_accepted_connections();
-    limits.max_body_bytes = given.max_body_bytes;
-    limits.max_header_bytes = given.max_header_bytes;
-    limits.header_read_timeout = given.header_timeout;
-    limits.idle_timeout = given.idle_timeout + 1s; // A request may be sent just before the timeout.
-    calls_.set_limits(limits);
+    call_limits_.max_body_bytes = given.max_body_bytes;
+    call_limits_.max_header_bytes = given.max_header_bytes;
+    call_limits_.header_read_timeout = given.header_timeout;
+    // A request may be sent just before the timeout.
+    call_limits_.idle_timeout = given.idle_timeout + 1s;
+    calls_.set_limits(call_limits_);
     apply_fleet_change();
 }
 
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -89,6 +89,7 @@
     std::shared_ptr<assembler> assembler_;
     std::shared_ptr<fleet_restorer> restorer_;
     std::shared_ptr<crash_evidence_exchange> crash_exchange_;
+    http_limits call_limits_; // Of the port for calls, as last set.
     http_server calls_;
     http_server ready_;
     http_server directory_;
--- a/src/relay/serve_call.cpp
+++ b/src/relay/serve_call.cpp
@@ -247,10 +247,13 @@
 
 http_reply refuse_unread(const relay_context& context, bad_request kind)
 {
-    if (kind != bad_request::too_many_connections) {
+    const bool no_memory = kind == bad_request::no_memory;
+    if (!no_memory && kind != bad_request::too_many_connections) {
         return default_bad_request_reply(kind);
     }
-    return context.codec.write_refusal(503, "this node has too many connections",
+    return context.codec.write_refusal(503,
+                                       no_memory ? "this node has no memory left for requests"
+                                                 : "this node has too many connections",
                                        retry_elsewhere_delay);
 }
 
