--- a/src/assembly/assembly_plan.cpp
+++ b/src/assembly/assembly_plan.cpp
@@ -8,6 +8,7 @@
 #include <cmath>
 #include <set>
 
+#include "assembly/conversion_planner.h"
 #include "assembly/formation_planner.h"
 #include "assembly/load_planner.h"
 #include "assembly/member_pool.h"
@@ -56,6 +57,8 @@
             formation.run();
             builder_.plan.records.insert(builder_.plan.records.end(), formation.records().begin(),
                                          formation.records().end());
+            builder_.plan.counts = formation.counts();
+            builder_.plan.split = formation.split();
             load_models(formation);
             retirement_.close_orphans();
         }
@@ -118,10 +121,15 @@
             retire(entry, fault, true);
             return;
         }
+        // Until its domain returns it gets neither joins, which may load weights, nor an open.
+        const bool is_held = in_.is_evacuated(entry.second);
         std::size_t ready = 0;
         for (const schema::shared_member& member : entry.second.members()) {
             const listed_backend* listed = find_listed(member);
             const replica_membership* joined = membership_in(listed, entry);
+            if (joined == nullptr && is_held) {
+                continue;
+            }
             if (joined == nullptr) {
                 const bool loads = !holds_model(listed->server, entry.second.model());
                 builder_.add_command(member.id(),
@@ -145,8 +153,10 @@
             builder_.plan.records.push_back(to_record(entry.first, opened));
             return;
         }
-        builder_.add_command(head.id(),
-                             make_command(command_kind::open, entry.first, entry.second));
+        if (!is_held) {
+            builder_.add_command(head.id(),
+                                 make_command(command_kind::open, entry.first, entry.second));
+        }
     }
 
     void check_serving(const ledger_entry& entry)
@@ -222,6 +232,11 @@
             loading.insert(load.vm);
         }
         preload_spares(formation, loads, loading);
+        if (builder_.plan.split) {
+            conversion_planner(in_, settings_.split, formation.targets(), formation.counts(), loads,
+                               loads.running_loads() + loading.size(), builder_)
+                .run(builder_.plan.split->state);
+        }
     }
 
     /** Makes each spare join a replica of its own, which never opens, so that its staged model is
@@ -264,6 +279,15 @@
 
 } // namespace
 
+bool assembly_input::is_evacuated(const schema::shared_replica& replica) const
+{
+    return std::any_of(replica.members().begin(), replica.members().end(),
+                       [this](const schema::shared_member& member) {
+                           const listed_backend* listed = backends->find(member.id());
+                           return listed != nullptr && is_evacuated(listed->server);
+                       });
+}
+
 bool leaving_but_usable(const listed_backend& member, bool is_head, time_point now,
                         const assembly_settings& settings)
 {
--- a/src/assembly/load_planner.cpp
+++ b/src/assembly/load_planner.cpp
@@ -126,7 +126,8 @@
         for (const schema::shared_member& member : replica.members()) {
             const listed_backend* listed = in_.backends->find(member.id());
             const bool remains = listed != nullptr && !listed->server.leaving &&
-                                 listed->server.started_ms == member.started_ms();
+                                 listed->server.started_ms == member.started_ms() &&
+                                 !in_.is_evacuated(listed->server);
             if (remains) {
                 remaining.push_back(&listed->server);
             }
@@ -137,10 +138,25 @@
         }
         for (const backend* vm : remaining) {
             ++domains_[vm->fabric_domain].holding[replica.model()];
+            const bool converted = in_.split && !vm->staged_models.empty() &&
+                                   vm->staged_models.front() != replica.model();
+            if (converted) {
+                ++domains_[vm->fabric_domain].holding[vm->staged_models.front()];
+            }
         }
     }
 }
 
+void load_planner::count_loads_beside_free_vms()
+{
+    for (const auto& [id, listed] : in_.backends->all()) {
+        const bool is_member = in_.split && in_.ledger->holder_of(id).has_value();
+        const bool counts =
+            listed.server.service == in_.service && (is_member || in_.is_evacuated(listed.server));
+        running_loads_ += counts && loading(listed.server) != nullptr ? 1 : 0;
+    }
+}
+
 void load_planner::build_domains(const std::vector<schema::shared_member>& taken)
 {
     std::set<std::string> taken_ids;
@@ -148,6 +164,7 @@
         taken_ids.insert(member.id());
     }
     count_released_vms();
+    count_loads_beside_free_vms();
     const member_pool pool(in_);
     for (const auto& [name, vms] : pool.free_by_domain()) {
         domain_state& domain = domains_[name];
--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -18,6 +18,7 @@
 #include "fleet/backend_table.h"
 #include "fleet/published_configuration.h"
 #include "relay/call_codec.h"
+#include "relay/cold_servers.h"
 #include "relay/replica_queue.h"
 #include "relay/stop_grace.h"
 #include "routing/backend_balancer.h"
@@ -54,6 +55,7 @@
     std::shared_ptr<crash_evidence> crashes = std::make_shared<crash_evidence>();
     std::shared_ptr<prompt_turns> turns = std::make_shared<prompt_turns>(system_random());
     demand_meter demand;
+    std::shared_ptr<cold_servers> cold; // Null if no server is limited.
     const backend_table* backends = nullptr;
     std::map<std::string, retry_budget> budgets; // By service.
     byte_budget buffered{32U << 20U}; // Answers and events, buffered until they are whole; a fifth
@@ -86,14 +88,22 @@
      */
     std::function<std::optional<duration>()> configuration_age;
 
+    /** \return true if no call may be sent to servers of the failure domain. */
+    std::function<bool(const std::string& domain)> is_evacuated = [](const std::string&) {
+        return false;
+    };
+
     /** \return whether the server may be called, by its notices and by its entry in the list: one
-     * that has expired counts as leaving.
+     * that has expired, or whose failure domain is evacuated, counts as leaving.
      */
     backend_availability availability(const backend_incarnation& server, time_point now) const
     {
         backend_availability current = notices->availability(server, now);
         const listed_backend* listed = backends->find(server.id);
-        current.leaving = current.leaving || (listed != nullptr && listed->has_expired(now));
+        const bool is_out_of_use =
+            listed != nullptr &&
+            (listed->has_expired(now) || is_evacuated(listed->server.failure_domain));
+        current.leaving = current.leaving || is_out_of_use;
         return current;
     }
 
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -11,6 +11,7 @@
 #include "base/milliseconds.h"
 #include "base/task.h"
 #include "members/leader_ranking.h"
+#include "relay/demand_report.h"
 #include "relay/message_values.h"
 #include "relay/peer_topics.h"
 #include "relay/serve_call.h"
@@ -43,8 +44,9 @@
 constexpr duration fleet_check_interval = 200ms; // Between two runs of the periodic checks.
 constexpr duration drain_check_interval = 20ms;  // Between two checks whether all calls have ended.
 constexpr double buffered_share = 0.2; // Of the memory, for answers that are not whole yet.
+constexpr double request_share = 0.2;  // Of the memory, for requests until their calls end.
+constexpr std::size_t small_ports = 3; // Ready, directory and metrics.
 constexpr double bytes_per_mb = 1 << 20;
-constexpr const char* plain_text = "text/plain";
 
 } // namespace
 
@@ -52,14 +54,20 @@
                        relay_hooks hooks, std::shared_ptr<http_client> http, random_source random)
     : executor_(std::move(executor)), settings_(std::move(settings)), hooks_(std::move(hooks)),
       random_(std::move(random)), incarnation_(wall_clock_ms()),
-      started_at_(monotonic_clock::now()),
+      started_at_(monotonic_clock::now()), call_limits_{.max_connections =
+                                                            max_accepted_connections(small_ports)},
       calls_(
-          executor_, [this](http_exchange& exchange) { return serve(exchange); },
-          {.max_connections = max_accepted_connections()},
+          executor_, [this](http_exchange& exchange) { return serve(exchange); }, call_limits_,
           [this](bad_request kind) { return refuse_unread(context_, kind); }),
-      ready_(executor_, [this](http_exchange& exchange) { return serve_ready(exchange); }),
-      directory_(executor_, [this](http_exchange& exchange) { return serve_directory(exchange); }),
-      metrics_(executor_, [this](http_exchange& exchange) { return serve_metrics(exchange); })
+      ready_(
+          executor_, [this](http_exchange& exchange) { return serve_ready(exchange); },
+          small_port_limits()),
+      directory_(
+          executor_, [this](http_exchange& exchange) { return serve_directory(exchange); },
+          small_port_limits()),
+      metrics_(
+          executor_, [this](http_exchange& exchange) { return serve_metrics(exchange); },
+          small_port_limits())
 {
     fleet_view_settings view;
     view.backend_interval = std::chrono::duration_cast<duration>(
@@ -80,7 +88,12 @@
         return std::chrono::duration<double>(context_.lag.current()).count();
     });
     context_.replica_lb = std::make_shared<replica_balancer>(random_);
-    context_.queue = std::make_shared<replica_queue>(executor_, *context_.replica_lb);
+    context_.queue = std::make_shared<replica_queue>(executor_, *context_.replica_lb,
+                                                     replica_queue_settings(), random_);
+    context_.queue->on_decision = [this](const char* decision, const call_rank& rank) {
+        context_.metrics->counter("chervil_overload_decisions_total",
+                                  {{"decision", decision}, {"rank", to_text(rank)}}) += 1;
+    };
     context_.notices = hooks_.notices;
     context_.notices->on_change = [this](const backend_incarnation& server,
                                          const backend_availability& availability) {
@@ -97,9 +110,32 @@
                                                                 *context_.crashes, random_);
     context_.backend_lb = std::make_shared<backend_balancer>(settings_.failure_domain(), random_);
     context_.backends = &view_->backends();
+    cold_server_hooks cold;
+    cold.configuration = [this] { return view_->configuration(); };
+    cold.list_age = [this] { return view_->backend_age(); };
+    cold.evacuation_ended_at = [this](const std::string& domain) {
+        return view_->evacuation_ended_at(domain);
+    };
+    context_.cold = std::make_shared<cold_servers>(settings_.name(), view_->backends(),
+                                                   context_.metrics, std::move(cold));
+    context_.cold->limit_replicas(*context_.replica_lb);
     context_.metrics->add_gauge("chervil_answer_bytes_available", [this] {
         return static_cast<double>(context_.buffered.available_bytes());
     });
+    context_.is_evacuated = [this](const std::string& domain) {
+        return view_->evacuated().contains(domain);
+    };
+    context_.metrics->add_gauge("chervil_evacuated_domains",
+                                [this] { return static_cast<double>(view_->evacuated().size()); });
+    context_.metrics->add_gauge("chervil_request_bytes_available", [this] {
+        return static_cast<double>(calls_.request_bytes_available());
+    });
+    for (http_server* server : {&calls_, &ready_, &directory_, &metrics_}) {
+        server->set_refusal_hook([this](bad_request kind) {
+            context_.metrics->counter("chervil_requests_refused_unread_total",
+                                      {{"reason", to_text(kind)}}) += 1;
+        });
+    }
     context_.configuration = [this] { return served_configuration(); };
     context_.configuration_age = [this] { return view_->configuration_age(); };
     view_->on_configuration = [this](const published_configuration_ptr& configuration) {
@@ -147,7 +183,19 @@
         return !context_.notices->availability(incarnation_of(vm), monotonic_clock::now())
                     .paused_until;
     };
-    assembling.demand_ms_per_s = [this] { return demand(); };
+    assembling.evacuated_domains = [this] { return view_->evacuated(); };
+    assembling.demand_ms_per_s = [this] {
+        return total_demand(context_.demand, peers_->live(), monotonic_clock::now());
+    };
+    assembling.demand_of_priorities = [this] {
+        return total_demand_by_priority(context_.demand, peers_->live(), monotonic_clock::now());
+    };
+    assembling.on_split = [this](const split_decision& split) {
+        for (const auto& [model, count] : split.targets) {
+            replica_targets_[model] = count;
+        }
+    };
+    add_replica_gauges();
     assembling.refresh_ledger = [this] { return view_->read_replicas(); };
     assembling.apply_records = [this](const keyed_records& records) {
         view_->apply_replica_records(records);
@@ -159,6 +207,23 @@
                                              std::move(assembling), assembly);
 }
 
+/** Only the leader, which decides the targets, writes these gauges. */
+void relay_node::add_replica_gauges()
+{
+    context_.metrics->add_gauges("chervil_replica_targets", "model", [this] {
+        return assembler_->leading() ? replica_targets_ : std::map<std::string, double>();
+    });
+    context_.metrics->add_gauges("chervil_replicas_serving", "model", [this] {
+        std::map<std::string, double> serving;
+        if (assembler_->leading() && !replica_targets_.empty()) {
+            for (const serving_replica& replica : view_->serving()) {
+                ++serving[replica.model];
+            }
+        }
+        return serving;
+    });
+}
+
 void relay_node::record_availability(const backend_incarnation& server,
                                      const backend_availability& availability)
 {
@@ -179,10 +244,13 @@
     context_.limits.retry_ratio = settings_.retry_ratio() * retry_budget_share;
     const auto nodes = static_cast<double>(std::max(min_budget_nodes, peers_->live().size() + 1));
     context_.limits.retry_reserve = settings_.retry_slack() * retry_budget_share / nodes;
-    if (settings_.memory_mb() > 0) {
-        context_.buffered.set_max_bytes(
-            static_cast<std::size_t>(settings_.memory_mb() * buffered_share * bytes_per_mb));
+    const double memory = settings_.memory_mb() * bytes_per_mb;
+    if (memory > 0) {
+        context_.buffered.set_max_bytes(static_cast<std::size_t>(memory * buffered_share));
     }
+    call_limits_.max_request_memory = memory > 0 ? static_cast<std::size_t>(memory * request_share)
+                                                 : http_limits().max_request_memory;
+    calls_.set_limits(call_limits_);
     context_.limits.key_staleness = from_ms(settings_.key_staleness_ms()) - key_margin;
 }
 
@@ -260,13 +328,12 @@
         }
     }
     const caller_limits& given = configuration->limits();
-    http_limits limits;
-    limits.max_connections = max_accepted_connections();
-    limits.max_body_bytes = given.max_body_bytes;
-    limits.max_header_bytes = given.max_header_bytes;
-    limits.header_read_timeout = given.header_timeout;
-    limits.idle_timeout = given.idle_timeout + 1s; // A request may be sent just before the timeout.
-    calls_.set_limits(limits);
+    call_limits_.max_body_bytes = given.max_body_bytes;
+    call_limits_.max_header_bytes = given.max_header_bytes;
+    call_limits_.header_read_timeout = given.header_timeout;
+    // A request may be sent just before the timeout.
+    call_limits_.idle_timeout = given.idle_timeout + 1s;
+    calls_.set_limits(call_limits_);
     apply_fleet_change();
 }
 
@@ -285,6 +352,7 @@
         peers_->fleet_exceeds_fanout() && state.failure_domain() != settings_.failure_domain();
     context_.replica_lb->note_peer_usage(state.name(), from_messages(state.counts()),
                                          monotonic_clock::now(), is_remote);
+    context_.queue->note_peer_waiting(state.name(), from_messages(state.waiting_calls()));
     crash_exchange_->apply_state(state);
     context_.queue->admit_waiting();
     calls_began_ = calls_began_ || state.calls_began();
@@ -316,11 +384,7 @@
     state.set_sound_store(view_->store_is_healthy());
     state.set_calls_began(calls_began_);
     state.set_up_ms(to_whole_ms(now - started_at_));
-    for (const auto& [model, rate] : context_.demand.rates(now)) {
-        schema::model_demand& demand = *state.add_demands();
-        demand.set_model(model);
-        demand.set_work_ms_per_s(rate);
-    }
+    report_demand(context_.demand, view_->configuration(), now, state);
     state.set_leading(assembler_->leading());
     state.set_processor_share(settings_.processor_share());
     set_topics(*view_, assembler_->leading(), state);
@@ -330,24 +394,25 @@
         }
     }
     to_messages(context_.replica_lb->own_usage(now), *state.mutable_counts());
+    to_messages(context_.queue->own_waiting(), *state.mutable_waiting_calls());
     crash_exchange_->fill_state(state);
 }
 
 /** Periodically chooses the node that reads the log, drops the usage reported by nodes that are no
- * longer live, divides the retry budget by the live nodes, and in a large fleet prefers replicas in
- * this node's failure domain.
+ * longer live, divides the retry budget and the calls to cold servers by the live nodes, and in a
+ * large fleet prefers replicas in this node's failure domain.
  */
 asio::awaitable<void> relay_node::run_fleet_checks()
 {
     while (true) {
         co_await sleep_for(fleet_check_interval);
         reading_->update(context_.leaving);
-        std::set<std::string> live;
-        for (const known_node* node : peers_->live()) {
-            live.insert(node->state.name());
+        cold_limit_peers peers = peers_of(*peers_);
+        context_.replica_lb->retain_peers(peers.live);
+        context_.turns->set_nodes(peers.live.size() + 1);
+        if (context_.cold->update(std::move(peers), ready(), monotonic_clock::now())) {
+            context_.queue->admit_waiting(); // This node may call a cold server again.
         }
-        context_.replica_lb->retain_peers(live);
-        context_.turns->set_nodes(live.size() + 1);
         apply_limits();
         context_.replica_lb->prefer_domain(
             peers_->fleet_exceeds_fanout() ? settings_.failure_domain() : "");
@@ -391,67 +456,6 @@
     return true;
 }
 
-std::map<std::string, double> relay_node::demand() const
-{
-    std::map<std::string, double> total = context_.demand.rates(monotonic_clock::now());
-    for (const known_node* node : peers_->live()) {
-        for (const schema::model_demand& part : node->state.demands()) {
-            total[part.model()] += part.work_ms_per_s();
-        }
-    }
-    return total;
-}
-
-std::vector<std::string> relay_node::call_addresses()
-{
-    std::vector<std::string> healthy; // Nodes that can reach the store.
-    std::vector<std::string> others;
-    if (ready()) {
-        (view_->store_is_healthy() ? healthy : others).push_back(settings_.call_address());
-    }
-    for (const known_node* node : peers_->live()) {
-        if (node->state.ready() && !node->state.leaving()) {
-            (node->state.sound_store() ? healthy : others).push_back(node->state.call_address());
-        }
-    }
-    return healthy.empty() ? others : healthy;
-}
-
-asio::awaitable<void> relay_node::serve(http_exchange& exchange)
-{
-    calls_began_ = true;
-    co_await serve_call(context_, exchange);
-}
-
-asio::awaitable<void> relay_node::serve_ready(http_exchange& exchange)
-{
-    const bool is_ready = ready();
-    http_reply reply =
-        text_reply(is_ready ? 200 : 503, is_ready ? "ready\n" : "not ready\n", plain_text);
-    co_await exchange.respond(std::move(reply));
-}
-
-asio::awaitable<void> relay_node::serve_directory(http_exchange& exchange)
-{
-    constexpr std::size_t max_addresses = 64; // Callers read no more of them.
-    std::vector<std::string> addresses = call_addresses();
-    for (std::size_t i = 0; i + 1 < addresses.size(); ++i) {
-        std::swap(addresses[i], addresses[i + random_below(random_, addresses.size() - i)]);
-    }
-    addresses.resize(std::min(addresses.size(), max_addresses));
-    const duration validity = from_ms(1000 * settings_.address_validity_s());
-    http_reply reply = addresses.empty() ? text_reply(503, "no node is ready\n", plain_text)
-                                         : hooks_.fleet.write_directory(addresses, validity);
-    co_await exchange.respond(std::move(reply));
-}
-
-asio::awaitable<void> relay_node::serve_metrics(http_exchange& exchange)
-{
-    http_reply reply = text_reply(200, context_.metrics->to_text());
-    reply.content_type = "text/plain; version=0.0.4; charset=utf-8";
-    co_await exchange.respond(std::move(reply));
-}
-
 asio::awaitable<void> relay_node::drain()
 {
     const time_point now = monotonic_clock::now();
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include <map>
 #include <memory>
 #include <string>
 
@@ -65,9 +66,9 @@
     void apply_peer_state(const schema::peer_word& state);
     void fill_own_state(schema::peer_word& state);
     std::vector<std::string> call_addresses();
-    std::map<std::string, double> demand() const;
     bool listen(http_server& server, const std::string& address);
     void apply_limits();
+    void add_replica_gauges();
     void record_availability(const backend_incarnation& server,
                              const backend_availability& availability);
     void add_seed_addresses();
@@ -89,12 +90,14 @@
     std::shared_ptr<assembler> assembler_;
     std::shared_ptr<fleet_restorer> restorer_;
     std::shared_ptr<crash_evidence_exchange> crash_exchange_;
+    http_limits call_limits_; // Of the port for calls, as last set.
     http_server calls_;
     http_server ready_;
     http_server directory_;
     http_server metrics_;
     bool calls_began_ = false;
     bool caught_up_ = false; // Since its start, with what the other nodes know.
+    std::map<std::string, double> replica_targets_; // By model, where priorities differ.
     std::string last_reason_;
 };
 
--- a/src/relay/relayed_call.cpp
+++ b/src/relay/relayed_call.cpp
@@ -22,7 +22,8 @@
 } // namespace
 
 http_request relayed_call::attempt(const std::string& backend_id,
-                                   std::optional<std::uint64_t> last_event) const
+                                   std::optional<std::uint64_t> last_event,
+                                   std::optional<std::uint32_t> engine_priority) const
 {
     attempt_parameters added;
     added.backend_id = backend_id;
@@ -30,6 +31,7 @@
     const duration until_stop = context.stopping.calls_end() - monotonic_clock::now();
     added.time_left = std::max<duration>(std::min(time_left(), until_stop), 1ms);
     added.last_event = last_event;
+    added.priority = engine_priority;
     return context.codec.write_attempt(exchange.request(), added);
 }
 
@@ -50,14 +52,17 @@
     options.timeout = std::max<duration>(std::min(timeout, time_left()), 1ms);
     options.connect_timeout = connect_timeout;
     options.cancel = cancel;
-    options.should_send = [this, target] {
+    // The server may disappear from the list before the attempt is sent.
+    const listed_backend* listed = context.backends->find(target.id);
+    const std::string domain = listed != nullptr ? listed->server.failure_domain : std::string();
+    options.should_send = [this, target, domain] {
         if (exchange.peer_has_closed()) {
             end.reason = "its connection had ended before an attempt was sent";
             cancel->cancel();
         }
         const backend_availability current = context.availability(target, monotonic_clock::now());
         return !cancel->cancelled() && context.stopping.may_send(deadline, route->retry) &&
-               !current.leaving && !current.paused_until;
+               !current.leaving && !current.paused_until && !context.is_evacuated(domain);
     };
     options.matches_request = [read_metadata = context.codec.read_metadata,
                                id = parameters.id](const std::vector<http_header>& headers) {
--- a/test/support/assembly_fixture.h
+++ b/test/support/assembly_fixture.h
@@ -3,6 +3,8 @@
  */
 #pragma once
 
+#include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -44,6 +46,7 @@
             vm.id = domain + std::to_string(i);
             vm.service = "pool";
             vm.fabric_domain = domain;
+            vm.failure_domain = domain;
             vm.started_ms = 1;
             backends.apply(vm, now);
         }
@@ -58,8 +61,12 @@
         input.backends = &backends;
         input.history = &history;
         input.uses = uses;
+        if (mixed_demand) {
+            input.split = split_input{*mixed_demand, split};
+        }
         input.before_first_call = before_first_call;
         input.load_allowance = load_allowance;
+        input.evacuated = evacuated;
         input.now = now;
         return plan_assembly(input, settings);
     }
@@ -70,6 +77,9 @@
     assembly_plan step()
     {
         assembly_plan made = plan();
+        if (made.split) {
+            split = made.split->state;
+        }
         keyed_records appended;
         appended.next_offset = ledger.end().offset;
         for (keyed_record record : made.records) {
@@ -124,8 +134,11 @@
     assembly_history history;
     std::map<std::uint64_t, replica_usage> uses;
     std::set<std::string> unresponsive; // VMs that execute no command.
+    std::optional<std::map<std::string, recent_demand>> mixed_demand; // Set: priorities differ.
+    split_state split;
     bool before_first_call = true;
     std::uint32_t load_allowance = 1000;
+    std::set<std::string> evacuated; // Domains.
 
   private:
     void execute(const planned_command& planned)
