Let callers in tests of the relay wait longer than a call's deadline

error/relay, 'single bytes that end no event do not keep a stalled stream open', failed once at REQUIRE(opened) on a busy machine. The test's own client gave up after 5 s, its default, which is also the deadline of the call: the node answers 5 ms before that, so a little delay on either side decided. The client now waits 8 s; what is checked is unchanged.

--- a/test/support/relay_fixture.h
+++ b/test/support/relay_fixture.h
@@ -21,6 +21,8 @@
     return "id: " + std::to_string(id) + "\ndata: x" + std::to_string(id) + "\n\n";
 }
 
+constexpr duration answer_timeout = 8s; // Longer than the deadline of any call.
+
 /** The head of a replica: streams five events, starting after the request's Last-Event-Id. */
 struct fake_head {
     static constexpr std::uint64_t events_per_answer = 5;
@@ -188,7 +190,9 @@
                                {"X-Token-Usage", "100,20"},       {"X-Deadline-Ms", "5000"},
                                {"X-Prompt-Prefix", prompt_parts}};
             http_client client(context.get_executor());
-            auto opened = co_await client.open(address, request);
+            http_call_options options;
+            options.timeout = answer_timeout;
+            auto opened = co_await client.open(address, request, options);
             REQUIRE(opened);
             status = (*opened)->status();
             seal = (*opened)->header("X-Response-Seal");
