--- a/test/correctness/relay_overload.cpp
+++ b/test/correctness/relay_overload.cpp
@@ -318,13 +318,14 @@
         {"burst of 2.5 for 6 s", burst_of(2.5, 6s)},
         {"loss of a third for 8 s", loss_of_a_third()},
     };
-    for (const auto& [name, load] : loads) {
-        overload_simulation before(load, false);
+    for (const auto& named : loads) {
+        overload_simulation before(named.second, false);
         before.run();
-        overload_simulation after(load, true);
+        overload_simulation after(named.second, true);
         after.run();
-        INFO(name, ": before worth ", before.worth(), ", in time ", before.total.in_time, ", late ",
-             before.total.late, ", never ", before.total.never, ", refusals ", before.refusals);
+        INFO(named.first, ": before worth ", before.worth(), ", in time ", before.total.in_time,
+             ", late ", before.total.late, ", never ", before.total.never, ", refusals ",
+             before.refusals);
         INFO("after worth ", after.worth(), ", in time ", after.total.in_time, ", late ",
              after.total.late, ", never ", after.total.never, ", refusals ", after.refusals,
              ", after a long wait ", after.refused_after_long_wait, ", less urgent first ",
