Join a VM only in the state that it tells of itself

What callers saw: a VM was a member of two replicas at once, one of whose heads was still open (TWO).

Cause: a departure was taken as final.

Now a VM is asked for its state before each join. A member of another replica whose head may serve leaves first, and the join names the number of commands that the VM has begun (the platform's "precondition"): the VM refuses it if it has begun another one since. So a join that is executed late has no effect, neither after the VM has left nor between its answer and the new join. List entries and outcomes of earlier commands, which may be older than a late join, no longer decide.

--- a/soak/backend_server.cpp
+++ b/soak/backend_server.cpp
@@ -223,7 +223,7 @@
     }
     switch (kind) {
     case request_kind::report: {
-        http_reply reply = write_report(entry_, running_calls_);
+        http_reply reply = write_report(entry_, running_calls_, begun_commands_);
         co_await send(exchange, std::move(reply));
         break;
     }
--- a/soak/backend_server.h
+++ b/soak/backend_server.h
@@ -137,6 +137,7 @@
     server_entry entry_;
     server_faults faults_;
     std::uint32_t running_calls_ = 0;
+    std::uint64_t begun_commands_ = 0;
     bool refuses_connections_ = false;
 
   private:
--- a/soak/model_server.cpp
+++ b/soak/model_server.cpp
@@ -196,6 +196,16 @@
 }
 
 unsigned model_server::execute(const engine_command& command)
+{
+    if (command.only_after && *command.only_after != begun_commands_) {
+        return conflicting;
+    }
+    const unsigned status = begin(command);
+    begun_commands_ += status == accepted ? 1 : 0;
+    return status;
+}
+
+unsigned model_server::begin(const engine_command& command)
 {
     if (command.operation == engine_operation::join) {
         return join_replica(command);
--- a/soak/model_server.h
+++ b/soak/model_server.h
@@ -33,6 +33,7 @@
   private:
     /** \return the HTTP status that answers the command. */
     unsigned execute(const engine_command& command);
+    unsigned begin(const engine_command& command);
     unsigned join_replica(const engine_command& command);
     void leave_replica();
 
--- a/soak/wire_format.cpp
+++ b/soak/wire_format.cpp
@@ -295,6 +295,9 @@
     command.model = parsed.value("model", "");
     command.aborts_calls = parsed.value("close-mode", "") == "aborted";
     command.members = parsed.value("members", std::vector<std::string>());
+    if (parsed.contains("precondition")) {
+        command.only_after = parsed.value("precondition", std::uint64_t{0});
+    }
     return command;
 }
 
@@ -344,12 +347,14 @@
     return reply;
 }
 
-http_reply write_report(const server_entry& server, std::uint32_t running)
+http_reply write_report(const server_entry& server, std::uint32_t running,
+                        std::uint64_t begun_commands)
 {
     json report = json::parse(write_server(server));
     report.update({{"stage", "unified"},
                    {"models", json::array()},
                    {"busy", false},
+                   {"sequence", begun_commands},
                    {"num-waiting", 0},
                    {"num-running", running},
                    {"pace", 1.0}});
--- a/soak/wire_format.h
+++ b/soak/wire_format.h
@@ -76,8 +76,9 @@
     std::string replica;
     std::uint64_t epoch = 0;
     std::string model;
-    std::vector<std::string> members; // The head first.
-    bool aborts_calls = false;        // On close: don't wait for running calls.
+    std::vector<std::string> members;        // The head first.
+    bool aborts_calls = false;               // On close: don't wait for running calls.
+    std::optional<std::uint64_t> only_after; // Executed only after so many begun commands.
 };
 
 /** \return the command, or nothing if the body is malformed or the operation unknown. */
@@ -99,7 +100,9 @@
 http_reply write_not_executed(const std::string& call_id, unsigned status);
 
 /** \return a server's reply to a probe. */
-http_reply write_report(const server_entry& server, std::uint32_t running);
+/** \param begun_commands how many commands the server has begun. */
+http_reply write_report(const server_entry& server, std::uint32_t running,
+                        std::uint64_t begun_commands);
 
 /** \return the request that a caller sends.
  * \param model empty if the route has none.
--- a/src/assembly/assembler.cpp
+++ b/src/assembly/assembler.cpp
@@ -9,6 +9,7 @@
 
 #include <boost/asio.hpp>
 
+#include "assembly/join_guard.h"
 #include "assembly/member_pool.h"
 #include "base/event_log.h"
 #include "base/task.h"
@@ -173,7 +174,13 @@
     const auto self = shared_from_this();
     const std::string id = vm.id;
     const engine_command sent = planned.command;
-    const command_outcome outcome = co_await engines_.send(std::move(vm), sent);
+    command_outcome outcome = command_outcome::no_contact;
+    if (sent.kind == command_kind::join) {
+        outcome = co_await join(std::move(vm), sent);
+    }
+    else {
+        outcome = co_await engines_.send(std::move(vm), sent);
+    }
     history_.note_outcome(id, sent, outcome);
     const auto replica = ledger_.replicas().find(sent.replica);
     const bool is_head =
@@ -192,6 +199,25 @@
     plan_soon();
 }
 
+/** Lets a VM join a replica once it has left its last one. */
+asio::awaitable<command_outcome> assembler::join(backend vm, engine_command command)
+{
+    const is_closed_hook is_closed = [this](std::uint64_t epoch) {
+        return history_.is_closed(epoch);
+    };
+    const leave_hook on_leave = [this, id = vm.id](const engine_command& leave,
+                                                   command_outcome outcome) {
+        history_.note_sent(id, leave, monotonic_clock::now());
+        history_.note_outcome(id, leave, outcome);
+        assembly_log.write("order", {{"vm", id},
+                                     {"kind", to_text(leave.kind)},
+                                     {"replica", leave.replica},
+                                     {"epoch", std::to_string(leave.epoch)},
+                                     {"outcome", to_text(outcome)}});
+    };
+    co_return co_await send_join(engines_, std::move(vm), std::move(command), is_closed, on_leave);
+}
+
 asio::awaitable<void> assembler::probe(backend vm)
 {
     const auto self = shared_from_this();
--- a/src/assembly/assembler.h
+++ b/src/assembly/assembler.h
@@ -94,6 +94,7 @@
     bool list_is_growing(const std::string& service);
     boost::asio::awaitable<void> append(std::vector<keyed_record> records);
     boost::asio::awaitable<void> send(backend vm, planned_command planned);
+    boost::asio::awaitable<command_outcome> join(backend vm, engine_command command);
     boost::asio::awaitable<void> probe(backend vm);
     boost::asio::awaitable<void> wait_for_next_plan();
     void refill_load_tokens(const engine_profile& profile);
--- a/src/assembly/engine_command.h
+++ b/src/assembly/engine_command.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,11 @@
     std::string model;
     std::vector<std::string> members; // The head first.
 
+    /** Set: the VM executes the command only if it has begun exactly so many commands since its
+     * start. A command that is executed late thus has no effect after any other one.
+     */
+    std::optional<std::uint64_t> only_after;
+
     bool operator==(const engine_command&) const = default;
 };
 
@@ -48,9 +54,25 @@
     refused, // The connection was refused, or another VM has the address.
 };
 
+/** What a VM answers about itself. Unlike its list entry, it is not delayed by the store. */
+struct engine_state {
+    std::uint64_t started_ms = 0; // Unix time of its start.
+
+    // How many commands it has begun since its start; nothing if it does not say.
+    std::optional<std::uint64_t> begun_commands;
+
+    std::optional<replica_membership> membership;
+
+    bool operator==(const engine_state&) const = default;
+};
+
 /** The requests that a node sends to model engines. */
 struct engine_calls {
     std::function<boost::asio::awaitable<command_outcome>(backend vm, engine_command command)> send;
+
+    /** \return nothing if the VM did not answer, or not with a state that can be read. */
+    std::function<boost::asio::awaitable<std::optional<engine_state>>(backend vm)> read_state;
+
     std::function<boost::asio::awaitable<probe_outcome>(backend vm)> probe;
 };
 
--- a/test/error/platform_decoding.cpp
+++ b/test/error/platform_decoding.cpp
@@ -188,6 +188,24 @@
     });
 }
 
+TEST_CASE("the state that a VM tells of itself is read, and a malformed one is rejected")
+{
+    const auto state = platform::read_engine_state(
+        R"({"stage":"unified","busy":false,"sequence":4,"born":12,"num-running":0,
+            "group":{"name":"r1","epoch":3,"rank":1,"state":"ready"}})");
+    REQUIRE(state);
+    CHECK(*state == engine_state{12, 4, replica_membership{"r1", 3, 1, membership_phase::ready}});
+    const auto free = platform::read_engine_state(R"({"born":12})");
+    REQUIRE(free);
+    CHECK(*free == engine_state{12, std::nullopt, std::nullopt});
+    for (const std::string malformed :
+         {"", "[]", "{}", R"({"born":-1})", R"({"born":12,"sequence":"4"})",
+          R"({"born":12,"group":{"name":"r1","epoch":3,"state":"asleep"}})"}) {
+        CAPTURE(malformed);
+        CHECK_FALSE(platform::read_engine_state(malformed));
+    }
+}
+
 TEST_CASE("a command is encoded with only the fields that its kind needs")
 {
     engine_command command;
@@ -198,6 +216,11 @@
     command.members = {"a", "b"};
     CHECK(platform::encode_command(command) ==
           R"({"epoch":12,"group":"r1","members":["a","b"],"model":"m0","operation":"join"})");
+    command.only_after = 4;
+    CHECK(platform::encode_command(command) ==
+          R"({"epoch":12,"group":"r1","members":["a","b"],"model":"m0","operation":"join",)"
+          R"("precondition":4})");
+    command.only_after.reset();
     command.kind = command_kind::close_now;
     CHECK(platform::encode_command(command) ==
           R"({"close-mode":"aborted","epoch":12,"group":"r1","operation":"close"})");
