Trust a departure only until the list shows the member in its replica again

What callers saw: nothing yet; a VM could be in two replicas at once, one with an open head (TWO).

Cause: member_release::has_left() took a confirmed leave as final. A join of the old replica that the VM executes late puts it back behind the head, which is open as long as it is only cut off, and the list shows it; the planner still counted the VM as free and let it join another replica. Class: a proof that is older than the state it is held against.

Evidence: read, then shown by the new case of correctness/assembly, "a member that is back in the replica of its lost head leaves again before it joins", which failed before ("REQUIRE( left ) is NOT correct"). A list entry that still shows the membership two heartbeats after the leave is newer than the leave, so the VM leaves again first. Before that time the VM's own answer decides (join_guard).

--- a/src/assembly/assembly_plan.h
+++ b/src/assembly/assembly_plan.h
@@ -22,6 +22,9 @@
 
 namespace chervildyke {
 
+/** The list of VMs shows that a VM has left a replica within this time: two heartbeats. */
+inline constexpr duration list_lag = 2s;
+
 struct assembly_settings {
     /** After this time a command without effect is sent again, since it may be lost. An answer
      * takes a few ms.
@@ -95,9 +98,6 @@
      */
     duration silent_head_wait = 2500ms;
 
-    /** The list of VMs shows that a VM has left a replica within this time: two heartbeats. */
-    duration list_lag = 2s;
-
     /** By this fraction a model's share increases for each VM of a replica, since the loss of any
      * one of them stops the replica.
      */
--- a/src/assembly/member_release.cpp
+++ b/src/assembly/member_release.cpp
@@ -17,8 +17,10 @@
     const listed_backend* listed = in_.backends->find(vm);
     const bool shows_membership =
         listed != nullptr && listed->server.membership && listed->server.membership->epoch == epoch;
-    // A VM may refuse for another reason than that it is in no such replica.
-    return leave->outcome == command_outcome::begun ||
+    // A VM may refuse for another reason than that it is in no such replica. It may also have
+    // executed a late join since it left.
+    const bool entry_is_older = in_.now - leave->at < list_lag;
+    return (leave->outcome == command_outcome::begun && (!shows_membership || entry_is_older)) ||
            (leave->outcome == command_outcome::refused && !shows_membership);
 }
 
--- a/src/assembly/retirement_planner.cpp
+++ b/src/assembly/retirement_planner.cpp
@@ -119,7 +119,7 @@
         if (is_settled(leave) && !member) {
             builder_.plan.closed.push_back(membership.epoch);
         }
-        if (is_settled(leave) && in_.now - leave->at < settings_.list_lag) {
+        if (is_settled(leave) && in_.now - leave->at < list_lag) {
             continue;
         }
         if (member) {
--- a/test/correctness/assembly_member_release.cpp
+++ b/test/correctness/assembly_member_release.cpp
@@ -31,6 +31,9 @@
         before = replica(name);
         head = before.members(0).id();
         member = before.members(1).id();
+        for (const auto& [id, listed] : backends.all()) {
+            spare = id == head || id == member ? spare : id;
+        }
         unresponsive = {head};
         before_first_call = false;
     }
@@ -74,6 +77,7 @@
     schema::shared_replica before; // While it was serving.
     std::string head;
     std::string member;
+    std::string spare;
 };
 
 } // namespace
@@ -169,3 +173,21 @@
     fixture.backends.apply(listed, fixture.now);
     CHECK(fixture.run_until_member_joins());
 }
+
+// Guards against trusting a departure that a join which the member executed late has undone.
+TEST_CASE("a member that is back in the replica of its lost head leaves again before it joins")
+{
+    unreachable_head_fixture fixture;
+    const backend in_replica = fixture.backends.find(fixture.member)->server;
+    const backend other = fixture.backends.find(fixture.spare)->server;
+    fixture.backends.remove(fixture.spare, fixture.now); // The member can form no other replica.
+    fixture.lose_head(false);
+    fixture.now += fixture.settings.lost_head_wait;
+    fixture.steps(2);
+    REQUIRE_FALSE(fixture.ledger.replicas().contains(fixture.name));
+    REQUIRE_FALSE(fixture.backends.find(fixture.member)->server.membership);
+    fixture.backends.apply(in_replica, fixture.now);
+    fixture.backends.apply(other, fixture.now);
+    fixture.now += list_lag;
+    CHECK(fixture.run_until_member_joins());
+}
--- a/test/correctness/assembly_orphans.cpp
+++ b/test/correctness/assembly_orphans.cpp
@@ -110,7 +110,7 @@
     leave.epoch = fixture.membership.epoch;
     fixture.history.note_sent(orphan_fixture::orphan, leave, fixture.now);
     fixture.history.note_outcome(orphan_fixture::orphan, leave, command_outcome::begun);
-    fixture.now += fixture.settings.list_lag - 1ms;
+    fixture.now += list_lag - 1ms;
     CHECK(orphan_fixture::count_for_orphan(fixture.plan(), command_kind::close_now) == 0);
     fixture.now += 1ms;
     CHECK(orphan_fixture::count_for_orphan(fixture.plan(), command_kind::close_now) == 1);
