Let members leave a lost head that refuses connections before they join others

Cause: a head that was not listed, refused connections and had no event for 4 s counted as ended, and its members were free without a leave. The port says nothing of the calls.

Two tests stated the old rule as wanted (assembly_member_release, "the members of a head whose process has ended are free once it is given up", and a check in assembly_lost_heads). They now ask for more: the members are told to leave at the moment when they were free before, and are free one step later. The changed case failed before ("given_up.commands.size() == 2", found 0). A head that has started again, confirms its leave, or whose address another server has, still frees its members at once.

--- a/src/assembly/retirement_planner.cpp
+++ b/src/assembly/retirement_planner.cpp
@@ -160,18 +160,14 @@
     const auto use = in_.uses.find(entry.second.epoch());
     const bool has_recent_events = use != in_.uses.end() && use->second.running > 0 &&
                                    use->second.silent < settings_.lost_head_wait;
-    const bool has_ended =
-        probed != nullptr && probed->refused && probed->failures >= settings_.probe_failure_limit;
-    const bool given_up = wait_is_over && lost->no_contact && !has_recent_events;
-    if (confirmed || (given_up && has_ended)) {
+    if (confirmed) {
         builder_.drop_closed(entry);
         return;
     }
-    if (given_up) {
+    // A head that refuses connections may have stopped listening and still finish calls, so its
+    // members leave too.
+    if (wait_is_over && lost->no_contact && !has_recent_events) {
         release_members(entry);
-        if (lost->address_known) {
-            builder_.add_probe(head); // A refused connection shows that its process has ended.
-        }
     }
     if (!lost->address_known) {
         return;
--- a/test/correctness/assembly_lost_heads.cpp
+++ b/test/correctness/assembly_lost_heads.cpp
@@ -153,14 +153,12 @@
           0);
 }
 
-// Guards against keeping the VMs of a replica whose head has ended longer than before.
+// Guards against keeping the VMs of a replica whose head has ended longer than needed.
 TEST_CASE("a replica whose missing head has ended aborts its calls at once")
 {
     missing_head_fixture fixture;
-    bool ended = false;
     SUBCASE("it refuses connections")
     {
-        ended = true;
         fixture.history.note_probe_outcome(fixture.head, probe_outcome::refused, fixture.now);
         fixture.history.note_probe_outcome(fixture.head, probe_outcome::refused, fixture.now);
     }
@@ -181,8 +179,8 @@
     fixture.uses.clear();
     fixture.now = noted.since + fixture.settings.lost_head_wait;
     const assembly_plan given_up = fixture.step();
-    CHECK(fixture.ledger.replicas().contains(fixture.name) != ended);
-    CHECK(count_commands(given_up, command_kind::leave) == (ended ? 0 : member_count - 1));
+    CHECK(fixture.ledger.replicas().contains(fixture.name));
+    CHECK(count_commands(given_up, command_kind::leave) == member_count - 1);
     fixture.step();
     CHECK_FALSE(fixture.ledger.replicas().contains(fixture.name));
 }
--- a/test/correctness/assembly_member_release.cpp
+++ b/test/correctness/assembly_member_release.cpp
@@ -134,16 +134,23 @@
     CHECK(fixture.ledger.holder_of(fixture.member) == fixture.name);
 }
 
-TEST_CASE("the members of a head whose process has ended are free once it is given up")
+// Guards against using the members of a head that has stopped listening but still has calls, which
+// may have been silent for as long as a lost head is waited for.
+TEST_CASE("members of a lost head that refuses connections join again only after they left")
 {
     unreachable_head_fixture fixture;
     fixture.lose_head(true);
     fixture.history.note_probe_outcome(fixture.head, probe_outcome::refused, fixture.now);
     fixture.history.note_probe_outcome(fixture.head, probe_outcome::refused, fixture.now);
     fixture.now += fixture.settings.lost_head_wait;
+    const assembly_plan given_up = fixture.step();
+    REQUIRE(given_up.commands.size() == 2); // The head is still told to close.
+    CHECK(given_up.commands.front().vm == fixture.member);
+    CHECK(given_up.commands.front().command.kind == command_kind::leave);
     fixture.step();
     CHECK_FALSE(fixture.ledger.holder_of(fixture.member));
-    fixture.steps(3);
+    CHECK_FALSE(fixture.history.is_closed(fixture.before.epoch()));
+    fixture.steps(2);
     CHECK(fixture.ledger.holder_of(fixture.member));
 }
 
