Give up a replica although one of its members can't be reached

What callers saw: fewer replicas for as long as one listed member of a lost head answered no command: all its other members waited for it.

Cause: the ledger's record of a replica was dropped only after all listed members had left. A member that does not answer needs no record to be held back: it shows its membership in the list and is told to leave as an orphaned member, and a join asks the VM itself first.

Evidence: the new case of correctness/assembly, "a member that does not answer keeps only itself from joining another replica", failed before ("joined == 2", found 0) and passes; it also requires that the silent member joins nothing, and that it leaves once it answers again.

--- a/src/assembly/member_release.cpp
+++ b/src/assembly/member_release.cpp
@@ -3,6 +3,8 @@
  */
 #include "assembly/member_release.h"
 
+#include <algorithm>
+
 #include "assembly/formation_planner.h"
 
 namespace chervildyke {
@@ -38,6 +40,15 @@
     return vms;
 }
 
+bool member_release::may_give_up(const schema::shared_replica& replica) const
+{
+    const std::vector<std::string> staying = members_to_leave(replica);
+    return std::all_of(staying.begin(), staying.end(), [&](const std::string& vm) {
+        const sent_command* leave = in_.history->find(vm, command_kind::leave, replica.epoch());
+        return leave != nullptr && leave->unanswered > 0;
+    });
+}
+
 bool member_release::is_orphaned_member(const backend& vm) const
 {
     return vm.membership && vm.membership->rank > 0 &&
--- a/src/assembly/member_release.h
+++ b/src/assembly/member_release.h
@@ -24,6 +24,12 @@
     /** \return the listed members other than the head that have not confirmed that they left. */
     std::vector<std::string> members_to_leave(const schema::shared_replica& replica) const;
 
+    /** \return true if the members of the replica can be freed one by one: each of them has left,
+     * is not listed, or did not answer its last command to leave. Those that have not left join no
+     * other replica before they do, as orphaned members.
+     */
+    bool may_give_up(const schema::shared_replica& replica) const;
+
     /** \return true if the VM, which no replica of the ledger holds, is a member but not the head
      * of a replica whose head is not known to have closed.
      */
--- a/src/assembly/retirement_planner.cpp
+++ b/src/assembly/retirement_planner.cpp
@@ -64,11 +64,10 @@
 /** Makes the members leave a replica whose head can't be reached, and then gives it up. */
 void retirement_planner::release_members(const ledger_entry& entry)
 {
-    const std::vector<std::string> staying = release_.members_to_leave(entry.second);
-    for (const std::string& vm : staying) {
+    for (const std::string& vm : release_.members_to_leave(entry.second)) {
         builder_.add_command(vm, make_command(command_kind::leave, entry.first, entry.second));
     }
-    if (staying.empty()) {
+    if (release_.may_give_up(entry.second)) {
         builder_.drop(entry); // Members that are listed again leave first, as orphaned ones.
     }
 }
--- a/test/correctness/assembly_member_release.cpp
+++ b/test/correctness/assembly_member_release.cpp
@@ -198,3 +198,44 @@
     fixture.now += list_lag;
     CHECK(fixture.run_until_member_joins());
 }
+
+// Guards against holding all members of a replica for as long as one of them can't be reached.
+TEST_CASE("a member that does not answer keeps only itself from joining another replica")
+{
+    assembly_fixture fixture;
+    fixture.profile.models.pop_back();
+    fixture.profile.models[0].initial_share = 1;
+    fixture.settings.spare_share = 0;
+    fixture.add_domain("d0-", 6);
+    fixture.steps(4);
+    REQUIRE(fixture.serving("large").size() == 1);
+    const std::string name = fixture.serving("large").front();
+    const schema::shared_replica before = fixture.replica(name);
+    const std::string head = before.members(0).id();
+    const std::string silent = before.members(1).id();
+    fixture.before_first_call = false;
+    fixture.unresponsive = {head, silent};
+    fixture.backends.remove(head, fixture.now);
+    fixture.step();
+    lost_head& lost = fixture.history.lost_head_entry(before.epoch());
+    lost.since = fixture.now;
+    lost.no_contact = true;
+    engine_command leave;
+    leave.kind = command_kind::leave;
+    leave.epoch = before.epoch();
+    std::size_t joined = 0;
+    for (int i = 0; i < steps_to_recover; ++i) {
+        for (const planned_command& planned : fixture.step().commands) {
+            if (planned.command.kind == command_kind::join) {
+                REQUIRE(planned.vm != silent);
+                joined +=
+                    planned.vm == before.members(2).id() || planned.vm == before.members(3).id();
+            }
+        }
+        fixture.history.note_outcome(silent, leave, command_outcome::unclear);
+    }
+    CHECK(joined == 2);
+    fixture.unresponsive.clear();
+    fixture.steps(2);
+    CHECK_FALSE(fixture.backends.find(silent)->server.membership);
+}
