--- a/test/correctness/assembly_member_release.cpp
+++ b/test/correctness/assembly_member_release.cpp
@@ -199,6 +199,32 @@
     CHECK(fixture.run_until_member_joins());
 }
 
+// A new leader does not know which heads its predecessor closed. A leave affects no other replica
+// than the one that it names, so all that it costs is one command for each member.
+TEST_CASE("a new leader makes the members of a closed replica leave once")
+{
+    unreachable_head_fixture fixture;
+    fixture.unresponsive.clear();
+    fixture.backends.remove(fixture.spare, fixture.now);
+    backend restarted = fixture.backends.find(fixture.head)->server;
+    restarted.started_ms = 2;
+    restarted.membership.reset();
+    fixture.backends.apply(restarted, fixture.now);
+    fixture.steps(2);
+    REQUIRE(fixture.history.is_closed(fixture.before.epoch()));
+    REQUIRE(fixture.backends.find(fixture.member)->server.membership);
+    fixture.history = assembly_history();
+    std::size_t leaves = 0;
+    for (int i = 0; i < 4; ++i) {
+        for (const planned_command& planned : fixture.step().commands) {
+            leaves +=
+                planned.vm == fixture.member && planned.command.kind == command_kind::leave ? 1 : 0;
+        }
+    }
+    CHECK(leaves == 1);
+    CHECK(fixture.ledger.holder_of(fixture.member));
+}
+
 // Guards against holding all members of a replica for as long as one of them can't be reached.
 TEST_CASE("a member that does not answer keeps only itself from joining another replica")
 {
