Take only a refusal of a model engine for a refusal

What callers saw: nothing yet; a VM could be in two replicas at once, one with an open head (TWO).

Cause: every answer to a command other than 200, 202 and 421 counted as "refused", which is taken as the proof that a VM is not in a replica: its replica is dropped as closed, and its members are free. A 503 of a server that is full, or a 500 of one that fails part of its requests, proves nothing. Class: the same as of a departure that is taken as final, a membership given up before it is known to have ended.

--- a/test/error/platform_decoding.cpp
+++ b/test/error/platform_decoding.cpp
@@ -188,6 +188,39 @@
     });
 }
 
+// Guards against using the members of an open head that failed to answer a command: its 503 was
+// taken for the proof that it is in no replica.
+TEST_CASE("a command that fails for want of room or by a fault has no known outcome")
+{
+    asio::io_context context{1};
+    unsigned status = 0;
+    http_server server(context.get_executor(),
+                       [&status](http_exchange& exchange) -> asio::awaitable<void> {
+                           http_reply reply;
+                           reply.status = status;
+                           co_await exchange.respond(std::move(reply));
+                       });
+    REQUIRE(server.listen("127.0.0.1", 0));
+    const auto http = std::make_shared<http_client>(context.get_executor());
+    const engine_calls calls = platform::make_engine_calls(http);
+    backend vm;
+    vm.id = "i-1";
+    vm.address = "127.0.0.1:" + std::to_string(server.port());
+    engine_command command;
+    command.kind = command_kind::leave;
+    test::run_task(context, [&]() -> asio::awaitable<void> {
+        for (const unsigned failed : {400U, 404U, 429U, 500U, 502U, 503U, 504U}) {
+            CAPTURE(failed);
+            status = failed;
+            const command_outcome outcome = co_await calls.send(vm, command);
+            CHECK(outcome == command_outcome::unclear);
+        }
+        status = 412;
+        const command_outcome stale = co_await calls.send(vm, command);
+        CHECK(stale == command_outcome::refused);
+    });
+}
+
 TEST_CASE("the state that a VM tells of itself is read, and a malformed one is rejected")
 {
     const auto state = platform::read_engine_state(
