Renew no list entry that has expired when a read fails

What callers saw: nothing yet; calls could reach a server for longer than its drain time after its removal had been read (DRAIN).

Cause: backend_table::note_outage() gave every entry that was missing from the list another grace period, also one whose grace period was over but which had not been removed yet.

Evidence: correctness/fleet, "an outage does not renew an entry that has expired", failed before ("has_expired(now + 4s)" was false). An entry that has expired stays so until its server is listed.

--- a/src/fleet/backend_table.cpp
+++ b/src/fleet/backend_table.cpp
@@ -136,7 +136,7 @@
 {
     outage_at_ = now;
     for (auto& [id, listed] : backends_) {
-        if (listed.expires_at) {
+        if (listed.expires_at && !listed.has_expired(now)) {
             listed.expires_at = now + return_time_;
         }
     }
--- a/test/correctness/fleet_published_configuration.cpp
+++ b/test/correctness/fleet_published_configuration.cpp
@@ -79,6 +79,22 @@
     CHECK(table.find("a") != nullptr);
 }
 
+// Guards against calls to a server that has left: each failed read gave its expired entry, which
+// had not been removed yet, another grace period.
+TEST_CASE("an outage does not renew an entry that has expired")
+{
+    backend_table table(2s);
+    const time_point now{10s};
+    table.apply(server("a"), now);
+    table.note_outage(now);
+    table.remove("a", now + 1s);
+    table.note_outage(now + 1900ms);
+    CHECK_FALSE(table.find("a")->has_expired(now + 3800ms));
+    table.note_outage(now + 4s);
+    CHECK(table.find("a")->has_expired(now + 4s));
+    CHECK(table.remove_expired(now + 4s) == std::vector<std::string>{"a"});
+}
+
 TEST_CASE("priorities are mixed only if streaming routes of one service differ")
 {
     const auto streaming_route = [](const std::string& prefix, const std::string& service,
