Count a read without an answer as an outage only where the list was not read

Cause: a failed read of the configuration or the list starts a grace period of 2.5 s, in which a missing entry stays in use since its server may have lost the store as well. A read waits up to 2.6 s and times out 0.7 s later, so one connection that fell silent started the grace period 3.3 s after the fact, while the list was read on other connections all the time. The removal of a server that was read then kept it in use for 2.5 s, with a drain time of 2 s.

Evidence: correctness/relay, "a server is gone once its removal is read although the configuration was not", failed before for the leader and for another node. A time-out of the configuration now says nothing of a list that was read within the last second, and a long read of the list that times out counts from when its answer was due. A refused read, and the time-out of a read that does not wait, count as before; "a server that a silent outage of the whole log removed is kept for the grace period" holds the other side.

--- a/src/fleet/backend_table.cpp
+++ b/src/fleet/backend_table.cpp
@@ -66,7 +66,7 @@
 
 std::vector<std::string> backend_table::restore(const std::vector<backend>& entries, time_point now)
 {
-    note_outage(now);
+    note_outage(now, now);
     std::vector<std::string> ids;
     std::vector<std::string> ignored;
     for (const backend& entry : entries) {
@@ -132,12 +132,12 @@
     }
 }
 
-void backend_table::note_outage(time_point now)
+void backend_table::note_outage(time_point at, time_point now)
 {
-    outage_at_ = now;
+    outage_at_ = outage_at_ ? std::max(*outage_at_, at) : at;
     for (auto& [id, listed] : backends_) {
         if (listed.expires_at && !listed.has_expired(now)) {
-            listed.expires_at = now + return_time_;
+            listed.expires_at = *outage_at_ + return_time_;
         }
     }
 }
--- a/src/fleet/backend_table.h
+++ b/src/fleet/backend_table.h
@@ -61,8 +61,11 @@
     /** Calls remove() for each entry whose id is not given; used after a full read of the list. */
     void retain(const std::vector<std::string>& ids, time_point now);
 
-    /** Records that the list could not be read, which starts the grace period. */
-    void note_outage(time_point now);
+    /** Records that the list could not be read, which starts the grace period anew for missing
+     * entries that have not expired.
+     * \param at when it could not be read.
+     */
+    void note_outage(time_point at, time_point now);
 
     /** Removes the entries whose grace period is over.
      * \return the ids removed.
--- a/src/fleet/topic_follower.cpp
+++ b/src/fleet/topic_follower.cpp
@@ -62,7 +62,7 @@
     const duration requested_at = time_since_boot();
     auto newest = co_await log_.read_latest(topic_);
     if (!newest) {
-        hooks_.outage();
+        hooks_.outage(monotonic_clock::now());
         co_return fail_read("newest", newest.failure().reason);
     }
     // An outdated answer must not move the follower back before what it has applied.
@@ -135,6 +135,7 @@
     // answer.
     wait = last_read_failed_ ? duration::zero() : wait;
     const duration requested_at = time_since_boot();
+    const time_point due = monotonic_clock::now() + wait;
     auto read = co_await log_.read(topic_, position_.offset, wait);
     if (!read) {
         const shared_log_failure& failed = read.failure();
@@ -149,7 +150,8 @@
             follower_log.write("store_lost", {{"topic", topic_}, {"reason", failed.reason}});
         }
         last_read_failed_ = true;
-        hooks_.outage();
+        const time_point now = monotonic_clock::now();
+        hooks_.outage(wait > duration::zero() ? std::min(due, now) : now);
         co_return false;
     }
     if (read->era < newest_era_) {
--- a/src/fleet/topic_follower.h
+++ b/src/fleet/topic_follower.h
@@ -26,8 +26,11 @@
     /** Applies further records, in log order. */
     std::function<void(const keyed_records&)> apply;
 
-    /** Called when the log could not be read. */
-    std::function<void()> outage;
+    /** Called when the log could not be read.
+     * \param at when it did not answer: for a read whose answer it may delay, the end of that
+     * delay, which is earlier than the timeout; otherwise now.
+     */
+    std::function<void(time_point at)> outage;
 };
 
 /** Reads a topic: first the newest record of each key, then each record in log order. Applies every
--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -21,7 +21,7 @@
 
 topic_hooks make_topic_hooks(std::function<void(const keyed_records&)> replace,
                              std::function<void(const keyed_records&)> apply,
-                             std::function<void()> outage)
+                             std::function<void(time_point)> outage)
 {
     topic_hooks made;
     made.replace = std::move(replace);
@@ -47,21 +47,22 @@
                            },
                            // The list is stored in the same log but is not read all the time, so an
                            // outage that the configuration reveals counts for the list too.
-                           [this] { backends_.note_outage(monotonic_clock::now()); })),
-      backend_follower_(
-          log, codec_.backend_topic,
-          make_topic_hooks([this](const keyed_records& read) { load_backends(read); },
-                           [this](const keyed_records& read) {
-                               recent_backends_.add(read, monotonic_clock::now());
-                               on_read(schema::shared_topic_backends, read);
-                               apply_backends(read);
-                           },
-                           [this] { backends_.note_outage(monotonic_clock::now()); })),
+                           [this](time_point at) { note_configuration_outage(at); })),
+      backend_follower_(log, codec_.backend_topic,
+                        make_topic_hooks([this](const keyed_records& read) { load_backends(read); },
+                                         [this](const keyed_records& read) {
+                                             recent_backends_.add(read, monotonic_clock::now());
+                                             on_read(schema::shared_topic_backends, read);
+                                             apply_backends(read);
+                                         },
+                                         [this](time_point at) {
+                                             backends_.note_outage(at, monotonic_clock::now());
+                                         })),
       replica_follower_(
           log, replica_topic,
           make_topic_hooks([this](const keyed_records& read) { load_replicas(read); },
                            [this](const keyed_records& read) { add_replica_records(read); },
-                           [] {})),
+                           [](time_point) {})),
       replica_timer_(executor_), recent_replicas_(settings.recent_record_window),
       recent_backends_(settings.recent_record_window)
 {
@@ -144,6 +145,20 @@
     report_backend_changes(before);
 }
 
+/** Handles a read of the configuration that failed. A connection can fall silent while the log
+ * answers on others; if the list was read meanwhile, the failure says nothing of the list.
+ * \param at when the log did not answer.
+ */
+void fleet_view::note_configuration_outage(time_point at)
+{
+    const time_point now = monotonic_clock::now();
+    const auto list_age = backend_follower_.age();
+    if (at < now && list_age && *list_age < settings_.max_confirmation_gap) {
+        return;
+    }
+    backends_.note_outage(at, now);
+}
+
 /** Removes expired entries, and reports if the list has changed.
  * \param before its version before the change.
  */
--- a/src/relay/fleet_view.h
+++ b/src/relay/fleet_view.h
@@ -54,6 +54,10 @@
     // Between two checks of whether the configuration or the list must be read.
     duration list_age_check_interval = 200ms;
 
+    // While the log answers the leader, its messages make the list no older than this: the wait and
+    // interval of its reads, and two messages.
+    duration max_confirmation_gap = 1s;
+
     // Replicas that are older are read. The leader reads them every replica_interval.
     duration max_replica_age = 5s;
 
@@ -220,6 +224,7 @@
     bool must_read_backends() const;
     duration missing_record_wait(duration limit) const;
     bool must_read_replicas() const;
+    void note_configuration_outage(time_point at);
     void report_backend_changes(std::uint64_t before);
 
     boost::asio::any_io_executor executor_;
--- a/src/relay/peer_addresses.cpp
+++ b/src/relay/peer_addresses.cpp
@@ -62,7 +62,7 @@
         }
     };
     hooks.apply = hooks.replace;
-    hooks.outage = [] {};
+    hooks.outage = [](time_point) {};
     topic_follower follower(log_, node_topic, hooks);
     while (true) {
         const bool read = co_await follower.read_once(read_wait);
--- a/test/correctness/fleet_published_configuration.cpp
+++ b/test/correctness/fleet_published_configuration.cpp
@@ -70,7 +70,7 @@
     const time_point now{10s};
     table.apply(server("a"), now);
     table.apply(server("b"), now);
-    table.note_outage(now + 5s);
+    table.note_outage(now + 5s, now + 5s);
     table.remove("a", now + 6s);
     table.remove("b", now + 6s);
     CHECK(table.remove_expired(now + 6s).empty());
@@ -86,11 +86,11 @@
     backend_table table(2s);
     const time_point now{10s};
     table.apply(server("a"), now);
-    table.note_outage(now);
+    table.note_outage(now, now);
     table.remove("a", now + 1s);
-    table.note_outage(now + 1900ms);
+    table.note_outage(now + 1900ms, now + 1900ms);
     CHECK_FALSE(table.find("a")->has_expired(now + 3800ms));
-    table.note_outage(now + 4s);
+    table.note_outage(now + 4s, now + 4s);
     CHECK(table.find("a")->has_expired(now + 4s));
     CHECK(table.remove_expired(now + 4s) == std::vector<std::string>{"a"});
 }
--- a/test/correctness/relay_fleet_view.cpp
+++ b/test/correctness/relay_fleet_view.cpp
@@ -17,6 +17,8 @@
 
 namespace {
 
+constexpr duration answer_timeout = 700ms; // Of a read beyond its wait.
+
 /** A log in memory that counts its calls. */
 struct counting_log {
     shared_log hooks()
@@ -33,6 +35,12 @@
         log.read = [this](std::string topic, std::uint64_t from,
                           duration wait) -> asio::awaitable<shared_log_result<keyed_records>> {
             ++calls[topic];
+            if (unanswered[topic] > 0) {
+                --unanswered[topic];
+                co_await sleep_for(wait + answer_timeout);
+                ++timeouts;
+                co_return shared_log_failure{shared_log_error::unknown_outcome, "silent"};
+            }
             const time_point until = monotonic_clock::now() + wait;
             while (topics[topic].size() <= from && monotonic_clock::now() < until) {
                 co_await sleep_for(5ms);
@@ -61,6 +69,15 @@
         return record;
     }
 
+    keyed_record remove_server(const std::string& id)
+    {
+        keyed_record record;
+        record.offset = topics["servers"].size();
+        record.key = id;
+        topics["servers"].push_back(record);
+        return record;
+    }
+
     keyed_record publish(int version)
     {
         keyed_record record;
@@ -74,6 +91,8 @@
 
     std::map<std::string, std::vector<keyed_record>> topics;
     std::map<std::string, int> calls;
+    std::map<std::string, int> unanswered; // So many of the next reads get no answer, by topic.
+    int timeouts = 0;                      // Of reads without an answer.
 };
 
 struct view_fixture {
@@ -219,6 +238,44 @@
     CHECK(fixture.view->recent_backends().empty());
 }
 
+// Guards against calls to a server for longer than its drain time after it was removed from the
+// list: one silent connection to the log, on which the configuration was read, started the grace
+// period of an outage although the list was read all the time.
+TEST_CASE("a server is gone once its removal is read although the configuration was not")
+{
+    view_fixture fixture;
+    SUBCASE("the leader")
+    {
+        fixture.leads = true;
+    }
+    SUBCASE("another node") {}
+    fixture.log.unanswered["op"] = 1;
+    const auto follow_list = [&fixture](duration span, const peer_topic_state& state) {
+        fixture.leads ? fixture.clock.advance(span) : fixture.receive_from_leader(span, state);
+    };
+    while (fixture.log.timeouts == 0) {
+        follow_list(200ms, {{0, 1}, 300ms, {}});
+    }
+    const keyed_record removed = fixture.log.remove_server("i-1");
+    follow_list(1s, {{0, 2}, 100ms, {removed}});
+    CHECK(fixture.view->backends().find("i-1") == nullptr);
+}
+
+TEST_CASE("a server that a silent outage of the whole log removed is kept for the grace period")
+{
+    view_fixture fixture;
+    fixture.leads = true;
+    constexpr int all = 1000;
+    fixture.log.unanswered = {{"op", all}, {"servers", all}};
+    fixture.clock.advance(4s);
+    fixture.log.remove_server("i-1");
+    fixture.log.unanswered.clear();
+    fixture.clock.advance(1s);
+    CHECK(fixture.view->backends().find("i-1") != nullptr);
+    fixture.clock.advance(3s); // The last timeout, the grace period and a read.
+    CHECK(fixture.view->backends().find("i-1") == nullptr);
+}
+
 TEST_CASE("a node whose reader answers does not read the configuration")
 {
     shared_view_fixture fixture;
--- a/test/error/fleet_topic_follower.cpp
+++ b/test/error/fleet_topic_follower.cpp
@@ -72,7 +72,7 @@
             note(read);
         };
         hooks.apply = [this](const keyed_records& read) { note(read); };
-        hooks.outage = [this] { ++outages; };
+        hooks.outage = [this](time_point) { ++outages; };
         follower.emplace(log.hooks(), "topic", hooks);
     }
 
--- a/test/error/platform_restored_store.cpp
+++ b/test/error/platform_restored_store.cpp
@@ -28,7 +28,7 @@
             note(read);
         };
         hooks.apply = [this](const keyed_records& read) { note(read); };
-        hooks.outage = [] {};
+        hooks.outage = [](time_point) {};
         http = std::make_shared<http_client>(context.get_executor());
         const std::string address = "127.0.0.1:" + std::to_string(store.last_port());
         follower.emplace(platform::make_store_log(http, address), "t", hooks);
--- a/test/error/relay_expired_entries.cpp
+++ b/test/error/relay_expired_entries.cpp
@@ -21,7 +21,7 @@
     head.started_ms = 0;
     fixture.backends.apply(head, monotonic_clock::now());
     const time_point now = monotonic_clock::now();
-    fixture.backends.note_outage(now - 1900ms); // The grace period of the fixture is 2 s.
+    fixture.backends.note_outage(now - 1900ms, now); // The grace period of the fixture is 2 s.
     fixture.backends.remove("i-1", now);
     fixture.backends.remove("i1", now);
     REQUIRE(fixture.backends.all().size() == 2);
