--- a/soak/backend_server.cpp
+++ b/soak/backend_server.cpp
@@ -83,6 +83,9 @@
     if (environment_.newest_start_ms_by_id[entry_.id] != entry_.started_ms) {
         co_return; // A newer incarnation uses the id.
     }
+    if (alive_ && publishes_entry_) {
+        co_return; // It has reached the store again.
+    }
     environment_.store.put(server_topic, entry_.id, "");
 }
 
@@ -139,6 +142,14 @@
     }
 }
 
+void backend_server::reconnect_to_store()
+{
+    if (!publishes_entry_ && alive_) {
+        publishes_entry_ = true;
+        publish();
+    }
+}
+
 asio::awaitable<void> backend_server::stop_after_drain()
 {
     const auto self = shared_from_this();
--- a/soak/backend_server.h
+++ b/soak/backend_server.h
@@ -82,6 +82,9 @@
     /** Stops updates of the server's entry, which expires later. The server still serves. */
     void disconnect_from_store();
 
+    /** Ends disconnect_from_store(): the server writes its entry again, if it is alive. */
+    void reconnect_to_store();
+
     bool alive() const { return alive_; }
 
     /** \return true if the server has crashed and its address must refuse connections. Otherwise
--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -140,6 +140,9 @@
         co_await sleep_for(server_restart_delay);
         server->crash();
         break;
+    case fault_kind::server_isolated:
+        co_await isolate(endpoint_of(fault), fault.length);
+        break;
     case fault_kind::server_silent:
         server->fall_silent(fault.length);
         co_await sleep_for(fault.length);
@@ -167,12 +170,29 @@
     }
 }
 
+asio::awaitable<void> fault_injector::isolate(server_endpoint& endpoint, duration span)
+{
+    const std::shared_ptr<backend_server> server = endpoint.server;
+    link_faults& faults = endpoint.link->faults();
+    server->disconnect_from_store();
+    faults.forward_blocked = true;
+    faults.backward_blocked = true;
+    co_await sleep_for(span);
+    faults.forward_blocked = false;
+    faults.backward_blocked = false;
+    server->reconnect_to_store();
+}
+
 server_endpoint& fault_injector::endpoint_of(const scheduled_fault& fault)
 {
-    // Answers are lost only at servers of orders, which get the calls that may run once at most.
+    // Answers are lost only at servers of orders, which get the calls that may run once at most;
+    // only servers of models are members of replicas.
     const bool order_servers_only = fault.kind == fault_kind::server_loses_answers;
+    const bool model_servers_only = fault.kind == fault_kind::server_isolated;
     const std::size_t first = order_servers_only ? fleet_.model_endpoint_count() : 0;
-    return *fleet_.endpoints()[first + fault.target % (fleet_.endpoints().size() - first)];
+    const std::size_t end =
+        model_servers_only ? fleet_.model_endpoint_count() : fleet_.endpoints().size();
+    return *fleet_.endpoints()[first + fault.target % (end - first)];
 }
 
 asio::awaitable<void> fault_injector::delay_commands(scheduled_fault fault)
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -40,6 +40,9 @@
     /** Makes every third server execute its commands late and leave them unanswered. */
     boost::asio::awaitable<void> delay_commands(scheduled_fault fault);
 
+    /** Cuts a server off from the store and the nodes for the span. */
+    boost::asio::awaitable<void> isolate(server_endpoint& endpoint, duration span);
+
     /** \return the nodes whose process, links or store a fault disturbs. */
     std::vector<std::size_t> nodes_disturbed_by(const scheduled_fault& fault) const;
     server_endpoint& endpoint_of(const scheduled_fault& fault);
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -124,6 +124,7 @@
         "poison", "add calls whose prompts crash servers")(
         "restores", "add restores of the store from an older copy")(
         "endless", "add servers whose answers go on without end")(
+        "isolations", "add servers that reach neither the store nor the nodes for a while")(
         "excusing-nothing-only", "draw only faults that excuse no lost answer")(
         "net", "second byte of all addresses, 127.NET.x.y; 0: derived from the seed",
         cxxopts::value<std::uint32_t>()->default_value("0"))("help", "prints this text");
@@ -161,6 +162,7 @@
         schedule.excusing_nothing_only = arguments.count("excusing-nothing-only") > 0;
         schedule.poison = poison;
         schedule.endless = arguments.count("endless") > 0;
+        schedule.isolations = arguments.count("isolations") > 0;
         schedule.restores = arguments.count("restores") > 0;
         asio::io_context context(1);
         soak_fleet fleet(context.get_executor(), options);
--- a/soak/schedule.cpp
+++ b/soak/schedule.cpp
@@ -22,7 +22,7 @@
 };
 
 // Kinds without a weight are drawn on their own, so that the other faults of a seed stay the same.
-constexpr std::array<fault_kind_info, 29> fault_kinds = {{
+constexpr std::array<fault_kind_info, 30> fault_kinds = {{
     {fault_kind::node_killed, "node_killed", 4, false, false},
     {fault_kind::node_stopped, "node_stopped", 4, false, true},
     {fault_kind::node_frozen, "node_frozen", 3, true, false},
@@ -52,6 +52,7 @@
     {fault_kind::server_silent, "server_silent", 0, true, true},
     {fault_kind::poison_prompts, "poison_prompts", 0, true, false},
     {fault_kind::store_restored, "store_restored", 0, true, false},
+    {fault_kind::server_isolated, "server_isolated", 0, true, false},
 }};
 
 constexpr std::size_t link_kind_count = 3;
@@ -65,7 +66,13 @@
 constexpr std::uint64_t poison_seed_offset = 0x9015'0000'0000'0000;
 constexpr std::uint64_t restore_seed_offset = 0xe2a5'0000'0000'0000;
 constexpr std::uint64_t endless_seed_offset = 0xe4d1'0000'0000'0000;
+constexpr std::uint64_t isolation_seed_offset = 0x1501'0000'0000'0000;
 constexpr std::uint64_t max_restores = 3;
+constexpr std::uint64_t min_isolations = 2;
+constexpr std::uint64_t isolation_limit = 6;                 // A schedule has fewer of them.
+constexpr std::uint64_t min_isolation_ms = 4'000;            // An entry expires meanwhile.
+constexpr std::uint64_t isolation_length_limit_ms = 10'000;  // Each is shorter.
+constexpr std::uint64_t late_commands_lead_limit_ms = 3'000; // They begin less than this before it.
 constexpr std::uint64_t min_endless = 2;
 constexpr std::uint64_t endless_limit = 6; // A schedule has fewer servers that send without end.
 constexpr int lost_changes = 3;            // Before each restore.
@@ -179,6 +186,31 @@
     }
 }
 
+/** Adds servers that reach nobody for a while, some of them while commands are executed late. */
+void add_isolations(std::vector<scheduled_fault>& faults, std::uint64_t seed, duration span)
+{
+    const random_source random = seeded_random(seed ^ isolation_seed_offset);
+    const std::uint64_t count =
+        min_isolations + random_below(random, isolation_limit - min_isolations);
+    for (std::uint64_t i = 0; i < count; ++i) {
+        scheduled_fault isolation;
+        isolation.kind = fault_kind::server_isolated;
+        isolation.start = draw_ms(random, 0, static_cast<std::uint64_t>(span / 1ms));
+        isolation.length = draw_ms(random, min_isolation_ms, isolation_length_limit_ms);
+        isolation.target = random();
+        faults.push_back(isolation);
+        scheduled_fault late;
+        late.kind = fault_kind::orders_late;
+        late.start = std::max<duration>(
+            isolation.start - draw_ms(random, 0, late_commands_lead_limit_ms), duration::zero());
+        late.length = isolation.length;
+        late.target = random();
+        if (random_fraction(random) < follow_up_probability) {
+            faults.push_back(late);
+        }
+    }
+}
+
 /** Adds silences of servers around the planned operations of a schedule and at other times. */
 void add_silences(std::vector<scheduled_fault>& faults, std::uint64_t seed, duration span)
 {
@@ -256,6 +288,9 @@
     if (options.endless) {
         add_endless(faults, seed, span);
     }
+    if (options.isolations) {
+        add_isolations(faults, seed, span);
+    }
     std::sort(faults.begin(), faults.end(),
               [](const scheduled_fault& a, const scheduled_fault& b) { return a.start < b.start; });
     return faults;
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -38,10 +38,11 @@
     store_forgets, // Only the newest record of each key is kept.
     configuration_changed,
     key_revoked,
-    server_endless, // Each answer goes on without end.
-    server_silent,  // Accepts, answers and sends nothing for about a second, then goes on.
-    poison_prompts, // Some calls crash each server that begins to answer them.
-    store_restored, // The store is down, then comes back from an older copy.
+    server_endless,  // Each answer goes on without end.
+    server_silent,   // Accepts, answers and sends nothing for about a second, then goes on.
+    poison_prompts,  // Some calls crash each server that begins to answer them.
+    store_restored,  // The store is down, then comes back from an older copy.
+    server_isolated, // It reaches neither the store nor the nodes, runs on, and comes back.
 };
 
 /** The links that a fault may affect. */
@@ -70,6 +71,7 @@
     bool poison = false;                // Adds poison_prompts for at least half of the time.
     bool restores = false;              // Adds one to three of store_restored.
     bool endless = false;               // Adds two to five of server_endless.
+    bool isolations = false;            // Adds two to five of server_isolated, among late commands.
 };
 
 /** Draws a schedule, which is the same for the same seed. Faults may overlap.
