Let a case of KNOWN-RED.txt say that it fails only in some runs

Its check and bound stay as they are. A listed case that passes is an error, so an entry of a case that fails at times made every other run fail. Such a case may now pass if its entry begins with "in some runs"; all other listed cases must still fail.

--- a/test/correctness/base_known_red.cpp
+++ b/test/correctness/base_known_red.cpp
@@ -35,3 +35,16 @@
     const test_run run{{"a"}, {}, false};
     CHECK(find_deviations(run, {"b"}).empty());
 }
+
+// Guards against a run that fails because a case that fails only at times has passed.
+TEST_CASE("a listed case that fails in some runs may pass")
+{
+    std::istringstream list("error/relay: drops a call | seed 1 | in some runs: lost | 49\n"
+                            "error/relay: sends twice | seed 1 | sent twice | 49\n");
+    const std::set<std::string> unsteady = read_unsteady(list, "error/relay");
+    CHECK(unsteady == std::set<std::string>{"drops a call"});
+    test_run run;
+    run.ran = {"drops a call"};
+    CHECK(find_deviations(run, unsteady, unsteady).empty());
+    CHECK(find_deviations(run, unsteady).size() == 1);
+}
