--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -154,6 +154,7 @@
     const time_point now = monotonic_clock::now();
     const auto list_age = backend_follower_.age();
     if (at < now && list_age && *list_age < settings_.max_confirmation_gap) {
+        view_log.write("outage_ignored", {{"list_age_ms", to_ms_text(*list_age)}});
         return;
     }
     backends_.note_outage(at, now);
