End calls whose server sends interim replies without end

Cause: http_client::open() discards interim replies and replies to other calls in a loop that never looks at the time. Each read finds bytes, so it ends before the connection's expired timer is seen, and max_discarded_bytes counted bodies, which these replies don't have. plain_call waits for that attempt without limit.

The loop now checks the deadline after each discarded reply and counts heads among the 1 MB of discarded bytes; the parts of one read share one deadline. The same function serves liveness checks, reports and commands (tested) and the store. Comment lines, empty events, one-byte chunks, chunk extensions and trailers without end were played too: the call ends in time with each of them.

--- a/src/base/http_client.cpp
+++ b/src/base/http_client.cpp
@@ -29,7 +29,8 @@
 constexpr std::uint64_t max_parsed_body_bytes = 256U << 20U;
 // The same limit as http_limits::max_header_bytes.
 constexpr std::uint32_t max_header_bytes = 32U << 10U;
-// Of the replies to other calls that are discarded before the reply to this one.
+// Of the interim replies and replies to other calls, with their heads, that are discarded before
+// the reply to this call.
 constexpr std::size_t max_discarded_bytes = 1U << 20U;
 // Deducted from the keep-alive timeout of the peer, so that no request is sent while the peer
 // closes the connection.
@@ -253,30 +254,43 @@
     {
         const auto [error, bytes] = co_await http::async_read_header(
             connection_->stream, connection_->buffer, *parser_, as_tuple);
+        head_bytes_ = bytes;
         co_return error;
     }
 
-    /** Reads the rest of a reply to another call.
+    /** Reads the rest of a reply to another call, or of an interim one.
      * \param deadline the time by which the reply must have ended.
-     * \return true if the connection can deliver another reply.
+     * \return nothing if the connection can deliver another reply, else why it can't.
      */
-    asio::awaitable<bool> discard_reply(time_point deadline)
+    asio::awaitable<std::optional<http_failure>> discard_reply(time_point deadline)
     {
-        while (!parser_->is_done()) {
+        discarded_bytes_ += head_bytes_;
+        while (true) {
+            if (discarded_bytes_ > max_discarded_bytes) {
+                co_return unanswered("more than " + std::to_string(max_discarded_bytes) +
+                                     " bytes of other replies");
+            }
+            // Replies that are always ready end each read before the connection's timer is seen.
             const duration left = deadline - monotonic_clock::now();
             if (left <= duration::zero()) {
-                co_return false;
+                co_return http_failure{http_error::timed_out,
+                                       address_ + ": expected the reply by the timeout, found " +
+                                           std::to_string(discarded_bytes_) +
+                                           " bytes of other replies"};
+            }
+            if (parser_->is_done()) {
+                break;
             }
             auto part = co_await read_chunk(left);
             if (!part) {
-                co_return false;
+                co_return unanswered("a part of another one");
             }
             discarded_bytes_ += part->size();
-            if (discarded_bytes_ > max_discarded_bytes) {
-                co_return false;
-            }
         }
-        co_return parser_->keep_alive();
+        if (!parser_->keep_alive()) {
+            co_return unanswered("only another one");
+        }
+        co_return std::nullopt;
     }
 
     unsigned status() const override { return parser_->get().result_int(); }
@@ -315,15 +329,26 @@
     }
 
   private:
+    http_failure unanswered(const std::string& found) const
+    {
+        return {http_error::unanswered,
+                address_ + ": expected the reply to this request, found " + found};
+    }
+
     asio::awaitable<http_result<std::string>> read_chunk(duration timeout)
     {
+        const time_point deadline = monotonic_clock::now() + timeout;
         std::string part;
         while (part.empty() && !parser_->is_done()) {
+            const duration left = deadline - monotonic_clock::now();
+            if (left <= duration::zero()) {
+                co_return to_failure(beast::error::timeout, http_error::broken, address_);
+            }
             part.resize(read_chunk_bytes);
             parser_->get().body().data = part.data();
             parser_->get().body().size = part.size();
             parser_->get().body().more = true;
-            connection_->stream.expires_after(timeout);
+            connection_->stream.expires_after(left);
             auto [error, bytes] = co_await http::async_read_some(
                 connection_->stream, connection_->buffer, *parser_, as_tuple);
             if (error && error != http::error::need_buffer) {
@@ -347,6 +372,7 @@
     std::shared_ptr<http_cancel> cancel_;
     std::function<void(connection_ptr)> return_to_pool_;
     bool is_on_reused_connection_;
+    std::size_t head_bytes_ = 0; // Of the last head that was read.
     std::size_t discarded_bytes_ = 0;
     std::optional<http::response_parser<http::buffer_body>> parser_;
 };
@@ -434,11 +460,8 @@
             (!options.matches_request || options.matches_request(stream->headers()))) {
             co_return std::shared_ptr<http_stream>(std::move(stream));
         }
-        if (!co_await stream->discard_reply(deadline)) {
-            co_return http_failure{
-                http_error::unanswered,
-                address +
-                    ": expected the reply to this request, found only a reply to another one"};
+        if (const auto failed = co_await stream->discard_reply(deadline)) {
+            co_return *failed;
         }
         stream->reset_parser();
     }
--- a/test/error/relay_endless_answers.cpp
+++ b/test/error/relay_endless_answers.cpp
@@ -96,6 +96,49 @@
     return got;
 }
 
+const std::string interim_head = "HTTP/1.1 100 Continue\r\n\r\n";
+const std::string other_empty_reply =
+    "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nContent-Length: 0\r\n\r\n";
+
+std::string repeated(const std::string& text, std::size_t count)
+{
+    std::string all;
+    for (std::size_t i = 0; i < count; ++i) {
+        all += text;
+    }
+    return all;
+}
+
+std::string chunk(const std::string& bytes)
+{
+    char line[24];
+    std::snprintf(line, sizeof(line), "%zx\r\n", bytes.size());
+    return line + bytes + "\r\n";
+}
+
+/** Bytes that go on without end and answer nothing. */
+struct endless_bytes {
+    std::string name;
+    std::string beginning;
+    std::string piece;
+};
+
+std::vector<endless_bytes> bytes_without_an_answer()
+{
+    const std::string chunked = sealed_head + "Transfer-Encoding: chunked\r\n\r\n";
+    constexpr std::size_t many = 500;
+    return {
+        {"interim replies", "", repeated(interim_head, many)},
+        {"empty replies to other calls", "", repeated(other_empty_reply, many)},
+        {"replies to other calls", "", repeated(other_empty_reply + interim_head, many)},
+        {"comment lines", chunked, repeated(chunk(":\n\n"), many)},
+        {"empty events", chunked, repeated(chunk("\n\n"), many)},
+        {"chunks of one byte", chunked, repeated(chunk("x"), many)},
+        {"chunk extensions", chunked, "1;e=" + repeated("x", 15'000) + "\r\nx\r\n"},
+        {"trailers", chunked + "0\r\n", repeated("X-Filler: abcdefgh\r\n", many)},
+        {"a body until the end of the connection", sealed_head + "\r\n", repeated("x", 15'000)}};
+}
+
 /** A node whose only head and only plain backend server is an endless_server. */
 struct endless_fixture : relay_fixture {
     endless_fixture(const std::string& beginning, const std::string& piece, duration pause = {},
@@ -117,9 +160,36 @@
         backends.apply(plain, monotonic_clock::now());
     }
 
+    /** Calls a route.
+     * \return how long the call took until its answer or its connection had ended.
+     */
+    duration time_to_end(const std::string& target)
+    {
+        const time_point begun = monotonic_clock::now();
+        const std::string address = "127.0.0.1:" + std::to_string(front.port());
+        run_task(context, [&]() -> asio::awaitable<void> {
+            http_request request;
+            request.method = "POST";
+            request.target = target;
+            request.headers = {{"Host", "desk.example"},      {"X-Attempt-Id", "call1"},
+                               {"Authorization", "Token k1"}, {"X-Model", "m"},
+                               {"X-Token-Usage", "100,20"},   {"X-Deadline-Ms", "5000"},
+                               {"X-Prompt-Prefix", "own:60"}};
+            http_client client(context.get_executor());
+            http_call_options options;
+            options.timeout = test::answer_timeout;
+            const auto ended = co_await client.call(address, request, options);
+            status = ended ? ended->status : 0;
+        });
+        return monotonic_clock::now() - begun;
+    }
+
     endless_server server;
 };
 
+/** Of an answer after the timeout of its route, by the users' rule. */
+constexpr duration late_answer = 500ms;
+
 } // namespace
 
 TEST_CASE("endless headers: the call fails, and may have been executed")
@@ -166,6 +236,65 @@
     CHECK(got.failure().code == http_error::timed_out);
 }
 
+// Guards against a timeout that no read reaches: replies without a body are always ready.
+TEST_CASE("endless replies without a body are aborted at the timeout")
+{
+    for (const std::string& reply : {interim_head, other_empty_reply}) {
+        CAPTURE(reply);
+        const time_point begun = monotonic_clock::now();
+        const auto got = call_directly("", repeated(reply, 500), 20ms);
+        REQUIRE_FALSE(got);
+        CHECK(got.failure().code == http_error::timed_out);
+        CHECK(monotonic_clock::now() - begun < 20ms + late_answer);
+    }
+}
+
+// Guards against a limit of discarded bytes that counts bodies only.
+TEST_CASE("endless replies without a body are aborted at the limit of discarded bytes")
+{
+    for (const std::string& reply : {interim_head, other_empty_reply}) {
+        CAPTURE(reply);
+        std::size_t sent = 0;
+        const auto got = call_directly("", repeated(reply, 500), 20s, &sent);
+        REQUIRE_FALSE(got);
+        CHECK(got.failure().code == http_error::unanswered);
+        CHECK(sent < 32U << 20U); // Including the socket buffers.
+    }
+}
+
+// Guards against calls that are held past the timeout of their route, and against a loop that takes
+// the event loop from all others.
+TEST_CASE("endless bytes without an answer: the call ends in time, and other tasks go on")
+{
+    constexpr duration route_timeout = 300ms;
+    for (const std::string target : {"/p/x", "/a/x"}) {
+        for (const endless_bytes& bytes : bytes_without_an_answer()) {
+            CAPTURE(target);
+            CAPTURE(bytes.name);
+            endless_fixture fixture(bytes.beginning, bytes.piece, {}, route_timeout);
+            duration longest_wait{};
+            asio::co_spawn(
+                fixture.context,
+                [&longest_wait]() -> asio::awaitable<void> {
+                    while (true) {
+                        const time_point slept_at = monotonic_clock::now();
+                        co_await sleep_for(1ms);
+                        longest_wait =
+                            std::max<duration>(longest_wait, monotonic_clock::now() - slept_at);
+                    }
+                },
+                asio::detached);
+            CHECK(fixture.time_to_end(target) < route_timeout + late_answer);
+            CHECK(longest_wait < late_answer);
+            CHECK(fixture.server.requests == 1); // The routes allow one run.
+            CHECK((fixture.status == 0 || fixture.status == 502 || fixture.status == 504));
+            fixture.context.restart();
+            fixture.context.run_for(std::chrono::milliseconds(100));
+            CHECK(fixture.server.open == 0);
+        }
+    }
+}
+
 TEST_CASE("an endless event aborts the stream, which does not look complete")
 {
     endless_fixture fixture(sealed_head + "Transfer-Encoding: chunked\r\n\r\n",
@@ -314,3 +443,38 @@
     CHECK(ended == checks);
     CHECK(server.sent < max_sent_per_check * checks * 2);
 }
+
+// Guards against a node that runs out of descriptors: each report and command to a server that
+// sends interim replies without end would keep its connection.
+TEST_CASE("liveness checks, reports and commands end though interim replies never do")
+{
+    constexpr int checks = 8;
+    asio::io_context context;
+    endless_server server(context, "", repeated(interim_head, 500));
+    const auto http = std::make_shared<http_client>(context.get_executor());
+    const engine_calls calls = platform::make_engine_calls(http, {});
+    backend vm;
+    vm.id = "i-1";
+    vm.address = server.address();
+    int ended = 0;
+    const time_point begun = monotonic_clock::now();
+    for (int i = 0; i < checks; ++i) {
+        asio::co_spawn(
+            context,
+            [&]() -> asio::awaitable<void> {
+                CHECK(co_await calls.probe(vm) == probe_outcome::silent);
+                CHECK_FALSE(co_await calls.read_state(vm));
+                CHECK(co_await calls.send(vm, engine_command()) == command_outcome::unclear);
+                if (++ended == checks) {
+                    context.stop();
+                }
+            },
+            asio::detached);
+    }
+    context.run_for(std::chrono::seconds(10));
+    CHECK(ended == checks);
+    CHECK(monotonic_clock::now() - begun < 2s); // Their timeouts are 350, 350 and 500 ms.
+    context.restart();
+    context.run_for(std::chrono::milliseconds(100));
+    CHECK(server.open == 0);
+}
