Forward no status that promises the opposite of what ran

Cause: send_once() counts an answer without X-Not-Executed as one of a server that has run the call, rightly, and finish() forwards it with its status; streaming_call::read_error() does the same.

Such an answer now ends the attempt as one with an unknown outcome. A call that may be repeated goes to another server; any other gets 502 of the node, without the server's headers.

--- a/src/base/http_message.cpp
+++ b/src/base/http_message.cpp
@@ -3,9 +3,9 @@
  */
 #include "base/http_message.h"
 
-#include <utility>
-
 #include <algorithm>
+#include <array>
+#include <utility>
 
 #include <boost/beast/core/string.hpp>
 #include <boost/url/parse.hpp>
@@ -41,6 +41,12 @@
     return {};
 }
 
+bool promises_not_run(unsigned status)
+{
+    constexpr std::array<unsigned, 4> promises = {408, 421, 429, 503};
+    return std::find(promises.begin(), promises.end(), status) != promises.end();
+}
+
 http_reply text_reply(unsigned status, std::string text, std::string content_type)
 {
     http_reply reply;
--- a/src/base/http_message.h
+++ b/src/base/http_message.h
@@ -46,6 +46,11 @@
     std::string_view header(std::string_view name) const { return find_header(headers, name); }
 };
 
+/** \return whether a reply with this status promises that its request has not run and never will:
+ * 408, 421, 429 and 503.
+ */
+bool promises_not_run(unsigned status);
+
 /** \return a reply with the text as its body; used for replies that are not JSON, such as metrics.
  */
 http_reply text_reply(unsigned status, std::string text,
--- a/src/relay/plain_relay.cpp
+++ b/src/relay/plain_relay.cpp
@@ -153,6 +153,10 @@
         end.reason = "the answer of the backend server has no seal";
         co_return end;
     }
+    if (promises_not_run(status)) {
+        end.reason = untrue_refusal_reason(status);
+        co_return end;
+    }
     end.backend_failed = status >= 500;
     end.result = attempt_result::answered;
     end.reply = make_forwarded_reply(status, headers, std::move(*body));
--- a/src/relay/relayed_call.cpp
+++ b/src/relay/relayed_call.cpp
@@ -91,6 +91,12 @@
     co_await call.exchange.respond(std::move(reply));
 }
 
+std::string untrue_refusal_reason(unsigned status)
+{
+    return "the backend server answered " + std::to_string(status) +
+           " without stating that it did not run the call";
+}
+
 http_reply make_forwarded_reply(unsigned status, const std::vector<http_header>& headers,
                                 std::string body)
 {
--- a/src/relay/relayed_call.h
+++ b/src/relay/relayed_call.h
@@ -88,6 +88,11 @@
  */
 boost::asio::awaitable<void> fail(relayed_call& call, unsigned status, std::string reason);
 
+/** \return the reason of an attempt that a server may have run, although it answered with a status
+ * that promises the opposite. Such an answer is not forwarded.
+ */
+std::string untrue_refusal_reason(unsigned status);
+
 /** \return the backend server's answer as it is forwarded to the caller. */
 http_reply make_forwarded_reply(unsigned status, const std::vector<http_header>& headers,
                                 std::string body);
--- a/src/relay/streaming_call.cpp
+++ b/src/relay/streaming_call.cpp
@@ -154,6 +154,11 @@
         end.reason = "the answer of the head has no seal";
         co_return end;
     }
+    if (promises_not_run(answer.status())) {
+        end.result = attempt_result::broken;
+        end.reason = untrue_refusal_reason(answer.status());
+        co_return end;
+    }
     co_return co_await read_error(answer, running);
 }
 
