Report calls of the entry as unknown after an untrue refusal

Callers of a service operation got 408, 421 or 429 with the outcome 'complete' from a server that had run the order, and a call whose first attempt may have run got the 503 of a later refusal, with the outcome 'unknown'.

Cause: classify_reply() took every status under 500 that is no stated refusal for a whole answer, and run_attempts() corrected the outcome of an earlier attempt but not the status. docs/CALLERS.md promises not_run for these statuses.

--- a/src/entry/service_proxy.cpp
+++ b/src/entry/service_proxy.cpp
@@ -189,8 +189,9 @@
         service_result result =
             reply ? classify_reply(std::move(*reply)) : classify_failure(reply.failure());
         const time_point now = monotonic_clock::now();
-        const bool answered =
-            result.outcome == call_outcome::complete || (reply && reply->status < 500);
+        const bool refused =
+            reply && reply->status < 500 && result.outcome == call_outcome::not_run;
+        const bool answered = refused || result.outcome == call_outcome::complete;
         const bool cancelled = running->cancel->cancelled() && now < running->silent_at;
         backends.note_end(address,
                           answered    ? backend_result::answered
@@ -319,7 +320,9 @@
                 break;
             }
             if (may_have_run) {
-                result.outcome = call_outcome::unknown; // An earlier attempt may have run.
+                // An earlier attempt may have run, whatever the last one promises.
+                result.outcome = call_outcome::unknown;
+                result.status = promises_not_run(result.status) ? 502 : result.status;
             }
             may_start = take_retry(attempts->call, result, attempts->count);
             if (may_start) {
--- a/src/entry/service_result.cpp
+++ b/src/entry/service_result.cpp
@@ -44,7 +44,7 @@
     if (is_refusal && refusal.not_run()) {
         return failed_result(call_outcome::not_run, reply.status, refusal.reason());
     }
-    if (reply.status >= 500) {
+    if (reply.status >= 500 || promises_not_run(reply.status)) {
         return failed_result(call_outcome::unknown, 502,
                              "the backend server replied with HTTP status " +
                                  std::to_string(reply.status));
--- a/test/error/entry_services.cpp
+++ b/test/error/entry_services.cpp
@@ -19,7 +19,7 @@
 
 /** A backend server with selectable behavior. */
 struct fake_backend {
-    enum class behavior { answers, refuses, drops_reply };
+    enum class behavior { answers, refuses, fails, drops_reply };
 
     /** What the servers that share it do with their next requests, and after which delay. */
     using behavior_script = std::deque<std::pair<behavior, duration>>;
@@ -48,6 +48,10 @@
             reply.status = 503;
             reply.body = R"({"code":"busy","reason":"busy","not_run":true})";
         }
+        if (now == behavior::fails) {
+            reply.status = failure_status;
+            reply.body = "failed";
+        }
         if (now == behavior::drops_reply) {
             exchange.abort();
             co_return;
@@ -59,6 +63,7 @@
 
     behavior_script& script;
     behavior current_behavior = behavior::answers; // After the script.
+    unsigned failure_status = 500;
     int requests = 0;
     http_server server;
 };
@@ -213,6 +218,36 @@
     CHECK(unknown > 0);
 }
 
+// Guards against an order that ran and whose caller is told to send it again.
+TEST_CASE("an order is unknown if its server answers 408, 429 or 503 and does not refuse it")
+{
+    for (const unsigned status : {408U, 421U, 429U, 503U}) {
+        CAPTURE(status);
+        service_fixture fixture;
+        fixture.set_behavior(fake_backend::behavior::fails);
+        fixture.first.failure_status = status;
+        fixture.second.failure_status = status;
+        const http_reply reply = fixture.call("order");
+        CHECK(reply.status == 502);
+        CHECK(reply.header("X-Chervil-Outcome") == "unknown");
+        CHECK(reply.header("Retry-After").empty());
+        CHECK(fixture.settled == "unknown");
+        CHECK(fixture.requests() == 1);
+    }
+}
+
+// Guards against the status of a later refusal, which says nothing of the attempt before it.
+TEST_CASE("a call that may have run gets 502, though a later attempt was refused with 503")
+{
+    service_fixture fixture;
+    fixture.script = {{fake_backend::behavior::drops_reply, 0ms},
+                      {fake_backend::behavior::refuses, 0ms}};
+    const http_reply reply = fixture.call("look_up");
+    CHECK(fixture.requests() == 2);
+    CHECK(reply.header("X-Chervil-Outcome") == "unknown");
+    CHECK(reply.status == 502);
+}
+
 // Guards against a call that is given up at a slow backend server although no other one takes it.
 TEST_CASE("an idempotent call stays at its slow backend server until another one can take it")
 {
