End requests whose chunk extensions never end at their deadline

A client that sends chunk extensions at full speed kept its connection and its memory past the timeout for bodies, and the node parsed all of it.

The limit of the body counts only the body's own bytes.

Evidence: 'a body with endless chunk extensions is refused with 408 at its deadline' failed before: no refusal after 700 ms of 200 ms, and the client was still sending 1 s later.

read_request() now refuses the request once the deadline has passed.

--- a/src/base/request_reader.cpp
+++ b/src/base/request_reader.cpp
@@ -169,6 +169,11 @@
         }
         grow(parser.get().body(), capacity);
         duration timeout = deadline - monotonic_clock::now();
+        if (timeout <= duration::zero()) { // Bytes that are always ready end each read before the
+                                           // timer expires.
+            incoming.refused = bad_request::too_slow;
+            co_return incoming;
+        }
         timeout = reads_body ? std::min(timeout, limits.body_stall_timeout) : timeout;
         std::optional<read_timer> wait(std::in_place, stream, timeout);
         const auto [error, bytes] = co_await stream.async_read_some(space, as_tuple);
--- a/test/error/base_request_limits.cpp
+++ b/test/error/base_request_limits.cpp
@@ -171,6 +171,38 @@
     CHECK(limits_fixture::read_arrived(slow).starts_with("HTTP/1.1 200"));
 }
 
+// Guards against a deadline that no read reaches: chunk extensions are always ready, and the limit
+// of the body counts only its own bytes.
+TEST_CASE("a body with endless chunk extensions is refused with 408 at its deadline")
+{
+    http_limits limits = low_limits();
+    limits.max_body_bytes = 16U << 20U;
+    limits.body_read_timeout = 200ms;
+    limits_fixture fixture(limits);
+    tcp::socket client(fixture.context);
+    client.connect({asio::ip::make_address("127.0.0.1"), fixture.server.port()});
+    asio::write(client, asio::buffer(chunked_head("/")));
+    const std::string piece = "1;e=" + std::string(3000, 'x') + "\r\nb\r\n";
+    bool ended = false;
+    asio::co_spawn(
+        fixture.context,
+        [&]() -> asio::awaitable<void> {
+            const auto as_tuple = asio::as_tuple(asio::use_awaitable);
+            boost::system::error_code failed;
+            while (!failed) {
+                const auto [error, bytes] =
+                    co_await asio::async_write(client, asio::buffer(piece), as_tuple);
+                failed = error;
+            }
+            ended = true;
+        },
+        asio::detached);
+    fixture.run(700ms);
+    CHECK(fixture.refused[bad_request::too_slow] == 1);
+    fixture.run(1s);
+    CHECK(ended);
+}
+
 // Guards against a server that buffers a body before it compares the announced length to its limit.
 TEST_CASE("an announced length over the limit is refused before any of the body arrives")
 {
