Bound the wait for the next chunk of an engine as a whole

A caller of the entry waited past its deadline when an engine sent comments, chunks of another attempt, or an error body a byte at a time without end.

Cause: next_chunks() and read_refusal() gave each read the whole timeout anew, and bytes that bring no chunk never end the loop.

Evidence: 'an engine whose comments or error never end does not hold the call past its deadline' failed before in all three forms: no answer of the entry within the 5 s of its client, with a deadline of 400 ms.

Both loops now use one deadline.

--- a/src/entry/engine_attempt.cpp
+++ b/src/entry/engine_attempt.cpp
@@ -98,9 +98,10 @@
 
 asio::awaitable<attempt_progress> engine_attempt::read_refusal(unsigned status, duration timeout)
 {
+    const time_point deadline = monotonic_clock::now() + timeout;
     std::string body;
-    while (body.size() < max_refusal_bytes) {
-        auto part = co_await stream_->read_some(timeout);
+    while (body.size() < max_refusal_bytes && monotonic_clock::now() < deadline) {
+        auto part = co_await stream_->read_some(deadline - monotonic_clock::now());
         if (!part || part->empty()) {
             break;
         }
@@ -147,9 +148,15 @@
 
 asio::awaitable<attempt_progress> engine_attempt::next_chunks(duration timeout)
 {
+    const time_point deadline = monotonic_clock::now() + timeout;
     attempt_progress progress;
     while (progress.chunks.empty()) {
-        auto part = co_await stream_->read_some(timeout);
+        const duration left = deadline - monotonic_clock::now();
+        if (left <= duration::zero()) { // Comments and chunks of other attempts may never end.
+            co_return failed_progress(engine_attempt_state::stalled,
+                                      "no chunk of the call arrived in time");
+        }
+        auto part = co_await stream_->read_some(left);
         if (!part) {
             const bool is_timeout = part.failure().code == http_error::timed_out;
             co_return failed_progress(is_timeout ? engine_attempt_state::stalled
--- a/test/error/entry_stream_errors.cpp
+++ b/test/error/entry_stream_errors.cpp
@@ -79,6 +79,44 @@
     }
 }
 
+// Guards against a call that is held past its deadline by bytes that are no chunk of it.
+TEST_CASE("an engine whose comments or error never end does not hold the call past its deadline")
+{
+    const auto endless = [](unsigned status, std::string piece,
+                            duration pause) -> scripted_engine::script {
+        return [status, piece, pause](http_exchange& exchange,
+                                      schema::engine_call) -> asio::awaitable<void> {
+            http_reply head;
+            head.status = status;
+            head.content_type = "text/event-stream";
+            co_await exchange.start_stream(head);
+            bool written = true;
+            while (written) {
+                written = co_await exchange.write_chunk(piece);
+                co_await sleep_for(pause);
+            }
+        };
+    };
+    const std::vector<engine_error> errors = {
+        {"comments", endless(200, ": none\n\n", 1ms)},
+        {"chunks of another attempt", endless(200, chunk_event("another", 0, "x", false), 1ms)},
+        {"an error, a byte now and then", endless(500, "x", 20ms)}};
+    for (const engine_error& error : errors) {
+        CAPTURE(error.name);
+        asio::io_context context;
+        scripted_engine engine(context);
+        engine.answer = error.answer;
+        entry_under_test entry(context);
+        REQUIRE(entry.start(view_of({engine.address()})));
+        http_request request = entry_under_test::chat(false);
+        request.headers.push_back({"X-Chervil-Deadline-Ms", "400"});
+        const time_point begun = monotonic_clock::now();
+        const http_reply reply = entry.call(request);
+        CHECK((reply.status == 502 || reply.status == 504));
+        CHECK(monotonic_clock::now() - begun < 900ms);
+    }
+}
+
 TEST_CASE("an engine's stream that ends inside a chunk is not complete")
 {
     asio::io_context context;
