Read all shared parts of a prompt and keep the evidence on them

Cause: read_shared_parts() read the first 16 parts and dropped the rest without a word, so the crash evidence knew only sound parts. With all parts read, prompts of 100 parts met the next limits: 64 parts with crashes, dropped in the order of the prompt, and 12 parts a datagram in the order of their ids.

'each shared part that a head holds is read', 'a part that crashes servers is blocked though a long conversation stands before it', 'each round of reports tells of the parts that were never answered, and then of others' and 'a crashing part is found behind as many sound ones as a prompt can have' failed before; the last showed late arrivals where the parts had been answered, and most sound calls refused where they had not.

All parts are read. The table holds the longest prompt whole, parts that were never answered go first in it and in reports, and the shared log gets 64 records a call instead of one. crash_blame compares sets of crashes as bits, which keeps long prompts cheap; its rules are unchanged. shared_log::put takes several records.

The test that stated the limit of 16 is replaced by one that all parts of a head are read. Three tests of a full table set its size, which was the default.

--- a/src/fleet/shared_log.h
+++ b/src/fleet/shared_log.h
@@ -90,12 +90,12 @@
         std::string topic, log_position at, std::vector<keyed_record> records)>
         append;
 
-    /** Appends one record at the end of the log, without a condition; the record's offset is
-     * ignored.
-     * \return the position after the record.
+    /** Appends all records or none at the end of the log, without a condition; the records' offsets
+     * are ignored.
+     * \return the position after the last record.
      */
-    std::function<boost::asio::awaitable<shared_log_result<log_position>>(std::string topic,
-                                                                          keyed_record record)>
+    std::function<boost::asio::awaitable<shared_log_result<log_position>>(
+        std::string topic, std::vector<keyed_record> records)>
         put;
 };
 
--- a/src/relay/attempt_log.cpp
+++ b/src/relay/attempt_log.cpp
@@ -45,16 +45,14 @@
 void log_crash(const relayed_call& call, const selected_replica& selected, std::uint32_t events)
 {
     const serving_replica& replica = selected.replica;
-    std::string parts;
-    for (const std::string& part : call.parameters.shared_parts) {
-        parts += (parts.empty() ? "" : ",") + part;
-    }
-    call_log.write("server_crashed", {{"request", call.parameters.id},
-                                      {"replica", replica.name},
-                                      {"head", replica.head_id},
-                                      {"started_ms", std::to_string(replica.head_started_ms)},
-                                      {"events", std::to_string(events)},
-                                      {"shared_parts", parts}});
+    call_log.write(
+        "server_crashed",
+        {{"request", call.parameters.id},
+         {"replica", replica.name},
+         {"head", replica.head_id},
+         {"started_ms", std::to_string(replica.head_started_ms)},
+         {"events", std::to_string(events)},
+         {"shared_parts", shared_parts_text(call, call.parameters.shared_parts.size())}});
 }
 
 } // namespace chervildyke
--- a/src/relay/crash_evidence_exchange.cpp
+++ b/src/relay/crash_evidence_exchange.cpp
@@ -19,11 +19,14 @@
 
 const event_log evidence_log("crashes");
 
-constexpr std::size_t max_reports_sent = 12; // Parts in one datagram, about 3 KB.
+constexpr std::size_t max_reports_sent = 32; // Parts in one datagram, about 3 KB.
 constexpr std::size_t max_crashes_sent = 64; // Of all these parts, unless a single one has more.
 constexpr int max_reports_read = 64;         // Parts of one datagram.
 constexpr int max_crashes_read = 32;         // Crashes of one part.
 constexpr std::size_t max_text_bytes = 128;  // Of a service, model, part or server.
+// In one call on the shared log. A record has 1 KB at most, and a part of a long prompt is blamed
+// with all others of it.
+constexpr std::size_t max_records_written = 64;
 constexpr duration log_retry_interval = 1s;  // After a failed call on the shared log.
 constexpr duration min_record_delay = 150ms; // The crashes of a burst are known by then.
 constexpr duration max_record_delay = 550ms; // Another node's records are known by then.
@@ -102,7 +105,7 @@
     evidence_.on_cleared = [weak = weak_from_this()](const std::string& part) {
         if (const auto self = weak.lock()) {
             evidence_log.write("part_cleared", {{"part", part}});
-            spawn_task(self->executor_, "crash evidence", self->remove_record(part));
+            self->remove_soon(part);
         }
     };
 }
@@ -126,46 +129,83 @@
                                               (max_record_delay - min_record_delay) * share));
     auto reports = evidence_.unrecorded_reports(monotonic_clock::now());
     while (!reports.empty()) {
-        for (const part_report& report : reports) {
-            schema::part_evidence message = to_message(report);
-            message.set_recorded_at_ms(wall_clock_ms());
-            keyed_record written;
-            written.key = report.part;
-            written.value = message.SerializeAsString();
-            auto put = co_await log_.put(crash_evidence_topic, written);
-            if (!put) {
-                evidence_log.write("record_failed",
-                                   {{"part", report.part}, {"reason", put.failure().reason}});
-                break;
-            }
-            evidence_.mark_recorded(report.part, put->era);
-        }
-        reports = evidence_.unrecorded_reports(monotonic_clock::now());
-        if (!reports.empty()) {
+        const bool written = co_await write(std::move(reports));
+        if (!written) {
             co_await sleep_for(log_retry_interval);
-            reports = evidence_.unrecorded_reports(monotonic_clock::now());
         }
+        reports = evidence_.unrecorded_reports(monotonic_clock::now());
     }
     recording_ = false;
 }
 
-/** Removes the record of a part that is no longer blamed, so that a node that starts later does not
- * judge it without the answer.
+/** \return false if a call on the log failed. */
+asio::awaitable<bool> crash_evidence_exchange::write(std::vector<part_report> reports)
+{
+    const std::uint64_t now_ms = wall_clock_ms();
+    for (std::size_t begin = 0; begin < reports.size(); begin += max_records_written) {
+        const std::size_t end = std::min(reports.size(), begin + max_records_written);
+        std::vector<keyed_record> records;
+        for (std::size_t i = begin; i < end; ++i) {
+            schema::part_evidence message = to_message(reports[i]);
+            message.set_recorded_at_ms(now_ms);
+            keyed_record& record = records.emplace_back();
+            record.key = reports[i].part;
+            record.value = message.SerializeAsString();
+        }
+        auto put = co_await log_.put(crash_evidence_topic, std::move(records));
+        if (!put) {
+            evidence_log.write("record_failed", {{"part", reports[begin].part},
+                                                 {"parts", std::to_string(end - begin)},
+                                                 {"reason", put.failure().reason}});
+            co_return false;
+        }
+        for (std::size_t i = begin; i < end; ++i) {
+            evidence_.mark_recorded(reports[i].part, put->era);
+        }
+    }
+    co_return true;
+}
+
+void crash_evidence_exchange::remove_soon(const std::string& part)
+{
+    cleared_.insert(part);
+    if (!removing_) {
+        removing_ = true;
+        spawn_task(executor_, "crash evidence", remove_records());
+    }
+}
+
+/** Removes the records of parts that are no longer blamed, so that a node that starts later does
+ * not judge them without the answer.
  */
-asio::awaitable<void> crash_evidence_exchange::remove_record(std::string part)
+asio::awaitable<void> crash_evidence_exchange::remove_records()
 {
     const auto self = shared_from_this();
-    bool removed = false;
-    while (!removed && !evidence_.is_blamed(part)) {
-        keyed_record record;
-        record.key = part;
-        evidence_.forget_record(part);
-        removed = (co_await log_.put(crash_evidence_topic, record)).has_value();
-        if (!removed) {
+    while (true) {
+        std::erase_if(cleared_,
+                      [this](const std::string& part) { return evidence_.is_blamed(part); });
+        if (cleared_.empty()) {
+            break;
+        }
+        std::vector<keyed_record> records;
+        for (const std::string& part : cleared_) {
+            if (records.size() == max_records_written) {
+                break;
+            }
+            records.emplace_back().key = part;
+            evidence_.forget_record(part);
+        }
+        auto put = co_await log_.put(crash_evidence_topic, records);
+        if (!put) {
             co_await sleep_for(log_retry_interval);
+            continue;
+        }
+        for (const keyed_record& record : records) {
+            cleared_.erase(record.key);
         }
     }
-    record_soon(); // The part may have been blamed again meanwhile.
+    removing_ = false;
+    record_soon(); // A part may have been blamed again meanwhile.
 }
 
 /** \param expired set to the keys of records that say nothing any more. */
@@ -221,12 +261,15 @@
         }
         std::vector<std::string> expired;
         apply_records(*records, expired);
-        for (const std::string& key : expired) {
-            keyed_record removed;
-            removed.key = key;
-            auto put = co_await log_.put(crash_evidence_topic, removed);
+        for (std::size_t begin = 0; begin < expired.size(); begin += max_records_written) {
+            const std::size_t end = std::min(expired.size(), begin + max_records_written);
+            std::vector<keyed_record> removed(end - begin);
+            for (std::size_t i = begin; i < end; ++i) {
+                removed[i - begin].key = expired[i];
+            }
+            auto put = co_await log_.put(crash_evidence_topic, std::move(removed));
             if (!put) {
-                break; // The next node that starts removes it.
+                break; // The next node that starts removes them.
             }
         }
         co_return;
--- a/src/relay/crash_evidence_exchange.h
+++ b/src/relay/crash_evidence_exchange.h
@@ -4,7 +4,9 @@
 #pragma once
 
 #include <memory>
+#include <set>
 #include <string>
+#include <vector>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -45,14 +47,18 @@
   private:
     void record_soon();
     boost::asio::awaitable<void> record();
-    boost::asio::awaitable<void> remove_record(std::string part);
+    boost::asio::awaitable<bool> write(std::vector<part_report> reports);
+    void remove_soon(const std::string& part);
+    boost::asio::awaitable<void> remove_records();
     void apply_records(const keyed_records& records, std::vector<std::string>& expired);
 
     boost::asio::any_io_executor executor_;
     shared_log log_;
     crash_evidence& evidence_;
     random_source random_;
-    bool recording_ = false; // record() is running.
+    bool recording_ = false;        // record() is running.
+    bool removing_ = false;         // remove_records() is running.
+    std::set<std::string> cleared_; // Parts whose records are to be removed.
 };
 
 /** \return the message for what is known of a part. */
--- a/src/relay/fleet_restorer.cpp
+++ b/src/relay/fleet_restorer.cpp
@@ -136,7 +136,8 @@
         co_return;
     }
     const std::uint64_t version = view_.configuration()->version();
-    auto put = co_await log_.put(accepted_configuration_topic, *missing);
+    std::vector<keyed_record> records{*missing};
+    auto put = co_await log_.put(accepted_configuration_topic, std::move(records));
     restore_log.write("configuration_restored", {{"version", std::to_string(version)},
                                                  {"outcome", put ? "done" : put.failure().reason}});
     if (put) {
--- a/src/relay/peer_addresses.cpp
+++ b/src/relay/peer_addresses.cpp
@@ -39,8 +39,9 @@
     keyed_record record;
     record.key = name_;
     record.value = self_.SerializeAsString();
+    const std::vector<keyed_record> records{record};
     while (true) {
-        auto put = co_await log_.put(node_topic, record);
+        auto put = co_await log_.put(node_topic, records);
         if (put) {
             co_return;
         }
--- a/src/relay/relayed_call.cpp
+++ b/src/relay/relayed_call.cpp
@@ -72,6 +72,19 @@
     return options;
 }
 
+std::string shared_parts_text(const relayed_call& call, std::size_t max_parts)
+{
+    const std::vector<std::string>& parts = call.parameters.shared_parts;
+    std::string text;
+    for (std::size_t i = 0; i < std::min(parts.size(), max_parts); ++i) {
+        text += (i == 0 ? "" : ",") + parts[i];
+    }
+    if (parts.size() > max_parts) {
+        text += ",... (" + std::to_string(parts.size()) + " parts)";
+    }
+    return text;
+}
+
 asio::awaitable<void> refuse(relayed_call& call, unsigned status, std::string reason,
                              duration retry_after)
 {
--- a/src/relay/relayed_call.h
+++ b/src/relay/relayed_call.h
@@ -77,6 +77,11 @@
     bool has_retry() const { return context.budget_of(service).left() >= 1; }
 };
 
+/** \param max_parts further ones are only counted.
+ * \return the ids of the prompt's shared parts, which tell calls with a common part.
+ */
+std::string shared_parts_text(const relayed_call& call, std::size_t max_parts);
+
 /** Answers that the call was not executed.
  * \param status 429 or 503.
  */
--- a/src/relay/serve_call.cpp
+++ b/src/relay/serve_call.cpp
@@ -22,6 +22,8 @@
 
 const event_log call_log("call");
 
+constexpr std::size_t max_logged_parts = 16; // Of a prompt; a head may have over a thousand.
+
 constexpr duration default_time_left = 30s;       // For calls without a deadline.
 constexpr duration retry_elsewhere_delay = 300ms; // Another node may be able to serve the call.
 
@@ -143,16 +145,6 @@
     return span ? to_ms_text(*span) : "none";
 }
 
-/** \return the ids of the prompt's shared parts, which tell calls with a common part. */
-std::string shared_parts_text(const relayed_call& call)
-{
-    std::string text;
-    for (const std::string& part : call.parameters.shared_parts) {
-        text += (text.empty() ? "" : ",") + part;
-    }
-    return text;
-}
-
 void log_call_end(const relayed_call& call)
 {
     const duration took = monotonic_clock::now() - call.arrived_at;
@@ -168,7 +160,7 @@
                                   {"service", call.service},
                                   {"model", call.parameters.model},
                                   {"tokens", std::to_string(call.parameters.prompt_tokens)},
-                                  {"shared_parts", shared_parts_text(call)},
+                                  {"shared_parts", shared_parts_text(call, max_logged_parts)},
                                   {"configuration", version},
                                   {"configuration_age_ms", age ? to_ms_text(*age) : "never"},
                                   {"deadline_ms", to_ms_text(call.deadline - call.arrived_at)},
--- a/src/routing/crash_blame.cpp
+++ b/src/routing/crash_blame.cpp
@@ -4,6 +4,7 @@
 #include "routing/crash_blame.h"
 
 #include <algorithm>
+#include <set>
 
 namespace chervildyke {
 
@@ -16,7 +17,25 @@
 crash_blame::crash_blame(const std::map<std::string, part_history>& parts, crash_blame_rules rules)
     : rules_(rules)
 {
-    for (const auto& [id, history] : parts) {
+    add_parts(parts);
+    add_possible_suspects(parts);
+    remove_weak_suspects();
+    count_suspects();
+}
+
+void crash_blame::add_parts(const std::map<std::string, part_history>& histories)
+{
+    std::map<backend_incarnation, std::size_t> indexes;
+    for (const auto& [id, history] : histories) {
+        for (const auto& [server, at] : history.crashes) {
+            const std::size_t index = indexes.try_emplace(server, crashes_.size()).first->second;
+            if (index == crashes_.size()) {
+                crashes_.emplace_back();
+            }
+            crashes_[index].at = std::max(crashes_[index].at, at);
+        }
+    }
+    for (const auto& [id, history] : histories) {
         if (history.crashes.empty()) {
             continue;
         }
@@ -24,88 +43,89 @@
         subject.answered = history.answered;
         subject.crashes = history.crashes.size();
         subject.first = time_point::max();
+        subject.candidate_of.resize(crashes_.size());
         for (const auto& [server, at] : history.crashes) {
             subject.first = std::min(subject.first, at);
             subject.last = std::max(subject.last, at);
-            crash& seen = crashes_[server];
-            seen.at = std::max(seen.at, at);
-            seen.candidates.insert(id);
-            if (!history.answered) {
-                seen.suspects.insert(id);
-            }
-        }
-    }
-    add_possible_suspects(parts);
-    remove_weak_suspects();
-    for (auto& [server, seen] : crashes_) {
-        seen.explained =
-            std::any_of(seen.suspects.begin(), seen.suspects.end(),
-                        [&](const std::string& id) { return is_repeated(parts_.at(id)); });
-        if (seen.suspects.size() == 1) {
-            ++parts_.at(*seen.suspects.begin()).sole_crashes;
-        }
-    }
-    for (auto& [id, subject] : parts_) {
-        for (const auto& [server, at] : parts.at(id).crashes) {
-            subject.unexplained_crashes += crashes_.at(server).explained ? 0 : 1;
+            subject.candidate_of.set(indexes.at(server));
         }
+        subject.suspect_of =
+            history.answered ? crash_set(crashes_.size()) : crash_set(subject.candidate_of);
     }
 }
 
 /** A part of many crashes, of which only the newest are known, may have been in the earlier ones of
  * the parts that it shares crashes with.
  */
-void crash_blame::add_possible_suspects(const std::map<std::string, part_history>& parts)
+void crash_blame::add_possible_suspects(const std::map<std::string, part_history>& histories)
 {
-    for (const auto& [id, history] : parts) {
-        if (history.answered || !history.complete_from) {
+    for (const auto& [id, history] : histories) {
+        const auto known = parts_.find(id);
+        if (known == parts_.end() || history.answered || !history.complete_from) {
             continue;
         }
-        std::set<std::string> companions;
-        for (const auto& [server, at] : history.crashes) {
-            const std::set<std::string>& candidates = crashes_.at(server).candidates;
-            companions.insert(candidates.begin(), candidates.end());
-        }
-        for (auto& [server, seen] : crashes_) {
-            const bool has_companion = std::any_of(
-                seen.candidates.begin(), seen.candidates.end(),
-                [&](const std::string& candidate) { return companions.contains(candidate); });
-            if (has_companion && seen.at <= *history.complete_from + time_difference) {
-                seen.suspects.insert(id);
+        part& subject = known->second;
+        crash_set related(crashes_.size());
+        for (const auto& [other, companion] : parts_) {
+            if (companion.candidate_of.intersects(subject.candidate_of)) {
+                related |= companion.candidate_of;
+            }
+        }
+        for (std::size_t i = related.find_first(); i != crash_set::npos; i = related.find_next(i)) {
+            if (crashes_[i].at <= *history.complete_from + time_difference) {
+                subject.suspect_of.set(i);
             }
         }
     }
 }
 
 /** \return true if the part was in all crashes of the other one and in further ones. */
-bool crash_blame::explains_more(const std::string& subject, const std::string& other) const
+bool crash_blame::explains_more(const part& subject, const part& other)
 {
-    return parts_.at(subject).crashes > parts_.at(other).crashes &&
-           std::all_of(crashes_.begin(), crashes_.end(), [&](const auto& entry) {
-               const std::set<std::string>& suspects = entry.second.suspects;
-               return !suspects.contains(other) || suspects.contains(subject);
-           });
+    return subject.crashes > other.crashes && other.suspect_of.is_subset_of(subject.suspect_of);
 }
 
 /** Removes parts of few crashes, each of which a part of more crashes explains. */
 void crash_blame::remove_weak_suspects()
 {
-    std::vector<std::string> weak;
+    std::vector<const part*> repeated;
     for (const auto& [id, subject] : parts_) {
+        if (is_repeated(subject)) {
+            repeated.push_back(&subject);
+        }
+    }
+    // Repeated parts are never weak, so the order in which others are removed does not matter.
+    for (auto& [id, subject] : parts_) {
         if (subject.answered || is_repeated(subject)) {
             continue;
         }
         const bool is_weak =
-            std::any_of(parts_.begin(), parts_.end(), [&, &of = id](const auto& other) {
-                return is_repeated(other.second) && explains_more(other.first, of);
-            });
+            std::any_of(repeated.begin(), repeated.end(),
+                        [&of = subject](const part* other) { return explains_more(*other, of); });
         if (is_weak) {
-            weak.push_back(id);
+            subject.suspect_of.reset();
         }
     }
-    for (auto& [server, seen] : crashes_) {
-        for (const std::string& id : weak) {
-            seen.suspects.erase(id);
+}
+
+void crash_blame::count_suspects()
+{
+    for (const auto& [id, subject] : parts_) {
+        const crash_set& set = subject.suspect_of;
+        for (std::size_t i = set.find_first(); i != crash_set::npos; i = set.find_next(i)) {
+            ++crashes_[i].suspects;
+            crashes_[i].explained = crashes_[i].explained || is_repeated(subject);
+        }
+    }
+    for (auto& [id, subject] : parts_) {
+        const crash_set& suspect = subject.suspect_of;
+        for (std::size_t i = suspect.find_first(); i != crash_set::npos; i = suspect.find_next(i)) {
+            subject.sole_crashes += crashes_[i].suspects == 1 ? 1 : 0;
+        }
+        const crash_set& candidate = subject.candidate_of;
+        for (std::size_t i = candidate.find_first(); i != crash_set::npos;
+             i = candidate.find_next(i)) {
+            subject.unexplained_crashes += crashes_[i].explained ? 0 : 1;
         }
     }
 }
@@ -141,12 +161,14 @@
     bool proven = false;
     time_point until{};
     std::vector<std::string> suspected;
+    std::set<const part*> found;
     for (const std::string& id : prompt) {
         const auto known = parts_.find(id);
         if (known == parts_.end()) {
             continue;
         }
         const part& subject = known->second;
+        found.insert(&subject);
         if (is_doubtful(subject)) {
             doubtful = true;
             verdict.unproven.push_back(id);
@@ -168,16 +190,19 @@
     if (!doubtful && suspected.empty()) {
         return verdict;
     }
-    const std::set<std::string> wanted(prompt.begin(), prompt.end());
+    std::vector<std::size_t> suspects(crashes_.size()); // Of each crash, those in the prompt.
+    for (const part* subject : found) {
+        const crash_set& set = subject->suspect_of;
+        for (std::size_t i = set.find_first(); i != crash_set::npos; i = set.find_next(i)) {
+            ++suspects[i];
+        }
+    }
     std::size_t explained = 0;
     time_point newest{};
-    for (const auto& [server, seen] : crashes_) {
-        const bool explains =
-            !seen.suspects.empty() &&
-            std::includes(wanted.begin(), wanted.end(), seen.suspects.begin(), seen.suspects.end());
-        if (explains) {
+    for (std::size_t i = 0; i < crashes_.size(); ++i) {
+        if (suspects[i] > 0 && suspects[i] == crashes_[i].suspects) {
             ++explained;
-            newest = std::max(newest, seen.at);
+            newest = std::max(newest, crashes_[i].at);
         }
     }
     if (explained >= rules_.crashes_to_block) {
--- a/src/routing/crash_blame.h
+++ b/src/routing/crash_blame.h
@@ -6,10 +6,12 @@
 #include <cstddef>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
+#include <boost/dynamic_bitset.hpp>
+
 #include "base/clock.h"
 #include "fleet/backend_incarnation.h"
 
@@ -87,13 +89,16 @@
     std::size_t blamed_parts() const;
 
   private:
+    using crash_set = boost::dynamic_bitset<>; // Of indexes in crashes_.
+
     struct crash {
         time_point at{};
-        std::set<std::string> candidates;
-        std::set<std::string> suspects; // Of these, the ones that may have caused it.
-        bool explained = false;         // A suspect has enough crashes to be blocked.
+        std::size_t suspects = 0; // Of the candidates, the parts that may have caused it.
+        bool explained = false;   // A suspect has enough crashes to be blocked.
     };
     struct part {
+        crash_set candidate_of;
+        crash_set suspect_of;
         std::size_t crashes = 0;
         std::size_t sole_crashes = 0;        // Of which it is the only suspect.
         std::size_t unexplained_crashes = 0; // Of an answered part: no suspect explains them.
@@ -102,17 +107,19 @@
         bool answered = false;
     };
 
-    void add_possible_suspects(const std::map<std::string, part_history>& parts);
+    void add_parts(const std::map<std::string, part_history>& histories);
+    void add_possible_suspects(const std::map<std::string, part_history>& histories);
     void remove_weak_suspects();
-    bool explains_more(const std::string& subject, const std::string& other) const;
+    void count_suspects();
+    static bool explains_more(const part& subject, const part& other);
     bool is_repeated(const part& subject) const;
     bool is_proven(const part& subject) const;
     bool is_doubtful(const part& subject) const;
     time_point next_trial_of(const part& subject) const;
 
     crash_blame_rules rules_;
-    std::map<backend_incarnation, crash> crashes_;
-    std::map<std::string, part> parts_;
+    std::vector<crash> crashes_;
+    std::unordered_map<std::string, part> parts_;
 };
 
 } // namespace chervildyke
--- a/src/routing/crash_evidence.cpp
+++ b/src/routing/crash_evidence.cpp
@@ -139,24 +139,32 @@
     if (parts_.size() < settings_.max_parts) {
         return true;
     }
-    const auto weight = [this](const auto& entry) {
-        time_point newest{};
-        for (const auto& [server, at] : entry.second.crashes) {
-            newest = std::max(newest, at);
+    part_weight least = added;
+    auto removed = parts_.end();
+    for (auto entry = parts_.begin(); entry != parts_.end(); ++entry) {
+        const part_weight weight = weight_of(entry->first, entry->second);
+        if (weight < least) {
+            least = weight;
+            removed = entry;
         }
-        return part_weight{blame_.is_blamed(entry.first), crashes_since_answer(entry.second),
-                           newest};
-    };
-    const auto least =
-        std::min_element(parts_.begin(), parts_.end(),
-                         [&](const auto& a, const auto& b) { return weight(a) < weight(b); });
-    if (!(weight(*least) < added)) {
+    }
+    if (removed == parts_.end()) {
         return false;
     }
-    parts_.erase(least);
+    parts_.erase(removed);
     return true;
 }
 
+crash_evidence::part_weight crash_evidence::weight_of(const std::string& part,
+                                                      const part_state& state) const
+{
+    time_point newest{};
+    for (const auto& [server, at] : state.crashes) {
+        newest = std::max(newest, at);
+    }
+    return {blame_.is_blamed(part), crashes_since_answer(state), !state.answered, newest};
+}
+
 crash_evidence::part_state* crash_evidence::find_or_add(const std::string& part,
                                                         const part_weight& weight)
 {
@@ -186,7 +194,8 @@
         crashes += cleared ? 0 : 1;
         youngest = std::min(youngest, age);
     }
-    return {false, crashes, now - youngest};
+    const bool never_answered = !report.answered && !answered_.contains(report.part);
+    return {false, crashes, never_answered, now - youngest};
 }
 
 /** Tells of the parts that have begun to be blamed, and of those that no longer are. */
@@ -221,7 +230,7 @@
 {
     expire(now);
     for (const std::string& part : parts) {
-        if (part_state* state = find_or_add(part, {false, 1, now})) {
+        if (part_state* state = find_or_add(part, {false, 1, !answered_.contains(part), now})) {
             add_crash(*state, server, now);
         }
     }
@@ -357,20 +366,37 @@
 std::vector<part_report> crash_evidence::next_reports(std::size_t max_reports,
                                                       std::size_t max_crashes, time_point now)
 {
+    constexpr std::size_t never_answered = 0;
+    constexpr std::size_t answered = 1;
     expire(now);
+    const auto class_of = [](const part_state& state) {
+        return state.answered ? answered : never_answered;
+    };
+    std::array<std::size_t, 2> left{}; // Parts of each class that are not in the reports.
+    for (const auto& [part, state] : parts_) {
+        ++left.at(class_of(state));
+    }
     std::vector<part_report> reports;
     std::size_t crashes = 0;
-    auto next = parts_.upper_bound(last_reported_);
-    const std::size_t count = std::min(max_reports, parts_.size());
-    while (reports.size() < count && crashes < max_crashes) {
-        if (next == parts_.end()) {
-            next = parts_.begin();
+    const auto add = [&](std::size_t of_class, std::size_t report_limit, std::size_t crash_limit) {
+        std::string& last = last_reported_.at(of_class);
+        auto next = parts_.upper_bound(last);
+        while (left.at(of_class) > 0 && reports.size() < report_limit && crashes < crash_limit) {
+            if (next == parts_.end()) {
+                next = parts_.begin();
+            }
+            if (class_of(next->second) == of_class) {
+                last = next->first;
+                reports.push_back(to_report(next->first, next->second, now));
+                crashes += next->second.crashes.size();
+                --left.at(of_class);
+            }
+            ++next;
         }
-        last_reported_ = next->first;
-        reports.push_back(to_report(next->first, next->second, now));
-        crashes += next->second.crashes.size();
-        ++next;
-    }
+    };
+    add(never_answered, max_reports - max_reports / 4, max_crashes - max_crashes / 4);
+    add(answered, max_reports, max_crashes);
+    add(never_answered, max_reports, max_crashes);
     return reports;
 }
 
--- a/src/routing/crash_evidence.h
+++ b/src/routing/crash_evidence.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -10,6 +11,7 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -47,9 +49,13 @@
     /** Crashes kept for each part, the newest ones. */
     std::size_t max_crashes = 32;
 
-    /** Parts with crashes that are kept, and parts whose last answer is known. */
-    std::size_t max_parts = 64;
-    std::size_t max_answered_parts = 4096;
+    /** Parts with crashes that are kept. A head of 16 KB has up to about 1,400 parts, and all of
+     * one prompt must fit in, since they are judged by the crashes that they share.
+     */
+    std::size_t max_parts = 2048;
+
+    /** Parts whose last answer is known. */
+    std::size_t max_answered_parts = 16'384;
 };
 
 /** Collects which parts the calls had that a server was starting to answer when it crashed, and
@@ -102,7 +108,8 @@
     /** \return the number of such parts. */
     std::size_t blamed_parts() const { return blame_.blamed_parts(); }
 
-    /** What peers should know: parts with crashes, and the newest answers with them.
+    /** What peers should know: parts with crashes, and the newest answers with them. Three quarters
+     * of the reports are kept for parts that were never answered, which may cause crashes.
      * \param max_reports the most parts to report; successive calls report different ones in turn.
      * \param max_crashes no further part is added from this number of crashes on.
      */
@@ -130,15 +137,16 @@
     };
 
     /** How much the evidence of a part matters: whether it is blamed, its crashes that no answer
-     * has cleared, and the newest crash.
+     * has cleared, whether it was never answered, and the newest crash.
      */
-    using part_weight = std::tuple<bool, std::size_t, time_point>;
+    using part_weight = std::tuple<bool, std::size_t, bool, time_point>;
 
     bool add_crash(part_state& state, const backend_incarnation& server, time_point at);
     static bool add_answer(part_state& state, const answer& reported);
     static std::size_t crashes_since_answer(const part_state& state);
     part_state* find_or_add(const std::string& part, const part_weight& weight);
     bool make_room(const part_weight& added);
+    part_weight weight_of(const std::string& part, const part_state& state) const;
     part_weight weight_of(const part_report& report, time_point now) const;
     void expire(time_point now);
     void refresh(time_point now);
@@ -148,11 +156,11 @@
     crash_evidence_settings settings_;
     std::uint64_t era_ = 0;     // Records of earlier eras of the shared log don't count.
     std::int64_t clock_offset_; // From time_point to the Unix epoch, in ns.
-    std::map<std::string, part_state> parts_; // Parts that a server crashed with.
-    std::map<std::string, answer> answered_;  // When calls with a part were last answered.
+    std::map<std::string, part_state> parts_;                   // Parts that a server crashed with.
+    std::unordered_map<std::string, answer> answered_;          // When parts were last answered.
     std::set<std::pair<time_point, std::string>> answer_order_; // The same, oldest first.
     crash_blame blame_;
-    std::string last_reported_;
+    std::array<std::string, 2> last_reported_; // Of the parts that were never answered; of others.
     time_point expired_at_{};
 };
 
--- a/test/correctness/platform_prompt_parts.cpp
+++ b/test/correctness/platform_prompt_parts.cpp
@@ -38,15 +38,22 @@
     CHECK(shared_parts("").empty());
 }
 
-TEST_CASE("a header that does not list parts names none, and its size is bounded")
+// Guards against a part that crashes servers and is never blamed, because it is not read.
+TEST_CASE("each shared part that a head holds is read")
+{
+    texts ids;
+    std::string header;
+    for (int i = 0; header.size() < 16'384; ++i) {
+        ids.push_back(std::to_string(i));
+        header += ids.back() + ":1,";
+    }
+    CHECK(shared_parts(header + "own:1") == ids);
+}
+
+TEST_CASE("a header that does not list parts names none, and the size of an id is bounded")
 {
     CHECK(shared_parts(",,:5,").empty());
     CHECK(shared_parts("a,b") == texts{"a"});
-    std::string many;
-    for (int i = 0; i < 1000; ++i) {
-        many += std::to_string(i) + ":1,";
-    }
-    CHECK(shared_parts(many).size() == 16);
     const texts hashed = shared_parts(long_id(5000) + ":1,y:1");
     REQUIRE(hashed.size() == 1);
     CHECK(hashed.front().size() < 64);
--- a/test/correctness/relay_crash_evidence_exchange.cpp
+++ b/test/correctness/relay_crash_evidence_exchange.cpp
@@ -38,18 +38,20 @@
             }
             co_return read;
         };
-        log.put = [this](const std::string& topic,
-                         keyed_record record) -> asio::awaitable<shared_log_result<log_position>> {
+        log.put = [this](const std::string& topic, const std::vector<keyed_record>& written)
+            -> asio::awaitable<shared_log_result<log_position>> {
             CHECK(topic == crash_evidence_topic);
             if (down) {
                 co_return shared_log_failure{shared_log_error::refused, "the log is down"};
             }
             ++puts;
-            if (record.value) {
-                records[record.key] = *record.value;
-            }
-            else {
-                records.erase(record.key);
+            for (const keyed_record& record : written) {
+                if (record.value) {
+                    records[record.key] = *record.value;
+                }
+                else {
+                    records.erase(record.key);
+                }
             }
             const log_position next{era, 1};
             co_return next;
@@ -239,6 +241,38 @@
     CHECK_FALSE(later.evidence.is_blamed(shared));
 }
 
+// Guards against a call on the log for each part of a long prompt, of which the store takes few.
+TEST_CASE("the parts of a long prompt are recorded, and their records removed, with few calls")
+{
+    asio::io_context context;
+    fake_log log;
+    test_node first(context, log);
+    run_for(context, std::chrono::milliseconds(50));
+    std::vector<std::string> prompt;
+    for (int i = 0; i < 200; ++i) {
+        prompt.push_back("shared" + std::to_string(i));
+    }
+    std::vector<std::string> crashing = prompt;
+    crashing.push_back(bad);
+    for (int i = 0; i < 3; ++i) {
+        first.evidence.note_crash({"i" + std::to_string(i), 1}, crashing, monotonic_clock::now());
+    }
+    run_for(context, record_time);
+    CHECK(log.records.size() == 201);
+    CHECK(log.puts <= 4);
+    test_node later(context, log);
+    run_for(context, std::chrono::milliseconds(50));
+    CHECK(later.evidence.judge(crashing, monotonic_clock::now()).standing ==
+          prompt_standing::blocked);
+    CHECK(later.evidence.judge(prompt, monotonic_clock::now()).standing ==
+          prompt_standing::doubtful);
+    log.puts = 0;
+    first.evidence.note_answer(prompt, monotonic_clock::now());
+    run_for(context, std::chrono::milliseconds(50));
+    CHECK(log.records.size() == 1);
+    CHECK(log.puts <= 4);
+}
+
 // Guards against losing what was recorded, or what a node says that runs an older version.
 TEST_CASE("evidence of the older form, which names a service and a model, counts for the part")
 {
--- a/test/correctness/routing_crash_evidence.cpp
+++ b/test/correctness/routing_crash_evidence.cpp
@@ -40,6 +40,14 @@
     return evidence.judge({part}, now).standing;
 }
 
+/** \return settings with which few parts fill the table. */
+crash_evidence_settings small_table()
+{
+    crash_evidence_settings settings;
+    settings.max_parts = 64;
+    return settings;
+}
+
 std::vector<part_report> reports_of(crash_evidence& evidence, time_point now)
 {
     return evidence.next_reports(100, all_crashes, now);
@@ -138,7 +146,7 @@
 // cleared since.
 TEST_CASE("in a full table parts whose crashes were cleared make room for others")
 {
-    crash_evidence evidence;
+    crash_evidence evidence(small_table());
     for (int i = 0; i < 64; ++i) {
         const std::vector<std::string> part{"cleared" + std::to_string(i)};
         evidence.note_crash(server(1000 + 2 * i), part, start);
@@ -155,7 +163,7 @@
 // before.
 TEST_CASE("in a full table the parts of one call don't push out each other")
 {
-    crash_evidence evidence;
+    crash_evidence evidence(small_table());
     for (int i = 0; i < 64; ++i) {
         evidence.note_crash(server(1000 + i), {"other" + std::to_string(i)}, start);
     }
@@ -239,8 +247,8 @@
 
 TEST_CASE("the evidence is bounded, and parts with few crashes make room for those with more")
 {
-    const crash_evidence_settings settings;
-    crash_evidence evidence;
+    const crash_evidence_settings settings = small_table();
+    crash_evidence evidence(settings);
     crash_servers(evidence, 3, start, {bad});
     for (int i = 0; i < 1000; ++i) {
         evidence.note_crash(server(100 + i), {"once" + std::to_string(i)}, start);
@@ -255,6 +263,46 @@
     CHECK(standing(evidence, bad, start) == prompt_standing::blocked);
 }
 
+// Guards against forgetting the crashing part because its prompt has more parts than the table.
+TEST_CASE("in a full table a part that was never answered takes the room of one that was")
+{
+    crash_evidence evidence(small_table());
+    std::vector<std::string> prompt;
+    for (int i = 0; i < 300; ++i) {
+        prompt.push_back("shared" + std::to_string(i));
+    }
+    evidence.note_answer(prompt, start - 1s);
+    prompt.push_back(bad);
+    crash_servers(evidence, 3, start, prompt);
+    CHECK(standing(evidence, bad, start) == prompt_standing::blocked);
+    CHECK(standing(evidence, "shared299", start) == prompt_standing::sound);
+}
+
+// Guards against peers that learn of the crashing part late, behind the sound ones of its prompts.
+TEST_CASE("each round of reports tells of the parts that were never answered, and then of others")
+{
+    constexpr std::size_t max_reports = 12;
+    constexpr std::size_t max_crashes = 64;
+    crash_evidence evidence;
+    std::vector<std::string> prompt;
+    for (int i = 0; i < 300; ++i) {
+        prompt.push_back("shared" + std::to_string(i));
+    }
+    evidence.note_answer(prompt, start - 1s);
+    prompt.push_back(bad);
+    crash_servers(evidence, 5, start, prompt);
+    std::set<std::string> reported;
+    for (int round = 0; round < 30; ++round) {
+        const auto reports = evidence.next_reports(max_reports, max_crashes, start);
+        CHECK(std::any_of(reports.begin(), reports.end(),
+                          [](const part_report& report) { return report.part == bad; }));
+        for (const part_report& report : reports) {
+            reported.insert(report.part);
+        }
+    }
+    CHECK(reported.size() == 301);
+}
+
 TEST_CASE("the reports of successive rounds cover all parts, by parts and by crashes")
 {
     crash_evidence evidence;
@@ -468,3 +516,22 @@
         CHECK(outcome.known_after.has_value());
     }
 }
+
+// Guards against a limit on parts that leaves the crashing one out: it is then never blocked, or
+// the sound ones before it are blocked in its place.
+TEST_CASE("a crashing part is found behind as many sound ones as a prompt can have")
+{
+    for (const std::size_t sound_parts : {17U, 40U, 100U, 300U, 1000U}) {
+        for (const bool answered_before : {true, false}) {
+            CAPTURE(sound_parts);
+            CAPTURE(answered_before);
+            test::crash_scenario scenario;
+            scenario.sound_parts = sound_parts;
+            scenario.answered_before = answered_before;
+            const test::crash_outcome outcome = test::crash_simulation(scenario).run();
+            CHECK(outcome.late_arrivals <= 3);
+            CHECK(outcome.sound_refused * 2 <= outcome.sound_calls);
+            CHECK(outcome.known_after.has_value());
+        }
+    }
+}
--- a/test/error/relay_crashing_prompts.cpp
+++ b/test/error/relay_crashing_prompts.cpp
@@ -46,17 +46,18 @@
     /** Sends a call with the part; no two are alike. */
     void send_crashing_call()
     {
-        prompt_parts = "first:40,bad:200,own" + std::to_string(++sent) + ":300";
+        prompt_parts = parts_before + "bad:200,own" + std::to_string(++sent) + ":300";
         call("k1");
     }
 
     void send_sound_call()
     {
-        prompt_parts = "first:40,own" + std::to_string(++sent) + ":300";
+        prompt_parts = parts_before + "own" + std::to_string(++sent) + ":300";
         call("k1");
     }
 
     std::deque<fake_head> heads;
+    std::string parts_before = "first:40,"; // Of the part that crashes servers.
     int sent = 0;
 };
 
@@ -90,3 +91,24 @@
         CHECK(fixture.is_complete);
     }
 }
+
+// Guards against a crashing part that is not read, because many shared ones stand before it.
+TEST_CASE("a part that crashes servers is blocked though a long conversation stands before it")
+{
+    for (const int parts : {17, 300}) {
+        CAPTURE(parts);
+        crashing_fixture fixture;
+        for (int i = 0; i < parts; ++i) {
+            fixture.parts_before += "5c1e" + std::to_string(100 + i) + ":40,";
+        }
+        fixture.send_sound_call();
+        REQUIRE(fixture.status == 200);
+        for (int i = 0; i < 10; ++i) {
+            fixture.send_crashing_call();
+        }
+        CHECK(fixture.crashed() <= settled_crashes + late_arrivals);
+        CHECK(fixture.status == 503);
+        fixture.send_sound_call();
+        CHECK(fixture.status == 200);
+    }
+}
--- a/test/error/relay_fleet_restorer.cpp
+++ b/test/error/relay_fleet_restorer.cpp
@@ -45,9 +45,9 @@
             return append(std::move(topic), at, std::move(records));
         };
         const auto put = calls.put;
-        calls.put = [this, put](std::string topic, keyed_record record) {
+        calls.put = [this, put](std::string topic, std::vector<keyed_record> records) {
             ++writes;
-            return put(std::move(topic), std::move(record));
+            return put(std::move(topic), std::move(records));
         };
         views.push_back(std::make_shared<fleet_view>(
             context.get_executor(), calls, platform::make_fleet_codec(), seeded_random(1), 2s));
--- a/test/error/relay_planned_stops.cpp
+++ b/test/error/relay_planned_stops.cpp
@@ -50,7 +50,8 @@
                     std::vector<keyed_record>) -> asio::awaitable<shared_log_result<log_position>> {
         co_return at;
     };
-    log.put = [](std::string, keyed_record) -> asio::awaitable<shared_log_result<log_position>> {
+    log.put = [](std::string,
+                 std::vector<keyed_record>) -> asio::awaitable<shared_log_result<log_position>> {
         const log_position end{0, 1};
         co_return end;
     };
--- a/test/support/crash_simulation.cpp
+++ b/test/support/crash_simulation.cpp
@@ -26,7 +26,7 @@
 constexpr duration max_untested_wait = 100ms;
 constexpr std::size_t max_receivers = 8; // Of one state.
 constexpr double lost_datagrams = 0.05;
-constexpr std::size_t max_reports = 12;
+constexpr std::size_t max_reports = 32;
 constexpr std::size_t max_crashes = 64;
 constexpr std::size_t fifth = 5;
 constexpr time_point start{1000s};
@@ -44,10 +44,23 @@
     }
 }
 
+std::vector<std::string> crash_simulation::sound_prompt() const
+{
+    std::vector<std::string> parts{"sound"};
+    while (parts.size() < scenario_.sound_parts) {
+        parts.push_back("sound" + std::to_string(parts.size()));
+    }
+    return parts;
+}
+
 std::vector<std::string> crash_simulation::bad_prompt(std::size_t number) const
 {
-    return {scenario_.varied_first_part ? "first" + std::to_string(number) : "sound",
-            "bad" + std::to_string(number % scenario_.bad_parts)};
+    std::vector<std::string> parts = sound_prompt();
+    if (scenario_.varied_first_part) {
+        parts.front() = "first" + std::to_string(number);
+    }
+    parts.push_back("bad" + std::to_string(number % scenario_.bad_parts));
+    return parts;
 }
 
 void crash_simulation::arrive(std::size_t at, bool bad)
@@ -56,7 +69,7 @@
     added.node = at % nodes_.size();
     added.bad = bad;
     added.arrived_at = now_;
-    added.parts = bad ? bad_prompt(bad_calls_++) : std::vector<std::string>{"sound"};
+    added.parts = bad ? bad_prompt(bad_calls_++) : sound_prompt();
     outcome_.sound_calls += !bad && now_ >= burst_at_ ? 1 : 0;
 }
 
--- a/test/support/crash_simulation.h
+++ b/test/support/crash_simulation.h
@@ -19,7 +19,8 @@
 struct crash_scenario {
     std::size_t nodes = 3;
     std::size_t burst = 6;          // Crashing prompts that come within 100 ms.
-    std::size_t bad_parts = 1;      // They come in turn, each with the sound first part.
+    std::size_t bad_parts = 1;      // They come in turn, each behind the sound parts.
+    std::size_t sound_parts = 1;    // Shared by all prompts.
     double crash_probability = 1;   // Of a server that answers a prompt with a bad part.
     bool answered_before = true;    // Sound prompts were answered before the burst.
     bool varied_first_part = false; // Each crashing prompt has a first part of its own.
@@ -71,6 +72,7 @@
     void deliver();
     void exchange();
     bool all_know() const;
+    std::vector<std::string> sound_prompt() const;
     std::vector<std::string> bad_prompt(std::size_t number) const;
 
     crash_scenario scenario_;
--- a/test/support/restorable_log.h
+++ b/test/support/restorable_log.h
@@ -50,8 +50,8 @@
                                   std::vector<keyed_record> records) {
             return append(link, topic, at, std::move(records));
         };
-        log.put = [this, link](std::string topic, keyed_record record) {
-            return put(link, topic, std::move(record));
+        log.put = [this, link](std::string topic, std::vector<keyed_record> records) {
+            return put(link, topic, std::move(records));
         };
         return log;
     }
@@ -170,14 +170,16 @@
         co_return end;
     }
 
-    asio::awaitable<shared_log_result<log_position>> put(std::shared_ptr<log_link> link,
-                                                         std::string topic, keyed_record record)
+    asio::awaitable<shared_log_result<log_position>>
+    put(std::shared_ptr<log_link> link, std::string topic, std::vector<keyed_record> records)
     {
         co_await link->pass();
         if (down_ || refuses_writes_) {
             co_return refusal();
         }
-        write(topic, std::move(record));
+        for (keyed_record& record : records) {
+            write(topic, std::move(record));
+        }
         const log_position end{era_, topics_[topic].size()};
         co_return end;
     }
