Take no head for a reply whose status is none

Cause: the parser takes any three digits, http_client returned every head that is not 1xx as the reply, and the relay forwards what is not under 300 or has a seal. An X-Not-Executed on such a head was believed. 101 was skipped as interim.

http_client::open() now fails such a call as unanswered: its outcome is unknown, and no header of the head is read. All callers of the client go through it.

--- a/src/base/http_client.cpp
+++ b/src/base/http_client.cpp
@@ -207,6 +207,15 @@
 
 namespace {
 
+/** \return whether a reply to a request of this client may have the status: 100 to 599, but not
+ * 101, which follows only a request to switch protocols.
+ */
+bool is_reply_status(unsigned status)
+{
+    constexpr unsigned switching_protocols = 101;
+    return status >= 100 && status < 600 && status != switching_protocols;
+}
+
 /** \param value the value of a Keep-Alive header.
  * \return the time for which an idle connection may be reused, or the maximum if the header has no
  * timeout.
@@ -454,6 +463,11 @@
             self->close_idle_after_timeout(address, header_error);
             co_return to_failure(header_error, http_error::unanswered, address);
         }
+        if (!is_reply_status(stream->status())) {
+            co_return http_failure{http_error::unanswered, address + ": found the status " +
+                                                               std::to_string(stream->status()) +
+                                                               ", which is none"};
+        }
         const bool is_interim =
             http::to_status_class(stream->status()) == http::status_class::informational;
         if (!is_interim &&
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -108,7 +108,8 @@
 
     /** Sends a request and reads the whole reply.
      * \param address ip:port of the server.
-     * \return the reply, whatever its status, or the failure of the connection.
+     * \return the reply, whatever its status from 200 to 599, or the failure of the connection. A
+     * head with another status is no reply and fails with http_error::unanswered.
      */
     boost::asio::awaitable<http_result<http_reply>> call(std::string address, http_request request,
                                                          http_call_options options);
--- a/test/error/base_partial_replies.cpp
+++ b/test/error/base_partial_replies.cpp
@@ -142,3 +142,24 @@
         }
     }
 }
+
+// Guards against a head that is no reply, and whose request may have taken effect.
+TEST_CASE("a reply with a status that is none fails as unanswered")
+{
+    for (const std::string status : {"000", "099", "101", "600", "999"}) {
+        for (const std::string& interim : interim_replies) {
+            CAPTURE(status);
+            CAPTURE(interim);
+            client_fixture fixture;
+            fixture.server.answers.emplace_back(
+                interim + "HTTP/1.1 " + status +
+                " Odd\r\nX-Attempt-Id: call1\r\nContent-Length: 0\r\n\r\n");
+            fixture.server.answers.emplace_back(whole_reply);
+            const auto odd = fixture.call(true);
+            REQUIRE_FALSE(odd);
+            CHECK(odd.failure().code == http_error::unanswered);
+            CHECK(fixture.call(true));
+            CHECK(fixture.server.connections == 2);
+        }
+    }
+}
