--- a/test/correctness/platform_prompt_parts.cpp
+++ b/test/correctness/platform_prompt_parts.cpp
@@ -1,6 +1,8 @@
 /** \file
  * Tests which parts of a prompt count as shared with other calls.
  */
+#include <algorithm>
+
 #include <doctest/doctest.h>
 
 #include "platform/call_headers.h"
@@ -50,6 +52,21 @@
     CHECK(shared_parts(header + "own:1") == ids);
 }
 
+// Guards against a state that no peer can parse, since a protobuf string must be UTF-8: one such id
+// in a crash would hide the node from all others.
+TEST_CASE("an id that is not printable ASCII is replaced by its hash")
+{
+    for (const std::string id : {"\xff\xfe", "a\x80", "a\tb", "\xc3("}) {
+        const texts read = shared_parts(id + ":1,91bd3f06:410,y:1");
+        REQUIRE(read.size() == 2);
+        CHECK(read.front() != id);
+        CHECK(std::all_of(read.front().begin(), read.front().end(),
+                          [](char letter) { return letter > ' ' && letter <= '~'; }));
+        CHECK(read.back() == "91bd3f06");
+    }
+    CHECK(shared_parts("\xff:1,y:1") != shared_parts("\xfe:1,y:1"));
+}
+
 TEST_CASE("a header that does not list parts names none, and the size of an id is bounded")
 {
     CHECK(shared_parts(",,:5,").empty());
