--- a/soak/caller_pool.cpp
+++ b/soak/caller_pool.cpp
@@ -28,6 +28,7 @@
 constexpr std::uint64_t poison_pause_limit_ms = 1'200; // As above, for callers that crash servers.
 constexpr std::uint64_t poison_burst_limit = 17;       // Fewer calls come at the same moment.
 constexpr std::uint64_t first_parts = 3;               // Parts with which prompts begin.
+constexpr int earlier_turns = 40;                      // Further parts, the same in all prompts.
 constexpr std::uint64_t second_parts = 12;             // Parts that follow.
 constexpr std::size_t own_part_length = 8;             // Characters of its id.
 constexpr double poison_second_probability = 0.5;      // That the poison part is the second one.
@@ -179,7 +180,10 @@
     const std::string first =
         call.poisoned ? poisoned_first_part
                       : "5c1e07a" + std::to_string(2 + random_below(random_, first_parts));
-    const std::string second = "91bd3f" + std::to_string(10 + random_below(random_, second_parts));
+    std::string second = "91bd3f" + std::to_string(10 + random_below(random_, second_parts));
+    for (int turn = 0; turn < earlier_turns; ++turn) {
+        second += ":2,c0ffee" + std::to_string(10 + turn);
+    }
     const std::string own = random_id(random_).substr(0, own_part_length);
     if (!call.poisoned) {
         return first + ":250," + second + ":150," + own + ":100";
