--- a/src/base/request_reader.cpp
+++ b/src/base/request_reader.cpp
@@ -169,8 +169,8 @@
         }
         grow(parser.get().body(), capacity);
         duration timeout = deadline - monotonic_clock::now();
-        if (timeout <= duration::zero()) { // Bytes that are always ready end each read before the
-                                           // timer expires.
+        // Bytes that are always ready end each read before its timer expires.
+        if (timeout <= duration::zero()) {
             incoming.refused = bad_request::too_slow;
             co_return incoming;
         }
--- a/src/relay/crash_evidence_exchange.cpp
+++ b/src/relay/crash_evidence_exchange.cpp
@@ -129,17 +129,18 @@
                                               (max_record_delay - min_record_delay) * share));
     auto reports = evidence_.unrecorded_reports(monotonic_clock::now());
     while (!reports.empty()) {
-        const bool written = co_await write(std::move(reports));
-        if (!written) {
+        co_await write(std::move(reports));
+        reports = evidence_.unrecorded_reports(monotonic_clock::now());
+        if (!reports.empty()) { // A call failed, or reached a log of an earlier era.
             co_await sleep_for(log_retry_interval);
+            reports = evidence_.unrecorded_reports(monotonic_clock::now());
         }
-        reports = evidence_.unrecorded_reports(monotonic_clock::now());
     }
     recording_ = false;
 }
 
-/** \return false if a call on the log failed. */
-asio::awaitable<bool> crash_evidence_exchange::write(std::vector<part_report> reports)
+/** Writes the reports until a call on the log fails, and marks those that were written. */
+asio::awaitable<void> crash_evidence_exchange::write(std::vector<part_report> reports)
 {
     const std::uint64_t now_ms = wall_clock_ms();
     for (std::size_t begin = 0; begin < reports.size(); begin += max_records_written) {
@@ -157,13 +158,12 @@
             evidence_log.write("record_failed", {{"part", reports[begin].part},
                                                  {"parts", std::to_string(end - begin)},
                                                  {"reason", put.failure().reason}});
-            co_return false;
+            co_return;
         }
         for (std::size_t i = begin; i < end; ++i) {
             evidence_.mark_recorded(reports[i].part, put->era);
         }
     }
-    co_return true;
 }
 
 void crash_evidence_exchange::remove_soon(const std::string& part)
--- a/src/relay/crash_evidence_exchange.h
+++ b/src/relay/crash_evidence_exchange.h
@@ -47,7 +47,7 @@
   private:
     void record_soon();
     boost::asio::awaitable<void> record();
-    boost::asio::awaitable<bool> write(std::vector<part_report> reports);
+    boost::asio::awaitable<void> write(std::vector<part_report> reports);
     void remove_soon(const std::string& part);
     boost::asio::awaitable<void> remove_records();
     void apply_records(const keyed_records& records, std::vector<std::string>& expired);
--- a/test/correctness/relay_crash_evidence_exchange.cpp
+++ b/test/correctness/relay_crash_evidence_exchange.cpp
@@ -273,6 +273,20 @@
     CHECK(log.puts <= 4);
 }
 
+// Guards against calls on the log without a pause while each record is of an earlier era.
+TEST_CASE("records that a log of an earlier era takes are written again after a pause")
+{
+    asio::io_context context;
+    fake_log log;
+    test_node first(context, log);
+    run_for(context, std::chrono::milliseconds(50));
+    first.exchange->begin_era(log.era + 1);
+    first.crash(3);
+    run_for(context, std::chrono::milliseconds(1200));
+    CHECK(log.puts >= 1);
+    CHECK(log.puts <= 3);
+}
+
 // Guards against losing what was recorded, or what a node says that runs an older version.
 TEST_CASE("evidence of the older form, which names a service and a model, counts for the part")
 {
