--- a/src/base/http_client.cpp
+++ b/src/base/http_client.cpp
@@ -12,6 +12,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "base/http_head.h"
+
 namespace chervildyke {
 
 namespace {
@@ -32,10 +34,6 @@
 // Of the interim replies and replies to other calls, with their heads, that are discarded before
 // the reply to this call.
 constexpr std::size_t max_discarded_bytes = 1U << 20U;
-// Deducted from the keep-alive timeout of the peer, so that no request is sent while the peer
-// closes the connection.
-constexpr duration keep_alive_margin = 500ms;
-constexpr unsigned http_1_1 = 11;
 
 struct connection {
     explicit connection(const asio::any_io_executor& executor) : stream(executor) {}
@@ -48,23 +46,6 @@
 
 using connection_ptr = std::unique_ptr<connection>;
 
-http::request<http::string_body> to_message(const std::string& address, http_request&& request)
-{
-    http::request<http::string_body> message;
-    message.version(http_1_1);
-    message.method_string(request.method);
-    message.target(request.target);
-    for (const http_header& header : request.headers) {
-        message.insert(header.name, header.value);
-    }
-    if (message.find(http::field::host) == message.end()) {
-        message.set(http::field::host, address);
-    }
-    message.body() = std::move(request.body);
-    message.prepare_payload();
-    return message;
-}
-
 http_failure to_failure(const error_code& error, http_error otherwise, const std::string& address)
 {
     const bool timed_out = error == beast::error::timeout;
@@ -207,35 +188,6 @@
 
 namespace {
 
-/** \return whether a reply to a request of this client may have the status: 100 to 599, but not
- * 101, which follows only a request to switch protocols.
- */
-bool is_reply_status(unsigned status)
-{
-    constexpr unsigned switching_protocols = 101;
-    return status >= 100 && status < 600 && status != switching_protocols;
-}
-
-/** \param value the value of a Keep-Alive header.
- * \return the time for which an idle connection may be reused, or the maximum if the header has no
- * timeout.
- */
-duration keep_alive_timeout(std::string_view value)
-{
-    constexpr std::string_view name = "timeout=";
-    const std::size_t found = value.find(name);
-    unsigned seconds = 0;
-    if (found == std::string_view::npos) {
-        return duration::max();
-    }
-    const char* begin = value.data() + found + name.size();
-    const auto parsed = std::from_chars(begin, value.data() + value.size(), seconds);
-    if (parsed.ec != std::errc()) {
-        return duration::max();
-    }
-    return std::max<duration>(std::chrono::seconds(seconds) - keep_alive_margin, duration::zero());
-}
-
 class beast_stream : public http_stream {
   public:
     beast_stream(std::string address, connection_ptr used, std::shared_ptr<http_cancel> cancel,
