--- a/src/fleet/topic_follower.cpp
+++ b/src/fleet/topic_follower.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "base/event_log.h"
+#include "base/milliseconds.h"
 
 namespace chervildyke {
 
@@ -39,6 +40,21 @@
     return false;
 }
 
+/** Logs a read that the log could delay. One that returns records although it took the whole wait
+ * was not ended by the append of these records.
+ */
+void topic_follower::log_long_poll(std::uint64_t from, const keyed_records& read, duration wait,
+                                   duration took) const
+{
+    const bool late = !read.records.empty() && took >= wait;
+    follower_log.write("long_poll_ended", {{"topic", topic_},
+                                           {"from", std::to_string(from)},
+                                           {"records", std::to_string(read.records.size())},
+                                           {"wait_ms", to_ms_text(wait)},
+                                           {"took_ms", to_ms_text(took)},
+                                           {"late", late ? "yes" : "no"}});
+}
+
 void topic_follower::note_success()
 {
     if (last_read_failed_) {
@@ -136,7 +152,11 @@
     wait = last_read_failed_ ? duration::zero() : wait;
     const duration requested_at = time_since_boot();
     const time_point due = monotonic_clock::now() + wait;
-    auto read = co_await log_.read(topic_, position_.offset, wait);
+    const std::uint64_t from = position_.offset;
+    auto read = co_await log_.read(topic_, from, wait);
+    if (read && wait > duration::zero()) {
+        log_long_poll(from, *read, wait, time_since_boot() - requested_at);
+    }
     if (!read) {
         const shared_log_failure& failed = read.failure();
         if (failed.code == shared_log_error::trimmed) {
--- a/src/fleet/topic_follower.h
+++ b/src/fleet/topic_follower.h
@@ -81,6 +81,8 @@
 
   private:
     boost::asio::awaitable<bool> load();
+    void log_long_poll(std::uint64_t from, const keyed_records& read, duration wait,
+                       duration took) const;
     void note_success();
     bool fail_read(const char* call, const std::string& reason);
 
