Take configurations into force in time when the log does not end a poll

Callers saw 404 for a route whose version had been acknowledged over 2,000 ms before, on some nodes.

Cause: the time in which a configuration must be in force depended on the append ending the open long poll. The store sometimes answers only when the poll's own wait is over, which was 2.6 s. The wait followed from the age at which keys are refused, not from the bound.

Fix: the longest waits follow from the times that the deployment states (1.4 s for 2 s), so a missed append costs less than the bound by design. A node also reads beside its open poll when a peer's datagram states a newer position.

The stand-in store of the soak ignores appends during a quarter of the long polls, and configuration_check calls each undisturbed node by a new route.

--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -44,6 +44,7 @@
 constexpr std::size_t bytes_per_mb = 1U << 20U;
 constexpr duration memory_poll_interval = 50ms;
 constexpr double initial_address_validity_s = 2;
+constexpr double ignored_append_share = 0.25; // Of the long polls at the store.
 
 deployment make_deployment()
 {
@@ -62,7 +63,8 @@
 
 soak_fleet::soak_fleet(asio::any_io_executor executor, fleet_options options)
     : executor_(std::move(executor)), options_(std::move(options)), checker_(max_attempts_per_call),
-      poison_check_(fault_tracker_), store_(executor_),
+      poison_check_(fault_tracker_), configuration_check_(executor_, fault_tracker_, checker_),
+      store_(executor_),
       environment_{executor_, store_, checker_, poison_check_, seeded_random(options_.seed),
                    {},        {},     {}},
       deployment_(make_deployment()), initial_deployment_(deployment_)
@@ -70,6 +72,7 @@
     for (const deployed_model& model : deployment_.models) {
         environment_.models_by_name[model.name] = model;
     }
+    store_.ignore_appends(ignored_append_share, seeded_random(options_.seed));
 }
 
 soak_fleet::~soak_fleet() = default;
@@ -107,6 +110,7 @@
         {"keyStalenessMs", in_ms(key_staleness)},
         {"stopGraceS", std::chrono::duration<double>(stop_grace_period).count()},
         {"backendDrainMs", in_ms(drain_period)},
+        {"configurationApplyMs", in_ms(configuration_apply_time)},
         {"retryRatio", 0.2},
         {"retrySlack", 100},
         {"addressValidityS", address_validity_s},
@@ -335,6 +339,13 @@
     deployment_.routes.push_back(
         {name, "/" + name + "/", order_service, false, true, 1s, 100ms, 3});
     publish_configuration();
+    std::vector<std::string> addresses;
+    for (const auto& node : nodes_) {
+        addresses.push_back(node->ip + ":" + std::to_string(call_port));
+    }
+    auto check =
+        configuration_check_.check_route(std::move(addresses), deployment_.host, "/" + name + "/x");
+    asio::co_spawn(executor_, std::move(check), asio::detached);
 }
 
 void soak_fleet::revoke_key()
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -13,6 +13,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "soak/caller_pool.h"
+#include "soak/configuration_check.h"
 #include "soak/fault_tracker.h"
 #include "soak/link_proxy.h"
 #include "soak/metadata_store.h"
@@ -135,6 +136,7 @@
     invariant_checker checker_;
     fault_tracker fault_tracker_;
     poison_check poison_check_;
+    configuration_check configuration_check_;
     metadata_store store_;
     server_environment environment_;
     deployment deployment_;         // As last published.
--- a/soak/metadata_store.cpp
+++ b/soak/metadata_store.cpp
@@ -161,8 +161,13 @@
         co_return refusal(404);
     }
     const time_point deadline = monotonic_clock::now() + call.max_wait;
-    while (monotonic_clock::now() < deadline &&
-           topics_[call.topic].end_offset() == call.from_offset && !faults_.down) {
+    const auto has_records = [this, &call] {
+        return topics_[call.topic].end_offset() != call.from_offset;
+    };
+    const bool ignores_appends =
+        ignoring_share_ > 0 && !has_records() && random_fraction(random_) < ignoring_share_;
+    while (monotonic_clock::now() < deadline && (ignores_appends || !has_records()) &&
+           !faults_.down) {
         co_await sleep_for(read_poll_interval);
     }
     co_return read(call);
--- a/soak/metadata_store.h
+++ b/soak/metadata_store.h
@@ -7,11 +7,13 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/any_io_executor.hpp>
 
 #include "base/http_server.h"
+#include "base/random.h"
 #include "soak/wire_format.h"
 
 namespace chervildyke::soak {
@@ -55,6 +57,14 @@
      */
     void restore_copy(duration age, duration rewrite_delay);
 
+    /** Makes a share of the long polls last for their whole wait, whatever is appended meanwhile.
+     */
+    void ignore_appends(double share, random_source random)
+    {
+        ignoring_share_ = share;
+        random_ = std::move(random);
+    }
+
     store_faults& faults() { return faults_; }
 
   private:
@@ -81,6 +91,8 @@
     // The newest values that the operator and the servers wrote, by topic and key.
     std::map<std::string, std::map<std::string, std::string>> written_;
     store_faults faults_;
+    double ignoring_share_ = 0; // Of the long polls.
+    random_source random_;
     std::map<std::string, topic_log> topics_;
     std::vector<std::unique_ptr<http_server>> servers_;
 };
--- a/src/fleet/topic_follower.cpp
+++ b/src/fleet/topic_follower.cpp
@@ -186,7 +186,9 @@
     }
     // The log returns no record only if none was appended during the whole wait.
     const bool waited = read->records.empty() && time_since_boot() - requested_at >= wait;
-    confirmed_at_ = waited ? requested_at + wait : requested_at;
+    const duration confirmed_at = waited ? requested_at + wait : requested_at;
+    // A read that began later may have ended before this one.
+    confirmed_at_ = std::max(confirmed_at_.value_or(confirmed_at), confirmed_at);
     co_return apply_records(*read); // Records from peers may have been applied during the read.
 }
 
--- a/src/fleet/topic_follower.h
+++ b/src/fleet/topic_follower.h
@@ -41,7 +41,7 @@
   public:
     topic_follower(shared_log log, std::string topic, topic_hooks hooks);
 
-    /** Reads once.
+    /** Reads once. A read without a wait may run beside one that waits.
      * \param wait how long the log may delay its answer while it has no new record.
      * \return true if the topic was read.
      */
--- a/src/relay/fleet_view.h
+++ b/src/relay/fleet_view.h
@@ -20,72 +20,12 @@
 #include "fleet/published_configuration.h"
 #include "fleet/topic_follower.h"
 #include "relay/fleet_codec.h"
+#include "relay/fleet_view_settings.h"
 #include "relay/recent_records.h"
 #include "routing/replica_balancer.h"
 
 namespace chervildyke {
 
-struct fleet_view_settings {
-    // Long-poll time of one read of the configuration; each read that ends resets the age of the
-    // configuration. A dead connection is detected 0.7 s later, before keys are refused because the
-    // configuration is too old.
-    duration configuration_wait = 2600ms;
-
-    // The same on the leader. It is shorter because a leader that can't reach the store must
-    // step down soon.
-    duration leader_configuration_wait = 1200ms;
-
-    // A node for which another node reads the configuration reads it itself once it is older. Zero:
-    // each node reads for itself.
-    duration max_shared_configuration_age{};
-
-    // Long-poll time of one read of the backend list, which changes seldom.
-    duration backend_wait = 1500ms;
-
-    // The list is read once it is older. Less than the time within which calls to a leaving server
-    // must stop.
-    duration backend_interval = 1s;
-
-    // The leader's long-poll time and the pause between its reads of the list. Other nodes get the
-    // list from the leader: it is at most 0.7 s old there and takes 0.5 s to reach 64 nodes.
-    duration leader_backend_wait = 500ms;
-    duration leader_backend_interval = 200ms;
-
-    // Between two checks of whether the configuration or the list must be read.
-    duration list_age_check_interval = 200ms;
-
-    // While the log answers the leader, its messages make the list no older than this: the wait and
-    // interval of its reads, and two messages.
-    duration max_confirmation_gap = 1s;
-
-    // Replicas that are older are read. The leader reads them every replica_interval.
-    duration max_replica_age = 5s;
-
-    // The leader's pause between reads of the list while replicas form; one step of forming takes
-    // 200 ms. Also the pause between reads of the configuration before the first is published.
-    duration forming_backend_interval = 150ms;
-
-    // Between two checks of the replicas when no peer reports newer records.
-    duration replica_interval = 3s;
-
-    // Records that a peer reports having are read after this time unless its next messages bring
-    // them.
-    duration peer_record_wait = 250ms;
-
-    // The same for records of replicas where another node reads the log for this one.
-    duration missing_replica_wait = 1s;
-
-    // How long a record is sent to peers; each of 64 nodes gets two messages in this time.
-    duration recent_record_window = 1200ms;
-
-    // After a failed read. Each read is a call on the log.
-    duration retry_interval = 400ms;
-
-    // From the first read of the list in an era: the time in which backend servers list themselves
-    // again if the log was restored.
-    duration restored_list_settle_time = 2s;
-};
-
 /** What a peer reports having read of a topic. Only the leader sends records. */
 struct peer_topic_state {
     log_position end;                 // The position after the last record read.
@@ -145,7 +85,9 @@
     /** Applies records that another node of the failure domain has read and forwarded. */
     void apply_forwarded(schema::shared_topic topic, const keyed_records& records);
 
-    /** Records that another node has read the configuration up to the position. */
+    /** Records that another node has read the configuration up to the position. A node that reads
+     * the log itself reads what it lacks soon, also while a long poll is open.
+     */
     void note_configuration_end(log_position end);
 
     /** The same; also updates the age of this node's configuration if this node has read up to the
@@ -221,6 +163,7 @@
     bool has_forming_replicas() const;
     bool must_read_configuration() const;
     duration configuration_wait() const;
+    boost::asio::awaitable<void> read_missing_configuration();
     bool must_read_backends() const;
     duration missing_record_wait(duration limit) const;
     bool must_read_replicas() const;
@@ -248,6 +191,7 @@
     std::optional<time_point> behind_leader_since_; // Since the leader has been ahead of this list.
     std::optional<time_point> list_began_at_;       // When the list was first read in this era.
     bool reading_replicas_ = false;
+    bool reading_missing_configuration_ = false;
 };
 
 } // namespace chervildyke
--- a/src/relay/fleet_view_configuration.cpp
+++ b/src/relay/fleet_view_configuration.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/event_log.h"
+#include "base/task.h"
 #include "relay/fleet_view.h"
 
 namespace chervildyke {
@@ -148,6 +149,37 @@
 {
     note_era(end.era);
     newest_peer_configuration_end_ = std::max(newest_peer_configuration_end_, end);
+    const bool behind = newest_peer_configuration_end_ > configuration_follower_.position();
+    // A node for which another one reads the log has no poll open.
+    if (behind && reads_log_directly() && !reading_missing_configuration_) {
+        reading_missing_configuration_ = true;
+        spawn_task(executor_, "missing configuration", read_missing_configuration());
+    }
+}
+
+/** Reads what a peer has read of the configuration unless the open poll returns it first. */
+asio::awaitable<void> fleet_view::read_missing_configuration()
+{
+    const auto self = shared_from_this();
+    co_await sleep_for(settings_.poll_end_spread);
+    if (newest_peer_configuration_end_ > configuration_follower_.position()) {
+        const log_position before = configuration_follower_.position();
+        const bool read = co_await configuration_follower_.read_once(duration::zero());
+        const log_position after = configuration_follower_.position();
+        view_log.write("configuration_read_beside_poll",
+                       {{"peer_end", std::to_string(newest_peer_configuration_end_.offset)},
+                        {"end_before", std::to_string(before.offset)},
+                        {"end", std::to_string(after.offset)},
+                        {"outcome", read ? "read" : "failed"}});
+        if (read) {
+            note_era(after.era);
+            newest_peer_configuration_end_ = after; // The log itself decides.
+        }
+        else {
+            co_await sleep_for(settings_.retry_interval);
+        }
+    }
+    reading_missing_configuration_ = false;
 }
 
 void fleet_view::confirm_configuration(log_position end, duration age)
--- a/src/relay/peer_topics.cpp
+++ b/src/relay/peer_topics.cpp
@@ -26,6 +26,9 @@
     state.set_backend_list_era(backends.era);
     state.set_backend_list_end(backends.offset);
     state.set_backend_list_age_ms(to_whole_ms(view.backend_age().value_or(never_read_age)));
+    const log_position configuration = view.configuration_end();
+    state.set_configuration_log_era(configuration.era);
+    state.set_configuration_log_end(configuration.offset);
     state.set_configuration_version(view.configuration() ? view.configuration()->version() : 0);
     if (leading) {
         to_messages(view.recent_replicas(), *state.mutable_records());
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -24,10 +24,6 @@
 
 const event_log node_log("node");
 
-// Interval between reads of the backend list, as a fraction of the time for which leaving servers
-// still take calls.
-constexpr double backend_interval_share = 0.6;
-
 constexpr duration current_list_max_age = 4s;  // Two reads of the list.
 constexpr duration min_leader_uptime = 1200ms; // By then a node has received its peers' states.
 constexpr duration key_margin = 500ms;         // For clock drift and calls in flight.
@@ -69,12 +65,9 @@
           executor_, [this](http_exchange& exchange) { return serve_metrics(exchange); },
           small_port_limits())
 {
-    fleet_view_settings view;
-    view.backend_interval = std::chrono::duration_cast<duration>(
-        from_ms(settings_.backend_drain_ms()) * backend_interval_share);
-    view.max_shared_configuration_age = shared_configuration_age(settings_);
     view_ = std::make_shared<fleet_view>(executor_, hooks_.log, hooks_.fleet, random_,
-                                         from_ms(settings_.clock_settle_ms()), view);
+                                         from_ms(settings_.clock_settle_ms()),
+                                         make_fleet_view_settings(settings_));
     context_.executor = executor_;
     context_.random = random_;
     context_.codec = hooks_.calls;
@@ -368,6 +361,10 @@
         view_->confirm_backends(backends_of(state));
     }
     view_->note_replica_end(replicas.end);
+    if (reading_->reads_log_directly()) { // Otherwise the reader sends the records.
+        view_->note_configuration_end(
+            {state.configuration_log_era(), state.configuration_log_end()});
+    }
 }
 
 void relay_node::fill_own_state(schema::peer_word& state)
