Send attempts by way of another node while this one reaches no backend server

Cause: a node knew one way to a server, its own. It could not tell its missing links from dead servers, and callers keep calling it for as long as they keep the directory's answer.

Evidence: on cut nodes nearly every call ends with connections that time out at a different server each time, while other nodes get answers from the same servers.

Fix: service_reach finds from failed new connections and a few test connections that the node is cut off from a service. server_links then sends each finished attempt to another node, which sends it once to the server that the origin chose (src/detour, docs/design/detours.md). Only a request that the carrier marks as not sent counts as not run. Nodes state from what they are cut off; the directory leaves them out while half of the nodes reach all services.

--- a/src/relay/call_codec.cpp
+++ b/src/base/end_to_end_headers.cpp
@@ -1,7 +1,7 @@
 /** \file
  * Implements end_to_end_headers.
  */
-#include "relay/call_codec.h"
+#include "base/end_to_end_headers.h"
 
 #include <algorithm>
 #include <array>
--- a/src/base/http_client.cpp
+++ b/src/base/http_client.cpp
@@ -93,6 +93,7 @@
     void return_to_pool(const std::string& address, connection_ptr used);
     asio::awaitable<http_result<connection_ptr>> connect(std::string address,
                                                          http_call_options options);
+    asio::awaitable<error_code> try_connect(std::string address, duration timeout);
 
     /** Closes the idle connections to the address after a timeout, since their server may have
      * stopped responding too.
@@ -354,23 +355,39 @@
     state_->idle_connections.erase(address);
 }
 
-asio::awaitable<bool> http_client::refuses_connections(std::string address, duration timeout)
+/** Connects to an address and closes the connection.
+ * \return the error of the attempt; invalid_argument for an address of another form.
+ */
+asio::awaitable<error_code> http_client::state::try_connect(std::string address, duration timeout)
 {
-    const auto self = state_;
     std::string ip;
     std::uint16_t port = 0;
-    error_code error;
+    error_code error = asio::error::invalid_argument;
     if (!split_address(address, ip, port)) {
-        co_return false;
+        co_return error;
     }
     const auto ip_address = asio::ip::make_address(ip, error);
     if (error) {
-        co_return false;
+        co_return error;
     }
-    beast::tcp_stream stream(self->executor);
+    beast::tcp_stream stream(executor);
     stream.expires_after(timeout);
     const auto [failed] = co_await stream.async_connect(tcp::endpoint(ip_address, port), as_tuple);
-    co_return failed == asio::error::connection_refused;
+    co_return failed;
+}
+
+asio::awaitable<bool> http_client::refuses_connections(std::string address, duration timeout)
+{
+    const auto self = state_;
+    const error_code error = co_await self->try_connect(std::move(address), timeout);
+    co_return error == asio::error::connection_refused;
+}
+
+asio::awaitable<bool> http_client::accepts_connections(std::string address, duration timeout)
+{
+    const auto self = state_;
+    const error_code error = co_await self->try_connect(std::move(address), timeout);
+    co_return !error;
 }
 
 asio::awaitable<http_result<std::shared_ptr<http_stream>>>
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -134,6 +134,10 @@
      */
     boost::asio::awaitable<bool> refuses_connections(std::string address, duration timeout);
 
+    /** \return true if the address accepts a connection within the timeout; it is closed at once.
+     */
+    boost::asio::awaitable<bool> accepts_connections(std::string address, duration timeout);
+
     /** Closes the pooled connections to an address whose server may have stopped responding. */
     void close_idle_connections(const std::string& address);
 
--- a/src/relay/call_codec.h
+++ b/src/relay/call_codec.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/end_to_end_headers.h"
 #include "base/http_message.h"
 #include "routing/backend_notices.h"
 
@@ -70,7 +71,4 @@
         write_refusal;
 };
 
-/** \return the headers without those that apply to one connection only (hop-by-hop headers). */
-std::vector<http_header> end_to_end_headers(const std::vector<http_header>& headers);
-
 } // namespace chervildyke
--- a/src/relay/plain_relay.cpp
+++ b/src/relay/plain_relay.cpp
@@ -128,7 +128,8 @@
     if (call.route->retry == retry_rule::never) {
         options.max_idle_time = max_idle_for_single_runs;
     }
-    auto opened = co_await call.context.http->open(target.address, std::move(request), options);
+    auto opened =
+        co_await call.open(incarnation_of(target), target.address, std::move(request), options);
     if (!opened) {
         co_return attempt_end_of(opened.failure());
     }
--- a/src/relay/prompt_guard.cpp
+++ b/src/relay/prompt_guard.cpp
@@ -119,12 +119,20 @@
         co_return;
     }
     const serving_replica& replica = selected.replica;
+    const auto links = call_.context.links;
+    if (links && links->is_cut_off(replica.service)) {
+        co_return; // This node can't tell a server that has ended from its own missing links.
+    }
     http_client& http = *call_.context.http;
     bool ended = co_await http.refuses_connections(replica.head_address, crash_check_timeout);
     if (!ended) {
         co_await sleep_for(crash_recheck_delay);
         ended = co_await http.refuses_connections(replica.head_address, crash_check_timeout);
     }
+    if (ended && links) {
+        const bool reaches_none = co_await links->reaches_none(replica.service);
+        ended = !reaches_none;
+    }
     if (ended) {
         log_crash(call_, selected, events);
         call_.context.crashes->note_crash(head_incarnation(replica), parts(),
--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -15,6 +15,7 @@
 #include "base/loop_lag.h"
 #include "base/metrics.h"
 #include "base/random.h"
+#include "detour/server_links.h"
 #include "fleet/backend_table.h"
 #include "fleet/published_configuration.h"
 #include "relay/call_codec.h"
@@ -55,7 +56,8 @@
     std::shared_ptr<crash_evidence> crashes = std::make_shared<crash_evidence>();
     std::shared_ptr<prompt_turns> turns = std::make_shared<prompt_turns>(system_random());
     demand_meter demand;
-    std::shared_ptr<cold_servers> cold; // Null if no server is limited.
+    std::shared_ptr<cold_servers> cold;  // Null if no server is limited.
+    std::shared_ptr<server_links> links; // Null: requests are always sent directly.
     const backend_table* backends = nullptr;
     std::map<std::string, retry_budget> budgets; // By service.
     byte_budget buffered{32U << 20U}; // Answers and events, buffered until they are whole; a fifth
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -10,9 +10,8 @@
 #include "base/event_log.h"
 #include "base/milliseconds.h"
 #include "base/task.h"
-#include "members/leader_ranking.h"
 #include "relay/demand_report.h"
-#include "relay/message_values.h"
+#include "relay/node_links.h"
 #include "relay/peer_topics.h"
 #include "relay/serve_call.h"
 
@@ -24,9 +23,8 @@
 
 const event_log node_log("node");
 
-constexpr duration current_list_max_age = 4s;  // Two reads of the list.
-constexpr duration min_leader_uptime = 1200ms; // By then a node has received its peers' states.
-constexpr duration key_margin = 500ms;         // For clock drift and calls in flight.
+constexpr duration current_list_max_age = 4s; // Two reads of the list.
+constexpr duration key_margin = 500ms;        // For clock drift and calls in flight.
 
 // Fraction of the configured retry budget that the nodes use. The rest covers restarts, after which
 // a node no longer counts the retries that it has spent.
@@ -36,12 +34,14 @@
 // started has not received the states of all others.
 constexpr std::size_t min_budget_nodes = 8;
 
-constexpr duration last_request_wait = 300ms;    // One round trip of most callers.
-constexpr duration fleet_check_interval = 200ms; // Between two runs of the periodic checks.
-constexpr duration drain_check_interval = 20ms;  // Between two checks whether all calls have ended.
+constexpr duration last_request_wait = 300ms;   // One round trip of most callers.
+constexpr duration drain_check_interval = 20ms; // Between two checks whether all calls have ended.
 constexpr double buffered_share = 0.2; // Of the memory, for answers that are not whole yet.
 constexpr double request_share = 0.2;  // Of the memory, for requests until their calls end.
-constexpr std::size_t small_ports = 3; // Ready, directory and metrics.
+constexpr std::size_t small_ports = 4; // Ready, directory, metrics and detours.
+constexpr double detour_share = 0.1;   // Of the memory, for requests of other nodes.
+constexpr std::size_t max_detour_connections = 512;
+constexpr std::size_t detour_header_bytes = 1024; // Of the fields that the origin adds.
 constexpr double bytes_per_mb = 1 << 20;
 
 } // namespace
@@ -63,7 +63,8 @@
           small_port_limits()),
       metrics_(
           executor_, [this](http_exchange& exchange) { return serve_metrics(exchange); },
-          small_port_limits())
+          small_port_limits()),
+      detours_(executor_, [this](http_exchange& exchange) { return carrier_->serve(exchange); })
 {
     view_ = std::make_shared<fleet_view>(executor_, hooks_.log, hooks_.fleet, random_,
                                          from_ms(settings_.clock_settle_ms()),
@@ -147,6 +148,9 @@
     schema::known_peer self;
     self.set_address(settings_.address());
     self.set_port(settings_.peer_port());
+    context_.links = make_server_links(settings_, context_, *peers_);
+    carrier_ = std::make_unique<detour_carrier>(*context_.links, *context_.metrics,
+                                                make_carrier_hooks(context_));
     addresses_ = std::make_shared<peer_addresses>(hooks_.log, *peers_, settings_.name(), self);
     reading_ = std::make_unique<shared_reading>(settings_, *view_, *peers_, random_);
     apply_limits();
@@ -195,9 +199,9 @@
         peers_->broadcast();
     };
     const assembly_settings assembly;
-    assembler_ = std::make_shared<assembler>(executor_, hooks_.log, hooks_.engines, view_->ledger(),
-                                             view_->backends(), *context_.replica_lb,
-                                             std::move(assembling), assembly);
+    assembler_ = std::make_shared<assembler>(
+        executor_, hooks_.log, with_reach(hooks_.engines, context_.links), view_->ledger(),
+        view_->backends(), *context_.replica_lb, std::move(assembling), assembly);
 }
 
 /** Only the leader, which decides the targets, writes these gauges. */
@@ -244,6 +248,12 @@
     call_limits_.max_request_memory = memory > 0 ? static_cast<std::size_t>(memory * request_share)
                                                  : http_limits().max_request_memory;
     calls_.set_limits(call_limits_);
+    http_limits detour_limits = call_limits_;
+    detour_limits.max_connections = max_detour_connections;
+    detour_limits.max_header_bytes += detour_header_bytes;
+    detour_limits.max_request_memory = static_cast<std::size_t>(
+        static_cast<double>(call_limits_.max_request_memory) * detour_share / request_share);
+    detours_.set_limits(detour_limits);
     context_.limits.key_staleness = from_ms(settings_.key_staleness_ms()) - key_margin;
 }
 
@@ -289,7 +299,9 @@
     }
     const std::string metrics_address =
         settings_.address() + ":" + std::to_string(settings_.metrics_port());
-    if (!listen(calls_, settings_.call_address()) || !listen(ready_, settings_.ready_address()) ||
+    const std::string detour_address = settings_.address() + ":" + std::to_string(port);
+    if (!listen(detours_, detour_address) || !listen(calls_, settings_.call_address()) ||
+        !listen(ready_, settings_.ready_address()) ||
         !listen(directory_, settings_.directory_address()) || !listen(metrics_, metrics_address)) {
         return false;
     }
@@ -339,83 +351,6 @@
     }
 }
 
-void relay_node::apply_peer_state(const schema::peer_word& state)
-{
-    const bool is_remote =
-        peers_->fleet_exceeds_fanout() && state.failure_domain() != settings_.failure_domain();
-    context_.replica_lb->note_peer_usage(state.name(), from_messages(state.counts()),
-                                         monotonic_clock::now(), is_remote);
-    context_.queue->note_peer_waiting(state.name(), from_messages(state.waiting_calls()));
-    crash_exchange_->apply_state(state);
-    context_.queue->admit_waiting();
-    calls_began_ = calls_began_ || state.calls_began();
-    for (const schema::running_load& load : state.loads()) {
-        assembler_->note_running_load(load);
-    }
-    const peer_topic_state replicas = replicas_of(state);
-    view_->apply_peer_replicas(replicas);
-    if (state.leading()) {
-        view_->apply_leader_backends(backends_of(state));
-    }
-    else {
-        view_->confirm_backends(backends_of(state));
-    }
-    view_->note_replica_end(replicas.end);
-    if (reading_->reads_log_directly()) { // Otherwise the reader sends the records.
-        view_->note_configuration_end(
-            {state.configuration_log_era(), state.configuration_log_end()});
-    }
-}
-
-void relay_node::fill_own_state(schema::peer_word& state)
-{
-    const time_point now = monotonic_clock::now();
-    state.set_name(settings_.name());
-    state.set_address(settings_.address());
-    state.set_port(settings_.peer_port());
-    state.set_incarnation(incarnation_);
-    state.set_call_address(settings_.call_address());
-    state.set_failure_domain(settings_.failure_domain());
-    state.set_ready(ready());
-    state.set_leaving(context_.leaving);
-    state.set_sound_store(view_->store_is_healthy());
-    state.set_calls_began(calls_began_);
-    state.set_up_ms(to_whole_ms(now - started_at_));
-    report_demand(context_.demand, view_->configuration(), now, state);
-    state.set_leading(assembler_->leading());
-    state.set_processor_share(settings_.processor_share());
-    set_topics(*view_, assembler_->leading(), state);
-    if (assembler_->leading()) {
-        for (schema::running_load& load : assembler_->running_loads()) {
-            *state.add_loads() = std::move(load);
-        }
-    }
-    to_messages(context_.replica_lb->own_usage(now), *state.mutable_counts());
-    to_messages(context_.queue->own_waiting(), *state.mutable_waiting_calls());
-    crash_exchange_->fill_state(state);
-}
-
-/** Periodically chooses the node that reads the log, drops the usage reported by nodes that are no
- * longer live, divides the retry budget and the calls to cold servers by the live nodes, and in a
- * large fleet prefers replicas in this node's failure domain.
- */
-asio::awaitable<void> relay_node::run_fleet_checks()
-{
-    while (true) {
-        co_await sleep_for(fleet_check_interval);
-        reading_->update(context_.leaving);
-        cold_limit_peers peers = peers_of(*peers_);
-        context_.replica_lb->retain_peers(peers.live);
-        context_.turns->set_nodes(peers.live.size() + 1);
-        if (context_.cold->update(std::move(peers), ready(), monotonic_clock::now())) {
-            context_.queue->admit_waiting(); // This node may call a cold server again.
-        }
-        apply_limits();
-        context_.replica_lb->prefer_domain(
-            peers_->fleet_exceeds_fanout() ? settings_.failure_domain() : "");
-    }
-}
-
 /** \return the configuration to serve calls by, or null while this node has just started and may
  * know an older one than the others.
  */
@@ -433,26 +368,6 @@
     return !context_.leaving && served_configuration() != nullptr;
 }
 
-bool relay_node::is_leader() const
-{
-    if (context_.leaving || !view_->store_is_healthy() ||
-        monotonic_clock::now() - started_at_ < min_leader_uptime) {
-        return false;
-    }
-    const leader_candidate self{settings_.name(), settings_.processor_share(),
-                                assembler_->leading()};
-    for (const known_node* node : peers_->live()) {
-        const schema::peer_word& state = node->state;
-        const bool eligible = state.sound_store() && !state.leaving() &&
-                              std::chrono::milliseconds(state.up_ms()) >= min_leader_uptime;
-        if (eligible &&
-            ranks_before({state.name(), state.processor_share(), state.leading()}, self)) {
-            return false;
-        }
-    }
-    return true;
-}
-
 asio::awaitable<void> relay_node::drain()
 {
     const time_point now = monotonic_clock::now();
@@ -460,6 +375,7 @@
     stopping.begin(now, from_ms(1000 * settings_.stop_grace_s()));
     context_.leaving = true;
     calls_.disable_keep_alive();
+    detours_.disable_keep_alive();
     peers_->broadcast();
     node_log.write("stopping",
                    {{"calls_in_progress", std::to_string(calls_.requests_in_progress())}});
@@ -467,7 +383,10 @@
     calls_.stop_accepting();
     co_await sleep_for(last_request_wait); // For requests on connections accepted just before.
     bool has_ended_calls = false;
-    while (calls_.requests_in_progress() > 0 && monotonic_clock::now() < stopping.exit_at()) {
+    const auto in_progress = [this] {
+        return calls_.requests_in_progress() + detours_.requests_in_progress();
+    };
+    while (in_progress() > 0 && monotonic_clock::now() < stopping.exit_at()) {
         if (!has_ended_calls && monotonic_clock::now() >= stopping.calls_end()) {
             has_ended_calls = true;
             context_.end_calls();
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -13,6 +13,7 @@
 
 #include "assembly/assembler.h"
 #include "base/http_server.h"
+#include "detour/detour_carrier.h"
 #include "members/peer_gossip.h"
 #include "node.pb.h"
 #include "relay/call_codec.h"
@@ -95,6 +96,8 @@
     http_server ready_;
     http_server directory_;
     http_server metrics_;
+    std::unique_ptr<detour_carrier> carrier_;
+    http_server detours_; // Requests of other nodes for backend servers.
     bool calls_began_ = false;
     bool caught_up_ = false; // Since its start, with what the other nodes know.
     std::map<std::string, double> replica_targets_; // By model, where priorities differ.
--- a/src/relay/relay_node_ports.cpp
+++ b/src/relay/relay_node_ports.cpp
@@ -20,16 +20,29 @@
 
 std::vector<std::string> relay_node::call_addresses()
 {
-    std::vector<std::string> healthy; // Nodes that can reach the store.
+    std::vector<std::string> healthy;  // Nodes that can reach the store.
+    std::vector<std::string> reaching; // Those of them that also reach all services.
     std::vector<std::string> others;
+    const auto add = [&](const std::string& address, bool sound_store, bool cut_off) {
+        (sound_store ? healthy : others).push_back(address);
+        if (sound_store && !cut_off) {
+            reaching.push_back(address);
+        }
+    };
     if (ready()) {
-        (view_->store_is_healthy() ? healthy : others).push_back(settings_.call_address());
+        add(settings_.call_address(), view_->store_is_healthy(),
+            !context_.links->cut_off_services().empty());
     }
     for (const known_node* node : peers_->live()) {
-        if (node->state.ready() && !node->state.leaving()) {
-            (node->state.sound_store() ? healthy : others).push_back(node->state.call_address());
+        const schema::peer_word& state = node->state;
+        if (state.ready() && !state.leaving()) {
+            add(state.call_address(), state.sound_store(), state.cut_off_services_size() > 0);
         }
     }
+    // Few nodes would not bear the calls of all; they carry a part of them for the others.
+    if (!reaching.empty() && 2 * reaching.size() >= healthy.size()) {
+        return reaching;
+    }
     return healthy.empty() ? others : healthy;
 }
 
--- a/src/relay/relayed_call.cpp
+++ b/src/relay/relayed_call.cpp
@@ -46,6 +46,19 @@
     context.notices->note(server, metadata.notice, monotonic_clock::now());
 }
 
+asio::awaitable<http_result<std::shared_ptr<http_stream>>>
+relayed_call::open(backend_incarnation server, std::string address, http_request request,
+                   http_call_options options) const
+{
+    if (!context.links) {
+        co_return co_await context.http->open(std::move(address), std::move(request),
+                                              std::move(options));
+    }
+    server_target target{parameters.id, service, std::move(server), std::move(address)};
+    co_return co_await context.links->open(std::move(target), std::move(request),
+                                           std::move(options));
+}
+
 http_call_options relayed_call::options(duration timeout, const backend_incarnation& target)
 {
     http_call_options options;
--- a/src/relay/relayed_call.h
+++ b/src/relay/relayed_call.h
@@ -67,6 +67,13 @@
      */
     http_call_options options(duration timeout, const backend_incarnation& target);
 
+    /** Sends an attempt to a server, by way of another node while this one is cut off.
+     * \param address ip:port of the server.
+     */
+    boost::asio::awaitable<http_result<std::shared_ptr<http_stream>>>
+    open(backend_incarnation server, std::string address, http_request request,
+         http_call_options options) const;
+
     /** Records the availability that an answer states for its server. */
     void record_notice(const backend_incarnation& server, const answer_metadata& metadata) const;
 
--- a/src/relay/streaming_call.cpp
+++ b/src/relay/streaming_call.cpp
@@ -188,8 +188,8 @@
         call_.attempt(replica.head_id, forwarder_.last_event(), running.priority);
     http_call_options options = call_.options(usable_time_left(), head_incarnation(replica));
     options.cancel = running.cancel;
-    auto opened =
-        co_await call_.context.http->open(replica.head_address, std::move(request), options);
+    auto opened = co_await call_.open(head_incarnation(replica), replica.head_address,
+                                      std::move(request), options);
     attempt_end end;
     if (opened && !running.cancel->cancelled()) {
         end = co_await read_answer(**opened, running);
--- a/src/routing/backend_balancer.cpp
+++ b/src/routing/backend_balancer.cpp
@@ -100,4 +100,13 @@
     return in_flight(second) < in_flight(first) ? second : first;
 }
 
+void backend_balancer::forget_failures(const std::string& address)
+{
+    const auto found = backends_.find(address);
+    if (found != backends_.end()) {
+        found->second.failures = 0;
+        found->second.ejected_until = time_point{};
+    }
+}
+
 } // namespace chervildyke
--- a/src/routing/backend_balancer.h
+++ b/src/routing/backend_balancer.h
@@ -60,6 +60,11 @@
     /** Records how a call on the server ended. */
     void note_end(const std::string& address, backend_result result, time_point now);
 
+    /** Ends the ejection of a server and forgets its failures: the links of this node have failed,
+     * not the server.
+     */
+    void forget_failures(const std::string& address);
+
     std::uint32_t in_flight(const std::string& address) const;
 
   private:
--- a/src/routing/replica_balancer.cpp
+++ b/src/routing/replica_balancer.cpp
@@ -100,6 +100,14 @@
     });
 }
 
+void replica_balancer::forget_exclusions(const std::string& service)
+{
+    std::erase_if(excluded_until_, [this, &service](const auto& excluded) {
+        const auto found = serving_.find(excluded.first);
+        return found != serving_.end() && found->second.service == service;
+    });
+}
+
 void replica_balancer::exclude(std::uint64_t epoch, time_point until)
 {
     time_point& held = excluded_until_[epoch];
--- a/src/routing/replica_balancer.h
+++ b/src/routing/replica_balancer.h
@@ -161,6 +161,11 @@
      */
     void note_refusal(const selected_replica& selected, time_point now);
 
+    /** Ends the exclusions of all replicas of a service that failed attempts caused: the links of
+     * this node have failed, not the replicas.
+     */
+    void forget_exclusions(const std::string& service);
+
     /** Excludes a replica until the given time, after it broke a connection, stalled or refused. */
     void exclude(std::uint64_t epoch, time_point until);
 
--- /dev/null
+++ b/src/routing/service_reach.h
@@ -0,0 +1,85 @@
+/** \file
+ * Defines service_reach, which decides whether this node is cut off from all backend servers of a
+ * service.
+ */
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+
+namespace chervildyke {
+
+struct service_reach_settings {
+    // Servers that could not be connected to, within the window and with no success in between,
+    // after which the service is checked.
+    std::size_t suspect_servers = 2;
+    duration suspect_window = 1s;
+
+    // Servers that one check connects to. Few of them are dead at a time in a service that works.
+    std::size_t servers_per_check = 4;
+
+    // The same while the node is cut off, and the time between two checks.
+    std::size_t servers_per_recheck = 2;
+    duration recheck_interval = 500ms;
+
+    // After a check that reached a server, failures cause no other check for so long.
+    duration check_holdoff = 1s;
+};
+
+/** Decides from the outcomes of new connections. An answer on a kept connection shows nothing: such
+ * connections may live on while new ones fail. A failed connection alone shows little, since its
+ * server may be dead for all nodes; so the node connects to a few others before it counts as cut
+ * off.
+ */
+class service_reach {
+  public:
+    explicit service_reach(service_reach_settings settings = {}) : settings_(settings) {}
+
+    /** Records that a new connection to a server of the service failed, or was reset. */
+    void note_failure(const std::string& service, const std::string& server, time_point now);
+
+    /** Records that a new connection to a server of the service succeeded. */
+    void note_connected(const std::string& service);
+
+    /** \return the number of servers to connect to now, or zero if no check is due. The check
+     * counts as begun.
+     */
+    std::size_t begin_check(const std::string& service, time_point now);
+
+    /** Records the end of a check.
+     * \param tried servers that the node tried to connect to; without any, nothing is known.
+     * \param connected those of them that accepted.
+     * \return true if the node was cut off and is not any more, or the other way round.
+     */
+    bool end_check(const std::string& service, std::size_t tried, std::size_t connected,
+                   time_point now);
+
+    bool is_cut_off(const std::string& service) const;
+
+    /** \return true if new connections have failed lately and a check may be needed. */
+    bool is_suspect(const std::string& service, time_point now) const;
+
+    /** \return the services from which the node is cut off, sorted. */
+    std::vector<std::string> cut_off_services() const;
+
+  private:
+    struct state {
+        std::map<std::string, time_point> failed; // Servers since the last success.
+        bool cut_off = false;
+        bool checking = false;
+        std::optional<time_point> checked_at;
+    };
+
+    std::size_t recent_failures(const state& current, time_point now) const;
+
+    service_reach_settings settings_;
+    std::map<std::string, state> services_;
+};
+
+} // namespace chervildyke
--- a/test/error/relay_cut_nodes.cpp
+++ b/test/error/relay_cut_nodes.cpp
@@ -103,6 +103,7 @@
     {
         for (std::size_t i = 0; i < server_count; ++i) {
             servers.push_back(std::make_unique<counting_server>(context));
+            closed_ports.push_back(free_port(context));
         }
         for (std::size_t i = 0; i < 2; ++i) {
             start_node(i);
@@ -175,12 +176,13 @@
         };
         hooks.fleet.read_backend = [this, is_cut](const std::string& key,
                                                   const std::string&) -> decoded<backend> {
-            const std::uint16_t port = servers[std::stoul(key)]->server.port();
+            const std::size_t index = std::stoul(key);
+            const std::uint16_t port = is_cut ? closed_ports[index] : servers[index]->server.port();
             backend one;
-            one.id = "i-" + key;
+            one.id = key;
             one.service = "desk";
             one.failure_domain = "a";
-            one.address = "127.0.0.1:" + std::to_string(is_cut ? closed_port : port);
+            one.address = "127.0.0.1:" + std::to_string(port);
             one.started_ms = 1;
             return one;
         };
@@ -226,7 +228,7 @@
     manual_clock clock{context};
     std::uint16_t peer_port = free_port(context);
     std::uint16_t call_port = free_port(context);
-    std::uint16_t closed_port = free_port(context);
+    std::vector<std::uint16_t> closed_ports;
     std::vector<std::unique_ptr<counting_server>> servers;
     std::vector<std::unique_ptr<relay_node>> nodes;
 };
