Give up the lead on a node that reaches no model engine

Callers of all nodes were refused while the leader was cut off from the servers: it retired sound replicas, dropped them and formed others that it could not command.

Cause: silent probes and commands of the leader count as evidence against servers, whoever's links have failed.

Fix: nodes state whether they are cut off from a service with engines, and such a node ranks behind all others. Its failed probes and commands count for whether it is cut off. The test failed before the change of ranks_before.

--- a/src/members/leader_ranking.cpp
+++ b/src/members/leader_ranking.cpp
@@ -21,6 +21,9 @@
 
 bool ranks_before(const leader_candidate& candidate, const leader_candidate& other)
 {
+    if (candidate.cut_off_from_engines != other.cut_off_from_engines) {
+        return other.cut_off_from_engines;
+    }
     if (weight(candidate) != weight(other)) {
         return weight(candidate) > weight(other);
     }
--- a/src/relay/relay_node_peers.cpp
+++ b/src/relay/relay_node_peers.cpp
@@ -107,14 +107,17 @@
         monotonic_clock::now() - started_at_ < min_leader_uptime) {
         return false;
     }
+    schema::peer_word own;
+    set_cut_off(*context_.links, view_->configuration(), own);
     const leader_candidate self{settings_.name(), settings_.processor_share(),
-                                assembler_->leading()};
+                                assembler_->leading(), own.cut_off_from_engines()};
     for (const known_node* node : peers_->live()) {
         const schema::peer_word& state = node->state;
         const bool eligible = state.sound_store() && !state.leaving() &&
                               std::chrono::milliseconds(state.up_ms()) >= min_leader_uptime;
-        if (eligible &&
-            ranks_before({state.name(), state.processor_share(), state.leading()}, self)) {
+        const leader_candidate other{state.name(), state.processor_share(), state.leading(),
+                                     state.cut_off_from_engines()};
+        if (eligible && ranks_before(other, self)) {
             return false;
         }
     }
--- a/test/correctness/members_leader_ranking.cpp
+++ b/test/correctness/members_leader_ranking.cpp
@@ -44,3 +44,14 @@
     std::reverse(nodes.begin(), nodes.end());
     CHECK(std::min_element(nodes.begin(), nodes.end(), ranks_before)->name == "c");
 }
+
+// Guards against a leader that takes sound servers for lost and retires their replicas, since its
+// own links to them have failed.
+TEST_CASE("a node that reaches no engine leads only if no node reaches any")
+{
+    const leader_candidate cut_off{"a", 0.5, true, true};
+    const leader_candidate sound{"b", 0.12, false, false};
+    CHECK(ranks_before(sound, cut_off));
+    CHECK_FALSE(ranks_before(cut_off, sound));
+    CHECK(ranks_before(cut_off, {"b", 0.12, false, true}));
+}
