--- a/src/relay/fleet_view_configuration.cpp
+++ b/src/relay/fleet_view_configuration.cpp
@@ -163,11 +163,12 @@
     const auto self = shared_from_this();
     co_await sleep_for(settings_.poll_end_spread);
     if (newest_peer_configuration_end_ > configuration_follower_.position()) {
+        const log_position wanted = newest_peer_configuration_end_;
         const log_position before = configuration_follower_.position();
         const bool read = co_await configuration_follower_.read_once(duration::zero());
         const log_position after = configuration_follower_.position();
         view_log.write("configuration_read_beside_poll",
-                       {{"peer_end", std::to_string(newest_peer_configuration_end_.offset)},
+                       {{"peer_end", std::to_string(wanted.offset)},
                         {"end_before", std::to_string(before.offset)},
                         {"end", std::to_string(after.offset)},
                         {"outcome", read ? "read" : "failed"}});
@@ -175,7 +176,7 @@
             note_era(after.era);
             newest_peer_configuration_end_ = after; // The log itself decides.
         }
-        else {
+        if (after < wanted) { // The next messages of the peer must not cause a read each.
             co_await sleep_for(settings_.retry_interval);
         }
     }
--- a/src/relay/node_links.cpp
+++ b/src/relay/node_links.cpp
@@ -160,16 +160,23 @@
     return counted;
 }
 
+bool is_cut_off_from_engines(const server_links& links,
+                             const published_configuration_ptr& configuration)
+{
+    const std::vector<std::string> services = links.cut_off_services();
+    return std::any_of(services.begin(), services.end(), [&](const std::string& name) {
+        const backend_service* found = configuration ? configuration->find_service(name) : nullptr;
+        return found != nullptr && found->engine;
+    });
+}
+
 void set_cut_off(const server_links& links, const published_configuration_ptr& configuration,
                  schema::peer_word& state)
 {
     for (const std::string& service : links.cut_off_services()) {
         state.add_cut_off_services(service);
-        const backend_service* found =
-            configuration ? configuration->find_service(service) : nullptr;
-        const bool has_engines = found != nullptr && found->engine;
-        state.set_cut_off_from_engines(state.cut_off_from_engines() || has_engines);
     }
+    state.set_cut_off_from_engines(is_cut_off_from_engines(links, configuration));
 }
 
 } // namespace chervildyke
--- a/src/relay/node_links.h
+++ b/src/relay/node_links.h
@@ -25,9 +25,13 @@
 /** \return calls to engines whose failures count for whether this node is cut off. */
 engine_calls with_reach(engine_calls calls, std::shared_ptr<server_links> links);
 
-/** Sets in this node's state from which services it is cut off.
- * \param configuration tells which of them have engines; may be null.
+/** \return true if the node is cut off from a service with engines.
+ * \param configuration tells which services have engines; may be null.
  */
+bool is_cut_off_from_engines(const server_links& links,
+                             const published_configuration_ptr& configuration);
+
+/** Sets in this node's state from which services it is cut off. */
 void set_cut_off(const server_links& links, const published_configuration_ptr& configuration,
                  schema::peer_word& state);
 
--- a/src/relay/relay_node_peers.cpp
+++ b/src/relay/relay_node_peers.cpp
@@ -107,10 +107,9 @@
         monotonic_clock::now() - started_at_ < min_leader_uptime) {
         return false;
     }
-    schema::peer_word own;
-    set_cut_off(*context_.links, view_->configuration(), own);
     const leader_candidate self{settings_.name(), settings_.processor_share(),
-                                assembler_->leading(), own.cut_off_from_engines()};
+                                assembler_->leading(),
+                                is_cut_off_from_engines(*context_.links, view_->configuration())};
     for (const known_node* node : peers_->live()) {
         const schema::peer_word& state = node->state;
         const bool eligible = state.sound_store() && !state.leaving() &&
--- a/test/error/relay_lost_wakeups.cpp
+++ b/test/error/relay_lost_wakeups.cpp
@@ -136,6 +136,18 @@
     }
 }
 
+// Guards against a read of the log for each datagram of a peer that reports what the log lacks.
+TEST_CASE("a peer that reports an offset beyond the end of the log causes few reads")
+{
+    sleepy_fixture node(false, 100ms);
+    node.log.calls.clear();
+    for (int i = 0; i < 50; ++i) {
+        node.view->note_configuration_end({0, 99});
+        node.clock.advance(100ms);
+    }
+    CHECK(node.log.calls["op"] <= 20); // In 5 s.
+}
+
 // Guards against calls to a server that leaves for longer than its drain time, if no leader sends
 // the list and the log does not end the poll.
 TEST_CASE("a leaving server is known in time although the log does not end the poll")
