Ask a carrier again at once if it only may not call one server

A pause that one server had asked the carrier for, or a server that the carrier did not list, kept a cut off node from using this carrier for 0.5 s, although it could carry requests to all other servers.

--- a/src/detour/detour_carrier.cpp
+++ b/src/detour/detour_carrier.cpp
@@ -77,15 +77,21 @@
 asio::awaitable<void> detour_carrier::carry(carried_call& call)
 {
     const auto target = hooks_.find_server(call.order.server);
-    std::string refusal = target ? hooks_.refusal(*target) : "the server is not listed";
-    if (in_progress_ > max_in_progress) {
-        refusal = "too many requests are carried";
-    }
+    std::string refusal = in_progress_ > max_in_progress ? "too many requests are carried"
+                          : target                       ? hooks_.refusal(target->service)
+                                                         : "";
     if (!refusal.empty()) {
         http_failure failed{http_error::not_sent, std::move(refusal)};
         co_await refuse(call, std::move(failed));
         co_return;
     }
+    std::string withheld = target ? hooks_.server_refusal(*target) : "the server is not listed";
+    if (!withheld.empty()) {
+        call.outcome = withheld;
+        http_reply reply = write_withheld(std::move(withheld));
+        co_await call.exchange.respond(std::move(reply));
+        co_return;
+    }
     http_request request = call.exchange.request();
     request.headers = without_detour_fields(end_to_end_headers(request.headers));
     http_call_options options;
@@ -94,7 +100,8 @@
     options.max_idle_time = max_idle_time;
     options.cancel = call.cancel;
     options.should_send = [this, &call, target] {
-        const bool may_send = !call.exchange.peer_has_closed() && hooks_.refusal(*target).empty();
+        const bool may_send =
+            !call.exchange.peer_has_closed() && hooks_.server_refusal(*target).empty();
         if (may_send) {
             hooks_.on_sent(*target);
         }
--- a/src/detour/detour_carrier.h
+++ b/src/detour/detour_carrier.h
@@ -25,8 +25,11 @@
     /** Returns the server if this node lists it in this incarnation. */
     std::function<std::optional<server_target>(const backend_incarnation&)> find_server;
 
-    /** Returns why this node may not send a request to the server now; empty if it may. */
-    std::function<std::string(const server_target&)> refusal;
+    /** Returns why this node may carry nothing to the service now; empty if it may. */
+    std::function<std::string(const std::string& service)> refusal;
+
+    /** Returns why this node may not call the server now; empty if it may. */
+    std::function<std::string(const server_target&)> server_refusal;
 
     /** Called when a request is sent to the server. */
     std::function<void(const server_target&)> on_sent;
--- a/src/detour/detour_fields.cpp
+++ b/src/detour/detour_fields.cpp
@@ -3,6 +3,7 @@
  */
 #include "detour/detour_fields.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <string_view>
@@ -22,6 +23,7 @@
 constexpr std::string_view result_field = "Detour-Result";
 constexpr std::string_view reason_field = "Detour-Reason";
 constexpr std::string_view answered = "answered";
+constexpr std::string_view withheld = "withheld";
 
 constexpr std::int64_t max_timeout_ms = 24LL * 3600 * 1000;
 constexpr unsigned failed_status = 502;
@@ -49,6 +51,15 @@
     return text;
 }
 
+http_reply write_result(std::string_view result, std::string reason)
+{
+    http_reply reply;
+    reply.status = failed_status;
+    reply.headers = {{std::string(result_field), std::string(result)},
+                     {std::string(reason_field), printable(std::move(reason))}};
+    return reply;
+}
+
 } // namespace
 
 void write_order(const detour_order& order, http_request& request)
@@ -93,15 +104,21 @@
 
 http_reply write_failure(const http_failure& failure)
 {
-    http_reply reply;
-    reply.status = failed_status;
-    for (const auto& [code, name] : results) {
-        if (code == failure.code) {
-            reply.headers.push_back({std::string(result_field), std::string(name)});
-        }
-    }
-    reply.headers.push_back({std::string(reason_field), printable(failure.reason)});
-    return reply;
+    const auto found = std::find_if(results.begin(), results.end(), [&failure](const auto& result) {
+        return result.first == failure.code;
+    });
+    return write_result(found == results.end() ? std::string_view("unanswered") : found->second,
+                        failure.reason);
+}
+
+http_reply write_withheld(std::string reason)
+{
+    return write_result(withheld, std::move(reason));
+}
+
+bool is_withheld(const std::vector<http_header>& headers)
+{
+    return find_header(headers, result_field) == withheld;
 }
 
 bool has_result(const std::vector<http_header>& headers)
@@ -116,6 +133,9 @@
         return std::nullopt;
     }
     const std::string reason(find_header(headers, reason_field));
+    if (result == withheld) {
+        return http_failure{http_error::not_sent, reason};
+    }
     for (const auto& [code, name] : results) {
         if (name == result) {
             return http_failure{code, reason};
--- a/src/detour/detour_fields.h
+++ b/src/detour/detour_fields.h
@@ -39,6 +39,12 @@
 /** \return the reply that states why there is no answer of a server. */
 http_reply write_failure(const http_failure& failure);
 
+/** \return the reply that states why the carrier may not call this server now, though others. */
+http_reply write_withheld(std::string reason);
+
+/** \return true if the reply was made by write_withheld(). */
+bool is_withheld(const std::vector<http_header>& headers);
+
 /** \return true if the reply is the carrier's own or an answer that it marks as a server's. */
 bool has_result(const std::vector<http_header>& headers);
 
--- a/src/detour/server_links.cpp
+++ b/src/detour/server_links.cpp
@@ -4,6 +4,7 @@
 #include "detour/server_links.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include <boost/asio.hpp>
@@ -135,8 +136,11 @@
 {
     const time_point deadline = monotonic_clock::now() + options.timeout;
     opened_stream opened = http_failure{http_error::not_sent, "no other node reaches the service"};
-    for (std::size_t tried = 0; tried < settings_.max_carriers; ++tried) {
-        const auto carrier = choose_carrier(carriers(target.service), random_);
+    std::set<std::string> tried;
+    while (tried.size() < settings_.max_carriers) {
+        std::vector<carrier_candidate> untried = carriers(target.service);
+        std::erase_if(untried, [&tried](const auto& node) { return tried.contains(node.name); });
+        const auto carrier = choose_carrier(untried, random_);
         options.timeout = deadline - monotonic_clock::now();
         const bool cancelled = options.cancel && options.cancel->cancelled();
         const bool withdrawn = options.should_send && !options.should_send();
@@ -146,11 +150,11 @@
         http_request carried = request;
         write_order({target.server, self_, options.timeout}, carried);
         opened = co_await send_to_carrier(*carrier, std::move(carried), options);
+        tried.insert(carrier->name);
         record_detour(target, *carrier, opened);
         if (opened || opened.failure().code != http_error::not_sent) {
             break;
         }
-        held_off_[carrier->name] = monotonic_clock::now() + settings_.carrier_holdoff;
     }
     co_return opened;
 }
@@ -181,12 +185,18 @@
         return is_own_reply || !answers_call || answers_call(headers);
     };
     auto opened = co_await http_->open(carrier.address, std::move(request), options);
+    const bool carried = opened && !read_failure((*opened)->headers());
+    const bool withheld = opened && is_withheld((*opened)->headers());
+    if (!carried && !withheld) {
+        held_off_[carrier.name] = monotonic_clock::now() + settings_.carrier_holdoff;
+    }
     if (!opened) {
         co_return http_failure{opened.failure().code,
                                "by way of " + carrier.name + ": " + opened.failure().reason};
     }
     if (const auto failed = read_failure((*opened)->headers())) {
-        co_await (*opened)->read_some(settings_.connect_timeout); // Keeps the connection.
+        // Reading the reply to its end keeps the connection, whatever the outcome.
+        [[maybe_unused]] const auto rest = co_await (*opened)->read_some(settings_.connect_timeout);
         co_return http_failure{failed->code, "by way of " + carrier.name + ": " + failed->reason};
     }
     ended.dismiss();
--- a/src/relay/node_links.cpp
+++ b/src/relay/node_links.cpp
@@ -49,21 +49,27 @@
     return candidates;
 }
 
-/** \return why a node may not send a request to a server for another node; empty if it may. */
-std::string refusal_of(relay_context& context, const server_target& target)
+/** \return why a node may carry nothing to a service for other nodes; empty if it may. */
+std::string refusal_of(const relay_context& context, const std::string& service)
 {
-    const time_point now = monotonic_clock::now();
-    const backend_availability current = context.availability(target.server, now);
-    const listed_backend* listed = context.backends->find(target.server.id);
     if (context.leaving) {
         return "this node stops";
     }
-    if (context.links->is_cut_off(target.service)) {
+    if (context.links->is_cut_off(service)) {
         return "this node is cut off from the service, too";
     }
     if (context.lag.current() > context.limits.max_lag / 2) {
         return "the event loop of this node lags";
     }
+    return "";
+}
+
+/** \return why a node may not call a server for another node; empty if it may. */
+std::string refusal_of(const relay_context& context, const server_target& target)
+{
+    const time_point now = monotonic_clock::now();
+    const backend_availability current = context.availability(target.server, now);
+    const listed_backend* listed = context.backends->find(target.server.id);
     if (listed == nullptr || listed->server.leaving || current.leaving) {
         return "the server leaves";
     }
@@ -115,7 +121,10 @@
         }
         return target_of(listed->server);
     };
-    hooks.refusal = [&context](const server_target& target) { return refusal_of(context, target); };
+    hooks.refusal = [&context](const std::string& service) { return refusal_of(context, service); };
+    hooks.server_refusal = [&context](const server_target& target) {
+        return refusal_of(context, target);
+    };
     hooks.on_sent = [&context](const server_target& target) {
         if (context.cold) {
             context.cold->note_sent(target.service, target.server.id, monotonic_clock::now());
--- a/test/error/detour_failures.cpp
+++ b/test/error/detour_failures.cpp
@@ -37,10 +37,11 @@
             [this](const backend_incarnation& wanted) -> std::optional<server_target> {
             return wanted == server_1 && is_listed ? std::optional(target) : std::nullopt;
         };
-        hooks.refusal = [this](const server_target&) {
+        hooks.refusal = [this](const std::string&) {
             ++asked;
             return refusal;
         };
+        hooks.server_refusal = [this](const server_target&) { return server_refusal; };
         hooks.on_sent = [this](const server_target&) { ++sent; };
         hooks.on_answer = [this](const server_target&, unsigned,
                                  const std::vector<http_header>& headers) {
@@ -159,6 +160,7 @@
     unsigned status = 200;
     bool is_listed = true;
     std::string refusal;
+    std::string server_refusal;
     int runs = 0;
     int asked = 0; // Whether the carrier may send a request.
     int sent = 0;
@@ -246,7 +248,7 @@
     }
     SUBCASE("the carrier refuses")
     {
-        fixture.refusal = "the server leaves";
+        fixture.server_refusal = "the server leaves";
         fixture.send();
         CHECK(fixture.failure == http_error::not_sent);
         CHECK(fixture.reason == "by way of carrier: the server leaves");
@@ -292,6 +294,22 @@
     CHECK(fixture.closed_by_peer);
 }
 
+// Guards against losing the only carrier because of one server that wants a pause from it.
+TEST_CASE("a carrier that may not call one server is asked again for others")
+{
+    detour_fixture fixture;
+    fixture.server_refusal = "the server has asked this node for a pause";
+    fixture.send();
+    CHECK(fixture.failure == http_error::not_sent);
+    CHECK(fixture.runs == 0);
+    fixture.server_refusal.clear();
+    CHECK(fixture.asked == 1); // Not again for the same request.
+    fixture.send();
+    CHECK_FALSE(fixture.failure);
+    CHECK(fixture.asked == 2);
+    CHECK(fixture.runs == 1);
+}
+
 // Guards against two cut off nodes that send a request to each other.
 TEST_CASE("a carrier that is cut off, too, sends nothing on and is not asked again at once")
 {
