Check the links to a service when its servers don't answer requests on kept connections

One failure is enough if no server of the service has answered for 0.5 s. A carrier's time ends 10 ms before the origin's, so it learns of hung connections, too.

--- a/src/detour/server_links.cpp
+++ b/src/detour/server_links.cpp
@@ -104,14 +104,11 @@
     const std::shared_ptr<http_cancel> cancel = options.cancel;
     auto opened = co_await http_->open(target.address, std::move(request), std::move(options));
     if (opened) {
-        if (!(*opened)->is_on_reused_connection()) {
-            reach_.note_connected(target.service);
-        }
+        reach_.note_answer(target.service, !(*opened)->is_on_reused_connection(),
+                           monotonic_clock::now());
         co_return opened;
     }
-    const http_error code = opened.failure().code;
-    const bool no_link = code == http_error::not_sent || code == http_error::unanswered;
-    if (no_link && !withdrawn && !(cancel && cancel->cancelled())) {
+    if (!withdrawn && !(cancel && cancel->cancelled())) {
         note_failure(target.service, target.server.id);
     }
     co_return opened;
@@ -148,7 +145,10 @@
             break;
         }
         http_request carried = request;
-        write_order({target.server, self_, options.timeout}, carried);
+        // The carrier's time ends first, so that it learns of a server that does not answer.
+        const duration carrier_timeout =
+            std::max<duration>(options.timeout - settings_.carrier_reserve, 1ms);
+        write_order({target.server, self_, carrier_timeout}, carried);
         opened = co_await send_to_carrier(*carrier, std::move(carried), options);
         tried.insert(carrier->name);
         record_detour(target, *carrier, opened);
@@ -185,16 +185,15 @@
         return is_own_reply || !answers_call || answers_call(headers);
     };
     auto opened = co_await http_->open(carrier.address, std::move(request), options);
-    const bool carried = opened && !read_failure((*opened)->headers());
-    const bool withheld = opened && is_withheld((*opened)->headers());
-    if (!carried && !withheld) {
-        held_off_[carrier.name] = monotonic_clock::now() + settings_.carrier_holdoff;
-    }
     if (!opened) {
+        hold_off(carrier);
         co_return http_failure{opened.failure().code,
                                "by way of " + carrier.name + ": " + opened.failure().reason};
     }
     if (const auto failed = read_failure((*opened)->headers())) {
+        if (failed->code == http_error::not_sent && !is_withheld((*opened)->headers())) {
+            hold_off(carrier);
+        }
         // Reading the reply to its end keeps the connection, whatever the outcome.
         [[maybe_unused]] const auto rest = co_await (*opened)->read_some(settings_.connect_timeout);
         co_return http_failure{failed->code, "by way of " + carrier.name + ": " + failed->reason};
--- a/src/detour/server_links.h
+++ b/src/detour/server_links.h
@@ -49,6 +49,7 @@
 struct server_link_settings {
     duration connect_timeout = 250ms; // Of a check, and to a carrier.
     duration carrier_holdoff = 500ms; // After a carrier failed; its next datagrams tell why.
+    duration carrier_reserve = 10ms;  // Of a request's time, for the way back from the carrier.
     std::size_t max_carriers = 3;     // Tried for one request that none of them has sent.
     duration max_idle_time = 2s;      // Of a connection to a carrier that is used again.
 };
@@ -93,6 +94,10 @@
     void record_detour(const server_target& target, const carrier_candidate& carrier,
                        const http_result<std::shared_ptr<http_stream>>& opened);
     std::vector<carrier_candidate> carriers(const std::string& service) const;
+    void hold_off(const carrier_candidate& carrier)
+    {
+        held_off_[carrier.name] = monotonic_clock::now() + settings_.carrier_holdoff;
+    }
     void check_soon(const std::string& service);
     boost::asio::awaitable<void> run_checks(std::string service, std::size_t servers);
     boost::asio::awaitable<std::size_t> count_connected(std::vector<server_target> servers);
--- a/src/routing/service_reach.cpp
+++ b/src/routing/service_reach.cpp
@@ -17,11 +17,12 @@
     current.failed[server] = now;
 }
 
-void service_reach::note_connected(const std::string& service)
+void service_reach::note_answer(const std::string& service, bool new_connection, time_point now)
 {
-    const auto found = services_.find(service);
-    if (found != services_.end()) {
-        found->second.failed.clear();
+    state& current = services_[service];
+    current.answered_at = now;
+    if (new_connection) {
+        current.failed.clear();
     }
 }
 
@@ -33,6 +34,14 @@
         }));
 }
 
+bool service_reach::needs_check(const state& current, time_point now) const
+{
+    const std::size_t failures = recent_failures(current, now);
+    const bool is_silent =
+        !current.answered_at || now - *current.answered_at > settings_.answer_gap;
+    return current.cut_off || failures >= settings_.suspect_servers || (failures > 0 && is_silent);
+}
+
 std::size_t service_reach::begin_check(const std::string& service, time_point now)
 {
     const auto found = services_.find(service);
@@ -42,9 +51,7 @@
     state& current = found->second;
     const duration pause = current.cut_off ? settings_.recheck_interval : settings_.check_holdoff;
     const bool paused = current.checked_at && now - *current.checked_at < pause;
-    const bool needed =
-        current.cut_off || recent_failures(current, now) >= settings_.suspect_servers;
-    if (paused || !needed) {
+    if (paused || !needs_check(current, now)) {
         return 0;
     }
     current.checking = true;
--- a/src/routing/service_reach.h
+++ b/src/routing/service_reach.h
@@ -16,11 +16,15 @@
 namespace chervildyke {
 
 struct service_reach_settings {
-    // Servers that could not be connected to, within the window and with no success in between,
-    // after which the service is checked.
+    // Servers that failed, within the window and with no new connection in between, after which the
+    // service is checked.
     std::size_t suspect_servers = 2;
     duration suspect_window = 1s;
 
+    // One failed server is enough if no server has answered for so long: a node with few calls
+    // would otherwise lose several of them.
+    duration answer_gap = 500ms;
+
     // Servers that one check connects to. Few of them are dead at a time in a service that works.
     std::size_t servers_per_check = 4;
 
@@ -32,20 +36,22 @@
     duration check_holdoff = 1s;
 };
 
-/** Decides from the outcomes of new connections. An answer on a kept connection shows nothing: such
- * connections may live on while new ones fail. A failed connection alone shows little, since its
- * server may be dead for all nodes; so the node connects to a few others before it counts as cut
- * off.
+/** Decides from the outcomes of requests and of new connections. An answer on a kept connection
+ * does not show that a node is not cut off: such connections may live on while new ones fail. A
+ * failure shows little, since its server may be dead for all nodes; so the node connects to a few
+ * others before it counts as cut off.
  */
 class service_reach {
   public:
     explicit service_reach(service_reach_settings settings = {}) : settings_(settings) {}
 
-    /** Records that a new connection to a server of the service failed, or was reset. */
+    /** Records that a server of the service could not be connected to, or did not answer. */
     void note_failure(const std::string& service, const std::string& server, time_point now);
 
-    /** Records that a new connection to a server of the service succeeded. */
-    void note_connected(const std::string& service);
+    /** Records an answer of a server of the service.
+     * \param new_connection false if the connection had carried an earlier answer.
+     */
+    void note_answer(const std::string& service, bool new_connection, time_point now);
 
     /** \return the number of servers to connect to now, or zero if no check is due. The check
      * counts as begun.
@@ -70,13 +76,15 @@
 
   private:
     struct state {
-        std::map<std::string, time_point> failed; // Servers since the last success.
+        std::map<std::string, time_point> failed; // Servers, since the last new connection.
+        std::optional<time_point> answered_at;
         bool cut_off = false;
         bool checking = false;
         std::optional<time_point> checked_at;
     };
 
     std::size_t recent_failures(const state& current, time_point now) const;
+    bool needs_check(const state& current, time_point now) const;
 
     service_reach_settings settings_;
     std::map<std::string, state> services_;
--- a/test/correctness/detour_choices.cpp
+++ b/test/correctness/detour_choices.cpp
@@ -44,23 +44,45 @@
 {
     service_reach reach;
     for (int i = 0; i < 20; ++i) {
+        reach.note_answer("pool", false, start + i * 100ms);
         reach.note_failure("pool", "i-1", start + i * 100ms);
     }
     CHECK(reach.begin_check("pool", start + 2s) == 0);
     CHECK(reach.is_suspect("pool", start + 2s));
 }
 
-TEST_CASE("failures that a success separates, or that are old, are no reason for a check")
+TEST_CASE("failures that a new connection separates, or that are old, are no reason for a check")
 {
     service_reach reach;
     reach.note_failure("pool", "i-1", start);
-    reach.note_connected("pool");
+    reach.note_answer("pool", true, start);
     reach.note_failure("pool", "i-2", start + 10ms);
     CHECK(reach.begin_check("pool", start + 10ms) == 0);
+    reach.note_answer("pool", false, start + 5s);
     reach.note_failure("pool", "i-3", start + 5s);
     CHECK(reach.begin_check("pool", start + 5s) == 0);
 }
 
+// Guards against a cut off node with few calls that loses several of them before it checks.
+TEST_CASE("one failure is enough for a check if no server has answered lately")
+{
+    service_reach reach;
+    reach.note_answer("pool", false, start);
+    reach.note_failure("pool", "i-1", start + 400ms);
+    CHECK(reach.begin_check("pool", start + 400ms) == 0);
+    reach.note_failure("pool", "i-1", start + 600ms);
+    CHECK(reach.begin_check("pool", start + 600ms) == 4);
+}
+
+TEST_CASE("answers on kept connections don't hide that no new connection succeeds")
+{
+    service_reach reach;
+    reach.note_failure("pool", "i-1", start);
+    reach.note_answer("pool", false, start + 50ms);
+    reach.note_failure("pool", "i-2", start + 100ms);
+    CHECK(reach.begin_check("pool", start + 100ms) == 4);
+}
+
 // Guards against many test connections while a part of the servers is dead.
 TEST_CASE("a check that reaches a server holds off the next one")
 {
