--- a/src/relay/node_links.cpp
+++ b/src/relay/node_links.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+// A node carries nothing for others well before it refuses its own callers.
+constexpr int carrier_lag_divisor = 2;
+
 server_target target_of(const backend& server)
 {
     return {"", server.service, incarnation_of(server), server.address};
@@ -58,7 +61,7 @@
     if (context.links->is_cut_off(service)) {
         return "this node is cut off from the service, too";
     }
-    if (context.lag.current() > context.limits.max_lag / 2) {
+    if (context.lag.current() > context.limits.max_lag / carrier_lag_divisor) {
         return "the event loop of this node lags";
     }
     return "";
--- a/src/routing/service_reach.cpp
+++ b/src/routing/service_reach.cpp
@@ -68,9 +68,7 @@
     if (connected > 0) {
         current.failed.clear();
     }
-    if (tried > 0) {
-        current.cut_off = connected == 0;
-    }
+    current.cut_off = tried > 0 && connected == 0;
     return current.cut_off != was_cut_off;
 }
 
--- a/src/routing/service_reach.h
+++ b/src/routing/service_reach.h
@@ -58,8 +58,11 @@
      */
     std::size_t begin_check(const std::string& service, time_point now);
 
+    std::size_t servers_per_check() const { return settings_.servers_per_check; }
+
     /** Records the end of a check.
-     * \param tried servers that the node tried to connect to; without any, nothing is known.
+     * \param tried servers that the node tried to connect to; without any, there is nothing to be
+     * cut off from.
      * \param connected those of them that accepted.
      * \return true if the node was cut off and is not any more, or the other way round.
      */
--- a/test/error/detour_failures.cpp
+++ b/test/error/detour_failures.cpp
@@ -310,6 +310,27 @@
     CHECK(fixture.runs == 1);
 }
 
+// Guards against losing a carrier for a while whenever a caller leaves.
+TEST_CASE("a carrier whose request was cancelled is asked again at once")
+{
+    detour_fixture fixture;
+    fixture.fault = server_fault::silent;
+    const auto cancel = std::make_shared<http_cancel>();
+    asio::co_spawn(
+        fixture.context,
+        [cancel]() -> asio::awaitable<void> {
+            co_await sleep_for(50ms);
+            cancel->cancel();
+        },
+        asio::detached);
+    fixture.send(5s, cancel);
+    CHECK(fixture.asked == 1);
+    fixture.fault = server_fault::none;
+    fixture.send();
+    CHECK_FALSE(fixture.failure);
+    CHECK(fixture.asked == 2);
+}
+
 // Guards against two cut off nodes that send a request to each other.
 TEST_CASE("a carrier that is cut off, too, sends nothing on and is not asked again at once")
 {
