Let the callers of experiments come back when Retry-After says, not before

Callers of chervil-load tried again after 0.1 to 0.3 s, whatever the refusal asked, and had used up their four tries while a team with one replica had none whole (2.4 s in vm-loss). docs/CALLERS.md tells callers to wait for Retry-After. The bounds of the experiments are unchanged.

--- a/load/entry_caller.cpp
+++ b/load/entry_caller.cpp
@@ -4,6 +4,7 @@
 #include "load/entry_caller.h"
 
 #include <algorithm>
+#include <charconv>
 
 #include <nlohmann/json.hpp>
 
@@ -94,6 +95,18 @@
     result.append_text(text);
 }
 
+/** \return the value of a Retry-After header in seconds; nothing if there is none. */
+std::optional<duration> parse_retry_after(const std::string& text)
+{
+    constexpr double max_seconds = 3600;
+    double seconds = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), seconds);
+    if (parsed.ec != std::errc() || seconds < 0 || seconds > max_seconds) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+}
+
 /** Whether an ordinary client would make another attempt. */
 bool should_retry(const call_spec& spec, const attempt_result& last)
 {
@@ -214,7 +227,10 @@
         }
         fail_over_from(entry);
         const bool all_entries_tried = attempts.size() >= seed_addresses_.size();
-        if (attempts.back().possibly_sent || all_entries_tried) {
+        if (attempts.back().retry_after) {
+            co_await sleep_for(*attempts.back().retry_after);
+        }
+        else if (attempts.back().possibly_sent || all_entries_tried) {
             co_await sleep_for(retry_backoff * attempts.size());
         }
     }
@@ -241,6 +257,7 @@
     result.possibly_sent = true;
     result.status = (*opened)->status();
     result.outcome = parse_outcome((*opened)->header("X-Chervil-Outcome"));
+    result.retry_after = parse_retry_after((*opened)->header("Retry-After"));
     co_await read_answer(result, *opened, result.started_at + options.timeout);
     result.ended_at = monotonic_clock::now();
     co_return result;
--- a/load/entry_caller.h
+++ b/load/entry_caller.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,9 +46,10 @@
     std::string text;    // The answer, or the confirmation of an order.
     std::string finish_reason;
     std::string reason;
-    std::string address;        // ip:port that the attempt was sent to.
-    bool possibly_sent = false; // A byte of the request may have reached the address.
-    bool cut_off = false;       // The answer began but did not end properly.
+    std::string address;                 // ip:port that the attempt was sent to.
+    bool possibly_sent = false;          // A byte of the request may have reached the address.
+    bool cut_off = false;                // The answer began but did not end properly.
+    std::optional<duration> retry_after; // For how long the entry asked the caller to wait.
     time_point started_at{};
     time_point first_token_at{};
     time_point ended_at{};
