--- a/src/base/http_client.cpp
+++ b/src/base/http_client.cpp
@@ -3,7 +3,6 @@
  */
 #include "base/http_client.h"
 
-#include <charconv>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -72,18 +71,6 @@
     }
 }
 
-bool split_address(const std::string& address, std::string& ip, std::uint16_t& port)
-{
-    const std::size_t colon = address.rfind(':');
-    if (colon == std::string::npos) {
-        return false;
-    }
-    ip = address.substr(0, colon);
-    const char* end = address.data() + address.size();
-    const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
-    return parsed.ec == std::errc() && parsed.ptr == end && !ip.empty();
-}
-
 struct http_client::state : std::enable_shared_from_this<http_client::state> {
     asio::any_io_executor executor;
     std::size_t max_idle_per_address = 0;
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -16,6 +16,7 @@
 #include "base/clock.h"
 #include "base/http_message.h"
 #include "base/result.h"
+#include "base/split_address.h"
 
 namespace chervildyke {
 
@@ -146,9 +147,4 @@
     std::shared_ptr<state> state_;
 };
 
-/** Splits an address of the form ip:port.
- * \return false if the address has another form; ip and port may have changed then.
- */
-bool split_address(const std::string& address, std::string& ip, std::uint16_t& port);
-
 } // namespace chervildyke
