Review: crashes of calls whose clients have left are never known

Cause: streaming_call::attempt returns caller_left before it looks at why an attempt broke off, and closes the connection to the server when the client leaves, so no node learns which part of a prompt crashed it.

--- a/review/standins-3/soak/small_deployment.cpp
+++ b/review/standins-3/soak/small_deployment.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <map>
 
 #include <unistd.h>
 
@@ -37,6 +38,16 @@
 constexpr unsigned server_subnet = 3;
 constexpr unsigned server_link_subnet = 4;
 constexpr unsigned store_front_subnet = 5;
+constexpr unsigned model_subnet = 6;
+constexpr unsigned model_link_subnet = 7;
+
+constexpr std::size_t servers_per_fabric_domain = 7;
+// Of so many VMs the first and the third keep calls whose connection has closed.
+constexpr std::size_t keeping_stride = 5;
+constexpr std::size_t second_keeper = 2;
+constexpr duration prompt_time = 100ms;          // To read a prompt.
+constexpr duration model_restart_delay = 2500ms; // From a VM's crash to its return.
+constexpr duration model_poll_interval = 10ms;
 
 constexpr std::size_t offset_fields_bytes = 16; // Before the records of an answer to a read.
 constexpr std::size_t record_length_bytes = 4;
@@ -57,7 +68,8 @@
 soak::deployment make_configuration()
 {
     soak::deployment made;
-    made.routes = {{"place", "/place/", soak::order_service, false, false, 1s, 100ms, 0},
+    made.routes = {{"draft", "/draft/", soak::model_service, true, true, 4s, 400ms, 0},
+                   {"place", "/place/", soak::order_service, false, false, 1s, 100ms, 0},
                    {"look", "/look/", soak::order_service, false, true, 1s, 100ms, 0}};
     made.models = {{"large", 4, 0.6, 1600ms, 300ms}, {"small", 2, 0.4, 1200ms, 200ms}};
     made.teams = {{"mills", {"mills-1", "mills-2"}}, {"yards", {"yards-1"}}};
@@ -108,6 +120,20 @@
     co_await send(exchange, std::move(reply));
 }
 
+asio::awaitable<void> reading_model_server::serve_call(http_exchange& exchange)
+{
+    const http_request& request = exchange.request();
+    on_arrival_(std::string(request.header("X-Attempt-Id")),
+                std::string(request.header("X-Prompt-Prefix")));
+    const duration span = prompt_time;
+    co_await sleep_for(span);
+    if (drops_calls_ && exchange.peer_has_closed()) {
+        exchange.abort();
+        co_return;
+    }
+    co_await model_server::serve_call(exchange);
+}
+
 store_front::store_front(asio::any_io_executor executor, std::string store_address)
     : store_address_(std::move(store_address)), http_(std::make_shared<http_client>(executor)),
       server_(executor, [this](http_exchange& exchange) { return serve(exchange); })
@@ -238,6 +264,119 @@
     return true;
 }
 
+bool small_deployment::start_model_server(std::size_t index)
+{
+    soak::server_entry entry;
+    entry.id = "m-" + std::to_string(index + 1) + "-" + std::to_string(++model_starts_);
+    entry.service = soak::model_service;
+    entry.address = ip_of(model_link_subnet, index) + ":" + std::to_string(server_port);
+    entry.failure_domain = "zone-" + std::to_string(index % node_count_);
+    entry.fabric_domain = "fabric-" + std::to_string(index / servers_per_fabric_domain);
+    entry.started_ms = wall_clock_ms();
+    entry.slots = soak::slots_per_replica;
+    const std::size_t place = index % keeping_stride;
+    const bool drops_calls = place != 0 && place != second_keeper;
+    const auto server = std::make_shared<reading_model_server>(
+        environment_, entry, drops_calls,
+        [this](const std::string& id, const std::string& prompt) { on_arrival(id, prompt); });
+    environment_.model_servers_by_id[entry.id] = server;
+    model_servers_.at(index) = server;
+    soak::link_proxy& link = *model_links_.at(index);
+    if (!server->start(ip_of(model_subnet, index)) ||
+        (!link.listening() && !link.listen(ip_of(model_link_subnet, index), server_port))) {
+        return false;
+    }
+    link.set_target(server->listening_address());
+    return true;
+}
+
+bool small_deployment::start_model_servers(std::size_t count)
+{
+    for (const soak::deployed_model& model : configuration_.models) {
+        environment_.models_by_name[model.name] = model;
+    }
+    model_servers_.resize(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        model_links_.push_back(std::make_unique<soak::link_proxy>(executor_));
+        if (!start_model_server(i)) {
+            return false;
+        }
+    }
+    asio::co_spawn(executor_, restart_model_servers(), asio::detached);
+    return true;
+}
+
+/** Starts a new VM in the place of each one that has crashed. */
+asio::awaitable<void> small_deployment::restart_model_servers()
+{
+    std::map<std::size_t, time_point> down;
+    while (true) {
+        const duration pause = model_poll_interval;
+        co_await sleep_for(pause);
+        for (std::size_t i = 0; i < model_servers_.size(); ++i) {
+            if (model_servers_[i]->alive()) {
+                continue;
+            }
+            const auto [found, is_new] = down.try_emplace(i, monotonic_clock::now());
+            if (is_new) {
+                model_links_[i]->stop_listening();
+                model_links_[i]->reset_open_connections();
+            }
+            else if (monotonic_clock::now() - found->second >= model_restart_delay) {
+                down.erase(found);
+                start_model_server(i);
+            }
+        }
+    }
+}
+
+asio::awaitable<call_outcome> small_deployment::stream(std::size_t node, std::string model,
+                                                       std::string prompt, std::string id,
+                                                       std::optional<duration> leave_after)
+{
+    http_request request;
+    request.method = "POST";
+    request.target = "/draft/x";
+    request.body = "15"; // Events of the stream.
+    request.headers = {
+        {"Host", configuration_.host},      {"X-Attempt-Id", id}, {"X-Deadline-Ms", "4000"},
+        {"Authorization", "Token mills-1"}, {"X-Model", model},   {"X-Token-Usage", "500,15"},
+        {"X-Prompt-Prefix", prompt}};
+    const auto http = std::make_shared<http_client>(executor_);
+    http_call_options options;
+    options.timeout = 5s;
+    options.cancel = std::make_shared<http_cancel>();
+    timer leaving(executor_);
+    if (leave_after) {
+        leaving.expires_after(*leave_after);
+        leaving.async_wait([cancel = options.cancel](const boost::system::error_code& error) {
+            if (!error) {
+                cancel->cancel();
+            }
+        });
+    }
+    const std::string address = ip_of(node_subnet, node) + ":" + std::to_string(call_port);
+    auto opened = co_await http->open(address, std::move(request), options);
+    call_outcome outcome;
+    if (!opened) {
+        co_return outcome;
+    }
+    outcome.status = (*opened)->status();
+    while (true) {
+        const duration wait = 5s;
+        auto part = co_await (*opened)->read_some(wait);
+        if (!part) {
+            co_return outcome;
+        }
+        if (part->empty()) {
+            break;
+        }
+        outcome.body += *part;
+    }
+    outcome.seal = soak::read_seal((*opened)->headers());
+    co_return outcome;
+}
+
 bool small_deployment::start(std::size_t nodes, std::size_t servers)
 {
     node_count_ = nodes;
--- a/review/standins-3/soak/small_deployment.h
+++ b/review/standins-3/soak/small_deployment.h
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <fstream>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,7 @@
 #include "soak/invariant_checker.h"
 #include "soak/link_proxy.h"
 #include "soak/metadata_store.h"
+#include "soak/model_server.h"
 #include "soak/node_process.h"
 #include "soak/poison_check.h"
 
@@ -70,6 +72,28 @@
     std::function<void(const executed_call&)> on_run_;
 };
 
+/** A VM of a model engine. It reads a prompt for a while before it begins to write. */
+class reading_model_server : public soak::model_server {
+  public:
+    /** \param drops_calls whether it drops a call whose connection has closed by then.
+     * \param on_arrival called with the id and the prompt of each call that reaches it.
+     */
+    reading_model_server(
+        soak::server_environment& environment, soak::server_entry entry, bool drops_calls,
+        std::function<void(const std::string& id, const std::string& prompt)> on_arrival)
+        : model_server(environment, std::move(entry)), drops_calls_(drops_calls),
+          on_arrival_(std::move(on_arrival))
+    {
+    }
+
+  protected:
+    boost::asio::awaitable<void> serve_call(http_exchange& exchange) override;
+
+  private:
+    bool drops_calls_ = false;
+    std::function<void(const std::string&, const std::string&)> on_arrival_;
+};
+
 /** Passes on the calls of one node to the store and bounds the answers to its reads: each holds
  * whole records of at most max-kb, by default 1,024 KB, or one record.
  */
@@ -109,6 +133,11 @@
      */
     bool start(std::size_t nodes, std::size_t servers);
 
+    /** Starts VMs of model engines, in fabric domains of seven. One that crashes is back under
+     * another id after some seconds. Two of five VMs do not drop calls whose connection closes.
+     */
+    bool start_model_servers(std::size_t count);
+
     /** Waits until all nodes say that they are ready.
      * \return false after a timeout.
      */
@@ -123,6 +152,16 @@
     /** Writes the configuration as the operator does; the store acknowledges it at once. */
     void publish();
 
+    /** Sends a call of a client whose prompt is for a model, and reads its stream.
+     * \param leave_after when the client closes the connection; none: it waits for the end.
+     * \return the status, and the events that arrived. A stream that broke off has no seal.
+     */
+    boost::asio::awaitable<call_outcome> stream(std::size_t node, std::string model,
+                                                std::string prompt, std::string id,
+                                                std::optional<duration> leave_after);
+
+    soak::poison_check& poison() { return poison_; }
+    soak::server_environment& environment() { return environment_; }
     soak::metadata_store& store() { return store_; }
     soak::deployment& configuration() { return configuration_; }
     soak::node_process& node(std::size_t index) { return *nodes_.at(index); }
@@ -130,11 +169,17 @@
     /** Called with each call that a server begins to run. */
     std::function<void(const executed_call&)> on_run = [](const executed_call&) {};
 
+    /** Called with the id and the prompt of each call that reaches a VM of a model engine. */
+    std::function<void(const std::string& id, const std::string& prompt)> on_arrival =
+        [](const std::string&, const std::string&) {};
+
   private:
     bool find_network(std::size_t nodes);
     std::string ip_of(unsigned subnet, std::size_t index) const;
     void write_settings(std::size_t index);
     bool start_server(std::size_t index);
+    bool start_model_server(std::size_t index);
+    boost::asio::awaitable<void> restart_model_servers();
 
     boost::asio::any_io_executor executor_;
     case_record& record_;
@@ -149,6 +194,9 @@
     soak::server_environment environment_;
     soak::deployment configuration_;
     std::vector<std::shared_ptr<recording_server>> servers_;
+    std::vector<std::shared_ptr<reading_model_server>> model_servers_;
+    std::vector<std::unique_ptr<soak::link_proxy>> model_links_; // Before the VMs.
+    std::size_t model_starts_ = 0;
     std::vector<std::unique_ptr<soak::link_proxy>> links_; // Before the servers.
     std::vector<std::unique_ptr<store_front>> fronts_;     // One for each node.
     std::vector<std::unique_ptr<soak::node_process>> nodes_;
