Follower: a part of a topic is no proof that the copy is up to date

Cause: the log puts at most 1,024 KB into one answer. topic_follower took every answer with records for a read to the end of the topic and set the age of its copy by it; the end that the answer states was not decoded. The key was checked by a configuration that was seconds old while its age was stated as some ms. Peers were told the same age.

Fix: a freshness_proof states as of when a copy is complete. It can only be made from the end of the topic that an answer or a peer has stated, and only once the copy has reached that end, so no caller can set the age without it. After a partial answer the rest is read at once, and of the configurations that one answer holds only the newest is decoded, so the node is not away for longer than before. A topic that grows with each read becomes fresh as of the first of these reads. An answer without records before the end of the topic leads to a read of the newest record of each key; one that ends before what was read is a failure.

On the same path: a position that a peer has told was forgotten after any read; now only after one that began later and reached the end. The soak's store limits its answers as the platform's does.

--- a/soak/metadata_store.cpp
+++ b/soak/metadata_store.cpp
@@ -129,8 +129,16 @@
     if (call.from_offset < log.first_offset || call.from_offset > log.end_offset()) {
         return write_trimmed(log.first_offset);
     }
-    const std::vector<stored_record> selected(
-        log.records.begin() + static_cast<std::ptrdiff_t>(call.from_offset), log.records.end());
+    std::vector<stored_record> selected;
+    std::size_t bytes = 0;
+    for (std::uint64_t offset = call.from_offset; offset < log.end_offset(); ++offset) {
+        const stored_record& record = log.records[offset];
+        bytes += record.key.size() + record.value.size();
+        if (!selected.empty() && bytes > max_answer_bytes_) {
+            break;
+        }
+        selected.push_back(record);
+    }
     return write_records(log.end_offset(), log.first_offset, selected);
 }
 
--- a/soak/metadata_store.h
+++ b/soak/metadata_store.h
@@ -65,6 +65,11 @@
         random_ = std::move(random);
     }
 
+    /** Limits the records in one answer to a read, which holds at least one record.
+     * \param bytes of keys and values.
+     */
+    void limit_answers(std::size_t bytes) { max_answer_bytes_ = bytes; }
+
     store_faults& faults() { return faults_; }
 
   private:
@@ -92,6 +97,7 @@
     std::map<std::string, std::map<std::string, std::string>> written_;
     store_faults faults_;
     double ignoring_share_ = 0; // Of the long polls.
+    std::size_t max_answer_bytes_ = 1U << 20U;
     random_source random_;
     std::map<std::string, topic_log> topics_;
     std::vector<std::unique_ptr<http_server>> servers_;
--- a/src/fleet/shared_log.h
+++ b/src/fleet/shared_log.h
@@ -56,6 +56,16 @@
     bool operator==(const keyed_records&) const = default;
 };
 
+/** The answer to a read of a topic. The log limits the size of an answer, so it may hold only the
+ * first of the records that follow the requested offset.
+ */
+struct topic_read {
+    keyed_records records;
+    std::uint64_t topic_end = 0; // Where the topic ended when the log answered.
+
+    bool operator==(const topic_read&) const = default;
+};
+
 /** \return the records as they stand in the log after an append at a position. */
 inline keyed_records appended_at(log_position at, std::vector<keyed_record> records)
 {
@@ -75,8 +85,9 @@
         read_latest;
 
     /** Reads records from an offset on.
-     * \param wait how long to wait for the first record. */
-    std::function<boost::asio::awaitable<shared_log_result<keyed_records>>(
+     * \param wait how long to wait for the first record.
+     */
+    std::function<boost::asio::awaitable<shared_log_result<topic_read>>(
         std::string topic, std::uint64_t from, duration wait)>
         read;
 
--- a/src/fleet/topic_follower.h
+++ b/src/fleet/topic_follower.h
@@ -11,6 +11,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "base/clock.h"
+#include "fleet/freshness_proof.h"
 #include "fleet/shared_log.h"
 
 namespace chervildyke {
@@ -41,9 +42,9 @@
   public:
     topic_follower(shared_log log, std::string topic, topic_hooks hooks);
 
-    /** Reads once. A read without a wait may run beside one that waits.
-     * \param wait how long the log may delay its answer while it has no new record.
-     * \return true if the topic was read.
+    /** Reads up to where the topic ends when the read begins, in as many calls as that takes. A
+     * read without a wait may run beside one that waits. \param wait how long the log may delay its
+     * answer while it has no new record. \return true if the topic was read.
      */
     boost::asio::awaitable<bool> read_once(duration wait);
 
@@ -54,8 +55,8 @@
     bool apply_records(const keyed_records& records);
 
     /** Uses a peer's read of the topic to lower age(), if this node has read as far as the peer.
-     * \param end the position after the last record that the peer read.
-     * \param age time since the peer's read began, including the transfer of its message.
+     * \param end the position after the last record of the peer's copy.
+     * \param age of the peer's copy, including the transfer of its message.
      */
     void confirm(log_position end, duration age);
 
@@ -74,13 +75,23 @@
     /** True if the last read failed. */
     bool last_read_failed() const { return last_read_failed_; }
 
-    /** Time since the start of the last read which confirmed that this node's copy is up to date.
-     * It includes time in which the process is suspended. Nothing before the first read.
+    /** The newest proof that this node's copy is up to date. After the log was restored it is of
+     * the era before until the topic has been read again. Nothing before the first read.
+     */
+    const std::optional<freshness_proof>& proof() const { return proof_; }
+
+    /** Time since the newest proof holds, including time in which the process is suspended. Nothing
+     * before the first read.
      */
     std::optional<duration> age() const;
 
   private:
     boost::asio::awaitable<bool> load();
+    boost::asio::awaitable<bool> read_part(duration wait);
+    boost::asio::awaitable<bool> handle_failed_read(shared_log_failure failed, time_point due);
+    void note_end(const observed_end& observed);
+    void check_unreached_end();
+    void renew_proof(const freshness_proof& proof);
     void log_long_poll(std::uint64_t from, const keyed_records& read, duration wait,
                        duration took) const;
     void note_success();
@@ -92,8 +103,9 @@
     bool loaded_ = false;
     bool last_read_failed_ = false;
     log_position position_;
-    std::uint64_t newest_era_ = 0;         // Of the log, as any answer or peer has shown.
-    std::optional<duration> confirmed_at_; // On the clock that includes suspended time.
+    std::uint64_t newest_era_ = 0; // Of the log, as any answer or peer has shown.
+    std::optional<freshness_proof> proof_;
+    std::optional<observed_end> unreached_end_; // The oldest that the copy has not reached.
 };
 
 } // namespace chervildyke
--- a/src/relay/fleet_view.h
+++ b/src/relay/fleet_view.h
@@ -152,6 +152,7 @@
   private:
     void load_configuration(const keyed_records& records);
     void apply_configuration(const keyed_records& records, bool is_in_log);
+    bool read_configuration(const keyed_record& record, bool is_in_log);
     void note_evacuations(const evacuation_changes& changes, const char* return_reason);
     void end_unwritten_evacuations();
     void load_backends(const keyed_records& records);
@@ -164,6 +165,7 @@
     bool must_read_configuration() const;
     duration configuration_wait() const;
     boost::asio::awaitable<void> read_missing_configuration();
+    void check_peer_configuration_end();
     bool must_read_backends() const;
     duration missing_record_wait(duration limit) const;
     bool must_read_replicas() const;
@@ -184,8 +186,9 @@
     topic_follower backend_follower_;
     topic_follower replica_follower_;
     timer replica_timer_;
-    log_position newest_peer_replica_end_; // The last position that a peer has read up to.
-    log_position newest_peer_configuration_end_;
+    log_position newest_peer_replica_end_;       // The last position that a peer has read up to.
+    log_position newest_peer_configuration_end_; // While no later read has shown that it is false.
+    duration peer_configuration_end_at_{}; // When a peer first told it; includes suspended time.
     recent_records recent_replicas_;
     recent_records recent_backends_;
     std::optional<time_point> behind_leader_since_; // Since the leader has been ahead of this list.
--- a/src/relay/fleet_view_configuration.cpp
+++ b/src/relay/fleet_view_configuration.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <boost/range/adaptor/reversed.hpp>
+
 #include "base/event_log.h"
 #include "base/task.h"
 #include "relay/fleet_view.h"
@@ -28,37 +30,49 @@
     apply_configuration(records, true);
 }
 
-/** \param is_in_log false for records that another topic holds. */
+/** Applies the newest configuration of the records that can be read. Those before it are out of
+ * date, and a large one takes milliseconds to decode.
+ * \param is_in_log false for records that another topic holds.
+ */
 void fleet_view::apply_configuration(const keyed_records& records, bool is_in_log)
 {
-    for (const keyed_record& record : records.records) {
-        if (record.key != codec_.configuration_key || !record.value) {
-            continue;
-        }
-        auto read = codec_.read_configuration(*record.value);
-        const std::string offset = std::to_string(record.offset);
-        if (!read) {
-            view_log.write("configuration_rejected",
-                           {{"offset", offset}, {"reason", read.failure().reason}});
-            continue;
+    for (const keyed_record& record : boost::adaptors::reverse(records.records)) {
+        const bool is_configuration = record.key == codec_.configuration_key && record.value;
+        if (is_configuration && read_configuration(record, is_in_log)) {
+            return;
         }
-        const std::uint64_t version = (*read)->version();
-        version_in_log_ = is_in_log ? std::max(version_in_log_, version) : version_in_log_;
-        if (current_configuration_ && version <= current_configuration_->version()) {
-            view_log.write("configuration_skipped",
-                           {{"offset", offset},
-                            {"version", std::to_string(version)},
-                            {"in_force", std::to_string(current_configuration_->version())}});
-            continue;
-        }
-        current_configuration_ = *read;
-        current_document_ = record;
-        view_log.write("configuration_in_force",
+    }
+}
+
+/** Puts the configuration of a record in force if it is newer than the one in force.
+ * \return false if the record can't be read.
+ */
+bool fleet_view::read_configuration(const keyed_record& record, bool is_in_log)
+{
+    auto read = codec_.read_configuration(*record.value);
+    const std::string offset = std::to_string(record.offset);
+    if (!read) {
+        view_log.write("configuration_rejected",
+                       {{"offset", offset}, {"reason", read.failure().reason}});
+        return false;
+    }
+    const std::uint64_t version = (*read)->version();
+    version_in_log_ = is_in_log ? std::max(version_in_log_, version) : version_in_log_;
+    if (current_configuration_ && version <= current_configuration_->version()) {
+        view_log.write("configuration_skipped",
                        {{"offset", offset},
                         {"version", std::to_string(version)},
-                        {"routes", std::to_string(current_configuration_->routes().size())}});
-        on_configuration(current_configuration_);
+                        {"in_force", std::to_string(current_configuration_->version())}});
+        return true;
     }
+    current_configuration_ = *read;
+    current_document_ = record;
+    view_log.write("configuration_in_force",
+                   {{"offset", offset},
+                    {"version", std::to_string(version)},
+                    {"routes", std::to_string(current_configuration_->routes().size())}});
+    on_configuration(current_configuration_);
+    return true;
 }
 
 std::optional<keyed_record> fleet_view::configuration_missing_in_log() const
@@ -111,8 +125,7 @@
         }
         else {
             note_era(configuration_follower_.position().era);
-            // The log itself decides, not what a peer reported.
-            newest_peer_configuration_end_ = configuration_follower_.position();
+            check_peer_configuration_end();
             if (!current_configuration_) {
                 co_await sleep_for(settings_.forming_backend_interval); // None is published yet.
             }
@@ -148,7 +161,10 @@
 void fleet_view::note_configuration_end(log_position end)
 {
     note_era(end.era);
-    newest_peer_configuration_end_ = std::max(newest_peer_configuration_end_, end);
+    if (end > newest_peer_configuration_end_) {
+        newest_peer_configuration_end_ = end;
+        peer_configuration_end_at_ = time_since_boot();
+    }
     const bool behind = newest_peer_configuration_end_ > configuration_follower_.position();
     // A node for which another one reads the log has no poll open.
     if (behind && reads_log_directly() && !reading_missing_configuration_) {
@@ -157,6 +173,17 @@
     }
 }
 
+/** Drops a position that a peer has told if a read that began later has shown that the log ends
+ * before it.
+ */
+void fleet_view::check_peer_configuration_end()
+{
+    const auto& proof = configuration_follower_.proof();
+    if (proof && proof->as_of() >= peer_configuration_end_at_) {
+        newest_peer_configuration_end_ = proof->position();
+    }
+}
+
 /** Reads what a peer has read of the configuration unless the open poll returns it first. */
 asio::awaitable<void> fleet_view::read_missing_configuration()
 {
@@ -174,7 +201,7 @@
                         {"outcome", read ? "read" : "failed"}});
         if (read) {
             note_era(after.era);
-            newest_peer_configuration_end_ = after; // The log itself decides.
+            check_peer_configuration_end();
         }
         if (after < wanted) { // The next messages of the peer must not cause a read each.
             co_await sleep_for(settings_.retry_interval);
--- a/test/correctness/platform_store.cpp
+++ b/test/correctness/platform_store.cpp
@@ -54,9 +54,10 @@
         CHECK(newest->next_offset == 3);
         const auto read = co_await fixture.log.read("t", 1, 0ms);
         REQUIRE(read);
-        REQUIRE(read->records.size() == 2);
-        CHECK(read->records[0].offset == 1);
-        CHECK(read->next_offset == 3);
+        REQUIRE(read->records.records.size() == 2);
+        CHECK(read->records.records[0].offset == 1);
+        CHECK(read->records.next_offset == 3);
+        CHECK(read->topic_end == 3);
     });
 }
 
@@ -88,7 +89,7 @@
         CHECK(newest->records.empty());
         const auto read = co_await fixture.log.read("t", 1, 0ms);
         REQUIRE(read);
-        CHECK_FALSE(read->records[0].value.has_value());
+        CHECK_FALSE(read->records.records[0].value.has_value());
     });
 }
 
--- a/test/correctness/relay_fleet_view.cpp
+++ b/test/correctness/relay_fleet_view.cpp
@@ -33,7 +33,7 @@
             co_return all;
         };
         log.read = [this](std::string topic, std::uint64_t from,
-                          duration wait) -> asio::awaitable<shared_log_result<keyed_records>> {
+                          duration wait) -> asio::awaitable<shared_log_result<topic_read>> {
             ++calls[topic];
             if (unanswered[topic] > 0) {
                 --unanswered[topic];
@@ -45,13 +45,14 @@
             while (topics[topic].size() <= from && monotonic_clock::now() < until) {
                 co_await sleep_for(5ms);
             }
-            keyed_records read;
+            topic_read read;
             for (const keyed_record& record : topics[topic]) {
                 if (record.offset >= from) {
-                    read.records.push_back(record);
+                    read.records.records.push_back(record);
                 }
             }
-            read.next_offset = topics[topic].size();
+            read.records.next_offset = topics[topic].size();
+            read.topic_end = topics[topic].size();
             co_return read;
         };
         return log;
@@ -364,3 +365,37 @@
         fixture.log.publish(version);
     }
 }
+
+// Guards against a node that refuses calls while it decodes configurations that are out of date.
+TEST_CASE("of several configurations that are read at once only the newest is decoded")
+{
+    view_fixture fixture;
+    std::vector<std::uint64_t> applied;
+    fixture.view->on_configuration = [&](const published_configuration_ptr& configuration) {
+        applied.push_back(configuration->version());
+    };
+    fixture.log.unanswered["op"] = 1;
+    fixture.clock.advance(1500ms);
+    for (const int version : {2, 3, 4}) {
+        fixture.log.publish(version);
+    }
+    fixture.log.topics["op"].push_back({4, "config", "{"});
+    fixture.clock.advance(3s);
+    CHECK(applied == std::vector<std::uint64_t>{4});
+}
+
+// Guards against a node that forgets what a peer has told of a newer configuration, because a read
+// that began before the change ended after the peer's word.
+TEST_CASE("a peer's position is kept until a read that began later has reached the end")
+{
+    view_fixture fixture;
+    fixture.log.publish(2);
+    fixture.clock.advance(10ms); // A long poll has just begun.
+    fixture.view->note_configuration_end({0, 5});
+    fixture.log.publish(3);
+    fixture.clock.advance(6ms); // It ends with one of the peer's records, and the next one begins.
+    REQUIRE(fixture.view->configuration()->version() == 3);
+    fixture.log.calls.clear();
+    fixture.clock.advance(30ms);
+    CHECK(fixture.log.calls["op"] == 1);
+}
--- a/test/error/fleet_topic_follower.cpp
+++ b/test/error/fleet_topic_follower.cpp
@@ -26,7 +26,7 @@
             co_return all;
         };
         log.read = [this](std::string, std::uint64_t from,
-                          duration) -> asio::awaitable<shared_log_result<keyed_records>> {
+                          duration) -> asio::awaitable<shared_log_result<topic_read>> {
             if (during_read) {
                 during_read();
             }
@@ -36,14 +36,19 @@
             if (from < trimmed_before) {
                 co_return shared_log_failure{shared_log_error::trimmed, "trimmed"};
             }
-            keyed_records read;
+            topic_read read;
+            read.records.next_offset = from;
+            read.records.era = records.era;
+            read.topic_end = records.records.size();
             for (const keyed_record& record : records.records) {
-                if (record.offset >= from) {
-                    read.records.push_back(record);
+                if (record.offset >= from && read.records.records.size() < max_records) {
+                    read.records.records.push_back(record);
+                    read.records.next_offset = record.offset + 1;
                 }
             }
-            read.next_offset = records.records.size();
-            read.era = records.era;
+            if (after_read) {
+                after_read();
+            }
             co_return read;
         };
         return log;
@@ -61,7 +66,9 @@
     keyed_records records;
     bool down = false;
     std::uint64_t trimmed_before = 0;
+    std::size_t max_records = 1000; // In one answer to a read.
     std::function<void()> during_read;
+    std::function<void()> after_read; // After the answer was made.
 };
 
 struct follower_fixture {
@@ -242,3 +249,121 @@
     CHECK(fixture.follower->age() == 0s);
     CHECK(fixture.follower->is_loaded());
 }
+
+// Guards against a copy that looks up to date while the log has more records than one answer holds.
+TEST_CASE("the age counts from a read whose end has been reached, not from one that holds a part")
+{
+    asio::io_context context;
+    manual_clock clock(context);
+    follower_fixture fixture;
+    fixture.log.add("a");
+    fixture.read();
+    for (const char* key : {"b", "c", "d"}) {
+        fixture.log.add(key);
+    }
+    fixture.log.max_records = 1;
+    clock.advance(3s);
+    int answers = 0;
+    fixture.log.after_read = [&] {
+        fixture.log.down = ++answers == 2;
+        clock.advance(100ms);
+    };
+    fixture.read();
+    CHECK(fixture.seen == names{"a", "b", "c"});
+    CHECK(fixture.follower->age() == 3s + 200ms); // Of the read of "a".
+    CHECK(fixture.outages == 1);
+    fixture.log.down = false;
+    fixture.read();
+    CHECK(fixture.seen == names{"a", "b", "c", "d"});
+    CHECK(fixture.follower->age() == 100ms);
+}
+
+// Guards against a node that refuses calls as long as changes are made more quickly than it reads.
+TEST_CASE("a topic that grows with each read becomes fresh as of the first read")
+{
+    asio::io_context context;
+    manual_clock clock(context);
+    follower_fixture fixture;
+    fixture.log.add("a");
+    fixture.read();
+    for (const char* key : {"b", "c", "d"}) {
+        fixture.log.add(key);
+    }
+    clock.advance(3s);
+    fixture.log.max_records = 1;
+    fixture.log.after_read = [&] {
+        fixture.log.add("more");
+        clock.advance(100ms);
+    };
+    fixture.read();
+    CHECK(fixture.seen == names{"a", "b", "c", "d"});
+    CHECK(fixture.follower->age() == 300ms);
+}
+
+// Guards against a follower that reads the same offset again and again, or takes an answer without
+// records for the end of the topic.
+TEST_CASE("records that the log does not return are read as the newest of each key")
+{
+    asio::io_context context;
+    manual_clock clock(context);
+    follower_fixture fixture;
+    fixture.log.add("a");
+    fixture.read();
+    fixture.log.add("b");
+    fixture.log.max_records = 0;
+    clock.advance(3s);
+    fixture.read();
+    CHECK(fixture.seen == names{"a", "b"});
+    CHECK(fixture.follower->age() == 0s);
+}
+
+TEST_CASE("history that is trimmed between two parts is read as the newest record of each key")
+{
+    follower_fixture fixture;
+    fixture.log.add("a");
+    fixture.read();
+    for (const char* key : {"b", "c", "d"}) {
+        fixture.log.add(key);
+    }
+    fixture.log.max_records = 1;
+    fixture.log.after_read = [&fixture] { fixture.log.trimmed_before = 3; };
+    fixture.read();
+    CHECK(fixture.seen == names{"a", "b", "c", "d"});
+    CHECK(fixture.follower->position() == log_position{0, 4});
+}
+
+// Guards against an answer of a copy that lags behind, which would confirm what was read.
+TEST_CASE("an answer whose end lies before what was read confirms nothing")
+{
+    asio::io_context context;
+    manual_clock clock(context);
+    follower_fixture fixture;
+    fixture.log.add("a");
+    fixture.log.add("b");
+    fixture.read();
+    clock.advance(3s);
+    fixture.log.records.records.pop_back();
+    fixture.read();
+    CHECK(fixture.follower->age() == 3s);
+    CHECK(fixture.follower->last_read_failed());
+}
+
+// Guards against a restored log whose records complete what was read of the log before it.
+TEST_CASE("an end that was observed in an earlier era is not reached in a newer one")
+{
+    asio::io_context context;
+    manual_clock clock(context);
+    follower_fixture fixture;
+    fixture.log.add("a");
+    fixture.log.records.era = 1;
+    fixture.read();
+    fixture.log.add("b");
+    fixture.log.add("c");
+    fixture.log.max_records = 1;
+    fixture.log.after_read = [&fixture] { fixture.log.down = true; };
+    clock.advance(3s);
+    fixture.read();
+    CHECK(fixture.seen == names{"a", "b"});
+    CHECK(fixture.follower->note_era(2));
+    CHECK(fixture.follower->age() == 3s);
+}
--- a/test/error/platform_decoding.cpp
+++ b/test/error/platform_decoding.cpp
@@ -114,12 +114,13 @@
     keyed_record deleted;
     deleted.offset = 41;
     deleted.key = "r2";
-    const std::string offsets(16, '\0');
+    const std::string offsets = std::string(7, '\0') + '\x32' + std::string(8, '\0');
     const auto read =
         platform::decode_records(offsets + platform::encode_records({present, deleted}), 40);
     REQUIRE(read);
-    CHECK(read->records == std::vector<keyed_record>{present, deleted});
-    CHECK(read->next_offset == 42);
+    CHECK(read->records.records == std::vector<keyed_record>{present, deleted});
+    CHECK(read->records.next_offset == 42);
+    CHECK(read->topic_end == 0x32);
 }
 
 TEST_CASE("a response to log-read that is truncated within a record is rejected")
--- a/test/error/platform_odd_entries.cpp
+++ b/test/error/platform_odd_entries.cpp
@@ -218,11 +218,12 @@
     const auto read = platform::decode_records(
         std::string(16, '\0') + empty + no_room + platform::encode_records({sound}), 0);
     REQUIRE(read);
-    CHECK(read->next_offset == 3);
-    REQUIRE(read->records.size() == 3);
-    CHECK_FALSE(read->records[0].value);
-    CHECK_FALSE(read->records[1].value);
-    CHECK(read->records[2] == sound);
+    const std::vector<keyed_record>& records = read->records.records;
+    CHECK(read->records.next_offset == 3);
+    REQUIRE(records.size() == 3);
+    CHECK_FALSE(records[0].value);
+    CHECK_FALSE(records[1].value);
+    CHECK(records[2] == sound);
 }
 
 // Guards against peers that reject every message of the leader, and so take it for lost, while the
@@ -263,17 +264,23 @@
     shared_log hooks()
     {
         shared_log log;
-        log.read_latest = [this](std::string) { return read_from(0); };
-        log.read = [this](std::string, std::uint64_t from, duration) { return read_from(from); };
+        log.read_latest = [this](std::string) -> asio::awaitable<shared_log_result<keyed_records>> {
+            co_return records_from(0);
+        };
+        log.read = [this](std::string, std::uint64_t from,
+                          duration) -> asio::awaitable<shared_log_result<topic_read>> {
+            topic_read read{records_from(from), records.size()};
+            co_return read;
+        };
         return log;
     }
 
-    asio::awaitable<shared_log_result<keyed_records>> read_from(std::uint64_t from)
+    keyed_records records_from(std::uint64_t from) const
     {
         keyed_records read;
         read.records.assign(records.begin() + static_cast<std::ptrdiff_t>(from), records.end());
         read.next_offset = records.size();
-        co_return read;
+        return read;
     }
 
     void add(const std::string& id, const std::string& value)
--- a/test/error/relay_lost_wakeups.cpp
+++ b/test/error/relay_lost_wakeups.cpp
@@ -32,12 +32,13 @@
             co_return records_from(topic, 0);
         };
         log.read = [this](std::string topic, std::uint64_t from,
-                          duration wait) -> asio::awaitable<shared_log_result<keyed_records>> {
+                          duration wait) -> asio::awaitable<shared_log_result<topic_read>> {
             ++calls[topic];
             if (topics[topic].size() <= from) {
                 co_await sleep_for(wait);
             }
-            co_return records_from(topic, from);
+            topic_read read{records_from(topic, from), topics[topic].size()};
+            co_return read;
         };
         return log;
     }
--- a/test/error/relay_planned_stops.cpp
+++ b/test/error/relay_planned_stops.cpp
@@ -38,11 +38,12 @@
         co_return all(topic);
     };
     log.read = [all](std::string topic, std::uint64_t from,
-                     duration wait) -> asio::awaitable<shared_log_result<keyed_records>> {
-        keyed_records read = all(topic);
-        if (from >= read.next_offset) {
+                     duration wait) -> asio::awaitable<shared_log_result<topic_read>> {
+        topic_read read{all(topic), 0};
+        read.topic_end = read.records.next_offset;
+        if (from >= read.topic_end) {
             co_await sleep_for(wait);
-            read.records.clear();
+            read.records.records.clear();
         }
         co_return read;
     };
--- a/test/fuzz/platform_documents.cpp
+++ b/test/fuzz/platform_documents.cpp
@@ -148,10 +148,10 @@
             return;
         }
         std::uint64_t offset = 7;
-        for (const keyed_record& record : read->records) {
+        for (const keyed_record& record : read->records.records) {
             RC_ASSERT(record.offset == offset++);
         }
-        RC_ASSERT(read->next_offset == offset);
+        RC_ASSERT(read->records.next_offset == offset);
     });
     CHECK(held);
 }
--- a/test/support/restorable_log.h
+++ b/test/support/restorable_log.h
@@ -120,7 +120,7 @@
         co_return all;
     }
 
-    asio::awaitable<shared_log_result<keyed_records>>
+    asio::awaitable<shared_log_result<topic_read>>
     read(std::shared_ptr<log_link> link, std::string topic, std::uint64_t from, duration wait)
     {
         constexpr duration poll_interval = 5ms;
@@ -136,12 +136,13 @@
         if (from > stored.size()) {
             co_return shared_log_failure{shared_log_error::trimmed, "beyond the end"};
         }
-        keyed_records found;
+        topic_read found;
         for (std::size_t i = from; i < stored.size(); ++i) {
-            found.records.push_back(stored[i].record);
+            found.records.records.push_back(stored[i].record);
         }
-        found.next_offset = stored.size();
-        found.era = era_;
+        found.records.next_offset = stored.size();
+        found.records.era = era_;
+        found.topic_end = stored.size();
         co_await link->pass();
         co_return found;
     }
