Configuration: a restored log proves nothing until operators have written again

The node ran calls with the key more than revoke-ms after the ack, until the newer version had been written again.

Cause: the first read of the restored log set the age of the configuration to zero, although the log had lost acknowledged records. The node compares its version with its peers' only until it has caught up once after its start.

Fix: configuration_freshness decides as of when the configuration in force is known to be the newest. After a restore that is the last proof of the era before, or the proof of a peer whose version is not newer, until operators write again or have had 2 s to do so (5 s if no peer is heard). Nodes ask others while their log proves nothing; the answer states the version and since when a newer one may exist, and its age counts from the question. A node that was in touch until a short outage refuses nothing: its last proof is younger than the bound until operators have written. Versions are compared, not positions, so a word of either era counts.

The soak's nodes and the log of the tests can now be turned away one by one. New log line configuration_standing and metric chervil_configuration_age_seconds.

--- a/src/fleet/evacuated_domains.h
+++ b/src/fleet/evacuated_domains.h
@@ -36,7 +36,7 @@
      * \param rewrite_time how long operators may take to write their records again after the log
      * was restored.
      */
-    explicit evacuated_domains(std::string key_prefix, duration rewrite_time = 2s);
+    explicit evacuated_domains(std::string key_prefix, duration rewrite_time = log_rewrite_time);
 
     /** Applies a full read of the topic: other keys are not in the log. */
     evacuation_changes replace(const keyed_records& newest, time_point now);
--- a/src/fleet/shared_log.h
+++ b/src/fleet/shared_log.h
@@ -18,6 +18,11 @@
 
 namespace chervildyke {
 
+/** After the log was restored from an older copy, operators and backend servers write again what it
+ * lacks of theirs within this time.
+ */
+inline constexpr duration log_rewrite_time = 2s;
+
 /** Why a call on the log failed. */
 enum class shared_log_error {
     none,
--- a/src/relay/fleet_view.cpp
+++ b/src/relay/fleet_view.cpp
@@ -39,12 +39,7 @@
       configuration_follower_(
           log, codec_.configuration_topic,
           make_topic_hooks([this](const keyed_records& read) { load_configuration(read); },
-                           [this](const keyed_records& read) {
-                               on_read(schema::shared_topic_configuration, read);
-                               note_evacuations(evacuated_.apply(read, monotonic_clock::now()),
-                                                "withdrawn");
-                               apply_configuration(read, true);
-                           },
+                           [this](const keyed_records& read) { add_configuration(read); },
                            // The list is stored in the same log but is not read all the time, so an
                            // outage that the configuration reveals counts for the list too.
                            [this](time_point at) { note_configuration_outage(at); })),
--- a/src/relay/fleet_view.h
+++ b/src/relay/fleet_view.h
@@ -16,6 +16,7 @@
 #include "assembly/replica_ledger.h"
 #include "base/random.h"
 #include "fleet/backend_table.h"
+#include "fleet/configuration_freshness.h"
 #include "fleet/evacuated_domains.h"
 #include "fleet/published_configuration.h"
 #include "fleet/topic_follower.h"
@@ -90,12 +91,21 @@
      */
     void note_configuration_end(log_position end);
 
-    /** The same; also updates the age of this node's configuration if this node has read up to the
-     * same position.
-     * \param age time since the other node last read the configuration.
+    /** The same; also updates the age of this node's copy of the topic if this node has read up to
+     * the same position.
+     * \param age of the other node's copy.
      */
     void confirm_configuration(log_position end, duration age);
 
+    /** Records the version that another node has in force. */
+    void note_configuration_version(std::uint64_t version);
+
+    /** Uses what another node knows of the newest configuration, also of an earlier era.
+     * \param version in force at the other node.
+     * \param age time since which a newer version may have been acknowledged.
+     */
+    void confirm_configuration_version(std::uint64_t version, duration age);
+
     /** Applies a configuration that the fleet had in force and that a restored log may lack. */
     void apply_accepted_configuration(const keyed_records& records)
     {
@@ -137,7 +147,20 @@
     }
 
     const replica_ledger& ledger() const { return ledger_; }
-    std::optional<duration> configuration_age() const { return configuration_follower_.age(); }
+
+    /** Time since which a newer configuration than the one in force may have been acknowledged;
+     * nothing if there is no bound.
+     */
+    std::optional<duration> configuration_age() const;
+
+    /** What proves that the configuration in force is the newest one. */
+    configuration_standing standing_of_configuration() const;
+
+    /** Time since which the topic of the operators may have grown. After the log was restored this
+     * says nothing of the records that it lacks.
+     */
+    std::optional<duration> configuration_read_age() const { return configuration_follower_.age(); }
+
     /** \return true if the last read of the configuration succeeded and was recent. */
     bool store_is_healthy() const;
     std::optional<duration> backend_age() const { return backend_follower_.age(); }
@@ -151,6 +174,7 @@
 
   private:
     void load_configuration(const keyed_records& records);
+    void add_configuration(const keyed_records& records);
     void apply_configuration(const keyed_records& records, bool is_in_log);
     bool read_configuration(const keyed_record& record, bool is_in_log);
     void note_evacuations(const evacuation_changes& changes, const char* return_reason);
@@ -166,6 +190,8 @@
     duration configuration_wait() const;
     boost::asio::awaitable<void> read_missing_configuration();
     void check_peer_configuration_end();
+    std::uint64_t version_in_force() const;
+    void report_configuration_standing();
     bool must_read_backends() const;
     duration missing_record_wait(duration limit) const;
     bool must_read_replicas() const;
@@ -182,6 +208,8 @@
     published_configuration_ptr current_configuration_;
     keyed_record current_document_;    // The record of the current configuration.
     std::uint64_t version_in_log_ = 0; // The newest version that the log contains in this era.
+    configuration_freshness configuration_freshness_;
+    configuration_standing reported_standing_ = configuration_standing::proven;
     topic_follower configuration_follower_;
     topic_follower backend_follower_;
     topic_follower replica_follower_;
--- a/src/relay/fleet_view_configuration.cpp
+++ b/src/relay/fleet_view_configuration.cpp
@@ -8,6 +8,7 @@
 #include <boost/range/adaptor/reversed.hpp>
 
 #include "base/event_log.h"
+#include "base/milliseconds.h"
 #include "base/task.h"
 #include "relay/fleet_view.h"
 
@@ -21,15 +22,82 @@
 
 constexpr duration max_unconfirmed_age = 50ms; // Of the configuration when a long poll begins.
 
+const char* to_text(configuration_standing standing)
+{
+    switch (standing) {
+    case configuration_standing::proven:
+        return "proven";
+    case configuration_standing::awaits_rewrite:
+        return "awaits_rewrite";
+    case configuration_standing::lacks_version:
+        return "lacks_version";
+    }
+    return "unknown";
+}
+
 } // namespace
 
+std::uint64_t fleet_view::version_in_force() const
+{
+    return current_configuration_ ? current_configuration_->version() : 0;
+}
+
+std::optional<duration> fleet_view::configuration_age() const
+{
+    const duration now = time_since_boot();
+    const auto as_of =
+        configuration_freshness_.as_of(configuration_follower_.proof(), version_in_force(), now);
+    return as_of ? std::optional(now - *as_of) : std::nullopt;
+}
+
+configuration_standing fleet_view::standing_of_configuration() const
+{
+    return configuration_freshness_.standing(configuration_follower_.proof(), version_in_force(),
+                                             time_since_boot());
+}
+
+/** Logs when the standing of the configuration has changed. */
+void fleet_view::report_configuration_standing()
+{
+    const configuration_standing standing = standing_of_configuration();
+    if (standing == reported_standing_) {
+        return;
+    }
+    reported_standing_ = standing;
+    const auto age = configuration_age();
+    view_log.write("configuration_standing",
+                   {{"standing", to_text(standing)},
+                    {"version", std::to_string(version_in_force())},
+                    {"era", std::to_string(configuration_follower_.position().era)},
+                    {"age_ms", age ? to_ms_text(*age) : "unknown"}});
+}
+
 void fleet_view::load_configuration(const keyed_records& records)
 {
+    const auto& proof = configuration_follower_.proof();
+    if (proof && records.era > proof->position().era) {
+        configuration_freshness_.note_restore(proof, version_in_force(), time_since_boot());
+    }
     version_in_log_ = 0; // A restored log may have lost the newest one.
     note_evacuations(evacuated_.replace(records, monotonic_clock::now()), "not in the log");
     apply_configuration(records, true);
 }
 
+/** Applies records that were appended after the topic was first read in this era. */
+void fleet_view::add_configuration(const keyed_records& records)
+{
+    on_read(schema::shared_topic_configuration, records);
+    note_evacuations(evacuated_.apply(records, monotonic_clock::now()), "withdrawn");
+    const bool is_written = std::any_of(
+        records.records.begin(), records.records.end(), [this](const keyed_record& record) {
+            return record.key == codec_.configuration_key && record.value;
+        });
+    if (is_written) {
+        configuration_freshness_.note_written();
+    }
+    apply_configuration(records, true);
+}
+
 /** Applies the newest configuration of the records that can be read. Those before it are out of
  * date, and a large one takes milliseconds to decode.
  * \param is_in_log false for records that another topic holds.
@@ -116,6 +184,7 @@
     const auto self = shared_from_this();
     while (true) {
         end_unwritten_evacuations();
+        report_configuration_standing();
         if (!must_read_configuration()) {
             co_await sleep_for(settings_.list_age_check_interval);
             continue;
@@ -216,4 +285,15 @@
     configuration_follower_.confirm(end, age);
 }
 
+void fleet_view::note_configuration_version(std::uint64_t version)
+{
+    configuration_freshness_.note_peer_version(version, time_since_boot());
+    report_configuration_standing();
+}
+
+void fleet_view::confirm_configuration_version(std::uint64_t version, duration age)
+{
+    configuration_freshness_.confirm(version, time_since_boot() - age, version_in_force());
+}
+
 } // namespace chervildyke
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -4,6 +4,7 @@
 #include "relay/relay_node.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "base/connection_limit.h"
@@ -119,6 +120,11 @@
     context_.is_evacuated = [this](const std::string& domain) {
         return view_->evacuated().contains(domain);
     };
+    context_.metrics->add_gauge("chervil_configuration_age_seconds", [this] {
+        const std::optional<duration> age = view_->configuration_age();
+        return age ? std::chrono::duration<double>(*age).count()
+                   : std::numeric_limits<double>::infinity();
+    });
     context_.metrics->add_gauge("chervil_evacuated_domains",
                                 [this] { return static_cast<double>(view_->evacuated().size()); });
     context_.metrics->add_gauge("chervil_request_bytes_available", [this] {
--- a/src/relay/relay_node_peers.cpp
+++ b/src/relay/relay_node_peers.cpp
@@ -45,6 +45,7 @@
         view_->confirm_backends(backends_of(state));
     }
     view_->note_replica_end(replicas.end);
+    view_->note_configuration_version(state.configuration_version());
     if (reading_->reads_log_directly()) { // Otherwise the reader sends the records.
         view_->note_configuration_end(
             {state.configuration_log_era(), state.configuration_log_end()});
--- a/src/relay/shared_reading.cpp
+++ b/src/relay/shared_reading.cpp
@@ -29,6 +29,10 @@
 // From this fraction of that age on, another node is asked as well.
 constexpr double second_question_share = 0.75;
 
+constexpr std::size_t questions_at_once = 4; // To any nodes, a few times a second.
+
+constexpr duration unknown_age = 24h; // Stated if there is no bound of the age.
+
 constexpr std::size_t max_forwarded_bytes = 12'000; // Keys and values in one datagram.
 constexpr std::size_t max_message_bytes = 60'000;   // Of one encoded message.
 
@@ -58,6 +62,14 @@
 void shared_reading::update(bool leaving)
 {
     choose_reader(leaving);
+    ask_reader();
+    if (view_.standing_of_configuration() != configuration_standing::proven) {
+        ask_any_peers();
+    }
+}
+
+void shared_reading::ask_reader()
+{
     const duration limit = shared_configuration_age(settings_);
     const auto share = [limit](double part) {
         return std::chrono::duration_cast<duration>(limit * part);
@@ -68,13 +80,27 @@
     }
     asked_at_ = now;
     send_question(*reader_);
-    const auto age = view_.configuration_age();
+    const auto age = view_.configuration_read_age();
     const auto others = peers_.live();
     if (age && *age > share(second_question_share) && !others.empty()) {
         send_question(address_of(others[random_below(random_, others.size())]->state));
     }
 }
 
+/** Asks some nodes at random: one that was in touch with the log until it was lost knows what the
+ * restored log lacks.
+ */
+void shared_reading::ask_any_peers()
+{
+    auto others = peers_.live();
+    for (std::size_t asked = 0; asked < questions_at_once && !others.empty(); ++asked) {
+        const auto chosen =
+            others.begin() + static_cast<std::ptrdiff_t>(random_below(random_, others.size()));
+        send_question(address_of((*chosen)->state));
+        others.erase(chosen);
+    }
+}
+
 /** \return the other nodes of this failure domain that are not about to stop. */
 std::vector<const schema::peer_word*> shared_reading::domain_peers() const
 {
@@ -132,30 +158,56 @@
                         static_cast<std::uint16_t>(peer.port()));
 }
 
+void shared_reading::answer_question(const schema::peer_word& message)
+{
+    const auto read_age = view_.configuration_read_age();
+    if (!read_age) {
+        return;
+    }
+    const auto age = view_.configuration_age();
+    schema::peer_word reply;
+    schema::freshness_answer& answer = *reply.mutable_answer();
+    answer.set_nonce(message.question().nonce());
+    answer.set_configuration_era(view_.configuration_end().era);
+    answer.set_configuration_end(view_.configuration_end().offset);
+    // Nodes of older releases check keys by this age.
+    const duration stated = std::max(*read_age, age.value_or(unknown_age));
+    answer.set_configuration_age_ms(to_whole_ms(stated) + 1);
+    answer.set_proven_age(true);
+    if (age && view_.configuration()) {
+        answer.mutable_known()->set_version(view_.configuration()->version());
+        answer.mutable_known()->set_age_ms(to_whole_ms(*age) + 1);
+    }
+    peers_.send_message(std::move(reply), message.address(),
+                        static_cast<std::uint16_t>(message.port()));
+}
+
+void shared_reading::apply_answer(const schema::freshness_answer& answer)
+{
+    const log_position end{answer.configuration_era(), answer.configuration_end()};
+    const auto since_question =
+        questions_.resolve(answer.nonce(), duration::zero(), time_since_boot());
+    if (since_question && answer.has_known()) {
+        view_.confirm_configuration_version(answer.known().version(),
+                                            *since_question +
+                                                std::chrono::milliseconds(answer.known().age_ms()));
+    }
+    if (since_question && answer.proven_age()) {
+        view_.confirm_configuration(
+            end, *since_question + std::chrono::milliseconds(answer.configuration_age_ms()));
+    }
+    else {
+        view_.note_configuration_end(end);
+    }
+}
+
 void shared_reading::handle_message(const schema::peer_word& message)
 {
-    if (message.has_question() && view_.configuration_age()) {
-        schema::peer_word reply;
-        schema::freshness_answer& answer = *reply.mutable_answer();
-        answer.set_nonce(message.question().nonce());
-        answer.set_configuration_era(view_.configuration_end().era);
-        answer.set_configuration_end(view_.configuration_end().offset);
-        answer.set_configuration_age_ms(to_whole_ms(*view_.configuration_age()) + 1);
-        peers_.send_message(std::move(reply), message.address(),
-                            static_cast<std::uint16_t>(message.port()));
+    if (message.has_question()) {
+        answer_question(message);
     }
     if (message.has_answer()) {
-        const schema::freshness_answer& answer = message.answer();
-        const auto age = questions_.resolve(
-            answer.nonce(), std::chrono::milliseconds(answer.configuration_age_ms()),
-            time_since_boot());
-        const log_position end{answer.configuration_era(), answer.configuration_end()};
-        if (age) {
-            view_.confirm_configuration(end, *age);
-        }
-        else {
-            view_.note_configuration_end(end);
-        }
+        apply_answer(message.answer());
     }
     if (message.has_news()) {
         const schema::topic_news& news = message.news();
--- a/src/relay/shared_reading.h
+++ b/src/relay/shared_reading.h
@@ -21,7 +21,8 @@
 
 /** Chooses the node that reads the log for this one, asks it how old its configuration is, answers
  * the same question of others and forwards the records that this node reads. If two nodes consider
- * themselves the reader, or none does, the only cost is more calls on the log.
+ * themselves the reader, or none does, the only cost is more calls on the log. While a restored log
+ * proves nothing, any node is asked what it knows.
  */
 class shared_reading {
   public:
@@ -48,6 +49,10 @@
 
   private:
     void choose_reader(bool leaving);
+    void ask_reader();
+    void ask_any_peers();
+    void answer_question(const schema::peer_word& message);
+    void apply_answer(const schema::freshness_answer& answer);
     void send_question(const schema::known_peer& peer);
     std::vector<const schema::peer_word*> domain_peers() const;
 
--- a/test/error/relay_fleet_restorer.cpp
+++ b/test/error/relay_fleet_restorer.cpp
@@ -64,6 +64,24 @@
         spawn_task(context.get_executor(), "restore", restorer->run());
     }
 
+    /** Turns the node away while version 5 is published, and restores the log without it. */
+    void miss_version()
+    {
+        clock.advance(3s);
+        log.refuse_topic("op");
+        clock.advance(2s);
+        log.write("op", configuration(5));
+        clock.advance(missed_for);
+        const time_point copied_at = monotonic_clock::now() - missed_for - 1s;
+        log.restore(copied_at);
+        log.refuse_topic("");
+        clock.advance(500ms);
+        REQUIRE(view->configuration_end().era == log.era());
+        REQUIRE(view->configuration()->version() == 1);
+    }
+
+    static constexpr duration missed_for = 6s;
+
     void restore_log()
     {
         const time_point copied_at = monotonic_clock::now() - 2s;
@@ -175,3 +193,58 @@
     fixture.clock.advance(1s);
     CHECK(fixture.is_current());
 }
+
+// Guards against a revoked key that is honoured by a node which was turned away while it was
+// revoked: the first read of the restored log made its older configuration look up to date.
+TEST_CASE("a restored log does not make a configuration from before an outage look up to date")
+{
+    node_fixture fixture;
+    fixture.miss_version();
+    CHECK(*fixture.view->configuration_age() > fixture.missed_for);
+    fixture.log.write("op", configuration(5));
+    fixture.clock.advance(100ms);
+    CHECK(fixture.view->configuration()->version() == 5);
+    CHECK(*fixture.view->configuration_age() < 1s);
+}
+
+// Guards against the same when operators write again later than they usually do.
+TEST_CASE("a version that a peer has in force is waited for although the restored log lacks it")
+{
+    node_fixture fixture;
+    fixture.view->note_configuration_version(5);
+    fixture.miss_version();
+    fixture.peers = {{"n0", {}, 5, true}};
+    fixture.clock.advance(4s);
+    CHECK(fixture.view->standing_of_configuration() == configuration_standing::lacks_version);
+    CHECK(*fixture.view->configuration_age() > fixture.missed_for);
+    fixture.log.write(accepted_configuration_topic, configuration(5)); // By the peer.
+    fixture.clock.advance(1s);
+    CHECK(fixture.view->configuration()->version() == 5);
+    CHECK(*fixture.view->configuration_age() < 3s);
+}
+
+// Guards against calls with valid keys that are refused until operators write, which they may never
+// do if the restored log lacks nothing of theirs.
+TEST_CASE("a node that hears nobody serves by the restored log after a while")
+{
+    node_fixture fixture;
+    fixture.miss_version();
+    fixture.clock.advance(4s);
+    CHECK(*fixture.view->configuration_age() > fixture.missed_for);
+    fixture.clock.advance(1s);
+    CHECK(*fixture.view->configuration_age() < 3s);
+}
+
+// Guards against calls that are refused by a node which knows all that was acknowledged.
+TEST_CASE("a restored log does not make a node refuse calls that was in touch until the outage")
+{
+    node_fixture fixture;
+    fixture.clock.advance(3s);
+    fixture.restore_log();
+    for (int i = 0; i < 100; ++i) {
+        fixture.view->note_configuration_version(1);
+        CHECK(*fixture.view->configuration_age() < 4500ms);
+        fixture.clock.advance(50ms);
+    }
+    CHECK(fixture.view->standing_of_configuration() == configuration_standing::proven);
+}
--- a/test/fuzz/relay_restored_log.cpp
+++ b/test/fuzz/relay_restored_log.cpp
@@ -116,3 +116,34 @@
         }
     }
 }
+
+// Guards against a revoked key that is honoured by a node which was turned away while it was
+// revoked and then reads a copy of the log without that change.
+TEST_CASE(
+    "nodes that are turned away before a restore serve by no configuration that is out of date")
+{
+    constexpr std::uint64_t seeds = 40;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        CAPTURE(seed);
+        const random_source draw = seeded_random(seed * 104'729);
+        test_fleet fleet(seed, 3 + random_below(draw, 6));
+        fleet.quiet = true;
+        const auto draw_ms = [&draw](std::uint64_t limit) {
+            return std::chrono::milliseconds(random_below(draw, limit));
+        };
+        for (int step = 0; step < 4; ++step) {
+            for (std::size_t index = 1; index < fleet.size(); ++index) {
+                if (random_below(draw, 2) == 0) {
+                    fleet.reject(index, 4s + draw_ms(6000));
+                }
+            }
+            fleet.run(1s + draw_ms(1000));
+            fleet.publish();
+            fleet.run(3s + draw_ms(4000));
+            fleet.restore(draw_ms(600), 1s + draw_ms(9000), draw_ms(1900));
+            fleet.run(draw_ms(6000));
+        }
+        fleet.run(12s);
+        fleet.check_agreement();
+    }
+}
--- a/test/support/restorable_log.h
+++ b/test/support/restorable_log.h
@@ -20,9 +20,12 @@
 
 /** What stands between one node and the log. */
 struct log_link {
-    time_point frozen_until{}; // Calls of a frozen node are made, and return, later.
-    bool node_ended = false;   // Calls of a node that has ended never return.
-    duration append_delay{};   // An append that was sent takes effect so much later.
+    time_point frozen_until{};   // Calls of a frozen node are made, and return, later.
+    time_point rejected_until{}; // Until then the log refuses the node's calls.
+    bool node_ended = false;     // Calls of a node that has ended never return.
+    duration append_delay{};     // An append that was sent takes effect so much later.
+
+    bool is_rejected() const { return monotonic_clock::now() < rejected_until; }
 
     asio::awaitable<void> pass() const
     {
@@ -101,7 +104,7 @@
                                                                   std::string topic)
     {
         co_await link->pass();
-        if (down_ || topic == refused_topic_) {
+        if (down_ || topic == refused_topic_ || link->is_rejected()) {
             co_return refusal();
         }
         std::map<std::string, keyed_record> newest;
@@ -126,10 +129,13 @@
         constexpr duration poll_interval = 5ms;
         co_await link->pass();
         const time_point until = monotonic_clock::now() + wait;
-        while (!down_ && topics_[topic].size() == from && monotonic_clock::now() < until) {
+        const auto is_refused = [&] {
+            return down_ || topic == refused_topic_ || link->is_rejected();
+        };
+        while (!is_refused() && topics_[topic].size() == from && monotonic_clock::now() < until) {
             co_await sleep_for(poll_interval);
         }
-        if (down_) {
+        if (is_refused()) {
             co_return refusal();
         }
         const std::vector<stored_record>& stored = topics_[topic];
@@ -154,7 +160,7 @@
         co_await link->pass();
         const duration delay = link->append_delay;
         co_await sleep_for(delay);
-        if (down_ || refuses_writes_) {
+        if (down_ || refuses_writes_ || link->is_rejected()) {
             co_return refusal();
         }
         if (topics_[topic].size() != at.offset) {
@@ -175,7 +181,7 @@
     put(std::shared_ptr<log_link> link, std::string topic, std::vector<keyed_record> records)
     {
         co_await link->pass();
-        if (down_ || refuses_writes_) {
+        if (down_ || refuses_writes_ || link->is_rejected()) {
             co_return refusal();
         }
         for (keyed_record& record : records) {
--- a/test/support/restored_fleet.h
+++ b/test/support/restored_fleet.h
@@ -94,6 +94,7 @@
         std::uint64_t& newest = newest_sequence[state.name()];
         view->apply_peer_replicas(replicas_of(state));
         view->note_replica_end(replicas_of(state).end);
+        view->note_configuration_version(state.configuration_version());
         if (sequence < newest) {
             return; // Liveness and hints come from the newest state.
         }
@@ -185,6 +186,7 @@
     std::shared_ptr<fleet_view> view;
     std::shared_ptr<fleet_restorer> restorer;
     bool leads = false;
+    bool caught_up = false; // Since its start, with what the other nodes know.
     std::uint64_t version = 0;
     std::map<std::string, std::pair<time_point, known_agreement>> peers;
     std::map<std::string, std::uint64_t> newest_sequence;
@@ -214,7 +216,9 @@
         for (duration passed{}; passed < span; passed += round_interval) {
             choose_leader();
             exchange_states();
+            ask_peers();
             clock_.advance(round_interval);
+            check_freshness();
         }
     }
 
@@ -247,6 +251,12 @@
         nodes_[index] = make_node(name);
     }
 
+    /** Makes the log refuse the calls of one node. */
+    void reject(std::size_t index, duration span)
+    {
+        nodes_[index]->link->rejected_until = monotonic_clock::now() + span;
+    }
+
     void freeze(std::size_t index, duration span)
     {
         nodes_[index]->link->frozen_until = monotonic_clock::now() + span;
@@ -316,6 +326,7 @@
 
     void write_configuration(int version)
     {
+        published_at_.try_emplace(static_cast<std::uint64_t>(version), monotonic_clock::now());
         keyed_record record;
         record.key = "config";
         record.value =
@@ -368,6 +379,47 @@
         in_flight_ = std::move(later);
     }
 
+    /** Lets nodes that don't know whether their configuration is the newest ask another one. */
+    void ask_peers()
+    {
+        for (const auto& node : nodes_) {
+            const std::size_t asked = random_below(random_, nodes_.size());
+            const test_node& peer = *nodes_[asked];
+            if (&peer == node.get() || !node->active() || !peer.active() ||
+                node->view->standing_of_configuration() == configuration_standing::proven) {
+                continue;
+            }
+            if (const auto age = peer.view->configuration_age()) {
+                node->view->confirm_configuration_version(peer.version, *age);
+            }
+        }
+    }
+
+    /** Checks that no node serves calls by a configuration that was out of date so long before that
+     * keys which it holds may be revoked.
+     */
+    void check_freshness()
+    {
+        constexpr duration key_staleness = 4500ms;
+        constexpr duration revoke_time = 5s;
+        std::uint64_t required = 0;
+        for (const auto& [version, published_at] : published_at_) {
+            if (monotonic_clock::now() - published_at > revoke_time) {
+                required = std::max(required, version);
+            }
+        }
+        for (const auto& node : nodes_) {
+            node->caught_up = node->caught_up || !node->restorer->is_behind();
+            const auto age = node->view->configuration_age();
+            if (node->active() && node->caught_up && age && *age < key_staleness &&
+                node->version < required) {
+                oracle_.findings.push_back(node->name + " serves by configuration " +
+                                           std::to_string(node->version) + " instead of " +
+                                           std::to_string(required));
+            }
+        }
+    }
+
     test_node* node_named(const std::string& name)
     {
         return std::find_if(nodes_.begin(), nodes_.end(),
@@ -385,6 +437,7 @@
     std::deque<late_message> in_flight_;
     std::uint64_t sequence_ = 0;
     int published_version_ = 0;
+    std::map<std::uint64_t, time_point> published_at_; // By version, for the first time.
 };
 
 } // namespace chervildyke::test
