Peers: ages that nodes of older releases state are not used

While both releases run, a node of this one now uses the positions that older nodes state and reads for itself once its own copy is too old.

--- a/src/relay/peer_topics.cpp
+++ b/src/relay/peer_topics.cpp
@@ -11,6 +11,14 @@
 
 constexpr duration never_read_age = 24h; // Reported for a topic that was not read yet.
 
+/** \return the age of a topic that a state names. Nodes of older releases may name that of a part,
+ * so theirs is not used.
+ */
+duration age_of(const schema::peer_word& state, std::uint32_t age_ms)
+{
+    return state.proven_ages() ? std::chrono::milliseconds(age_ms) : never_read_age;
+}
+
 } // namespace
 
 void set_topics(const fleet_view& view, bool leading, schema::peer_word& state)
@@ -18,6 +26,7 @@
     const log_position replicas = view.ledger().end();
     state.set_replica_log_era(replicas.era);
     state.set_replica_log_end(replicas.offset);
+    state.set_proven_ages(true);
     state.set_replica_log_age_ms(to_whole_ms(view.replica_age().value_or(never_read_age)));
     const log_position agreed = view.ledger().agreed_end();
     state.set_agreed_replica_era(agreed.era);
@@ -39,14 +48,14 @@
 peer_topic_state replicas_of(const schema::peer_word& state)
 {
     return {{state.replica_log_era(), state.replica_log_end()},
-            std::chrono::milliseconds(state.replica_log_age_ms()),
+            age_of(state, state.replica_log_age_ms()),
             from_messages(state.records())};
 }
 
 peer_topic_state backends_of(const schema::peer_word& state)
 {
     return {{state.backend_list_era(), state.backend_list_end()},
-            std::chrono::milliseconds(state.backend_list_age_ms()),
+            age_of(state, state.backend_list_age_ms()),
             from_messages(state.backend_records())};
 }
 
