--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -20,6 +20,7 @@
 
 namespace {
 
+constexpr std::size_t small_answer_bytes = 4096; // About one configuration.
 constexpr std::uint16_t call_port = 8000;
 constexpr std::uint16_t ready_port = 8001;
 constexpr std::uint16_t directory_port = 8002;
@@ -73,6 +74,9 @@
         environment_.models_by_name[model.name] = model;
     }
     store_.ignore_appends(ignored_append_share, seeded_random(options_.seed));
+    if (options_.small_store_answers) {
+        store_.limit_answers(small_answer_bytes);
+    }
 }
 
 soak_fleet::~soak_fleet() = default;
@@ -144,9 +148,11 @@
         write_settings(*node, initial_address_validity_s);
         const auto settings = options_.folder / (node->name + ".json");
         const auto log = options_.folder / (node->name + ".log");
-        node->process = std::make_unique<node_process>(options_.node_program, settings, log);
+        const std::string& program =
+            i % 2 == 0 ? options_.node_program : options_.other_node_program;
+        node->process = std::make_unique<node_process>(program, settings, log);
         if (!node->process->start()) {
-            last_reason_ = "can't start the node program " + options_.node_program;
+            last_reason_ = "can't start the node program " + program;
             return false;
         }
         nodes_.push_back(std::move(node));
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -24,7 +24,9 @@
 
 struct fleet_options {
     std::string node_program;
-    std::filesystem::path folder; // For the nodes' settings and logs.
+    std::string other_node_program;   // Of every second node.
+    bool small_store_answers = false; // The store returns a few records in each answer to a read.
+    std::filesystem::path folder;     // For the nodes' settings and logs.
     std::uint64_t seed = 1;
     std::size_t node_count = 4;
     std::size_t model_server_count = 14;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -119,11 +119,16 @@
         cxxopts::value<std::size_t>())(
         "node-program", "the program of a node",
         cxxopts::value<std::string>()->default_value("build/bin/chervil-node"))(
-        "folder", "the folder for the settings and logs of the nodes",
-        cxxopts::value<std::string>()->default_value("run/soak"))(
+        "other-node-program",
+        "the program of every second node, such as that of an older release; by default the same",
+        cxxopts::value<std::string>())("folder",
+                                       "the folder for the settings and logs of the nodes",
+                                       cxxopts::value<std::string>()->default_value("run/soak"))(
         "poison", "add calls whose prompts crash servers")(
         "restores", "add restores of the store from an older copy")(
-        "endless", "add servers whose answers go on without end")(
+        "missed-changes",
+        "add changes and a revoked key while the store rejects a node, and small "
+        "answers of the store")("endless", "add servers whose answers go on without end")(
         "isolations", "add servers that reach neither the store nor the nodes for a while")(
         "excusing-nothing-only", "draw only faults that excuse no lost answer")(
         "net", "second byte of all addresses, 127.NET.x.y; 0: derived from the seed",
@@ -150,6 +155,10 @@
                                    ? arguments["callers"].as<std::size_t>()
                                    : callers_per_node * options.node_count;
         options.node_program = arguments["node-program"].as<std::string>();
+        options.other_node_program = arguments.count("other-node-program") > 0
+                                         ? arguments["other-node-program"].as<std::string>()
+                                         : options.node_program;
+        options.small_store_answers = arguments.count("missed-changes") > 0;
         options.folder = arguments["folder"].as<std::string>();
         options.network_number = arguments["net"].as<std::uint32_t>();
         if (options.network_number == 0) {
@@ -164,6 +173,7 @@
         schedule.endless = arguments.count("endless") > 0;
         schedule.isolations = arguments.count("isolations") > 0;
         schedule.restores = arguments.count("restores") > 0;
+        schedule.missed_changes = arguments.count("missed-changes") > 0;
         asio::io_context context(1);
         soak_fleet fleet(context.get_executor(), options);
         return run_main_task(context, [&] { return run(fleet, options, span, schedule); });
--- a/soak/schedule.cpp
+++ b/soak/schedule.cpp
@@ -67,6 +67,14 @@
 constexpr std::uint64_t restore_seed_offset = 0xe2a5'0000'0000'0000;
 constexpr std::uint64_t endless_seed_offset = 0xe4d1'0000'0000'0000;
 constexpr std::uint64_t isolation_seed_offset = 0x1501'0000'0000'0000;
+constexpr std::uint64_t missed_seed_offset = 0x3155'0000'0000'0000;
+constexpr std::uint64_t max_missed_times = 2; // One key is revoked in each.
+constexpr int missed_changes = 8;
+constexpr std::uint64_t min_rejection_ms = 7'000; // Longer than a revoked key is accepted.
+constexpr std::uint64_t rejection_limit_ms = 9'000;
+constexpr std::uint64_t min_missed_lead_ms = 300; // From the rejection to the revocation.
+constexpr std::uint64_t missed_lead_limit_ms = 2'500;
+constexpr std::uint64_t rejection_overlap_limit_ms = 600; // It ends later than a restore's outage.
 constexpr std::uint64_t max_restores = 3;
 constexpr std::uint64_t min_isolations = 2;
 constexpr std::uint64_t isolation_limit = 6;                 // A schedule has fewer of them.
@@ -171,6 +179,44 @@
     }
 }
 
+/** Adds times in which the store rejects a node while the configuration changes and a key is
+ * revoked. \param restores adds a restore of the store near the end of each.
+ */
+void add_missed_changes(std::vector<scheduled_fault>& faults, std::uint64_t seed, duration span,
+                        bool restores)
+{
+    const random_source random = seeded_random(seed ^ missed_seed_offset);
+    const std::uint64_t count = 1 + random_below(random, max_missed_times);
+    for (std::uint64_t i = 0; i < count; ++i) {
+        scheduled_fault rejection;
+        rejection.kind = fault_kind::store_rejects_node;
+        rejection.start = draw_ms(random, 0, static_cast<std::uint64_t>(span / 1ms));
+        rejection.length = draw_ms(random, min_rejection_ms, rejection_limit_ms);
+        rejection.target = random();
+        scheduled_fault revocation;
+        revocation.kind = fault_kind::key_revoked;
+        revocation.start =
+            rejection.start + draw_ms(random, min_missed_lead_ms, missed_lead_limit_ms);
+        for (int change = 0; change < missed_changes; ++change) {
+            scheduled_fault missed;
+            missed.kind = fault_kind::configuration_changed;
+            missed.start = rejection.start + draw_ms(random, 0, min_rejection_ms);
+            faults.push_back(missed);
+        }
+        if (restores) {
+            scheduled_fault restore;
+            restore.kind = fault_kind::store_restored;
+            restore.length = draw_ms(random, min_length_ms, 2 * min_length_ms);
+            restore.start = rejection.start + rejection.length - restore.length -
+                            draw_ms(random, 0, rejection_overlap_limit_ms);
+            restore.target = random();
+            faults.push_back(restore);
+        }
+        faults.push_back(rejection);
+        faults.push_back(revocation);
+    }
+}
+
 /** Adds times in which the answers of a server go on without end. */
 void add_endless(std::vector<scheduled_fault>& faults, std::uint64_t seed, duration span)
 {
@@ -291,6 +337,9 @@
     if (options.isolations) {
         add_isolations(faults, seed, span);
     }
+    if (options.missed_changes) {
+        add_missed_changes(faults, seed, span, options.restores);
+    }
     std::sort(faults.begin(), faults.end(),
               [](const scheduled_fault& a, const scheduled_fault& b) { return a.start < b.start; });
     return faults;
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -72,6 +72,8 @@
     bool restores = false;              // Adds one to three of store_restored.
     bool endless = false;               // Adds two to five of server_endless.
     bool isolations = false;            // Adds two to five of server_isolated, among late commands.
+    bool missed_changes = false; // Adds changes while the store rejects a node; with restores, the
+                                 // store then comes back without them.
 };
 
 /** Draws a schedule, which is the same for the same seed. Faults may overlap.
