Configuration: a node that has just started does not vouch for its configuration

A node that starts within moments of a restore has read nothing but the copy, so its answer to a node that was turned away would make an older configuration look like the newest.

--- a/src/fleet/configuration_freshness.cpp
+++ b/src/fleet/configuration_freshness.cpp
@@ -18,7 +18,7 @@
 
 void configuration_freshness::note_peer_version(std::uint64_t version, duration now)
 {
-    heard_peer_ = true;
+    heard_peer_ = heard_peer_ || version > 0;
     if (version > peer_version_) {
         peer_version_ = version;
         peer_version_at_ = now;
--- a/src/fleet/configuration_freshness.h
+++ b/src/fleet/configuration_freshness.h
@@ -57,7 +57,7 @@
     /** Records that operators have written a configuration after the first read of this era. */
     void note_written() { written_ = true; }
 
-    /** Records the version that a peer has in force. */
+    /** Records the version that a peer has in force; zero if it has none. */
     void note_peer_version(std::uint64_t version, duration now);
 
     /** Uses a peer's knowledge: no version above the peer's was acknowledged before a time.
--- a/src/relay/shared_reading.cpp
+++ b/src/relay/shared_reading.cpp
@@ -174,7 +174,7 @@
     const duration stated = std::max(*read_age, age.value_or(unknown_age));
     answer.set_configuration_age_ms(to_whole_ms(stated) + 1);
     answer.set_proven_age(true);
-    if (age && view_.configuration()) {
+    if (age && view_.configuration() && can_vouch()) {
         answer.mutable_known()->set_version(view_.configuration()->version());
         answer.mutable_known()->set_age_ms(to_whole_ms(*age) + 1);
     }
--- a/src/relay/shared_reading.h
+++ b/src/relay/shared_reading.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include <functional>
 #include <optional>
 #include <vector>
 
@@ -30,6 +31,11 @@
     shared_reading(const schema::relay_settings& settings, fleet_view& view, peer_gossip& peers,
                    random_source random);
 
+    /** \return true if this node may tell others that its configuration is the newest: a node that
+     * has just started can't know what a restored log lacks.
+     */
+    std::function<bool()> can_vouch = [] { return true; };
+
     /** Chooses the reader again and sends it a question when one is due. Must be called a few times
      * a second.
      * \param leaving true if this node is about to stop.
--- a/test/correctness/fleet_configuration_freshness.cpp
+++ b/test/correctness/fleet_configuration_freshness.cpp
@@ -55,8 +55,9 @@
         CHECK(freshness.as_of(restored, 4, 21900ms) == 9s);
         CHECK(freshness.as_of(restored, 4, 22s) == 20s);
     }
-    SUBCASE("they write nothing, and nobody is heard")
+    SUBCASE("they write nothing, and nobody is heard who knows a configuration")
     {
+        freshness.note_peer_version(0, 20s);
         CHECK(freshness.as_of(restored, 4, 24900ms) == 9s);
         CHECK(freshness.as_of(restored, 4, 25s) == 20s);
     }
