Configuration: nodes that have heard all others serve at once after a restore

A restored log made all nodes refuse keyed calls until operators wrote again or 2 s had passed, if the outage took longer than about one second: fuzz/relay "nodes that were in touch until a short outage refuse nothing after it" found ages of 4.55 s, where keys are refused above 4.5 s, after an outage of 1.5 s. A node that was in touch with the log until it was lost knows all that was acknowledged, and the others know it from that node. So nodes now ask all others that they know, and reads of the restored log count once all have answered, unless nobody's last proof is younger than 5 s: then all may have been turned away.

The limit of unanswered questions is 32, and its test follows it.

--- a/src/fleet/configuration_freshness.cpp
+++ b/src/fleet/configuration_freshness.cpp
@@ -14,6 +14,7 @@
     restored_at_ = now;
     written_ = false;
     heard_peer_ = false;
+    all_consulted_ = false;
 }
 
 void configuration_freshness::note_peer_version(std::uint64_t version, duration now)
@@ -35,8 +36,13 @@
 
 bool configuration_freshness::awaits_rewrite(duration now) const
 {
+    if (!restored_at_ || written_) {
+        return false;
+    }
+    const bool was_in_touch =
+        known_as_of_ && *restored_at_ - *known_as_of_ <= settings_.max_unwatched_time;
     const duration limit = heard_peer_ ? settings_.rewrite_time : settings_.lone_rewrite_time;
-    return restored_at_ && !written_ && now - *restored_at_ < limit;
+    return !(all_consulted_ && was_in_touch) && now - *restored_at_ < limit;
 }
 
 /** A version that a peer has had in force is missing only if a read that began after the peer's
--- a/src/fleet/configuration_freshness.h
+++ b/src/fleet/configuration_freshness.h
@@ -20,6 +20,10 @@
     // The same for a node that hears no peer, which could tell it what the log lacks.
     duration lone_rewrite_time = 5s;
 
+    // A node whose last proof was older at the first read of a restored log may have been turned
+    // away by the log for longer than an outage lasted, as all nodes may that it can ask.
+    duration max_unwatched_time = 5s;
+
     // How long a node waits for a version that a peer has had in force and the log lacks.
     duration max_wait_for_version = 10s;
 };
@@ -33,9 +37,10 @@
 
 /** Tracks what proves that the configuration in force is the newest one. While the log is not
  * restored, that is a read of the whole topic. A log that was restored from an older copy lacks
- * changes that it had acknowledged, so reads of it prove nothing until operators have written
- * again, or have had the time to. Until then the configuration is known to be the newest as of the
- * last proof before the restore, or as of a peer's proof if the peer's version is not newer.
+ * changes that it had acknowledged, so reads of it prove nothing until all other nodes have told
+ * what they know, if some node was in touch with the log until it was lost, or operators have
+ * written again or have had the time to. Until then the configuration is known to be the newest as
+ * of the last proof before the restore, or as of a peer's proof if the peer's version is not newer.
  * Versions are compared rather than positions, since each contains the whole configuration.
  *
  * All times are on the clock that includes suspended time.
@@ -57,6 +62,14 @@
     /** Records that operators have written a configuration after the first read of this era. */
     void note_written() { written_ = true; }
 
+    /** Records that each node known to this one has answered since the first read of this era, so
+     * that this node knows what any of them knew.
+     */
+    void note_all_consulted() { all_consulted_ = true; }
+
+    /** When the log was first read after the newest restore; nothing if none was seen. */
+    const std::optional<duration>& restored_at() const { return restored_at_; }
+
     /** Records the version that a peer has in force; zero if it has none. */
     void note_peer_version(std::uint64_t version, duration now);
 
@@ -88,6 +101,7 @@
     std::optional<duration> restored_at_; // First read of the log since the newest restore.
     bool written_ = false;                // By operators since then.
     bool heard_peer_ = false;             // Since then.
+    bool all_consulted_ = false;          // Since then.
     std::uint64_t peer_version_ = 0;      // The newest of any peer.
     duration peer_version_at_{};          // When it was first heard.
 };
--- a/src/members/freshness_questions.cpp
+++ b/src/members/freshness_questions.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::size_t max_unanswered = 8; // Beyond it the oldest question is dropped.
+constexpr std::size_t max_unanswered = 32; // Beyond it the oldest question is dropped.
 
 } // namespace
 
--- a/src/members/peer_gossip.cpp
+++ b/src/members/peer_gossip.cpp
@@ -317,6 +317,15 @@
     }
 }
 
+std::vector<std::pair<std::string, std::uint16_t>> peer_gossip::addresses() const
+{
+    std::vector<node_key> known;
+    for (const auto& [address, heard_at] : addresses_) {
+        known.push_back(address);
+    }
+    return known;
+}
+
 std::vector<const known_node*> peer_gossip::live() const
 {
     const time_point now = monotonic_clock::now();
--- a/src/members/peer_gossip.h
+++ b/src/members/peer_gossip.h
@@ -108,6 +108,9 @@
     /** \return the number of other nodes' addresses, whether or not they are live. */
     std::size_t known_addresses() const { return addresses_.size(); }
 
+    /** \return the addresses of other nodes, whether or not they are live. */
+    std::vector<std::pair<std::string, std::uint16_t>> addresses() const;
+
     /** The other nodes that are live. */
     std::vector<const known_node*> live() const;
 
--- a/src/relay/fleet_view.h
+++ b/src/relay/fleet_view.h
@@ -156,6 +156,17 @@
     /** What proves that the configuration in force is the newest one. */
     configuration_standing standing_of_configuration() const;
 
+    /** When this node first read the topic of the operators after the log was restored; nothing if
+     * it has seen no restore. On the clock that includes suspended time.
+     */
+    const std::optional<duration>& configuration_restored_at() const
+    {
+        return configuration_freshness_.restored_at();
+    }
+
+    /** Records that each node known to this one has told since then what it knows. */
+    void note_all_consulted() { configuration_freshness_.note_all_consulted(); }
+
     /** Time since which the topic of the operators may have grown. After the log was restored this
      * says nothing of the records that it lacks.
      */
--- a/src/relay/shared_reading.cpp
+++ b/src/relay/shared_reading.cpp
@@ -29,7 +29,7 @@
 // From this fraction of that age on, another node is asked as well.
 constexpr double second_question_share = 0.75;
 
-constexpr std::size_t questions_at_once = 4; // To any nodes, a few times a second.
+constexpr std::size_t questions_at_once = 24; // To any nodes, a few times a second.
 
 constexpr duration unknown_age = 24h; // Stated if there is no bound of the age.
 
@@ -64,7 +64,7 @@
     choose_reader(leaving);
     ask_reader();
     if (view_.standing_of_configuration() != configuration_standing::proven) {
-        ask_any_peers();
+        consult_peers();
     }
 }
 
@@ -87,17 +87,28 @@
     }
 }
 
-/** Asks some nodes at random: one that was in touch with the log until it was lost knows what the
- * restored log lacks.
+/** Asks nodes that have not answered since the log was restored, in random order: one that was in
+ * touch with the log until it was lost knows what the restored log lacks.
  */
-void shared_reading::ask_any_peers()
+void shared_reading::consult_peers()
 {
-    auto others = peers_.live();
-    for (std::size_t asked = 0; asked < questions_at_once && !others.empty(); ++asked) {
+    if (consulted_since_ != view_.configuration_restored_at()) {
+        consulted_since_ = view_.configuration_restored_at();
+        consulted_.clear();
+    }
+    auto peers = peers_.addresses();
+    std::erase_if(peers, [this](const auto& peer) { return consulted_.contains(peer); });
+    if (peers.empty()) { // They may know more by now, and their word makes this node's younger.
+        peers = peers_.addresses();
+    }
+    for (std::size_t asked = 0; asked < questions_at_once && !peers.empty(); ++asked) {
         const auto chosen =
-            others.begin() + static_cast<std::ptrdiff_t>(random_below(random_, others.size()));
-        send_question(address_of((*chosen)->state));
-        others.erase(chosen);
+            peers.begin() + static_cast<std::ptrdiff_t>(random_below(random_, peers.size()));
+        schema::known_peer peer;
+        peer.set_address(chosen->first);
+        peer.set_port(chosen->second);
+        send_question(peer);
+        peers.erase(chosen);
     }
 }
 
@@ -182,23 +193,44 @@
                         static_cast<std::uint16_t>(message.port()));
 }
 
-void shared_reading::apply_answer(const schema::freshness_answer& answer)
+void shared_reading::apply_answer(const schema::peer_word& message)
 {
+    const schema::freshness_answer& answer = message.answer();
     const log_position end{answer.configuration_era(), answer.configuration_end()};
-    const auto since_question =
-        questions_.resolve(answer.nonce(), duration::zero(), time_since_boot());
-    if (since_question && answer.has_known()) {
-        view_.confirm_configuration_version(answer.known().version(),
-                                            *since_question +
-                                                std::chrono::milliseconds(answer.known().age_ms()));
+    const duration now = time_since_boot();
+    const auto since_question = questions_.resolve(answer.nonce(), duration::zero(), now);
+    if (!since_question) {
+        view_.note_configuration_end(end);
+        return;
+    }
+    if (answer.has_known()) {
+        const auto age = std::chrono::milliseconds(answer.known().age_ms());
+        view_.note_configuration_version(answer.known().version());
+        view_.confirm_configuration_version(answer.known().version(), *since_question + age);
     }
-    if (since_question && answer.proven_age()) {
-        view_.confirm_configuration(
-            end, *since_question + std::chrono::milliseconds(answer.configuration_age_ms()));
+    if (answer.proven_age()) {
+        const auto age = std::chrono::milliseconds(answer.configuration_age_ms());
+        view_.confirm_configuration(end, *since_question + age);
     }
     else {
         view_.note_configuration_end(end);
     }
+    note_consulted(message, now - *since_question);
+}
+
+/** \param asked_at when the node was asked, on the clock that includes suspended time. */
+void shared_reading::note_consulted(const schema::peer_word& message, duration asked_at)
+{
+    if (!consulted_since_ || asked_at < *consulted_since_) {
+        return;
+    }
+    consulted_.emplace(message.address(), static_cast<std::uint16_t>(message.port()));
+    const auto known = peers_.addresses();
+    const bool all = std::all_of(known.begin(), known.end(),
+                                 [this](const auto& peer) { return consulted_.contains(peer); });
+    if (all && consulted_since_ == view_.configuration_restored_at()) {
+        view_.note_all_consulted();
+    }
 }
 
 void shared_reading::handle_message(const schema::peer_word& message)
@@ -207,7 +239,7 @@
         answer_question(message);
     }
     if (message.has_answer()) {
-        apply_answer(message.answer());
+        apply_answer(message);
     }
     if (message.has_news()) {
         const schema::topic_news& news = message.news();
--- a/src/relay/shared_reading.h
+++ b/src/relay/shared_reading.h
@@ -5,6 +5,9 @@
 
 #include <functional>
 #include <optional>
+#include <set>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "base/random.h"
@@ -23,7 +26,7 @@
 /** Chooses the node that reads the log for this one, asks it how old its configuration is, answers
  * the same question of others and forwards the records that this node reads. If two nodes consider
  * themselves the reader, or none does, the only cost is more calls on the log. While a restored log
- * proves nothing, any node is asked what it knows.
+ * proves nothing, all nodes are asked what they know.
  */
 class shared_reading {
   public:
@@ -56,9 +59,10 @@
   private:
     void choose_reader(bool leaving);
     void ask_reader();
-    void ask_any_peers();
+    void consult_peers();
     void answer_question(const schema::peer_word& message);
-    void apply_answer(const schema::freshness_answer& answer);
+    void apply_answer(const schema::peer_word& message);
+    void note_consulted(const schema::peer_word& message, duration asked_at);
     void send_question(const schema::known_peer& peer);
     std::vector<const schema::peer_word*> domain_peers() const;
 
@@ -70,6 +74,9 @@
     std::optional<schema::known_peer> reader_; // The node that reads the log for this one.
     bool reads_for_domain_ = false;            // This node reads the log for its failure domain.
     time_point asked_at_{};
+    // Nodes that have answered since a restore of the log was first seen, and when that was.
+    std::set<std::pair<std::string, std::uint16_t>> consulted_;
+    std::optional<duration> consulted_since_;
 };
 
 } // namespace chervildyke
--- a/test/correctness/fleet_configuration_freshness.cpp
+++ b/test/correctness/fleet_configuration_freshness.cpp
@@ -61,6 +61,18 @@
         CHECK(freshness.as_of(restored, 4, 24900ms) == 9s);
         CHECK(freshness.as_of(restored, 4, 25s) == 20s);
     }
+    SUBCASE("all other nodes have answered, but none was in touch with the log until it was lost")
+    {
+        freshness.note_all_consulted();
+        CHECK(freshness.as_of(restored, 4, 20s) == 9s);
+    }
+    SUBCASE("all other nodes have answered, and one was in touch with the log until it was lost")
+    {
+        freshness.confirm(4, 18s, 4);
+        CHECK(freshness.as_of(restored, 4, 20s) == 18s);
+        freshness.note_all_consulted();
+        CHECK(freshness.as_of(restored, 4, 20s) == 20s);
+    }
     SUBCASE("the log is restored once more, from an older copy")
     {
         freshness.note_restore(restored, 4, 21s);
--- a/test/fuzz/members_freshness.cpp
+++ b/test/fuzz/members_freshness.cpp
@@ -137,7 +137,7 @@
 {
     freshness_questions questions(seeded_random(1));
     const std::uint64_t first = questions.add(10s);
-    for (int i = 0; i < 8; ++i) {
+    for (int i = 0; i < 32; ++i) {
         questions.add(10s);
     }
     CHECK_FALSE(questions.resolve(first, 0ms, 11s));
--- a/test/fuzz/relay_restored_log.cpp
+++ b/test/fuzz/relay_restored_log.cpp
@@ -147,3 +147,27 @@
         fleet.check_agreement();
     }
 }
+
+// Guards against calls with valid keys that are refused after a restore by nodes which were in
+// touch with the log until it was lost, while operators have nothing to write again.
+TEST_CASE("nodes that were in touch until a short outage refuse nothing after it")
+{
+    constexpr std::uint64_t seeds = 20;
+    constexpr duration key_staleness = 4500ms;
+    constexpr duration outage = 2500ms;
+    constexpr duration copy_age = 100ms;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        CAPTURE(seed);
+        test_fleet fleet(seed, 3 + seed % 6);
+        fleet.run(std::chrono::milliseconds(37 * seed));
+        fleet.restore_without_rewrite(outage, copy_age);
+        for (int i = 0; i < 100; ++i) {
+            fleet.run(50ms);
+            for (std::size_t index = 0; index < fleet.size(); ++index) {
+                const auto age = fleet.node(index).view->configuration_age();
+                REQUIRE(age.has_value());
+                CHECK(*age < key_staleness);
+            }
+        }
+    }
+}
--- a/test/support/restored_fleet.h
+++ b/test/support/restored_fleet.h
@@ -231,13 +231,19 @@
 
     /** Takes the log away, restores it from an older copy, and lets the operator write again. */
     void restore(duration outage, duration copy_age, duration rewrite_delay)
+    {
+        restore_without_rewrite(outage, copy_age);
+        run(rewrite_delay);
+        write_configuration(published_version_);
+    }
+
+    /** The same, and the operator writes nothing. */
+    void restore_without_rewrite(duration outage, duration copy_age)
     {
         const time_point copied_at = monotonic_clock::now() - copy_age;
         log_.go_down();
         run(outage);
         log_.restore(copied_at);
-        run(rewrite_delay);
-        write_configuration(published_version_);
     }
 
     /** Ends a node and starts another one with the same name. */
@@ -379,18 +385,27 @@
         in_flight_ = std::move(later);
     }
 
-    /** Lets nodes that don't know whether their configuration is the newest ask another one. */
+    /** Lets nodes that don't know whether their configuration is the newest ask the others. */
     void ask_peers()
     {
         for (const auto& node : nodes_) {
-            const std::size_t asked = random_below(random_, nodes_.size());
-            const test_node& peer = *nodes_[asked];
-            if (&peer == node.get() || !node->active() || !peer.active() ||
+            if (!node->active() ||
                 node->view->standing_of_configuration() == configuration_standing::proven) {
                 continue;
             }
-            if (const auto age = peer.view->configuration_age()) {
-                node->view->confirm_configuration_version(peer.version, *age);
+            std::size_t answers = 0;
+            for (const auto& peer : nodes_) {
+                if (peer == node || !peer->active() || random_below(random_, 4) == 0) {
+                    continue; // One question in four is lost.
+                }
+                ++answers;
+                if (const auto age = peer->view->configuration_age()) {
+                    node->view->note_configuration_version(peer->version);
+                    node->view->confirm_configuration_version(peer->version, *age);
+                }
+            }
+            if (answers + 1 == nodes_.size()) {
+                node->view->note_all_consulted();
             }
         }
     }
