--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -25,7 +25,6 @@
 
 // Of the copy from which the store is restored, before the outage.
 constexpr duration min_copy_age = 500ms;
-constexpr duration copy_age_spread = 12s;
 constexpr duration rewrite_delay_limit = 1s; // The operator and the servers write again earlier.
 
 /** Sets a value to faulty_value for the span and to normal_value then. */
--- a/soak/schedule.cpp
+++ b/soak/schedule.cpp
@@ -74,6 +74,7 @@
 constexpr std::uint64_t rejection_limit_ms = 9'000;
 constexpr std::uint64_t min_missed_lead_ms = 300; // From the rejection to the revocation.
 constexpr std::uint64_t missed_lead_limit_ms = 2'500;
+constexpr std::uint64_t copies_limit = 1U << 20U;
 constexpr std::uint64_t rejection_overlap_limit_ms = 600; // It ends later than a restore's outage.
 constexpr std::uint64_t max_restores = 3;
 constexpr std::uint64_t min_isolations = 2;
@@ -209,7 +210,10 @@
             restore.length = draw_ms(random, min_length_ms, 2 * min_length_ms);
             restore.start = rejection.start + rejection.length - restore.length -
                             draw_ms(random, 0, rejection_overlap_limit_ms);
-            restore.target = random();
+            // The copy is older than the rejection.
+            restore.target = random_below(random, copies_limit) * (copy_age_spread / 1ms) +
+                             rejection_limit_ms +
+                             random_below(random, (copy_age_spread / 1ms) - rejection_limit_ms);
             faults.push_back(restore);
         }
         faults.push_back(rejection);
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -66,6 +66,10 @@
 bool excuses_nothing(fault_kind kind);
 
 /** Which kinds of faults a schedule has. */
+/** The copy from which the store is restored is older by the target of store_restored modulo this.
+ */
+constexpr duration copy_age_spread = 12s;
+
 struct schedule_options {
     bool excusing_nothing_only = false; // Other kinds would excuse lost answers near their time.
     bool poison = false;                // Adds poison_prompts for at least half of the time.
