--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -148,8 +148,9 @@
         write_settings(*node, initial_address_validity_s);
         const auto settings = options_.folder / (node->name + ".json");
         const auto log = options_.folder / (node->name + ".log");
+        const bool runs_other = i % 2 == 1 && !options_.other_node_program.empty();
         const std::string& program =
-            i % 2 == 0 ? options_.node_program : options_.other_node_program;
+            runs_other ? options_.other_node_program : options_.node_program;
         node->process = std::make_unique<node_process>(program, settings, log);
         if (!node->process->start()) {
             last_reason_ = "can't start the node program " + program;
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -24,7 +24,7 @@
 
 struct fleet_options {
     std::string node_program;
-    std::string other_node_program;   // Of every second node.
+    std::string other_node_program;   // Of every second node; empty: the same.
     bool small_store_answers = false; // The store returns a few records in each answer to a read.
     std::filesystem::path folder;     // For the nodes' settings and logs.
     std::uint64_t seed = 1;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -155,9 +155,9 @@
                                    ? arguments["callers"].as<std::size_t>()
                                    : callers_per_node * options.node_count;
         options.node_program = arguments["node-program"].as<std::string>();
-        options.other_node_program = arguments.count("other-node-program") > 0
-                                         ? arguments["other-node-program"].as<std::string>()
-                                         : options.node_program;
+        if (arguments.count("other-node-program") > 0) {
+            options.other_node_program = arguments["other-node-program"].as<std::string>();
+        }
         options.small_store_answers = arguments.count("missed-changes") > 0;
         options.folder = arguments["folder"].as<std::string>();
         options.network_number = arguments["net"].as<std::uint32_t>();
