Restore: nodes that start on a copy wait until operators have written again

All nodes were killed while the store was a copy without the revocation; the first one to start declared the content of the log agreed 1.2 s after its start, and served by the copy, 60 ms before it read what the operator had written again.

Cause: a node that knows nothing agreed took the content of the log as it is, although the header of the log of replicas named an earlier era (log_not_current era=6 header_era=1): it knew that it read a copy.

Fix: on such a copy it waits until 2 s after the first read, the time in which operators write again. Nodes serve nothing while nobody has restored the log, so the others wait with it. A log without a header was never written: a first start is as quick as before.

--- a/soak/schedule.cpp
+++ b/soak/schedule.cpp
@@ -181,7 +181,9 @@
 }
 
 /** Adds times in which the store rejects a node while the configuration changes and a key is
- * revoked. \param restores adds a restore of the store near the end of each.
+ * revoked.
+ *
+ * \param restores adds a restore of the store near the end of each.
  */
 void add_missed_changes(std::vector<scheduled_fault>& faults, std::uint64_t seed, duration span,
                         bool restores)
--- a/src/assembly/replica_ledger.h
+++ b/src/assembly/replica_ledger.h
@@ -52,6 +52,11 @@
     /** \return true if the log contains what was agreed, so that records may be appended. */
     bool is_current() const { return header_.era() == end_.era && !header_.restoring(); }
 
+    /** \return true if the log was written in an earlier era and nobody has restored it since. A
+     * log that was never written is not known to be a copy.
+     */
+    bool is_unrestored_copy() const { return header_.era() != 0 && !is_current(); }
+
     /** \return the position up to which the agreed replicas were read: end() while the log is
      * current. Zero if nothing agreed was read yet.
      */
--- a/src/relay/fleet_restorer.cpp
+++ b/src/relay/fleet_restorer.cpp
@@ -49,8 +49,7 @@
         !hooks_.can_write()) {
         return false;
     }
-    const log_position known = view_.ledger().agreed_end();
-    if (known == log_position() && now - started_at_ < settings_.first_node_wait) {
+    if (view_.ledger().agreed_end() == log_position() && !may_declare_agreed(now)) {
         return false;
     }
     const auto peers = hooks_.peers();
@@ -59,6 +58,16 @@
     });
 }
 
+/** \return true if this node, which knows nothing agreed, may declare the content of the log
+ * agreed, after which nodes that know nothing serve. On a copy, operators must have had the time to
+ * write again the configuration that it lacks.
+ */
+bool fleet_restorer::may_declare_agreed(time_point now) const
+{
+    return now - started_at_ >= settings_.first_node_wait &&
+           (!view_.ledger().is_unrestored_copy() || now - *lacking_since_ >= log_rewrite_time);
+}
+
 /** \return true while the peer should write instead of this node. */
 bool fleet_restorer::must_wait_for(const known_agreement& peer, duration waited) const
 {
--- a/src/relay/fleet_restorer.h
+++ b/src/relay/fleet_restorer.h
@@ -94,6 +94,7 @@
     void note_era();
     bool must_read_accepted() const;
     bool should_write_replicas(time_point now) const;
+    bool may_declare_agreed(time_point now) const;
     bool must_wait_for(const known_agreement& peer, duration waited) const;
     bool should_write_configuration(time_point now) const;
 
--- a/test/error/relay_fleet_restorer.cpp
+++ b/test/error/relay_fleet_restorer.cpp
@@ -271,3 +271,31 @@
     fixture.clock.advance(100ms);
     CHECK(*fixture.view->configuration_age() < 1s);
 }
+
+// Guards against a revoked key that is honoured when all nodes start on a restored log: nobody
+// knows what it lacks, and the first one served by the copy before operators had written again.
+TEST_CASE("a node that starts on a copy and hears nobody waits until operators have written again")
+{
+    node_fixture fixture;
+    fixture.clock.advance(3s);
+    REQUIRE(fixture.is_current());
+    fixture.log.write("op", configuration(5));
+    fixture.clock.advance(1s);
+    fixture.log.restore(monotonic_clock::now() - 1500ms);
+    fixture.start();
+    fixture.clock.advance(1900ms);
+    CHECK(fixture.view->configuration()->version() == 1);
+    CHECK(fixture.restorer->is_behind());
+    fixture.log.write("op", configuration(5));
+    fixture.clock.advance(500ms);
+    CHECK_FALSE(fixture.restorer->is_behind());
+    CHECK(fixture.view->configuration()->version() == 5);
+}
+
+// Guards against a fleet that starts more slowly for the first time, when no log is a copy.
+TEST_CASE("a node that starts on a log that was never written waits only to hear its peers")
+{
+    node_fixture fixture;
+    fixture.clock.advance(1500ms);
+    CHECK_FALSE(fixture.restorer->is_behind());
+}
